--- /dev/null
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Launcher, demo, load and measurement tools for skylarkdoor."""
--- /dev/null
+++ b/packages/skylarkdoor-client/src/skylarkdoor_client/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' client of skylarkdoor."""
--- /dev/null
+++ b/packages/skylarkdoor-standins/src/skylarkdoor_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems around skylarkdoor, for tests and demos."""
--- /dev/null
+++ b/packages/skylarkdoor/src/skylarkdoor/__init__.py
@@ -0,0 +1,1 @@
+"""Shared library of the skylarkdoor request scheduler."""
--- /dev/null
+++ b/packages/skylarkdoor/src/skylarkdoor/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between skylarkdoor processes and the code generated for them."""
--- /dev/null
+++ b/packages/skylarkdoord/src/skylarkdoord/__init__.py
@@ -0,0 +1,1 @@
+"""The skylarkdoor daemon: entry and sidecar roles."""
