Write the kernel, the settings and the thin path of entry and sidecar

An entry offers a request to sidecars over one stream each, takes the first grant and sends the body by HTTP; the sidecar marks it dispatched just before the call to the engine. Settings are checked by structs derived from the record classes, since msgspec reads a NamedTuple from an array only.

--- /dev/null
+++ b/packages/skylarkdoor/src/skylarkdoor/_events.py
@@ -0,0 +1,94 @@
+"""Structured logs: every line carries the number of its event."""
+
+import logging
+import sys
+from typing import Any, NamedTuple
+
+from pythonjsonlogger.json import JsonFormatter
+
+from skylarkdoor.exceptions import ArgumentError
+
+ROOT = "skylarkdoor"
+
+
+class Event(NamedTuple):
+    """A kind of log line.
+
+    Attributes:
+        number: Stable number, unique in the product.
+        name: Short name in lower case with underscores.
+        level: Level of the `logging` module.
+        text: One sentence for people.
+    """
+
+    number: int
+    name: str
+    level: int
+    text: str
+
+
+CATALOGUE: dict[int, Event] = {}
+
+
+def define(number: int, name: str, level: int, text: str) -> Event:
+    """Add an event to the catalogue.
+
+    Raises:
+        ArgumentError: The number is taken.
+    """
+    if number in CATALOGUE:
+        raise ArgumentError(f"event {number} is defined already")
+    event = Event(number, name, level, text)
+    CATALOGUE[number] = event
+    return event
+
+
+class EventLogger:
+    """Writes events for one part of the product."""
+
+    def __init__(self, part: str) -> None:
+        self.logger = logging.getLogger(f"{ROOT}.{part}")
+
+    def event(self, event: Event, **fields: Any) -> None:
+        """Write one line for the event with the fields given.
+
+        Bodies, keys and tokens must not be among the fields.
+        """
+        if self.logger.isEnabledFor(event.level):
+            extra = {"event": event.number, "event_name": event.name, **fields}
+            self.logger.log(event.level, event.text, extra=extra)
+
+
+def get_logger(part: str) -> EventLogger:
+    """Return the logger of one part, such as `entry.router`."""
+    return EventLogger(part)
+
+
+def configure(*, level: str = "info", instance: str = "") -> None:
+    """Write the product's events to standard error as JSON lines.
+
+    Args:
+        level: Lowest level written, a name of the `logging` module.
+        instance: Instance named on each line.
+    """
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        JsonFormatter(
+            "%(asctime)s %(levelname)s %(name)s %(message)s",
+            static_fields={"instance": instance},
+        )
+    )
+    root = logging.getLogger(ROOT)
+    root.handlers = [handler]
+    root.setLevel(level.upper())
+    root.propagate = False
+
+
+SERVICE_STARTED = define(101, "service_started", logging.DEBUG, "Service started.")
+TASK_FAILED = define(
+    102, "task_failed", logging.ERROR, "A task failed; the process stops."
+)
+INVARIANT_BROKEN = define(
+    103, "invariant_broken", logging.CRITICAL, "An invariant does not hold."
+)
+SPAN_ENDED = define(104, "span_ended", logging.INFO, "A traced hop ended.")
--- /dev/null
+++ b/packages/skylarkdoor/src/skylarkdoor/_kernel.py
@@ -0,0 +1,156 @@
+"""Registry of services, started in order of need and stopped in reverse."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any, Protocol, TypeVar
+
+from skylarkdoor import events
+from skylarkdoor.exceptions import (
+    ServiceAbsentError,
+    ServiceCycleError,
+    ServiceExistsError,
+)
+
+T = TypeVar("T")
+
+
+class Service(Protocol):
+    """One part of a process, found by others under its name."""
+
+    name: str
+    requires: tuple[str, ...]
+
+    async def start(self, kernel: "Kernel") -> None:
+        """Start to work; every required service has started."""
+
+    async def stop(self) -> None:
+        """Finish what runs and release what is held."""
+
+
+class Kernel:
+    """Holds a process's services and the tasks that they run.
+
+    A task that fails ends the process in an orderly way: `run` stops every
+    service and raises the failures together.
+    """
+
+    def __init__(self) -> None:
+        self.services: dict[str, Service] = {}
+        self.started: list[Service] = []
+        self.tasks: set[asyncio.Task[Any]] = set()
+        self.failures: list[BaseException] = []
+        self.stopping = asyncio.Event()
+        self.log = events.get_logger("kernel")
+
+    def register(self, service: Service) -> None:
+        """Add a service.
+
+        Raises:
+            ServiceExistsError: The name is taken.
+        """
+        if service.name in self.services:
+            raise ServiceExistsError(f"service {service.name!r} is registered already")
+        self.services[service.name] = service
+
+    def find(self, name: str, kind: type[T]) -> T:
+        """Return the service of that name.
+
+        Args:
+            name: The service's name.
+            kind: The class that the caller expects.
+
+        Raises:
+            ServiceAbsentError: There is none, or it is of another class.
+        """
+        service = self.services.get(name)
+        if not isinstance(service, kind):
+            raise ServiceAbsentError(f"no service {name!r} of type {kind.__name__}")
+        return service
+
+    def order(self) -> list[Service]:
+        """Return the services with each after those that it requires.
+
+        Raises:
+            ServiceAbsentError: A required service is not registered.
+            ServiceCycleError: Services require each other.
+        """
+        ordered: list[Service] = []
+        visiting: set[str] = set()
+
+        def visit(name: str) -> None:
+            if name not in self.services:
+                raise ServiceAbsentError(f"no service {name!r}")
+            service = self.services[name]
+            if service in ordered:
+                return
+            if name in visiting:
+                raise ServiceCycleError(f"service {name!r} requires itself")
+            visiting.add(name)
+            for required in service.requires:
+                visit(required)
+            ordered.append(service)
+
+        for name in self.services:
+            visit(name)
+        return ordered
+
+    def spawn(self, coroutine: Coroutine[Any, Any, T], *, name: str) -> asyncio.Task[T]:
+        """Run a coroutine as a task whose failure stops the process."""
+        task = asyncio.create_task(coroutine, name=name)
+        self.tasks.add(task)
+        task.add_done_callback(self._task_done)
+        return task
+
+    def _task_done(self, task: asyncio.Task[Any]) -> None:
+        self.tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        error = task.exception()
+        assert error is not None
+        self.log.event(events.TASK_FAILED, task=task.get_name(), error=repr(error))
+        self.failures.append(error)
+        self.stopping.set()
+
+    def request_stop(self) -> None:
+        """Ask `run` to stop the services; returns at once."""
+        self.stopping.set()
+
+    async def start(self) -> None:
+        """Start every service in order."""
+        for service in self.order():
+            await service.start(self)
+            self.started.append(service)
+            self.log.event(events.SERVICE_STARTED, service=service.name)
+
+    async def stop(self) -> None:
+        """Stop the started services in reverse order, then cancel all tasks.
+
+        Raises:
+            ExceptionGroup: Services failed to stop or tasks failed before.
+        """
+        while self.started:
+            service = self.started.pop()
+            try:
+                await service.stop()
+            except Exception as error:
+                self.failures.append(error)
+        tasks = list(self.tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        failures = [error for error in self.failures if isinstance(error, Exception)]
+        if failures:
+            raise ExceptionGroup("services failed", failures)
+
+    async def run(self) -> None:
+        """Start the services, wait for `request_stop` or a failure, then stop.
+
+        Raises:
+            ExceptionGroup: A service or a task failed.
+        """
+        try:
+            await self.start()
+            await self.stopping.wait()
+        except Exception as error:
+            self.failures.append(error)
+        await self.stop()
--- /dev/null
+++ b/packages/skylarkdoor/src/skylarkdoor/events.py
@@ -0,0 +1,27 @@
+"""Numbered log events; docs/EVENTS.md lists every one."""
+
+from skylarkdoor._events import (
+    CATALOGUE,
+    INVARIANT_BROKEN,
+    SERVICE_STARTED,
+    SPAN_ENDED,
+    TASK_FAILED,
+    Event,
+    EventLogger,
+    configure,
+    define,
+    get_logger,
+)
+
+__all__ = [
+    "CATALOGUE",
+    "INVARIANT_BROKEN",
+    "SERVICE_STARTED",
+    "SPAN_ENDED",
+    "TASK_FAILED",
+    "Event",
+    "EventLogger",
+    "configure",
+    "define",
+    "get_logger",
+]
--- /dev/null
+++ b/packages/skylarkdoor/src/skylarkdoor/hashing.py
@@ -0,0 +1,51 @@
+"""Hashes that every process computes alike."""
+
+import hashlib
+from collections.abc import Iterable
+
+import xxhash
+
+__all__ = ["fingerprint", "key_hash", "prefix_hashes", "rendezvous"]
+
+PREFIX_BLOCK_WORDS = 64
+MAX_PREFIX_BLOCKS = 64
+
+
+def key_hash(key: str) -> str:
+    """Return the hex SHA-256 under which an API key or token is kept."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def fingerprint(customer: str, body: bytes) -> int:
+    """Return the 64-bit fingerprint of a customer's request body."""
+    return xxhash.xxh3_64_intdigest(customer.encode() + b"\0" + body)
+
+
+def prefix_hashes(words: list[str]) -> tuple[int, ...]:
+    """Return a running hash for each whole block of a prompt's words.
+
+    Two prompts share their first n hashes exactly when they share the first
+    n blocks of `PREFIX_BLOCK_WORDS` words.
+    """
+    running = xxhash.xxh3_64()
+    hashes = []
+    whole = min(len(words) // PREFIX_BLOCK_WORDS, MAX_PREFIX_BLOCKS)
+    for block in range(whole):
+        start = block * PREFIX_BLOCK_WORDS
+        block_text = " ".join(words[start : start + PREFIX_BLOCK_WORDS])
+        running.update(f"{block_text} ".encode())
+        hashes.append(running.intdigest())
+    return tuple(hashes)
+
+
+def rendezvous(key: str, names: Iterable[str], *, count: int = 1) -> list[str]:
+    """Return the `count` names that rank first for the key.
+
+    Adding or removing one name moves only the keys that ranked it.
+    """
+
+    def score(name: str) -> int:
+        return xxhash.xxh3_64_intdigest(f"{key}\0{name}".encode())
+
+    ranked = sorted(names, key=score, reverse=True)
+    return ranked[:count]
--- /dev/null
+++ b/packages/skylarkdoor/src/skylarkdoor/settings/__init__.py
@@ -0,0 +1,55 @@
+"""Settings: JSON with comments, checked into typed records."""
+
+from skylarkdoor.settings._check import check_shared
+from skylarkdoor.settings._convert import convert, to_plain
+from skylarkdoor.settings._process import (
+    Limits,
+    Listen,
+    PlatformAddresses,
+    ProcessSettings,
+    Upstream,
+    load_process,
+)
+from skylarkdoor.settings._read import read_file, read_text
+from skylarkdoor.settings._shared import (
+    FLEET_PATH,
+    TEAMS_PATH,
+    Customer,
+    Fleet,
+    Operator,
+    Pool,
+    Route,
+    Team,
+    Tier,
+    check_document,
+    team_path,
+)
+from skylarkdoor.settings._view import Resolved, SettingsView, Subtree
+
+__all__ = [
+    "FLEET_PATH",
+    "TEAMS_PATH",
+    "Customer",
+    "Fleet",
+    "Limits",
+    "Listen",
+    "Operator",
+    "PlatformAddresses",
+    "Pool",
+    "ProcessSettings",
+    "Resolved",
+    "Route",
+    "SettingsView",
+    "Subtree",
+    "Team",
+    "Tier",
+    "Upstream",
+    "check_document",
+    "check_shared",
+    "convert",
+    "load_process",
+    "read_file",
+    "read_text",
+    "team_path",
+    "to_plain",
+]
--- a/packages/skylarkdoor/src/skylarkdoor/wire/__init__.py
+++ b/packages/skylarkdoor/src/skylarkdoor/wire/__init__.py
@@ -1,1 +1,7 @@
 """Messages between skylarkdoor processes and the code generated for them."""
+
+from skylarkdoor.wire import peer_pb2 as pb
+from skylarkdoor.wire._outbox import Outbox
+from skylarkdoor.wire.peer_grpc import PeerBase, PeerStub
+
+__all__ = ["Outbox", "PeerBase", "PeerStub", "pb"]
--- /dev/null
+++ b/packages/skylarkdoor/tests/test_kernel.py
@@ -0,0 +1,103 @@
+"""The micro-kernel."""
+
+import asyncio
+
+import pytest
+
+from skylarkdoor.exceptions import (
+    ServiceAbsentError,
+    ServiceCycleError,
+    ServiceExistsError,
+)
+from skylarkdoor.kernel import Kernel
+
+
+class Recorder:
+    """A service that records when it starts and stops."""
+
+    def __init__(self, name: str, calls: list[str], *, requires: tuple[str, ...] = ()):
+        self.name = name
+        self.calls = calls
+        self.requires = requires
+
+    async def start(self, kernel: Kernel):
+        """Record the start."""
+        self.calls.append(f"start {self.name}")
+
+    async def stop(self):
+        """Record the stop."""
+        self.calls.append(f"stop {self.name}")
+
+
+class TestOrder:
+    """Order of start and stop."""
+
+    async def test_required_first(self):
+        """A service starts after those it requires and stops before them."""
+        calls: list[str] = []
+        kernel = Kernel()
+        kernel.register(Recorder("b", calls, requires=("a",)))
+        kernel.register(Recorder("a", calls))
+        kernel.request_stop()
+        await kernel.run()
+        assert calls == ["start a", "start b", "stop b", "stop a"]
+
+    def test_cycle(self):
+        """Services that require each other are refused."""
+        kernel = Kernel()
+        kernel.register(Recorder("a", [], requires=("b",)))
+        kernel.register(Recorder("b", [], requires=("a",)))
+        with pytest.raises(ServiceCycleError):
+            kernel.order()
+
+    def test_absent(self):
+        """A required service that is not registered is named."""
+        kernel = Kernel()
+        kernel.register(Recorder("a", [], requires=("b",)))
+        with pytest.raises(ServiceAbsentError, match="'b'"):
+            kernel.order()
+
+
+class TestRegistry:
+    """Finding services by name."""
+
+    def test_name_taken(self):
+        """A second service of one name is refused."""
+        kernel = Kernel()
+        kernel.register(Recorder("a", []))
+        with pytest.raises(ServiceExistsError, match="'a'"):
+            kernel.register(Recorder("a", []))
+
+    def test_wrong_kind(self):
+        """A service of another class than expected counts as absent."""
+        kernel = Kernel()
+        kernel.register(Recorder("a", []))
+        with pytest.raises(ServiceAbsentError, match="Kernel"):
+            kernel.find("a", Kernel)
+
+
+class TestFailure:
+    """What a failing task does."""
+
+    async def test_task_failure_stops_all(self):
+        """A failed task stops every service and is raised in a group."""
+        calls: list[str] = []
+        kernel = Kernel()
+        kernel.register(Recorder("a", calls))
+
+        async def fail():
+            raise ValueError("broken")
+
+        kernel.spawn(fail(), name="fails")
+        with pytest.raises(ExceptionGroup) as caught:
+            await kernel.run()
+        assert calls == ["start a", "stop a"]
+        assert caught.group_contains(ValueError, match="broken")
+
+    async def test_cancelled_task_is_no_failure(self):
+        """A task that is cancelled does not stop the process."""
+        kernel = Kernel()
+        task = kernel.spawn(asyncio.sleep(60), name="sleeps")
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        assert not kernel.stopping.is_set()
--- /dev/null
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -0,0 +1,66 @@
+"""Events of the daemon."""
+
+import logging
+
+from skylarkdoor.events import define
+
+PROCESS_READY = define(201, "process_ready", logging.INFO, "The process is ready.")
+PROCESS_FAILED = define(
+    202, "process_failed", logging.ERROR, "The process stopped after failures."
+)
+PROCESS_STOPPED = define(
+    203, "process_stopped", logging.INFO, "The process stopped in order."
+)
+DRAIN_STARTED = define(
+    204, "drain_started", logging.INFO, "No new work is taken; what runs is finished."
+)
+DRAIN_ENDED = define(205, "drain_ended", logging.INFO, "Nothing runs any more.")
+DRAIN_TIMED_OUT = define(
+    206, "drain_timed_out", logging.WARNING, "The drain timeout ended running requests."
+)
+
+SETTINGS_APPLIED = define(
+    301, "settings_applied", logging.INFO, "A settings revision came into force."
+)
+SETTINGS_REJECTED = define(
+    302, "settings_rejected", logging.ERROR, "A settings row could not be used."
+)
+SETTINGS_POLL_FAILED = define(
+    303, "settings_poll_failed", logging.WARNING, "The table could not be read."
+)
+
+LIST_POLL_FAILED = define(
+    401, "list_poll_failed", logging.WARNING, "The instance list could not be read."
+)
+PEER_CONNECTED = define(402, "peer_connected", logging.INFO, "A stream opened.")
+PEER_LOST = define(403, "peer_lost", logging.WARNING, "A stream ended.")
+REQUEST_REFUSED = define(
+    404, "request_refused", logging.INFO, "A request was answered as not run."
+)
+REQUEST_OUTCOME_UNKNOWN = define(
+    405,
+    "request_outcome_unknown",
+    logging.ERROR,
+    "A dispatched request's outcome could not be learned.",
+)
+REQUEST_FAILED = define(
+    406, "request_failed", logging.ERROR, "A request failed inside the entry."
+)
+ANSWER_CUT = define(
+    407, "answer_cut", logging.WARNING, "An answer ended before it was whole."
+)
+
+GRANT_EXPIRED = define(
+    501, "grant_expired", logging.INFO, "A grant lapsed before its body came."
+)
+DISPATCH_REFUSED = define(
+    502, "dispatch_refused", logging.INFO, "A body came that may not be dispatched."
+)
+UPSTREAM_FAILED = define(
+    503, "upstream_failed", logging.WARNING, "A call to the upstream failed."
+)
+UPSTREAM_DOWN = define(504, "upstream_down", logging.ERROR, "The upstream is down.")
+UPSTREAM_UP = define(505, "upstream_up", logging.INFO, "The upstream answers.")
+TOMBSTONED = define(
+    506, "tombstoned", logging.INFO, "A request can no longer start here."
+)
--- /dev/null
+++ b/packages/skylarkdoord/src/skylarkdoord/common/__init__.py
@@ -0,0 +1,8 @@
+"""Services that both roles run."""
+
+from skylarkdoord.common._backoff import Backoff
+from skylarkdoord.common._internal import InternalServer
+from skylarkdoord.common._platform import Platform
+from skylarkdoord.common._settings import SettingsService
+
+__all__ = ["Backoff", "InternalServer", "Platform", "SettingsService"]
--- /dev/null
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_backoff.py
@@ -0,0 +1,27 @@
+"""Exponential backoff with full jitter."""
+
+import random
+
+
+class Backoff:
+    """Delays that grow with each failure.
+
+    Args:
+        first_s: Upper bound of the first delay, in seconds.
+        most_s: Upper bound of every delay, in seconds.
+    """
+
+    def __init__(self, *, first_s: float = 0.05, most_s: float = 2.0) -> None:
+        self.first_s = first_s
+        self.most_s = most_s
+        self.failures = 0
+
+    def delay_s(self) -> float:
+        """Count a failure and return how long to wait after it."""
+        bound = min(self.most_s, self.first_s * 2**self.failures)
+        self.failures += 1
+        return random.uniform(bound / 2, bound)
+
+    def reset(self) -> None:
+        """Forget the failures after a success."""
+        self.failures = 0
--- /dev/null
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_internal.py
@@ -0,0 +1,100 @@
+"""HTTP between processes and for operators: health, metrics and status."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from aiohttp import web
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+from skylarkdoor import events
+from skylarkdoor.kernel import Kernel
+from skylarkdoor.settings import ProcessSettings
+from skylarkdoord import _events
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+StatusPart = Callable[[], Any]
+BODY_HEADROOM_BYTES = 64 * 1024
+
+
+class InternalServer:
+    """Serves the routes that other services add before it starts.
+
+    Args:
+        settings: Settings of this process.
+        requires: Services that add routes, checks or status parts.
+    """
+
+    name = "internal"
+
+    def __init__(self, settings: ProcessSettings, *, requires: tuple[str, ...]) -> None:
+        self.settings = settings
+        self.requires = requires
+        self.ready_checks: dict[str, Callable[[], bool]] = {}
+        self.status_parts: dict[str, StatusPart] = {}
+        limit = settings.limits.max_body_bytes + BODY_HEADROOM_BYTES
+        self.app = web.Application(client_max_size=limit)
+        self.app.router.add_get("/healthz", self.get_health)
+        self.app.router.add_get("/readyz", self.get_ready)
+        self.app.router.add_get("/metrics", self.get_metrics)
+        self.app.router.add_get("/status", self.get_status)
+        self.log = events.get_logger("internal")
+        self.runner: web.AppRunner | None = None
+
+    def add_route(self, method: str, path: str, handler: Handler) -> None:
+        """Add a route; only before the server starts."""
+        self.app.router.add_route(method, path, handler)
+
+    def add_ready_check(self, name: str, check: Callable[[], bool]) -> None:
+        """Add a condition without which the process is not ready."""
+        self.ready_checks[name] = check
+
+    def add_status(self, name: str, part: StatusPart) -> None:
+        """Add a part to what `/status` shows."""
+        self.status_parts[name] = part
+
+    async def start(self, kernel: Kernel) -> None:
+        """Listen on the internal address."""
+        assert self.settings.listen.internal is not None
+        host, _, port = self.settings.listen.internal.rpartition(":")
+        self.runner = web.AppRunner(
+            self.app, handler_cancellation=True, access_log=None, shutdown_timeout=1.0
+        )
+        await self.runner.setup()
+        await web.TCPSite(self.runner, host, int(port)).start()
+        self.log.event(_events.PROCESS_READY, address=self.settings.listen.internal)
+
+    async def stop(self) -> None:
+        """Close the listener."""
+        if self.runner is not None:
+            await self.runner.cleanup()
+
+    def unready(self) -> list[str]:
+        """Return the names of the ready checks that do not hold."""
+        return [name for name, check in self.ready_checks.items() if not check()]
+
+    async def get_health(self, request: web.Request) -> web.Response:
+        """Answer while the process lives."""
+        return web.Response(text="ok\n")
+
+    async def get_ready(self, request: web.Request) -> web.Response:
+        """Answer 200 when new work may be sent here, else 503."""
+        failed = self.unready()
+        if failed:
+            return web.Response(status=503, text=f"not ready: {', '.join(failed)}\n")
+        return web.Response(text="ready\n")
+
+    async def get_metrics(self, request: web.Request) -> web.Response:
+        """Answer with the metrics in Prometheus text form."""
+        return web.Response(
+            body=generate_latest(), headers={"Content-Type": CONTENT_TYPE_LATEST}
+        )
+
+    async def get_status(self, request: web.Request) -> web.Response:
+        """Answer with what each service says of itself."""
+        parts = {name: part() for name, part in self.status_parts.items()}
+        head = {
+            "instance": self.settings.instance,
+            "data_centre": self.settings.data_centre,
+            "ready": not self.unready(),
+        }
+        return web.json_response(head | parts)
--- /dev/null
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
@@ -0,0 +1,248 @@
+"""HTTP for callers."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import aiohttp
+from aiohttp import web
+from prometheus_client import Counter
+
+from skylarkdoor import events, tracing
+from skylarkdoor.kernel import Kernel
+from skylarkdoor.settings import ProcessSettings
+from skylarkdoord import _events
+from skylarkdoord.common import InternalServer, SettingsService
+from skylarkdoord.common import _headers as headers
+from skylarkdoord.entry import _parse as parse
+from skylarkdoord.entry._problems import problem
+from skylarkdoord.entry._request import EntryRequest
+from skylarkdoord.entry._router import Router
+from skylarkdoord.exceptions import OutcomeUnknownError, RefusedError
+
+MAX_HEADER_BYTES = 16 * 1024
+LEAVING_RETRY_AFTER_S = 1.0
+DRAIN_NOTICE_S = 1.0
+
+REQUESTS = Counter(
+    "skylarkdoor_requests_total", "Requests answered.", ["tier", "outcome"]
+)
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class CallerServer:
+    """Listens for callers; one task serves each connection.
+
+    Args:
+        settings: Settings of this process.
+    """
+
+    name = "callers"
+    requires: tuple[str, ...] = ("router", "internal")
+
+    def __init__(self, settings: ProcessSettings) -> None:
+        assert settings.listen.callers is not None
+        self.settings = settings
+        self.address: str = settings.listen.callers
+        self.leaving = False
+        self.active = 0
+        self.idle = asyncio.Event()
+        self.idle.set()
+        self.log = events.get_logger("entry.callers")
+        self.runner: web.AppRunner | None = None
+
+    async def start(self, kernel: Kernel) -> None:
+        """Listen on the callers' address."""
+        self.router = kernel.find("router", Router)
+        self.settings_service = kernel.find("settings", SettingsService)
+        self.internal = kernel.find("internal", InternalServer)
+        self.internal.add_ready_check("leaving", lambda: not self.leaving)
+        self.internal.add_status("callers", lambda: {"active": self.active})
+
+        @web.middleware
+        async def guard(raw: web.Request, handler: Handler) -> web.StreamResponse:
+            return await self.guard(raw, handler)
+
+        app = web.Application(
+            client_max_size=self.settings.limits.max_body_bytes,
+            middlewares=[guard],
+        )
+        app.router.add_post("/v1/chat/completions", self.post_model)
+        app.router.add_post("/v1/completions", self.post_model)
+        app.router.add_route("*", "/services/{pool}/{path:.*}", self.any_service)
+        app.router.add_get("/healthz", self.internal.get_health)
+        app.router.add_get("/readyz", self.internal.get_ready)
+        app.router.add_get("/metrics", self.internal.get_metrics)
+        self.runner = web.AppRunner(
+            app,
+            handler_cancellation=True,
+            access_log=None,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+            shutdown_timeout=1.0,
+        )
+        await self.runner.setup()
+        host, _, port = self.address.rpartition(":")
+        await web.TCPSite(self.runner, host, int(port)).start()
+
+    async def stop(self) -> None:
+        """Take no new work, finish what runs, then close the listener."""
+        self.leaving = True
+        self.log.event(_events.DRAIN_STARTED, reason="shutdown", running=self.active)
+        # The balancer needs a moment to see /readyz before connections close.
+        await asyncio.sleep(DRAIN_NOTICE_S)
+        try:
+            async with asyncio.timeout(self.settings.limits.drain_timeout_s):
+                await self.idle.wait()
+            self.log.event(_events.DRAIN_ENDED)
+        except TimeoutError:
+            self.log.event(_events.DRAIN_TIMED_OUT, running=self.active)
+        if self.runner is not None:
+            await self.runner.cleanup()
+
+    async def guard(self, raw: web.Request, handler: Handler) -> web.StreamResponse:
+        """Turn errors into answers and count what is active."""
+        if raw.match_info.handler in (
+            self.internal.get_health,
+            self.internal.get_ready,
+            self.internal.get_metrics,
+        ):
+            return await handler(raw)
+        if self.leaving:
+            return problem(
+                503,
+                "leaving",
+                "this entry is shutting down",
+                retry_after_s=LEAVING_RETRY_AFTER_S,
+            )
+        self.active += 1
+        self.idle.clear()
+        try:
+            return await self.answer_errors(raw, handler)
+        finally:
+            self.active -= 1
+            if self.active == 0:
+                self.idle.set()
+
+    async def answer_errors(
+        self, raw: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        """Run a handler and answer its errors in the one form."""
+        try:
+            return await handler(raw)
+        except parse.BadRequestError as error:
+            return problem(error.status, error.code, error.message)
+        except web.HTTPRequestEntityTooLarge:
+            limit = self.settings.limits.max_body_bytes
+            return problem(413, "body_too_large", f"expected at most {limit} bytes")
+        except web.HTTPException as error:
+            return problem(error.status, "not_found", error.reason)
+        except RefusedError as error:
+            self.log.event(_events.REQUEST_REFUSED, code=error.code)
+            return problem(
+                504 if error.code == "deadline" else 503,
+                error.code,
+                error.message,
+                retry_after_s=error.retry_after_s,
+            )
+        except OutcomeUnknownError as error:
+            self.log.event(_events.REQUEST_OUTCOME_UNKNOWN, error=str(error))
+            return problem(502, "outcome_unknown", str(error), not_run=False)
+
+    async def read_body(self, raw: web.Request) -> bytes:
+        """Return the whole body.
+
+        Raises:
+            BadRequestError: It did not come in time.
+        """
+        try:
+            async with asyncio.timeout(self.settings.limits.body_timeout_s):
+                return await raw.read()
+        except TimeoutError:
+            raise parse.BadRequestError(
+                408, "body_timeout", "the body did not come in time"
+            ) from None
+
+    async def post_model(self, raw: web.Request) -> web.StreamResponse:
+        """Serve a model request in the OpenAI form."""
+        view = self.settings_service.view
+        resolved = parse.authenticate(raw.headers, view)
+        body = await self.read_body(raw)
+        prompt = parse.parse_prompt(body)
+        target = parse.model_target(view.fleet, resolved, prompt.model, raw.path_qs)
+        request = parse.build_request(raw, resolved, target, body, prompt)
+        return await self.serve(raw, request)
+
+    async def any_service(self, raw: web.Request) -> web.StreamResponse:
+        """Serve a call of a plain service."""
+        view = self.settings_service.view
+        resolved = parse.authenticate(raw.headers, view)
+        pool = raw.match_info["pool"]
+        path = raw.path_qs.removeprefix(f"/services/{pool}")
+        target = parse.service_target(view.fleet, resolved, pool, path, raw.method)
+        body = await self.read_body(raw)
+        request = parse.build_request(raw, resolved, target, body)
+        return await self.serve(raw, request)
+
+    async def serve(
+        self, raw: web.Request, request: EntryRequest
+    ) -> web.StreamResponse:
+        """Have the request run and relay its answer."""
+        outcome = "refused"
+        try:
+            with tracing.span(
+                "entry", request.context, request_id=request.request_id
+            ) as here:
+                request.context = here
+                answer = await self.router.serve(request)
+                outcome = "cut"
+                try:
+                    response = await self.relay(raw, request, answer)
+                finally:
+                    answer.close()
+                outcome = "answered"
+                return response
+        except OutcomeUnknownError:
+            outcome = "unknown"
+            raise
+        except asyncio.CancelledError:
+            outcome = "caller_gone"
+            raise
+        finally:
+            tier = str(request.resolved.tier.rank)
+            REQUESTS.labels(tier, outcome).inc()
+
+    async def relay(
+        self,
+        raw: web.Request,
+        request: EntryRequest,
+        answer: aiohttp.ClientResponse,
+    ) -> web.StreamResponse:
+        """Pass the answer on, whole or in chunks.
+
+        Raises:
+            OutcomeUnknownError: A whole answer was cut before anything was sent.
+        """
+        passed = headers.to_caller(answer.headers)
+        passed[headers.REQUEST_ID] = request.request_id
+        if answer.content_type != "text/event-stream":
+            try:
+                body = await answer.read()
+            except (aiohttp.ClientError, TimeoutError):
+                raise OutcomeUnknownError("the answer was cut") from None
+            return web.Response(status=answer.status, headers=passed, body=body)
+        response = web.StreamResponse(status=answer.status, headers=passed)
+        await response.prepare(raw)
+        try:
+            async for chunk in answer.content.iter_any():
+                await response.write(chunk)
+        except (aiohttp.ClientError, TimeoutError) as error:
+            self.log.event(
+                _events.ANSWER_CUT, request_id=request.request_id, error=repr(error)
+            )
+            # A closed connection can't be taken for a whole answer.
+            if raw.transport is not None:
+                raw.transport.abort()
+            return response
+        await response.write_eof()
+        return response
--- /dev/null
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_directory.py
@@ -0,0 +1,136 @@
+"""Which sidecars this entry knows and is connected to."""
+
+import asyncio
+import random
+import time
+from typing import Any
+
+from skylarkdoor import events
+from skylarkdoor.hashing import rendezvous
+from skylarkdoor.kernel import Kernel
+from skylarkdoor.platform import InstanceRecord, PlatformError
+from skylarkdoor.settings import ProcessSettings
+from skylarkdoor.wire import pb
+from skylarkdoord import _events
+from skylarkdoord.common import InternalServer, Platform
+from skylarkdoord.entry._peer import SidecarPeer
+
+POLL_INTERVAL_S = 1.0
+
+
+class Directory:
+    """Follows the instance list and keeps a stream to each chosen sidecar.
+
+    Args:
+        settings: Settings of this process.
+    """
+
+    name = "directory"
+    requires: tuple[str, ...] = ("platform", "settings")
+
+    def __init__(self, settings: ProcessSettings) -> None:
+        self.settings = settings
+        self.peers: dict[str, SidecarPeer] = {}
+        self.tasks: dict[str, asyncio.Task[None]] = {}
+        self.fetched = False
+        self.incarnation = time.time_ns()
+        self.log = events.get_logger("entry.directory")
+
+    async def start(self, kernel: Kernel) -> None:
+        """Begin to follow the list; readiness waits for the first answer."""
+        self.kernel = kernel
+        self.platform = kernel.find("platform", Platform)
+        internal = kernel.find("internal", InternalServer)
+        internal.add_ready_check("directory", lambda: self.fetched)
+        internal.add_status("sidecars", self.status)
+        kernel.spawn(self.poll(), name="directory.poll")
+
+    async def stop(self) -> None:
+        """Close the streams."""
+        for task in self.tasks.values():
+            task.cancel()
+
+    def of_pool(self, pool: str) -> list[SidecarPeer]:
+        """Return the pool's sidecars that may get offers."""
+        return [
+            peer
+            for peer in self.peers.values()
+            if peer.record.pool == pool and peer.usable
+        ]
+
+    def status(self) -> list[dict[str, Any]]:
+        """Return what `/status` shows of each sidecar."""
+        return [
+            {
+                "instance": peer.instance,
+                "pool": peer.record.pool,
+                "data_centre": peer.record.data_centre,
+                "connected": peer.connected,
+                "leaving": peer.leaving or peer.record.state != "live",
+                "running": peer.load.running,
+                "limit": peer.load.limit,
+                "waiting_by_tier": list(peer.load.waiting_by_tier),
+            }
+            for peer in self.peers.values()
+        ]
+
+    async def poll(self) -> None:
+        """Read the list again and again; what is known stays when it fails."""
+        while True:
+            try:
+                self.update(await self.platform.instances.fetch())
+                self.fetched = True
+            except PlatformError as error:
+                self.log.event(_events.LIST_POLL_FAILED, error=str(error))
+            await asyncio.sleep(random.uniform(0.5, 1.0) * POLL_INTERVAL_S)
+
+    def update(self, records: list[InstanceRecord]) -> None:
+        """Open streams to new sidecars and close those to vanished ones."""
+        wanted = {record.instance: record for record in self.choose(records)}
+        for instance in list(self.peers):
+            known = self.peers[instance].record
+            new = wanted.get(instance)
+            if new is None or new.rpc != known.rpc:
+                self.tasks.pop(instance).cancel()
+                del self.peers[instance]
+            else:
+                self.peers[instance].record = new
+        for instance, record in wanted.items():
+            if instance not in self.peers:
+                self.connect(record)
+
+    def choose(self, records: list[InstanceRecord]) -> list[InstanceRecord]:
+        """Return the sidecars to connect to: own data centre first, bounded."""
+        by_pool: dict[str, list[InstanceRecord]] = {}
+        for record in records:
+            if record.role == "sidecar":
+                by_pool.setdefault(record.pool, []).append(record)
+        chosen: list[InstanceRecord] = []
+        for members in by_pool.values():
+            chosen.extend(self.choose_of_pool(members))
+        return chosen
+
+    def choose_of_pool(self, members: list[InstanceRecord]) -> list[InstanceRecord]:
+        """Return the members of one pool to connect to."""
+        most = self.settings.limits.max_sidecars
+        own = self.settings.instance
+        ranked = rendezvous(own, [m.instance for m in members], count=len(members))
+        place = {instance: rank for rank, instance in enumerate(ranked)}
+        here = self.settings.data_centre
+        ordered = sorted(
+            members, key=lambda m: (m.data_centre != here, place[m.instance])
+        )
+        return ordered[:most]
+
+    def connect(self, record: InstanceRecord) -> None:
+        """Open a stream to one sidecar."""
+        hello = pb.EntryHello(
+            instance=self.settings.instance,
+            data_centre=self.settings.data_centre,
+            incarnation=self.incarnation,
+        )
+        peer = SidecarPeer(record, hello)
+        self.peers[record.instance] = peer
+        self.tasks[record.instance] = self.kernel.spawn(
+            peer.run(), name=f"peer {record.instance}"
+        )
--- /dev/null
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_peer.py
@@ -0,0 +1,166 @@
+"""One control stream to a sidecar."""
+
+import asyncio
+import time
+from typing import Protocol
+
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+
+from skylarkdoor import events
+from skylarkdoor.platform import InstanceRecord
+from skylarkdoor.wire import Outbox, PeerStub, pb
+from skylarkdoord import _events
+from skylarkdoord.common import Backoff
+
+SILENCE_TIMEOUT_S = 3.0
+HEARTBEAT_INTERVAL_S = 1.0
+CONNECT_TIMEOUT_S = 2.0
+
+
+class OfferListener(Protocol):
+    """Takes what a sidecar says of one offered request."""
+
+    def on_grant(self, peer: "SidecarPeer", grant: pb.Grant) -> None:
+        """The sidecar has room for the request."""
+
+    def on_refusal(self, peer: "SidecarPeer", refusal: pb.Refusal) -> None:
+        """The sidecar does not take the request; it was not run there."""
+
+
+class SidecarPeer:
+    """Keeps a stream to one sidecar open and passes its messages on.
+
+    Args:
+        record: The sidecar as the instance list shows it.
+        hello: What the sidecar is told first.
+    """
+
+    def __init__(self, record: InstanceRecord, hello: pb.EntryHello) -> None:
+        self.record = record
+        self.hello = hello
+        self.outbox: Outbox[pb.EntryMessage] = Outbox()
+        self.offers: dict[str, OfferListener] = {}
+        self.load = pb.LoadReport()
+        self.load_at = 0.0
+        self.models: tuple[str, ...] = ()
+        self.connected = False
+        self.leaving = False
+        self.log = events.get_logger("entry.peer")
+
+    @property
+    def instance(self) -> str:
+        """Name of the sidecar's instance."""
+        return self.record.instance
+
+    @property
+    def usable(self) -> bool:
+        """Whether offers may be made."""
+        return self.connected and not self.leaving and self.record.state == "live"
+
+    def offer(self, offer: pb.Offer, listener: OfferListener) -> None:
+        """Offer a request; the listener hears what the sidecar says."""
+        self.offers[offer.request_id] = listener
+        self.outbox.put(pb.EntryMessage(offer=offer))
+
+    def withdraw(self, request_id: str, *, abandoned: bool = False) -> None:
+        """Give an offer or a grant back."""
+        if self.offers.pop(request_id, None) is None:
+            return
+        message = pb.Withdraw(request_id=request_id, abandoned=abandoned)
+        self.outbox.put(pb.EntryMessage(withdraw=message))
+
+    def taken(self, request_id: str) -> None:
+        """Note that the request's grant was used."""
+        self.offers.pop(request_id, None)
+
+    async def run(self) -> None:
+        """Connect again and again until cancelled."""
+        backoff = Backoff()
+        while True:
+            try:
+                await self.serve(backoff)
+            except (GRPCError, StreamTerminatedError, OSError, TimeoutError) as error:
+                self.log.event(_events.PEER_LOST, peer=self.instance, error=repr(error))
+            finally:
+                self.lose()
+            await asyncio.sleep(backoff.delay_s())
+
+    async def serve(self, backoff: Backoff) -> None:
+        """Serve one connection until it ends.
+
+        Raises:
+            GRPCError, StreamTerminatedError, OSError, TimeoutError: It was lost.
+        """
+        host, _, port = self.record.rpc.rpartition(":")
+        channel = Channel(host, int(port))
+        try:
+            async with PeerStub(channel).Connect.open() as stream:
+                first = pb.EntryBatch(messages=[pb.EntryMessage(hello=self.hello)])
+                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                    await stream.send_message(first)
+                async with asyncio.TaskGroup() as group:
+                    writer = group.create_task(self.write(stream))
+                    await self.read(stream, backoff)
+                    writer.cancel()
+        except ExceptionGroup as errors:
+            raise errors.exceptions[0] from None
+        finally:
+            channel.close()
+
+    async def read(self, stream, backoff: Backoff) -> None:  # type: ignore[no-untyped-def]
+        """Handle the sidecar's messages one after another."""
+        while True:
+            async with asyncio.timeout(SILENCE_TIMEOUT_S):
+                batch = await stream.recv_message()
+            if batch is None:
+                raise ConnectionResetError("the sidecar ended the stream")
+            backoff.reset()
+            for message in batch.messages:
+                self.handle(message)
+
+    async def write(self, stream) -> None:  # type: ignore[no-untyped-def]
+        """Send what waits, or an empty batch as a heartbeat."""
+        while True:
+            messages = await self.outbox.take(timeout_s=HEARTBEAT_INTERVAL_S)
+            await stream.send_message(pb.EntryBatch(messages=messages))
+
+    def handle(self, message: pb.SidecarMessage) -> None:
+        """Handle one message."""
+        match message.WhichOneof("kind"):
+            case "hello":
+                self.connected = True
+                self.leaving = False
+                self.models = tuple(message.hello.models)
+                self.log.event(_events.PEER_CONNECTED, peer=self.instance)
+            case "grant":
+                self.on_grant(message.grant)
+            case "refusal":
+                listener = self.offers.pop(message.refusal.request_id, None)
+                if listener is not None:
+                    listener.on_refusal(self, message.refusal)
+            case "load":
+                self.load = message.load
+                self.load_at = time.monotonic()
+            case "leaving":
+                self.leaving = True
+
+    def on_grant(self, grant: pb.Grant) -> None:
+        """Pass a grant on, or give it back if nobody waits for it."""
+        listener = self.offers.get(grant.request_id)
+        if listener is not None:
+            listener.on_grant(self, grant)
+            return
+        withdraw = pb.Withdraw(request_id=grant.request_id)
+        self.outbox.put(pb.EntryMessage(withdraw=withdraw))
+
+    def lose(self) -> None:
+        """Turn open offers into refusals; the sidecar has dropped them."""
+        self.connected = False
+        self.outbox = Outbox()
+        offers, self.offers = self.offers, {}
+        for request_id, listener in offers.items():
+            refusal = pb.Refusal(
+                request_id=request_id, reason=pb.REFUSAL_REASON_UPSTREAM_DOWN
+            )
+            listener.on_refusal(self, refusal)
--- /dev/null
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_request.py
@@ -0,0 +1,81 @@
+"""A caller's request as the entry handles it."""
+
+import time
+from dataclasses import dataclass, field
+
+from multidict import CIMultiDict
+
+from skylarkdoor.settings import Pool, Resolved
+from skylarkdoor.tracing import SpanContext
+from skylarkdoor.wire import pb
+
+MS_PER_S = 1000
+
+
+@dataclass
+class EntryRequest:
+    """One request from a caller.
+
+    Attributes:
+        request_id: Its identity between processes.
+        resolved: The customer and its tier.
+        pool_name: Pool that serves it.
+        pool: That pool's settings.
+        method: HTTP method for the upstream.
+        path: Path and query for the upstream.
+        headers: Headers for the upstream.
+        body: The whole body.
+        model: Model asked for, empty for a plain service.
+        streamed: Whether the caller asked for a stream.
+        prompt_tokens: Estimated prompt length.
+        max_tokens: Most tokens that may be generated.
+        prefix_hashes: Running hashes of the prompt's blocks.
+        idempotent: Whether it may be run again without harm.
+        idempotency_key: The caller's key, empty for none.
+        fingerprint: Hash of customer and body.
+        deadline_at: Monotonic time by which the answer is wanted, in seconds.
+        context: Trace context.
+        dispatches: Times that an upstream got it.
+    """
+
+    request_id: str
+    resolved: Resolved
+    pool_name: str
+    pool: Pool
+    method: str
+    path: str
+    headers: CIMultiDict[str]
+    body: bytes
+    model: str = ""
+    streamed: bool = False
+    prompt_tokens: int = 0
+    max_tokens: int = 0
+    prefix_hashes: tuple[int, ...] = ()
+    idempotent: bool = True
+    idempotency_key: str = ""
+    fingerprint: int = 0
+    deadline_at: float = 0.0
+    context: SpanContext = field(default_factory=SpanContext)
+    dispatches: int = 0
+
+    def remaining_s(self) -> float:
+        """Return the time left until the deadline, in seconds."""
+        return self.deadline_at - time.monotonic()
+
+    def offer(self) -> pb.Offer:
+        """Return what sidecars are told of the request."""
+        return pb.Offer(
+            request_id=self.request_id,
+            team=self.resolved.team,
+            customer=self.resolved.customer_name,
+            model=self.model,
+            tier=self.resolved.tier.rank,
+            deadline_ms=max(0, int(self.remaining_s() * MS_PER_S)),
+            prompt_tokens=self.prompt_tokens,
+            max_tokens=self.max_tokens,
+            prefix_hashes=self.prefix_hashes,
+            idempotent=self.idempotent,
+            idempotency_key=self.idempotency_key,
+            fingerprint=self.fingerprint,
+            weight=self.resolved.customer.weight,
+        )
--- /dev/null
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_router.py
@@ -0,0 +1,75 @@
+"""Finds an upstream for each request."""
+
+import aiohttp
+
+from skylarkdoor import tracing
+from skylarkdoor.kernel import Kernel
+from skylarkdoor.settings import ProcessSettings
+from skylarkdoord.entry._directory import Directory
+from skylarkdoord.entry._dispatch import Dispatcher
+from skylarkdoord.entry._offers import OfferRound, Taken
+from skylarkdoord.entry._policies import policies
+from skylarkdoord.entry._request import EntryRequest
+from skylarkdoord.exceptions import NotRunError, RefusedError
+
+MAX_TRIES = 4
+
+
+class Router:
+    """Offers requests and sends them where they are granted.
+
+    Args:
+        settings: Settings of this process.
+    """
+
+    name = "router"
+    requires: tuple[str, ...] = ("directory",)
+
+    def __init__(self, settings: ProcessSettings) -> None:
+        self.settings = settings
+        self.policies = policies()
+
+    async def start(self, kernel: Kernel) -> None:
+        """Open the connections to sidecars."""
+        self.directory = kernel.find("directory", Directory)
+        self.dispatcher = Dispatcher()
+
+    async def stop(self) -> None:
+        """Close them."""
+        await self.dispatcher.close()
+
+    async def serve(self, request: EntryRequest) -> aiohttp.ClientResponse:
+        """Have a request run; returns the answer once it has begun.
+
+        Raises:
+            RefusedError: It was not run.
+            OutcomeUnknownError: It was dispatched and its outcome is not known.
+        """
+        excluded: set[str] = set()
+        for _ in range(MAX_TRIES):
+            taken = await self.acquire(request, excluded)
+            try:
+                return await self.dispatcher.send(request, taken)
+            except NotRunError:
+                excluded.add(taken.peer.instance)
+        raise RefusedError(
+            "unavailable", "no upstream took the request", retry_after_s=1
+        )
+
+    async def acquire(self, request: EntryRequest, excluded: set[str]) -> Taken:
+        """Take a grant from one of the sidecars in reach.
+
+        Raises:
+            RefusedError: None takes the request in time.
+        """
+        peers = [
+            peer
+            for peer in self.directory.of_pool(request.pool_name)
+            if peer.instance not in excluded
+        ]
+        choice = self.policies[request.pool.policy].choose(request, peers)
+        with tracing.span(
+            "offer", request.context, request_id=request.request_id, reach=len(peers)
+        ):
+            round_ = OfferRound(request, choice.ranked, offers=choice.offers)
+            return await round_.take()
--- /dev/null
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/__init__.py
@@ -0,0 +1,36 @@
+"""The sidecar: queues work for the upstream beside it and guards it."""
+
+from skylarkdoor.kernel import Kernel
+from skylarkdoor.settings import ProcessSettings
+from skylarkdoord.common import InternalServer, Platform, SettingsService
+from skylarkdoord.sidecar._dispatch import DispatchService
+from skylarkdoord.sidecar._drain import Drain
+from skylarkdoord.sidecar._ledger import Ledger, Phase
+from skylarkdoord.sidecar._peers import PeerServer
+from skylarkdoord.sidecar._queue import OfferQueue, WaitingOffer
+from skylarkdoord.sidecar._scheduler import Scheduler
+
+__all__ = [
+    "DispatchService",
+    "Drain",
+    "Ledger",
+    "OfferQueue",
+    "PeerServer",
+    "Phase",
+    "Scheduler",
+    "WaitingOffer",
+    "build",
+]
+
+
+def build(kernel: Kernel, settings: ProcessSettings) -> None:
+    """Register the services of a sidecar."""
+    kernel.register(Platform(settings.platform))
+    kernel.register(SettingsService())
+    kernel.register(Scheduler(settings))
+    kernel.register(DispatchService(settings))
+    kernel.register(PeerServer(settings))
+    kernel.register(
+        InternalServer(settings, requires=("settings", "scheduler", "dispatch"))
+    )
+    kernel.register(Drain(settings))
