--- /dev/null
+++ b/packages/skylarkdoor-standins/src/skylarkdoor_standins/engine/_app.py
@@ -0,0 +1,131 @@
+"""The engine stand-in's application."""
+
+import asyncio
+import uuid
+from collections.abc import AsyncIterator
+from dataclasses import asdict
+
+from aiohttp import web
+
+from ._batcher import Batcher
+from ._completions import AnswerForm, make_sequence, read_request
+from ._metrics import render_metrics
+from ._orders import EngineState, Order, StaleFenceError, UnknownActionError
+from ._settings import EngineSettings
+from ._streams import answer_stream, answer_whole
+
+_FAULTS = frozenset({"crash_on", "slow_factor", "freeze", "cut_after_chunks"})
+
+
+def create_app(settings: EngineSettings) -> web.Application:
+    """Return the application of an engine."""
+    app = web.Application(client_max_size=64 * 1024 * 1024)
+    engine = _Engine(settings)
+    app.add_routes(engine.routes())
+    app.cleanup_ctx.append(engine.running)
+    return app
+
+
+class _Engine:
+    """The engine's HTTP side."""
+
+    def __init__(self, settings: EngineSettings):
+        self.settings = settings
+        self.batcher = Batcher(settings)
+        self.state = EngineState(settings)
+
+    def routes(self) -> list[web.RouteDef]:
+        return [
+            web.post("/v1/chat/completions", self._chat),
+            web.post("/v1/completions", self._completion),
+            web.get("/v1/models", self._models),
+            web.get("/health", self._health),
+            web.get("/metrics", self._metrics),
+            web.get("/cache_events", self._cache_events),
+            web.post("/orders", self._order),
+            web.get("/state", self._state),
+            web.get("/faults", self._show_faults),
+            web.post("/faults", self._set_faults),
+            web.get("/stats", self._stats),
+        ]
+
+    async def running(self, app: web.Application) -> AsyncIterator[None]:
+        task = asyncio.create_task(self.batcher.run())
+        yield
+        task.cancel()
+
+    async def _chat(self, request: web.Request) -> web.StreamResponse:
+        return await self._complete(request, is_chat=True)
+
+    async def _completion(self, request: web.Request) -> web.StreamResponse:
+        return await self._complete(request, is_chat=False)
+
+    async def _complete(
+        self, request: web.Request, *, is_chat: bool
+    ) -> web.StreamResponse:
+        asked = read_request(await request.json(), is_chat=is_chat)
+        if not self.state.carries(asked.model):
+            error = {"message": f"no model {asked.model}", "code": "model_not_found"}
+            return web.json_response({"error": error}, status=404)
+        request_id = request.headers.get("X-Request-Id") or uuid.uuid4().hex
+        headers = {"X-Request-Id": request_id}
+        sequence = make_sequence(asked, request_id=request_id)
+        form = AnswerForm(asked, sequence)
+        self.batcher.submit(sequence)
+        try:
+            if not asked.is_stream:
+                return await answer_whole(form, sequence, headers)
+            return await answer_stream(request, form, sequence, self.batcher, headers)
+        finally:
+            self.batcher.cancel(sequence)
+
+    async def _models(self, request: web.Request) -> web.Response:
+        names = sorted(self.state.models | self.state.adapters)
+        data = [{"id": name, "object": "model"} for name in names]
+        return web.json_response({"object": "list", "data": data})
+
+    async def _health(self, request: web.Request) -> web.Response:
+        return web.Response()
+
+    async def _metrics(self, request: web.Request) -> web.Response:
+        body = render_metrics(self.batcher.load.get())
+        return web.Response(body=body, headers={"Content-Type": "text/plain"})
+
+    async def _cache_events(self, request: web.Request) -> web.Response:
+        try:
+            since = int(request.query.get("since", "0"))
+        except ValueError as error:
+            raise web.HTTPBadRequest(text="since is not a number") from error
+        events = [event._asdict() for event in self.batcher.events.since(since)]
+        return web.json_response(events)
+
+    async def _order(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        try:
+            order = Order(int(body["fence"]), str(body["action"]), str(body["name"]))
+            await asyncio.shield(self.state.apply(order))
+        except (KeyError, TypeError, ValueError) as error:
+            raise web.HTTPBadRequest(text=f"bad order: {error!r}") from error
+        except UnknownActionError as error:
+            raise web.HTTPBadRequest(text=f"no action {error}") from error
+        except StaleFenceError as error:
+            raise web.HTTPConflict(text=str(error)) from error
+        return web.json_response(self.state.as_dict())
+
+    async def _state(self, request: web.Request) -> web.Response:
+        return web.json_response(self.state.as_dict())
+
+    async def _show_faults(self, request: web.Request) -> web.Response:
+        return web.json_response(asdict(self.batcher.faults))
+
+    async def _set_faults(self, request: web.Request) -> web.Response:
+        settings = await request.json()
+        unknown = settings.keys() - _FAULTS
+        if unknown:
+            raise web.HTTPBadRequest(text=f"no fault {sorted(unknown)}")
+        for name, value in settings.items():
+            setattr(self.batcher.faults, name, value)
+        return await self._show_faults(request)
+
+    async def _stats(self, request: web.Request) -> web.Response:
+        return web.json_response(self.batcher.stats.as_dict())
--- /dev/null
+++ b/packages/skylarkdoor-standins/src/skylarkdoor_standins/engine/_metrics.py
@@ -0,0 +1,17 @@
+"""The engine's load in Prometheus text."""
+
+from prometheus_client import CollectorRegistry, Gauge, generate_latest
+
+from ._batcher import Load
+
+
+def render_metrics(load: Load) -> bytes:
+    """Return a load in Prometheus text."""
+    registry = CollectorRegistry()
+    running = Gauge("engine_requests_running", "In the batch.", registry=registry)
+    waiting = Gauge("engine_requests_waiting", "Not in it yet.", registry=registry)
+    usage = Gauge("engine_cache_usage_ratio", "Of the cache.", registry=registry)
+    running.set(load.running)
+    waiting.set(load.waiting)
+    usage.set(load.cache_usage)
+    return generate_latest(registry)
--- /dev/null
+++ b/packages/skylarkdoor-standins/src/skylarkdoor_standins/service/__init__.py
@@ -0,0 +1,5 @@
+"""Stand-in for a plain service."""
+
+from ._app import create_app
+
+__all__ = ["create_app"]
