--- /dev/null
+++ b/packages/skylarkdoor/src/skylarkdoor/platform/_instances.py
@@ -0,0 +1,92 @@
+"""The platform's list of instances, as Prometheus HTTP service discovery."""
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+import aiohttp
+import msgspec
+
+from ._endpoints import Endpoints
+from ._http import NoAnswerError, request
+from .exceptions import ListUnavailable
+
+LIST_TIMEOUT_S = 2.0
+
+
+class InstanceRecord(NamedTuple):
+    """An instance as listed.
+
+    The role is ``entry`` or ``sidecar``; the state is ``live`` or ``leaving``;
+    ``http`` and ``rpc`` are host:port addresses, empty where there is none.
+    """
+
+    instance: str
+    role: str
+    data_centre: str
+    pool: str
+    state: str
+    http: str
+    rpc: str
+
+
+class _Labels(msgspec.Struct):
+    instance: str
+    role: str
+    data_centre: str
+    pool: str = ""
+    state: str = "live"
+    http: str = ""
+    rpc: str = ""
+
+
+class _TargetGroup(msgspec.Struct):
+    labels: _Labels
+
+
+class InstanceList:
+    """The list of instances, which lags behind the truth.
+
+    Args:
+        session: The session for all requests.
+        endpoints: Base URLs, tried in turn.
+        timeout_s: The time for one request.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        endpoints: Sequence[str],
+        *,
+        timeout_s: float = LIST_TIMEOUT_S,
+    ):
+        self.session = session
+        self.endpoints = Endpoints(endpoints)
+        self.timeout = aiohttp.ClientTimeout(total=timeout_s)
+
+    async def fetch(self) -> list[InstanceRecord]:
+        """Return the instances listed.
+
+        Raises:
+            ListUnavailable: The list did not answer, or not in its form.
+        """
+        try:
+            answer = await request(
+                self.session,
+                self.endpoints,
+                "GET",
+                "/sd/instances",
+                timeout=self.timeout,
+            )
+        except NoAnswerError as error:
+            raise ListUnavailable(str(error)) from error
+        if answer.status != 200:
+            raise ListUnavailable(f"status {answer.status}")
+        return _read(answer.body)
+
+
+def _read(body: bytes) -> list[InstanceRecord]:
+    try:
+        groups = msgspec.json.decode(body, type=list[_TargetGroup])
+    except msgspec.MsgspecError as error:
+        raise ListUnavailable(f"not a list of instances: {error}") from error
+    return [InstanceRecord(*msgspec.structs.astuple(group.labels)) for group in groups]
--- /dev/null
+++ b/packages/skylarkdoor/src/skylarkdoor/platform/_objects.py
@@ -0,0 +1,73 @@
+"""The object store, path style as in S3."""
+
+from collections.abc import Sequence
+from urllib.parse import quote
+
+import aiohttp
+
+from ._endpoints import Endpoints
+from ._http import HttpAnswer, NoAnswerError, request
+from .exceptions import ObjectAbsent, ObjectsUnavailable
+
+OBJECTS_TIMEOUT_S = 5.0
+
+
+class ObjectStore:
+    """Objects by key.
+
+    Args:
+        session: The session for all requests.
+        endpoints: Base URLs, tried in turn.
+        timeout_s: The time for one request.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        endpoints: Sequence[str],
+        *,
+        timeout_s: float = OBJECTS_TIMEOUT_S,
+    ):
+        self.session = session
+        self.endpoints = Endpoints(endpoints)
+        self.timeout = aiohttp.ClientTimeout(total=timeout_s)
+
+    async def get(self, key: str) -> bytes:
+        """Return an object.
+
+        Raises:
+            ObjectAbsent: There is none of this key.
+            ObjectsUnavailable: The store did not answer.
+        """
+        answer = await self._request("GET", key)
+        if answer.status == 404:
+            raise ObjectAbsent(key)
+        if answer.status != 200:
+            raise ObjectsUnavailable(f"status {answer.status}")
+        return answer.body
+
+    async def put(self, key: str, data: bytes) -> None:
+        """Write an object; a write without an answer may have taken effect.
+
+        Raises:
+            ObjectsUnavailable: The store did not answer.
+        """
+        answer = await self._request("PUT", key, data=data)
+        if answer.status != 200:
+            raise ObjectsUnavailable(f"status {answer.status}")
+
+    async def _request(
+        self, method: str, key: str, *, data: bytes | None = None
+    ) -> HttpAnswer:
+        path = f"/objects/{quote(key)}"
+        try:
+            return await request(
+                self.session,
+                self.endpoints,
+                method,
+                path,
+                timeout=self.timeout,
+                data=data,
+            )
+        except NoAnswerError as error:
+            raise ObjectsUnavailable(str(error)) from error
--- /dev/null
+++ b/packages/skylarkdoor/tests/platform/test_instances.py
@@ -0,0 +1,46 @@
+"""The instance list's client against the platform stand-in."""
+
+import pytest
+
+from skylarkdoor.platform import InstanceList, InstanceRecord, ListUnavailable
+
+RECORD = InstanceRecord(
+    instance="sidecar-1",
+    role="sidecar",
+    data_centre="teika",
+    pool="assistant",
+    state="live",
+    http="127.0.0.1:1",
+    rpc="127.0.0.1:2",
+)
+
+
+async def register(platform, labels: dict[str, str]) -> None:
+    """Put an instance on the list."""
+    group = {"targets": ["127.0.0.1:1"], "labels": labels}
+    async with platform.session.post(
+        f"{platform.url}/sd/instances", json=group
+    ) as response:
+        response.raise_for_status()
+
+
+class TestInstanceList:
+    """`InstanceList`."""
+
+    async def test_records(self, platform):
+        """An instance registered is listed with all its labels."""
+        await register(platform, RECORD._asdict())
+        found = await InstanceList(platform.session, [platform.url]).fetch()
+        assert found == [RECORD]
+
+    async def test_down(self, platform):
+        """An outage is told from an empty list."""
+        await platform.fault("list", mode="down")
+        with pytest.raises(ListUnavailable):
+            await InstanceList(platform.session, [platform.url]).fetch()
+
+    async def test_malformed(self, platform):
+        """A list without the labels needed is as good as none."""
+        await register(platform, {"instance": "sidecar-1"})
+        with pytest.raises(ListUnavailable):
+            await InstanceList(platform.session, [platform.url]).fetch()
