Give the platform's clients their endpoints as sequences

Cause: the clients take a sequence of endpoints and iterated over the characters of a single URL. Ruled out: the list service, which answered by hand.

--- a/packages/skylarkdoord/src/skylarkdoord/common/_platform.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_platform.py
@@ -28,9 +28,9 @@
         session = aiohttp.ClientSession()
         self.session = session
         self.table: Table = EtcdTable(session, self.addresses.table)
-        self.objects = ObjectStore(session, self.addresses.objects)
-        self.instances = InstanceList(session, self.addresses.instances)
-        self.weights = WeightStore(session, self.addresses.weights)
+        self.objects = ObjectStore(session, (self.addresses.objects,))
+        self.instances = InstanceList(session, (self.addresses.instances,))
+        self.weights = WeightStore(session, (self.addresses.weights,))
 
     async def stop(self) -> None:
         """Close the client session."""
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
@@ -60,8 +60,8 @@
         self.internal.add_status("callers", lambda: {"active": self.active})
 
         @web.middleware
-        async def guard(raw: web.Request, handler: Handler) -> web.StreamResponse:
-            return await self.guard(raw, handler)
+        async def guard(request: web.Request, handler: Handler) -> web.StreamResponse:
+            return await self.guard(request, handler)
 
         app = web.Application(
             client_max_size=self.settings.limits.max_body_bytes,
