--- /dev/null
+++ b/conftest.py
@@ -0,0 +1,49 @@
+"""Passes over the tests that KNOWN-RED.txt lists, and prints them."""
+
+from pathlib import Path
+
+import pytest
+
+KNOWN_RED = Path(__file__).with_name("KNOWN-RED.txt")
+SEPARATOR = " | "
+
+
+def read_known_red(path: Path) -> dict[str, str]:
+    """Return what was seen of each listed test, by test id.
+
+    Each line reads `test id | command and seed | what was seen | issue`; empty
+    lines and lines that begin with `#` are passed over.
+    """
+    listed = {}
+    if path.exists():
+        for line in path.read_text().splitlines():
+            if line.strip() and not line.startswith("#"):
+                test, _, seen = line.partition(SEPARATOR)
+                listed[test.strip()] = seen.strip()
+    return listed
+
+
+def pytest_collection_modifyitems(
+    config: pytest.Config, items: list[pytest.Item]
+) -> None:
+    """Deselect the listed tests; a listed test that does not exist is an error."""
+    listed = read_known_red(KNOWN_RED)
+    known = [item for item in items if item.nodeid in listed]
+    unknown = set(listed) - {item.nodeid for item in items}
+    if unknown and not config.args_source.name.startswith("ARGS"):
+        raise pytest.UsageError(f"KNOWN-RED.txt lists no tests: {sorted(unknown)}")
+    if known:
+        config.hook.pytest_deselected(items=known)
+        items[:] = [item for item in items if item not in known]
+    config.stash[_KNOWN] = {item.nodeid: listed[item.nodeid] for item in known}
+
+
+_KNOWN: pytest.StashKey[dict[str, str]] = pytest.StashKey()
+
+
+def pytest_terminal_summary(
+    terminalreporter: pytest.TerminalReporter, config: pytest.Config
+) -> None:
+    """Print the tests that were passed over."""
+    for test, seen in config.stash.get(_KNOWN, {}).items():
+        terminalreporter.write_line(f"KNOWN RED {test}: {seen}")
