--- a/packages/skylarkdoor-standins/src/skylarkdoor_standins/__main__.py
+++ b/packages/skylarkdoor-standins/src/skylarkdoor_standins/__main__.py
@@ -1,6 +1,6 @@
 """Run a stand-in: ``python -m skylarkdoor_standins``."""
 
-from .cli import main
+from skylarkdoor_standins.cli import main
 
 if __name__ == "__main__":
     main()
--- a/packages/skylarkdoor-standins/src/skylarkdoor_standins/cli.py
+++ b/packages/skylarkdoor-standins/src/skylarkdoor_standins/cli.py
@@ -4,8 +4,8 @@
 
 import click
 
-from . import engine, platform, service
-from ._serve import serve
+from skylarkdoor_standins import engine, platform, service
+from skylarkdoor_standins._serve import serve
 
 
 @click.group()
--- a/packages/skylarkdoor-standins/src/skylarkdoor_standins/engine/_app.py
+++ b/packages/skylarkdoor-standins/src/skylarkdoor_standins/engine/_app.py
@@ -7,12 +7,21 @@
 
 from aiohttp import web
 
-from ._batcher import Batcher
-from ._completions import AnswerForm, make_sequence, read_request
-from ._metrics import render_metrics
-from ._orders import EngineState, Order, StaleFenceError, UnknownActionError
-from ._settings import EngineSettings
-from ._streams import answer_stream, answer_whole
+from skylarkdoor_standins.engine._batcher import Batcher
+from skylarkdoor_standins.engine._completions import (
+    AnswerForm,
+    make_sequence,
+    read_request,
+)
+from skylarkdoor_standins.engine._metrics import render_metrics
+from skylarkdoor_standins.engine._orders import (
+    EngineState,
+    Order,
+    StaleFenceError,
+    UnknownActionError,
+)
+from skylarkdoor_standins.engine._settings import EngineSettings
+from skylarkdoor_standins.engine._streams import answer_stream, answer_whole
 
 _FAULTS = frozenset({"crash_on", "slow_factor", "freeze", "cut_after_chunks"})
 
--- a/packages/skylarkdoor-standins/src/skylarkdoor_standins/engine/_batcher.py
+++ b/packages/skylarkdoor-standins/src/skylarkdoor_standins/engine/_batcher.py
@@ -8,13 +8,13 @@
 from collections import deque
 from typing import NamedTuple
 
-from .._lagged import Lagged
-from ._cache_events import CacheEvents
-from ._faults import EngineFaults
-from ._prefix_cache import BLOCK_TOKENS, PrefixCache
-from ._sequence import Sequence
-from ._settings import EngineSettings
-from ._stats import EngineStats
+from skylarkdoor_standins._lagged import Lagged
+from skylarkdoor_standins.engine._cache_events import CacheEvents
+from skylarkdoor_standins.engine._faults import EngineFaults
+from skylarkdoor_standins.engine._prefix_cache import BLOCK_TOKENS, PrefixCache
+from skylarkdoor_standins.engine._sequence import Sequence
+from skylarkdoor_standins.engine._settings import EngineSettings
+from skylarkdoor_standins.engine._stats import EngineStats
 
 PREFILL_CHUNK_TOKENS = 512
 # Up to this share of the largest batch, a step costs the same.
--- a/packages/skylarkdoor-standins/src/skylarkdoor_standins/engine/_completions.py
+++ b/packages/skylarkdoor-standins/src/skylarkdoor_standins/engine/_completions.py
@@ -5,9 +5,9 @@
 
 from aiohttp import web
 
-from .._text import answer_words, chat_prompt
-from ._prefix_cache import block_hashes
-from ._sequence import Sequence
+from skylarkdoor_standins._text import answer_words, chat_prompt
+from skylarkdoor_standins.engine._prefix_cache import block_hashes
+from skylarkdoor_standins.engine._sequence import Sequence
 
 DEFAULT_MAX_TOKENS = 64
 
--- a/packages/skylarkdoor-standins/src/skylarkdoor_standins/engine/_metrics.py
+++ b/packages/skylarkdoor-standins/src/skylarkdoor_standins/engine/_metrics.py
@@ -2,7 +2,7 @@
 
 from prometheus_client import CollectorRegistry, Gauge, generate_latest
 
-from ._batcher import Load
+from skylarkdoor_standins.engine._batcher import Load
 
 
 def render_metrics(load: Load) -> bytes:
--- a/packages/skylarkdoor-standins/src/skylarkdoor_standins/engine/_orders.py
+++ b/packages/skylarkdoor-standins/src/skylarkdoor_standins/engine/_orders.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import Any, NamedTuple
 
-from ._settings import EngineSettings, Fencing
+from skylarkdoor_standins.engine._settings import EngineSettings, Fencing
 
 LOAD_MODEL_S = 2.0
 LOAD_ADAPTER_S = 0.2
--- a/packages/skylarkdoor-standins/src/skylarkdoor_standins/engine/_streams.py
+++ b/packages/skylarkdoor-standins/src/skylarkdoor_standins/engine/_streams.py
@@ -5,9 +5,9 @@
 
 from aiohttp import web
 
-from ._batcher import Batcher
-from ._completions import AnswerForm
-from ._sequence import Sequence
+from skylarkdoor_standins.engine._batcher import Batcher
+from skylarkdoor_standins.engine._completions import AnswerForm
+from skylarkdoor_standins.engine._sequence import Sequence
 
 
 async def answer_whole(
--- a/packages/skylarkdoor-standins/src/skylarkdoor_standins/platform/__init__.py
+++ b/packages/skylarkdoor-standins/src/skylarkdoor_standins/platform/__init__.py
@@ -1,5 +1,5 @@
 """Stand-in for the platform: table, objects, instance list and weights."""
 
-from ._app import create_app
+from skylarkdoor_standins.platform._app import create_app
 
 __all__ = ["create_app"]
--- a/packages/skylarkdoor-standins/src/skylarkdoor_standins/platform/_app.py
+++ b/packages/skylarkdoor-standins/src/skylarkdoor_standins/platform/_app.py
@@ -4,12 +4,12 @@
 
 from aiohttp import web
 
-from ._faults import Fault, FaultGate, FaultMode
-from ._instances import InstanceService
-from ._objects import ObjectService
-from ._stats import ServiceStats
-from ._table import TableService
-from ._weights import RateLimit, WeightService
+from skylarkdoor_standins.platform._faults import Fault, FaultGate, FaultMode
+from skylarkdoor_standins.platform._instances import InstanceService
+from skylarkdoor_standins.platform._objects import ObjectService
+from skylarkdoor_standins.platform._stats import ServiceStats
+from skylarkdoor_standins.platform._table import TableService
+from skylarkdoor_standins.platform._weights import RateLimit, WeightService
 
 LIST_LAG_S = 0.5
 WEIGHT_RATE = 2.0
--- a/packages/skylarkdoor-standins/src/skylarkdoor_standins/platform/_faults.py
+++ b/packages/skylarkdoor-standins/src/skylarkdoor_standins/platform/_faults.py
@@ -7,7 +7,7 @@
 
 from aiohttp import web
 
-from ._stats import ServiceStats
+from skylarkdoor_standins.platform._stats import ServiceStats
 
 
 class FaultMode(StrEnum):
--- a/packages/skylarkdoor-standins/src/skylarkdoor_standins/platform/_instances.py
+++ b/packages/skylarkdoor-standins/src/skylarkdoor_standins/platform/_instances.py
@@ -4,8 +4,8 @@
 
 from aiohttp import web
 
-from .._lagged import Lagged
-from ._faults import FaultGate
+from skylarkdoor_standins._lagged import Lagged
+from skylarkdoor_standins.platform._faults import FaultGate
 
 
 class TargetGroup(TypedDict):
--- a/packages/skylarkdoor-standins/src/skylarkdoor_standins/platform/_objects.py
+++ b/packages/skylarkdoor-standins/src/skylarkdoor_standins/platform/_objects.py
@@ -4,7 +4,7 @@
 
 from aiohttp import web
 
-from ._faults import FaultGate
+from skylarkdoor_standins.platform._faults import FaultGate
 
 
 class ObjectService:
--- a/packages/skylarkdoor-standins/src/skylarkdoor_standins/platform/_table.py
+++ b/packages/skylarkdoor-standins/src/skylarkdoor_standins/platform/_table.py
@@ -5,9 +5,9 @@
 
 from aiohttp import web
 
-from ._faults import FaultGate
-from ._store import Store
-from ._transactions import (
+from skylarkdoor_standins.platform._faults import FaultGate
+from skylarkdoor_standins.platform._store import Store
+from skylarkdoor_standins.platform._transactions import (
     InvalidRequestError,
     Json,
     apply_delete,
--- a/packages/skylarkdoor-standins/src/skylarkdoor_standins/platform/_transactions.py
+++ b/packages/skylarkdoor-standins/src/skylarkdoor_standins/platform/_transactions.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Iterator
 from typing import Any
 
-from ._store import Store, StoredRow
+from skylarkdoor_standins.platform._store import Store, StoredRow
 
 MAX_TXN_OPS = 128
 
--- a/packages/skylarkdoor-standins/src/skylarkdoor_standins/platform/_weights.py
+++ b/packages/skylarkdoor-standins/src/skylarkdoor_standins/platform/_weights.py
@@ -6,7 +6,7 @@
 
 from aiohttp import web
 
-from ._faults import FaultGate
+from skylarkdoor_standins.platform._faults import FaultGate
 
 _WEIGHTS_LENGTH = 4096
 
--- a/packages/skylarkdoor-standins/src/skylarkdoor_standins/service/__init__.py
+++ b/packages/skylarkdoor-standins/src/skylarkdoor_standins/service/__init__.py
@@ -1,5 +1,5 @@
 """Stand-in for a plain service."""
 
-from ._app import create_app
+from skylarkdoor_standins.service._app import create_app
 
 __all__ = ["create_app"]
--- a/packages/skylarkdoor/src/skylarkdoor/platform/__init__.py
+++ b/packages/skylarkdoor/src/skylarkdoor/platform/__init__.py
@@ -1,9 +1,9 @@
 """Clients of the platform: table, object store, instance list, weight store."""
 
-from ._instances import InstanceList, InstanceRecord
-from ._objects import ObjectStore
-from ._table import EtcdTable
-from ._transactions import (
+from skylarkdoor.platform._instances import InstanceList, InstanceRecord
+from skylarkdoor.platform._objects import ObjectStore
+from skylarkdoor.platform._table import EtcdTable
+from skylarkdoor.platform._transactions import (
     Absent,
     Condition,
     Delete,
@@ -16,8 +16,8 @@
     TxnResult,
     ValueIs,
 )
-from ._weights import WeightStore
-from .exceptions import (
+from skylarkdoor.platform._weights import WeightStore
+from skylarkdoor.platform.exceptions import (
     ListUnavailable,
     ObjectAbsent,
     ObjectsUnavailable,
--- a/packages/skylarkdoor/src/skylarkdoor/platform/_http.py
+++ b/packages/skylarkdoor/src/skylarkdoor/platform/_http.py
@@ -4,7 +4,7 @@
 
 import aiohttp
 
-from ._endpoints import Endpoints
+from skylarkdoor.platform._endpoints import Endpoints
 
 _SERVER_ERROR = 500
 
--- a/packages/skylarkdoor/src/skylarkdoor/platform/_instances.py
+++ b/packages/skylarkdoor/src/skylarkdoor/platform/_instances.py
@@ -6,9 +6,9 @@
 import aiohttp
 import msgspec
 
-from ._endpoints import Endpoints
-from ._http import NoAnswerError, request
-from .exceptions import ListUnavailable
+from skylarkdoor.platform._endpoints import Endpoints
+from skylarkdoor.platform._http import NoAnswerError, request
+from skylarkdoor.platform.exceptions import ListUnavailable
 
 LIST_TIMEOUT_S = 2.0
 
--- a/packages/skylarkdoor/src/skylarkdoor/platform/_objects.py
+++ b/packages/skylarkdoor/src/skylarkdoor/platform/_objects.py
@@ -5,9 +5,9 @@
 
 import aiohttp
 
-from ._endpoints import Endpoints
-from ._http import HttpAnswer, NoAnswerError, request
-from .exceptions import ObjectAbsent, ObjectsUnavailable
+from skylarkdoor.platform._endpoints import Endpoints
+from skylarkdoor.platform._http import HttpAnswer, NoAnswerError, request
+from skylarkdoor.platform.exceptions import ObjectAbsent, ObjectsUnavailable
 
 OBJECTS_TIMEOUT_S = 5.0
 
--- a/packages/skylarkdoor/src/skylarkdoor/platform/_table.py
+++ b/packages/skylarkdoor/src/skylarkdoor/platform/_table.py
@@ -6,8 +6,8 @@
 import aiohttp
 import msgspec
 
-from ._endpoints import Endpoints
-from ._gateway import (
+from skylarkdoor.platform._endpoints import Endpoints
+from skylarkdoor.platform._gateway import (
     CommitAnswer,
     ErrorAnswer,
     Message,
@@ -18,9 +18,13 @@
     read_results,
     read_row,
 )
-from ._grouping import group_txns
-from ._transactions import Row, RowList, Txn, TxnResult
-from .exceptions import TableRejected, TableTimeout, TableUnavailable
+from skylarkdoor.platform._grouping import group_txns
+from skylarkdoor.platform._transactions import Row, RowList, Txn, TxnResult
+from skylarkdoor.platform.exceptions import (
+    TableRejected,
+    TableTimeout,
+    TableUnavailable,
+)
 
 TABLE_TIMEOUT_S = 2.0
 _PAGE_ROWS = 500
--- a/packages/skylarkdoor/src/skylarkdoor/platform/_weights.py
+++ b/packages/skylarkdoor/src/skylarkdoor/platform/_weights.py
@@ -5,9 +5,13 @@
 
 import aiohttp
 
-from ._endpoints import Endpoints
-from ._http import HttpAnswer, NoAnswerError, request
-from .exceptions import WeightsAbsent, WeightsLimited, WeightsUnavailable
+from skylarkdoor.platform._endpoints import Endpoints
+from skylarkdoor.platform._http import HttpAnswer, NoAnswerError, request
+from skylarkdoor.platform.exceptions import (
+    WeightsAbsent,
+    WeightsLimited,
+    WeightsUnavailable,
+)
 
 WEIGHTS_TIMEOUT_S = 60.0
 _DEFAULT_RETRY_S = 1.0
