Let poison text outlive a restart, and freeze engines by the clock

A request that crashes each upstream that runs it needs the fault on every upstream after each restart, so the text is also a start option. A freeze set on an idle engine began only with its next request; it now ends at a set time.

--- a/packages/skylarkdoor-standins/src/skylarkdoor_standins/__init__.py
+++ b/packages/skylarkdoor-standins/src/skylarkdoor_standins/__init__.py
@@ -1,5 +1,5 @@
 """Stand-ins for the systems around skylarkdoor, for tests and demos."""
 
-from skylarkdoor_standins._text import chat_prompt, expected_text
+from skylarkdoor_standins._text import ChatMessage, chat_prompt, expected_text
 
-__all__ = ["chat_prompt", "expected_text"]
+__all__ = ["ChatMessage", "chat_prompt", "expected_text"]
--- a/packages/skylarkdoor-standins/src/skylarkdoor_standins/cli.py
+++ b/packages/skylarkdoor-standins/src/skylarkdoor_standins/cli.py
@@ -38,6 +38,7 @@
 @click.option("--load-lag", "load_lag_s", type=float, default=1.0)
 @click.option("--seed", type=int, default=1)
 @click.option("--time-scale", type=float, default=1.0)
+@click.option("--crash-on", default="", help="Text of a prompt.")
 def run_engine(
     port: int,
     model: str,
@@ -49,6 +50,7 @@
     load_lag_s: float,
     seed: int,
     time_scale: float,
+    crash_on: str,
 ) -> None:
     """Run a model engine."""
     settings = engine.EngineSettings(
@@ -61,6 +63,7 @@
         load_lag_s=load_lag_s,
         seed=seed,
         time_scale=time_scale,
+        crash_on=crash_on,
     )
 
     async def run() -> None:
@@ -74,11 +77,14 @@
 @click.option("--port", type=int, default=0)
 @click.option("--latency-s", type=float, default=0.01)
 @click.option("--concurrency", type=int, default=32)
-def run_service(port: int, latency_s: float, concurrency: int) -> None:
+@click.option("--crash-on", default="", help="Text of a body.")
+def run_service(port: int, latency_s: float, concurrency: int, crash_on: str) -> None:
     """Run a plain service."""
 
     async def run() -> None:
-        app = service.create_app(latency_s=latency_s, concurrency=concurrency)
+        app = service.create_app(
+            latency_s=latency_s, concurrency=concurrency, crash_on=crash_on
+        )
         await serve(app, port=port)
 
     asyncio.run(run())
--- a/packages/skylarkdoor-standins/src/skylarkdoor_standins/engine/_app.py
+++ b/packages/skylarkdoor-standins/src/skylarkdoor_standins/engine/_app.py
@@ -3,7 +3,6 @@
 import asyncio
 import uuid
 from collections.abc import AsyncIterator
-from dataclasses import asdict
 
 from aiohttp import web
 
@@ -13,6 +12,7 @@
     make_sequence,
     read_request,
 )
+from skylarkdoor_standins.engine._faults import UnknownFaultError
 from skylarkdoor_standins.engine._metrics import render_metrics
 from skylarkdoor_standins.engine._orders import (
     EngineState,
@@ -23,8 +23,6 @@
 from skylarkdoor_standins.engine._settings import EngineSettings
 from skylarkdoor_standins.engine._streams import answer_stream, answer_whole
 
-_FAULTS = frozenset({"crash_on", "slow_factor", "freeze", "cut_after_chunks"})
-
 
 def create_app(settings: EngineSettings) -> web.Application:
     """Return the application of an engine."""
@@ -125,15 +123,13 @@
         return web.json_response(self.state.as_dict())
 
     async def _show_faults(self, request: web.Request) -> web.Response:
-        return web.json_response(asdict(self.batcher.faults))
+        return web.json_response(self.batcher.faults.as_dict())
 
     async def _set_faults(self, request: web.Request) -> web.Response:
-        settings = await request.json()
-        unknown = settings.keys() - _FAULTS
-        if unknown:
-            raise web.HTTPBadRequest(text=f"no fault {sorted(unknown)}")
-        for name, value in settings.items():
-            setattr(self.batcher.faults, name, value)
+        try:
+            self.batcher.faults.update(await request.json())
+        except UnknownFaultError as error:
+            raise web.HTTPBadRequest(text=str(error)) from error
         return await self._show_faults(request)
 
     async def _stats(self, request: web.Request) -> web.Response:
--- a/packages/skylarkdoor-standins/src/skylarkdoor_standins/engine/_batcher.py
+++ b/packages/skylarkdoor-standins/src/skylarkdoor_standins/engine/_batcher.py
@@ -35,7 +35,7 @@
 
     def __init__(self, settings: EngineSettings):
         self.settings = settings
-        self.faults = EngineFaults()
+        self.faults = EngineFaults(crash_on=settings.crash_on)
         self.stats = EngineStats()
         self.events = CacheEvents(seed=settings.seed)
         self.cache = PrefixCache(settings.cache_tokens, self.events.publish)
@@ -71,17 +71,16 @@
                 await self._step()
 
     async def _step(self) -> None:
+        if self.faults.freeze_s:
+            await asyncio.sleep(self.faults.freeze_s)
         started = time.monotonic()
-        freeze_s = self.faults.take_freeze_s()
-        if freeze_s:
-            await asyncio.sleep(freeze_s)
         self._admit()
         prefilled = self._prefill()
         self._crash_if_asked()
         decoding = [item for item in self._running if not item.prefill_left]
         step_s = self._step_s(prefilled, len(decoding))
         self._report()
-        await asyncio.sleep(started + freeze_s + step_s - time.monotonic())
+        await asyncio.sleep(started + step_s - time.monotonic())
         for sequence in decoding:
             sequence.emit()
         self._retire()
@@ -133,9 +132,7 @@
 
     def _crash_if_asked(self) -> None:
         text = self.faults.crash_on
-        if text is None:
-            return
-        if any(text in sequence.prompt for sequence in self._running):
+        if text and any(text in sequence.prompt for sequence in self._running):
             wasted = sum(sequence.computed for sequence in self._running)
             self.stats.prefill_wasted += wasted
             print(json.dumps({"crash": self.stats.as_dict()}), file=sys.stderr)
--- a/packages/skylarkdoor-standins/src/skylarkdoor_standins/engine/_faults.py
+++ b/packages/skylarkdoor-standins/src/skylarkdoor_standins/engine/_faults.py
@@ -1,28 +1,67 @@
 """Faults of an engine, set on demand."""
 
-from dataclasses import dataclass
+import time
+from collections.abc import Callable, Mapping
+from typing import Any
+
+
+class UnknownFaultError(Exception):
+    """There is no fault of this name."""
 
 
-@dataclass
 class EngineFaults:
-    """What goes wrong.
+    """What goes wrong with an engine.
+
+    Args:
+        crash_on: Ends the process while a prompt that contains the text is run.
+        clock: Source of monotonic seconds.
 
-    ``crash_on`` ends the process while a prompt that contains the text is run,
-    ``slow_factor`` stretches every step, ``freeze`` stops the steps once for so
-    many seconds, and ``cut_after_chunks`` cuts the next stream after so many.
+    Attributes:
+        slow_factor: Stretches every step.
+        cut_after_chunks: Cuts the next stream after so many chunks.
+        frozen_until: When steps go on again.
     """
 
-    crash_on: str | None = None
-    slow_factor: float = 1.0
-    freeze: float = 0.0
-    cut_after_chunks: int | None = None
+    def __init__(
+        self, *, crash_on: str = "", clock: Callable[[], float] = time.monotonic
+    ):
+        self.crash_on = crash_on
+        self.slow_factor = 1.0
+        self.cut_after_chunks: int | None = None
+        self.frozen_until = 0.0
+        self._clock = clock
 
-    def take_freeze_s(self) -> float:
-        """Return the seconds to freeze for, once."""
-        freeze_s, self.freeze = self.freeze, 0.0
-        return freeze_s
+    def update(self, settings: Mapping[str, Any]) -> None:
+        """Set the faults named.
+
+        Raises:
+            UnknownFaultError: One of them does not exist; none was set.
+        """
+        unknown = settings.keys() - self.as_dict().keys()
+        if unknown:
+            raise UnknownFaultError(f"no fault {sorted(unknown)}")
+        self.crash_on = settings.get("crash_on", self.crash_on) or ""
+        self.slow_factor = settings.get("slow_factor", self.slow_factor)
+        if "cut_after_chunks" in settings:
+            self.cut_after_chunks = settings["cut_after_chunks"]
+        if "freeze" in settings:
+            self.frozen_until = self._clock() + settings["freeze"]
+
+    @property
+    def freeze_s(self) -> float:
+        """The seconds for which steps stand still from now on."""
+        return max(0.0, self.frozen_until - self._clock())
 
     def take_cut(self) -> int | None:
         """Return after how many chunks to cut a stream, once."""
         chunks, self.cut_after_chunks = self.cut_after_chunks, None
         return chunks
+
+    def as_dict(self) -> dict[str, Any]:
+        """Return the faults by the names under which they are set."""
+        return {
+            "crash_on": self.crash_on,
+            "slow_factor": self.slow_factor,
+            "freeze": self.freeze_s,
+            "cut_after_chunks": self.cut_after_chunks,
+        }
--- a/packages/skylarkdoor-standins/src/skylarkdoor_standins/engine/_settings.py
+++ b/packages/skylarkdoor-standins/src/skylarkdoor_standins/engine/_settings.py
@@ -16,7 +16,8 @@
 
     ``prefill_tps`` is the prompt tokens a second that the engine computes,
     ``decode_tps`` the tokens a second of a lone sequence. ``time_scale``
-    multiplies both.
+    multiplies both. The process ends while it runs a prompt that contains the text
+    of ``crash_on``.
     """
 
     model: str
@@ -28,3 +29,4 @@
     load_lag_s: float = 1.0
     seed: int = 1
     time_scale: float = 1.0
+    crash_on: str = ""
--- a/packages/skylarkdoor-standins/src/skylarkdoor_standins/service/_app.py
+++ b/packages/skylarkdoor-standins/src/skylarkdoor_standins/service/_app.py
@@ -46,23 +46,27 @@
     body_sha256: str
 
 
-def create_app(*, latency_s: float, concurrency: int) -> web.Application:
+def create_app(
+    *, latency_s: float, concurrency: int, crash_on: str = ""
+) -> web.Application:
     """Return the application of a plain service.
 
     Args:
         latency_s: How long each request runs.
         concurrency: How many run at once; others wait.
+        crash_on: Ends the process while a body that contains the text is run.
     """
     app = web.Application(client_max_size=64 * 1024 * 1024)
-    app.add_routes(_Service(latency_s, concurrency).routes())
+    app.add_routes(_Service(latency_s, concurrency, crash_on).routes())
     return app
 
 
 class _Service:
     """Answers any method and path with what it was sent."""
 
-    def __init__(self, latency_s: float, concurrency: int):
+    def __init__(self, latency_s: float, concurrency: int, crash_on: str):
         self.latency_s = latency_s
+        self.crash_on = crash_on
         self.executions: list[Execution] = []
         self.fault = Fault()
         self._slots = asyncio.Semaphore(concurrency)
@@ -81,7 +85,8 @@
         async with self._slots:
             fault = self._take_fault()
             execution = self._record(request, body)
-            if fault.mode is ServiceFault.CRASH:
+            is_poison = self.crash_on and self.crash_on.encode() in body
+            if fault.mode is ServiceFault.CRASH or is_poison:
                 os._exit(CRASH_STATUS)
             delay_s = fault.delay_s if fault.mode is ServiceFault.SLOW else 0.0
             await asyncio.sleep(self.latency_s + delay_s)
