--- /dev/null
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/__main__.py
@@ -0,0 +1,6 @@
+"""Run a development tool: ``python -m skylarkdoor_bench``."""
+
+from skylarkdoor_bench.cli import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_caller.py
@@ -0,0 +1,108 @@
+"""A caller of the entries: API key, trace context and whole answers."""
+
+import json
+import secrets
+from collections.abc import AsyncIterator, Mapping, Sequence
+from typing import Any, NamedTuple
+
+import aiohttp
+
+from skylarkdoor_standins import ChatMessage
+
+STREAM_END = "[DONE]"
+_EVENT_PREFIX = "data: "
+
+
+class Answer(NamedTuple):
+    """A whole answer and the trace that it belongs to."""
+
+    status: int
+    body: str
+    request_id: str
+    trace_id: str
+
+
+class CutStreamError(Exception):
+    """A stream ended without its last event."""
+
+
+class Caller:
+    """Sends requests to one entry as one customer.
+
+    Args:
+        session: The session for all requests.
+        url: The entry's base URL.
+        key: The customer's API key.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession, url: str, *, key: str):
+        self.session = session
+        self.url = url
+        self.key = key
+
+    async def send(
+        self,
+        method: str,
+        path: str,
+        *,
+        body: Any = None,
+        headers: Mapping[str, str] | None = None,
+    ) -> Answer:
+        """Send a request and return its whole answer."""
+        trace_id = secrets.token_hex(16)
+        async with self.session.request(
+            method,
+            f"{self.url}{path}",
+            json=body,
+            headers=self._headers(trace_id, headers or {}),
+        ) as response:
+            text = await response.text()
+            request_id = response.headers.get("X-Request-Id", "")
+            return Answer(response.status, text, request_id, trace_id)
+
+    async def stream_chat(
+        self, model: str, messages: Sequence[ChatMessage], *, max_tokens: int
+    ) -> Answer:
+        """Stream a chat and return its text once the last event has come.
+
+        Raises:
+            CutStreamError: The stream ended without its last event.
+        """
+        trace_id = secrets.token_hex(16)
+        body = {
+            "model": model,
+            "messages": list(messages),
+            "max_tokens": max_tokens,
+            "stream": True,
+        }
+        async with self.session.post(
+            f"{self.url}/v1/chat/completions",
+            json=body,
+            headers=self._headers(trace_id, {}),
+        ) as response:
+            request_id = response.headers.get("X-Request-Id", "")
+            if response.status != 200:
+                text = await response.text()
+            else:
+                text = "".join([piece async for piece in _pieces(response)])
+            return Answer(response.status, text, request_id, trace_id)
+
+    def _headers(self, trace_id: str, others: Mapping[str, str]) -> dict[str, str]:
+        return {
+            "Authorization": f"Bearer {self.key}",
+            "traceparent": f"00-{trace_id}-{secrets.token_hex(8)}-01",
+            **others,
+        }
+
+
+async def _pieces(response: aiohttp.ClientResponse) -> AsyncIterator[str]:
+    async for line in response.content:
+        text = line.decode().strip()
+        if not text.startswith(_EVENT_PREFIX):
+            continue
+        event = text.removeprefix(_EVENT_PREFIX)
+        if event == STREAM_END:
+            return
+        for choice in json.loads(event)["choices"]:
+            yield choice["delta"].get("content", "")
+    raise CutStreamError
--- /dev/null
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_commands.py
@@ -0,0 +1,156 @@
+"""Commands and settings files of a deployment's processes."""
+
+import json
+from collections.abc import Mapping
+from pathlib import Path
+from typing import NamedTuple
+
+from skylarkdoor.settings import (
+    Listen,
+    PlatformAddresses,
+    ProcessSettings,
+    Upstream,
+    to_plain,
+)
+from skylarkdoor_bench._deployments import (
+    Deployment,
+    EngineSpec,
+    EntrySpec,
+    ServiceSpec,
+)
+from skylarkdoor_bench._ports import HOST, free_port
+
+_STANDINS = "skylarkdoor_standins"
+_DAEMON = "skylarkdoord"
+
+
+class StandinCommand(NamedTuple):
+    """How a stand-in is started, and its base URL."""
+
+    name: str
+    arguments: tuple[str, ...]
+    url: str
+
+
+class DaemonCommand(NamedTuple):
+    """How a daemon is started, and what its settings file holds."""
+
+    role: str
+    settings: ProcessSettings
+
+    @property
+    def name(self) -> str:
+        """The instance's name."""
+        return self.settings.instance
+
+    @property
+    def internal_url(self) -> str:
+        """Base URL of health, metrics and status."""
+        return f"http://{self.settings.listen.internal}"
+
+    def write(self, directory: Path) -> tuple[str, ...]:
+        """Write the settings file and return the arguments that name it."""
+        path = directory / f"{self.name}.json"
+        path.write_text(json.dumps(_without_none(to_plain(self.settings)), indent=2))
+        return (_DAEMON, self.role, "--settings", str(path))
+
+
+def platform_command(deployment: Deployment) -> StandinCommand:
+    """Return how the platform is started."""
+    port = free_port()
+    options = {"--port": port, "--lag": deployment.list_lag_s}
+    return _standin("platform", "platform", port, options)
+
+
+def engine_command(
+    spec: EngineSpec, deployment: Deployment, *, seed: int
+) -> StandinCommand:
+    """Return how an engine is started."""
+    port = free_port()
+    options = {
+        "--port": port,
+        "--model": spec.model,
+        "--prefill-tps": spec.prefill_tps,
+        "--decode-tps": spec.decode_tps,
+        "--max-batch": spec.max_batch,
+        "--cache-tokens": spec.cache_tokens,
+        "--fencing": spec.fencing,
+        "--seed": seed,
+        "--time-scale": deployment.time_scale,
+        "--crash-on": deployment.crash_on,
+    }
+    return _standin(spec.name, "engine", port, options)
+
+
+def service_command(spec: ServiceSpec, deployment: Deployment) -> StandinCommand:
+    """Return how a plain service is started."""
+    port = free_port()
+    options = {
+        "--port": port,
+        "--latency-s": spec.latency_s,
+        "--concurrency": spec.concurrency,
+        "--crash-on": deployment.crash_on,
+    }
+    return _standin(spec.name, "service", port, options)
+
+
+def entry_command(spec: EntrySpec, platform_url: str) -> DaemonCommand:
+    """Return how an entry is started."""
+    listen = Listen(internal=_address(), callers=_address())
+    settings = _process_settings(spec.name, spec.data_centre, listen, platform_url)
+    return DaemonCommand("entry", settings)
+
+
+def sidecar_command(
+    spec: EngineSpec | ServiceSpec, upstream_url: str, platform_url: str
+) -> DaemonCommand:
+    """Return how the sidecar beside an upstream is started."""
+    listen = Listen(internal=_address(), rpc=_address())
+    name = sidecar_name(spec.name)
+    settings = _process_settings(name, spec.data_centre, listen, platform_url)
+    upstream = Upstream(url=upstream_url, pool=spec.pool)
+    return DaemonCommand("sidecar", settings._replace(upstream=upstream))
+
+
+def sidecar_name(upstream: str) -> str:
+    """Return the name of the sidecar beside an upstream."""
+    return f"sidecar-{upstream}"
+
+
+def _standin(
+    name: str, kind: str, port: int, options: Mapping[str, object]
+) -> StandinCommand:
+    words = [str(part) for option in options.items() for part in option]
+    return StandinCommand(name, (_STANDINS, kind, *words), f"http://{HOST}:{port}")
+
+
+def _process_settings(
+    name: str, data_centre: str, listen: Listen, platform_url: str
+) -> ProcessSettings:
+    addresses = PlatformAddresses(
+        table=(platform_url,),
+        objects=platform_url,
+        instances=platform_url,
+        weights=platform_url,
+    )
+    return ProcessSettings(
+        instance=name,
+        data_centre=data_centre,
+        listen=listen,
+        platform=addresses,
+        fatal_invariants=True,
+    )
+
+
+def _address() -> str:
+    return f"{HOST}:{free_port()}"
+
+
+def _without_none(document: dict[str, object]) -> dict[str, object]:
+    kept = {}
+    for name, value in document.items():
+        if isinstance(value, dict):
+            value = _without_none(value)
+        if value is not None:
+            kept[name] = value
+    return kept
--- /dev/null
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_launcher.py
@@ -0,0 +1,214 @@
+"""Runs a whole deployment as processes on one machine."""
+
+import asyncio
+import tempfile
+from collections.abc import Iterable
+from contextlib import AsyncExitStack
+from pathlib import Path
+from types import TracebackType
+from typing import Any, Self
+
+import aiohttp
+
+from skylarkdoor_bench._commands import (
+    DaemonCommand,
+    StandinCommand,
+    engine_command,
+    entry_command,
+    platform_command,
+    service_command,
+    sidecar_command,
+)
+from skylarkdoor_bench._deployments import Deployment, EngineSpec, ServiceSpec
+from skylarkdoor_bench._logs import Span, read_spans
+from skylarkdoor_bench._platform import PlatformControl
+from skylarkdoor_bench._processes import (
+    POLL_INTERVAL_S,
+    READY_TIMEOUT_S,
+    ManagedProcess,
+    ProcessFailedError,
+)
+
+PLATFORM = "platform"
+
+
+class Cluster:
+    """A deployment's stand-ins and daemons, from entry to exit of the context.
+
+    Processes go by name: ``platform``, an upstream's name, ``sidecar-`` and the
+    upstream's name, an entry's name.
+
+    Args:
+        deployment: What to start.
+        directory: Where settings files and logs go; by default a temporary
+            directory that is removed at the end.
+    """
+
+    def __init__(self, deployment: Deployment, *, directory: Path | None = None):
+        self.deployment = deployment
+        self.directory = directory or Path()
+        self.processes: dict[str, ManagedProcess] = {}
+        self.daemons: dict[str, DaemonCommand] = {}
+        self.upstream_urls: dict[str, str] = {}
+        self.platform: PlatformControl
+        self.session: aiohttp.ClientSession
+        self._has_directory = directory is not None
+        self._stack = AsyncExitStack()
+
+    async def __aenter__(self) -> Self:
+        try:
+            await self._start()
+        except BaseException:
+            await self._stack.aclose()
+            raise
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        await self._stack.aclose()
+
+    @property
+    def entry_urls(self) -> list[str]:
+        """Base URLs for callers, one for each entry."""
+        listens = [
+            self.daemons[entry.name].settings.listen
+            for entry in self.deployment.entries
+        ]
+        return [f"http://{listen.callers}" for listen in listens]
+
+    async def wait_connected(self) -> None:
+        """Wait until every entry has a stream to every sidecar.
+
+        Raises:
+            ProcessFailedError: Some had none in time.
+        """
+        names = [entry.name for entry in self.deployment.entries]
+        try:
+            async with asyncio.timeout(READY_TIMEOUT_S):
+                for name in names:
+                    while not await self._is_connected(name):
+                        await asyncio.sleep(POLL_INTERVAL_S)
+        except TimeoutError:
+            raise ProcessFailedError("entries lack streams to sidecars") from None
+
+    async def restart(self, name: str) -> None:
+        """Start a process that has ended, and list a daemon again as live."""
+        process = self.processes[name]
+        await process.start()
+        if name in self.daemons:
+            daemon = self.daemons[name]
+            await self.platform.register(daemon.role, daemon.settings)
+        await process.wait_ready(self.session)
+
+    async def status(self, name: str) -> dict[str, Any]:
+        """Return what a daemon says of itself."""
+        return await self._get_json(f"{self.daemons[name].internal_url}/status")
+
+    async def upstream_stats(self, name: str) -> dict[str, Any]:
+        """Return the counts of an engine or a service."""
+        return await self._get_json(f"{self.upstream_urls[name]}/stats")
+
+    async def upstream_fault(self, name: str, **settings: object) -> None:
+        """Set a fault of an engine or a service."""
+        url = f"{self.upstream_urls[name]}/faults"
+        async with self.session.post(url, json=settings) as response:
+            response.raise_for_status()
+
+    def crashed(self) -> list[str]:
+        """Return the names of processes that ended though nobody asked for it."""
+        return [
+            name
+            for name, process in self.processes.items()
+            if process.is_expected_to_run and not process.is_running
+        ]
+
+    def spans(self, trace_id: str | None = None) -> list[Span]:
+        """Return the spans that the daemons have logged, all or of one trace."""
+        logs = [self.processes[name].log_path for name in self.daemons]
+        return [span for log in logs for span in read_spans(log, trace_id=trace_id)]
+
+    async def _start(self) -> None:
+        if not self._has_directory:
+            temporary = tempfile.TemporaryDirectory(prefix="skylarkdoor-")
+            self.directory = Path(self._stack.enter_context(temporary))
+        self.directory.mkdir(parents=True, exist_ok=True)
+        session = aiohttp.ClientSession()
+        self.session = await self._stack.enter_async_context(session)
+        self._stack.push_async_callback(self._end_all)
+        await self._start_standins()
+        await self.platform.seed_settings(self.deployment)
+        await self._start_daemons()
+
+    async def _start_standins(self) -> None:
+        platform = platform_command(self.deployment)
+        self.platform = PlatformControl(self.session, platform.url)
+        commands = [
+            self._upstream_command(spec, seed)
+            for seed, spec in enumerate(self.deployment.upstreams, start=1)
+        ]
+        self.upstream_urls = {command.name: command.url for command in commands}
+        self._add(PLATFORM, platform.arguments, f"{platform.url}/stats")
+        for command in commands:
+            self._add(command.name, command.arguments, f"{command.url}/health")
+        await self._start_processes([PLATFORM, *self.upstream_urls])
+
+    def _upstream_command(
+        self, spec: EngineSpec | ServiceSpec, seed: int
+    ) -> StandinCommand:
+        if isinstance(spec, EngineSpec):
+            return engine_command(spec, self.deployment, seed=seed)
+        return service_command(spec, self.deployment)
+
+    async def _start_daemons(self) -> None:
+        url = self.platform.url
+        commands = [
+            sidecar_command(spec, self.upstream_urls[spec.name], url)
+            for spec in self.deployment.upstreams
+        ]
+        commands += [entry_command(spec, url) for spec in self.deployment.entries]
+        for command in commands:
+            self.daemons[command.name] = command
+            arguments = command.write(self.directory)
+            self._add(command.name, arguments, f"{command.internal_url}/readyz")
+            await self.platform.register(command.role, command.settings)
+        await self._start_processes(self.daemons)
+        await self.wait_connected()
+
+    async def _is_connected(self, entry: str) -> bool:
+        status = await self.status(entry)
+        connected = [item for item in status["sidecars"] if item["connected"]]
+        return len(connected) == len(self.deployment.upstreams)
+
+    def _add(self, name: str, arguments: tuple[str, ...], ready_url: str) -> None:
+        log_path = self.directory / f"{name}.log"
+        self.processes[name] = ManagedProcess(
+            name, arguments, ready_url=ready_url, log_path=log_path
+        )
+
+    async def _start_processes(self, names: Iterable[str]) -> None:
+        processes = [self.processes[name] for name in names]
+        for process in processes:
+            await process.start()
+        async with asyncio.TaskGroup() as group:
+            for process in processes:
+                group.create_task(process.wait_ready(self.session))
+
+    async def _end_all(self) -> None:
+        daemons = [self.processes[name] for name in self.daemons]
+        await _end(daemons)
+        await _end(self.processes.values())
+
+    async def _get_json(self, url: str) -> dict[str, Any]:
+        async with self.session.get(url) as response:
+            response.raise_for_status()
+            answer: dict[str, Any] = await response.json()
+            return answer
+
+
+async def _end(processes: Iterable[ManagedProcess]) -> None:
+    running = [process for process in processes if process.is_running]
+    await asyncio.gather(*(process.terminate() for process in running))
--- /dev/null
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_ports.py
@@ -0,0 +1,40 @@
+"""Free ports on loopback."""
+
+import random
+import socket
+
+HOST = "127.0.0.1"
+# Below the range from which the system takes ports for outgoing connections.
+_PORTS = range(20_000, 32_000)
+_MOST_TRIES = 1000
+
+_given: set[int] = set()
+_random = random.SystemRandom()
+
+
+class NoFreePortError(Exception):
+    """No free port was found."""
+
+
+def free_port() -> int:
+    """Return a port that nobody listens on and that was not returned before.
+
+    Raises:
+        NoFreePortError: None was found.
+    """
+    for _ in range(_MOST_TRIES):
+        port = _random.choice(_PORTS)
+        if port not in _given and _is_free(port):
+            _given.add(port)
+            return port
+    raise NoFreePortError
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return False
+    return True
--- /dev/null
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_processes.py
@@ -0,0 +1,155 @@
+"""Subprocesses of the launcher: start, readiness, signals, end."""
+
+import asyncio
+import signal
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+
+import aiohttp
+
+READY_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 10.0
+POLL_INTERVAL_S = 0.05
+_LOG_TAIL_LINES = 20
+
+
+class ProcessFailedError(Exception):
+    """A process ended or stayed unready when it should serve."""
+
+
+class ManagedProcess:
+    """A Python module run as a process, with its log in a file.
+
+    Args:
+        name: Name of the process.
+        arguments: The module and its arguments.
+        ready_url: Answers 200 once the process is ready.
+        log_path: File to which its standard error is appended.
+    """
+
+    def __init__(
+        self, name: str, arguments: Sequence[str], *, ready_url: str, log_path: Path
+    ):
+        self.name = name
+        self.arguments = tuple(arguments)
+        self.ready_url = ready_url
+        self.log_path = log_path
+        self.is_expected_to_run = False
+        self._process: asyncio.subprocess.Process | None = None
+
+    @property
+    def pid(self) -> int | None:
+        """The process's id, or None before its first start."""
+        return self._process.pid if self._process else None
+
+    @property
+    def returncode(self) -> int | None:
+        """The exit status, or None while it runs or before its first start."""
+        return self._process.returncode if self._process else None
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process was started and has not ended."""
+        return self._process is not None and self._process.returncode is None
+
+    async def start(self) -> None:
+        """Start the process without waiting until it is ready.
+
+        Raises:
+            ProcessFailedError: It runs already.
+        """
+        if self.is_running:
+            raise ProcessFailedError(f"{self.name} runs already")
+        with self.log_path.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                *self.arguments,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                start_new_session=True,
+            )
+        self.is_expected_to_run = True
+
+    async def wait_ready(
+        self, session: aiohttp.ClientSession, *, timeout_s: float = READY_TIMEOUT_S
+    ) -> None:
+        """Wait until the process says that it is ready.
+
+        Raises:
+            ProcessFailedError: It ended, or was not ready in time.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                while not await self._is_ready(session):
+                    self._check_running()
+                    await asyncio.sleep(POLL_INTERVAL_S)
+        except TimeoutError:
+            raise ProcessFailedError(
+                f"{self.name} was not ready after {timeout_s} s\n{self.log_tail()}"
+            ) from None
+
+    async def wait_ended(self) -> int:
+        """Wait until the process has ended and return its exit status."""
+        assert self._process is not None
+        return await self._process.wait()
+
+    async def kill(self) -> None:
+        """End the process at once."""
+        self.is_expected_to_run = False
+        self._signal(signal.SIGKILL)
+        await self.wait_ended()
+
+    async def terminate(self, *, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Ask the process to end, and kill it if it takes too long.
+
+        Returns:
+            The exit status.
+        """
+        self.is_expected_to_run = False
+        self._signal(signal.SIGTERM)
+        self._signal(signal.SIGCONT)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self.wait_ended()
+        except TimeoutError:
+            await self.kill()
+            return await self.wait_ended()
+
+    def ask_to_end(self) -> None:
+        """Ask the process to end without waiting for it."""
+        self.is_expected_to_run = False
+        self._signal(signal.SIGTERM)
+
+    def pause(self) -> None:
+        """Stop the process where it is, until `resume`."""
+        self._signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a paused process go on."""
+        self._signal(signal.SIGCONT)
+
+    def log_tail(self) -> str:
+        """Return the last lines of the log."""
+        lines = self.log_path.read_text(errors="replace").splitlines()
+        return "\n".join(lines[-_LOG_TAIL_LINES:])
+
+    def _signal(self, number: signal.Signals) -> None:
+        if self.is_running:
+            assert self._process is not None
+            self._process.send_signal(number)
+
+    def _check_running(self) -> None:
+        if not self.is_running:
+            raise ProcessFailedError(
+                f"{self.name} ended with status {self.returncode}\n{self.log_tail()}"
+            )
+
+    async def _is_ready(self, session: aiohttp.ClientSession) -> bool:
+        try:
+            async with session.get(self.ready_url) as response:
+                return response.status == 200
+        except aiohttp.ClientError:
+            return False
--- /dev/null
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/cli.py
@@ -0,0 +1,74 @@
+"""Command line of the development tools."""
+
+import asyncio
+import signal
+import sys
+from collections.abc import Coroutine
+from pathlib import Path
+
+import click
+
+from skylarkdoor_bench._demo import DemoFailedError, run_demo
+from skylarkdoor_bench._processes import ProcessFailedError
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+
+
+@click.group()
+def main() -> None:
+    """Start, try and measure skylarkdoor on one machine."""
+
+
+@main.command("demo")
+@click.option("--keep", is_flag=True, help="Leave it up until Ctrl-C.")
+@click.option(
+    "--directory",
+    type=click.Path(file_okay=False, path_type=Path),
+    help="Keep settings files and logs here.",
+)
+def demo(keep: bool, directory: Path | None) -> None:
+    """Send a few requests through a small deployment."""
+    sys.exit(run_tool(run_demo(keep=keep, directory=directory, echo=click.echo)))
+
+
+def run_tool(work: Coroutine[None, None, None]) -> int:
+    """Run a tool's work and tell its failures.
+
+    Returns:
+        The exit status.
+    """
+    status = EXIT_OK
+    try:
+        asyncio.run(until_signal(work))
+    except* asyncio.CancelledError:
+        click.echo("stopped")
+    except* (DemoFailedError, ProcessFailedError) as group:
+        for error in flatten(group):
+            click.echo(f"failed: {error}", err=True)
+        status = EXIT_FAILED
+    return status
+
+
+async def until_signal(work: Coroutine[None, None, None]) -> None:
+    """Run some work to its end, or cancel it on SIGINT or SIGTERM.
+
+    Raises:
+        CancelledError: A signal came.
+    """
+    task = asyncio.ensure_future(work)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, task.cancel)
+    await task
+
+
+def flatten(group: BaseExceptionGroup[BaseException]) -> list[BaseException]:
+    """Return the errors of a group and of the groups inside it."""
+    errors: list[BaseException] = []
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            errors.extend(flatten(error))
+        else:
+            errors.append(error)
+    return errors
--- /dev/null
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/testing.py
@@ -0,0 +1,41 @@
+"""Fixtures for tests that run whole deployments as processes.
+
+A ``conftest.py`` imports them by name.
+"""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import AsyncExitStack
+from pathlib import Path
+
+import pytest
+
+from skylarkdoor_bench._deployments import Deployment
+from skylarkdoor_bench._launcher import Cluster
+
+__all__ = ["StartCluster", "start_cluster"]
+
+StartCluster = Callable[[Deployment], Awaitable[Cluster]]
+
+
+@pytest.fixture
+async def start_cluster(tmp_path: Path) -> AsyncIterator[StartCluster]:
+    """Return a function that starts a deployment, to be ended after the test.
+
+    A process that ended though the test did not ask for it fails the test.
+    """
+    clusters: list[Cluster] = []
+    async with AsyncExitStack() as stack:
+
+        async def start(deployment: Deployment) -> Cluster:
+            directory = tmp_path / f"cluster-{len(clusters) + 1}"
+            cluster = Cluster(deployment, directory=directory)
+            clusters.append(await stack.enter_async_context(cluster))
+            return cluster
+
+        yield start
+        crashed = {
+            name: cluster.processes[name].log_tail()
+            for cluster in clusters
+            for name in cluster.crashed()
+        }
+        assert not crashed, crashed
