Report every settings problem with its path, its line and what was expected

msgspec reports a key of a dict as `[...]` and stops at the first problem, so an operator saw neither which tier was wrong nor what else was. Passing keys to msgspec was ruled out: its path is built inside. The walk through records, dicts and tuples is now done here, msgspec checks each leaf, and all problems come in one SettingsErrorGroup, which is also a SettingsError, so that who catches the one catches both.

Before: `rank` out of range gave "Expected `int` >= 0 - at tiers[...].rank". After: "/fleet: tiers.lookup.rank: expected an integer >= 0 and <= 15, got 'x'"; a file's problems also name the line; unknown keys lead to the nearest field; a hash written wrong is not shown, as it may be the key itself. A key listed for two customers and a malformed operator scope are refused.

--- a/packages/skylarkdoor/src/skylarkdoor/exceptions.py
+++ b/packages/skylarkdoor/src/skylarkdoor/exceptions.py
@@ -1,5 +1,7 @@
 """Errors of the shared library."""
 
+from collections.abc import Sequence
+
 __all__ = [
     "ArgumentError",
     "InvariantBrokenError",
@@ -7,6 +9,7 @@
     "ServiceCycleError",
     "ServiceExistsError",
     "SettingsError",
+    "SettingsErrorGroup",
     "SkylarkdoorError",
 ]
 
@@ -36,10 +39,59 @@
 
 
 class SettingsError(SkylarkdoorError):
-    """Settings are malformed; the message names the path and what was expected."""
-
-    def __init__(self, message: str, *, path: str = "", source: str = "") -> None:
-        self.message = message
+    """Settings are malformed; the message names the path and what was expected.
+
+    Attributes:
+        message: What is wrong and what was expected.
+        path: Path of the field.
+        source: File or subtree that holds it.
+        keys: The path's parts, from the top of the source.
+        line: Line in the source, 0 if it is not known.
+    """
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        path: str = "",
+        source: str = "",
+        keys: Sequence[str] = (),
+        line: int = 0,
+    ) -> None:
+        self.message: str = message
         self.path = path
         self.source = source
-        super().__init__(": ".join(part for part in (source, path, message) if part))
+        self.keys = tuple(keys)
+        self.line = line
+        place = f"line {line}" if line else ""
+        parts = (source, place, path, message)
+        super().__init__(": ".join(part for part in parts if part))
+
+    @property
+    def problems(self) -> tuple["SettingsError", ...]:
+        """Every single problem that the error stands for."""
+        return (self,)
+
+
+class SettingsErrorGroup(  # type: ignore[override]  # noqa: N818
+    ExceptionGroup[SettingsError], SettingsError
+):
+    """Several settings are malformed; catch `SettingsError` to catch both."""
+
+    path = ""
+    source = ""
+    keys = ()
+    line = 0
+
+    def __init__(self, message: str, problems: Sequence[SettingsError]) -> None:
+        ExceptionGroup.__init__(self, message, problems)
+
+    def __str__(self) -> str:
+        return "; ".join(str(problem) for problem in self.problems)
+
+    @property
+    def problems(self) -> tuple[SettingsError, ...]:
+        """Every single problem."""
+        return tuple(
+            part for part in self.exceptions if isinstance(part, SettingsError)
+        )
--- a/packages/skylarkdoor/src/skylarkdoor/settings/__init__.py
+++ b/packages/skylarkdoor/src/skylarkdoor/settings/__init__.py
@@ -10,7 +10,7 @@
     Upstream,
     load_process,
 )
-from skylarkdoor.settings._read import read_file, read_text
+from skylarkdoor.settings._read import Document, read_document, read_file, read_text
 from skylarkdoor.settings._shared import (
     FLEET_PATH,
     TEAMS_PATH,
@@ -30,6 +30,7 @@
     "FLEET_PATH",
     "TEAMS_PATH",
     "Customer",
+    "Document",
     "Fleet",
     "Limits",
     "Listen",
@@ -48,6 +49,7 @@
     "check_shared",
     "convert",
     "load_process",
+    "read_document",
     "read_file",
     "read_text",
     "team_path",
--- a/packages/skylarkdoor/src/skylarkdoor/settings/_process.py
+++ b/packages/skylarkdoor/src/skylarkdoor/settings/_process.py
@@ -5,16 +5,33 @@
 
 from msgspec import Meta
 
+from skylarkdoor.exceptions import SettingsError
 from skylarkdoor.settings._convert import convert
-from skylarkdoor.settings._read import read_file
-
-Address = Annotated[str, Meta(pattern=r"^[^\s:]+:\d{1,5}$")]
-Url = Annotated[str, Meta(pattern=r"^https?://")]
-Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
+from skylarkdoor.settings._describe import SECRET
+from skylarkdoor.settings._read import read_document
+
+Address = Annotated[
+    str, Meta(pattern=r"^[^\s:]+:\d{1,5}$", description="an address as host:port")
+]
+Url = Annotated[str, Meta(pattern=r"^https?://", description="an http or https URL")]
+Name = Annotated[
+    str,
+    Meta(
+        pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$",
+        description="a name of lower-case letters, digits, dots and hyphens",
+    ),
+]
 Count = Annotated[int, Meta(ge=1)]
-Seconds = Annotated[float, Meta(gt=0)]
-Ratio = Annotated[float, Meta(ge=0, le=1)]
-KeyHash = Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
+Seconds = Annotated[float, Meta(gt=0, description="a number of seconds")]
+Ratio = Annotated[float, Meta(ge=0, le=1, description="a share")]
+KeyHash = Annotated[
+    str,
+    Meta(
+        pattern=r"^[0-9a-f]{64}$",
+        description="a SHA-256 hash as 64 hex digits",
+        extra=SECRET,
+    ),
+]
 
 
 class Listen(NamedTuple):
@@ -105,6 +122,11 @@
     """Read and check the settings file of a process.
 
     Raises:
-        SettingsError: The file is absent, malformed or wrong.
+        SettingsError: The file is absent, malformed or wrong; the message
+            names file, line and path.
     """
-    return convert(read_file(path), ProcessSettings, source=str(path))
+    document = read_document(path)
+    try:
+        return convert(document.value, ProcessSettings, source=document.source)
+    except SettingsError as error:
+        raise document.locate(error) from None
--- a/packages/skylarkdoor/src/skylarkdoor/settings/_read.py
+++ b/packages/skylarkdoor/src/skylarkdoor/settings/_read.py
@@ -1,11 +1,43 @@
 """Reading of JSON with comments."""
 
+from collections.abc import Mapping
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 import json5
 
-from skylarkdoor.exceptions import SettingsError
+from skylarkdoor.exceptions import SettingsError, SettingsErrorGroup
+from skylarkdoor.settings._lines import key_lines, nearest_line
+
+
+class Document(NamedTuple):
+    """A parsed file.
+
+    Attributes:
+        source: Its name for messages.
+        value: Its content.
+        lines: Line of each member and item, by the keys that lead to it.
+    """
+
+    source: str
+    value: Any
+    lines: Mapping[tuple[str, ...], int]
+
+    def locate(self, error: SettingsError) -> SettingsError:
+        """Return the error with this file and its lines in place of its source."""
+        located = [
+            SettingsError(
+                problem.message,
+                path=problem.path,
+                source=self.source,
+                keys=problem.keys,
+                line=nearest_line(self.lines, problem.keys),
+            )
+            for problem in error.problems
+        ]
+        if len(located) == 1:
+            return located[0]
+        return SettingsErrorGroup("settings are malformed", located)
 
 
 def read_text(text: str, *, source: str = "<string>") -> Any:
@@ -25,8 +57,8 @@
         raise SettingsError(f"line {message}", source=source) from None
 
 
-def read_file(path: str | Path) -> Any:
-    """Parse a file of JSON with comments.
+def read_document(path: str | Path) -> Document:
+    """Parse a file of JSON with comments and keep the lines of its keys.
 
     Raises:
         SettingsError: The file cannot be read or is malformed.
@@ -35,4 +67,14 @@
         text = Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         raise SettingsError(f"cannot be read: {error}", source=str(path)) from None
-    return read_text(text, source=str(path))
+    value = read_text(text, source=str(path))
+    return Document(str(path), value, key_lines(text))
+
+
+def read_file(path: str | Path) -> Any:
+    """Parse a file of JSON with comments.
+
+    Raises:
+        SettingsError: The file cannot be read or is malformed.
+    """
+    return read_document(path).value
--- a/packages/skylarkdoor/src/skylarkdoor/settings/_shared.py
+++ b/packages/skylarkdoor/src/skylarkdoor/settings/_shared.py
@@ -13,8 +13,15 @@
 
 Rank = Annotated[int, Meta(ge=0, le=15)]
 Weight = Annotated[float, Meta(gt=0)]
-Milliseconds = Annotated[float, Meta(gt=0)]
-Rate = Annotated[float, Meta(ge=0)]
+Milliseconds = Annotated[float, Meta(gt=0, description="a number of milliseconds")]
+Rate = Annotated[float, Meta(ge=0, description="a number for each second")]
+Scope = Annotated[
+    str,
+    Meta(
+        pattern=r"^/(fleet|teams(/[^/]+)?)?$",
+        description="a scope: `/`, `/fleet`, `/teams` or `/teams/NAME`",
+    ),
+]
 Method = Literal["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]
 PolicyName = Literal["late-binding", "least-finish", "least-connections", "round-robin"]
 
@@ -87,7 +94,7 @@
     """
 
     token_hashes: tuple[KeyHash, ...]
-    scope: str
+    scope: Scope
 
 
 class Fleet(NamedTuple):
--- /dev/null
+++ b/packages/skylarkdoor/tests/settings/test_convert.py
@@ -0,0 +1,151 @@
+"""Conversion of documents: every problem with its path and what was expected."""
+
+import pytest
+
+from skylarkdoor.exceptions import SettingsError, SettingsErrorGroup
+from skylarkdoor.settings import (
+    FLEET_PATH,
+    Customer,
+    Fleet,
+    Team,
+    check_document,
+    check_shared,
+    convert,
+    load_process,
+    read_document,
+)
+
+PROCESS = """{
+  // one entry
+  "instance": "entry-1",
+  "data_centre": "teika",
+  "listen": {
+    "internal": "127.0.0.1:9000",
+    /* no port */ "callers": "localhost"
+  },
+  "platform": {"table": ["http://127.0.0.1:1"], "objects": "ftp://x"},
+}
+"""
+
+
+def problems_of(document, record=Fleet) -> list[str]:
+    """Return the messages of a document that is refused."""
+    with pytest.raises(SettingsError) as caught:
+        convert(document, record, source="/fleet")
+    return [str(problem) for problem in caught.value.problems]
+
+
+class TestPath:
+    """Where a problem is said to be."""
+
+    def test_key_of_dict(self):
+        """The keys of objects with free names are part of the path."""
+        document = {"tiers": {"lookup": {"rank": "x"}}, "pools": {}}
+        assert problems_of(document) == [
+            "/fleet: tiers.lookup.rank: expected an integer >= 0 and <= 15, got 'x'"
+        ]
+
+    def test_position_in_array(self):
+        """Positions in arrays are part of the path."""
+        customer = {"key_hashes": [], "tier": "a", "pools": ["b", 3]}
+        problems = problems_of({"customers": {"me": customer}}, Team)
+        assert problems == ["/fleet: customers.me.pools[1]: expected a string, got 3"]
+
+    def test_several(self):
+        """Every problem is reported, not only the first."""
+        document = {"tiers": {"a": {"rank": -1}, "b": {}}, "pools": []}
+        with pytest.raises(SettingsErrorGroup) as caught:
+            check_document(FLEET_PATH, document)
+        paths = [problem.path for problem in caught.value.problems]
+        assert paths == ["tiers.a.rank", "tiers.b", "pools"]
+
+    def test_group_parts(self):
+        """A group can be split like any exception group."""
+        with pytest.raises(SettingsErrorGroup) as caught:
+            check_document(FLEET_PATH, {})
+        matching, rest = caught.value.split(SettingsError)
+        assert len(matching.exceptions) == 2
+        assert rest is None
+
+
+class TestExpected:
+    """What a problem says was expected."""
+
+    def test_nearest_field(self):
+        """An unknown key leads to the field that it resembles."""
+        document = {"tiers": {"a": {"rank": 0, "dead_line_s": 3}}, "pools": {}}
+        (problem,) = problems_of(document)
+        assert "unknown field `dead_line_s`; did you mean `deadline_s`?" in problem
+
+    def test_no_near_field(self):
+        """An unknown key that resembles nothing leads to the list of fields."""
+        (problem,) = problems_of({"tiers": {}, "pools": {}, "colour": 1})
+        assert "expected one of tiers, pools, operators" in problem
+
+    def test_duration(self):
+        """A duration with a unit is told to be a plain number of seconds."""
+        document = {"tiers": {"a": {"rank": 0, "deadline_s": "5s"}}, "pools": {}}
+        (problem,) = problems_of(document)
+        assert "expected a number of seconds > 0, got '5s'" in problem
+
+    def test_choice(self):
+        """A word that is none of the choices leads to the choices."""
+        document = {"tiers": {}, "pools": {"a": {"kind": "modle"}}}
+        (problem,) = problems_of(document)
+        assert "expected one of 'model', 'service', got 'modle'" in problem
+
+    def test_secret_not_shown(self):
+        """A key written where its hash belongs does not reach the message."""
+        customer = {"key_hashes": ["sk-secret"], "tier": "a", "pools": []}
+        (problem,) = problems_of({"customers": {"me": customer}}, Team)
+        assert "expected a SHA-256 hash as 64 hex digits, got str" in problem
+        assert "secret" not in problem
+
+    def test_scope(self):
+        """An operator's scope is a path of the settings."""
+        operator = {"token_hashes": [], "scope": "teams/seed"}
+        document = {"tiers": {}, "pools": {}, "operators": {"ada": operator}}
+        (problem,) = problems_of(document)
+        assert "expected a scope" in problem
+
+
+class TestLines:
+    """Lines of files."""
+
+    def test_process_file(self, tmp_path):
+        """Each problem of a process's file names file, line and path."""
+        path = tmp_path / "entry.jsonc"
+        path.write_text(PROCESS)
+        with pytest.raises(SettingsError) as caught:
+            load_process(path)
+        problems = [str(problem) for problem in caught.value.problems]
+        assert problems[0].startswith(f"{path}: line 7: listen.callers: expected an")
+        assert f"{path}: line 9: platform.objects: expected an http" in problems[1]
+        assert f"{path}: line 9: platform: missing" in problems[2]
+
+    def test_key_spellings(self, tmp_path):
+        """Quoted keys, bare keys and items of arrays all have lines."""
+        path = tmp_path / "a.jsonc"
+        path.write_text("{\n'a': [1,\n{b: // }\n 2}],\n\"c\\n\": null\n}")
+        lines = read_document(path).lines
+        assert lines == {
+            ("a",): 2,
+            ("a", "0"): 2,
+            ("a", "1"): 3,
+            ("a", "1", "b"): 3,
+            ("c\n",): 5,
+        }
+
+
+class TestSharedKeys:
+    """API keys across customers."""
+
+    def test_key_of_two_customers(self):
+        """A key that stands for two customers is refused where it comes again."""
+        customer = Customer(key_hashes=("a" * 64,), tier="t", pools=())
+        fleet = Fleet(tiers={}, pools={})
+        teams = {"x": Team({"one": customer}), "y": Team({"two": customer})}
+        with pytest.raises(SettingsErrorGroup) as caught:
+            check_shared(fleet, teams)
+        paths = [problem.path for problem in caught.value.problems]
+        assert "/teams/y/customers/two/key_hashes" in paths
