Add the operators' client

Operators had no way to change settings but the table itself. `skylarkdoor` checks files without an entry, reads, sets, applies, compares and removes settings with the revision shown, lists their history, shows the instances, drains one and asks where a request would go. Each kind of error ends in its own exit status.

--- /dev/null
+++ b/packages/skylarkdoor-client/src/skylarkdoor_client/cli.py
@@ -0,0 +1,59 @@
+"""Command line of `skylarkdoor`."""
+
+import os
+
+import click
+
+from skylarkdoor_client._context import Context, read_token
+from skylarkdoor_client._fleet_commands import drain, explain, status
+from skylarkdoor_client._settings_commands import settings
+
+
+@click.group()
+@click.option(
+    "--entry",
+    envvar="SKYLARKDOOR_ENTRY",
+    default="",
+    help="Base URL of an entry's internal address; also SKYLARKDOOR_ENTRY.",
+)
+@click.option(
+    "--token-file",
+    type=click.Path(dir_okay=False),
+    help="File with the operator's token; else SKYLARKDOOR_TOKEN is read.",
+)
+@click.option(
+    "--authority",
+    type=click.Path(dir_okay=False),
+    envvar="SKYLARKDOOR_AUTHORITY",
+    default="",
+    help="Authority that signed the entry's certificate (PEM); "
+    "also SKYLARKDOOR_AUTHORITY.",
+)
+@click.option("--json", "as_json", is_flag=True, help="Print JSON for programs.")
+@click.version_option(package_name="skylarkdoor-client", prog_name="skylarkdoor")
+@click.pass_context
+def main(
+    context: click.Context,
+    entry: str,
+    token_file: str | None,
+    authority: str,
+    as_json: bool,
+) -> None:
+    """Operate a skylarkdoor deployment.
+
+    Exit statuses: 0 done, 1 differences found, 2 wrong usage, 3 settings
+    invalid, 4 conflict, 5 not permitted, 6 absent, 7 unavailable, 8 outcome
+    of a change unknown, 9 unexpected answer.
+    """
+    token = read_token(token_file) if token_file else _token_of_environment()
+    context.obj = Context(entry, token, authority, as_json)
+
+
+def _token_of_environment() -> str:
+    return os.environ.get("SKYLARKDOOR_TOKEN", "").strip()
+
+
+main.add_command(settings)
+main.add_command(status)
+main.add_command(drain)
+main.add_command(explain)
--- /dev/null
+++ b/packages/skylarkdoor-client/tests/test_fleet_commands.py
@@ -0,0 +1,112 @@
+"""`skylarkdoor status`, `drain` and `explain`."""
+
+import json
+
+from skylarkdoor_client.exceptions import ExitCode
+
+INSTANCES = [
+    {
+        "instance": "entry-1",
+        "role": "entry",
+        "data_centre": "teika",
+        "state": "live",
+        "status": {"ready": True, "callers": {"active": 3}},
+        "error": None,
+    },
+    {
+        "instance": "sidecar-1",
+        "role": "sidecar",
+        "data_centre": "teika",
+        "pool": "assistant",
+        "state": "live",
+        "status": {
+            "ready": True,
+            "scheduler": {
+                "running": 4,
+                "limit": 8,
+                "waiting_by_tier": [0, 2],
+                "leaving": True,
+                "straggler": True,
+                "upstream_up": True,
+            },
+        },
+        "error": None,
+    },
+    {
+        "instance": "sidecar-2",
+        "role": "sidecar",
+        "data_centre": "teika",
+        "pool": "assistant",
+        "state": "leaving",
+        "status": None,
+        "error": "refused",
+    },
+]
+
+
+class TestStatus:
+    """`status`."""
+
+    async def test_tables(self, admin):
+        """Entries and sidecars are shown with what troubles them."""
+        admin.answers["GET", "/admin/instances"] = (200, {"instances": INSTANCES})
+        lines = (await admin.run("status")).output.splitlines()
+        assert lines[1].split() == ["entry-1", "teika", "live", "yes", "3"]
+        assert "4/8" in lines[4]
+        assert lines[4].endswith("0 2              leaving, straggler")
+        assert lines[5].endswith("does not answer")
+
+    async def test_json(self, admin):
+        """Programs get what the entry said."""
+        admin.answers["GET", "/admin/instances"] = (200, {"instances": INSTANCES})
+        result = await admin.run("--json", "status")
+        assert json.loads(result.output) == INSTANCES
+
+
+class TestDrain:
+    """`drain`."""
+
+    async def test_drain(self, admin):
+        """The instance named is told."""
+        admin.answers["POST", "/admin/drain/sidecar-1"] = (200, {"leaving": True})
+        result = await admin.run("drain", "sidecar-1")
+        assert result.output == "sidecar-1 takes no new work\n"
+
+    async def test_absent(self, admin):
+        """An instance that is not on the list is absent."""
+        said = {"error": {"message": "no instance 'x' on the list"}}
+        admin.answers["POST", "/admin/drain/x"] = (404, said)
+        result = await admin.run("drain", "x")
+        assert result.exit_code == ExitCode.ABSENT
+
+
+class TestExplain:
+    """`explain`."""
+
+    async def test_text(self, admin):
+        """Facts come line by line and candidates as a table."""
+        said = {
+            "tier": "lookup",
+            "policy": "late-binding",
+            "candidates": [
+                {"instance": "sidecar-1", "finish_s": 0.25, "reason": "most room"},
+                {"instance": "sidecar-2", "reason": "leaving"},
+            ],
+        }
+        admin.answers["POST", "/admin/explain"] = (200, said)
+        arguments = ["--team", "seed", "--customer", "a", "--model", "garden-7b"]
+        result = await admin.run("explain", *arguments, "--prompt-tokens", "90")
+        assert admin.received[0].body == {
+            "team": "seed",
+            "customer": "a",
+            "model": "garden-7b",
+            "prompt_tokens": 90,
+            "max_tokens": 0,
+        }
+        assert "policy: late-binding" in result.output
+        assert "sidecar-2  -         leaving" in result.output
+
+    async def test_no_target(self, admin):
+        """Neither model nor pool is wrong usage."""
+        result = await admin.run("explain", "--team", "seed", "--customer", "a")
+        assert result.exit_code == ExitCode.USAGE
