Speak TLS to callers and mutual TLS between processes, by settings

Offers and bodies were taken from whoever reached the address. With `internal_tls` both listeners between processes know their peers: control streams need a certificate of the deployment's authority that bears the entry's own name, routes under /internal need one of the authority, and an entry connects to a sidecar only under its listed name. Health, metrics and the operators' API stay open to clients without one. `listen.tls` serves callers.

Files are watched; changed ones are loaded as a whole or not at all.

Before: any process could offer, and ask for an outcome, which leaves a tombstone. After: refused and logged as event 420; a body refused so is answered as not run.

--- a/packages/skylarkdoor/src/skylarkdoor/settings/__init__.py
+++ b/packages/skylarkdoor/src/skylarkdoor/settings/__init__.py
@@ -3,8 +3,10 @@
 from skylarkdoor.settings._check import check_shared
 from skylarkdoor.settings._convert import convert, to_plain
 from skylarkdoor.settings._process import (
+    CertificateFiles,
     Limits,
     Listen,
+    MutualTls,
     PlatformAddresses,
     ProcessSettings,
     Upstream,
@@ -29,11 +31,13 @@
 __all__ = [
     "FLEET_PATH",
     "TEAMS_PATH",
+    "CertificateFiles",
     "Customer",
     "Document",
     "Fleet",
     "Limits",
     "Listen",
+    "MutualTls",
     "Operator",
     "PlatformAddresses",
     "Pool",
--- a/packages/skylarkdoor/src/skylarkdoor/settings/_process.py
+++ b/packages/skylarkdoor/src/skylarkdoor/settings/_process.py
@@ -34,6 +34,35 @@
 ]
 
 
+class CertificateFiles(NamedTuple):
+    """A certificate for callers.
+
+    Attributes:
+        certificate: PEM file with the certificate and those that lead to its
+            authority.
+        key: PEM file with its private key.
+    """
+
+    certificate: str
+    key: str
+
+
+class MutualTls(NamedTuple):
+    """How the processes of a deployment know each other.
+
+    Attributes:
+        certificate: PEM file with this instance's certificate, issued for the
+            instance's name.
+        key: PEM file with its private key.
+        authority: PEM file with the authorities that sign every instance's
+            certificate.
+    """
+
+    certificate: str
+    key: str
+    authority: str
+
+
 class Listen(NamedTuple):
     """Addresses on which a process listens, as `host:port`.
 
@@ -41,11 +70,13 @@
         internal: HTTP between processes, health, metrics and operators.
         callers: HTTP for callers; entries only.
         rpc: Control streams; sidecars only.
+        tls: Certificate for callers; plain HTTP without one.
     """
 
     internal: Address
     callers: Address | None = None
     rpc: Address | None = None
+    tls: CertificateFiles | None = None
 
 
 class PlatformAddresses(NamedTuple):
@@ -104,6 +135,7 @@
         fatal_invariants: Whether a broken invariant ends the process.
         log_level: Lowest level logged.
         trace_ratio: Share of new traces that are kept.
+        internal_tls: Mutual TLS between processes; plain TCP without it.
     """
 
     instance: Name
@@ -116,6 +148,7 @@
     fatal_invariants: bool = False
     log_level: Literal["debug", "info", "warning", "error"] = "info"
     trace_ratio: Ratio = 1.0
+    internal_tls: MutualTls | None = None
 
 
 def load_process(path: str | Path) -> ProcessSettings:
--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -50,6 +50,19 @@
     407, "answer_cut", logging.WARNING, "An answer ended before it was whole."
 )
 
+PEER_REFUSED = define(
+    420, "peer_refused", logging.WARNING, "A peer was refused for its certificate."
+)
+CERTIFICATE_RENEWED = define(
+    421, "certificate_renewed", logging.INFO, "Changed certificates came into use."
+)
+CERTIFICATE_REJECTED = define(
+    422,
+    "certificate_rejected",
+    logging.ERROR,
+    "Changed certificates could not be loaded; the former ones stay in use.",
+)
+
 GRANT_EXPIRED = define(
     501, "grant_expired", logging.INFO, "A grant lapsed before its body came."
 )
--- a/packages/skylarkdoord/src/skylarkdoord/common/_internal.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_internal.py
@@ -10,9 +10,12 @@
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import ProcessSettings
 from skylarkdoord import _events
+from skylarkdoord.common import _headers as headers
+from skylarkdoord.common._tls_service import TlsService
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 StatusPart = Callable[[], Any]
+BETWEEN_PROCESSES = "/internal/"
 BODY_HEADROOM_BYTES = 64 * 1024
 
 
@@ -28,11 +31,17 @@
 
     def __init__(self, settings: ProcessSettings, *, requires: tuple[str, ...]) -> None:
         self.settings = settings
-        self.requires = requires
+        self.requires = (*requires, "tls")
         self.ready_checks: dict[str, Callable[[], bool]] = {}
         self.status_parts: dict[str, StatusPart] = {}
         limit = settings.limits.max_body_bytes + BODY_HEADROOM_BYTES
-        self.app = web.Application(client_max_size=limit)
+        self.tls: TlsService | None = None
+
+        @web.middleware
+        async def guard(request: web.Request, handler: Handler) -> web.StreamResponse:
+            return await self.guard(request, handler)
+
+        self.app = web.Application(client_max_size=limit, middlewares=[guard])
         self.app.router.add_get("/healthz", self.get_health)
         self.app.router.add_get("/readyz", self.get_ready)
         self.app.router.add_get("/metrics", self.get_metrics)
@@ -54,13 +63,14 @@
 
     async def start(self, kernel: Kernel) -> None:
         """Listen on the internal address."""
-        assert self.settings.listen.internal is not None
+        self.tls = kernel.find("tls", TlsService)
+        context = self.tls.http.listening if self.tls.http else None
         host, _, port = self.settings.listen.internal.rpartition(":")
         self.runner = web.AppRunner(
             self.app, handler_cancellation=True, access_log=None, shutdown_timeout=1.0
         )
         await self.runner.setup()
-        await web.TCPSite(self.runner, host, int(port)).start()
+        await web.TCPSite(self.runner, host, int(port), ssl_context=context).start()
         self.log.event(_events.PROCESS_READY, address=self.settings.listen.internal)
 
     async def stop(self) -> None:
@@ -68,6 +78,15 @@
         if self.runner is not None:
             await self.runner.cleanup()
 
+    async def guard(self, request: web.Request, handler: Handler) -> web.StreamResponse:
+        """Refuse what only processes of the deployment may ask for."""
+        assert self.tls is not None
+        restricted = request.path.startswith(BETWEEN_PROCESSES)
+        if restricted and not self.tls.is_known(request):
+            self.log.event(_events.PEER_REFUSED, reason="no certificate")
+            return _refusal()
+        return await handler(request)
+
     def unready(self) -> list[str]:
         """Return the names of the ready checks that do not hold."""
         return [name for name, check in self.ready_checks.items() if not check()]
@@ -98,3 +117,8 @@
             "ready": not self.unready(),
         }
         return web.json_response(head | parts)
+
+
+def _refusal() -> web.Response:
+    said = {"code": "unknown_peer", "message": "expected a certificate of a peer"}
+    return web.json_response(said, status=403, headers={headers.NOT_RUN: "1"})
--- /dev/null
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_tls_service.py
@@ -0,0 +1,178 @@
+"""Keeps a process's TLS contexts in step with its files."""
+
+import asyncio
+import os
+import ssl
+from typing import NamedTuple, TypedDict
+
+from aiohttp import web
+
+from skylarkdoor import events
+from skylarkdoor.kernel import Kernel
+from skylarkdoor.settings import ProcessSettings
+from skylarkdoord import _events
+from skylarkdoord.common._tls import (
+    ClientTls,
+    ServerTls,
+    callers_context,
+    client_context,
+    peers_context,
+)
+from skylarkdoord.exceptions import TlsError
+
+CHECK_INTERVAL_S = 2.0
+
+
+class ClientArguments(TypedDict, total=False):
+    """Arguments of an aiohttp request to another process."""
+
+    ssl: ssl.SSLContext
+    server_hostname: str
+
+
+class _Stamp(NamedTuple):
+    """What changes when a file is replaced or written."""
+
+    modified_ns: int
+    size_bytes: int
+    inode: int
+
+
+class TlsService:
+    """Holds the contexts of listeners and of connections to other processes.
+
+    Attributes that are None stand for plain TCP.
+
+    Args:
+        settings: Settings of this process.
+
+    Attributes:
+        callers: For the callers' listener.
+        http: For the internal HTTP listener.
+        rpc: For the listener of control streams.
+        http_client: For HTTP to other processes.
+        rpc_client: For control streams to other processes.
+    """
+
+    name = "tls"
+    requires: tuple[str, ...] = ()
+
+    def __init__(self, settings: ProcessSettings) -> None:
+        self.settings = settings
+        self.callers: ServerTls | None = None
+        self.http: ServerTls | None = None
+        self.rpc: ServerTls | None = None
+        self.http_client: ClientTls | None = None
+        self.rpc_client: ClientTls | None = None
+        self.stamps: dict[str, _Stamp | None] = {}
+        self.log = events.get_logger("tls")
+
+    async def start(self, kernel: Kernel) -> None:
+        """Load the files and begin to watch them."""
+        self.load()
+        if self.stamps:
+            kernel.spawn(self.watch(), name="tls.watch")
+
+    async def stop(self) -> None:
+        """Nothing is held."""
+
+    def load(self) -> None:
+        """Build the contexts that the settings ask for.
+
+        Raises:
+            TlsError: A file cannot be loaded.
+        """
+        self.stamps = self._stamps()
+        own = self.settings.listen.tls
+        if own is not None:
+            self.callers = ServerTls(lambda: callers_context(own))
+        mutual = self.settings.internal_tls
+        if mutual is None:
+            return
+        # Health, metrics and the operators' API need no certificate, so the
+        # internal listener asks for one, and its routes between processes
+        # insist on it.
+        self.http = ServerTls(lambda: peers_context(mutual, ssl.CERT_OPTIONAL))
+        self.rpc = ServerTls(
+            lambda: peers_context(mutual, ssl.CERT_REQUIRED, http2=True)
+        )
+        self.http_client = ClientTls(lambda: client_context(mutual))
+        self.rpc_client = ClientTls(lambda: client_context(mutual, http2=True))
+
+    async def watch(self) -> None:
+        """Look at the files again and again."""
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            self.renew_if_changed()
+
+    def renew_if_changed(self) -> bool:
+        """Load the files again if one has changed; files that fail change nothing.
+
+        Returns:
+            Whether new contexts are in use.
+        """
+        stamps = self._stamps()
+        if stamps == self.stamps:
+            return False
+        self.stamps = stamps
+        holders = [
+            holder
+            for holder in (
+                self.callers,
+                self.http,
+                self.rpc,
+                self.http_client,
+                self.rpc_client,
+            )
+            if holder is not None
+        ]
+        try:
+            contexts = [holder.build() for holder in holders]
+        except TlsError as error:
+            self.log.event(_events.CERTIFICATE_REJECTED, error=str(error))
+            return False
+        for holder, context in zip(holders, contexts, strict=True):
+            holder.replace(context)
+        self.log.event(_events.CERTIFICATE_RENEWED)
+        return True
+
+    def url(self, address: str) -> str:
+        """Return the base URL of another process's internal address."""
+        scheme = "http" if self.http_client is None else "https"
+        return f"{scheme}://{address}"
+
+    def arguments(self, instance: str) -> ClientArguments:
+        """Return arguments for a request to another process.
+
+        Args:
+            instance: Name that the other's certificate must bear.
+        """
+        if self.http_client is None:
+            return {}
+        return {"ssl": self.http_client.current, "server_hostname": instance}
+
+    def is_known(self, request: web.Request) -> bool:
+        """Return whether a request comes from a process of this deployment.
+
+        Without `internal_tls` every process that reaches the address counts as
+        known.
+        """
+        if self.http is None:
+            return True
+        transport = request.transport
+        return transport is not None and bool(transport.get_extra_info("peercert"))
+
+    def _stamps(self) -> dict[str, _Stamp | None]:
+        paths: list[str] = []
+        for files in (self.settings.listen.tls, self.settings.internal_tls):
+            if files is not None:
+                paths.extend(files)
+        return {path: _stamp(path) for path in paths}
+
+
+def _stamp(path: str) -> _Stamp | None:
+    try:
+        found = os.stat(path)
+    except OSError:
+        return None
+    return _Stamp(found.st_mtime_ns, found.st_size, found.st_ino)
--- a/packages/skylarkdoord/src/skylarkdoord/entry/__init__.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/__init__.py
@@ -2,7 +2,7 @@
 
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import ProcessSettings
-from skylarkdoord.common import InternalServer, Platform, SettingsService
+from skylarkdoord.common import InternalServer, Platform, SettingsService, TlsService
 from skylarkdoord.entry._callers import CallerServer
 from skylarkdoord.entry._directory import Directory
 from skylarkdoord.entry._router import Router
@@ -12,6 +12,7 @@
 
 def build(kernel: Kernel, settings: ProcessSettings) -> None:
     """Register the services of an entry."""
+    kernel.register(TlsService(settings))
     kernel.register(Platform(settings.platform))
     kernel.register(SettingsService())
     kernel.register(InternalServer(settings, requires=("settings", "directory")))
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
@@ -11,7 +11,7 @@
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import ProcessSettings
 from skylarkdoord import _events
-from skylarkdoord.common import InternalServer, SettingsService
+from skylarkdoord.common import InternalServer, SettingsService, TlsService
 from skylarkdoord.common import _headers as headers
 from skylarkdoord.entry import _parse as parse
 from skylarkdoord.entry._problems import problem
@@ -38,7 +38,7 @@
     """
 
     name = "callers"
-    requires: tuple[str, ...] = ("router", "internal")
+    requires: tuple[str, ...] = ("router", "internal", "tls")
 
     def __init__(self, settings: ProcessSettings) -> None:
         assert settings.listen.callers is not None
@@ -82,8 +82,10 @@
             shutdown_timeout=1.0,
         )
         await self.runner.setup()
+        tls = kernel.find("tls", TlsService).callers
+        context = tls.listening if tls else None
         host, _, port = self.address.rpartition(":")
-        await web.TCPSite(self.runner, host, int(port)).start()
+        await web.TCPSite(self.runner, host, int(port), ssl_context=context).start()
 
     async def stop(self) -> None:
         """Take no new work, finish what runs, then close the listener."""
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_directory.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_directory.py
@@ -12,7 +12,7 @@
 from skylarkdoor.settings import ProcessSettings
 from skylarkdoor.wire import pb
 from skylarkdoord import _events
-from skylarkdoord.common import InternalServer, Platform
+from skylarkdoord.common import InternalServer, Platform, TlsService
 from skylarkdoord.entry._peer import SidecarPeer
 
 POLL_INTERVAL_S = 1.0
@@ -26,7 +26,7 @@
     """
 
     name = "directory"
-    requires: tuple[str, ...] = ("platform", "settings")
+    requires: tuple[str, ...] = ("platform", "settings", "tls")
 
     def __init__(self, settings: ProcessSettings) -> None:
         self.settings = settings
@@ -40,6 +40,7 @@
         """Begin to follow the list; readiness waits for the first answer."""
         self.kernel = kernel
         self.platform = kernel.find("platform", Platform)
+        self.tls = kernel.find("tls", TlsService)
         internal = kernel.find("internal", InternalServer)
         internal.add_ready_check("directory", lambda: self.fetched)
         internal.add_status("sidecars", self.status)
@@ -129,7 +130,7 @@
             data_centre=self.settings.data_centre,
             incarnation=self.incarnation,
         )
-        peer = SidecarPeer(record, hello)
+        peer = SidecarPeer(record, hello, self.tls.rpc_client)
         self.peers[record.instance] = peer
         self.tasks[record.instance] = self.kernel.spawn(
             peer.run(), name=f"peer {record.instance}"
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_dispatch.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_dispatch.py
@@ -6,6 +6,7 @@
 import aiohttp
 
 from skylarkdoor import invariants, tracing
+from skylarkdoord.common import TlsService
 from skylarkdoord.common import _headers as headers
 from skylarkdoord.entry._offers import Taken
 from skylarkdoord.entry._request import EntryRequest
@@ -37,9 +38,14 @@
 
 
 class Dispatcher:
-    """Sends bodies and finds out what became of them."""
+    """Sends bodies and finds out what became of them.
 
-    def __init__(self) -> None:
+    Args:
+        tls: Contexts of the connections.
+    """
+
+    def __init__(self, tls: TlsService) -> None:
+        self.tls = tls
         timeout = aiohttp.ClientTimeout(total=None, connect=CONNECT_TIMEOUT_S)
         connector = aiohttp.TCPConnector(limit=0)
         self.session = aiohttp.ClientSession(
@@ -59,9 +65,12 @@
         """
         request_id = request.request_id
         sent = self._headers(request, taken)
-        url = f"http://{taken.peer.record.http}/internal/dispatch/{request_id}"
+        url = self._url(taken, f"/internal/dispatch/{request_id}")
+        tls = self.tls.arguments(taken.peer.instance)
         try:
-            answer = await self.session.post(url, data=request.body, headers=sent)
+            answer = await self.session.post(
+                url, data=request.body, headers=sent, **tls
+            )
         except aiohttp.ClientConnectorError:
             raise NotRunError("unavailable", "the sidecar can't be reached") from None
         except (aiohttp.ClientError, TimeoutError):
@@ -88,11 +97,12 @@
         Returns:
             None if the sidecar does not answer.
         """
-        url = f"http://{taken.peer.record.http}/internal/outcome/{request_id}"
+        url = self._url(taken, f"/internal/outcome/{request_id}")
+        tls = self.tls.arguments(taken.peer.instance)
         timeout = aiohttp.ClientTimeout(total=OUTCOME_TIMEOUT_S)
         for _ in range(OUTCOME_TRIES):
             try:
-                async with self.session.post(url, timeout=timeout) as answer:
+                async with self.session.post(url, timeout=timeout, **tls) as answer:
                     said = await answer.json()
                 return Outcome(said["phase"], said["outcome"])
             except (aiohttp.ClientError, TimeoutError, ValueError, KeyError):
@@ -116,6 +126,9 @@
         finally:
             answer.release()
 
+    def _url(self, taken: Taken, path: str) -> str:
+        return self.tls.url(taken.peer.record.http) + path
+
     def _count(self, request: EntryRequest) -> None:
         request.dispatches += 1
         invariants.check(
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_peer.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_peer.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from grpclib.client import Channel
+from grpclib.config import Configuration
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from skylarkdoor import events
@@ -12,6 +13,7 @@
 from skylarkdoor.wire import Outbox, PeerStub, pb
 from skylarkdoord import _events
 from skylarkdoord.common import Backoff
+from skylarkdoord.common._tls import ClientTls
 
 SILENCE_TIMEOUT_S = 3.0
 HEARTBEAT_INTERVAL_S = 1.0
@@ -34,11 +36,18 @@
     Args:
         record: The sidecar as the instance list shows it.
         hello: What the sidecar is told first.
+        tls: Context of the stream; None for plain TCP.
     """
 
-    def __init__(self, record: InstanceRecord, hello: pb.EntryHello) -> None:
+    def __init__(
+        self,
+        record: InstanceRecord,
+        hello: pb.EntryHello,
+        tls: ClientTls | None = None,
+    ) -> None:
         self.record = record
         self.hello = hello
+        self.tls = tls
         self.outbox: Outbox[pb.EntryMessage] = Outbox()
         self.offers: dict[str, OfferListener] = {}
         self.load = pb.LoadReport()
@@ -92,8 +101,7 @@
         Raises:
             GRPCError, StreamTerminatedError, OSError, TimeoutError: It was lost.
         """
-        host, _, port = self.record.rpc.rpartition(":")
-        channel = Channel(host, int(port))
+        channel = self.channel()
         try:
             async with PeerStub(channel).Connect.open() as stream:
                 first = pb.EntryBatch(messages=[pb.EntryMessage(hello=self.hello)])
@@ -108,6 +116,14 @@
         finally:
             channel.close()
 
+    def channel(self) -> Channel:
+        """Return a channel to the sidecar, whose certificate bears its name."""
+        host, _, port = self.record.rpc.rpartition(":")
+        if self.tls is None:
+            return Channel(host, int(port))
+        config = Configuration(ssl_target_name_override=self.instance)
+        return Channel(host, int(port), ssl=self.tls.current, config=config)
+
     async def read(self, stream, backoff: Backoff) -> None:  # type: ignore[no-untyped-def]
         """Handle the sidecar's messages one after another."""
         while True:
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_router.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_router.py
@@ -5,6 +5,7 @@
 from skylarkdoor import tracing
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import ProcessSettings
+from skylarkdoord.common import TlsService
 from skylarkdoord.entry._directory import Directory
 from skylarkdoord.entry._dispatch import Dispatcher
 from skylarkdoord.entry._offers import OfferRound, Taken
@@ -23,7 +24,7 @@
     """
 
     name = "router"
-    requires: tuple[str, ...] = ("directory",)
+    requires: tuple[str, ...] = ("directory", "tls")
 
     def __init__(self, settings: ProcessSettings) -> None:
         self.settings = settings
@@ -32,7 +33,7 @@
     async def start(self, kernel: Kernel) -> None:
         """Open the connections to sidecars."""
         self.directory = kernel.find("directory", Directory)
-        self.dispatcher = Dispatcher()
+        self.dispatcher = Dispatcher(kernel.find("tls", TlsService))
 
     async def stop(self) -> None:
         """Close them."""
--- a/packages/skylarkdoord/src/skylarkdoord/exceptions.py
+++ b/packages/skylarkdoord/src/skylarkdoord/exceptions.py
@@ -8,6 +8,7 @@
     "NotRunError",
     "OutcomeUnknownError",
     "RefusedError",
+    "TlsError",
     "TransitionError",
     "UpstreamCutError",
 ]
@@ -17,6 +18,10 @@
     """Base of the daemon's errors."""
 
 
+class TlsError(DaemonError):
+    """A certificate, key or authority cannot be loaded."""
+
+
 class TransitionError(DaemonError):
     """A request was moved to a phase that its present one does not allow."""
 
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/__init__.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/__init__.py
@@ -2,7 +2,7 @@
 
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import ProcessSettings
-from skylarkdoord.common import InternalServer, Platform, SettingsService
+from skylarkdoord.common import InternalServer, Platform, SettingsService, TlsService
 from skylarkdoord.sidecar._dispatch import DispatchService
 from skylarkdoord.sidecar._drain import Drain
 from skylarkdoord.sidecar._ledger import Ledger, Phase
@@ -25,6 +25,7 @@
 
 def build(kernel: Kernel, settings: ProcessSettings) -> None:
     """Register the services of a sidecar."""
+    kernel.register(TlsService(settings))
     kernel.register(Platform(settings.platform))
     kernel.register(SettingsService())
     kernel.register(Scheduler(settings))
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_peers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_peers.py
@@ -12,6 +12,8 @@
 from skylarkdoor.settings import ProcessSettings
 from skylarkdoor.wire import Outbox, PeerBase, pb
 from skylarkdoord import _events
+from skylarkdoord.common import TlsService
+from skylarkdoord.common._tls import names_of
 from skylarkdoord.sidecar._scheduler import Scheduler
 
 if TYPE_CHECKING:
@@ -28,7 +30,7 @@
     """
 
     name = "peers"
-    requires: tuple[str, ...] = ("scheduler", "dispatch")
+    requires: tuple[str, ...] = ("scheduler", "dispatch", "tls")
 
     def __init__(self, settings: ProcessSettings) -> None:
         assert settings.listen.rpc is not None
@@ -41,8 +43,10 @@
     async def start(self, kernel: Kernel) -> None:
         """Listen on the address for control streams."""
         self.scheduler = kernel.find("scheduler", Scheduler)
+        self.tls = kernel.find("tls", TlsService)
+        context = self.tls.rpc.listening if self.tls.rpc else None
         host, _, port = self.address.rpartition(":")
-        await self.server.start(host, int(port))
+        await self.server.start(host, int(port), ssl=context)
 
     async def stop(self) -> None:
         """Close the streams."""
@@ -57,6 +61,11 @@
         if first is None or not first.messages[0].HasField("hello"):
             return
         entry = first.messages[0].hello.instance
+        if not self.is_known(entry, stream):
+            self.log.event(
+                _events.PEER_REFUSED, peer=entry, reason="certificate of another name"
+            )
+            return
         peer = f"{entry}#{next(self.counter)}"
         outbox: Outbox[pb.SidecarMessage] = Outbox()
         outbox.put(pb.SidecarMessage(hello=self.hello()))
@@ -74,6 +83,14 @@
             self.scheduler.disconnect(peer)
             self.log.event(_events.PEER_LOST, peer=entry)
 
+    def is_known(
+        self, entry: str, stream: "Stream[pb.EntryBatch, pb.SidecarBatch]"
+    ) -> bool:
+        """Return whether the peer's certificate bears the entry's name."""
+        if self.tls.rpc is None:
+            return True
+        return entry in names_of(stream.peer.cert())
+
     def hello(self) -> pb.SidecarHello:
         """Return what an entry is told when its stream opens."""
         pool = self.scheduler.pool
--- /dev/null
+++ b/packages/skylarkdoord/tests/tls/test_tls_service.py
@@ -0,0 +1,150 @@
+"""Contexts from files, and their renewal."""
+
+import asyncio
+import ssl
+
+import pytest
+from aiohttp import web
+
+from skylarkdoor.settings import Listen, PlatformAddresses, ProcessSettings
+from skylarkdoord.common import TlsService
+from skylarkdoord.exceptions import TlsError
+
+ADDRESSES = PlatformAddresses(("http://x",), "http://x", "http://x", "http://x")
+
+
+def settings(**changes) -> ProcessSettings:
+    """Return the settings of an entry with the changes given."""
+    listen = Listen("127.0.0.1:1", tls=changes.pop("tls", None))
+    return ProcessSettings("entry-1", "teika", listen, ADDRESSES, **changes)
+
+
+class Listener:
+    """An HTTPS listener whose certificate's serial number can be asked for."""
+
+    def __init__(self, service: TlsService):
+        self.service = service
+
+    async def __aenter__(self):
+        self.runner = web.AppRunner(web.Application())
+        await self.runner.setup()
+        context = self.service.callers or self.service.http
+        site = web.TCPSite(self.runner, "127.0.0.1", 0, ssl_context=context.listening)
+        await site.start()
+        self.port = self.runner.addresses[0][1]
+        return self
+
+    async def __aexit__(self, *error):
+        await self.runner.cleanup()
+
+    async def serial(self, context: ssl.SSLContext, name: str | None = None) -> str:
+        """Return the serial number of the certificate that a client is shown.
+
+        Raises:
+            OSError: The client is refused; with TLS 1.3 it learns of it when it
+                reads.
+        """
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", self.port, ssl=context, server_hostname=name
+        )
+        try:
+            writer.write(b"GET / HTTP/1.0\r\n\r\n")
+            if not await reader.read(1):
+                raise ConnectionResetError
+            shown = writer.get_extra_info("peercert")
+            return shown["serialNumber"]
+        finally:
+            writer.close()
+
+
+def trusting(authority) -> ssl.SSLContext:
+    """Return a client's context that trusts an authority."""
+    return ssl.create_default_context(cafile=str(authority.path))
+
+
+class TestLoad:
+    """`TlsService.load`."""
+
+    def test_plain(self):
+        """Without TLS in the settings everything is plain TCP."""
+        service = TlsService(settings())
+        service.load()
+        assert service.callers is None
+        assert service.url("127.0.0.1:1") == "http://127.0.0.1:1"
+        assert service.arguments("sidecar-1") == {}
+
+    def test_missing_file(self, authority):
+        """A file that is not there is named."""
+        files = authority.issue("entry-1")._replace(key="/nowhere/key.pem")
+        with pytest.raises(TlsError, match=r"/nowhere/key\.pem"):
+            TlsService(settings(internal_tls=files)).load()
+
+    def test_malformed_authority(self, authority, tmp_path):
+        """An authority that is no certificate is named."""
+        path = tmp_path / "broken.pem"
+        path.write_text("no certificate")
+        files = authority.issue("entry-1")._replace(authority=str(path))
+        with pytest.raises(TlsError, match=r"broken\.pem"):
+            TlsService(settings(internal_tls=files)).load()
+
+
+class TestRenewal:
+    """`TlsService.renew_if_changed`."""
+
+    @pytest.mark.parametrize("name", [None, "entry-1"])
+    async def test_listener(self, authority, logged, name):
+        """An open listener shows the new certificate, whatever name is asked for."""
+        names = ("entry-1", "127.0.0.1")
+        service = TlsService(settings(tls=authority.issue_for_callers(*names)))
+        service.load()
+        context = trusting(authority)
+        async with Listener(service) as listener:
+            before = await listener.serial(context, name)
+            assert not service.renew_if_changed()
+            authority.issue(*names)
+            assert service.renew_if_changed()
+            assert await listener.serial(context, name) != before
+        assert logged.names() == ["certificate_renewed"]
+
+    async def test_half_written(self, authority, logged):
+        """A certificate without its key changes nothing until the key is there."""
+        files = authority.issue_for_callers("entry-1", "127.0.0.1")
+        service = TlsService(settings(tls=files))
+        service.load()
+        with open(files.key) as former:
+            former_key = former.read()
+        authority.issue("entry-1", "127.0.0.1")
+        with open(files.key) as new:
+            new_key = new.read()
+        with open(files.key, "w") as key:
+            key.write(former_key)
+        assert not service.renew_if_changed()
+        assert logged.names() == ["certificate_rejected"]
+        async with Listener(service) as listener:
+            before = await listener.serial(trusting(authority))
+            with open(files.key, "w") as key:
+                key.write(new_key)
+            assert service.renew_if_changed()
+            assert await listener.serial(trusting(authority)) != before
+
+    async def test_withdrawn_authority(self, authority, stranger, logged):
+        """A peer whose authority is taken off the file is refused from then on."""
+        own = authority.issue("sidecar-1", "127.0.0.1")
+        peer = stranger.issue("entry-1")
+        both = authority.path.read_bytes() + stranger.path.read_bytes()
+        authority.path.write_bytes(both)
+        service = TlsService(settings(internal_tls=own))
+        service.load()
+
+        def presenting() -> ssl.SSLContext:
+            context = ssl.create_default_context(cafile=own.authority)
+            context.load_cert_chain(peer.certificate, peer.key)
+            return context
+
+        async with Listener(service) as listener:
+            await listener.serial(presenting())
+            authority.ca.cert_pem.write_to_path(own.authority)
+            assert service.renew_if_changed()
+            with pytest.raises(OSError):
+                await listener.serial(presenting())
+        assert "peer_refused" in logged.names()
