Check a role's settings before it starts, and say versions

A sidecar without `upstream` died of an assertion, and settings could only be tried by starting the process.

--- a/packages/skylarkdoord/src/skylarkdoord/cli.py
+++ b/packages/skylarkdoord/src/skylarkdoord/cli.py
@@ -1,48 +1,69 @@
 """Command line of `skylarkdoord`."""
 
 import sys
+from collections.abc import Callable
 
 import click
 
 from skylarkdoor.exceptions import SettingsError
-from skylarkdoor.settings import ProcessSettings, load_process
-from skylarkdoord import entry, sidecar
-from skylarkdoord._process import Builder, run
+from skylarkdoor.settings import load_process
+from skylarkdoord._process import run
+from skylarkdoord._roles import ENTRY, SIDECAR, Role, check_role
+from skylarkdoord.exceptions import TlsError
 
+EXIT_OK = 0
 EXIT_SETTINGS = 78  # EX_CONFIG
 
-settings_option = click.option(
-    "--settings",
-    "path",
-    required=True,
-    type=click.Path(dir_okay=False),
-    help="Process settings, JSON with comments.",
-)
+Command = Callable[..., None]
 
 
 @click.group()
+@click.version_option(package_name="skylarkdoord", prog_name="skylarkdoord")
 def main() -> None:
     """Run one process of the skylarkdoor request scheduler."""
 
 
+def options(command: Command) -> Command:
+    """Add the options that every role has."""
+    settings = click.option(
+        "--settings",
+        "path",
+        required=True,
+        type=click.Path(dir_okay=False),
+        help="Process settings, JSON with comments.",
+    )
+    check = click.option(
+        "--check", is_flag=True, help="Check the settings and exit; 78 if wrong."
+    )
+    return settings(check(command))
+
+
 @main.command("entry")
-@settings_option
-def run_entry(path: str) -> None:
+@options
+def run_entry(path: str, check: bool) -> None:
     """Take requests from callers."""
-    _run(path, entry.build)
+    _run(ENTRY, path, check_only=check)
 
 
 @main.command("sidecar")
-@settings_option
-def run_sidecar(path: str) -> None:
+@options
+def run_sidecar(path: str, check: bool) -> None:
     """Guard the upstream beside this process."""
-    _run(path, sidecar.build)
+    _run(SIDECAR, path, check_only=check)
 
 
-def _run(path: str, build: Builder) -> None:
+def _run(role: Role, path: str, *, check_only: bool) -> None:
     try:
-        settings: ProcessSettings = load_process(path)
+        settings = load_process(path)
+        check_role(role, settings, source=path)
     except SettingsError as error:
-        click.echo(f"skylarkdoord: {error}", err=True)
+        for problem in error.problems:
+            click.echo(f"skylarkdoord: {problem}", err=True)
+        sys.exit(EXIT_SETTINGS)
+    except TlsError as error:
+        click.echo(f"skylarkdoord: {path}: {error}", err=True)
         sys.exit(EXIT_SETTINGS)
-    sys.exit(run(settings, build))
+    if check_only:
+        click.echo(f"{path}: ok for the role {role.name}")
+        sys.exit(EXIT_OK)
+    sys.exit(run(settings, role.build))
