--- a/packages/skylarkdoor/src/skylarkdoor/_tracing.py
+++ b/packages/skylarkdoor/src/skylarkdoor/_tracing.py
@@ -19,6 +19,8 @@
 
 SpanContext = Context
 NS_PER_MS = 1_000_000
+TRACEPARENT = "traceparent"
+W3C_HEADERS = (TRACEPARENT, "tracestate")
 
 _propagator = TraceContextTextMapPropagator()
 _log = events.get_logger("tracing")
@@ -46,39 +48,59 @@
     }
 
 
+class _State:
+    """The tracer of this process; spans go nowhere until it is configured."""
+
+    tracer: trace.Tracer = trace.NoOpTracer()
+
+
 def configure(*, instance: str, sample_ratio: float = 1.0) -> None:
     """Export spans of this process to its log.
 
     Args:
         instance: Instance named in the trace resource.
-        sample_ratio: Share of traces kept, from 0 to 1, for traces that start here.
+        sample_ratio: Share of traces kept, from 0 to 1, for traces that start
+            here; for others the neighbour has decided.
     """
     provider = TracerProvider(
         resource=Resource(
             {"service.name": "skylarkdoor", "service.instance": instance}
         ),
         sampler=ParentBased(TraceIdRatioBased(sample_ratio)),
+        shutdown_on_exit=False,
     )
     provider.add_span_processor(SimpleSpanProcessor(_LogExporter()))
-    trace.set_tracer_provider(provider)
+    _State.tracer = provider.get_tracer("skylarkdoor")
 
 
 @contextmanager
 def span(
     name: str, parent: SpanContext | None = None, **attributes: str | int | float
 ) -> Iterator[SpanContext]:
-    """Trace one hop; yields the context that the next hop continues."""
-    tracer = trace.get_tracer("skylarkdoor")
-    opened = tracer.start_span(name, context=parent, attributes=attributes)
+    """Trace one hop; yields the context that the next hop continues.
+
+    An exception that passes leaves its type on the span.
+    """
+    opened = _State.tracer.start_span(name, context=parent, attributes=attributes)
     try:
         yield trace.set_span_in_context(opened, parent)
+    except BaseException as error:
+        opened.set_attribute("error", type(error).__name__)
+        raise
     finally:
         opened.end()
 
 
 def extract(headers: Mapping[str, str]) -> SpanContext:
-    """Read the trace context that a neighbour sent."""
-    return _propagator.extract({key.lower(): value for key, value in headers.items()})
+    """Read the trace context that a neighbour sent.
+
+    Args:
+        headers: Headers whose names are found in any case.
+    """
+    if TRACEPARENT not in headers:
+        return Context()
+    sent = {name: headers[name] for name in W3C_HEADERS if name in headers}
+    return _propagator.extract(sent, context=Context())
 
 
 def inject(headers: MutableMapping[str, str], context: SpanContext) -> None:
