--- /dev/null
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_counting.py
@@ -0,0 +1,59 @@
+"""A relay that counts the bytes it passes between a process and its peers."""
+
+import asyncio
+from typing import Self
+
+_CHUNK_BYTES = 64 * 1024
+_HOST = "127.0.0.1"
+
+
+class CountingRelay:
+    """Listens on a free port and passes connections on to one address.
+
+    Args:
+        target: Address passed on to, as `host:port`.
+    """
+
+    def __init__(self, target: str) -> None:
+        self.target = target
+        self.address = ""
+        self.passed_bytes = 0
+        self.writers: list[asyncio.StreamWriter] = []
+
+    async def __aenter__(self) -> Self:
+        self.server = await asyncio.start_server(self._connected, _HOST, 0)
+        port = self.server.sockets[0].getsockname()[1]
+        self.address = f"{_HOST}:{port}"
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        self.server.close()
+        for writer in self.writers:
+            writer.close()
+
+    async def _connected(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        host, _, port = self.target.rpartition(":")
+        try:
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.close()
+            return
+        self.writers += [writer, far_writer]
+        await asyncio.gather(
+            self._pump(reader, far_writer), self._pump(far_reader, writer)
+        )
+
+    async def _pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while chunk := await reader.read(_CHUNK_BYTES):
+                self.passed_bytes += len(chunk)
+                writer.write(chunk)
+                await writer.drain()
+        except OSError:
+            pass
+        finally:
+            writer.close()
--- a/packages/skylarkdoor-bench/src/skylarkdoor_bench/cli.py
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/cli.py
@@ -10,6 +10,7 @@
 
 from skylarkdoor_bench._demo import DemoFailedError, run_demo
 from skylarkdoor_bench._processes import ProcessFailedError
+from skylarkdoor_bench._slopes import measure_slopes
 
 EXIT_OK = 0
 EXIT_FAILED = 1
@@ -32,6 +33,19 @@
     sys.exit(run_tool(run_demo(keep=keep, directory=directory, echo=click.echo)))
 
 
+@main.command("slopes")
+@click.option(
+    "--out",
+    type=click.Path(dir_okay=False, path_type=Path),
+    default=Path("out/slopes.json"),
+    show_default=True,
+    help="Write the points and lines here.",
+)
+def slopes(out: Path) -> None:
+    """Measure what entries and sidecars cost by the size of what they serve."""
+    sys.exit(run_tool(measure_slopes(out=out, echo=click.echo)))
+
+
 def run_tool(work: Coroutine[None, None, None]) -> int:
     """Run a tool's work and tell its failures.
 
