--- a/packages/skylarkdoor-standins/src/skylarkdoor_standins/engine/_batcher.py
+++ b/packages/skylarkdoor-standins/src/skylarkdoor_standins/engine/_batcher.py
@@ -70,6 +70,19 @@
             while self._running or self._waiting:
                 await self._step()
 
+    def step_s(self, prefilled: int, decoding: int) -> float:
+        """Return the seconds that a step takes.
+
+        Args:
+            prefilled: Prompt tokens computed in it.
+            decoding: Sequences that decode a token in it.
+        """
+        settings = self.settings
+        knee = max(1.0, settings.max_batch * KNEE_SHARE)
+        prefill_s = prefilled / settings.prefill_tps
+        decode_s = max(1.0, decoding / knee) / settings.decode_tps if decoding else 0.0
+        return (prefill_s + decode_s) * self.faults.slow_factor / settings.time_scale
+
     async def _step(self) -> None:
         if self.faults.freeze_s:
             await asyncio.sleep(self.faults.freeze_s)
@@ -78,7 +91,7 @@
         prefilled = self._prefill()
         self._crash_if_asked()
         decoding = [item for item in self._running if not item.prefill_left]
-        step_s = self._step_s(prefilled, len(decoding))
+        step_s = self.step_s(prefilled, len(decoding))
         self._report()
         await asyncio.sleep(started + step_s - time.monotonic())
         for sequence in decoding:
@@ -113,13 +126,6 @@
         for block in sequence.blocks[first:last]:
             self.cache.store(block)
 
-    def _step_s(self, prefilled: int, decoding: int) -> float:
-        settings = self.settings
-        knee = max(1.0, settings.max_batch * KNEE_SHARE)
-        prefill_s = prefilled / settings.prefill_tps
-        decode_s = max(1.0, decoding / knee) / settings.decode_tps if decoding else 0.0
-        return (prefill_s + decode_s) * self.faults.slow_factor / settings.time_scale
-
     def _retire(self) -> None:
         finished = [item for item in self._running if item.is_finished]
         self.stats.completed += len(finished)
--- /dev/null
+++ b/packages/skylarkdoor-standins/tests/platform/test_transactions.py
@@ -0,0 +1,193 @@
+"""Requests of etcd's gateway, applied to a store."""
+
+import base64
+
+import pytest
+
+from skylarkdoor_standins.platform._store import Store
+from skylarkdoor_standins.platform._transactions import (
+    InvalidRequestError,
+    apply_delete,
+    apply_put,
+    apply_range,
+    apply_txn,
+    snake_case,
+)
+
+
+def b64(text: str) -> str:
+    """Return text in the gateway's form."""
+    return base64.b64encode(text.encode()).decode()
+
+
+def put(key: str, value: str = "v") -> dict:
+    """Return an operation that writes a row."""
+    return {"request_put": {"key": b64(key), "value": b64(value)}}
+
+
+def version_is(key: str, version: int) -> dict:
+    """Return a comparison of a row's version."""
+    return {"key": b64(key), "target": "VERSION", "version": str(version)}
+
+
+def nested(**txn) -> dict:
+    """Return an operation that is a transaction."""
+    return {"request_txn": txn}
+
+
+@pytest.fixture
+def store():
+    """Return a store with the rows a, b and c, written at revisions 2 to 4."""
+    store = Store()
+    for key in "abc":
+        apply_put(store, {"key": b64(key), "value": b64(f"value of {key}")})
+    return store
+
+
+class TestRange:
+    """`apply_range`."""
+
+    def test_row(self, store):
+        """A row has its key, value, revisions and version, numbers as text."""
+        apply_put(store, {"key": b64("a"), "value": b64("new")})
+        (row,) = apply_range(store, {"key": b64("a")})["kvs"]
+        assert row == {
+            "key": b64("a"),
+            "value": b64("new"),
+            "create_revision": "2",
+            "mod_revision": "5",
+            "version": "2",
+        }
+
+    @pytest.mark.parametrize(
+        ("start", "end", "keys"),
+        [("a", "c", "ab"), ("b", "\0", "bc"), ("\0", "\0", "abc"), ("x", "z", "")],
+    )
+    def test_ranges(self, store, start, end, keys):
+        """A range holds its first key and ends before its end."""
+        request = {"key": b64(start), "range_end": b64(end)}
+        rows = apply_range(store, request).get("kvs", [])
+        assert [row["key"] for row in rows] == [b64(key) for key in keys]
+
+    def test_limit(self, store):
+        """A limited range says that there is more, and how many in all."""
+        request = {"key": b64("a"), "range_end": b64("z"), "limit": "2"}
+        answer = apply_range(store, request)
+        assert len(answer["kvs"]) == 2
+        assert answer["more"] is True
+        assert answer["count"] == "3"
+
+    def test_no_key(self, store):
+        """A request without a key is refused."""
+        with pytest.raises(InvalidRequestError):
+            apply_range(store, {})
+
+
+class TestDelete:
+    """`apply_delete`."""
+
+    def test_range(self, store):
+        """A range of rows goes at one revision."""
+        request = {"key": b64("a"), "range_end": b64("c")}
+        assert apply_delete(store, request)["deleted"] == "2"
+        assert store.revision == 5
+        assert [row.key for row in store.range(b"\0", b"\0")] == [b"c"]
+
+    def test_absent(self, store):
+        """Deleting nothing is no change."""
+        apply_delete(store, {"key": b64("x")})
+        assert store.revision == 4
+
+    def test_version_begins_anew(self, store):
+        """A row written again after its deletion is a new one."""
+        apply_delete(store, {"key": b64("a")})
+        apply_put(store, {"key": b64("a")})
+        row = store.get(b"a")
+        assert (row.create_revision, row.version) == (6, 1)
+
+
+class TestTxn:
+    """`apply_txn`."""
+
+    @pytest.mark.parametrize(
+        ("comparison", "holds"),
+        [
+            ({"target": "VERSION", "version": "1"}, True),
+            ({"target": "VERSION", "result": "GREATER", "version": "1"}, False),
+            ({"target": "MOD", "mod_revision": "2"}, True),
+            ({"target": "MOD", "result": "LESS", "mod_revision": "2"}, False),
+            ({"target": "CREATE", "result": "NOT_EQUAL", "create_revision": "3"}, True),
+            ({"target": "VALUE", "value": b64("value of a")}, True),
+            ({"target": "VALUE", "value": b64("other")}, False),
+        ],
+    )
+    def test_comparisons(self, store, comparison, holds):
+        """Each target compares as asked."""
+        answer = apply_txn(store, {"compare": [{"key": b64("a"), **comparison}]})
+        assert answer.get("succeeded", False) is holds
+
+    def test_absent_value(self, store):
+        """A row that is not there has no value to compare."""
+        comparison = {"key": b64("x"), "target": "VALUE", "result": "NOT_EQUAL"}
+        assert "succeeded" not in apply_txn(store, {"compare": [comparison]})
+
+    def test_failure_branch(self, store):
+        """Where a comparison fails, the other operations are run."""
+        reads = [{"request_range": {"key": b64("a")}}]
+        answer = apply_txn(
+            store,
+            {"compare": [version_is("a", 0)], "success": [put("a")], "failure": reads},
+        )
+        (response,) = answer["responses"]
+        assert response["response_range"]["kvs"][0]["value"] == b64("value of a")
+        assert store.revision == 4
+
+    def test_nested_verdicts(self, store):
+        """Nested transactions succeed or fail each for itself, at one revision."""
+        taken = nested(compare=[version_is("a", 0)], success=[put("a")])
+        free = nested(compare=[version_is("x", 0)], success=[put("x"), put("y")])
+        answer = apply_txn(store, {"success": [taken, free]})
+        verdicts = [
+            response["response_txn"].get("succeeded", False)
+            for response in answer["responses"]
+        ]
+        assert verdicts == [False, True]
+        assert store.get(b"x").mod_revision == store.get(b"y").mod_revision == 5
+        assert answer["header"]["revision"] == "5"
+
+    def test_comparisons_come_first(self, store):
+        """A nested comparison does not see what an earlier sibling wrote."""
+        writer = nested(success=[put("x")])
+        reader = nested(compare=[version_is("x", 0)], success=[put("y")])
+        answer = apply_txn(store, {"success": [writer, reader]})
+        assert answer["responses"][1]["response_txn"]["succeeded"] is True
+
+    def test_duplicate_key(self, store):
+        """A key written twice refuses the whole transaction."""
+        twice = [nested(success=[put("x")]), nested(success=[put("x")])]
+        with pytest.raises(InvalidRequestError):
+            apply_txn(store, {"success": twice})
+        assert store.get(b"x") is None
+
+    def test_same_key_in_both_branches(self, store):
+        """A key may stand in both branches, since one of them is run."""
+        apply_txn(store, {"success": [put("x")], "failure": [put("x")]})
+        assert store.get(b"x") is not None
+
+    @pytest.mark.parametrize(("outer", "inner"), [(129, 0), (100, 29)])
+    def test_too_many(self, store, outer, inner):
+        """A level holds 128 operations, less those of the level above."""
+        operations = [put(f"k{index}") for index in range(max(outer - 1, 0))]
+        child = nested(success=[put(f"n{index}") for index in range(inner)])
+        with pytest.raises(InvalidRequestError):
+            apply_txn(store, {"success": [*operations, child]})
+
+
+class TestSnakeCase:
+    """`snake_case`."""
+
+    def test_nested_names(self):
+        """Field names of either spelling are read, and values are left alone."""
+        message = {"requestPut": [{"rangeEnd": "aB="}], "mod_revision": "1"}
+        expected = {"request_put": [{"range_end": "aB="}], "mod_revision": "1"}
+        assert snake_case(message) == expected
