--- a/packages/skylarkdoor-bench/src/skylarkdoor_bench/_launcher.py
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_launcher.py
@@ -96,7 +96,10 @@
             raise ProcessFailedError("entries lack streams to sidecars") from None
 
     async def restart(self, name: str) -> None:
-        """Start a process that has ended, and list a daemon again as live."""
+        """Start a process that has ended, and list a daemon again as live.
+
+        The platform comes back empty: to keep its rows, pause it instead.
+        """
         process = self.processes[name]
         await process.start()
         if name in self.daemons:
--- a/packages/skylarkdoor-standins/src/skylarkdoor_standins/platform/_store.py
+++ b/packages/skylarkdoor-standins/src/skylarkdoor_standins/platform/_store.py
@@ -18,6 +18,13 @@
     version: int
 
 
+def in_range(key: bytes, start: bytes, end: bytes) -> bool:
+    """Return whether a key is the start, or lies from it up to an end."""
+    if not end:
+        return key == start
+    return key >= start and (end == ALL_KEYS_END or key < end)
+
+
 class Store:
     """Rows by key, and the revision of the last change."""
 
--- a/packages/skylarkdoor-standins/src/skylarkdoor_standins/platform/_transactions.py
+++ b/packages/skylarkdoor-standins/src/skylarkdoor_standins/platform/_transactions.py
@@ -1,16 +1,17 @@
 """Requests of etcd's v3 JSON gateway, applied to a `Store`.
 
 As in etcd, the comparisons of a transaction and of those nested in it are all
-made before anything is written, and one transaction may not write a key twice.
+made before anything is written, and one transaction may neither write a key
+twice nor both write and delete it.
 """
 
 import base64
 import operator
 import re
 from collections.abc import Callable, Iterator
-from typing import Any
+from typing import Any, NamedTuple
 
-from skylarkdoor_standins.platform._store import Store, StoredRow
+from skylarkdoor_standins.platform._store import Store, StoredRow, in_range
 
 MAX_TXN_OPS = 128
 
@@ -88,7 +89,7 @@
             was applied.
     """
     _check_size(request, MAX_TXN_OPS)
-    _written_keys(request)
+    _check_writes(request)
     verdicts = list(_verdicts(store, request))
     answer = _run_branch(store, request, iter(verdicts), store.revision + 1)
     answer["header"] = _header(store)
@@ -112,22 +113,53 @@
             _check_size(operation["request_txn"], most - size)
 
 
-def _written_keys(txn: Json) -> set[bytes]:
-    return _branch_keys(txn.get("success", [])) | _branch_keys(txn.get("failure", []))
+class _Writes(NamedTuple):
+    """Keys put and ranges deleted by some operations."""
 
+    puts: set[bytes]
+    deletes: set[tuple[bytes, bytes]]
 
-def _branch_keys(operations: list[Json]) -> set[bytes]:
-    keys: set[bytes] = set()
+    def overlaps(self, other: "_Writes") -> bool:
+        """Return whether both put a key, or one puts what the other deletes."""
+        if self.puts & other.puts:
+            return True
+        return self.deletes_any(other.puts) or other.deletes_any(self.puts)
+
+    def deletes_any(self, keys: set[bytes]) -> bool:
+        """Return whether one of the keys is in a range deleted."""
+        return any(
+            in_range(key, start, end) for key in keys for start, end in self.deletes
+        )
+
+    def union(self, other: "_Writes") -> "_Writes":
+        """Return the writes of both."""
+        return _Writes(self.puts | other.puts, self.deletes | other.deletes)
+
+
+def _check_writes(txn: Json) -> _Writes:
+    success = _branch_writes(txn.get("success", []))
+    return success.union(_branch_writes(txn.get("failure", [])))
+
+
+def _branch_writes(operations: list[Json]) -> _Writes:
+    writes = _Writes(set(), set())
     for operation in operations:
-        written: set[bytes] = set()
-        if "request_txn" in operation:
-            written = _written_keys(operation["request_txn"])
-        elif "request_put" in operation:
-            written = {_key(operation["request_put"])}
-        if keys & written:
+        others = _operation_writes(operation)
+        if writes.overlaps(others):
             raise InvalidRequestError("etcdserver: duplicate key given in txn request")
-        keys |= written
-    return keys
+        writes = writes.union(others)
+    return writes
+
+
+def _operation_writes(operation: Json) -> _Writes:
+    match operation:
+        case {"request_txn": request}:
+            return _check_writes(request)
+        case {"request_put": request}:
+            return _Writes({_key(request)}, set())
+        case {"request_delete_range": request}:
+            return _Writes(set(), {(_key(request), _bytes(request, "range_end"))})
+    return _Writes(set(), set())
 
 
 def _verdicts(store: Store, txn: Json) -> Iterator[bool]:
--- a/packages/skylarkdoor-standins/tests/platform/test_transactions.py
+++ b/packages/skylarkdoor-standins/tests/platform/test_transactions.py
@@ -169,6 +169,21 @@
             apply_txn(store, {"success": twice})
         assert store.get(b"x") is None
 
+    @pytest.mark.parametrize("end", ["", "y", "\0"])
+    def test_put_and_delete(self, store, end):
+        """A key written and deleted refuses the whole transaction."""
+        request = {"key": b64("x"), "range_end": b64(end)}
+        delete = {"request_delete_range": request}
+        with pytest.raises(InvalidRequestError):
+            apply_txn(store, {"success": [nested(success=[put("x")]), delete]})
+
+    def test_put_beside_deleted_range(self, store):
+        """A key outside the range deleted may be written."""
+        request = {"key": b64("a"), "range_end": b64("c")}
+        delete = {"request_delete_range": request}
+        apply_txn(store, {"success": [delete, put("c")]})
+        assert [row.key for row in store.range(b"\0", b"\0")] == [b"c"]
+
     def test_same_key_in_both_branches(self, store):
         """A key may stand in both branches, since one of them is run."""
         apply_txn(store, {"success": [put("x")], "failure": [put("x")]})
