Leave malformed instances out rather than drop the whole list

One entry without labels made the list unavailable, so a fleet would not have seen any instance leave until it was mended. Headers of answers keep their lookup by any case.

--- a/packages/skylarkdoor/src/skylarkdoor/platform/_http.py
+++ b/packages/skylarkdoor/src/skylarkdoor/platform/_http.py
@@ -1,5 +1,6 @@
 """Idempotent HTTP requests to a service with several endpoints."""
 
+from collections.abc import Mapping
 from typing import NamedTuple
 
 import aiohttp
@@ -13,7 +14,7 @@
     """A whole answer."""
 
     status: int
-    headers: dict[str, str]
+    headers: Mapping[str, str]
     body: bytes
 
 
@@ -43,7 +44,7 @@
             ) as response:
                 body = await response.read()
                 if response.status < _SERVER_ERROR:
-                    return HttpAnswer(response.status, dict(response.headers), body)
+                    return HttpAnswer(response.status, response.headers, body)
                 failure = f"status {response.status}"
         except (aiohttp.ClientError, TimeoutError) as error:
             failure = error
--- a/packages/skylarkdoor/src/skylarkdoor/platform/_instances.py
+++ b/packages/skylarkdoor/src/skylarkdoor/platform/_instances.py
@@ -64,7 +64,7 @@
         self.timeout = aiohttp.ClientTimeout(total=timeout_s)
 
     async def fetch(self) -> list[InstanceRecord]:
-        """Return the instances listed.
+        """Return the instances listed, without entries that lack labels.
 
         Raises:
             ListUnavailable: The list did not answer, or not in its form.
@@ -86,7 +86,17 @@
 
 def _read(body: bytes) -> list[InstanceRecord]:
     try:
-        groups = msgspec.json.decode(body, type=list[_TargetGroup])
+        groups = msgspec.json.decode(body, type=list[msgspec.Raw])
     except msgspec.MsgspecError as error:
         raise ListUnavailable(f"not a list of instances: {error}") from error
-    return [InstanceRecord(*msgspec.structs.astuple(group.labels)) for group in groups]
+    records = (_read_group(group) for group in groups)
+    return [record for record in records if record is not None]
+
+
+def _read_group(body: msgspec.Raw) -> InstanceRecord | None:
+    # One bad entry must not hide how all the others change.
+    try:
+        group = msgspec.json.decode(body, type=_TargetGroup)
+    except msgspec.MsgspecError:
+        return None
+    return InstanceRecord(*msgspec.structs.astuple(group.labels))
