Claim non-idempotent requests in the table before they run

A resend under the same key ran again: nothing outlived the call, and a caller or entry that went away cancelled a run half way. A sidecar now inserts a claim row on condition of absence before the dispatch, writes the result back, and a resend gets it, joins the run, or learns that the outcome is unknown. Claimed runs live in a task of their own.

The outcome query names the grant and the incarnation: a new life of a sidecar answered "tombstoned" for what its old life had run.

--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -64,3 +64,28 @@
 TOMBSTONED = define(
     506, "tombstoned", logging.INFO, "A request can no longer start here."
 )
+CLAIM_ORPHANED = define(
+    507, "claim_orphaned", logging.ERROR, "A claim's owner is gone without a result."
+)
+CLAIM_WRITE_FAILED = define(
+    508, "claim_write_failed", logging.WARNING, "A claim's ending is not written yet."
+)
+CLAIMS_DOWN = define(
+    509, "claims_down", logging.ERROR, "Claims can't be written; they are refused."
+)
+CLAIMS_UP = define(510, "claims_up", logging.INFO, "Claims can be written again.")
+ANSWER_CROSSED = define(
+    511, "answer_crossed", logging.ERROR, "An answer bore another request's id."
+)
+UPSTREAM_CRASHED = define(
+    512, "upstream_crashed", logging.ERROR, "The upstream crashed with work in it."
+)
+REQUEST_QUARANTINED = define(
+    513, "request_quarantined", logging.ERROR, "A request crashed upstreams twice."
+)
+SUSPECT_CLEARED = define(
+    514, "suspect_cleared", logging.INFO, "A suspect ran alone to its end."
+)
+SUSPECT_WRITE_FAILED = define(
+    515, "suspect_write_failed", logging.WARNING, "Suspects are not written yet."
+)
--- a/packages/skylarkdoord/src/skylarkdoord/common/_headers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_headers.py
@@ -9,18 +9,30 @@
 INCARNATION = "X-Skylarkdoor-Incarnation"
 METHOD = "X-Skylarkdoor-Method"
 PATH = "X-Skylarkdoor-Path"
-STREAMED = "X-Skylarkdoor-Streamed"
 IDEMPOTENT = "X-Skylarkdoor-Idempotent"
-CLAIM_KEY = "X-Skylarkdoor-Claim-Key"
+IDENTITY = "X-Skylarkdoor-Identity"
+DEADLINE_MS = "X-Skylarkdoor-Deadline-Ms"
+TIER = "X-Skylarkdoor-Tier"
+PROMPT_TOKENS = "X-Skylarkdoor-Prompt-Tokens"
+FINGERPRINT = "X-Skylarkdoor-Fingerprint"
+CRASHED = "X-Skylarkdoor-Crashed"
+REPLAYED = "Idempotent-Replayed"
 NOT_RUN = "X-Skylarkdoor-Not-Run"
 UNKNOWN = "X-Skylarkdoor-Outcome-Unknown"
 IDEMPOTENCY_KEY = "Idempotency-Key"
 
-PASSED_ON = ("Accept", "Accept-Language", "Content-Type", IDEMPOTENCY_KEY)
+ACCEPT_ENCODING = "Accept-Encoding"
+
+PASSED_ON = (
+    "Accept",
+    ACCEPT_ENCODING,
+    "Accept-Language",
+    "Content-Type",
+    IDEMPOTENCY_KEY,
+)
 HOP_BY_HOP = frozenset(
     {
         "connection",
-        "content-encoding",
         "content-length",
         "date",
         "keep-alive",
@@ -37,7 +49,10 @@
 
 def to_upstream(headers: Mapping[str, str]) -> CIMultiDict[str]:
     """Return the caller's headers that an upstream may see."""
-    return CIMultiDict({name: headers[name] for name in PASSED_ON if name in headers})
+    passed = CIMultiDict({name: headers[name] for name in PASSED_ON if name in headers})
+    # Without the header, the HTTP client would ask for encodings of its own.
+    passed.setdefault(ACCEPT_ENCODING, "identity")
+    return passed
 
 
 def to_caller(headers: Mapping[str, str]) -> CIMultiDict[str]:
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-import aiohttp
 from aiohttp import web
 from prometheus_client import Counter
 
@@ -12,9 +11,9 @@
 from skylarkdoor.settings import ProcessSettings
 from skylarkdoord import _events
 from skylarkdoord.common import InternalServer, SettingsService
-from skylarkdoord.common import _headers as headers
 from skylarkdoord.entry import _parse as parse
 from skylarkdoord.entry._problems import problem
+from skylarkdoord.entry._relay import Relay
 from skylarkdoord.entry._request import EntryRequest
 from skylarkdoord.entry._router import Router
 from skylarkdoord.exceptions import OutcomeUnknownError, RefusedError
@@ -22,6 +21,11 @@
 MAX_HEADER_BYTES = 16 * 1024
 LEAVING_RETRY_AFTER_S = 1.0
 DRAIN_NOTICE_S = 1.0
+STATUS_BY_CODE = {
+    "deadline": 504,
+    "idempotency_key_reused": 422,
+    "quarantined": 422,
+}
 
 REQUESTS = Counter(
     "skylarkdoor_requests_total", "Requests answered.", ["tier", "outcome"]
@@ -140,7 +144,7 @@
         except RefusedError as error:
             self.log.event(_events.REQUEST_REFUSED, code=error.code)
             return problem(
-                504 if error.code == "deadline" else 503,
+                STATUS_BY_CODE.get(error.code, 503),
                 error.code,
                 error.message,
                 retry_after_s=error.retry_after_s,
@@ -194,13 +198,15 @@
                 "entry", request.context, request_id=request.request_id
             ) as here:
                 request.context = here
-                answer = await self.router.serve(request)
+                delivery = await self.router.serve(request)
                 outcome = "cut"
+                relay = Relay(raw, request, delivery.answer)
                 try:
-                    response = await self.relay(raw, request, answer)
+                    response = await relay.run()
                 finally:
-                    answer.close()
-                outcome = "answered"
+                    delivery.close()
+                if relay.whole:
+                    outcome = "answered"
                 return response
         except OutcomeUnknownError:
             outcome = "unknown"
@@ -211,38 +217,3 @@
         finally:
             tier = str(request.resolved.tier.rank)
             REQUESTS.labels(tier, outcome).inc()
-
-    async def relay(
-        self,
-        raw: web.Request,
-        request: EntryRequest,
-        answer: aiohttp.ClientResponse,
-    ) -> web.StreamResponse:
-        """Pass the answer on, whole or in chunks.
-
-        Raises:
-            OutcomeUnknownError: A whole answer was cut before anything was sent.
-        """
-        passed = headers.to_caller(answer.headers)
-        passed[headers.REQUEST_ID] = request.request_id
-        if answer.content_type != "text/event-stream":
-            try:
-                body = await answer.read()
-            except (aiohttp.ClientError, TimeoutError):
-                raise OutcomeUnknownError("the answer was cut") from None
-            return web.Response(status=answer.status, headers=passed, body=body)
-        response = web.StreamResponse(status=answer.status, headers=passed)
-        await response.prepare(raw)
-        try:
-            async for chunk in answer.content.iter_any():
-                await response.write(chunk)
-        except (aiohttp.ClientError, TimeoutError) as error:
-            self.log.event(
-                _events.ANSWER_CUT, request_id=request.request_id, error=repr(error)
-            )
-            # A closed connection can't be taken for a whole answer.
-            if raw.transport is not None:
-                raw.transport.abort()
-            return response
-        await response.write_eof()
-        return response
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_dispatch.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_dispatch.py
@@ -1,20 +1,27 @@
 """Sends a request's body to the sidecar whose grant was taken."""
 
 import asyncio
-from typing import NamedTuple
 
 import aiohttp
 
 from skylarkdoor import invariants, tracing
 from skylarkdoord.common import _headers as headers
+from skylarkdoord.entry._delivery import Delivery, Outcome
 from skylarkdoord.entry._offers import Taken
-from skylarkdoord.entry._request import EntryRequest
-from skylarkdoord.exceptions import NotRunError, OutcomeUnknownError
+from skylarkdoord.entry._request import MS_PER_S, EntryRequest
+from skylarkdoord.exceptions import (
+    DispatchError,
+    NotRunError,
+    OutcomeUnknownError,
+    RefusedError,
+    SidecarSilentError,
+)
 
 OUTCOME_TRIES = 4
 OUTCOME_PAUSE_S = 0.25
 OUTCOME_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 2.0
+GONE_STATUS = 410
 
 ONE_DISPATCH = invariants.define(
     "one_dispatch", "An entry has a request dispatched at most once."
@@ -24,18 +31,6 @@
 )
 
 
-class Outcome(NamedTuple):
-    """What a sidecar says of a request.
-
-    Attributes:
-        phase: How far it came there.
-        outcome: What came of it, once finished.
-    """
-
-    phase: str
-    outcome: str
-
-
 class Dispatcher:
     """Sends bodies and finds out what became of them."""
 
@@ -50,35 +45,43 @@
         """Close the connections."""
         await self.session.close()
 
-    async def send(self, request: EntryRequest, taken: Taken) -> aiohttp.ClientResponse:
-        """Send the body; returns the answer once it has begun.
+    async def send(self, request: EntryRequest, taken: Taken) -> Delivery:
+        """Send the body; returns once the answer has begun.
 
         Raises:
             NotRunError: The sidecar did not give it to its upstream.
             OutcomeUnknownError: It did, and nothing whole came back.
         """
+        delivery = Delivery(taken, lambda: self.outcome(request.request_id, taken))
+        try:
+            return await self._send(request, delivery)
+        except BaseException:
+            delivery.close()
+            raise
+
+    async def _send(self, request: EntryRequest, delivery: Delivery) -> Delivery:
+        taken = delivery.taken
         request_id = request.request_id
         sent = self._headers(request, taken)
         url = f"http://{taken.peer.record.http}/internal/dispatch/{request_id}"
         try:
-            answer = await self.session.post(url, data=request.body, headers=sent)
-        except aiohttp.ClientConnectorError:
+            await delivery.post(self.session.post(url, data=request.body, headers=sent))
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             raise NotRunError("unavailable", "the sidecar can't be reached") from None
+        except SidecarSilentError:
+            raise self._settle(request, delivery.verdict) from None
         except (aiohttp.ClientError, TimeoutError):
-            await self._settle(request, taken)
-            raise OutcomeUnknownError("the sidecar's answer was lost") from None
+            said = await self.outcome(request_id, taken)
+            raise self._settle(request, said) from None
+        answer = delivery.answer
         if headers.NOT_RUN in answer.headers:
             raise await self._not_run(answer)
-        self._count(request)
+        self._check_own(request, answer)
+        if headers.REPLAYED not in answer.headers:
+            self._count(request)
         if headers.UNKNOWN in answer.headers:
-            answer.release()
             raise OutcomeUnknownError("the upstream's answer was lost")
-        invariants.check(
-            OWN_ANSWER,
-            answer.headers.get(headers.REQUEST_ID) == request_id,
-            request_id=request_id,
-        )
-        return answer
+        return delivery
 
     async def outcome(self, request_id: str, taken: Taken) -> Outcome | None:
         """Ask a sidecar what came of a request.
@@ -86,31 +89,42 @@
         A request that has not begun there never will after the call.
 
         Returns:
-            None if the sidecar does not answer.
+            None if the sidecar does not answer or does not know.
         """
         url = f"http://{taken.peer.record.http}/internal/outcome/{request_id}"
+        sent = {
+            headers.GRANT: str(taken.grant),
+            headers.INCARNATION: str(taken.incarnation),
+        }
         timeout = aiohttp.ClientTimeout(total=OUTCOME_TIMEOUT_S)
         for _ in range(OUTCOME_TRIES):
             try:
-                async with self.session.post(url, timeout=timeout) as answer:
+                async with self.session.post(
+                    url, headers=sent, timeout=timeout
+                ) as answer:
+                    if answer.status == GONE_STATUS:
+                        return None
                     said = await answer.json()
                 return Outcome(said["phase"], said["outcome"])
             except (aiohttp.ClientError, TimeoutError, ValueError, KeyError):
                 await asyncio.sleep(OUTCOME_PAUSE_S)
         return None
 
-    async def _settle(self, request: EntryRequest, taken: Taken) -> None:
-        outcome = await self.outcome(request.request_id, taken)
-        if outcome is not None and outcome.phase == "tombstoned":
-            raise NotRunError("tombstoned", "the request never started there")
-        if outcome is not None and outcome.outcome == "not_run":
-            raise NotRunError("upstream_down", "the upstream was not reached")
+    def _settle(self, request: EntryRequest, said: Outcome | None) -> DispatchError:
+        if said is not None and said.phase == "tombstoned":
+            return NotRunError("tombstoned", "the request never started there")
         self._count(request)
+        return OutcomeUnknownError("the sidecar's answer was lost")
 
     async def _not_run(self, answer: aiohttp.ClientResponse) -> NotRunError:
         try:
             said = await answer.json()
-            return NotRunError(str(said["code"]), str(said["message"]))
+            kind = RefusedError if said["final"] else NotRunError
+            return kind(
+                str(said["code"]),
+                str(said["message"]),
+                retry_after_s=said["retry_after_s"],
+            )
         except (aiohttp.ClientError, ValueError, KeyError):
             return NotRunError("unavailable", "the sidecar did not take the request")
         finally:
@@ -122,6 +136,13 @@
             ONE_DISPATCH, request.dispatches == 1, request_id=request.request_id
         )
 
+    def _check_own(self, request: EntryRequest, answer: aiohttp.ClientResponse) -> None:
+        invariants.check(
+            OWN_ANSWER,
+            answer.headers.get(headers.REQUEST_ID) == request.request_id,
+            request_id=request.request_id,
+        )
+
     def _headers(self, request: EntryRequest, taken: Taken) -> dict[str, str]:
         sent = dict(request.headers)
         sent[headers.REQUEST_ID] = request.request_id
@@ -130,5 +151,11 @@
         sent[headers.METHOD] = request.method
         sent[headers.PATH] = request.path
         sent[headers.IDEMPOTENT] = str(int(request.idempotent))
+        sent[headers.DEADLINE_MS] = str(int(request.remaining_s() * MS_PER_S))
+        sent[headers.FINGERPRINT] = str(request.fingerprint)
+        sent[headers.TIER] = str(request.resolved.tier.rank)
+        sent[headers.PROMPT_TOKENS] = str(request.prompt_tokens)
+        if request.idempotency_key:
+            sent[headers.IDENTITY] = request.identity()
         tracing.inject(sent, request.context)
         return sent
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_peer.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_peer.py
@@ -45,6 +45,7 @@
         self.load_at = 0.0
         self.models: tuple[str, ...] = ()
         self.connected = False
+        self.lost = asyncio.Event()
         self.leaving = False
         self.log = events.get_logger("entry.peer")
 
@@ -130,6 +131,7 @@
         match message.WhichOneof("kind"):
             case "hello":
                 self.connected = True
+                self.lost = asyncio.Event()
                 self.leaving = False
                 self.models = tuple(message.hello.models)
                 self.log.event(_events.PEER_CONNECTED, peer=self.instance)
@@ -157,6 +159,7 @@
     def lose(self) -> None:
         """Turn open offers into refusals; the sidecar has dropped them."""
         self.connected = False
+        self.lost.set()
         self.outbox = Outbox()
         offers, self.offers = self.offers, {}
         for request_id, listener in offers.items():
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_request.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_request.py
@@ -5,6 +5,7 @@
 
 from multidict import CIMultiDict
 
+from skylarkdoor.hashing import key_hash
 from skylarkdoor.settings import Pool, Resolved
 from skylarkdoor.tracing import SpanContext
 from skylarkdoor.wire import pb
@@ -62,6 +63,11 @@
         """Return the time left until the deadline, in seconds."""
         return self.deadline_at - time.monotonic()
 
+    def identity(self) -> str:
+        """Return the customer and the hash of its key."""
+        customer = f"{self.resolved.team}/{self.resolved.customer_name}"
+        return f"{customer}/{key_hash(self.idempotency_key)}"
+
     def offer(self) -> pb.Offer:
         """Return what sidecars are told of the request."""
         return pb.Offer(
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_router.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_router.py
@@ -1,10 +1,9 @@
 """Finds an upstream for each request."""
 
-import aiohttp
-
 from skylarkdoor import tracing
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import ProcessSettings
+from skylarkdoord.entry._delivery import Delivery
 from skylarkdoord.entry._directory import Directory
 from skylarkdoord.entry._dispatch import Dispatcher
 from skylarkdoord.entry._offers import OfferRound, Taken
@@ -38,7 +37,7 @@
         """Close them."""
         await self.dispatcher.close()
 
-    async def serve(self, request: EntryRequest) -> aiohttp.ClientResponse:
+    async def serve(self, request: EntryRequest) -> Delivery:
         """Have a request run; returns the answer once it has begun.
 
         Raises:
@@ -50,6 +49,8 @@
             taken = await self.acquire(request, excluded)
             try:
                 return await self.dispatcher.send(request, taken)
+            except RefusedError:
+                raise
             except NotRunError:
                 excluded.add(taken.peer.instance)
         raise RefusedError(
--- a/packages/skylarkdoord/src/skylarkdoord/exceptions.py
+++ b/packages/skylarkdoord/src/skylarkdoord/exceptions.py
@@ -3,13 +3,19 @@
 from skylarkdoor.exceptions import SkylarkdoorError
 
 __all__ = [
+    "AnswerCrossedError",
+    "CallError",
+    "ClaimRowError",
     "DaemonError",
     "DispatchError",
+    "EntryGoneError",
     "NotRunError",
     "OutcomeUnknownError",
     "RefusedError",
+    "SidecarSilentError",
     "TransitionError",
     "UpstreamCutError",
+    "UpstreamLostError",
 ]
 
 
@@ -21,6 +27,14 @@
     """A request was moved to a phase that its present one does not allow."""
 
 
+class CallError(DaemonError):
+    """A header between processes is absent or malformed."""
+
+
+class ClaimRowError(DaemonError):
+    """A row of the table is not a claim."""
+
+
 class DispatchError(DaemonError):
     """A dispatch did not bring a whole answer."""
 
@@ -47,3 +61,19 @@
 
 class UpstreamCutError(DispatchError):
     """The upstream ended its answer before it was whole."""
+
+
+class AnswerCrossedError(UpstreamCutError):
+    """The upstream's answer is that to another request."""
+
+
+class UpstreamLostError(DaemonError):
+    """The connection to the upstream ended before its answer."""
+
+
+class EntryGoneError(DaemonError):
+    """The entry closed its connection before it had the whole answer."""
+
+
+class SidecarSilentError(DaemonError):
+    """The control stream is lost and the sidecar does not say that a request runs."""
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/__init__.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/__init__.py
@@ -3,6 +3,7 @@
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import ProcessSettings
 from skylarkdoord.common import InternalServer, Platform, SettingsService
+from skylarkdoord.sidecar._claims import Claims
 from skylarkdoord.sidecar._dispatch import DispatchService
 from skylarkdoord.sidecar._drain import Drain
 from skylarkdoord.sidecar._ledger import Ledger, Phase
@@ -11,6 +12,7 @@
 from skylarkdoord.sidecar._scheduler import Scheduler
 
 __all__ = [
+    "Claims",
     "DispatchService",
     "Drain",
     "Ledger",
@@ -28,6 +30,7 @@
     kernel.register(Platform(settings.platform))
     kernel.register(SettingsService())
     kernel.register(Scheduler(settings))
+    kernel.register(Claims(settings))
     kernel.register(DispatchService(settings))
     kernel.register(PeerServer(settings))
     kernel.register(
--- /dev/null
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_claims.py
@@ -0,0 +1,438 @@
+"""Claims that let a non-idempotent request run at most once.
+
+An attempt to run a request is an operation. It runs only while it holds the
+request's row in the table. An operation is decided once, in memory: it holds
+its claim, or it is abandoned and never runs, even if its write lands later.
+"""
+
+import asyncio
+import time
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import aiohttp
+from aiohttp import web
+
+from skylarkdoor import events, invariants
+from skylarkdoor.kernel import Kernel
+from skylarkdoor.platform import (
+    Absent,
+    Condition,
+    ObjectStore,
+    PlatformError,
+    Put,
+    RevisionIs,
+    Row,
+    Table,
+    TableRejected,
+    TableTimeout,
+    TableUnavailable,
+    Txn,
+    ValueIs,
+)
+from skylarkdoor.settings import ProcessSettings
+from skylarkdoord import _events
+from skylarkdoord.common import Backoff, InternalServer, Platform
+from skylarkdoord.exceptions import (
+    ClaimRowError,
+    NotRunError,
+    OutcomeUnknownError,
+    RefusedError,
+)
+from skylarkdoord.sidecar._claim_rows import (
+    ClaimRow,
+    ClaimState,
+    WholeAnswer,
+    decode,
+    encode,
+    row_key,
+)
+from skylarkdoord.sidecar._group_commit import GroupCommit
+from skylarkdoord.sidecar._scheduler import Scheduler
+
+CLAIM_TRIES = 2
+STORE_RETRY_AFTER_S = 2.0
+STORE_PROBE_INTERVAL_S = 0.5
+MAX_ROW_BODY_BYTES = 64 * 1024
+JOIN_POLL_S = 2.0
+JOIN_GRACE_S = 1.0
+STOP_TIMEOUT_S = 10.0
+WAIT_QUERY = "wait_s"
+INCARNATION_QUERY = "incarnation"
+
+CLAIM_KEPT = invariants.define(
+    "claim_kept", "The claim of a dispatched request is replaced only by its result."
+)
+
+
+@dataclass
+class Operation:
+    """One attempt to run a request.
+
+    Attributes:
+        key: Key of the request's row.
+        claim: The row that it writes to claim the request.
+        may_land: Whether its claim stands in the table or may come to.
+        held: Whether it holds the claim.
+        ending: What became of it, once it ended.
+        ended: Set once it ended.
+    """
+
+    key: str
+    claim: ClaimRow
+    may_land: bool = False
+    held: bool = False
+    ending: ClaimRow | None = None
+    ended: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def end(self, ending: ClaimRow) -> None:
+        """Note what became of it, once and for all."""
+        assert self.ending is None
+        self.ending = ending
+        self.ended.set()
+
+
+class Claims:
+    """Holds this sidecar's operations and asks others for theirs.
+
+    Args:
+        settings: Settings of this process.
+    """
+
+    name = "claims"
+    requires: tuple[str, ...] = ("platform", "scheduler")
+
+    def __init__(self, settings: ProcessSettings) -> None:
+        self.settings = settings
+        self.operations: dict[str, Operation] = {}
+        self.writers: set[asyncio.Task[None]] = set()
+        self.store_down = False
+        self.log = events.get_logger("sidecar.claims")
+
+    async def start(self, kernel: Kernel) -> None:
+        """Begin to commit and answer the questions of other sidecars."""
+        platform = kernel.find("platform", Platform)
+        incarnation = kernel.find("scheduler", Scheduler).ledger.incarnation
+        internal = kernel.find("internal", InternalServer)
+        internal.add_route("POST", "/internal/claims/{operation}", self.post_claim)
+        self.session = aiohttp.ClientSession()
+        self.open(kernel, platform.table, platform.objects, incarnation)
+
+    def open(
+        self, kernel: Kernel, table: Table, objects: ObjectStore, incarnation: int
+    ) -> None:
+        """Begin to commit to the stores in this life of the process."""
+        self.kernel = kernel
+        self.table = table
+        self.objects = objects
+        self.incarnation = incarnation
+        self.group = GroupCommit(table)
+        kernel.spawn(self.group.run(), name="claims.commit")
+
+    async def stop(self) -> None:
+        """Write what is not written yet, for a bounded time."""
+        if self.writers:
+            await asyncio.wait(self.writers, timeout=STOP_TIMEOUT_S)
+        await self.session.close()
+
+    async def acquire(
+        self,
+        identity: str,
+        fingerprint: str,
+        *,
+        deadline_at: float,
+        before_join: Callable[[], None],
+    ) -> Operation | ClaimRow:
+        """Claim a request, or learn what became of it before.
+
+        Args:
+            identity: The customer and the key, as `team/customer/hash`.
+            fingerprint: Hash of the call.
+            deadline_at: Monotonic time until which to wait for another run.
+            before_join: Called before a wait for another run; the request is
+                not run here afterwards.
+
+        Returns:
+            The operation that holds the claim, or the claim of an earlier run
+            with its ending.
+
+        Raises:
+            NotRunError: The request may not run now; another may try.
+            RefusedError: The request may not run.
+            OutcomeUnknownError: It ran before and its outcome is not known.
+        """
+        if self.store_down:
+            raise _store_down()
+        operation = self._begin(identity, fingerprint)
+        try:
+            earlier = await self._take(operation, deadline_at, before_join)
+        except (TableTimeout, TableUnavailable) as error:
+            self.abandon(operation)
+            self._note_store_down(error)
+            raise _store_down() from error
+        except (TableRejected, ClaimRowError) as error:
+            self.abandon(operation)
+            raise RefusedError("claim_failed", "the claim is malformed") from error
+        except BaseException:
+            self.abandon(operation)
+            raise
+        if earlier is None:
+            operation.held = True
+            return operation
+        self.abandon(operation)
+        return earlier
+
+    def finish(self, operation: Operation, answer: WholeAnswer | None) -> None:
+        """Note the end of a held operation's run and write it to the table.
+
+        Args:
+            operation: The operation.
+            answer: The upstream's whole answer, None if it was cut.
+        """
+        state = ClaimState.UNKNOWN if answer is None else ClaimState.DONE
+        operation.end(operation.claim._replace(state=state, answer=answer))
+        self._spawn(self._write_ending(operation), operation)
+
+    def abandon(self, operation: Operation) -> None:
+        """Give an operation up that was not dispatched and never will be."""
+        operation.held = False
+        operation.end(operation.claim._replace(state=ClaimState.NOT_RUN))
+        if operation.may_land:
+            self._spawn(self._write_ending(operation), operation)
+        else:
+            self.operations.pop(operation.claim.operation, None)
+
+    async def read_answer(self, claim: ClaimRow) -> WholeAnswer:
+        """Return the stored answer of a claim that is done.
+
+        Raises:
+            OutcomeUnknownError: The claim has none or it cannot be read.
+        """
+        if claim.answer is None:
+            raise OutcomeUnknownError("the earlier run's answer was lost")
+        if not claim.body_object:
+            return claim.answer
+        try:
+            body = await self.objects.get(claim.body_object)
+        except PlatformError as error:
+            message = "the earlier run's answer can't be read now"
+            raise OutcomeUnknownError(message) from error
+        return claim.answer._replace(body=body)
+
+    async def post_claim(self, request: web.Request) -> web.Response:
+        """Tell another sidecar what became of an operation of this one."""
+        operation = self.operations.get(request.match_info["operation"])
+        if request.query[INCARNATION_QUERY] != str(self.incarnation):
+            raise web.HTTPGone
+        if operation is None:
+            raise web.HTTPNotFound
+        ending = await _wait_ended(operation, float(request.query[WAIT_QUERY]))
+        return web.Response(body=encode(ending or operation.claim))
+
+    def _begin(self, identity: str, fingerprint: str) -> Operation:
+        claim = ClaimRow(
+            operation=uuid.uuid4().hex,
+            state=ClaimState.CLAIMED,
+            fingerprint=fingerprint,
+            instance=self.settings.instance,
+            address=self.settings.listen.internal,
+            incarnation=self.incarnation,
+            claimed_at=int(time.time()),
+        )
+        operation = Operation(row_key(identity), claim)
+        self.operations[claim.operation] = operation
+        return operation
+
+    async def _take(
+        self,
+        operation: Operation,
+        deadline_at: float,
+        before_join: Callable[[], None],
+    ) -> ClaimRow | None:
+        condition: Condition = Absent(operation.key)
+        while deadline_at > time.monotonic():
+            row = await self._write_claim(operation, condition)
+            if row is None:
+                return None
+            found = decode(row.value)
+            if found.state is not ClaimState.NOT_RUN:
+                _check_same_call(operation.claim, found)
+            if found.state is ClaimState.CLAIMED:
+                found = await self._ask(operation.key, found, wait_s=0.0)
+            if found.state is ClaimState.CLAIMED:
+                before_join()
+                return await self._join(operation.key, found, deadline_at)
+            if found.state is not ClaimState.NOT_RUN:
+                return found
+            condition = RevisionIs(operation.key, row.revision)
+        raise RefusedError("deadline", "the deadline passed before the claim")
+
+    async def _write_claim(
+        self, operation: Operation, condition: Condition
+    ) -> Row | None:
+        """Write a claim; returns the row that stands instead, if one does."""
+        key = operation.key
+        txn = Txn((condition,), (Put(key, encode(operation.claim)),), (key,))
+        for _ in range(CLAIM_TRIES):
+            try:
+                result = await self.group.commit(txn)
+            except TableTimeout:
+                operation.may_land = True
+                continue
+            if result.succeeded:
+                operation.may_land = True
+                return None
+            if not result.rows:
+                raise NotRunError("claim_moved", "the claim was removed meanwhile")
+            row = result.rows[0]
+            is_own = decode(row.value).operation == operation.claim.operation
+            return None if is_own else row
+        raise TableTimeout("the claim's outcome could not be learned")
+
+    async def _join(self, key: str, found: ClaimRow, deadline_at: float) -> ClaimRow:
+        while (left_s := deadline_at - time.monotonic()) > 0:
+            said = await self._ask(key, found, wait_s=min(JOIN_POLL_S, left_s))
+            if said.state is ClaimState.NOT_RUN:
+                raise NotRunError("claim_released", "the earlier run never began")
+            if said.state is not ClaimState.CLAIMED:
+                return said
+        raise OutcomeUnknownError("the earlier run has not ended yet")
+
+    async def _ask(self, key: str, found: ClaimRow, *, wait_s: float) -> ClaimRow:
+        """Ask a claim's owner for the ending; the claim itself if it still runs.
+
+        Raises:
+            OutcomeUnknownError: The owner is gone and left no ending.
+        """
+        if found.incarnation == self.incarnation:
+            own = self.operations.get(found.operation)
+            if own is not None:
+                return await _wait_ended(own, wait_s) or found
+        said = await self._ask_owner(found, wait_s=wait_s)
+        return said or await self._reread(key, found)
+
+    async def _ask_owner(self, found: ClaimRow, *, wait_s: float) -> ClaimRow | None:
+        url = f"http://{found.address}/internal/claims/{found.operation}"
+        query = {WAIT_QUERY: str(wait_s), INCARNATION_QUERY: str(found.incarnation)}
+        timeout = aiohttp.ClientTimeout(total=wait_s + JOIN_GRACE_S)
+        try:
+            async with self.session.post(url, params=query, timeout=timeout) as answer:
+                if answer.status != 200:
+                    return None
+                return decode(await answer.read())
+        except (aiohttp.ClientError, TimeoutError, ClaimRowError):
+            return None
+
+    async def _reread(self, key: str, found: ClaimRow) -> ClaimRow:
+        try:
+            row = await self.table.get(key)
+        except PlatformError as error:
+            raise OutcomeUnknownError("the earlier run's owner is gone") from error
+        if row is not None:
+            now = decode(row.value)
+            if now.state is not ClaimState.CLAIMED:
+                return now
+        self.log.event(_events.CLAIM_ORPHANED, key=key, owner=found.instance)
+        raise OutcomeUnknownError("the earlier run's owner is gone")
+
+    async def _write_ending(self, operation: Operation) -> None:
+        """Write an operation's ending until the table has it."""
+        backoff = Backoff()
+        while True:
+            try:
+                await self._try_ending(operation)
+                break
+            except (PlatformError, ClaimRowError) as error:
+                self.log.event(
+                    _events.CLAIM_WRITE_FAILED, key=operation.key, error=str(error)
+                )
+            await asyncio.sleep(backoff.delay_s())
+        self.operations.pop(operation.claim.operation, None)
+
+    async def _try_ending(self, operation: Operation) -> None:
+        assert operation.ending is not None
+        key = operation.key
+        ending = await self._outsource(operation.ending)
+        value = encode(ending)
+        claimed = ValueIs(key, encode(operation.claim))
+        result = await self.group.commit(Txn((claimed,), (Put(key, value),), (key,)))
+        if result.succeeded:
+            return
+        row = result.rows[0] if result.rows else None
+        if ending.state is ClaimState.NOT_RUN:
+            await self._bar(operation, row, value)
+            return
+        written = row is not None and row.value == value
+        invariants.check(CLAIM_KEPT, written, key=key)
+
+    async def _bar(self, operation: Operation, row: Row | None, value: bytes) -> None:
+        """Make sure that an abandoned claim that has not landed never does.
+
+        A claim lands only on an absent row or on the revision of a row that
+        says not run, so both are replaced; any other row bars it already.
+        """
+        key = operation.key
+        condition: Condition = Absent(key)
+        if row is not None:
+            if decode(row.value).state is not ClaimState.NOT_RUN or row.value == value:
+                return
+            condition = RevisionIs(key, row.revision)
+        result = await self.group.commit(Txn((condition,), (Put(key, value),), (key,)))
+        if not result.succeeded:
+            raise TableTimeout("the row changed meanwhile")
+
+    async def _outsource(self, ending: ClaimRow) -> ClaimRow:
+        answer = ending.answer
+        if answer is None or len(answer.body) <= MAX_ROW_BODY_BYTES:
+            return ending
+        name = f"answers/{ending.operation}"
+        await self.objects.put(name, answer.body)
+        return ending._replace(answer=answer._replace(body=b""), body_object=name)
+
+    def _note_store_down(self, error: Exception) -> None:
+        if self.store_down:
+            return
+        self.store_down = True
+        self.log.event(_events.CLAIMS_DOWN, error=str(error))
+        self.kernel.spawn(self._probe(), name="claims.probe")
+
+    async def _probe(self) -> None:
+        while self.store_down:
+            await asyncio.sleep(STORE_PROBE_INTERVAL_S)
+            try:
+                await self.group.commit(Txn())
+                self.store_down = False
+            except PlatformError:
+                continue
+        self.log.event(_events.CLAIMS_UP)
+
+    def _spawn(self, writing, operation: Operation) -> None:  # type: ignore[no-untyped-def]
+        name = f"claim {operation.claim.operation}"
+        task = self.kernel.spawn(writing, name=name)
+        self.writers.add(task)
+        task.add_done_callback(self.writers.discard)
+
+
+async def _wait_ended(operation: Operation, wait_s: float) -> ClaimRow | None:
+    try:
+        async with asyncio.timeout(wait_s):
+            await operation.ended.wait()
+    except TimeoutError:
+        pass
+    return operation.ending
+
+
+def _check_same_call(claim: ClaimRow, found: ClaimRow) -> None:
+    if found.fingerprint != claim.fingerprint:
+        raise RefusedError(
+            "idempotency_key_reused", "the Idempotency-Key was used for another call"
+        )
+
+
+def _store_down() -> RefusedError:
+    return RefusedError(
+        "store_down",
+        "the request can't be recorded now",
+        retry_after_s=STORE_RETRY_AFTER_S,
+    )
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_dispatch.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_dispatch.py
@@ -1,40 +1,62 @@
 """Takes the bodies of granted requests and gives them to the upstream."""
 
+import asyncio
 from typing import NamedTuple
 
 import aiohttp
 from aiohttp import web
+from prometheus_client import Counter
 
-from skylarkdoor import events, tracing
+from skylarkdoor import events, invariants, tracing
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import ProcessSettings
 from skylarkdoord import _events
 from skylarkdoord.common import InternalServer
 from skylarkdoord.common import _headers as headers
 from skylarkdoord.exceptions import (
+    CallError,
+    EntryGoneError,
     NotRunError,
+    OutcomeUnknownError,
+    RefusedError,
     TransitionError,
     UpstreamCutError,
 )
+from skylarkdoord.sidecar._call import Call, read_call
+from skylarkdoord.sidecar._claim_rows import ClaimRow, WholeAnswer
+from skylarkdoord.sidecar._claims import Claims, Operation
 from skylarkdoord.sidecar._ledger import Phase
 from skylarkdoord.sidecar._scheduler import Scheduler
+from skylarkdoord.sidecar._upstream import UpstreamClient, has_marked_end
 
-CONNECT_TIMEOUT_S = 2.0
-SILENCE_TIMEOUT_S = 120.0
 STREAM_END = b"data: [DONE]"
 TAIL_BYTES = 64
 
+CLAIMED_FIRST = invariants.define(
+    "claimed_first", "A non-idempotent request is claimed before its dispatch."
+)
+WASTED_PREFILL = Counter(
+    "skylarkdoor_wasted_prefill_tokens_total",
+    "Prompt tokens of requests given to the upstream that brought no whole answer.",
+    ["tier", "reason"],
+)
 
-class Ending(NamedTuple):
-    """How a dispatched call ended.
+
+class Outcome(NamedTuple):
+    """What the ledger keeps of a dispatched call's end.
 
     Attributes:
-        response: What the entry gets; absent if nothing whole came.
-        outcome: Summary kept in the ledger.
+        text: Summary that entries may ask for.
+        waste: Why its prompt was computed in vain, empty if it was not.
     """
 
-    response: web.StreamResponse | None
-    outcome: str
+    text: str
+    waste: str = ""
+
+
+NOT_REACHED = Outcome("not_run")
+CUT = Outcome("cut", "upstream_cut")
+CALLER_GONE = Outcome("caller_gone", "caller_gone")
 
 
 class DispatchService:
@@ -45,7 +67,7 @@
     """
 
     name = "dispatch"
-    requires: tuple[str, ...] = ("scheduler",)
+    requires: tuple[str, ...] = ("scheduler", "claims")
 
     def __init__(self, settings: ProcessSettings) -> None:
         self.settings = settings
@@ -53,29 +75,32 @@
 
     async def start(self, kernel: Kernel) -> None:
         """Open the session to the upstream and add the routes."""
+        self.kernel = kernel
         self.scheduler = kernel.find("scheduler", Scheduler)
+        self.claims = kernel.find("claims", Claims)
         internal = kernel.find("internal", InternalServer)
         internal.add_route("POST", "/internal/dispatch/{id}", self.post_dispatch)
         internal.add_route("POST", "/internal/outcome/{id}", self.post_outcome)
-        # A kept connection that dies makes aiohttp send an idempotent method
-        # again by itself; a fresh one for each call rules that out.
-        connector = aiohttp.TCPConnector(force_close=True, limit=0)
-        timeout = aiohttp.ClientTimeout(
-            total=None, connect=CONNECT_TIMEOUT_S, sock_read=SILENCE_TIMEOUT_S
-        )
-        self.session = aiohttp.ClientSession(
-            connector=connector, timeout=timeout, auto_decompress=False
-        )
+        self.upstream = UpstreamClient(self.scheduler.upstream.url)
 
     async def stop(self) -> None:
         """Close the session; the scheduler has drained before."""
-        await self.session.close()
+        await self.upstream.close()
 
     async def post_outcome(self, request: web.Request) -> web.Response:
-        """Tell what came of a request; one that has not begun never will."""
+        """Tell what came of a request; one that has not begun never will.
+
+        Another life of this process may have run the request, and a request
+        that ended long ago is forgotten: about both, nothing is told.
+        """
         request_id = request.match_info["id"]
+        ledger = self.scheduler.ledger
+        if request.headers.get(headers.INCARNATION) != str(ledger.incarnation):
+            raise web.HTTPGone
+        if ledger.is_forgotten(request_id, int(request.headers[headers.GRANT])):
+            raise web.HTTPGone
         phase = self.scheduler.tombstone(request_id)
-        entry = self.scheduler.ledger.find(request_id)
+        entry = ledger.find(request_id)
         outcome = entry.outcome if entry else ""
         return web.json_response({"phase": phase, "outcome": outcome})
 
@@ -83,137 +108,260 @@
         """Give a granted request to the upstream and relay the answer."""
         request_id = request.match_info["id"]
         try:
-            self.scheduler.accept(
-                request_id,
-                int(request.headers[headers.GRANT]),
-                int(request.headers[headers.INCARNATION]),
-            )
-        except (TransitionError, KeyError, ValueError) as error:
+            call = read_call(request)
+            self.scheduler.accept(request_id, call.grant, call.incarnation)
+        except (TransitionError, CallError) as error:
             self.log.event(
                 _events.DISPATCH_REFUSED, request_id=request_id, error=str(error)
             )
             return _not_run(NotRunError("grant_lapsed", str(error)))
-        context = tracing.extract(request.headers)
-        with tracing.span("sidecar", context, request_id=request_id) as here:
+        with tracing.span("sidecar", call.context, request_id=request_id) as here:
             try:
-                return await self.run(request, request_id, here)
+                return await self.run(request, call._replace(context=here))
             except NotRunError as error:
+                self.scheduler.tombstone(request_id)
                 return _not_run(error)
+            except (EntryGoneError, UpstreamCutError, OutcomeUnknownError) as error:
+                return _unknown(request_id, error)
 
-    async def run(
-        self, request: web.Request, request_id: str, context: tracing.SpanContext
-    ) -> web.StreamResponse:
-        """Read the body, mark the request and call the upstream.
+    async def run(self, request: web.Request, call: Call) -> web.StreamResponse:
+        """Read the body and have the call run.
 
         Raises:
             NotRunError: The call to the upstream was never opened.
+            UpstreamCutError: It was, and no whole answer came.
+            OutcomeUnknownError: An earlier run's outcome is not known.
         """
         try:
             body = await request.read()
         except BaseException:
-            self.scheduler.tombstone(request_id)
+            self.scheduler.tombstone(call.request_id)
             raise
-        if self.scheduler.ledger.phase(request_id) is not Phase.ACCEPTED:
-            raise NotRunError("tombstoned", "the request may not start here any more")
-        self.scheduler.ledger.dispatch(request_id)
-        ending = Ending(None, "cut")
+        if call.idempotent:
+            return await self.relay(request, call, body)
+        running = self.run_claimed(call, body)
+        # The run and the record of its result outlive this connection.
+        task = self.kernel.spawn(_caught(running), name=f"run {call.request_id}")
+        result = await asyncio.shield(task)
+        if isinstance(result, Exception):
+            raise result
+        return result
+
+    async def run_claimed(self, call: Call, body: bytes) -> web.Response:
+        """Run a non-idempotent call under a claim, or give the stored answer.
+
+        Raises:
+            NotRunError: The call to the upstream was never opened.
+            UpstreamCutError: It was, and no whole answer came.
+            OutcomeUnknownError: An earlier run's outcome is not known.
+        """
+        claim = await self.claims.acquire(
+            call.identity,
+            call.hash(self.scheduler.upstream.pool, body),
+            deadline_at=call.deadline_at,
+            before_join=lambda: self.step_back(call),
+        )
+        if isinstance(claim, ClaimRow):
+            self.step_back(call)
+            answer = await self.claims.read_answer(claim)
+            return _whole(call, answer, replayed=True)
         try:
-            ending = await self.call(request, request_id, body, context)
+            answer = await self.fetch(call, body, claim)
         except NotRunError:
-            ending = Ending(None, "not_run")
+            self.claims.abandon(claim)
             raise
-        finally:
-            self.scheduler.finish(request_id, ending.outcome)
-        return ending.response or _unknown(request_id)
-
-    async def call(
-        self,
-        request: web.Request,
-        request_id: str,
-        body: bytes,
-        context: tracing.SpanContext,
-    ) -> Ending:
-        """Call the upstream and relay its answer.
+        except BaseException:
+            self.claims.finish(claim, None)
+            raise
+        self.claims.finish(claim, answer)
+        return _whole(call, answer)
+
+    def step_back(self, call: Call) -> None:
+        """Give the room of a call back; it waits for another run of it."""
+        self.scheduler.tombstone(call.request_id)
+
+    def mark(self, call: Call, claim: Operation | None) -> None:
+        """Mark a call as dispatched, just before it is.
 
         Raises:
-            NotRunError: No connection to the upstream could be opened.
+            NotRunError: It may not start here any more.
         """
-        url = self.scheduler.upstream.url + request.headers[headers.PATH]
-        sent = headers.to_upstream(request.headers)
-        sent[headers.REQUEST_ID] = request_id
-        with tracing.span("upstream", context, request_id=request_id) as here:
-            tracing.inject(sent, here)
-            try:
-                async with self.session.request(
-                    request.headers[headers.METHOD], url, data=body, headers=sent
-                ) as answer:
-                    return await self.relay(request, request_id, answer)
-            except aiohttp.ClientConnectorError as error:
-                self._failed(request_id, error)
-                raise NotRunError("upstream_down", "no connection") from None
-            except (aiohttp.ClientError, TimeoutError) as error:
-                self._failed(request_id, error)
-                return Ending(None, "cut")
+        ledger = self.scheduler.ledger
+        if ledger.phase(call.request_id) is not Phase.ACCEPTED:
+            raise NotRunError("tombstoned", "the request may not start here any more")
+        invariants.check(
+            CLAIMED_FIRST,
+            call.idempotent or (claim is not None and claim.held),
+            request_id=call.request_id,
+        )
+        ledger.dispatch(call.request_id)
+
+    def finish(self, call: Call, outcome: Outcome) -> None:
+        """Note the end of a dispatched call."""
+        if outcome is NOT_REACHED:
+            self.scheduler.ledger.undo_dispatch(call.request_id)
+            self.scheduler.tombstone(call.request_id)
+            return
+        self.scheduler.finish(call.request_id, outcome.text)
+        if outcome.waste:
+            waste = WASTED_PREFILL.labels(str(call.tier), outcome.waste)
+            waste.inc(call.prompt_tokens)
+
+    async def fetch(self, call: Call, body: bytes, claim: Operation) -> WholeAnswer:
+        """Run a claimed call to its end.
+
+        Raises:
+            NotRunError: The call to the upstream was never opened.
+            UpstreamCutError: It was, and no whole answer came.
+        """
+        self.mark(call, claim)
+        outcome = CUT
+        try:
+            async with self.upstream.open(call, body) as answer:
+                whole = await _read_whole(answer)
+            outcome = Outcome(f"status {whole.status}")
+            return whole
+        except NotRunError:
+            outcome = NOT_REACHED
+            raise
+        except UpstreamCutError as error:
+            self._failed(call, error)
+            raise
+        finally:
+            self.finish(call, outcome)
 
     async def relay(
-        self,
-        request: web.Request,
-        request_id: str,
-        answer: aiohttp.ClientResponse,
-    ) -> Ending:
-        """Pass the upstream's answer on, whole or in chunks."""
-        passed = headers.to_caller(answer.headers)
-        passed[headers.REQUEST_ID] = request_id
-        outcome = f"status {answer.status}"
-        if answer.content_type != "text/event-stream":
-            body = await answer.read()
-            response = web.Response(status=answer.status, headers=passed, body=body)
-            return Ending(response, outcome)
-        stream = web.StreamResponse(status=answer.status, headers=passed)
-        await stream.prepare(request)
+        self, request: web.Request, call: Call, body: bytes
+    ) -> web.StreamResponse:
+        """Run an idempotent call and pass its answer on, whole or in chunks.
+
+        Raises:
+            NotRunError: The call to the upstream was never opened.
+            UpstreamCutError: It was, and no whole answer came.
+        """
+        self.mark(call, None)
+        outcome = CUT
+        response: web.StreamResponse
+        stream: web.StreamResponse | None = None
         try:
-            await self.relay_stream(stream, answer)
-        except (aiohttp.ClientError, TimeoutError, UpstreamCutError) as error:
-            self._failed(request_id, error)
+            async with self.upstream.open(call, body) as answer:
+                if answer.content_type != "text/event-stream":
+                    response = _whole(call, await _read_whole(answer))
+                else:
+                    response = stream = await _begin_stream(request, call, answer)
+                    await self.copy_events(stream, answer)
+            outcome = Outcome(f"status {answer.status}")
+            return response
+        except NotRunError:
+            outcome = NOT_REACHED
+            raise
+        except UpstreamCutError as error:
+            self._failed(call, error)
+            if stream is None:
+                raise
             # A closed connection can't be taken for a whole answer.
             if request.transport is not None:
                 request.transport.abort()
-            return Ending(stream, "cut")
-        return Ending(stream, outcome)
+            return stream
+        except (asyncio.CancelledError, EntryGoneError):
+            outcome = CALLER_GONE
+            raise
+        finally:
+            self.finish(call, outcome)
 
-    async def relay_stream(
+    async def copy_events(
         self, stream: web.StreamResponse, answer: aiohttp.ClientResponse
     ) -> None:
-        """Pass server-sent events on as they come.
+        """Copy a stream to its end.
 
         Raises:
-            UpstreamCutError: The stream ended without its end mark.
+            UpstreamCutError: It ended without its end mark.
+            EntryGoneError: The entry closed its connection.
         """
         tail = b""
         async for chunk in answer.content.iter_any():
             tail = (tail + chunk)[-TAIL_BYTES:]
-            await stream.write(chunk)
-        if STREAM_END not in tail:
+            await _pass_on(stream, chunk)
+        if self.needs_end_mark(answer) and STREAM_END not in tail:
             raise UpstreamCutError("the stream ended without its end mark")
-        await stream.write_eof()
+        await _pass_on(stream, b"")
+
+    def needs_end_mark(self, answer: aiohttp.ClientResponse) -> bool:
+        """Return whether only a last event shows that a stream is whole."""
+        pool = self.scheduler.pool
+        is_model = pool is not None and pool.kind == "model"
+        return is_model or not has_marked_end(answer)
 
-    def _failed(self, request_id: str, error: Exception) -> None:
+    def _failed(self, call: Call, error: Exception) -> None:
         self.log.event(
-            _events.UPSTREAM_FAILED, request_id=request_id, error=repr(error)
+            _events.UPSTREAM_FAILED, request_id=call.request_id, error=str(error)
         )
 
 
-def _unknown(request_id: str) -> web.Response:
+async def _caught(running):  # type: ignore[no-untyped-def]
+    """Return a run's error instead of raising it, which would end the process."""
+    try:
+        return await running
+    except (NotRunError, OutcomeUnknownError, UpstreamCutError) as error:
+        return error
+
+
+async def _begin_stream(
+    request: web.Request, call: Call, answer: aiohttp.ClientResponse
+) -> web.StreamResponse:
+    passed = headers.to_caller(answer.headers)
+    passed[headers.REQUEST_ID] = call.request_id
+    stream = web.StreamResponse(status=answer.status, headers=passed)
+    await stream.prepare(request)
+    return stream
+
+
+async def _pass_on(stream: web.StreamResponse, chunk: bytes) -> None:
+    """Write a chunk, or end the stream after the last one.
+
+    Raises:
+        EntryGoneError: The entry closed its connection.
+    """
+    try:
+        if chunk:
+            await stream.write(chunk)
+        else:
+            await stream.write_eof()
+    except ConnectionError as error:
+        raise EntryGoneError(repr(error)) from error
+
+
+async def _read_whole(answer: aiohttp.ClientResponse) -> WholeAnswer:
+    if not has_marked_end(answer):
+        raise UpstreamCutError("the end of the answer can't be told from a cut")
+    body = await answer.read()
+    passed = headers.to_caller(answer.headers)
+    passed.popall(headers.REQUEST_ID, None)
+    return WholeAnswer(answer.status, tuple(passed.items()), body)
+
+
+def _whole(call: Call, answer: WholeAnswer, *, replayed: bool = False) -> web.Response:
+    response = web.Response(status=answer.status, body=answer.body)
+    response.headers.extend(answer.headers)
+    response.headers[headers.REQUEST_ID] = call.request_id
+    if replayed:
+        response.headers[headers.REPLAYED] = "true"
+    return response
+
+
+def _unknown(request_id: str, error: Exception) -> web.Response:
     return web.json_response(
-        {"code": "outcome_unknown"},
+        {"code": "outcome_unknown", "message": str(error)},
         status=502,
         headers={headers.REQUEST_ID: request_id, headers.UNKNOWN: "1"},
     )
 
 
 def _not_run(error: NotRunError) -> web.Response:
-    return web.json_response(
-        {"code": error.code, "message": error.message},
-        status=503,
-        headers={headers.NOT_RUN: "1"},
-    )
+    said = {
+        "code": error.code,
+        "message": error.message,
+        "retry_after_s": error.retry_after_s,
+        "final": isinstance(error, RefusedError),
+    }
+    return web.json_response(said, status=503, headers={headers.NOT_RUN: "1"})
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_ledger.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_ledger.py
@@ -8,6 +8,7 @@
 from skylarkdoor import invariants
 from skylarkdoord.exceptions import TransitionError
 
+GRANT_TIMEOUT_S = 2.0
 RETENTION_S = 600.0
 MAX_ENDED = 20_000
 
@@ -41,6 +42,7 @@
         request_id: Its identity.
         phase: How far it has come.
         grant: Number of the grant in force, 0 for none.
+        granted_at: Monotonic time of that grant, in seconds.
         dispatches: Times that it was given to the upstream.
         outcome: What came of it, once finished.
         ended_at: Monotonic time at which it ended, in seconds.
@@ -49,6 +51,7 @@
     request_id: str
     phase: Phase
     grant: int = 0
+    granted_at: float = 0.0
     dispatches: int = 0
     outcome: str = ""
     ended_at: float = 0.0
@@ -66,6 +69,7 @@
         self.entries: dict[str, LedgerEntry] = {}
         self.ended: OrderedDict[str, LedgerEntry] = OrderedDict()
         self.last_grant = 0
+        self.forgotten_grant = 0
 
     def find(self, request_id: str) -> LedgerEntry | None:
         """Return what is known of a request."""
@@ -93,6 +97,7 @@
         self.last_grant += 1
         entry.phase = Phase.GRANTED
         entry.grant = self.last_grant
+        entry.granted_at = time.monotonic()
         return self.last_grant
 
     def accept(self, request_id: str, grant: int, incarnation: int) -> None:
@@ -106,6 +111,9 @@
         entry = self._expect(request_id, Phase.GRANTED)
         if entry.grant != grant:
             raise TransitionError("the grant is no longer in force")
+        # A process that was paused may read a body before its timers run.
+        if time.monotonic() - entry.granted_at > GRANT_TIMEOUT_S:
+            raise TransitionError("the grant has lapsed")
         entry.phase = Phase.ACCEPTED
 
     def dispatch(self, request_id: str) -> None:
@@ -115,6 +123,12 @@
         invariants.check(DISPATCHED_ONCE, entry.dispatches == 1, request_id=request_id)
         entry.phase = Phase.DISPATCHED
 
+    def undo_dispatch(self, request_id: str) -> None:
+        """Take a mark back: no connection to the upstream could be opened."""
+        entry = self._expect(request_id, Phase.DISPATCHED)
+        entry.dispatches -= 1
+        entry.phase = Phase.ACCEPTED
+
     def finish(self, request_id: str, outcome: str) -> None:
         """Note what came of a dispatched request."""
         entry = self._expect(request_id, Phase.DISPATCHED)
@@ -147,6 +161,10 @@
             self._end(entry, Phase.TOMBSTONED)
         return entry.phase
 
+    def is_forgotten(self, request_id: str, grant: int) -> bool:
+        """Return whether a granted request may have ended and been forgotten."""
+        return self.find(request_id) is None and grant <= self.forgotten_grant
+
     def count(self, *phases: Phase) -> int:
         """Return how many requests are in the phases."""
         return sum(entry.phase in phases for entry in self.entries.values())
@@ -173,3 +191,4 @@
             if oldest.ended_at > horizon and len(self.ended) <= MAX_ENDED:
                 return
             self.ended.popitem(last=False)
+            self.forgotten_grant = max(self.forgotten_grant, oldest.grant)
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_scheduler.py
@@ -14,10 +14,9 @@
 from skylarkdoor.wire import pb
 from skylarkdoord import _events
 from skylarkdoord.common import InternalServer, SettingsService
-from skylarkdoord.sidecar._ledger import Ledger, Phase
+from skylarkdoord.sidecar._ledger import GRANT_TIMEOUT_S, Ledger, Phase
 from skylarkdoord.sidecar._queue import OfferQueue, WaitingOffer
 
-GRANT_TIMEOUT_S = 2.0
 HEALTH_INTERVAL_S = 0.5
 HEALTH_TIMEOUT_S = 2.0
 DEFAULT_RETRY_AFTER_S = 1.0
