Add the operators' API for settings, history, instances and drains

Changes are written by compare-and-set. A team's change holds only while its own row and the fleet's are as read, and blindly writes the row of changes; a fleet's change holds only while that row is as read, so two teams never conflict and a pool can't vanish under its first use. A write without an acknowledgement is sent again and settled by the history row that the same transaction writes.

--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -28,6 +28,9 @@
 SETTINGS_POLL_FAILED = define(
     303, "settings_poll_failed", logging.WARNING, "The table could not be read."
 )
+SETTINGS_ACCEPTED = define(
+    304, "settings_accepted", logging.INFO, "An operator's change was accepted."
+)
 
 LIST_POLL_FAILED = define(
     401, "list_poll_failed", logging.WARNING, "The instance list could not be read."
--- /dev/null
+++ b/packages/skylarkdoord/src/skylarkdoord/admin/_service.py
@@ -0,0 +1,214 @@
+"""The operators' API on an entry's internal address."""
+
+import uuid
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+from skylarkdoor import events
+from skylarkdoor.kernel import Kernel
+from skylarkdoor.settings import ProcessSettings
+from skylarkdoord import _events
+from skylarkdoord.admin._answers import with_errors
+from skylarkdoord.admin._editor import Accepted, Change, SettingsEditor
+from skylarkdoord.admin._instances import Instances
+from skylarkdoord.admin._operators import EVERYTHING, Caller, authenticate
+from skylarkdoord.admin._paths import SettingsPath, overlaps, parse_path, value_at
+from skylarkdoord.admin._reader import SettingsReader
+from skylarkdoord.admin.exceptions import AbsentError, InvalidError, Problem
+from skylarkdoord.common import InternalServer, Platform, SettingsService
+from skylarkdoord.common import _headers as headers
+from skylarkdoord.common import _rows as rows
+
+
+class _PutBody(msgspec.Struct, forbid_unknown_fields=True):
+    document: Any
+    expect_revision: int | None = None
+
+
+class AdminService:
+    """Serves `/admin`.
+
+    Args:
+        settings: Settings of this process.
+    """
+
+    name = "admin"
+    requires: tuple[str, ...] = ("platform", "settings")
+
+    def __init__(self, settings: ProcessSettings) -> None:
+        self.settings = settings
+        self.log = events.get_logger("admin")
+
+    async def start(self, kernel: Kernel) -> None:
+        """Add the routes."""
+        platform = kernel.find("platform", Platform)
+        self.shared = kernel.find("settings", SettingsService)
+        self.reader = SettingsReader(platform.table, self.shared.view.revision)
+        self.editor = SettingsEditor(platform.table, self.reader)
+        self.instances = Instances(platform.instances)
+        internal = kernel.find("internal", InternalServer)
+        for method, path, handler in (
+            ("GET", "/admin/settings", self.get_heads),
+            ("GET", "/admin/settings/{path:.+}", self.get_settings),
+            ("PUT", "/admin/settings/{path:.+}", self.put_settings),
+            ("DELETE", "/admin/settings/{path:.+}", self.delete_settings),
+            ("GET", "/admin/history/{path:.+}", self.get_history),
+            ("GET", "/admin/instances", self.get_instances),
+            ("POST", "/admin/drain/{instance}", self.post_drain),
+        ):
+            internal.add_route(method, path, with_errors(handler))
+
+    async def stop(self) -> None:
+        """Close the connections to other instances."""
+        await self.instances.close()
+
+    async def get_heads(self, request: web.Request) -> web.Response:
+        """Answer with the subtrees in the operator's scope."""
+        caller = self.caller(request)
+        everything = await self.reader.everything()
+        subtrees = []
+        for path, found in sorted(everything.rows.items()):
+            row = rows.decode_settings(found.value, subtree=path)
+            if row.document is not None and overlaps(path, caller.scope):
+                subtrees.append(_head(path, row))
+        return web.json_response({"subtrees": subtrees})
+
+    async def get_settings(self, request: web.Request) -> web.Response:
+        """Answer with the value at a path."""
+        path = self.path(request, self.caller(request))
+        found = await self.reader.row(path.subtree)
+        if found is None:
+            raise AbsentError(f"nothing at {path.full}")
+        row = rows.decode_settings(found.value, subtree=path.subtree)
+        answer = {
+            "path": path.full,
+            "subtree": path.subtree,
+            "revision": row.revision,
+            "document": value_at(row.document, path),
+        }
+        return web.json_response(answer)
+
+    async def put_settings(self, request: web.Request) -> web.Response:
+        """Set the value at a path."""
+        caller = self.caller(request)
+        path = self.path(request, caller)
+        try:
+            body = msgspec.json.decode(await request.read(), type=_PutBody)
+        except msgspec.MsgspecError as error:
+            raise InvalidError([Problem(path.full, str(error))]) from None
+        change = Change(
+            path=path,
+            value=body.document,
+            is_removal=False,
+            expect_revision=body.expect_revision,
+            author=caller.name,
+            operation=_operation(request, caller),
+        )
+        return await self.apply(change)
+
+    async def delete_settings(self, request: web.Request) -> web.Response:
+        """Remove the value at a path."""
+        caller = self.caller(request)
+        path = self.path(request, caller)
+        change = Change(
+            path=path,
+            value=None,
+            is_removal=True,
+            expect_revision=_expected(request, path),
+            author=caller.name,
+            operation=_operation(request, caller),
+        )
+        return await self.apply(change)
+
+    async def apply(self, change: Change) -> web.Response:
+        """Make a change and put it in force here at once."""
+        accepted = await self.editor.apply(change)
+        self.announce(accepted)
+        answer = {
+            "subtree": accepted.subtree,
+            "revision": accepted.row.revision,
+            "changed": list(accepted.changed),
+        }
+        return web.json_response(answer)
+
+    def announce(self, accepted: Accepted) -> None:
+        """Put an accepted change in force here, from where it spreads."""
+        self.log.event(
+            _events.SETTINGS_ACCEPTED,
+            path=accepted.subtree,
+            revision=accepted.row.revision,
+            author=accepted.row.author,
+        )
+        self.shared.offer(accepted.subtree, accepted.row)
+
+    async def get_history(self, request: web.Request) -> web.Response:
+        """Answer with the changes kept of a path's subtree that touched the path."""
+        path = self.path(request, self.caller(request))
+        changes = [
+            {
+                "revision": row.revision,
+                "author": row.author,
+                "changed_at": row.changed_at,
+                "changed": list(row.changed),
+            }
+            for row in await self.reader.history(path.subtree)
+            if any(overlaps(changed, path.full) for changed in row.changed)
+        ]
+        return web.json_response(changes)
+
+    async def get_instances(self, request: web.Request) -> web.Response:
+        """Answer with what each listed instance says of itself."""
+        self.caller(request)
+        return web.json_response({"instances": await self.instances.statuses()})
+
+    async def post_drain(self, request: web.Request) -> web.Response:
+        """Tell an instance to take no more work."""
+        self.caller(request).require(EVERYTHING)
+        instance = request.match_info["instance"]
+        authorization = request.headers["Authorization"]
+        return web.json_response(await self.instances.drain(instance, authorization))
+
+    def caller(self, request: web.Request) -> Caller:
+        """Return the operator who makes a request.
+
+        Raises:
+            UnauthorizedError: It bears no operator's token.
+        """
+        hashes = self.settings.operator_token_hashes
+        return authenticate(request.headers, self.shared.view.fleet, hashes)
+
+    def path(self, request: web.Request, caller: Caller) -> SettingsPath:
+        """Return the path of a request, which must be in the caller's scope.
+
+        Raises:
+            InvalidError: It lies in no subtree.
+            ScopeError: It lies outside the caller's scope.
+        """
+        path = parse_path(request.match_info["path"])
+        caller.require(path.full)
+        return path
+
+
+def _head(path: str, row: rows.SettingsRow) -> dict[str, Any]:
+    return {
+        "path": path,
+        "revision": row.revision,
+        "author": row.author,
+        "changed_at": row.changed_at,
+    }
+
+
+def _operation(request: web.Request, caller: Caller) -> str:
+    key = request.headers.get(headers.IDEMPOTENCY_KEY) or uuid.uuid4().hex
+    return f"{caller.name}:{key}"
+
+
+def _expected(request: web.Request, path: SettingsPath) -> int | None:
+    text = request.query.get("expect_revision")
+    if text is None:
+        return None
+    if not text.isdecimal():
+        raise InvalidError([Problem(path.full, "expect_revision is no number")])
+    return int(text)
--- a/packages/skylarkdoord/src/skylarkdoord/common/_settings.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_settings.py
@@ -1,7 +1,6 @@
 """Keeps the shared settings of this process up to date."""
 
 import asyncio
-import json
 import random
 from collections.abc import Callable
 
@@ -9,12 +8,19 @@
 from skylarkdoor.exceptions import SettingsError
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.platform import PlatformError, Row
-from skylarkdoor.settings import FLEET_PATH, SettingsView, Subtree, check_document
+from skylarkdoor.settings import (
+    FLEET_PATH,
+    Fleet,
+    SettingsView,
+    Subtree,
+    Team,
+    check_document,
+)
 from skylarkdoord import _events
+from skylarkdoord.common import _rows as rows
 from skylarkdoord.common._internal import InternalServer
 from skylarkdoord.common._platform import Platform
 
-TABLE_PREFIX = "settings"
 POLL_INTERVAL_S = 4.0
 RETRY_INTERVAL_S = 0.5
 
@@ -36,10 +42,11 @@
         internal = kernel.find("internal", InternalServer)
         internal.add_ready_check("settings", self.is_ready)
         internal.add_status("settings", self.revisions)
-        kernel.spawn(self.poll(), name="settings.poll")
+        self.task = kernel.spawn(self.poll(), name="settings.poll")
 
     async def stop(self) -> None:
-        """Nothing is held."""
+        """End the poll, while the platform's clients are still open."""
+        self.task.cancel()
 
     def is_ready(self) -> bool:
         """Return whether the fleet's subtree is known."""
@@ -66,23 +73,28 @@
         Raises:
             PlatformError: The table cannot be read.
         """
-        rows = await self.platform.table.list(f"{TABLE_PREFIX}/")
-        for row in rows.rows:
+        listed = await self.platform.table.list(f"{rows.SETTINGS_PREFIX}/")
+        for row in listed.rows:
             self.offer_row(row)
 
     def offer_row(self, row: Row) -> None:
         """Apply a row of the table if it is valid and newer."""
-        path = row.key.removeprefix(TABLE_PREFIX)
+        path = rows.subtree_of(row.key)
         try:
-            stored = json.loads(row.value)
-            revision = int(stored["revision"])
-            if revision <= self.view.revision(path):
-                return
-            content = check_document(path, stored["document"])
-        except (SettingsError, ValueError, KeyError, TypeError) as error:
+            self.offer(path, rows.decode_settings(row.value, subtree=path))
+        except SettingsError as error:
+            self.log.event(_events.SETTINGS_REJECTED, path=path, error=str(error))
+
+    def offer(self, path: str, row: rows.SettingsRow) -> None:
+        """Apply a settings row if it is valid and newer."""
+        if row.revision <= self.view.revision(path):
+            return
+        try:
+            content = _content(path, row)
+        except SettingsError as error:
             self.log.event(_events.SETTINGS_REJECTED, path=path, error=str(error))
             return
-        self.apply(Subtree(path, revision, content))
+        self.apply(Subtree(path, row.revision, content))
 
     def apply(self, subtree: Subtree) -> None:
         """Put a subtree in force if it is newer and tell the listeners."""
@@ -93,3 +105,9 @@
         )
         for listener in self.listeners:
             listener(subtree)
+
+
+def _content(path: str, row: rows.SettingsRow) -> Fleet | Team:
+    if row.document is None and path != FLEET_PATH:
+        return Team(customers={})
+    return check_document(path, row.document)
--- a/packages/skylarkdoord/src/skylarkdoord/entry/__init__.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/__init__.py
@@ -2,6 +2,7 @@
 
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import ProcessSettings
+from skylarkdoord.admin import AdminService
 from skylarkdoord.common import InternalServer, Platform, SettingsService
 from skylarkdoord.entry._callers import CallerServer
 from skylarkdoord.entry._directory import Directory
@@ -14,7 +15,10 @@
     """Register the services of an entry."""
     kernel.register(Platform(settings.platform))
     kernel.register(SettingsService())
-    kernel.register(InternalServer(settings, requires=("settings", "directory")))
+    kernel.register(AdminService(settings))
+    kernel.register(
+        InternalServer(settings, requires=("settings", "directory", "admin"))
+    )
     kernel.register(Directory(settings))
     kernel.register(Router(settings))
     kernel.register(CallerServer(settings))
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_directory.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_directory.py
@@ -43,10 +43,11 @@
         internal = kernel.find("internal", InternalServer)
         internal.add_ready_check("directory", lambda: self.fetched)
         internal.add_status("sidecars", self.status)
-        kernel.spawn(self.poll(), name="directory.poll")
+        self.poller = kernel.spawn(self.poll(), name="directory.poll")
 
     async def stop(self) -> None:
-        """Close the streams."""
+        """End the poll and close the streams."""
+        self.poller.cancel()
         for task in self.tasks.values():
             task.cancel()
 
