--- a/packages/skylarkdoor-client/src/skylarkdoor_client/_files.py
+++ b/packages/skylarkdoor-client/src/skylarkdoor_client/_files.py
@@ -13,6 +13,7 @@
     ProcessSettings,
     Team,
     check_document,
+    check_keys,
     check_shared,
     convert,
     read_document,
@@ -128,9 +129,16 @@
         for path, file in files.items()
         if isinstance(file.content, Team)
     }
-    try:
-        check_shared(fleet, teams)
-    except SettingsError as error:
-        for problem in error.problems:
-            subtree = problem.path.removesuffix("/".join(("", *problem.keys)))
-            yield files[subtree].document.locate(problem)
+    for check in (lambda: check_shared(fleet, teams), lambda: check_keys(teams)):
+        try:
+            check()
+        except SettingsError as error:
+            yield from _at_files(files, error)
+
+
+def _at_files(
+    files: dict[str, SettingsFile], error: SettingsError
+) -> Iterator[SettingsError]:
+    for problem in error.problems:
+        subtree = problem.path.removesuffix("/".join(("", *problem.keys)))
+        yield files[subtree].document.locate(problem)
--- a/packages/skylarkdoor/src/skylarkdoor/settings/__init__.py
+++ b/packages/skylarkdoor/src/skylarkdoor/settings/__init__.py
@@ -1,6 +1,6 @@
 """Settings: JSON with comments, checked into typed records."""
 
-from skylarkdoor.settings._check import check_shared
+from skylarkdoor.settings._check import check_keys, check_shared
 from skylarkdoor.settings._convert import convert, to_plain
 from skylarkdoor.settings._process import (
     CertificateFiles,
@@ -50,6 +50,7 @@
     "Tier",
     "Upstream",
     "check_document",
+    "check_keys",
     "check_shared",
     "convert",
     "load_process",
--- a/packages/skylarkdoor/src/skylarkdoor/settings/_check.py
+++ b/packages/skylarkdoor/src/skylarkdoor/settings/_check.py
@@ -21,7 +21,21 @@
     for name, team in teams.items():
         for customer_name, customer in team.customers.items():
             problems.extend(_customer_problems(fleet, customer, name, customer_name))
-    problems.extend(_shared_keys(teams))
+        problems.extend(_repeated_keys({name: team}))
+    if problems:
+        raise SettingsErrorGroup("settings are inconsistent", problems)
+
+
+def check_keys(teams: Mapping[str, Team]) -> None:
+    """Check that no API key stands for customers of two teams.
+
+    A team's change is not held up for this: else one team could keep another
+    from changing its settings by listing a key of it.
+
+    Raises:
+        SettingsErrorGroup: One `SettingsError` for each key listed again.
+    """
+    problems = list(_repeated_keys(teams))
     if problems:
         raise SettingsErrorGroup("settings are inconsistent", problems)
 
@@ -61,7 +75,7 @@
             yield _problem(team_path(team), *keys, "pools", message=message)
 
 
-def _shared_keys(teams: Mapping[str, Team]) -> Iterator[SettingsError]:
+def _repeated_keys(teams: Mapping[str, Team]) -> Iterator[SettingsError]:
     """Yield a problem for each API key that stands for two customers."""
     owners: dict[str, str] = {}
     for team_name, team in teams.items():
--- a/packages/skylarkdoor/src/skylarkdoor/settings/_process.py
+++ b/packages/skylarkdoor/src/skylarkdoor/settings/_process.py
@@ -80,7 +80,14 @@
 
 
 class PlatformAddresses(NamedTuple):
-    """Addresses of the platform's services."""
+    """Addresses of the platform's services.
+
+    Attributes:
+        table: The transactional table; the next is tried when one refuses.
+        objects: The object store.
+        instances: The list of live and leaving instances.
+        weights: The weight store.
+    """
 
     table: tuple[Url, ...]
     objects: Url
--- a/packages/skylarkdoord/src/skylarkdoord/common/_internal.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_internal.py
@@ -120,5 +120,10 @@
 
 
 def _refusal() -> web.Response:
-    said = {"code": "unknown_peer", "message": "expected a certificate of a peer"}
+    said = {
+        "code": "unknown_peer",
+        "message": "expected a certificate of a peer",
+        "final": False,
+        "retry_after_s": None,
+    }
     return web.json_response(said, status=403, headers={headers.NOT_RUN: "1"})
--- a/packages/skylarkdoord/src/skylarkdoord/entry/__init__.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/__init__.py
@@ -2,6 +2,7 @@
 
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import ProcessSettings
+from skylarkdoord.admin import AdminService
 from skylarkdoord.common import InternalServer, Platform, SettingsService, TlsService
 from skylarkdoord.entry._callers import CallerServer
 from skylarkdoord.entry._directory import Directory
@@ -15,7 +16,10 @@
     kernel.register(TlsService(settings))
     kernel.register(Platform(settings.platform))
     kernel.register(SettingsService())
-    kernel.register(InternalServer(settings, requires=("settings", "directory")))
+    kernel.register(AdminService(settings))
+    kernel.register(
+        InternalServer(settings, requires=("settings", "directory", "admin"))
+    )
     kernel.register(Directory(settings))
     kernel.register(Router(settings))
     kernel.register(CallerServer(settings))
