--- /dev/null
+++ b/tests/docs/test_events.py
@@ -0,0 +1,32 @@
+"""docs/EVENTS.md and the code's catalogue."""
+
+import logging
+
+import skylarkdoord._events  # noqa: F401
+from skylarkdoor.events import CATALOGUE
+
+from ._pages import DOCS, table_rows
+
+
+def rows() -> list[list[str]]:
+    """Return the rows of events."""
+    text = (DOCS / "EVENTS.md").read_text()
+    return [row for row in table_rows(text) if row[0].isdigit()]
+
+
+class TestEvents:
+    """Every numbered event."""
+
+    def test_same(self):
+        """Page and code have the same numbers, names, levels and meanings."""
+        listed = [" | ".join(row[:4]) for row in rows()]
+        defined = [
+            f"{event.number} | `{event.name}` | "
+            f"{logging.getLevelName(event.level).lower()} | {event.text}"
+            for _, event in sorted(CATALOGUE.items())
+        ]
+        assert listed == defined
+
+    def test_advice(self):
+        """Every event says what to do."""
+        assert [row[0] for row in rows() if len(row) != 5 or not row[4]] == []
--- /dev/null
+++ b/tests/docs/test_settings.py
@@ -0,0 +1,77 @@
+"""docs/SETTINGS.md and the records that settings are checked into."""
+
+import json
+from collections.abc import Iterator
+from typing import Any, get_args
+
+import pytest
+
+from skylarkdoor.settings import Fleet, ProcessSettings, Team, to_plain
+from skylarkdoor.settings._convert import field_kinds, is_record
+from skylarkdoor_client.exceptions import ExitCode
+
+from ._pages import DOCS, section, table_rows
+
+TEXT = (DOCS / "SETTINGS.md").read_text()
+
+
+def records_in(kind: Any) -> Iterator[type]:
+    """Yield a record class and those in its fields, or in a type's parts."""
+    if is_record(kind):
+        yield kind
+        for inner in field_kinds(kind).values():
+            yield from records_in(inner)
+    for part in get_args(kind):
+        yield from records_in(part)
+
+
+RECORDS = list(
+    dict.fromkeys(
+        record for top in (ProcessSettings, Fleet, Team) for record in records_in(top)
+    )
+)
+
+
+def default_of(record: Any, name: str) -> str:
+    """Return a field's default as the page writes it."""
+    if name not in record._field_defaults:
+        return "required"
+    default = record._field_defaults[name]
+    if is_record(type(default)):
+        return "its fields' defaults"
+    return f"`{json.dumps(to_plain(default))}`"
+
+
+class TestFields:
+    """Every field of every record."""
+
+    @pytest.mark.parametrize("record", RECORDS, ids=lambda record: record.__name__)
+    def test_same(self, record):
+        """Page and record have the same fields with the same defaults."""
+        rows = table_rows(section(TEXT, f"### {record.__name__}"))[1:]
+        listed = [(row[0], row[2]) for row in rows]
+        defined = [
+            (f"`{name}`", default_of(record, name)) for name in field_kinds(record)
+        ]
+        assert listed == defined
+
+    def test_no_other_records(self):
+        """The page has no table for a record that is gone."""
+        headings = [line[4:] for line in TEXT.splitlines() if line.startswith("### ")]
+        assert headings == [record.__name__ for record in RECORDS]
+
+    def test_meanings(self):
+        """Every field says what is expected and what it means."""
+        rows = [row for row in table_rows(TEXT) if len(row) == 4]
+        assert [row for row in rows if "" in row or "?" in row] == []
+
+
+class TestExitStatuses:
+    """Exit statuses of the client."""
+
+    def test_same(self):
+        """Page and client have the same statuses."""
+        rows = table_rows(section(TEXT, "## The client"))[1:]
+        listed = [(row[0], row[1]) for row in rows]
+        defined = [(str(code.value), f"`{code.name.lower()}`") for code in ExitCode]
+        assert listed == defined
