Add a long randomised run under faults

make soak SEED= MINUTES= sends four kinds of requests through two entries while processes are killed, frozen, stopped in order and restarted, streams are cut and the platform fails; it compares what callers were told with what the services ran.

--- /dev/null
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_soak_calls.py
@@ -0,0 +1,266 @@
+"""Callers of the randomised run, and the journal of what they were told."""
+
+import asyncio
+import itertools
+import json
+import random
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Any, NamedTuple
+
+import aiohttp
+
+from skylarkdoor_bench._deployments import api_key
+from skylarkdoor_bench._launcher import Cluster
+from skylarkdoor_standins import ChatMessage, chat_prompt, expected_text
+
+CUSTOMER = "teika-garden"
+MODEL = "garden-7b"
+HANDOVERS = "/services/registry/handovers"
+CALL_TIMEOUT_S = 40.0
+REQUEST_TIMEOUT_S = 10
+MAX_SENDS = 4
+MOST_PAUSE_S = 0.15
+CONNECT_TIMEOUT_S = 2.0
+MAY_COME_BACK = (429, 503, 504)
+
+
+class Kind(StrEnum):
+    """Kinds of requests."""
+
+    STREAM = "stream"
+    WHOLE = "whole"
+    LOOKUP = "lookup"
+    HANDOVER = "handover"
+
+
+class Told(StrEnum):
+    """What a caller learned of one sending of a request."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    BROKEN = "broken"
+
+
+@dataclass
+class HandoverRecord:
+    """All that was told of one hand-over.
+
+    Attributes:
+        told: What each sending brought.
+        executions: Execution and service named by the answers.
+    """
+
+    told: list[Told] = field(default_factory=list)
+    executions: set[str] = field(default_factory=set)
+
+
+class Sending(NamedTuple):
+    """The end of one sending.
+
+    Attributes:
+        told: What the caller learned.
+        body: The answer's text.
+    """
+
+    told: Told
+    body: str = ""
+
+
+class Journal:
+    """What callers were told, checked against what upstreams did."""
+
+    def __init__(self) -> None:
+        self.counts: Counter[str] = Counter()
+        self.codes: Counter[str] = Counter()
+        self.handovers: dict[str, HandoverRecord] = defaultdict(HandoverRecord)
+        self.wrong: list[str] = []
+
+    def note(self, kind: Kind, told: Told) -> None:
+        """Count one sending."""
+        self.counts[f"{kind} {told}"] += 1
+
+    def summary(self) -> list[str]:
+        """Return the counts as lines."""
+        lines = [f"{name}: {count}" for name, count in sorted(self.counts.items())]
+        codes = ", ".join(f"{code} {n}" for code, n in sorted(self.codes.items()))
+        return [*lines, f"codes: {codes}"]
+
+    async def problems(self, cluster: Cluster) -> list[str]:
+        """Return every promise that was seen broken."""
+        runs = await handover_runs(cluster)
+        found = list(self.wrong)
+        for key, record in self.handovers.items():
+            found += judge(key, record, runs.get(key, []))
+        return found
+
+
+def judge(key: str, record: HandoverRecord, runs: list[str]) -> list[str]:
+    """Return what is wrong with one hand-over.
+
+    Args:
+        key: Its idempotency key.
+        record: What its callers were told.
+        runs: Its executions, as the services counted them.
+    """
+    found = []
+    if len(runs) > 1:
+        found.append(f"{key} ran {len(runs)} times: {runs}")
+    if len(record.executions) > 1:
+        found.append(f"{key} got unlike answers: {sorted(record.executions)}")
+    if Told.ANSWERED in record.told and not runs:
+        found.append(f"{key} was answered and never ran")
+    if runs and all(told is Told.NOT_RUN for told in record.told):
+        found.append(f"{key} ran though each answer said not run")
+    return found
+
+
+async def handover_runs(cluster: Cluster) -> dict[str, list[str]]:
+    """Return the executions of each idempotency key over all services."""
+    runs: dict[str, list[str]] = defaultdict(list)
+    for name in cluster.upstream_urls:
+        if not name.startswith("registry"):
+            continue
+        stats = await cluster.upstream_stats(name)
+        for run in stats["executions"]:
+            if run["idempotency_key"]:
+                runs[run["idempotency_key"]].append(f"{name} {run['execution']}")
+    return runs
+
+
+class SoakCaller:
+    """Sends one random request after another.
+
+    Args:
+        cluster: The deployment.
+        journal: Takes what is learned.
+        rng: Source of every choice.
+        number: Number of the caller, part of its keys.
+    """
+
+    kinds = tuple(Kind)
+
+    def __init__(
+        self, cluster: Cluster, journal: Journal, rng: random.Random, number: int
+    ) -> None:
+        self.cluster = cluster
+        self.journal = journal
+        self.rng = rng
+        self.number = number
+        self.counter = itertools.count()
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Send requests until told to stop."""
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S, connect=CONNECT_TIMEOUT_S)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            self.session = session
+            while not stop.is_set():
+                kind = self.rng.choice(self.kinds)
+                if kind is Kind.HANDOVER:
+                    await self.hand_over()
+                else:
+                    await self.ask(kind)
+                await asyncio.sleep(self.rng.uniform(0, MOST_PAUSE_S))
+
+    async def probe(self, kind: Kind) -> bool:
+        """Return whether a request of the kind is served now."""
+        async with aiohttp.ClientSession() as session:
+            self.session = session
+            if kind is Kind.HANDOVER:
+                return await self.hand_over(sends=1) is Told.ANSWERED
+            return await self.ask(kind) is Told.ANSWERED
+
+    async def ask(self, kind: Kind) -> Told:
+        """Send an idempotent request once and check its answer."""
+        token = f"c{self.number}-{next(self.counter)}"
+        words = " ".join(f"{token}-{n}" for n in range(self.rng.randint(1, 200)))
+        length = self.rng.randint(1, 60)
+        if kind is Kind.LOOKUP:
+            sending = await self.send("GET", f"/services/registry/packets/{token}")
+            expected = json.dumps(f"/packets/{token}")
+            is_right = expected in sending.body
+        else:
+            messages = [ChatMessage(role="user", content=words)]
+            body = {
+                "model": MODEL,
+                "max_tokens": length,
+                "messages": messages,
+                "stream": kind is Kind.STREAM,
+            }
+            sending = await self.send("POST", "/v1/chat/completions", json_body=body)
+            expected = expected_text(chat_prompt(messages), length)
+            is_right = sending.told is not Told.ANSWERED or (
+                text_of(sending.body, kind) == expected
+            )
+        if sending.told is Told.ANSWERED and not is_right:
+            self.journal.wrong.append(f"{kind} {token}: not its own whole answer")
+        self.journal.note(kind, sending.told)
+        return sending.told
+
+    async def hand_over(self, *, sends: int = MAX_SENDS) -> Told:
+        """Send a hand-over, and again while its outcome is not an answer."""
+        key = f"c{self.number}-{next(self.counter)}"
+        record = self.journal.handovers[key]
+        told = Told.BROKEN
+        for _ in range(self.rng.randint(1, sends)):
+            sending = await self.send(
+                "POST", HANDOVERS, json_body={"packet": key}, key=key
+            )
+            told = sending.told
+            record.told.append(told)
+            self.journal.note(Kind.HANDOVER, told)
+            if told is Told.ANSWERED:
+                answer = json.loads(sending.body)
+                record.executions.add(f"{answer['request_id']} {answer['execution']}")
+                if answer["idempotency_key"] != key:
+                    self.journal.wrong.append(f"{key} got another's answer")
+        return told
+
+    async def send(
+        self, method: str, path: str, *, json_body: Any = None, key: str = ""
+    ) -> Sending:
+        """Send a request through one of the entries."""
+        sent = {
+            "Authorization": f"Bearer {api_key(CUSTOMER)}",
+            "X-Request-Timeout": str(REQUEST_TIMEOUT_S),
+        }
+        if key:
+            sent["Idempotency-Key"] = key
+        url = self.rng.choice(self.cluster.entry_urls) + path
+        try:
+            async with self.session.request(
+                method, url, json=json_body, headers=sent
+            ) as answer:
+                return self.judge(answer, await answer.text())
+        except aiohttp.ClientConnectorError:
+            return Sending(Told.NOT_RUN)
+        except (aiohttp.ClientError, TimeoutError):
+            return Sending(Told.BROKEN)
+
+    def judge(self, answer: aiohttp.ClientResponse, body: str) -> Sending:
+        """Return what an answer tells."""
+        if answer.status == 200:
+            return Sending(Told.ANSWERED, body)
+        error = json.loads(body)["error"]
+        self.journal.codes[error["code"]] += 1
+        may_come_back = error["not_run"] and answer.status in MAY_COME_BACK
+        if may_come_back and "Retry-After" not in answer.headers:
+            self.journal.wrong.append(f"{error['code']}: no Retry-After")
+        return Sending(Told.NOT_RUN if error["not_run"] else Told.UNKNOWN, body)
+
+
+def text_of(body: str, kind: Kind) -> str:
+    """Return the text of a chat's answer; empty if a stream has no end mark."""
+    if kind is Kind.WHOLE:
+        return str(json.loads(body)["choices"][0]["message"]["content"])
+    events = body.strip().split("\n\n")
+    if events.pop() != "data: [DONE]":
+        return ""
+    choices = [
+        choice
+        for event in events
+        for choice in json.loads(event.removeprefix("data: "))["choices"]
+    ]
+    return "".join(choice["delta"].get("content", "") for choice in choices)
--- a/packages/skylarkdoor-bench/src/skylarkdoor_bench/cli.py
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/cli.py
@@ -11,6 +11,7 @@
 from skylarkdoor_bench._demo import DemoFailedError, run_demo
 from skylarkdoor_bench._processes import ProcessFailedError
 from skylarkdoor_bench._slopes import measure_slopes
+from skylarkdoor_bench._soak import SoakFailedError, soak
 
 EXIT_OK = 0
 EXIT_FAILED = 1
@@ -46,6 +47,25 @@
     sys.exit(run_tool(measure_slopes(out=out, echo=click.echo)))
 
 
+@main.command("soak")
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option(
+    "--minutes",
+    type=click.FloatRange(min=0, min_open=True),
+    default=5.0,
+    show_default=True,
+)
+@click.option(
+    "--directory",
+    type=click.Path(file_okay=False, path_type=Path),
+    help="Keep settings files and logs here.",
+)
+def run_soak(seed: int, minutes: float, directory: Path | None) -> None:
+    """Send random requests under random faults and check the promises."""
+    work = soak(seed=seed, minutes=minutes, directory=directory, echo=click.echo)
+    sys.exit(run_tool(work))
+
+
 def run_tool(work: Coroutine[None, None, None]) -> int:
     """Run a tool's work and tell its failures.
 
@@ -57,7 +77,7 @@
         asyncio.run(until_signal(work))
     except* asyncio.CancelledError:
         click.echo("stopped")
-    except* (DemoFailedError, ProcessFailedError) as group:
+    except* (DemoFailedError, ProcessFailedError, SoakFailedError) as group:
         for error in flatten(group):
             click.echo(f"failed: {error}", err=True)
         status = EXIT_FAILED
