Queue fairly between customers and learn the upstream's speed

The sidecar's queue was by tier and deadline alone, so a customer with many short deadlines could starve the others, and the limit of what runs inside the upstream was fixed. The queue is now strict by tier, then start-time fair between customers by estimated work, then by deadline. The sidecar learns prefill and decode speed from its answers, adapts its limit to the tiers' targets, refuses what can't finish in time, and tells Retry-After from its measured drain rate. Work inside the upstream is counted as it changes, no longer summed over the ledger.

Deadline order before fairness was ruled out: it rewards customers for naming short deadlines.

--- a/packages/skylarkdoor/src/skylarkdoor/settings/_shared.py
+++ b/packages/skylarkdoor/src/skylarkdoor/settings/_shared.py
@@ -62,6 +62,8 @@
         queue_limit: Requests that may wait at one sidecar.
         max_running: Most requests inside one upstream.
         min_running: Fewest to which the adaptive limit falls.
+        adaptive_limit: Whether the limit follows the tiers' targets.
+        cache_tokens: Prompt tokens that an engine's prefix cache holds.
         min_share: Share of the pool that is offered work however slow.
         fencing: Whether the engines check fencing numbers on orders.
     """
@@ -74,6 +76,8 @@
     queue_limit: Count = 64
     max_running: Count = 16
     min_running: Count = 1
+    adaptive_limit: bool = True
+    cache_tokens: Annotated[int, Meta(ge=0)] = 65536
     min_share: Ratio = 0.5
     fencing: Literal["check", "ignore"] = "ignore"
 
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/__init__.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/__init__.py
@@ -5,9 +5,10 @@
 from skylarkdoord.common import InternalServer, Platform, SettingsService
 from skylarkdoord.sidecar._dispatch import DispatchService
 from skylarkdoord.sidecar._drain import Drain
+from skylarkdoord.sidecar._fairness import WaitingOffer
 from skylarkdoord.sidecar._ledger import Ledger, Phase
 from skylarkdoord.sidecar._peers import PeerServer
-from skylarkdoord.sidecar._queue import OfferQueue, WaitingOffer
+from skylarkdoord.sidecar._queue import OfferQueue
 from skylarkdoord.sidecar._scheduler import Scheduler
 
 __all__ = [
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_dispatch.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_dispatch.py
@@ -172,7 +172,7 @@
         stream = web.StreamResponse(status=answer.status, headers=passed)
         await stream.prepare(request)
         try:
-            await self.relay_stream(stream, answer)
+            await self.relay_stream(request_id, stream, answer)
         except (aiohttp.ClientError, TimeoutError, UpstreamCutError) as error:
             self._failed(request_id, error)
             # A closed connection can't be taken for a whole answer.
@@ -182,7 +182,10 @@
         return Ending(stream, outcome)
 
     async def relay_stream(
-        self, stream: web.StreamResponse, answer: aiohttp.ClientResponse
+        self,
+        request_id: str,
+        stream: web.StreamResponse,
+        answer: aiohttp.ClientResponse,
     ) -> None:
         """Pass server-sent events on as they come.
 
@@ -192,6 +195,7 @@
         tail = b""
         async for chunk in answer.content.iter_any():
             tail = (tail + chunk)[-TAIL_BYTES:]
+            self.scheduler.on_chunk(request_id, chunk)
             await stream.write(chunk)
         if STREAM_END not in tail:
             raise UpstreamCutError("the stream ended without its end mark")
--- /dev/null
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_flights.py
@@ -0,0 +1,169 @@
+"""Timing of the requests inside the upstream."""
+
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+from skylarkdoor.wire import pb
+from skylarkdoord.sidecar._estimates import Estimates
+from skylarkdoord.sidecar._limits import AdaptiveLimit
+
+EVENT_MARK = b"data:"
+MEASURED_PROMPT_TOKENS = 1
+LEAST_GAPS = 8
+OVERDUE_FACTOR = 3.0
+
+
+class Reserved(NamedTuple):
+    """What a grant reserves.
+
+    Attributes:
+        offer: The offer.
+        cached: Prompt tokens that the upstream is held to have computed before.
+        prefill_s: Estimated time to compute the rest, in seconds.
+    """
+
+    offer: pb.Offer
+    cached: int
+    prefill_s: float
+
+
+class GapSum:
+    """Times between a model's tokens since the last look."""
+
+    def __init__(self) -> None:
+        self.seconds = 0.0
+        self.count = 0
+
+
+class Flight:
+    """One dispatched request as its answer comes.
+
+    Args:
+        reserved: What its grant reserved.
+        flights: Where its times go.
+    """
+
+    def __init__(self, reserved: Reserved, flights: "Flights") -> None:
+        self.reserved = reserved
+        self.flights = flights
+        self.started_at = time.monotonic()
+        self.first_at = 0.0
+        self.last_at = 0.0
+        self.tokens = 0
+
+    def on_chunk(self, chunk: bytes) -> None:
+        """Note tokens as they come from the upstream."""
+        tokens = chunk.count(EVENT_MARK)
+        if not tokens:
+            return
+        now = time.monotonic()
+        if not self.tokens:
+            self.first_at = now
+            self.flights.on_first_token(self, now - self.started_at)
+        else:
+            self.flights.on_gap(self, (now - self.last_at) / tokens)
+        self.last_at = now
+        self.tokens += tokens
+
+    def on_end(self, *, whole: bool) -> None:
+        """Note the end of the answer."""
+        self.flights.on_end(self, time.monotonic() - self.started_at, whole=whole)
+
+
+class Flights:
+    """The requests granted or inside the upstream, and what they teach.
+
+    Args:
+        estimates: Learns speeds.
+        limit: Learns times to compare with its targets.
+        on_computed: Called with each offer whose prompt has been computed.
+    """
+
+    def __init__(
+        self,
+        estimates: Estimates,
+        limit: AdaptiveLimit,
+        *,
+        on_computed: Callable[[pb.Offer], None],
+    ) -> None:
+        self.estimates = estimates
+        self.limit = limit
+        self.on_computed = on_computed
+        self.gaps: dict[str, GapSum] = {}
+        self.reserved: dict[str, Reserved] = {}
+        self.flying: dict[str, Flight] = {}
+        self.prefilling: dict[str, float] = {}
+        self.prefill_s = 0.0
+
+    @property
+    def running(self) -> int:
+        """Requests that take room: granted, accepted or dispatched."""
+        return len(self.reserved)
+
+    def reserve(self, request_id: str, reserved: Reserved) -> None:
+        """Hold room for a granted request."""
+        self.reserved[request_id] = reserved
+        self.prefilling[request_id] = reserved.prefill_s
+        self.prefill_s += reserved.prefill_s
+
+    def start(self, request_id: str) -> None:
+        """Note that a request goes to the upstream."""
+        self.flying[request_id] = Flight(self.reserved[request_id], self)
+
+    def release(self, request_id: str) -> bool:
+        """Free the room of a request; returns whether it had any."""
+        self._computed(request_id)
+        self.flying.pop(request_id, None)
+        return self.reserved.pop(request_id, None) is not None
+
+    def on_first_token(self, flight: Flight, seconds: float) -> None:
+        """Learn the speed of prefill."""
+        offer, cached, _ = flight.reserved
+        self._computed(offer.request_id)
+        tokens = max(MEASURED_PROMPT_TOKENS, offer.prompt_tokens - cached)
+        prefill = self.estimates.of_prefill(offer.model)
+        own_s = tokens * prefill.token_s()
+        prefill.learn(tokens, seconds)
+        self.estimates.touch()
+        self.limit.firsts.append(max(0.0, seconds - own_s))
+        self.on_computed(offer)
+
+    def on_gap(self, flight: Flight, seconds: float) -> None:
+        """Note the time between two tokens."""
+        self.limit.gaps.append(seconds)
+        gaps = self.gaps.setdefault(flight.reserved.offer.model, GapSum())
+        gaps.seconds += seconds
+        gaps.count += 1
+
+    def on_end(self, flight: Flight, seconds: float, *, whole: bool) -> None:
+        """Learn the length of an answer, or the time of one in one piece."""
+        offer = flight.reserved.offer
+        if not whole:
+            return
+        if not flight.tokens:
+            self.estimates.learn_whole(offer.model, seconds)
+            self.on_computed(offer)
+        elif offer.max_tokens:
+            share = flight.tokens / offer.max_tokens
+            self.estimates.learn_length(offer.model, share)
+
+    def tick(self) -> None:
+        """Learn from the gaps since the last call, and free overdue prefill."""
+        for model, gaps in self.gaps.items():
+            if gaps.count >= LEAST_GAPS:
+                mean_s = gaps.seconds / gaps.count
+                self.estimates.of_decode(model).learn(mean_s, self.running)
+                self.estimates.touch()
+                self.gaps[model] = GapSum()
+        # An answer in one piece doesn't show when its prompt was computed.
+        now = time.monotonic()
+        for request_id, flight in self.flying.items():
+            prefill_s = self.prefilling.get(request_id, 0.0)
+            if prefill_s and now - flight.started_at > OVERDUE_FACTOR * prefill_s:
+                self._computed(request_id)
+
+    def _computed(self, request_id: str) -> None:
+        self.prefill_s -= self.prefilling.pop(request_id, 0.0)
+        if not self.prefilling:
+            self.prefill_s = 0.0
--- /dev/null
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_health.py
@@ -0,0 +1,37 @@
+"""Watches the health of the upstream."""
+
+import asyncio
+from collections.abc import Callable
+
+import aiohttp
+
+HEALTH_INTERVAL_S = 0.5
+HEALTH_TIMEOUT_S = 2.0
+
+
+class UpstreamWatch:
+    """Asks the upstream for its health again and again.
+
+    Args:
+        url: Base URL of the upstream.
+        on_health: Called with each answer: whether the upstream is up.
+    """
+
+    def __init__(self, url: str, on_health: Callable[[bool], None]) -> None:
+        self.url = url
+        self.on_health = on_health
+
+    async def run(self) -> None:
+        """Ask until cancelled."""
+        timeout = aiohttp.ClientTimeout(total=HEALTH_TIMEOUT_S)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while True:
+                self.on_health(await self._healthy(session))
+                await asyncio.sleep(HEALTH_INTERVAL_S)
+
+    async def _healthy(self, session: aiohttp.ClientSession) -> bool:
+        try:
+            async with session.get(f"{self.url}/health") as response:
+                return response.status == 200
+        except (aiohttp.ClientError, TimeoutError):
+            return False
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_queue.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_queue.py
@@ -1,12 +1,12 @@
 """Offers that wait for room in the upstream."""
 
 import itertools
-from typing import NamedTuple
 
-from sortedcontainers import SortedKeyList
+from sortedcontainers import SortedDict, SortedKeyList
 
 from skylarkdoor import invariants
 from skylarkdoor.wire import pb
+from skylarkdoord.sidecar._fairness import TierQueue, WaitingOffer
 
 TIERS_IN_ORDER = invariants.define(
     "tiers_in_order",
@@ -16,30 +16,12 @@
 MAX_TIERS = 16
 
 
-class WaitingOffer(NamedTuple):
-    """An offer in the queue.
-
-    Attributes:
-        offer: The offer as it came.
-        peer: Key of the stream on which it came.
-        arrived_at: Monotonic time of arrival, in seconds.
-        deadline_at: Monotonic time of the deadline, in seconds.
-        order: Number that grows with each arrival.
-    """
-
-    offer: pb.Offer
-    peer: str
-    arrived_at: float
-    deadline_at: float
-    order: int
-
-
-def _urgency(waiting: WaitingOffer) -> tuple[int, float, int]:
-    return waiting.offer.tier, waiting.deadline_at, waiting.order
+def _start_by(waiting: WaitingOffer) -> tuple[float, int]:
+    return waiting.start_by, waiting.order
 
 
 class OfferQueue:
-    """A bounded queue by tier, then deadline.
+    """A bounded queue: strict by tier, then fair between customers.
 
     Args:
         limit: Most offers that wait.
@@ -48,14 +30,21 @@
     def __init__(self, *, limit: int) -> None:
         self.limit = limit
         self.by_id: dict[str, WaitingOffer] = {}
-        self.sorted: SortedKeyList = SortedKeyList(key=_urgency)
+        self.tiers: SortedDict = SortedDict()
+        self.by_start: SortedKeyList = SortedKeyList(key=_start_by)
         self.counter = itertools.count()
 
     def __len__(self) -> int:
         return len(self.by_id)
 
     def push(
-        self, offer: pb.Offer, *, peer: str, now: float
+        self,
+        offer: pb.Offer,
+        *,
+        peer: str,
+        now: float,
+        work_s: float = 0.0,
+        hit_s: float = 0.0,
     ) -> tuple[bool, WaitingOffer | None]:
         """Add an offer, displacing one of a lower tier if there is no room.
 
@@ -63,6 +52,8 @@
             offer: The offer.
             peer: Key of the stream on which it came.
             now: Monotonic time, in seconds.
+            work_s: Estimated time that it takes of the upstream, in seconds.
+            hit_s: Prefill that the upstream's cache is held to save, in seconds.
 
         Returns:
             Whether the offer was added, and the offer that it displaced.
@@ -71,56 +62,105 @@
         if len(self.by_id) >= self.limit:
             displaced = self._displaceable(offer.tier)
             if displaced is None:
-                lowest = self.sorted[-1].offer.tier if self.sorted else 0
-                invariants.check(
-                    TIERS_IN_ORDER,
-                    not self.sorted or lowest <= offer.tier,
-                    tier=offer.tier,
-                    lowest=lowest,
-                )
+                self._check_refusal(offer.tier)
                 return False, None
             self.remove(displaced.offer.request_id)
         deadline_at = now + offer.deadline_ms / 1000
-        waiting = WaitingOffer(offer, peer, now, deadline_at, next(self.counter))
-        self.by_id[offer.request_id] = waiting
-        self.sorted.add(waiting)
+        waiting = WaitingOffer(
+            offer=offer,
+            peer=peer,
+            arrived_at=now,
+            deadline_at=deadline_at,
+            order=next(self.counter),
+            work_s=work_s,
+            start_by=deadline_at - work_s,
+            hit_s=hit_s,
+        )
+        self._add(waiting)
         return True, displaced
 
-    def _displaceable(self, tier: int) -> WaitingOffer | None:
-        if not self.sorted:
-            return None
-        lowest = self.sorted[-1].offer.tier
-        if lowest <= tier:
-            return None
-        start = self.sorted.bisect_key_left((lowest,))
-        return max(self.sorted[start:], key=lambda waiting: waiting.order)
+    def first(self) -> WaitingOffer:
+        """Return the offer whose turn it is."""
+        tier: TierQueue = self.tiers.peekitem(0)[1]
+        return tier.first()
 
     def pop(self) -> WaitingOffer:
-        """Remove and return the most urgent offer."""
-        waiting: WaitingOffer = self.sorted[0]
+        """Remove and return the offer whose turn it is; its customer is charged."""
+        tier: TierQueue = self.tiers.peekitem(0)[1]
+        waiting = tier.first()
+        tier.charge(waiting)
         self.remove(waiting.offer.request_id)
         return waiting
 
+    def refund(self, waiting: WaitingOffer) -> None:
+        """Take back the charge for a grant that was not used."""
+        tier = self.tiers.get(waiting.offer.tier)
+        if tier is not None:
+            tier.refund(waiting)
+
     def remove(self, request_id: str) -> WaitingOffer | None:
         """Remove an offer; returns it if it waited."""
         waiting = self.by_id.pop(request_id, None)
-        if waiting is not None:
-            self.sorted.remove(waiting)
+        if waiting is None:
+            return None
+        self.by_start.remove(waiting)
+        rank = waiting.offer.tier
+        self.tiers[rank].remove(waiting)
+        if not self.tiers[rank]:
+            # Shares are kept while a tier's queue lasts, not beyond.
+            del self.tiers[rank]
         return waiting
 
+    def late(self, now: float) -> WaitingOffer | None:
+        """Return an offer that can't finish in time any more, if there is one."""
+        if self.by_start and self.by_start[0].start_by <= now:
+            waiting: WaitingOffer = self.by_start[0]
+            return waiting
+        return None
+
+    def next_late_at(self) -> float | None:
+        """Return when the next offer becomes too late to start."""
+        return self.by_start[0].start_by if self.by_start else None
+
+    def ahead_of(self, tier: int) -> int:
+        """Return how many offers of the tier or a higher one wait."""
+        return sum(len(queue) for rank, queue in self.tiers.items() if rank <= tier)
+
     def of_peer(self, peer: str) -> list[WaitingOffer]:
         """Return the offers that came on one stream."""
         return [waiting for waiting in self.by_id.values() if waiting.peer == peer]
 
     def all(self) -> list[WaitingOffer]:
-        """Return every offer, the most urgent first."""
-        return list(self.sorted)
+        """Return every offer, higher tiers first, each in order of arrival."""
+        return [
+            waiting
+            for queue in self.tiers.values()
+            for waiting in queue.arrivals.values()
+        ]
 
     def waiting_by_tier(self) -> list[int]:
         """Return how many offers wait in each tier, by rank."""
-        counts = [0] * MAX_TIERS
-        for waiting in self.by_id.values():
-            counts[min(waiting.offer.tier, MAX_TIERS - 1)] += 1
-        while len(counts) > 1 and counts[-1] == 0:
-            counts.pop()
+        if not self.tiers:
+            return [0]
+        counts = [0] * (min(self.tiers.peekitem(-1)[0], MAX_TIERS - 1) + 1)
+        for rank, queue in self.tiers.items():
+            counts[min(rank, MAX_TIERS - 1)] += len(queue)
         return counts
+
+    def _add(self, waiting: WaitingOffer) -> None:
+        rank = waiting.offer.tier
+        if rank not in self.tiers:
+            self.tiers[rank] = TierQueue()
+        self.tiers[rank].add(waiting)
+        self.by_id[waiting.offer.request_id] = waiting
+        self.by_start.add(waiting)
+
+    def _displaceable(self, tier: int) -> WaitingOffer | None:
+        if not self.tiers:
+            return None
+        lowest, queue = self.tiers.peekitem(-1)
+        return queue.newest() if lowest > tier else None
+
+    def _check_refusal(self, tier: int) -> None:
+        lowest = self.tiers.peekitem(-1)[0] if self.tiers else tier
+        invariants.check(TIERS_IN_ORDER, lowest <= tier, tier=tier, lowest=lowest)
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_scheduler.py
@@ -5,33 +5,55 @@
 from collections.abc import Callable
 from typing import Any
 
-import aiohttp
-from prometheus_client import Counter, Gauge
-
 from skylarkdoor import events
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import Pool, ProcessSettings, Upstream
 from skylarkdoor.wire import pb
 from skylarkdoord import _events
 from skylarkdoord.common import InternalServer, SettingsService
+from skylarkdoord.sidecar import _metrics as metrics
+from skylarkdoord.sidecar._admission import (
+    FLOOR_S,
+    TierFloor,
+    is_hopeless,
+    is_too_late,
+)
+from skylarkdoord.sidecar._drain_rate import DrainRate
+from skylarkdoord.sidecar._estimates import Estimates
+from skylarkdoord.sidecar._fairness import WaitingOffer
+from skylarkdoord.sidecar._flights import Flights, Reserved
+from skylarkdoord.sidecar._health import UpstreamWatch
 from skylarkdoord.sidecar._ledger import Ledger, Phase
-from skylarkdoord.sidecar._queue import OfferQueue, WaitingOffer
+from skylarkdoord.sidecar._limits import AdaptiveLimit, Targets
+from skylarkdoord.sidecar._prefixes import HeldPrefixes
+from skylarkdoord.sidecar._queue import OfferQueue
 
 GRANT_TIMEOUT_S = 2.0
-HEALTH_INTERVAL_S = 0.5
-HEALTH_TIMEOUT_S = 2.0
-DEFAULT_RETRY_AFTER_S = 1.0
+TICK_S = 0.1
+LEAST_RETRY_AFTER_S = 1.0
+MOST_RETRY_AFTER_S = 30.0
+PREFILL_AHEAD_S = 0.25
+STRAGGLER_SLOWDOWN = 2.0
 MS_PER_S = 1000
-
-OFFERS = Counter("skylarkdoor_sidecar_offers_total", "Offers received.", ["tier"])
-GRANTS = Counter("skylarkdoor_sidecar_grants_total", "Grants given.", ["tier"])
-REFUSALS = Counter("skylarkdoor_sidecar_refusals_total", "Offers refused.", ["reason"])
-WAITING = Gauge("skylarkdoor_sidecar_waiting", "Offers that wait.")
-RUNNING = Gauge("skylarkdoor_sidecar_running", "Requests granted or in the upstream.")
+WHOLE_OUTCOME = "status 2"
 
 Sender = Callable[[pb.SidecarMessage], None]
 
 
+class Pending:
+    """A grant for which no body has come yet.
+
+    Args:
+        waiting: The offer as it waited.
+        expiry: Takes the grant back.
+    """
+
+    def __init__(self, waiting: WaitingOffer, expiry: asyncio.TimerHandle) -> None:
+        self.waiting = waiting
+        self.expiry = expiry
+        self.granted_at = time.monotonic()
+
+
 class Scheduler:
     """Queues offers, grants them when the upstream has room, and drains.
 
@@ -48,9 +70,16 @@
         self.upstream: Upstream = settings.upstream
         self.ledger = Ledger(time.time_ns())
         self.queue = OfferQueue(limit=1)
+        self.floor = TierFloor()
+        self.drain_rate = DrainRate()
+        self.estimates = Estimates()
+        self.adaptive = AdaptiveLimit(1)
+        self.prefixes = HeldPrefixes(0)
+        self.flights = Flights(
+            self.estimates, self.adaptive, on_computed=self.on_computed
+        )
         self.senders: dict[str, Sender] = {}
-        self.expiries: dict[str, asyncio.TimerHandle] = {}
-        self.limit = 1
+        self.pending: dict[str, Pending] = {}
         self.leaving = False
         self.upstream_up = False
         self.idle = asyncio.Event()
@@ -65,7 +94,9 @@
         internal.add_ready_check("upstream", lambda: self.upstream_up)
         internal.add_ready_check("leaving", lambda: not self.leaving)
         internal.add_status("scheduler", self.status)
-        kernel.spawn(self.watch_upstream(), name="scheduler.health")
+        watch = UpstreamWatch(self.upstream.url, self.set_upstream)
+        kernel.spawn(watch.run(), name="scheduler.health")
+        kernel.spawn(self.tick_forever(), name="scheduler.tick")
 
     async def stop(self) -> None:
         """The drain has ended before."""
@@ -75,13 +106,19 @@
         """The settings of the upstream's pool, if it is defined."""
         return self.settings_service.view.fleet.pools.get(self.upstream.pool)
 
+    @property
+    def limit(self) -> int:
+        """Most requests that may be granted or inside the upstream."""
+        return self.adaptive.value
+
     @property
     def running(self) -> int:
         """Requests that take room: granted, accepted or dispatched."""
-        return self.ledger.count(Phase.GRANTED, Phase.ACCEPTED, Phase.DISPATCHED)
+        return self.flights.running
 
     def status(self) -> dict[str, Any]:
         """Return what `/status` shows."""
+        prefill, decode = self.estimates.speeds(self.running + 1)
         return {
             "pool": self.upstream.pool,
             "incarnation": self.ledger.incarnation,
@@ -90,14 +127,21 @@
             "limit": self.limit,
             "running": self.running,
             "waiting_by_tier": self.queue.waiting_by_tier(),
+            "drain_per_second": self.drain_rate.per_s(),
+            "prefill_tokens_per_second": prefill,
+            "decode_tokens_per_second": decode,
+            "slowdown": self.estimates.slowdown(),
         }
 
     def apply_settings(self) -> None:
         """Take over the pool's limits."""
-        if self.pool is None:
+        pool = self.pool
+        if pool is None:
             return
-        self.limit = self.pool.max_running
-        self.queue.limit = self.pool.queue_limit
+        least = pool.min_running if pool.adaptive_limit else pool.max_running
+        self.adaptive.configure(least=least, most=pool.max_running)
+        self.queue.limit = pool.queue_limit
+        self.prefixes.capacity_tokens = pool.cache_tokens
         self.pump()
 
     def connect(self, peer: str, sender: Sender) -> None:
@@ -112,24 +156,38 @@
 
     def receive(self, offer: pb.Offer, peer: str) -> None:
         """Queue an offer or refuse it."""
-        OFFERS.labels(str(offer.tier)).inc()
+        metrics.OFFERS.labels(str(offer.tier)).inc()
         reason = self.objection(offer)
         if reason is None and not self.ledger.wait(offer.request_id):
             reason = pb.REFUSAL_REASON_DUPLICATE
         if reason is not None:
-            self.refuse(offer.request_id, peer, reason)
+            self.refuse(offer, peer, reason)
             return
-        added, displaced = self.queue.push(offer, peer=peer, now=time.monotonic())
-        if displaced is not None:
-            self.ledger.release(displaced.offer.request_id)
-            self.refuse(
-                displaced.offer.request_id, displaced.peer, pb.REFUSAL_REASON_DISPLACED
-            )
-        if not added:
+        if self.enqueue(offer, peer):
+            self.pump()
+        else:
             self.ledger.release(offer.request_id)
-            self.refuse(offer.request_id, peer, pb.REFUSAL_REASON_QUEUE_FULL)
-            return
-        self.pump()
+            self.refuse(offer, peer, pb.REFUSAL_REASON_QUEUE_FULL)
+
+    def enqueue(self, offer: pb.Offer, peer: str) -> bool:
+        """Put an offer into the queue; returns whether there was room."""
+        now = time.monotonic()
+        if self.floor.keeps_out(offer.tier, now):
+            return False
+        cached = self.prefixes.cached_tokens(offer)
+        added, displaced = self.queue.push(
+            offer,
+            peer=peer,
+            now=now,
+            work_s=self.service_s(offer, cached),
+            hit_s=self.hit_s(offer, cached),
+        )
+        if displaced is not None:
+            self.give_up(displaced, pb.REFUSAL_REASON_DISPLACED)
+        if added:
+            self.floor.check(offer.tier, now)
+            self.drain_rate.note(now, departed=0, waiting=len(self.queue))
+        return added
 
     def objection(self, offer: pb.Offer) -> "pb.RefusalReason | None":
         """Return why an offer may not wait here, if so."""
@@ -139,8 +197,41 @@
             return pb.REFUSAL_REASON_UPSTREAM_DOWN
         if offer.model and offer.model not in self.pool.models:
             return pb.REFUSAL_REASON_MODEL_ABSENT
+        service_s = self.service_s(offer, self.prefixes.cached_tokens(offer))
+        if is_hopeless(
+            remaining_s=offer.deadline_ms / MS_PER_S,
+            wait_s=self.wait_s(offer.tier),
+            service_s=service_s,
+        ):
+            return pb.REFUSAL_REASON_DEADLINE
         return None
 
+    def service_s(self, offer: pb.Offer, cached: int) -> float:
+        """Return the time that an offer is held to take, in seconds."""
+        whole_s = self.estimates.service_s(offer, self.running + 1, cached=cached)
+        return whole_s * self.estimates.confidence()
+
+    def hit_s(self, offer: pb.Offer, cached: int) -> float:
+        """Return the prefill that the cache is held to save, in seconds."""
+        return cached * self.estimates.of_prefill(offer.model).token_s()
+
+    def wait_s(self, tier: int) -> float:
+        """Return how long a new offer of a tier is held to wait, in seconds."""
+        if self.has_room():
+            return 0.0
+        return self.drain_rate.wait_s(self.queue.ahead_of(tier) + 1)
+
+    def has_room(self) -> bool:
+        """Return whether one more request may go to the upstream.
+
+        The upstream computes prompts in order of arrival, so a prompt sent
+        while others are still to be computed would only wait there, where
+        tiers don't count.
+        """
+        if not self.upstream_up or self.running >= self.limit:
+            return False
+        return self.flights.prefill_s < PREFILL_AHEAD_S
+
     def withdraw(self, request_id: str) -> None:
         """Forget an offer or a grant that the entry gives back."""
         entry = self.ledger.find(request_id)
@@ -150,29 +241,44 @@
 
     def pump(self) -> None:
         """Grant waiting offers while there is room."""
-        now = time.monotonic()
-        while len(self.queue) and self.running < self.limit and self.upstream_up:
+        self.drop_late()
+        while len(self.queue) and self.has_room():
             waiting = self.queue.pop()
-            if waiting.deadline_at <= now:
-                self.give_up(waiting, pb.REFUSAL_REASON_DEADLINE)
-                continue
+            self.drain_rate.note(time.monotonic(), departed=1, waiting=len(self.queue))
             self.grant(waiting)
         self.report()
 
+    def drop_late(self) -> None:
+        """Refuse the waiting offers that can't finish in time any more."""
+        now = time.monotonic()
+        while (waiting := self.queue.late(now)) is not None:
+            self.queue.remove(waiting.offer.request_id)
+            self.give_up(waiting, pb.REFUSAL_REASON_DEADLINE)
+
     def grant(self, waiting: WaitingOffer) -> None:
         """Reserve room for an offer and tell its entry."""
-        request_id = waiting.offer.request_id
-        number = self.ledger.grant(request_id)
-        GRANTS.labels(str(waiting.offer.tier)).inc()
-        loop = asyncio.get_running_loop()
-        self.expiries[request_id] = loop.call_later(
-            GRANT_TIMEOUT_S, self.expire, request_id, number
+        offer = waiting.offer
+        cached = self.prefixes.cached_tokens(offer)
+        service_s = self.service_s(offer, cached)
+        remaining_s = waiting.deadline_at - time.monotonic()
+        if is_too_late(remaining_s=remaining_s, service_s=service_s):
+            self.queue.refund(waiting)
+            self.give_up(waiting, pb.REFUSAL_REASON_DEADLINE)
+            return
+        number = self.ledger.grant(offer.request_id)
+        prefill_s = self.estimates.prefill_s(offer, cached=cached)
+        self.flights.reserve(offer.request_id, Reserved(offer, cached, prefill_s))
+        metrics.GRANTS.labels(str(offer.tier)).inc()
+        expiry = asyncio.get_running_loop().call_later(
+            GRANT_TIMEOUT_S, self.expire, offer.request_id, number
         )
+        self.pending[offer.request_id] = Pending(waiting, expiry)
         message = pb.Grant(
-            request_id=request_id,
+            request_id=offer.request_id,
             grant=number,
             incarnation=self.ledger.incarnation,
             expires_ms=int(GRANT_TIMEOUT_S * MS_PER_S),
+            cached_tokens=cached,
         )
         self.send(waiting.peer, pb.SidecarMessage(grant=message))
 
@@ -192,20 +298,31 @@
             TransitionError: The grant is not in force here.
         """
         self.ledger.accept(request_id, grant, incarnation)
-        self._cancel_expiry(request_id)
-        self.report()
+        pending = self.pending.pop(request_id, None)
+        if pending is not None:
+            pending.expiry.cancel()
+        self.flights.start(request_id)
+
+    def on_chunk(self, request_id: str, chunk: bytes) -> None:
+        """Note a part of a streamed answer as it comes from the upstream."""
+        flight = self.flights.flying.get(request_id)
+        if flight is not None:
+            flight.on_chunk(chunk)
 
     def finish(self, request_id: str, outcome: str) -> None:
         """Note the end of a dispatched request and use the room."""
         self.ledger.finish(request_id, outcome)
+        flight = self.flights.flying.get(request_id)
+        if flight is not None:
+            flight.on_end(whole=outcome.startswith(WHOLE_OUTCOME))
+        self.flights.release(request_id)
         self.pump()
 
     def tombstone(self, request_id: str) -> Phase:
         """Make sure that a request never starts here, if it has not."""
-        self.queue.remove(request_id)
-        self._cancel_expiry(request_id)
         phase = self.ledger.tombstone(request_id)
         if phase is Phase.TOMBSTONED:
+            self._drop(request_id)
             self.log.event(_events.TOMBSTONED, request_id=request_id)
         self.pump()
         return phase
@@ -213,17 +330,27 @@
     def give_up(self, waiting: WaitingOffer, reason: "pb.RefusalReason") -> None:
         """Refuse an offer that had waited."""
         self.ledger.release(waiting.offer.request_id)
-        self.refuse(waiting.offer.request_id, waiting.peer, reason)
+        self.refuse(waiting.offer, waiting.peer, reason)
 
-    def refuse(self, request_id: str, peer: str, reason: "pb.RefusalReason") -> None:
+    def refuse(self, offer: pb.Offer, peer: str, reason: "pb.RefusalReason") -> None:
         """Tell the entry that an offer is not taken and was not run."""
-        REFUSALS.labels(pb.RefusalReason.Name(reason)).inc()
-        retry_after_ms = int(DEFAULT_RETRY_AFTER_S * MS_PER_S)
+        name = pb.RefusalReason.Name(reason).removeprefix("REFUSAL_REASON_").lower()
+        metrics.REFUSALS.labels(str(offer.tier), name).inc()
         refusal = pb.Refusal(
-            request_id=request_id, reason=reason, retry_after_ms=retry_after_ms
+            request_id=offer.request_id,
+            reason=reason,
+            retry_after_ms=int(self.retry_after_s() * MS_PER_S),
         )
+        if reason in (pb.REFUSAL_REASON_QUEUE_FULL, pb.REFUSAL_REASON_DISPLACED):
+            self.floor.hold(offer.tier, time.monotonic())
+            refusal.floor_ms = int(FLOOR_S * MS_PER_S)
         self.send(peer, pb.SidecarMessage(refusal=refusal))
 
+    def retry_after_s(self) -> float:
+        """Return when a refused caller may come back, in seconds."""
+        wait_s = self.drain_rate.wait_s(len(self.queue))
+        return min(MOST_RETRY_AFTER_S, max(LEAST_RETRY_AFTER_S, wait_s))
+
     def leave(self, reason: str) -> None:
         """Take no new work and hand back what waits."""
         if self.leaving:
@@ -243,10 +370,22 @@
 
     def load(self) -> pb.LoadReport:
         """Return the present load, as entries are told."""
+        prefill, decode = self.estimates.speeds(self.running + 1)
+        slowdown = self.estimates.slowdown()
+        waiting = len(self.queue)
+        room = self.limit - self.running - waiting if self.has_room() else 0
         return pb.LoadReport(
             running=self.running,
             limit=self.limit,
             waiting_by_tier=self.queue.waiting_by_tier(),
+            prefill_tokens_per_second=prefill,
+            decode_tokens_per_second=decode,
+            drain_per_second=self.drain_rate.per_s(),
+            backlog_seconds=self.drain_rate.wait_s(waiting),
+            straggler=slowdown > STRAGGLER_SLOWDOWN,
+            slowdown=slowdown,
+            length_share=max(self.estimates.length_share.values(), default=1.0),
+            room=max(0, room),
         )
 
     def send(self, peer: str, message: pb.SidecarMessage) -> None:
@@ -258,27 +397,57 @@
     def report(self) -> None:
         """Bring the gauges and the idle flag up to date."""
         running = self.running
-        RUNNING.set(running)
-        WAITING.set(len(self.queue))
+        metrics.RUNNING.set(running)
+        metrics.WAITING.set(len(self.queue))
         if running:
             self.idle.clear()
         else:
             self.idle.set()
 
-    async def watch_upstream(self) -> None:
-        """Ask the upstream for its health again and again."""
-        timeout = aiohttp.ClientTimeout(total=HEALTH_TIMEOUT_S)
-        async with aiohttp.ClientSession(timeout=timeout) as session:
-            while True:
-                self.set_upstream(await self._healthy(session))
-                await asyncio.sleep(HEALTH_INTERVAL_S)
-
-    async def _healthy(self, session: aiohttp.ClientSession) -> bool:
-        try:
-            async with session.get(f"{self.upstream.url}/health") as response:
-                return response.status == 200
-        except (aiohttp.ClientError, TimeoutError):
-            return False
+    async def tick_forever(self) -> None:
+        """Adapt to what was measured, again and again."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            self.tick()
+
+    def tick(self) -> None:
+        """Learn, adapt the limit and refuse what has become too late."""
+        self.flights.tick()
+        self.drain_rate.note(time.monotonic(), departed=0, waiting=len(self.queue))
+        targets = self.targets()
+        if targets is not None:
+            least = [known.least_s() for known in self.estimates.decode.values()]
+            self.adaptive.adapt(
+                targets, alone_s=max(least, default=0.0), running=self.running
+            )
+        self.pump()
+        self.report_estimates()
+
+    def targets(self) -> Targets | None:
+        """Return the strictest targets among the tiers inside the upstream."""
+        inside = {held.offer.tier for held in self.flights.reserved.values()}
+        tiers = self.settings_service.view.fleet.tiers.values()
+        present = [tier for tier in tiers if tier.rank in inside]
+        if not present:
+            return None
+        return Targets(
+            min(tier.first_token_ms for tier in present) / MS_PER_S,
+            min(tier.inter_token_ms for tier in present) / MS_PER_S,
+        )
+
+    def report_estimates(self) -> None:
+        """Bring the gauges of what was learned up to date."""
+        prefill, decode = self.estimates.speeds(self.running + 1)
+        metrics.LIMIT.set(self.limit)
+        metrics.DRAIN_RATE.set(self.drain_rate.per_s())
+        metrics.PREFILL_SPEED.set(prefill)
+        metrics.DECODE_SPEED.set(decode)
+        metrics.SLOWDOWN.set(self.estimates.slowdown())
+
+    def on_computed(self, offer: pb.Offer) -> None:
+        """Note a computed prompt, and use the room that it leaves."""
+        self.prefixes.note(offer)
+        self.pump()
 
     def set_upstream(self, up: bool) -> None:
         """Note whether the upstream answers; a dead one gets no offers."""
@@ -289,15 +458,22 @@
         if up:
             self.pump()
         else:
+            self.prefixes.clear()
             self.hand_back(pb.REFUSAL_REASON_UPSTREAM_DOWN)
 
     def _forget(self, request_id: str) -> None:
-        self.queue.remove(request_id)
-        self._cancel_expiry(request_id)
+        self._drop(request_id)
         self.ledger.release(request_id)
         self.report()
 
-    def _cancel_expiry(self, request_id: str) -> None:
-        handle = self.expiries.pop(request_id, None)
-        if handle is not None:
-            handle.cancel()
+    def _drop(self, request_id: str) -> None:
+        if self.queue.remove(request_id) is not None:
+            self.drain_rate.note(time.monotonic(), departed=1, waiting=len(self.queue))
+        self.flights.release(request_id)
+        pending = self.pending.pop(request_id, None)
+        if pending is None:
+            return
+        pending.expiry.cancel()
+        self.queue.refund(pending.waiting)
+        metrics.LOST_GRANTS.inc()
+        metrics.LOST_GRANT_SECONDS.inc(time.monotonic() - pending.granted_at)
