--- a/packages/skylarkdoor-standins/src/skylarkdoor_standins/engine/_app.py
+++ b/packages/skylarkdoor-standins/src/skylarkdoor_standins/engine/_app.py
@@ -3,18 +3,25 @@
 import asyncio
 import uuid
 from collections.abc import AsyncIterator
-from dataclasses import asdict
 
 from aiohttp import web
 
-from ._batcher import Batcher
-from ._completions import AnswerForm, make_sequence, read_request
-from ._metrics import render_metrics
-from ._orders import EngineState, Order, StaleFenceError, UnknownActionError
-from ._settings import EngineSettings
-from ._streams import answer_stream, answer_whole
-
-_FAULTS = frozenset({"crash_on", "slow_factor", "freeze", "cut_after_chunks"})
+from skylarkdoor_standins.engine._batcher import Batcher
+from skylarkdoor_standins.engine._completions import (
+    AnswerForm,
+    make_sequence,
+    read_request,
+)
+from skylarkdoor_standins.engine._faults import UnknownFaultError
+from skylarkdoor_standins.engine._metrics import render_metrics
+from skylarkdoor_standins.engine._orders import (
+    EngineState,
+    Order,
+    StaleFenceError,
+    UnknownActionError,
+)
+from skylarkdoor_standins.engine._settings import EngineSettings
+from skylarkdoor_standins.engine._streams import answer_stream, answer_whole
 
 
 def create_app(settings: EngineSettings) -> web.Application:
@@ -116,15 +123,13 @@
         return web.json_response(self.state.as_dict())
 
     async def _show_faults(self, request: web.Request) -> web.Response:
-        return web.json_response(asdict(self.batcher.faults))
+        return web.json_response(self.batcher.faults.as_dict())
 
     async def _set_faults(self, request: web.Request) -> web.Response:
-        settings = await request.json()
-        unknown = settings.keys() - _FAULTS
-        if unknown:
-            raise web.HTTPBadRequest(text=f"no fault {sorted(unknown)}")
-        for name, value in settings.items():
-            setattr(self.batcher.faults, name, value)
+        try:
+            self.batcher.faults.update(await request.json())
+        except UnknownFaultError as error:
+            raise web.HTTPBadRequest(text=str(error)) from error
         return await self._show_faults(request)
 
     async def _stats(self, request: web.Request) -> web.Response:
