--- a/packages/skylarkdoord/src/skylarkdoord/entry/__init__.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/__init__.py
@@ -3,18 +3,24 @@
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import ProcessSettings
 from skylarkdoord.common import InternalServer, Platform, SettingsService
+from skylarkdoord.entry._admission import Admission
 from skylarkdoord.entry._callers import CallerServer
 from skylarkdoord.entry._directory import Directory
+from skylarkdoord.entry._explain import Explain
 from skylarkdoord.entry._router import Router
 
-__all__ = ["CallerServer", "Directory", "Router", "build"]
+__all__ = ["Admission", "CallerServer", "Directory", "Explain", "Router", "build"]
 
 
 def build(kernel: Kernel, settings: ProcessSettings) -> None:
     """Register the services of an entry."""
     kernel.register(Platform(settings.platform))
     kernel.register(SettingsService())
-    kernel.register(InternalServer(settings, requires=("settings", "directory")))
+    kernel.register(
+        InternalServer(settings, requires=("settings", "directory", "explain"))
+    )
     kernel.register(Directory(settings))
+    kernel.register(Explain())
+    kernel.register(Admission(settings))
     kernel.register(Router(settings))
     kernel.register(CallerServer(settings))
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
@@ -14,6 +14,7 @@
 from skylarkdoord.common import InternalServer, SettingsService
 from skylarkdoord.common import _headers as headers
 from skylarkdoord.entry import _parse as parse
+from skylarkdoord.entry._admission import Admission
 from skylarkdoord.entry._problems import problem
 from skylarkdoord.entry._request import EntryRequest
 from skylarkdoord.entry._router import Router
@@ -22,6 +23,12 @@
 MAX_HEADER_BYTES = 16 * 1024
 LEAVING_RETRY_AFTER_S = 1.0
 DRAIN_NOTICE_S = 1.0
+STATUS_BY_CODE = {
+    "concurrency_limited": 429,
+    "deadline": 504,
+    "requests_limited": 429,
+    "tokens_limited": 429,
+}
 
 REQUESTS = Counter(
     "skylarkdoor_requests_total", "Requests answered.", ["tier", "outcome"]
@@ -54,6 +61,7 @@
     async def start(self, kernel: Kernel) -> None:
         """Listen on the callers' address."""
         self.router = kernel.find("router", Router)
+        self.admission = kernel.find("admission", Admission)
         self.settings_service = kernel.find("settings", SettingsService)
         self.internal = kernel.find("internal", InternalServer)
         self.internal.add_ready_check("leaving", lambda: not self.leaving)
@@ -140,7 +148,7 @@
         except RefusedError as error:
             self.log.event(_events.REQUEST_REFUSED, code=error.code)
             return problem(
-                504 if error.code == "deadline" else 503,
+                STATUS_BY_CODE.get(error.code, 503),
                 error.code,
                 error.message,
                 retry_after_s=error.retry_after_s,
@@ -190,9 +198,12 @@
         """Have the request run and relay its answer."""
         outcome = "refused"
         try:
-            with tracing.span(
-                "entry", request.context, request_id=request.request_id
-            ) as here:
+            with (
+                self.admission.customers.admit(request),
+                tracing.span(
+                    "entry", request.context, request_id=request.request_id
+                ) as here,
+            ):
                 request.context = here
                 answer = await self.router.serve(request)
                 outcome = "cut"
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_peer.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_peer.py
@@ -43,6 +43,7 @@
         self.offers: dict[str, OfferListener] = {}
         self.load = pb.LoadReport()
         self.load_at = 0.0
+        self.charged = 0
         self.models: tuple[str, ...] = ()
         self.connected = False
         self.leaving = False
@@ -58,9 +59,15 @@
         """Whether offers may be made."""
         return self.connected and not self.leaving and self.record.state == "live"
 
+    @property
+    def report_age_s(self) -> float:
+        """Time since the last load report, in seconds."""
+        return time.monotonic() - self.load_at
+
     def offer(self, offer: pb.Offer, listener: OfferListener) -> None:
         """Offer a request; the listener hears what the sidecar says."""
         self.offers[offer.request_id] = listener
+        self.charged += 1
         self.outbox.put(pb.EntryMessage(offer=offer))
 
     def withdraw(self, request_id: str, *, abandoned: bool = False) -> None:
@@ -74,6 +81,11 @@
         """Note that the request's grant was used."""
         self.offers.pop(request_id, None)
 
+    def give_back(self, request_id: str) -> None:
+        """Return a grant that was taken and can't be used."""
+        withdraw = pb.Withdraw(request_id=request_id, abandoned=True)
+        self.outbox.put(pb.EntryMessage(withdraw=withdraw))
+
     async def run(self) -> None:
         """Connect again and again until cancelled."""
         backoff = Backoff()
@@ -142,6 +154,7 @@
             case "load":
                 self.load = message.load
                 self.load_at = time.monotonic()
+                self.charged = 0
             case "leaving":
                 self.leaving = True
 
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_policies.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_policies.py
@@ -2,11 +2,20 @@
 
 import itertools
 import random
+import time
+from collections.abc import Sequence
 from typing import NamedTuple, Protocol
 
+from skylarkdoord.entry._affinity import AffinityTable
 from skylarkdoord.entry._peer import SidecarPeer
+from skylarkdoord.entry._ranking import Estimate, Work, estimate_all
 from skylarkdoord.entry._request import EntryRequest
 
+STALE_LOAD_S = 1.0
+HEAD_START_S = 0.02
+HEAD_START_SHARE = 0.25
+CHOICES = 2
+
 
 class Choice(NamedTuple):
     """Sidecars for one request.
@@ -14,52 +23,123 @@
     Attributes:
         ranked: All that may serve it, the best first.
         offers: How many of them get the offer at once.
+        head_start_s: For how long the first alone has the offer, in seconds.
     """
 
     ranked: list[SidecarPeer]
     offers: int
+    head_start_s: float = 0.0
 
 
 class Policy(Protocol):
     """Ranks a pool's sidecars for a request."""
 
-    def choose(self, request: EntryRequest, peers: list[SidecarPeer]) -> Choice:
+    def choose(self, request: EntryRequest, peers: Sequence[SidecarPeer]) -> Choice:
         """Return the ranking and how many get the offer at once."""
 
 
-def busyness(peer: SidecarPeer) -> float:
-    """Return the reported work in proportion to the limit."""
-    waiting = sum(peer.load.waiting_by_tier)
-    return (peer.load.running + waiting) / max(1, peer.load.limit)
+def estimates(
+    request: EntryRequest, peers: Sequence[SidecarPeer], affinity: AffinityTable
+) -> list[Estimate]:
+    """Return the estimates for a request, the earliest finish first."""
+    work = Work(request.resolved.tier.rank, request.prompt_tokens, request.max_tokens)
+    found = estimate_all(
+        work,
+        peers,
+        hits=affinity.hits(request.model, request.prefix_hashes),
+        min_share=request.pool.min_share,
+    )
+    random.shuffle(found)
+    return sorted(found, key=lambda one: (one.straggler, one.finish_s))
 
 
 class LateBinding:
-    """Offers to several sidecars; the first that has room gets the request."""
+    """Offers to several sidecars; the first that has room gets the request.
+
+    Args:
+        affinity: Where prompts were sent before.
+    """
+
+    def __init__(self, affinity: AffinityTable) -> None:
+        self.affinity = affinity
+
+    def choose(self, request: EntryRequest, peers: Sequence[SidecarPeer]) -> Choice:
+        """Rank by estimated finish and offer to as many as the pool says.
+
+        The best alone has the offer for a moment if it has room or holds the
+        prompt's beginning: a grant of the others would waste either.
+        """
+        found = estimates(request, peers, self.affinity)
+        ranked = [one.peer for one in found]
+        head_start_s = head_start(found[0]) if found else 0.0
+        return Choice(ranked, request.pool.offers, head_start_s)
+
+
+def head_start(best: Estimate) -> float:
+    """Return for how long the best sidecar alone has the offer, in seconds."""
+    if best.wait_s == 0:
+        return HEAD_START_S + HEAD_START_SHARE * best.hit_s
+    return HEAD_START_SHARE * best.hit_s
+
 
-    def choose(self, request: EntryRequest, peers: list[SidecarPeer]) -> Choice:
-        """Rank by reported load and offer to as many as the pool says."""
-        ranked = sorted(peers, key=lambda peer: (busyness(peer), random.random()))
-        return Choice(ranked, request.pool.offers)
+class LeastFinish:
+    """Pushes to the earliest estimated finish of two random choices.
+
+    A sidecar that holds the prompt's beginning is a third choice. What this
+    entry has sent since the last report counts as waiting.
+
+    Args:
+        affinity: Where prompts were sent before.
+    """
+
+    def __init__(self, affinity: AffinityTable) -> None:
+        self.affinity = affinity
+
+    def choose(self, request: EntryRequest, peers: Sequence[SidecarPeer]) -> Choice:
+        """Rank the choices by estimated finish, then all others."""
+        found = estimates(request, peers, self.affinity)
+        usual = [one for one in found if not one.straggler] or found
+        drawn = random.sample(usual, min(CHOICES, len(usual)))
+        holder = max(found, key=lambda one: one.hit_s, default=None)
+        if holder is not None and holder.hit_s and holder not in drawn:
+            drawn.append(holder)
+        drawn.sort(key=lambda one: one.finish_s)
+        rest = [one for one in found if one not in drawn]
+        return Choice([one.peer for one in drawn + rest], 1)
 
 
 class LeastConnections:
-    """Pushes to the sidecar with the least reported work."""
+    """Pushes to the sidecar with the least reported work, on stale reports."""
 
-    def choose(self, request: EntryRequest, peers: list[SidecarPeer]) -> Choice:
-        """Rank by the reported count of requests."""
+    def __init__(self) -> None:
+        self.counts: dict[str, int] = {}
+        self.read_at = 0.0
+
+    def choose(self, request: EntryRequest, peers: Sequence[SidecarPeer]) -> Choice:
+        """Rank by the count of requests as it was up to a second ago."""
+        now = time.monotonic()
+        if now - self.read_at > STALE_LOAD_S:
+            self.read_at = now
+            self.counts = {peer.instance: connections(peer) for peer in peers}
         ranked = sorted(
-            peers, key=lambda p: p.load.running + sum(p.load.waiting_by_tier)
+            peers,
+            key=lambda peer: (self.counts.get(peer.instance, 0), random.random()),
         )
         return Choice(ranked, 1)
 
 
+def connections(peer: SidecarPeer) -> int:
+    """Return how many requests a sidecar reported."""
+    return peer.load.running + sum(peer.load.waiting_by_tier)
+
+
 class RoundRobin:
     """Pushes to each sidecar in turn."""
 
     def __init__(self) -> None:
         self.turns = itertools.count()
 
-    def choose(self, request: EntryRequest, peers: list[SidecarPeer]) -> Choice:
+    def choose(self, request: EntryRequest, peers: Sequence[SidecarPeer]) -> Choice:
         """Rank from the next in turn."""
         if not peers:
             return Choice([], 1)
@@ -68,11 +148,11 @@
         return Choice(ordered[start:] + ordered[:start], 1)
 
 
-def policies() -> dict[str, Policy]:
+def policies(affinity: AffinityTable) -> dict[str, Policy]:
     """Return a fresh policy under each name that settings may use."""
     return {
-        "late-binding": LateBinding(),
-        "least-finish": LateBinding(),
+        "late-binding": LateBinding(affinity),
+        "least-finish": LeastFinish(affinity),
         "least-connections": LeastConnections(),
         "round-robin": RoundRobin(),
     }
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_router.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_router.py
@@ -5,9 +5,12 @@
 from skylarkdoor import tracing
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import ProcessSettings
+from skylarkdoord.entry._admission import Admission
+from skylarkdoord.entry._affinity import AffinityTable
 from skylarkdoord.entry._directory import Directory
 from skylarkdoord.entry._dispatch import Dispatcher
 from skylarkdoord.entry._offers import OfferRound, Taken
+from skylarkdoord.entry._peer import SidecarPeer
 from skylarkdoord.entry._policies import policies
 from skylarkdoord.entry._request import EntryRequest
 from skylarkdoord.exceptions import NotRunError, RefusedError
@@ -23,14 +26,16 @@
     """
 
     name = "router"
-    requires: tuple[str, ...] = ("directory",)
+    requires: tuple[str, ...] = ("admission", "directory")
 
     def __init__(self, settings: ProcessSettings) -> None:
         self.settings = settings
-        self.policies = policies()
+        self.affinity = AffinityTable()
+        self.policies = policies(self.affinity)
 
     async def start(self, kernel: Kernel) -> None:
         """Open the connections to sidecars."""
+        self.admission = kernel.find("admission", Admission)
         self.directory = kernel.find("directory", Directory)
         self.dispatcher = Dispatcher()
 
@@ -46,12 +51,15 @@
             OutcomeUnknownError: It was dispatched and its outcome is not known.
         """
         excluded: set[str] = set()
+        self.admission.retries.deposit()
         for _ in range(MAX_TRIES):
             taken = await self.acquire(request, excluded)
             try:
                 return await self.dispatcher.send(request, taken)
             except NotRunError:
                 excluded.add(taken.peer.instance)
+                if not self.admission.retries.spend():
+                    break
         raise RefusedError(
             "unavailable", "no upstream took the request", retry_after_s=1
         )
@@ -62,14 +70,18 @@
         Raises:
             RefusedError: None takes the request in time.
         """
-        peers = [
-            peer
-            for peer in self.directory.of_pool(request.pool_name)
-            if peer.instance not in excluded
-        ]
+
+        def reach() -> list[SidecarPeer]:
+            of_pool = self.directory.of_pool(request.pool_name)
+            return [peer for peer in of_pool if peer.instance not in excluded]
+
+        peers = reach()
         choice = self.policies[request.pool.policy].choose(request, peers)
         with tracing.span(
             "offer", request.context, request_id=request.request_id, reach=len(peers)
         ):
-            round_ = OfferRound(request, choice.ranked, offers=choice.offers)
-            return await round_.take()
+            round_ = OfferRound(request, choice, reach=reach)
+            with self.admission.waiting.join(request, round_.shed):
+                taken = await round_.take()
+        self.affinity.note(request.model, request.prefix_hashes, taken.peer.instance)
+        return taken
