--- a/packages/skylarkdoord/tests/test_tiers.py
+++ b/packages/skylarkdoord/tests/entry/test_offers.py
@@ -1,4 +1,4 @@
-"""Tiers over several sidecars: rounds of offers against real schedulers."""
+"""Rounds of offers, against real schedulers: tiers over several sidecars."""
 
 import asyncio
 import itertools
