--- a/packages/skylarkdoor/src/skylarkdoor/settings/_shared.py
+++ b/packages/skylarkdoor/src/skylarkdoor/settings/_shared.py
@@ -59,7 +59,8 @@
             idempotent.
         policy: How an entry chooses among the upstreams.
         offers: Sidecars that get the offer of one request.
-        queue_limit: Requests that may wait at one sidecar.
+        queue_limit: Offers that may wait at one sidecar; one request may have
+            several.
         max_running: Most requests inside one upstream.
         min_running: Fewest to which the adaptive limit falls.
         adaptive_limit: Whether the limit follows the tiers' targets.
@@ -73,7 +74,7 @@
     routes: tuple[Route, ...] = ()
     policy: PolicyName = "late-binding"
     offers: Count = 3
-    queue_limit: Count = 64
+    queue_limit: Count = 256
     max_running: Count = 16
     min_running: Count = 1
     adaptive_limit: bool = True
--- a/packages/skylarkdoord/src/skylarkdoord/entry/__init__.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/__init__.py
@@ -2,6 +2,7 @@
 
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import ProcessSettings
+from skylarkdoord.admin import AdminService
 from skylarkdoord.common import InternalServer, Platform, SettingsService
 from skylarkdoord.entry._admission import Admission
 from skylarkdoord.entry._callers import CallerServer
@@ -16,8 +17,9 @@
     """Register the services of an entry."""
     kernel.register(Platform(settings.platform))
     kernel.register(SettingsService())
+    kernel.register(AdminService(settings))
     kernel.register(
-        InternalServer(settings, requires=("settings", "directory", "explain"))
+        InternalServer(settings, requires=("settings", "directory", "admin", "explain"))
     )
     kernel.register(Directory(settings))
     kernel.register(Explain())
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-import aiohttp
 from aiohttp import web
 from prometheus_client import Counter
 
@@ -12,10 +11,10 @@
 from skylarkdoor.settings import ProcessSettings
 from skylarkdoord import _events
 from skylarkdoord.common import InternalServer, SettingsService
-from skylarkdoord.common import _headers as headers
 from skylarkdoord.entry import _parse as parse
 from skylarkdoord.entry._admission import Admission
 from skylarkdoord.entry._problems import problem
+from skylarkdoord.entry._relay import Relay
 from skylarkdoord.entry._request import EntryRequest
 from skylarkdoord.entry._router import Router
 from skylarkdoord.exceptions import OutcomeUnknownError, RefusedError
@@ -26,6 +25,8 @@
 STATUS_BY_CODE = {
     "concurrency_limited": 429,
     "deadline": 504,
+    "idempotency_key_reused": 422,
+    "quarantined": 422,
     "requests_limited": 429,
     "tokens_limited": 429,
 }
@@ -205,13 +206,15 @@
                 ) as here,
             ):
                 request.context = here
-                answer = await self.router.serve(request)
+                delivery = await self.router.serve(request)
                 outcome = "cut"
+                relay = Relay(raw, request, delivery.answer)
                 try:
-                    response = await self.relay(raw, request, answer)
+                    response = await relay.run()
                 finally:
-                    answer.close()
-                outcome = "answered"
+                    delivery.close()
+                if relay.whole:
+                    outcome = "answered"
                 return response
         except OutcomeUnknownError:
             outcome = "unknown"
@@ -222,38 +225,3 @@
         finally:
             tier = str(request.resolved.tier.rank)
             REQUESTS.labels(tier, outcome).inc()
-
-    async def relay(
-        self,
-        raw: web.Request,
-        request: EntryRequest,
-        answer: aiohttp.ClientResponse,
-    ) -> web.StreamResponse:
-        """Pass the answer on, whole or in chunks.
-
-        Raises:
-            OutcomeUnknownError: A whole answer was cut before anything was sent.
-        """
-        passed = headers.to_caller(answer.headers)
-        passed[headers.REQUEST_ID] = request.request_id
-        if answer.content_type != "text/event-stream":
-            try:
-                body = await answer.read()
-            except (aiohttp.ClientError, TimeoutError):
-                raise OutcomeUnknownError("the answer was cut") from None
-            return web.Response(status=answer.status, headers=passed, body=body)
-        response = web.StreamResponse(status=answer.status, headers=passed)
-        await response.prepare(raw)
-        try:
-            async for chunk in answer.content.iter_any():
-                await response.write(chunk)
-        except (aiohttp.ClientError, TimeoutError) as error:
-            self.log.event(
-                _events.ANSWER_CUT, request_id=request.request_id, error=repr(error)
-            )
-            # A closed connection can't be taken for a whole answer.
-            if raw.transport is not None:
-                raw.transport.abort()
-            return response
-        await response.write_eof()
-        return response
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_ranking.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_ranking.py
@@ -7,6 +7,7 @@
 from skylarkdoord.entry._peer import SidecarPeer
 
 STRAGGLER_FACTOR = 2.0
+UNKNOWN_SERVICE_S = 1.0
 
 
 class Work(NamedTuple):
@@ -111,8 +112,8 @@
         return 0.0
     ahead = sum(load.waiting_by_tier[: tier + 1]) + peer.charged
     if load.drain_per_second:
-        return float(ahead + 1) / load.drain_per_second
-    return float(ahead + 1) * service_s / max(1, load.limit)
+        return (ahead + 1) / load.drain_per_second
+    return (ahead + 1) * (service_s or UNKNOWN_SERVICE_S) / max(1, load.limit)
 
 
 def _per(tokens: float, per_s: float) -> float:
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_estimates.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_estimates.py
@@ -128,6 +128,16 @@
         """Return the estimate of a model's decoding."""
         return self.decode.setdefault(model, DecodeEstimate())
 
+    def learn_first(self, model: str, tokens: int, seconds: float) -> None:
+        """Take in the time to the first token of a prompt.
+
+        A slow spell shows at once in the time between tokens, so prefill is
+        learned in proportion to it.
+        """
+        self.touch()
+        usual_s = seconds / self.of_decode(model).slowdown
+        self.of_prefill(model).learn(tokens, usual_s)
+
     def learn_whole(self, model: str, seconds: float) -> None:
         """Take in the time of an answer that came in one piece."""
         self.touch()
@@ -143,7 +153,8 @@
     def prefill_s(self, offer: pb.Offer, *, cached: int = 0) -> float:
         """Return the time to compute an offer's prompt, in seconds."""
         tokens = max(0, offer.prompt_tokens - cached)
-        return tokens * self.of_prefill(offer.model).token_s()
+        usual_s = tokens * self.of_prefill(offer.model).token_s()
+        return usual_s * self.of_decode(offer.model).slowdown
 
     def service_s(self, offer: pb.Offer, running: int, *, cached: int = 0) -> float:
         """Return the time that an offer takes once it is dispatched, in seconds."""
@@ -158,7 +169,10 @@
 
         The slowest model counts; 0 stands for speeds that are not known yet.
         """
-        prefill = [known.token_s() for known in self.prefill.values()]
+        prefill = [
+            known.token_s() * self.of_decode(model).slowdown
+            for model, known in self.prefill.items()
+        ]
         decode = [known.token_s(running) for known in self.decode.values()]
         return _per_s(max(prefill, default=0.0)), _per_s(max(decode, default=0.0))
 
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_flights.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_flights.py
@@ -11,7 +11,6 @@
 EVENT_MARK = b"data:"
 MEASURED_PROMPT_TOKENS = 1
 LEAST_GAPS = 8
-OVERDUE_FACTOR = 3.0
 
 
 class Reserved(NamedTuple):
@@ -122,10 +121,8 @@
         offer, cached, _ = flight.reserved
         self._computed(offer.request_id)
         tokens = max(MEASURED_PROMPT_TOKENS, offer.prompt_tokens - cached)
-        prefill = self.estimates.of_prefill(offer.model)
-        own_s = tokens * prefill.token_s()
-        prefill.learn(tokens, seconds)
-        self.estimates.touch()
+        own_s = self.estimates.prefill_s(offer, cached=cached)
+        self.estimates.learn_first(offer.model, tokens, seconds)
         self.limit.firsts.append(max(0.0, seconds - own_s))
         self.on_computed(offer)
 
@@ -149,7 +146,7 @@
             self.estimates.learn_length(offer.model, share)
 
     def tick(self) -> None:
-        """Learn from the gaps since the last call, and free overdue prefill."""
+        """Learn from the gaps since the last call, and free hidden prefill."""
         for model, gaps in self.gaps.items():
             if gaps.count >= LEAST_GAPS:
                 mean_s = gaps.seconds / gaps.count
@@ -159,8 +156,9 @@
         # An answer in one piece doesn't show when its prompt was computed.
         now = time.monotonic()
         for request_id, flight in self.flying.items():
-            prefill_s = self.prefilling.get(request_id, 0.0)
-            if prefill_s and now - flight.started_at > OVERDUE_FACTOR * prefill_s:
+            if flight.reserved.offer.streamed:
+                continue
+            if now - flight.started_at > self.prefilling.get(request_id, 0.0):
                 self._computed(request_id)
 
     def _computed(self, request_id: str) -> None:
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_scheduler.py
@@ -23,12 +23,11 @@
 from skylarkdoord.sidecar._fairness import WaitingOffer
 from skylarkdoord.sidecar._flights import Flights, Reserved
 from skylarkdoord.sidecar._health import UpstreamWatch
-from skylarkdoord.sidecar._ledger import Ledger, Phase
+from skylarkdoord.sidecar._ledger import GRANT_TIMEOUT_S, Ledger, Phase
 from skylarkdoord.sidecar._limits import AdaptiveLimit, Targets
 from skylarkdoord.sidecar._prefixes import HeldPrefixes
 from skylarkdoord.sidecar._queue import OfferQueue
 
-GRANT_TIMEOUT_S = 2.0
 TICK_S = 0.1
 LEAST_RETRY_AFTER_S = 1.0
 MOST_RETRY_AFTER_S = 30.0
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Whole deployments for the tests of this folder."""
+"""Fixtures of the tests that run whole deployments."""
 
 from skylarkdoor_bench.testing import start_cluster
 
