--- a/packages/skylarkdoor/src/skylarkdoor/settings/_shared.py
+++ b/packages/skylarkdoor/src/skylarkdoor/settings/_shared.py
@@ -66,9 +66,12 @@
             idempotent.
         policy: How an entry chooses among the upstreams.
         offers: Sidecars that get the offer of one request.
-        queue_limit: Requests that may wait at one sidecar.
+        queue_limit: Offers that may wait at one sidecar; one request may have
+            several.
         max_running: Most requests inside one upstream.
         min_running: Fewest to which the adaptive limit falls.
+        adaptive_limit: Whether the limit follows the tiers' targets.
+        cache_tokens: Prompt tokens that an engine's prefix cache holds.
         min_share: Share of the pool that is offered work however slow.
         fencing: Whether the engines check fencing numbers on orders.
     """
@@ -78,9 +81,11 @@
     routes: tuple[Route, ...] = ()
     policy: PolicyName = "late-binding"
     offers: Count = 3
-    queue_limit: Count = 64
+    queue_limit: Count = 256
     max_running: Count = 16
     min_running: Count = 1
+    adaptive_limit: bool = True
+    cache_tokens: Annotated[int, Meta(ge=0)] = 65536
     min_share: Ratio = 0.5
     fencing: Literal["check", "ignore"] = "ignore"
 
--- a/packages/skylarkdoord/src/skylarkdoord/entry/__init__.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/__init__.py
@@ -4,11 +4,13 @@
 from skylarkdoor.settings import ProcessSettings
 from skylarkdoord.admin import AdminService
 from skylarkdoord.common import InternalServer, Platform, SettingsService, TlsService
+from skylarkdoord.entry._admission import Admission
 from skylarkdoord.entry._callers import CallerServer
 from skylarkdoord.entry._directory import Directory
+from skylarkdoord.entry._explain import Explain
 from skylarkdoord.entry._router import Router
 
-__all__ = ["CallerServer", "Directory", "Router", "build"]
+__all__ = ["Admission", "CallerServer", "Directory", "Explain", "Router", "build"]
 
 
 def build(kernel: Kernel, settings: ProcessSettings) -> None:
@@ -18,8 +20,10 @@
     kernel.register(SettingsService())
     kernel.register(AdminService(settings))
     kernel.register(
-        InternalServer(settings, requires=("settings", "directory", "admin"))
+        InternalServer(settings, requires=("settings", "directory", "admin", "explain"))
     )
     kernel.register(Directory(settings))
+    kernel.register(Explain())
+    kernel.register(Admission(settings))
     kernel.register(Router(settings))
     kernel.register(CallerServer(settings))
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
@@ -12,6 +12,7 @@
 from skylarkdoord import _events
 from skylarkdoord.common import InternalServer, SettingsService, TlsService
 from skylarkdoord.entry import _parse as parse
+from skylarkdoord.entry._admission import Admission
 from skylarkdoord.entry._problems import problem
 from skylarkdoord.entry._relay import Relay
 from skylarkdoord.entry._request import EntryRequest
@@ -22,9 +23,12 @@
 LEAVING_RETRY_AFTER_S = 1.0
 DRAIN_NOTICE_S = 1.0
 STATUS_BY_CODE = {
+    "concurrency_limited": 429,
     "deadline": 504,
     "idempotency_key_reused": 422,
     "quarantined": 422,
+    "requests_limited": 429,
+    "tokens_limited": 429,
 }
 
 REQUESTS = Counter(
@@ -58,6 +62,7 @@
     async def start(self, kernel: Kernel) -> None:
         """Listen on the callers' address."""
         self.router = kernel.find("router", Router)
+        self.admission = kernel.find("admission", Admission)
         self.settings_service = kernel.find("settings", SettingsService)
         self.internal = kernel.find("internal", InternalServer)
         self.internal.add_ready_check("leaving", lambda: not self.leaving)
@@ -196,9 +201,12 @@
         """Have the request run and relay its answer."""
         outcome = "refused"
         try:
-            with tracing.span(
-                "entry", request.context, request_id=request.request_id
-            ) as here:
+            with (
+                self.admission.customers.admit(request),
+                tracing.span(
+                    "entry", request.context, request_id=request.request_id
+                ) as here,
+            ):
                 request.context = here
                 delivery = await self.router.serve(request)
                 outcome = "cut"
