Show slowdown and explanations, and run the client against real processes

The explanation's shape is settled, so it has a table of its own in place of a generic one. The client runs as a process against a small deployment: revisions, a conflict and what changed, a refusal with its line, scopes and the instances.

--- a/packages/skylarkdoor-client/src/skylarkdoor_client/_answers.py
+++ b/packages/skylarkdoor-client/src/skylarkdoor_client/_answers.py
@@ -23,6 +23,8 @@
         answer: The decoded body.
     """
     said = answer.get("error") if isinstance(answer, dict) else None
+    if isinstance(said, str):
+        said = {"message": said}
     if not isinstance(said, dict):
         return AnswerError(f"unexpected answer with status {status}")
     message = str(said.get("message", ""))
--- a/packages/skylarkdoor-client/src/skylarkdoor_client/_explain.py
+++ b/packages/skylarkdoor-client/src/skylarkdoor_client/_explain.py
@@ -1,37 +1,43 @@
 """An explanation as text."""
 
-import json
 from typing import Any
 
 from skylarkdoor_client._table import table
 
-
-def explain_text(said: dict[str, Any]) -> str:
-    """Return plain fields line by line, then each list of objects as a table."""
-    lines = []
-    tables = []
-    for name, value in said.items():
-        if _is_rows(value):
-            tables.append(f"{_title(name)}:\n{_rows(value)}")
-        else:
-            shown = value if isinstance(value, str) else json.dumps(value)
-            lines.append(f"{_title(name)}: {shown}")
-    return "\n\n".join(part for part in ("\n".join(lines), *tables) if part)
+HEAD = (
+    "sidecar",
+    "data centre",
+    "offered",
+    "reason",
+    "wait s",
+    "service s",
+    "running/limit",
+    "waiting by tier",
+    "slowdown",
+    "report age s",
+)
 
 
-def _is_rows(value: Any) -> bool:
-    return (
-        isinstance(value, list)
-        and bool(value)
-        and all(isinstance(item, dict) for item in value)
+def explain_text(said: dict[str, Any]) -> str:
+    """Return how the pool chooses, then its sidecars, the best first."""
+    head = (
+        f"pool {said.get('pool')}, tier {said.get('tier')}, "
+        f"policy {said.get('policy')}: offered to {said.get('offers')} at once"
     )
-
-
-def _rows(rows: list[dict[str, Any]]) -> str:
-    columns = list(dict.fromkeys(name for row in rows for name in row))
-    head = [_title(name) for name in columns]
-    return table(head, [[row.get(name) for name in columns] for row in rows])
-
-
-def _title(name: str) -> str:
-    return name.replace("_", " ")
+    rows = [_row(item) for item in said.get("ranking", ())]
+    return f"{head}\n\n{table(HEAD, rows)}"
+
+
+def _row(item: dict[str, Any]) -> list[object]:
+    return [
+        item.get("instance"),
+        item.get("data_centre"),
+        item.get("usable"),
+        str(item.get("reason", "")).replace("_", " "),
+        item.get("wait_s"),
+        item.get("service_s"),
+        f"{item.get('running')}/{item.get('limit')}",
+        item.get("waiting_by_tier"),
+        item.get("slowdown"),
+        item.get("report_age_s"),
+    ]
--- a/packages/skylarkdoor-client/src/skylarkdoor_client/_status.py
+++ b/packages/skylarkdoor-client/src/skylarkdoor_client/_status.py
@@ -13,6 +13,7 @@
     "ready",
     "running/limit",
     "waiting by tier",
+    "slowdown",
     "notes",
 )
 
@@ -50,6 +51,7 @@
         said.get("ready"),
         running,
         scheduler.get("waiting_by_tier"),
+        scheduler.get("slowdown"),
         _notes(item, scheduler, said),
     ]
 
--- a/packages/skylarkdoor-client/tests/conftest.py
+++ b/packages/skylarkdoor-client/tests/conftest.py
@@ -9,8 +9,11 @@
 from aiohttp.test_utils import TestServer
 from click.testing import CliRunner, Result
 
+from skylarkdoor_bench.testing import start_cluster
 from skylarkdoor_client.cli import main
 
+__all__ = ["FakeAdmin", "Received", "admin", "start_cluster"]
+
 
 class Received(NamedTuple):
     """A request that the API was sent."""
--- a/packages/skylarkdoor-client/tests/test_fleet_commands.py
+++ b/packages/skylarkdoor-client/tests/test_fleet_commands.py
@@ -26,6 +26,7 @@
                 "limit": 8,
                 "waiting_by_tier": [0, 2],
                 "leaving": True,
+                "slowdown": 1.5,
                 "straggler": True,
                 "upstream_up": True,
             },
@@ -53,7 +54,7 @@
         lines = (await admin.run("status")).output.splitlines()
         assert lines[1].split() == ["entry-1", "teika", "live", "yes", "3"]
         assert "4/8" in lines[4]
-        assert lines[4].endswith("0 2              leaving, straggler")
+        assert lines[4].split()[-4:] == ["2", "1.5", "leaving,", "straggler"]
         assert lines[5].endswith("does not answer")
 
     async def test_json(self, admin):
@@ -84,14 +85,15 @@
     """`explain`."""
 
     async def test_text(self, admin):
-        """Facts come line by line and candidates as a table."""
+        """How the pool chooses and why each sidecar stands where it does."""
+        first = {"instance": "sidecar-1", "usable": True, "reason": "has_room"}
+        second = {"instance": "sidecar-2", "usable": False, "reason": "leaving"}
         said = {
-            "tier": "lookup",
+            "pool": "assistant",
             "policy": "late-binding",
-            "candidates": [
-                {"instance": "sidecar-1", "finish_s": 0.25, "reason": "most room"},
-                {"instance": "sidecar-2", "reason": "leaving"},
-            ],
+            "offers": 3,
+            "tier": 1,
+            "ranking": [first, second],
         }
         admin.answers["POST", "/admin/explain"] = (200, said)
         arguments = ["--team", "seed", "--customer", "a", "--model", "garden-7b"]
@@ -103,8 +105,18 @@
             "prompt_tokens": 90,
             "max_tokens": 0,
         }
-        assert "policy: late-binding" in result.output
-        assert "sidecar-2  -         leaving" in result.output
+        lines = result.output.splitlines()
+        assert "policy late-binding: offered to 3 at once" in lines[0]
+        assert "has room" in lines[3]
+        assert "leaving" in lines[4]
+
+    async def test_absent(self, admin):
+        """A customer that does not exist is absent."""
+        admin.answers["POST", "/admin/explain"] = (404, {"error": "no such customer"})
+        arguments = ["--team", "seed", "--customer", "a", "--pool", "registry"]
+        result = await admin.run("explain", *arguments)
+        assert result.exit_code == ExitCode.ABSENT
+        assert "no such customer" in result.output
 
     async def test_no_target(self, admin):
         """Neither model nor pool is wrong usage."""
--- /dev/null
+++ b/packages/skylarkdoor-client/tests/test_process.py
@@ -0,0 +1,115 @@
+"""The client as a process against the processes of a deployment."""
+
+import asyncio
+import json
+import os
+import sys
+from typing import NamedTuple
+
+import pytest
+
+from skylarkdoor.hashing import key_hash
+from skylarkdoor.settings import Operator
+from skylarkdoor_bench import Cluster, small_demo
+from skylarkdoor_client.exceptions import ExitCode
+
+OPERATIONS_TOKEN = "operations-token"
+TEAM_TOKEN = "gardens-token"
+OPERATORS = {
+    "ada": Operator((key_hash(OPERATIONS_TOKEN),), "/"),
+    "gardens-lead": Operator((key_hash(TEAM_TOKEN),), "/teams/gardens"),
+}
+SIDECAR = "sidecar-engine-1"
+
+
+class Ended(NamedTuple):
+    """How a run of the client ended."""
+
+    status: int
+    output: str
+    errors: str
+
+
+class Client:
+    """Runs the client against one entry."""
+
+    def __init__(self, cluster: Cluster):
+        self.cluster = cluster
+        self.url = cluster.daemons["entry-1"].internal_url
+
+    async def run(self, *arguments: str, token: str = OPERATIONS_TOKEN) -> Ended:
+        """Run the client and return how it ended."""
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "skylarkdoor_client",
+            *arguments,
+            env=os.environ
+            | {"SKYLARKDOOR_ENTRY": self.url, "SKYLARKDOOR_TOKEN": token},
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+        )
+        output, errors = await process.communicate()
+        return Ended(process.returncode, output.decode(), errors.decode())
+
+
+@pytest.fixture
+async def client(start_cluster):
+    """Return a client of a small deployment with two operators."""
+    deployment = small_demo()
+    fleet = deployment.fleet._replace(operators=OPERATORS)
+    return Client(await start_cluster(deployment._replace(fleet=fleet)))
+
+
+class TestSettings:
+    """Settings through a real entry."""
+
+    async def test_change_and_conflict(self, client):
+        """A change raises the revision; a second one that expects the old is told."""
+        path = "/fleet/tiers/lookup/deadline_s"
+        change = ("settings", "set", path, "3", "--expect-revision", "1")
+        done = await client.run(*change)
+        assert (done.status, done.errors) == (ExitCode.OK, "")
+        assert "/fleet is at revision 2" in done.output
+        lost = await client.run(*change)
+        assert lost.status == ExitCode.CONFLICT
+        assert "ada made revision 2 first" in lost.errors
+        assert f"changed meanwhile: {path}" in lost.errors
+        read = await client.run("--json", "settings", "get", path)
+        assert json.loads(read.output)["document"] == 3
+        history = await client.run("settings", "history", path)
+        assert history.output.splitlines()[-1].split()[:2] == ["2", "ada"]
+
+    async def test_refused_with_line(self, client, tmp_path):
+        """A name that nothing defines is refused by the entry, with the line."""
+        team = tmp_path / "gardens.jsonc"
+        team.write_text(
+            '{"customers": {\n  "a": {\n    "key_hashes": [],\n'
+            '    "tier": "gold",\n    "pools": []}}}'
+        )
+        ended = await client.run("settings", "apply", str(team), "/teams/gardens")
+        assert ended.status == ExitCode.INVALID
+        assert f"{team}: line 4: /teams/gardens/customers/a/tier" in ended.errors
+
+    async def test_scope(self, client):
+        """A team's operator changes that team's subtree alone."""
+        own = "/teams/gardens/customers/teika-garden/weight"
+        done = await client.run("settings", "set", own, "2", token=TEAM_TOKEN)
+        assert done.status == ExitCode.OK
+        other = "/fleet/tiers/lookup/deadline_s"
+        denied = await client.run("settings", "set", other, "2", token=TEAM_TOKEN)
+        assert denied.status == ExitCode.DENIED
+        stranger = await client.run("settings", "get", own, token="nobody's")
+        assert stranger.status == ExitCode.DENIED
+
+
+class TestFleet:
+    """Instances through a real entry."""
+
+    async def test_status(self, client):
+        """Every instance listed is shown, with its data centre and its load."""
+        ended = await client.run("status")
+        assert ended.status == ExitCode.OK
+        (line,) = [line for line in ended.output.splitlines() if SIDECAR in line]
+        assert line.split()[:5] == [SIDECAR, "teika", "assistant", "live", "yes"]
+        assert "entry-2" in ended.output
