Reserve test ports against other launchers

Cause: two launchers on one machine could choose the same port between the probe and the server's start, and test_usable bound its port without SO_REUSEADDR, so a port whose last connection was still in TIME_WAIT failed it. Ruled out: a process left over (none was). The test now opens a server as the processes do, and a second test holds the reservation.

--- a/packages/skylarkdoor-bench/src/skylarkdoor_bench/_ports.py
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_ports.py
@@ -8,7 +8,9 @@
 _PORTS = range(20_000, 32_000)
 _MOST_TRIES = 1000
 
-_given: set[int] = set()
+# A bound UDP socket keeps a port from the launchers of other processes until
+# this process ends, and leaves its TCP side to the server that it is for.
+_reservations: dict[int, socket.socket] = {}
 _random = random.SystemRandom()
 
 
@@ -24,12 +26,22 @@
     """
     for _ in range(_MOST_TRIES):
         port = _random.choice(_PORTS)
-        if port not in _given and _is_free(port):
-            _given.add(port)
+        if port not in _reservations and _reserve(port):
             return port
     raise NoFreePortError
 
 
+def _reserve(port: int) -> bool:
+    reservation = socket.socket(type=socket.SOCK_DGRAM)
+    try:
+        reservation.bind((HOST, port))
+    except OSError:
+        reservation.close()
+        return False
+    _reservations[port] = reservation
+    return _is_free(port)
+
+
 def _is_free(port: int) -> bool:
     with socket.socket() as probe:
         probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/packages/skylarkdoor-bench/tests/test_ports.py
+++ b/packages/skylarkdoor-bench/tests/test_ports.py
@@ -1,17 +1,27 @@
 """Free ports."""
 
+import asyncio
 import socket
 
+import pytest
+
 from skylarkdoor_bench._ports import HOST, free_port
 
 
 class TestFreePort:
     """`free_port`."""
 
-    def test_usable(self):
-        """A port can be listened on."""
-        with socket.socket() as server:
-            server.bind((HOST, free_port()))
+    async def test_usable(self):
+        """A port can be listened on, as the processes' servers do."""
+        async with await asyncio.start_server(lambda *_: None, HOST, free_port()):
+            pass
+
+    def test_kept_from_others(self):
+        """A port that was returned can't be reserved by another launcher."""
+        port = free_port()
+        with socket.socket(type=socket.SOCK_DGRAM) as other:
+            with pytest.raises(OSError, match="in use"):
+                other.bind((HOST, port))
 
     def test_distinct(self):
         """No port is given twice."""
