Tell a slow spell from jitter, and let stragglers prove themselves

Slowdowns between 0.3 and 15 were reported for engines at their usual speed: the time between tokens was averaged over 0.1 s, in which one stall of the event loop or one prompt of another request decides. A straggler keeps its rank in proportion to its slowdown, and estimates fade within seconds without work: an engine taken for slow stood idle for 15 s before.

The limit falls through late first tokens to half its bound at most.

--- a/packages/skylarkdoord/src/skylarkdoord/entry/_policies.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_policies.py
@@ -8,7 +8,7 @@
 
 from skylarkdoord.entry._affinity import AffinityTable
 from skylarkdoord.entry._peer import SidecarPeer
-from skylarkdoord.entry._ranking import Estimate, Work, estimate_all
+from skylarkdoord.entry._ranking import Estimate, Work, estimate_all, slowdown
 from skylarkdoord.entry._request import EntryRequest
 
 STALE_LOAD_S = 1.0
@@ -50,7 +50,15 @@
         min_share=request.pool.min_share,
     )
     random.shuffle(found)
-    return sorted(found, key=lambda one: (one.straggler, one.finish_s))
+    return sorted(found, key=lambda one: (_is_passed_over(one), one.finish_s))
+
+
+def _is_passed_over(estimate: Estimate) -> bool:
+    # A straggler keeps its place now and then: without work it can't show that
+    # it has recovered.
+    if not estimate.straggler:
+        return False
+    return random.random() * slowdown(estimate.peer) > 1
 
 
 class LateBinding:
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_estimates.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_estimates.py
@@ -1,6 +1,9 @@
 """Speeds of the upstream, learned from its answers."""
 
+import statistics
 import time
+from collections.abc import Sequence
+from typing import NamedTuple
 
 from skylarkdoor.wire import pb
 
@@ -8,11 +11,14 @@
 OUTLIER_FACTOR = 8.0
 OUTLIER_S = 1.0
 FAST_SHARE = 0.2
+STRETCH_SHARE = 0.05
+LEAST_GAP_S = 1e-6
+MOST_SLOWDOWN = 20.0
 SLOW_SHARE = 0.01
 NORMAL_SLOWDOWN = 1.5
 LEAST_SLOPE_SHARE = 0.25
-FRESH_S = 5.0
-HALF_LIFE_S = 5.0
+FRESH_S = 2.0
+HALF_LIFE_S = 2.0
 
 
 class PrefillEstimate:
@@ -62,39 +68,69 @@
         return self.overhead_s() + tokens * self.token_s()
 
 
+def middle_mean(values: Sequence[float]) -> float:
+    """Return the mean of the middle half of some values."""
+    ordered = sorted(values)
+    quarter = len(ordered) // 4
+    return statistics.fmean(ordered[quarter : len(ordered) - quarter])
+
+
+class Usual(NamedTuple):
+    """What is usual for one size of batch.
+
+    Attributes:
+        gap_s: Time between tokens, in seconds.
+        samples: Samples behind it.
+    """
+
+    gap_s: float
+    samples: int
+
+
 class DecodeEstimate:
     """Time between tokens by the number of requests in the batch.
 
-    Each size of batch has a usual value; the recent samples in proportion to
-    it tell a slow spell from a full batch.
+    Each size of batch has a usual time, the mean of the middle half of the
+    gaps: tokens that were read together make some gaps too short and others
+    too long. Recent times in proportion to it tell a slow spell from a full
+    batch. What other requests' prompts add shows in the mean alone and is
+    learned apart.
     """
 
     def __init__(self) -> None:
-        self.usual_s: dict[int, float] = {}
+        self.usual: dict[int, Usual] = {}
         self.slowdown = 1.0
+        self.stretch = 1.0
 
-    def learn(self, gap_s: float, running: int) -> None:
-        """Take in a measured time between tokens."""
+    def learn(self, gaps_s: Sequence[float], running: int) -> None:
+        """Take in times between tokens that were measured together."""
+        middle_s = max(LEAST_GAP_S, middle_mean(gaps_s))
+        mean_s = statistics.fmean(gaps_s)
         size = running.bit_length()
-        usual = self.usual_s.setdefault(size, gap_s / self.slowdown)
-        ratio = gap_s / usual
+        usual = self.usual.get(size, Usual(middle_s / self.slowdown, 0))
+        ratio = min(middle_s / usual.gap_s, MOST_SLOWDOWN)
         self.slowdown += FAST_SHARE * (ratio - self.slowdown)
+        stretch = min(mean_s / middle_s, MOST_SLOWDOWN)
+        self.stretch += STRETCH_SHARE * (stretch - self.stretch)
+        self.usual[size] = usual
         if ratio < NORMAL_SLOWDOWN:
-            self.usual_s[size] = usual + SLOW_SHARE * (gap_s - usual)
+            share = max(SLOW_SHARE, 1 / (usual.samples + 1))
+            gap_s = usual.gap_s + share * (middle_s - usual.gap_s)
+            self.usual[size] = Usual(gap_s, usual.samples + 1)
 
     def token_s(self, running: int) -> float:
         """Return the expected time between tokens, in seconds; 0 if not known yet."""
-        if not self.usual_s:
+        if not self.usual:
             return 0.0
         size = running.bit_length()
-        nearest = min(self.usual_s, key=lambda known: abs(known - size))
-        return self.usual_s[nearest] * self.slowdown
+        nearest = min(self.usual, key=lambda known: abs(known - size))
+        return self.usual[nearest].gap_s * self.slowdown * self.stretch
 
     def least_s(self) -> float:
-        """Return the time between tokens of the smallest batch seen, as it is now."""
-        if not self.usual_s:
+        """Return the time between tokens of the fastest batch, as it is now."""
+        if not self.usual:
             return 0.0
-        return min(self.usual_s.values()) * self.slowdown
+        return min(usual.gap_s for usual in self.usual.values()) * self.slowdown
 
 
 class Estimates:
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_flights.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_flights.py
@@ -10,7 +10,8 @@
 
 EVENT_MARK = b"data:"
 MEASURED_PROMPT_TOKENS = 1
-LEAST_GAPS = 8
+LEAST_GAPS = 16
+LEARN_INTERVAL_S = 0.5
 
 
 class Reserved(NamedTuple):
@@ -27,14 +28,6 @@
     prefill_s: float
 
 
-class GapSum:
-    """Times between a model's tokens since the last look."""
-
-    def __init__(self) -> None:
-        self.seconds = 0.0
-        self.count = 0
-
-
 class Flight:
     """One dispatched request as its answer comes.
 
@@ -89,7 +82,8 @@
         self.estimates = estimates
         self.limit = limit
         self.on_computed = on_computed
-        self.gaps: dict[str, GapSum] = {}
+        self.gaps: dict[str, list[float]] = {}
+        self.learned_at = 0.0
         self.reserved: dict[str, Reserved] = {}
         self.flying: dict[str, Flight] = {}
         self.prefilling: dict[str, float] = {}
@@ -129,9 +123,7 @@
     def on_gap(self, flight: Flight, seconds: float) -> None:
         """Note the time between two tokens."""
         self.limit.gaps.append(seconds)
-        gaps = self.gaps.setdefault(flight.reserved.offer.model, GapSum())
-        gaps.seconds += seconds
-        gaps.count += 1
+        self.gaps.setdefault(flight.reserved.offer.model, []).append(seconds)
 
     def on_end(self, flight: Flight, seconds: float, *, whole: bool) -> None:
         """Learn the length of an answer, or the time of one in one piece."""
@@ -147,14 +139,21 @@
 
     def tick(self) -> None:
         """Learn from the gaps since the last call, and free hidden prefill."""
+        now = time.monotonic()
+        if now - self.learned_at > LEARN_INTERVAL_S:
+            self.learned_at = now
+            self._learn_gaps()
+        self._free_hidden(now)
+
+    def _learn_gaps(self) -> None:
         for model, gaps in self.gaps.items():
-            if gaps.count >= LEAST_GAPS:
-                mean_s = gaps.seconds / gaps.count
-                self.estimates.of_decode(model).learn(mean_s, self.running)
+            if len(gaps) >= LEAST_GAPS:
+                self.estimates.of_decode(model).learn(gaps, self.running)
                 self.estimates.touch()
-                self.gaps[model] = GapSum()
+                gaps.clear()
+
+    def _free_hidden(self, now: float) -> None:
         # An answer in one piece doesn't show when its prompt was computed.
-        now = time.monotonic()
         for request_id, flight in self.flying.items():
             if flight.reserved.offer.streamed:
                 continue
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_limits.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_limits.py
@@ -13,6 +13,7 @@
 DECREASE_FACTOR = 0.85
 TOLERANCE = 1.15
 ALONE_FACTOR = 1.25
+LATE_SHARE = 0.5
 
 
 class Targets(NamedTuple):
@@ -33,7 +34,9 @@
     The medians of recent times are compared with the targets: a prompt that
     another request has computed stretches single gaps, and no limit helps
     against that. A time that the upstream doesn't keep with few requests
-    either is no reason to go lower.
+    either is no reason to go lower. Late first tokens alone lower the limit to
+    `LATE_SHARE` of the upper bound at most: few requests keep the upstream
+    from using its batch, and a long prompt delays others at any limit.
 
     Args:
         value: The limit at the start.
@@ -93,10 +96,11 @@
         inter_token_s = max(targets.inter_token_s, ALONE_FACTOR * alone_s)
         slow = (gap_s or 0.0) > TOLERANCE * inter_token_s
         late = (first_s or 0.0) > targets.first_token_s
-        if slow or late:
+        least = self.least if slow else max(self.least, int(LATE_SHARE * self.most))
+        if slow or (late and self.value > least):
             # What runs now is what was measured; a limit far above it is void.
-            reached = min(self.exact, float(max(running, self.least)))
-            self.exact = max(float(self.least), reached * DECREASE_FACTOR)
+            reached = min(self.exact, float(max(running, least)))
+            self.exact = max(float(least), reached * DECREASE_FACTOR)
             self._forget(now)
         elif running >= self.value and (gap_s or 0.0) <= inter_token_s:
             self.exact = min(float(self.most), self.exact + 1)
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_scheduler.py
@@ -429,8 +429,9 @@
         present = [tier for tier in tiers if tier.rank in inside]
         if not present:
             return None
+        first_token_ms = min(tier.first_token_ms for tier in present)
         return Targets(
-            min(tier.first_token_ms for tier in present) / MS_PER_S,
+            first_token_ms / MS_PER_S * max(1.0, self.estimates.slowdown()),
             min(tier.inter_token_ms for tier in present) / MS_PER_S,
         )
 
