--- a/packages/skylarkdoord/src/skylarkdoord/admin/__init__.py
+++ b/packages/skylarkdoord/src/skylarkdoord/admin/__init__.py
@@ -1,6 +1,7 @@
 """The operators' API: settings, their history, instances and drains."""
 
+from skylarkdoord.admin._answers import with_errors
 from skylarkdoord.admin._operators import EVERYTHING, Caller, authenticate
 from skylarkdoord.admin._service import AdminService
 
-__all__ = ["EVERYTHING", "AdminService", "Caller", "authenticate"]
+__all__ = ["EVERYTHING", "AdminService", "Caller", "authenticate", "with_errors"]
--- a/packages/skylarkdoord/src/skylarkdoord/entry/__init__.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/__init__.py
@@ -22,7 +22,7 @@
         InternalServer(settings, requires=("settings", "directory", "admin", "explain"))
     )
     kernel.register(Directory(settings))
-    kernel.register(Explain())
+    kernel.register(Explain(settings))
     kernel.register(Admission(settings))
     kernel.register(Router(settings))
     kernel.register(CallerServer(settings))
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
@@ -34,6 +34,9 @@
 REQUESTS = Counter(
     "skylarkdoor_requests_total", "Requests answered.", ["tier", "outcome"]
 )
+GOODPUT = Counter(
+    "skylarkdoor_goodput_total", "Requests answered whole and in time.", ["tier"]
+)
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -215,6 +218,7 @@
                     delivery.close()
                 if relay.whole:
                     outcome = "answered"
+                    note_goodput(request)
                 return response
         except OutcomeUnknownError:
             outcome = "unknown"
@@ -225,3 +229,9 @@
         finally:
             tier = str(request.resolved.tier.rank)
             REQUESTS.labels(tier, outcome).inc()
+
+
+def note_goodput(request: EntryRequest) -> None:
+    """Count a request that was answered whole, if it was in time."""
+    if request.remaining_s() >= 0:
+        GOODPUT.labels(str(request.resolved.tier.rank)).inc()
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_explain.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_explain.py
@@ -6,7 +6,9 @@
 from aiohttp import web
 
 from skylarkdoor.kernel import Kernel
-from skylarkdoor.settings import Pool, Resolved
+from skylarkdoor.settings import Pool, ProcessSettings, Resolved, team_path
+from skylarkdoord.admin import authenticate, with_errors
+from skylarkdoord.admin.exceptions import AbsentError, InvalidError, Problem
 from skylarkdoord.common import InternalServer, SettingsService
 from skylarkdoord.entry._directory import Directory
 from skylarkdoord.entry._peer import SidecarPeer
@@ -90,31 +92,48 @@
 
 
 class Explain:
-    """Serves `POST /admin/explain`."""
+    """Serves `POST /admin/explain`.
+
+    Args:
+        settings: Settings of this process.
+    """
 
     name = "explain"
     requires: tuple[str, ...] = ("settings", "directory")
 
+    def __init__(self, settings: ProcessSettings) -> None:
+        self.settings = settings
+
     async def start(self, kernel: Kernel) -> None:
         """Add the route."""
         self.settings_service = kernel.find("settings", SettingsService)
         self.directory = kernel.find("directory", Directory)
         internal = kernel.find("internal", InternalServer)
-        internal.add_route("POST", "/admin/explain", self.post_explain)
+        internal.add_route("POST", "/admin/explain", with_errors(self.post_explain))
 
     async def stop(self) -> None:
         """Nothing is open."""
 
     async def post_explain(self, raw: web.Request) -> web.Response:
-        """Answer with an explanation."""
+        """Answer with an explanation.
+
+        Raises:
+            UnauthorizedError: The request bears no operator's token.
+            ScopeError: The team lies outside the operator's scope.
+            InvalidError: The question is malformed.
+            AbsentError: There is no such customer, or no pool for it.
+        """
+        hashes = self.settings.operator_token_hashes
+        fleet = self.settings_service.view.fleet
+        caller = authenticate(raw.headers, fleet, hashes)
         try:
             question = msgspec.convert(await raw.json(), Question)
         except (ValueError, msgspec.ValidationError) as error:
-            return web.json_response({"error": str(error)}, status=400)
+            raise InvalidError([Problem("", str(error))]) from None
+        caller.require(team_path(question.team))
         explanation = self.explain(question)
         if explanation is None:
-            absent = "no such customer, or no pool for it with this name or model"
-            return web.json_response({"error": absent}, status=404)
+            raise AbsentError("no such customer, or no pool for it by this name")
         return web.Response(
             body=msgspec.json.encode(_by_name(explanation)),
             content_type="application/json",
--- a/packages/skylarkdoord/tests/entry/test_explain.py
+++ b/packages/skylarkdoord/tests/entry/test_explain.py
@@ -33,7 +33,7 @@
         Subtree(FLEET_PATH, 1, Fleet({"swap": Tier(rank=1)}, {"assistant": pool}))
     )
     view.apply(Subtree("/teams/riga", 1, Team({"garden": customer})))
-    service = Explain()
+    service = Explain(SimpleNamespace(operator_token_hashes=()))
     service.settings_service = SimpleNamespace(view=view)
     peers = {
         "busy": make_peer("busy", waiting_by_tier=[4], drain_per_second=1.0, **SPEED),
