--- a/packages/skylarkdoor-client/src/skylarkdoor_client/_files.py
+++ b/packages/skylarkdoor-client/src/skylarkdoor_client/_files.py
@@ -113,13 +113,26 @@
             files.append(check_file(path, subtree))
         except SettingsError as error:
             problems.extend(error.problems)
-    by_subtree = {file.subtree: file for file in files if file.subtree != PROCESS}
+    by_subtree: dict[str, SettingsFile] = {}
+    for file in files:
+        if file.subtree == PROCESS:
+            continue
+        first = by_subtree.setdefault(file.subtree, file)
+        if first is not file:
+            problems.append(_held_twice(file, first))
     fleet = by_subtree.get(FLEET_PATH)
     if fleet is not None:
         problems.extend(_between(by_subtree))
     return Checked(tuple(files), tuple(problems), fleet is not None)
 
 
+def _held_twice(file: SettingsFile, first: SettingsFile) -> SettingsError:
+    return SettingsError(
+        f"holds {file.subtree} as {first.document.source} does",
+        source=file.document.source,
+    )
+
+
 def _between(files: dict[str, SettingsFile]) -> Iterator[SettingsError]:
     """Yield what is wrong between subtrees, each at its file and line."""
     fleet = files[FLEET_PATH].content
--- a/packages/skylarkdoor-client/src/skylarkdoor_client/cli.py
+++ b/packages/skylarkdoor-client/src/skylarkdoor_client/cli.py
@@ -6,6 +6,7 @@
 
 from skylarkdoor_client._context import Context, read_token
 from skylarkdoor_client._fleet_commands import drain, explain, status
+from skylarkdoor_client._key_command import key
 from skylarkdoor_client._settings_commands import settings
 
 
@@ -57,3 +58,4 @@
 main.add_command(status)
 main.add_command(drain)
 main.add_command(explain)
+main.add_command(key)
--- a/packages/skylarkdoor-client/tests/test_check.py
+++ b/packages/skylarkdoor-client/tests/test_check.py
@@ -59,6 +59,14 @@
         assert "unknown field `pool`; did you mean `pools`?" in result.output
         assert "seed.jsonc: line 1" in result.output
 
+    def test_two_deployments(self, tree):
+        """Two files that hold one subtree are no deployment."""
+        (tree / "other").mkdir()
+        (tree / "other" / "fleet.json").write_text(FLEET)
+        result = check(str(tree))
+        assert result.exit_code == ExitCode.INVALID
+        assert "fleet.json: holds /fleet as " in result.output
+
     def test_fine(self, tree):
         """Files that are right are listed as what they hold."""
         (tree / "teams" / "seed.jsonc").write_text('{"customers": {}}')
--- /dev/null
+++ b/packages/skylarkdoor-client/tests/test_key_command.py
@@ -0,0 +1,26 @@
+"""`skylarkdoor key`."""
+
+import json
+
+from click.testing import CliRunner
+
+from skylarkdoor.hashing import key_hash
+from skylarkdoor_client.cli import main
+
+
+class TestKey:
+    """`key`."""
+
+    def test_made(self):
+        """A new key comes with the hash under which it is kept, no two alike."""
+        first, second = (
+            json.loads(CliRunner().invoke(main, ["--json", "key"]).output)
+            for _ in range(2)
+        )
+        assert first["hash"] == key_hash(first["key"])
+        assert first["key"] != second["key"]
+
+    def test_given(self):
+        """A key given is hashed without its line's end, and not shown."""
+        result = CliRunner().invoke(main, ["key", "--stdin"], input="sk-1\n")
+        assert result.output == f"hash: {key_hash('sk-1')}\n"
--- a/packages/skylarkdoor/src/skylarkdoor/_events.py
+++ b/packages/skylarkdoor/src/skylarkdoor/_events.py
@@ -74,8 +74,10 @@
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(
         JsonFormatter(
-            "%(asctime)s %(levelname)s %(name)s %(message)s",
+            "%(levelname)s %(name)s %(message)s",
+            rename_fields={"levelname": "level", "name": "part"},
             static_fields={"instance": instance},
+            timestamp=True,
         )
     )
     root = logging.getLogger(ROOT)
