Test the operators' client over TLS; log refused peers, not callers

A scan of the callers' port would have filled the log with event 420, which is about peers: callers present no certificate. The client reads instances through an entry whose calls to a sidecar go over mutual TLS, with a token alone.

--- a/packages/skylarkdoord/src/skylarkdoord/common/_tls.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_tls.py
@@ -82,7 +82,6 @@
         TlsError: A file cannot be loaded.
     """
     context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-    context.sslobject_class = _LoggedHandshake
     _load_own(context, files.certificate, files.key)
     return context
 
--- a/packages/skylarkdoord/tests/_inprocess.py
+++ b/packages/skylarkdoord/tests/_inprocess.py
@@ -8,6 +8,7 @@
 from aiohttp.test_utils import TestServer
 
 from skylarkdoor import tracing
+from skylarkdoor.hashing import key_hash
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import (
     CertificateFiles,
@@ -24,6 +25,8 @@
 from skylarkdoord import entry, sidecar
 from skylarkdoord.entry import Directory
 
+OPERATOR_TOKEN = "operator-token"
+
 
 def address() -> str:
     """Return an address on which nobody listens yet."""
@@ -77,7 +80,13 @@
     ) -> Kernel:
         """Start an entry and return its kernel."""
         listen = Listen(address(), callers=address(), tls=callers_tls)
-        settings = self.settings("entry-1", listen, internal_tls=tls)
+        settings = self.settings(
+            "entry-1",
+            listen,
+            internal_tls=tls,
+            operator_token_hashes=(key_hash(OPERATOR_TOKEN),),
+        )
+        self.internal = listen.internal
         self.callers = listen.callers
         return await self.run(entry.build, settings)
 
--- a/packages/skylarkdoord/tests/tls/test_mutual_tls.py
+++ b/packages/skylarkdoord/tests/tls/test_mutual_tls.py
@@ -8,9 +8,11 @@
 
 from skylarkdoor.settings import MutualTls, ProcessSettings, Upstream
 from skylarkdoor_bench import api_key
+from skylarkdoor_client._admin import AdminClient
+from skylarkdoor_client.exceptions import UnavailableError
 from skylarkdoor_standins import engine
 
-from .._inprocess import Deployment, connected, until
+from .._inprocess import OPERATOR_TOKEN, Deployment, connected, until
 
 CUSTOMER = "teika-garden"
 CHAT = {"model": "garden-7b", "messages": [{"role": "user", "content": "hello"}]}
@@ -60,6 +62,35 @@
         assert status == 200
 
 
+class TestOperators:
+    """The operators' client where the processes speak TLS."""
+
+    async def test_instances(self, deployment, authority):
+        """A token is enough, and the entry reaches the others over TLS."""
+        await run_sidecar(deployment, authority.issue("sidecar-1"))
+        kernel = await deployment.run_entry(tls=authority.issue("entry-1", "127.0.0.1"))
+        await until(lambda: connected(kernel))
+        async with AdminClient(
+            f"https://{deployment.internal}",
+            token=OPERATOR_TOKEN,
+            authority=str(authority.path),
+        ) as client:
+            (sidecar,) = await client.instances()
+            assert sidecar["error"] is None
+            assert sidecar["status"]["instance"] == "sidecar-1"
+
+    async def test_other_authority(self, deployment, authority, stranger):
+        """A client that trusts another authority sends no token."""
+        await deployment.run_entry(tls=authority.issue("entry-1", "127.0.0.1"))
+        async with AdminClient(
+            f"https://{deployment.internal}",
+            token=OPERATOR_TOKEN,
+            authority=str(stranger.path),
+        ) as client:
+            with pytest.raises(UnavailableError):
+                await client.instances()
+
+
 class TestUnknownPeers:
     """Processes whose certificates don't fit."""
 
