--- a/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
@@ -200,7 +200,7 @@
                 request.context = here
                 delivery = await self.router.serve(request)
                 outcome = "cut"
-                relay = Relay(raw, request, delivery.answer)
+                relay = Relay(raw, request, delivery)
                 try:
                     response = await relay.run()
                 finally:
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_delivery.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_delivery.py
@@ -1,7 +1,9 @@
 """One body's way to a sidecar, and the answer's way back."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+import time
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from typing import NamedTuple
 
 import aiohttp
@@ -9,7 +11,8 @@
 from skylarkdoord.entry._offers import Taken
 from skylarkdoord.exceptions import SidecarSilentError
 
-RECHECK_INTERVAL_S = 1.0
+CHECK_INTERVAL_S = 5.0
+GRACE_S = 0.5
 
 
 class Outcome(NamedTuple):
@@ -30,9 +33,10 @@
 class Delivery:
     """A body that is being sent and the answer to it.
 
-    While the control stream to the sidecar is lost, the sidecar is asked again
-    and again what it knows. If it does not answer, or says that the request
-    does not run, the connection is closed: it may be half open.
+    The sidecar is asked what it knows of the request when its control stream
+    is lost, and now and then while nothing comes. If it does not answer, or the
+    request does not run there any more, the connection is closed: it may be
+    half open.
 
     Args:
         taken: The grant that was taken.
@@ -43,7 +47,7 @@
         self.taken = taken
         self.ask = ask
         self.verdict: Outcome | None = None
-        self.silent = False
+        self.waiting_since: float | None = None
         self.answer: aiohttp.ClientResponse
         self.posting: asyncio.Task[aiohttp.ClientResponse] | None = None
         self.watching: asyncio.Task[None] | None = None
@@ -57,29 +61,62 @@
         """
         self.posting = asyncio.ensure_future(posting)
         self.watching = asyncio.create_task(self.watch())
-        try:
+        with self._waiting():
             await asyncio.wait({self.posting})
-        except asyncio.CancelledError:
-            self.close()
-            raise
         if self.posting.cancelled():
             raise SidecarSilentError
         self.answer = self.posting.result()
 
+    async def read_whole(self) -> bytes:
+        """Return the whole body of the answer.
+
+        Raises:
+            aiohttp.ClientError: The connection broke or was closed.
+        """
+        with self._waiting():
+            return await self.answer.read()
+
+    async def read_chunk(self) -> bytes:
+        """Return the next chunk of the answer, empty at its end.
+
+        Raises:
+            aiohttp.ClientError: The connection broke or was closed.
+        """
+        with self._waiting():
+            return await self.answer.content.readany()
+
     async def watch(self) -> None:
-        """Close the connection once the sidecar is silent."""
+        """Close the connection once nothing more can be expected of it."""
         while True:
-            await self.taken.peer.lost.wait()
+            await self._doubt()
             self.verdict = await self.ask()
-            if self.verdict is None or self.verdict.phase == "tombstoned":
+            # What ended may still be on its way.
+            await asyncio.sleep(GRACE_S)
+            runs = self.verdict is not None and self.verdict.phase == "dispatched"
+            if not runs and self._waited_s() >= GRACE_S:
                 break
-            # It runs, or it has ended and its answer is on the way.
-            await asyncio.sleep(RECHECK_INTERVAL_S)
-            if self.verdict.phase == "finished":
-                break
-        self.silent = True
         self.stop()
 
+    async def _doubt(self) -> None:
+        """Wait until the sidecar's silence gives a reason to ask."""
+        try:
+            async with asyncio.timeout(CHECK_INTERVAL_S):
+                await self.taken.peer.lost.wait()
+        except TimeoutError:
+            pass
+
+    @contextmanager
+    def _waiting(self) -> Iterator[None]:
+        self.waiting_since = time.monotonic()
+        try:
+            yield
+        finally:
+            self.waiting_since = None
+
+    def _waited_s(self) -> float:
+        since = self.waiting_since
+        return 0.0 if since is None else time.monotonic() - since
+
     def stop(self) -> None:
         """Close the connection; whoever waits for the answer gets an error."""
         if self.posting is None:
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_relay.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_relay.py
@@ -11,6 +11,7 @@
 from skylarkdoor import events
 from skylarkdoord import _events
 from skylarkdoord.common import _headers as headers
+from skylarkdoord.entry._delivery import Delivery
 from skylarkdoord.entry._request import EntryRequest
 from skylarkdoord.exceptions import OutcomeUnknownError
 
@@ -40,15 +41,16 @@
     Args:
         raw: The caller's request.
         request: The same as the entry handles it.
-        answer: What the sidecar answers.
+        delivery: The delivery whose answer has begun.
     """
 
     def __init__(
-        self, raw: web.Request, request: EntryRequest, answer: aiohttp.ClientResponse
+        self, raw: web.Request, request: EntryRequest, delivery: Delivery
     ) -> None:
         self.raw = raw
         self.request = request
-        self.answer = answer
+        self.delivery = delivery
+        self.answer = delivery.answer
         self.generated_tokens = 0
         self.whole = False
         self.log = events.get_logger("entry.relay")
@@ -74,7 +76,7 @@
             OutcomeUnknownError: It was cut.
         """
         try:
-            body = await self.answer.read()
+            body = await self.delivery.read_whole()
         except (aiohttp.ClientError, TimeoutError):
             raise OutcomeUnknownError("the answer was cut") from None
         self.generated_tokens = _completion_tokens(body) if self.request.model else 0
@@ -88,7 +90,7 @@
         response = web.StreamResponse(status=self.answer.status, headers=self.headers())
         await response.prepare(self.raw)
         try:
-            async for chunk in self.answer.content.iter_any():
+            while chunk := await self.delivery.read_chunk():
                 self.generated_tokens += chunk.count(EVENT_MARK)
                 await response.write(chunk)
         except aiohttp.ClientConnectionResetError:
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_claims.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_claims.py
@@ -11,7 +11,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-import aiohttp
 from aiohttp import web
 
 from skylarkdoor import events, invariants
@@ -49,6 +48,12 @@
     row_key,
 )
 from skylarkdoord.sidecar._group_commit import GroupCommit
+from skylarkdoord.sidecar._owners import (
+    INCARNATION_QUERY,
+    WAIT_QUERY,
+    HttpOwners,
+    Owners,
+)
 from skylarkdoord.sidecar._scheduler import Scheduler
 
 CLAIM_TRIES = 2
@@ -56,10 +61,7 @@
 STORE_PROBE_INTERVAL_S = 0.5
 MAX_ROW_BODY_BYTES = 64 * 1024
 JOIN_POLL_S = 2.0
-JOIN_GRACE_S = 1.0
 STOP_TIMEOUT_S = 10.0
-WAIT_QUERY = "wait_s"
-INCARNATION_QUERY = "incarnation"
 
 CLAIM_KEPT = invariants.define(
     "claim_kept", "The claim of a dispatched request is replaced only by its result."
@@ -116,14 +118,22 @@
         incarnation = kernel.find("scheduler", Scheduler).ledger.incarnation
         internal = kernel.find("internal", InternalServer)
         internal.add_route("POST", "/internal/claims/{operation}", self.post_claim)
-        self.session = aiohttp.ClientSession()
-        self.open(kernel, platform.table, platform.objects, incarnation)
+        self.http_owners = HttpOwners()
+        self.open(
+            kernel, platform.table, platform.objects, self.http_owners, incarnation
+        )
 
     def open(
-        self, kernel: Kernel, table: Table, objects: ObjectStore, incarnation: int
+        self,
+        kernel: Kernel,
+        table: Table,
+        objects: ObjectStore,
+        owners: Owners,
+        incarnation: int,
     ) -> None:
         """Begin to commit to the stores in this life of the process."""
         self.kernel = kernel
+        self.owners = owners
         self.table = table
         self.objects = objects
         self.incarnation = incarnation
@@ -134,7 +144,7 @@
         """Write what is not written yet, for a bounded time."""
         if self.writers:
             await asyncio.wait(self.writers, timeout=STOP_TIMEOUT_S)
-        await self.session.close()
+        await self.http_owners.close()
 
     async def acquire(
         self,
@@ -222,13 +232,33 @@
 
     async def post_claim(self, request: web.Request) -> web.Response:
         """Tell another sidecar what became of an operation of this one."""
-        operation = self.operations.get(request.match_info["operation"])
         if request.query[INCARNATION_QUERY] != str(self.incarnation):
             raise web.HTTPGone
-        if operation is None:
+        wait_s = float(request.query[WAIT_QUERY])
+        said = await self.tell(request.match_info["operation"], wait_s=wait_s)
+        if said is None:
             raise web.HTTPNotFound
-        ending = await _wait_ended(operation, float(request.query[WAIT_QUERY]))
-        return web.Response(body=encode(ending or operation.claim))
+        return web.Response(body=encode(said))
+
+    async def tell(self, operation_id: str, *, wait_s: float) -> ClaimRow | None:
+        """Return an own operation's ending, or its claim while it runs.
+
+        Args:
+            operation_id: The operation.
+            wait_s: Longest time to wait for the ending, in seconds.
+
+        Returns:
+            None if the operation is not known; its ending is in the table.
+        """
+        operation = self.operations.get(operation_id)
+        if operation is None:
+            return None
+        try:
+            async with asyncio.timeout(wait_s):
+                await operation.ended.wait()
+        except TimeoutError:
+            pass
+        return operation.ending or operation.claim
 
     def _begin(self, identity: str, fingerprint: str) -> Operation:
         claim = ClaimRow(
@@ -305,25 +335,10 @@
         Raises:
             OutcomeUnknownError: The owner is gone and left no ending.
         """
-        if found.incarnation == self.incarnation:
-            own = self.operations.get(found.operation)
-            if own is not None:
-                return await _wait_ended(own, wait_s) or found
-        said = await self._ask_owner(found, wait_s=wait_s)
+        said = await self.tell(found.operation, wait_s=wait_s)
+        said = said or await self.owners.ask(found, wait_s=wait_s)
         return said or await self._reread(key, found)
 
-    async def _ask_owner(self, found: ClaimRow, *, wait_s: float) -> ClaimRow | None:
-        url = f"http://{found.address}/internal/claims/{found.operation}"
-        query = {WAIT_QUERY: str(wait_s), INCARNATION_QUERY: str(found.incarnation)}
-        timeout = aiohttp.ClientTimeout(total=wait_s + JOIN_GRACE_S)
-        try:
-            async with self.session.post(url, params=query, timeout=timeout) as answer:
-                if answer.status != 200:
-                    return None
-                return decode(await answer.read())
-        except (aiohttp.ClientError, TimeoutError, ClaimRowError):
-            return None
-
     async def _reread(self, key: str, found: ClaimRow) -> ClaimRow:
         try:
             row = await self.table.get(key)
@@ -414,15 +429,6 @@
         task.add_done_callback(self.writers.discard)
 
 
-async def _wait_ended(operation: Operation, wait_s: float) -> ClaimRow | None:
-    try:
-        async with asyncio.timeout(wait_s):
-            await operation.ended.wait()
-    except TimeoutError:
-        pass
-    return operation.ending
-
-
 def _check_same_call(claim: ClaimRow, found: ClaimRow) -> None:
     if found.fingerprint != claim.fingerprint:
         raise RefusedError(
--- /dev/null
+++ b/packages/skylarkdoord/tests/sidecar/test_claims.py
@@ -0,0 +1,409 @@
+"""Tests of `skylarkdoord.sidecar._claims` with a table that fails."""
+
+import asyncio
+import math
+import selectors
+from collections.abc import Sequence
+from enum import Enum
+from typing import Any, NamedTuple
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from skylarkdoor.kernel import Kernel
+from skylarkdoor.platform import (
+    Absent,
+    Delete,
+    ObjectAbsent,
+    Put,
+    RevisionIs,
+    Row,
+    RowList,
+    TableTimeout,
+    TableUnavailable,
+    Txn,
+    TxnResult,
+    ValueIs,
+)
+from skylarkdoor.settings import Listen, PlatformAddresses, ProcessSettings
+from skylarkdoord.exceptions import NotRunError, OutcomeUnknownError
+from skylarkdoord.sidecar._claim_rows import ClaimRow, ClaimState, WholeAnswer
+from skylarkdoord.sidecar._claims import MAX_ROW_BODY_BYTES, Claims, Operation
+
+SETTLE_S = 6.0
+KEYS = ("key-1", "key-2")
+
+
+class Mode(Enum):
+    """What becomes of a commit."""
+
+    OK = "applied and answered"
+    DOWN = "certainly not applied"
+    LOST_ACK = "applied and not answered"
+    LATE = "not answered, applied some time later"
+    DROPPED = "not answered and never applied"
+
+
+class FakeTable:
+    """A table whose commits fail as it is told."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, Row] = {}
+        self.revision = 0
+        self.mode = Mode.OK
+        self.next_mode: Mode | None = None
+        self.late: list[Sequence[Txn]] = []
+
+    async def get(self, key: str) -> Row | None:
+        """Return a row."""
+        if self.mode is Mode.DOWN:
+            raise TableUnavailable("down")
+        return self.rows.get(key)
+
+    async def list(self, prefix: str, *, limit: int = 0) -> RowList:
+        """Return rows."""
+        rows = [row for key, row in self.rows.items() if key.startswith(prefix)]
+        return RowList(tuple(rows), self.revision)
+
+    async def commit(self, txns: Sequence[Txn]) -> Sequence[TxnResult]:
+        """Apply transactions or fail."""
+        await asyncio.sleep(0)
+        mode, self.next_mode = self.next_mode or self.mode, None
+        match mode:
+            case Mode.DOWN:
+                raise TableUnavailable("down")
+            case Mode.DROPPED:
+                raise TableTimeout("dropped")
+            case Mode.LATE:
+                self.late.append(txns)
+                raise TableTimeout("late")
+            case Mode.LOST_ACK:
+                self.apply(txns)
+                raise TableTimeout("lost")
+        return self.apply(txns)
+
+    def apply(self, txns: Sequence[Txn]) -> Sequence[TxnResult]:
+        """Apply transactions in their order."""
+        return [self._apply(txn) for txn in txns]
+
+    def _apply(self, txn: Txn) -> TxnResult:
+        if not all(self._holds(condition) for condition in txn.conditions):
+            found = [self.rows[key] for key in txn.reads if key in self.rows]
+            return TxnResult(False, tuple(found), self.revision)
+        for write in txn.writes:
+            assert not isinstance(write, Delete)
+            self._put(write)
+        return TxnResult(True, (), self.revision)
+
+    def _put(self, write: Put) -> None:
+        self.revision += 1
+        version = self.rows[write.key].version + 1 if write.key in self.rows else 1
+        row = Row(write.key, write.value, self.revision, version)
+        self.rows[write.key] = row
+
+    def _holds(self, condition: Absent | RevisionIs | ValueIs) -> bool:
+        row = self.rows.get(condition.key)
+        match condition:
+            case Absent():
+                return row is None
+            case RevisionIs(_, revision):
+                return row is not None and row.revision == revision
+            case ValueIs(_, value):
+                return row is not None and row.value == value
+
+
+class FakeObjects:
+    """An object store that always answers."""
+
+    def __init__(self) -> None:
+        self.objects: dict[str, bytes] = {}
+
+    async def get(self, key: str) -> bytes:
+        """Return an object."""
+        if key not in self.objects:
+            raise ObjectAbsent(key)
+        return self.objects[key]
+
+    async def put(self, key: str, data: bytes) -> None:
+        """Write an object."""
+        self.objects[key] = data
+
+
+class Sidecar:
+    """One life of a sidecar, as far as claims go."""
+
+    def __init__(self, world: "World", incarnation: int) -> None:
+        self.kernel = Kernel()
+        self.incarnation = incarnation
+        listen = Listen(internal=f"127.0.0.1:{incarnation}")
+        addresses = PlatformAddresses(("http://t",), "http://o", "http://i", "http://w")
+        name = f"sidecar-{incarnation}"
+        self.claims = Claims(ProcessSettings(name, "teika", listen, addresses))
+        objects: Any = world.objects
+        self.claims.open(self.kernel, world.table, objects, world, incarnation)
+
+    async def die(self) -> None:
+        """End every task at once."""
+        tasks = list(self.kernel.tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+class World:
+    """A table and the sidecars that live."""
+
+    def __init__(self) -> None:
+        self.table = FakeTable()
+        self.objects = FakeObjects()
+        self.lives = 0
+        self.sidecars = [self.start(), self.start()]
+
+    def start(self) -> Sidecar:
+        """Start a life of a sidecar."""
+        self.lives += 1
+        return Sidecar(self, self.lives)
+
+    async def ask(self, claim: ClaimRow, *, wait_s: float) -> ClaimRow | None:
+        """Ask the owner of a claim, if that life still lives."""
+        for sidecar in self.sidecars:
+            if sidecar.incarnation == claim.incarnation:
+                return await sidecar.claims.tell(claim.operation, wait_s=wait_s)
+        return None
+
+
+class _SkippingSelector(selectors.DefaultSelector):
+    """Skips the time that nothing happens in."""
+
+    skipped_s = 0.0
+
+    def select(self, timeout: float | None = None) -> Any:
+        """Return what is ready, or skip to the end of the wait."""
+        ready = super().select(0)
+        if not ready and timeout:
+            self.skipped_s += timeout
+        return ready
+
+
+class SkippingLoop(asyncio.SelectorEventLoop):
+    """An event loop in which waiting takes no time."""
+
+    def __init__(self) -> None:
+        self.skipping = _SkippingSelector()
+        super().__init__(self.skipping)
+
+    def time(self) -> float:
+        """Return the time with what was skipped."""
+        return super().time() + self.skipping.skipped_s
+
+
+async def acquire(
+    sidecar: Sidecar, key: str, *, fingerprint: str = "body"
+) -> Operation | ClaimRow:
+    """Claim a request without a deadline."""
+    return await sidecar.claims.acquire(
+        f"team/customer/{key}",
+        fingerprint,
+        deadline_at=math.inf,
+        before_join=lambda: None,
+    )
+
+
+class Run(NamedTuple):
+    """A request that holds its claim and has been given to the upstream."""
+
+    sidecar: Sidecar
+    key: str
+    operation: Operation
+
+
+class ClaimMachine(RuleBasedStateMachine):
+    """Requests are sent again and again while the table and sidecars fail."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loop = SkippingLoop()
+        self.world = self.loop.run_until_complete(self.make_world())
+        self.executions = dict.fromkeys(KEYS, 0)
+        self.answers: dict[str, bytes] = {}
+        self.unsure: set[str] = set()
+        self.running: list[Run] = []
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def make_world(self) -> World:
+        """Start the sidecars inside the loop."""
+        return World()
+
+    def settle(self) -> None:
+        """Let everything happen that can."""
+        self.loop.run_until_complete(asyncio.sleep(SETTLE_S))
+
+    async def serve(self, sidecar: Sidecar, key: str) -> None:
+        """Serve a request as a sidecar does, up to its dispatch."""
+        try:
+            claim = await acquire(sidecar, key)
+        except (NotRunError, OutcomeUnknownError):
+            return
+        if isinstance(claim, ClaimRow):
+            self.check_ending(key, claim)
+            return
+        self.executions[key] += 1
+        self.running.append(Run(sidecar, key, claim))
+
+    def check_ending(self, key: str, ending: ClaimRow) -> None:
+        """Compare a stored ending with what really happened."""
+        if ending.state is ClaimState.UNKNOWN:
+            assert key in self.unsure
+            return
+        assert ending.state is ClaimState.DONE
+        assert ending.answer is not None
+        assert ending.answer.body == self.answers[key]
+
+    def end(self, run: Run, answer: WholeAnswer | None) -> None:
+        """End a run inside the loop."""
+        self.loop.call_soon(run.sidecar.claims.finish, run.operation, answer)
+        self.loop.run_until_complete(asyncio.sleep(0))
+
+    def take_run(self, data: st.DataObject) -> Run | None:
+        """Draw one of the runs and take it off the list."""
+        if not self.running:
+            return None
+        place = data.draw(st.integers(0, len(self.running) - 1))
+        return self.running.pop(place)
+
+    @rule(place=st.integers(0, 1), key=st.sampled_from(KEYS), together=st.booleans())
+    def send(self, place: int, key: str, together: bool) -> None:
+        """A request comes, alone or while the last one is being claimed."""
+        sidecar = self.world.sidecars[place]
+        self.tasks.append(self.loop.create_task(self.serve(sidecar, key)))
+        if not together:
+            self.settle()
+
+    @rule(mode=st.sampled_from(Mode))
+    def fail(self, mode: Mode) -> None:
+        """The table begins or ceases to fail."""
+        self.world.table.mode = mode
+
+    @rule(mode=st.sampled_from(Mode))
+    def fail_once(self, mode: Mode) -> None:
+        """The next commit fails."""
+        self.world.table.next_mode = mode
+
+    @rule(data=st.data())
+    def land(self, data: st.DataObject) -> None:
+        """A commit that was late is applied, in any order with others."""
+        late = self.world.table.late
+        if late:
+            self.world.table.apply(late.pop(data.draw(st.integers(0, len(late) - 1))))
+
+    @rule(data=st.data())
+    def answer(self, data: st.DataObject) -> None:
+        """An upstream answers a run."""
+        run = self.take_run(data)
+        if run is not None:
+            body = f"{run.key} {self.executions[run.key]}".encode()
+            self.answers[run.key] = body
+            self.end(run, WholeAnswer(200, (), body))
+
+    @rule(data=st.data())
+    def cut(self, data: st.DataObject) -> None:
+        """An upstream cuts a run's answer."""
+        run = self.take_run(data)
+        if run is not None:
+            self.unsure.add(run.key)
+            self.end(run, None)
+
+    @rule(data=st.data())
+    def refuse(self, data: st.DataObject) -> None:
+        """An upstream could not be reached: the run never was one."""
+        run = self.take_run(data)
+        if run is not None:
+            self.executions[run.key] -= 1
+            self.loop.call_soon(run.sidecar.claims.abandon, run.operation)
+            self.loop.run_until_complete(asyncio.sleep(0))
+
+    @rule(place=st.integers(0, 1))
+    def kill(self, place: int) -> None:
+        """A sidecar dies, with what it knows, and a new one takes its place."""
+        dead = self.world.sidecars[place]
+        for operation in dead.claims.operations.values():
+            self.unsure.add(operation.key.rpartition("/")[2])
+        self.running = [run for run in self.running if run.sidecar is not dead]
+        self.loop.run_until_complete(dead.die())
+        self.world.sidecars[place] = self.loop.run_until_complete(self.start())
+
+    async def start(self) -> Sidecar:
+        """Start a life inside the loop."""
+        return self.world.start()
+
+    @invariant()
+    def at_most_once(self) -> None:
+        """No request runs a second time."""
+        assert max(self.executions.values()) <= 1, self.executions
+
+    @invariant()
+    def no_task_failed(self) -> None:
+        """No task of a sidecar has failed, nor any check in a request."""
+        for sidecar in self.world.sidecars:
+            assert not sidecar.kernel.failures
+        for task in self.tasks:
+            if task.done() and not task.cancelled():
+                task.result()
+
+    def teardown(self) -> None:
+        """Once all is well, a request that never ran can run."""
+        self.world.table.mode = Mode.OK
+        self.world.table.next_mode = None
+        self.settle()
+        while self.world.table.late:
+            self.world.table.apply(self.world.table.late.pop())
+        for run in list(self.running):
+            self.unsure.add(run.key)
+            self.end(run, None)
+        self.running.clear()
+        for key in KEYS:
+            sidecar = self.world.sidecars[0]
+            self.tasks.append(self.loop.create_task(self.serve(sidecar, key)))
+            self.settle()
+            self.at_most_once()
+            self.no_task_failed()
+            assert self.executions[key] == 1 or key in self.unsure
+        self.close()
+
+    def close(self) -> None:
+        """End every task."""
+        for sidecar in self.world.sidecars:
+            self.loop.run_until_complete(sidecar.die())
+        for task in self.tasks:
+            task.cancel()
+        self.loop.run_until_complete(asyncio.sleep(0))
+        self.loop.close()
+
+
+class TestMachine(ClaimMachine.TestCase):
+    """Whatever fails, a request runs at most once and its ending is told truly."""
+
+    settings = settings(
+        max_examples=250, stateful_step_count=10, deadline=None, derandomize=True
+    )
+
+
+class TestAnswers:
+    """Answers that are stored."""
+
+    async def test_large_body(self) -> None:
+        """A large body goes to the object store and comes back from there."""
+        world = World()
+        first, second = world.sidecars
+        body = b"x" * (MAX_ROW_BODY_BYTES + 1)
+        claim = await acquire(first, "key-1")
+        assert isinstance(claim, Operation)
+        first.claims.finish(claim, WholeAnswer(200, (), body))
+        await asyncio.gather(*first.claims.writers)
+        await first.die()
+        found = await acquire(second, "key-1")
+        assert isinstance(found, ClaimRow)
+        assert len(world.table.rows[claim.key].value) < MAX_ROW_BODY_BYTES
+        assert (await second.claims.read_answer(found)).body == body
+        await second.die()
--- /dev/null
+++ b/packages/skylarkdoord/tests/sidecar/test_upstream.py
@@ -0,0 +1,139 @@
+"""Tests of `skylarkdoord.sidecar._upstream`."""
+
+import asyncio
+import time
+from collections.abc import AsyncIterator
+
+import pytest
+from multidict import CIMultiDict
+
+from skylarkdoor.tracing import SpanContext
+from skylarkdoord.exceptions import (
+    AnswerCrossedError,
+    NotRunError,
+    UpstreamCutError,
+)
+from skylarkdoord.sidecar._call import Call
+from skylarkdoord.sidecar._upstream import UpstreamClient, has_marked_end
+
+METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+
+
+class RawServer:
+    """Answers each connection's first request with given bytes, then closes it."""
+
+    def __init__(self) -> None:
+        self.answer = b""
+        self.requests: list[bytes] = []
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve one connection."""
+        self.requests.append(await reader.readuntil(b"\r\n\r\n"))
+        writer.write(self.answer)
+        await writer.drain()
+        writer.close()
+
+
+@pytest.fixture
+async def raw() -> AsyncIterator[tuple[RawServer, UpstreamClient]]:
+    """Start a raw server and a client of it."""
+    server = RawServer()
+    listener = await asyncio.start_server(server.serve, "127.0.0.1", 0)
+    host, port = listener.sockets[0].getsockname()
+    client = UpstreamClient(f"http://{host}:{port}")
+    yield server, client
+    await client.close()
+    listener.close()
+
+
+def make_call(*, method: str = "GET") -> Call:
+    """Return a call."""
+    return Call(
+        request_id="request-1",
+        grant=1,
+        incarnation=1,
+        method=method,
+        path="/packets/1",
+        headers=CIMultiDict({"X-Request-Id": "request-1"}),
+        idempotent=True,
+        identity="",
+        fingerprint=1,
+        tier=0,
+        prompt_tokens=0,
+        deadline_at=time.monotonic() + 10.0,
+        context=SpanContext(),
+    )
+
+
+async def read(client: UpstreamClient, call: Call) -> bytes:
+    """Return the whole body of a call's answer."""
+    async with client.open(call, b"") as answer:
+        return await answer.read()
+
+
+class TestSendOnce:
+    """A call whose connection ends."""
+
+    @pytest.mark.parametrize("method", METHODS)
+    async def test_closed_without_answer(
+        self, raw: tuple[RawServer, UpstreamClient], method: str
+    ) -> None:
+        """It was cut, and was sent exactly once whatever its method."""
+        server, client = raw
+        with pytest.raises(UpstreamCutError):
+            await read(client, make_call(method=method))
+        assert len(server.requests) == 1
+
+    async def test_after_answer(self, raw: tuple[RawServer, UpstreamClient]) -> None:
+        """The next call takes a fresh connection, not the one that has ended."""
+        server, client = raw
+        server.answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+        for number in (1, 2, 3):
+            assert await read(client, make_call()) == b"ok"
+            assert len(server.requests) == number
+
+    async def test_refused(self) -> None:
+        """A call that found nobody was certainly not run."""
+        client = UpstreamClient("http://127.0.0.1:1")
+        with pytest.raises(NotRunError):
+            await read(client, make_call())
+        await client.close()
+
+
+class TestCut:
+    """Answers that end before they are whole."""
+
+    @pytest.mark.parametrize(
+        "answer",
+        [
+            b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-",
+        ],
+    )
+    async def test_cut(
+        self, raw: tuple[RawServer, UpstreamClient], answer: bytes
+    ) -> None:
+        """A body shorter than announced is no answer."""
+        server, client = raw
+        server.answer = answer
+        with pytest.raises(UpstreamCutError):
+            await read(client, make_call())
+
+    async def test_end_by_close(self, raw: tuple[RawServer, UpstreamClient]) -> None:
+        """An end that is only a closed connection can't be told from a cut."""
+        server, client = raw
+        server.answer = b"HTTP/1.1 200 OK\r\n\r\nok"
+        async with client.open(make_call(), b"") as answer:
+            assert not has_marked_end(answer)
+
+    async def test_crossed(self, raw: tuple[RawServer, UpstreamClient]) -> None:
+        """An answer that bears another request's id is not passed on."""
+        server, client = raw
+        server.answer = (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Request-Id: other\r\n\r\nok"
+        )
+        with pytest.raises(AnswerCrossedError):
+            await read(client, make_call())
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -210,3 +210,125 @@
         answers = await asyncio.gather(*sent)
         assert {answer.status for answer in answers} == {200}
         assert len(await executions(cluster)) == 6
+
+
+async def until_answered(cluster: Cluster, *, entry: int = 0) -> Answer:
+    """Resend until the request is no longer refused as not run."""
+    while True:
+        answer = await hand_over(cluster, entry=entry)
+        if answer.status != 503:
+            return answer
+        assert answer.error["not_run"]
+        await asyncio.sleep(POLL_S)
+
+
+class TestStore:
+    """The table fails while claims are written."""
+
+    async def test_down(self, cluster: Cluster) -> None:
+        """Requests are refused at once as not run, and run after the outage."""
+        await cluster.platform.fault("table", "down")
+        for entry in (0, 1):
+            refused = await hand_over(cluster, entry=entry)
+            assert (refused.status, refused.error["code"]) == (503, "store_down")
+            assert refused.error["not_run"]
+            assert int(refused.headers["Retry-After"]) >= 1
+        assert await executions(cluster) == []
+        await cluster.platform.fault("table", "ok")
+        assert (await until_answered(cluster)).status == 200
+        assert len(await executions(cluster)) == 1
+
+    async def test_idempotent_while_down(self, cluster: Cluster) -> None:
+        """A call that may be repeated needs no claim."""
+        await cluster.platform.fault("table", "down")
+        path = "/services/registry/packets/1"
+        assert (await hand_over(cluster, method="GET", path=path)).status == 200
+
+    @pytest.mark.parametrize("count", [1, 2, 3])
+    async def test_lost_acks(self, cluster: Cluster, count: int) -> None:
+        """However many acknowledgements are lost, one run and a true answer."""
+        await cluster.platform.fault("table", "lost_ack", count=count)
+        answer = await hand_over(cluster)
+        ran = len(await executions(cluster))
+        assert (answer.status, ran) in ((200, 1), (503, 0))
+        assert (await until_answered(cluster, entry=1)).status == 200
+        assert len(await executions(cluster)) == 1
+
+    @pytest.mark.parametrize("mode", ["late", "slow"])
+    async def test_late(self, cluster: Cluster, mode: str) -> None:
+        """A claim that lands after its refusal keeps the refusal true."""
+        await cluster.platform.fault("table", mode, delay_s=3.0)
+        refused = await hand_over(cluster)
+        await cluster.platform.fault("table", "ok")
+        assert (refused.status, refused.error["code"]) == (503, "store_down")
+        assert refused.error["not_run"]
+        assert await executions(cluster) == []
+        assert (await until_answered(cluster, entry=1)).status == 200
+        assert len(await executions(cluster)) == 1
+
+    async def test_down_after_claim(self, slow_cluster: Cluster) -> None:
+        """The answer comes though the store is down; it is written afterwards."""
+        sent = asyncio.create_task(hand_over(slow_cluster))
+        await until_executions(slow_cluster, 1)
+        await slow_cluster.platform.fault("table", "down")
+        first = await sent
+        assert first.status == 200
+        await slow_cluster.platform.fault("table", "ok")
+        again = await until_answered(slow_cluster, entry=1)
+        assert again.body == first.body
+        assert len(await executions(slow_cluster)) == 1
+
+    async def test_owner_dies_before_record(self, slow_cluster: Cluster) -> None:
+        """Store down and owner dead together: unknown, never a second run."""
+        sent = asyncio.create_task(hand_over(slow_cluster))
+        await until_executions(slow_cluster, 1)
+        await slow_cluster.platform.fault("table", "down")
+        assert (await sent).status == 200
+        name = f"sidecar-{await owner(slow_cluster)}"
+        await slow_cluster.processes[name].kill()
+        await slow_cluster.platform.fault("table", "ok")
+        again = await until_answered(slow_cluster, entry=1)
+        assert (again.status, again.error["code"]) == (502, "outcome_unknown")
+        assert len(await executions(slow_cluster)) == 1
+
+
+class TestPauses:
+    """A process is frozen and wakes up later."""
+
+    async def test_before_grant(self, cluster: Cluster) -> None:
+        """Nothing is granted by frozen sidecars; the refusal is true."""
+        sidecars = [cluster.processes[f"sidecar-{name}"] for name in NAMES]
+        for sidecar in sidecars:
+            sidecar.pause()
+        refused = await hand_over(cluster)
+        assert (refused.status, refused.error["not_run"]) == (503, True)
+        for sidecar in sidecars:
+            sidecar.resume()
+        assert (await until_answered(cluster)).status == 200
+        assert len(await executions(cluster)) == 1
+
+    async def test_while_running(self, slow_cluster: Cluster) -> None:
+        """A frozen owner's outcome is unknown until it wakes, then told."""
+        sent = asyncio.create_task(hand_over(slow_cluster))
+        await until_executions(slow_cluster, 1)
+        name = f"sidecar-{await owner(slow_cluster)}"
+        slow_cluster.processes[name].pause()
+        first = await sent
+        assert (first.status, first.error["code"]) == (502, "outcome_unknown")
+        again = await hand_over(slow_cluster, entry=1)
+        assert (again.status, again.error["code"]) == (502, "outcome_unknown")
+        slow_cluster.processes[name].resume()
+        while (answer := await hand_over(slow_cluster, entry=1)).status != 200:
+            assert answer.error["code"] == "outcome_unknown"
+        assert len(await executions(slow_cluster)) == 1
+
+    async def test_entry(self, slow_cluster: Cluster) -> None:
+        """A frozen entry keeps nothing from running once and being told."""
+        sent = asyncio.create_task(hand_over(slow_cluster, entry=0))
+        await until_executions(slow_cluster, 1)
+        slow_cluster.processes["entry-1"].pause()
+        again = await hand_over(slow_cluster, entry=1)
+        assert again.status == 200
+        slow_cluster.processes["entry-1"].resume()
+        assert (await sent).body == again.body
+        assert len(await executions(slow_cluster)) == 1
