--- a/packages/skylarkdoor/src/skylarkdoor/settings/__init__.py
+++ b/packages/skylarkdoor/src/skylarkdoor/settings/__init__.py
@@ -1,16 +1,18 @@
 """Settings: JSON with comments, checked into typed records."""
 
-from skylarkdoor.settings._check import check_shared
+from skylarkdoor.settings._check import check_keys, check_shared
 from skylarkdoor.settings._convert import convert, to_plain
 from skylarkdoor.settings._process import (
+    CertificateFiles,
     Limits,
     Listen,
+    MutualTls,
     PlatformAddresses,
     ProcessSettings,
     Upstream,
     load_process,
 )
-from skylarkdoor.settings._read import read_file, read_text
+from skylarkdoor.settings._read import Document, read_document, read_file, read_text
 from skylarkdoor.settings._shared import (
     FLEET_PATH,
     TEAMS_PATH,
@@ -29,10 +31,13 @@
 __all__ = [
     "FLEET_PATH",
     "TEAMS_PATH",
+    "CertificateFiles",
     "Customer",
+    "Document",
     "Fleet",
     "Limits",
     "Listen",
+    "MutualTls",
     "Operator",
     "PlatformAddresses",
     "Pool",
@@ -45,9 +50,11 @@
     "Tier",
     "Upstream",
     "check_document",
+    "check_keys",
     "check_shared",
     "convert",
     "load_process",
+    "read_document",
     "read_file",
     "read_text",
     "team_path",
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_claims.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_claims.py
@@ -32,7 +32,7 @@
 )
 from skylarkdoor.settings import ProcessSettings
 from skylarkdoord import _events
-from skylarkdoord.common import Backoff, InternalServer, Platform
+from skylarkdoord.common import Backoff, InternalServer, Platform, TlsService
 from skylarkdoord.exceptions import (
     ClaimRowError,
     NotRunError,
@@ -103,7 +103,7 @@
     """
 
     name = "claims"
-    requires: tuple[str, ...] = ("platform", "scheduler")
+    requires: tuple[str, ...] = ("platform", "scheduler", "tls")
 
     def __init__(self, settings: ProcessSettings) -> None:
         self.settings = settings
@@ -118,7 +118,7 @@
         incarnation = kernel.find("scheduler", Scheduler).ledger.incarnation
         internal = kernel.find("internal", InternalServer)
         internal.add_route("POST", "/internal/claims/{operation}", self.post_claim)
-        self.http_owners = HttpOwners()
+        self.http_owners = HttpOwners(kernel.find("tls", TlsService))
         self.open(
             kernel, platform.table, platform.objects, self.http_owners, incarnation
         )
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_owners.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_owners.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 
+from skylarkdoord.common import TlsService
 from skylarkdoord.exceptions import ClaimRowError
 from skylarkdoord.sidecar._claim_rows import ClaimRow, decode
 
@@ -30,18 +31,26 @@
 
 
 class HttpOwners:
-    """Asks owners at their internal addresses."""
+    """Asks owners at their internal addresses.
 
-    def __init__(self) -> None:
+    Args:
+        tls: How connections between instances are secured.
+    """
+
+    def __init__(self, tls: TlsService) -> None:
+        self.tls = tls
         self.session = aiohttp.ClientSession()
 
     async def ask(self, claim: ClaimRow, *, wait_s: float) -> ClaimRow | None:
         """Ask for the ending of a claim; see `Owners`."""
-        url = f"http://{claim.address}/internal/claims/{claim.operation}"
+        url = f"{self.tls.url(claim.address)}/internal/claims/{claim.operation}"
         query = {WAIT_QUERY: str(wait_s), INCARNATION_QUERY: str(claim.incarnation)}
+        tls = self.tls.arguments(claim.instance)
         timeout = aiohttp.ClientTimeout(total=wait_s + GRACE_S)
         try:
-            async with self.session.post(url, params=query, timeout=timeout) as answer:
+            async with self.session.post(
+                url, params=query, timeout=timeout, **tls
+            ) as answer:
                 if answer.status != OK_STATUS:
                     return None
                 return decode(await answer.read())
