--- /dev/null
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_arrivals.py
@@ -0,0 +1,267 @@
+"""Generates arrivals: customers of unlike size, bursts, long shared prefixes."""
+
+import math
+import random
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from skylarkdoor_bench._trace import Arrival, Kind
+
+MIX_SAMPLE = 4000
+BURST_FACTOR = 2.5
+BURST_START_SHARE = 0.30
+BURST_END_SHARE = 0.40
+# Share of model requests that bear an idempotency key.
+KEYED_SHARE = 0.5
+
+
+class Lengths(NamedTuple):
+    """Log-normal lengths, in words.
+
+    Attributes:
+        median: The middle length.
+        sigma: Spread of the logarithm.
+        least: The shortest.
+        most: The longest.
+    """
+
+    median: float
+    sigma: float = 0.6
+    least: int = 4
+    most: int = 6000
+
+    def draw(self, source: random.Random) -> int:
+        """Return a length."""
+        length = source.lognormvariate(math.log(self.median), self.sigma)
+        return min(self.most, max(self.least, round(length)))
+
+
+class Work(NamedTuple):
+    """One sort of request.
+
+    Attributes:
+        share: Its share of the customer's requests.
+        kind: A chat, a completion or a call of a plain service.
+        prompt: Lengths of the prompt beyond a shared prefix.
+        answer: Lengths of the answer.
+        streamed: Share whose answer is streamed.
+        prefixes: How many prefixes such requests share; 0 for none.
+        prefix_words: Words of each.
+        method: Method of a call of a plain service.
+        path: Path of the call; `*` stands for a number.
+        deadline_s: Time that the caller gives, before scaling.
+    """
+
+    share: float
+    kind: Kind
+    prompt: Lengths = Lengths(20)
+    answer: Lengths = Lengths(20, most=600)
+    streamed: float = 0.0
+    prefixes: int = 0
+    prefix_words: int = 0
+    method: str = "GET"
+    path: str = ""
+    deadline_s: float = 8.0
+
+
+class CustomerWork(NamedTuple):
+    """What one customer sends.
+
+    Attributes:
+        customer: Its name.
+        share: Its share of all requests.
+        works: Its sorts of request.
+    """
+
+    customer: str
+    share: float
+    works: tuple[Work, ...]
+
+
+Workload = tuple[CustomerWork, ...]
+
+SHORT = Lengths(14, 0.5, most=60)
+BRIEF_ANSWER = Lengths(8, 0.4, most=24)
+ANSWER = Lengths(36, 0.6, most=200)
+LONG_ANSWER = Lengths(90, 0.6, most=500)
+
+SEED_EXCHANGE: Workload = (
+    CustomerWork(
+        "packet-desk",
+        0.34,
+        (
+            Work(0.45, "service", path="/packets/*", deadline_s=3.0),
+            Work(0.15, "service", method="POST", path="/handovers", deadline_s=3.0),
+            Work(0.40, "chat", SHORT, BRIEF_ANSWER, 0.5, deadline_s=3.0),
+        ),
+    ),
+    CustomerWork(
+        "agenskalns-garden",
+        0.28,
+        (
+            Work(0.70, "chat", Lengths(120, 0.9), ANSWER, 0.5, 6, 400, deadline_s=6),
+            Work(0.30, "completion", Lengths(250, 1.0), ANSWER, 0.2, deadline_s=6.0),
+        ),
+    ),
+    CustomerWork(
+        "teika-garden",
+        0.06,
+        (Work(1.0, "chat", Lengths(120, 0.9), ANSWER, 0.5, 4, 400, deadline_s=6.0),),
+    ),
+    CustomerWork(
+        "purvciems-garden",
+        0.17,
+        (
+            Work(0.6, "chat", Lengths(150, 0.8), ANSWER, 0.3, 14, 1800, deadline_s=10),
+            Work(0.4, "completion", Lengths(700, 0.9), ANSWER, 0.3, deadline_s=10.0),
+        ),
+    ),
+    CustomerWork(
+        "reply-desk",
+        0.15,
+        (
+            Work(
+                1.0, "chat", Lengths(150, 0.8), LONG_ANSWER, 0.6, 3, 700, deadline_s=14
+            ),
+        ),
+    ),
+)
+
+LIME_TRUST: Workload = (
+    CustomerWork(
+        "truck-desk",
+        0.32,
+        (
+            Work(0.40, "service", path="/slots/*", deadline_s=3.0),
+            Work(0.25, "service", method="POST", path="/trucks", deadline_s=3.0),
+            Work(0.35, "chat", SHORT, BRIEF_ANSWER, 0.5, deadline_s=3.0),
+        ),
+    ),
+    CustomerWork(
+        "delta-farms",
+        0.24,
+        (
+            Work(0.7, "chat", Lengths(150, 0.9), ANSWER, 0.4, 10, 1500, deadline_s=8),
+            Work(0.3, "completion", Lengths(300, 1.0), ANSWER, 0.2, deadline_s=8.0),
+        ),
+    ),
+    CustomerWork(
+        "black-belt-farms",
+        0.08,
+        (Work(1.0, "chat", Lengths(150, 0.9), ANSWER, 0.4, 6, 1500, deadline_s=8.0),),
+    ),
+    CustomerWork(
+        "soil-lab",
+        0.18,
+        (
+            Work(0.8, "chat", Lengths(60, 0.8), ANSWER, 0.5, 16, 2600, deadline_s=12),
+            Work(0.2, "completion", Lengths(1500, 0.7), ANSWER, 0.3, deadline_s=12.0),
+        ),
+    ),
+    CustomerWork(
+        "text-line",
+        0.18,
+        (Work(1.0, "chat", Lengths(60, 0.8), LONG_ANSWER, 0.5, 3, 500, deadline_s=12),),
+    ),
+)
+
+WORKLOADS = {"seed-exchange": SEED_EXCHANGE, "lime-trust": LIME_TRUST}
+
+
+def sample_mix(workload: Workload) -> list[Arrival]:
+    """Return requests of a workload's mix, the same at each call."""
+    source = random.Random(0)
+    return [
+        _draw(workload, source, at_s=0.0, number=number, time_scale=1.0)
+        for number in range(MIX_SAMPLE)
+    ]
+
+
+def generate(
+    workload: Workload,
+    *,
+    seed: int,
+    rate: float,
+    duration_s: float,
+    time_scale: float = 1.0,
+) -> list[Arrival]:
+    """Return the arrivals of one run, the same for the same arguments.
+
+    Within the burst more requests come, outside of it fewer, so that the mean
+    rate is as stated.
+
+    Args:
+        workload: What the customers send.
+        seed: Decides all that is random.
+        rate: Mean requests a second.
+        duration_s: How long requests arrive.
+        time_scale: Divides the deadlines.
+    """
+    source = random.Random(seed)
+    times = _times(source, rate=rate, duration_s=duration_s)
+    return [
+        _draw(workload, source, at_s=at_s, number=number, time_scale=time_scale)
+        for number, at_s in enumerate(times)
+    ]
+
+
+def _times(source: random.Random, *, rate: float, duration_s: float) -> Iterator[float]:
+    burst_share = BURST_END_SHARE - BURST_START_SHARE
+    calm_rate = rate / (1 + burst_share * (BURST_FACTOR - 1))
+    at_s = 0.0
+    while True:
+        share = at_s / duration_s
+        is_burst = BURST_START_SHARE <= share < BURST_END_SHARE
+        now = calm_rate * BURST_FACTOR if is_burst else calm_rate
+        at_s += source.expovariate(now)
+        if at_s >= duration_s:
+            return
+        yield round(at_s, 4)
+
+
+def _draw(
+    workload: Workload,
+    source: random.Random,
+    *,
+    at_s: float,
+    number: int,
+    time_scale: float,
+) -> Arrival:
+    shares = [customer.share for customer in workload]
+    customer = source.choices(workload, shares)[0]
+    work = source.choices(customer.works, [work.share for work in customer.works])[0]
+    arrival = Arrival(
+        at_s=at_s,
+        customer=customer.customer,
+        kind=work.kind,
+        deadline_s=round(work.deadline_s / time_scale, 3),
+    )
+    if work.kind == "service":
+        return _draw_service(arrival, work, source, number)
+    if source.random() < KEYED_SHARE:
+        arrival = arrival._replace(key=f"prompt-{number}")
+    return _draw_prompt(arrival, work, source)
+
+
+def _draw_service(
+    arrival: Arrival, work: Work, source: random.Random, number: int
+) -> Arrival:
+    path = work.path.replace("*", str(source.randrange(10_000)))
+    arrival = arrival._replace(method=work.method, path=path)
+    if work.method == "GET":
+        return arrival
+    return arrival._replace(idempotent=False, key=f"record-{number}")
+
+
+def _draw_prompt(arrival: Arrival, work: Work, source: random.Random) -> Arrival:
+    arrival = arrival._replace(
+        prompt_words=work.prompt.draw(source),
+        max_tokens=work.answer.draw(source),
+        stream=source.random() < work.streamed,
+    )
+    if not work.prefixes:
+        return arrival
+    # Squared, so that some prefixes are asked for far more than others.
+    index = int(source.random() ** 2 * work.prefixes)
+    prefix = f"{arrival.customer}-{index}"
+    return arrival._replace(prefix=prefix, prefix_words=work.prefix_words)
--- /dev/null
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_bench.py
@@ -0,0 +1,104 @@
+"""The bench: runs every case, prints a table and writes the figures."""
+
+import asyncio
+import time
+from collections.abc import Callable, Iterator, Sequence
+from pathlib import Path
+
+from skylarkdoor.settings import PolicyName
+from skylarkdoor_bench._report import format_faults, format_summary, write_results
+from skylarkdoor_bench._run import DURATION_S, Case, RunResult, run_case
+
+POLICIES: tuple[PolicyName, ...] = (
+    "late-binding",
+    "least-finish",
+    "round-robin",
+    "least-connections",
+)
+# Loads of each policy when none is asked for.
+LOADS: dict[PolicyName, tuple[float, ...]] = {
+    "late-binding": (0.7, 0.9, 1.3),
+    "least-finish": (0.9, 1.3),
+    "round-robin": (0.9,),
+    "least-connections": (0.9,),
+}
+# Start and end of the processes, and the last answers.
+EXTRA_S = 9.0
+
+Print = Callable[[str], None]
+
+
+class BenchFailedError(Exception):
+    """The product did something in a run that must not happen."""
+
+
+def plan_cases(
+    *,
+    deployments: Sequence[str],
+    policies: Sequence[PolicyName],
+    loads: Sequence[float],
+    seeds: int,
+) -> list[Case]:
+    """Return the cases to run.
+
+    Args:
+        deployments: Names of the deployments.
+        policies: Policies to run; empty for all.
+        loads: Loads to run; empty for those of each policy.
+        seeds: How many seeds, counted from 1.
+    """
+    pairs = list(_pairs(policies, loads))
+    return [
+        Case(deployment, policy, load, seed)
+        for deployment in deployments
+        for policy, load in pairs
+        for seed in range(1, seeds + 1)
+    ]
+
+
+def _pairs(
+    policies: Sequence[PolicyName], loads: Sequence[float]
+) -> Iterator[tuple[PolicyName, float]]:
+    for policy in policies or POLICIES:
+        for load in loads or LOADS[policy]:
+            yield policy, load
+
+
+async def run_bench(cases: Sequence[Case], *, out: Path, echo: Print = print) -> None:
+    """Run the cases one after another, print a table and write the figures.
+
+    Args:
+        cases: What to run.
+        out: File for the figures, as JSON.
+        echo: Takes each line shown.
+
+    Raises:
+        BenchFailedError: A daemon failed, or a promise was broken.
+        ProcessFailedError: A process did not come up.
+    """
+    planned_s = len(cases) * (DURATION_S + EXTRA_S)
+    echo(f"{len(cases)} runs, about {planned_s / 60:.1f} minutes")
+    started = time.monotonic()
+    results: list[RunResult] = []
+    for number, case in enumerate(cases, start=1):
+        result = await run_case(case)
+        results.append(result)
+        echo(f"{number}/{len(cases)} {_format_run(result)}")
+        for line in [*result.warnings, *result.faults]:
+            echo(f"    {line}")
+        await asyncio.to_thread(write_results, out, results)
+    echo(f"\n{format_summary(results)}")
+    echo(f"\ntook {time.monotonic() - started:.0f} s; figures in {out}")
+    if any(result.faults for result in results):
+        raise BenchFailedError(format_faults(results))
+
+
+def _format_run(result: RunResult) -> str:
+    case, score = result.case, result.score
+    tiers = " ".join(f"{tier.goodput:.3f}" for tier in score.tiers)
+    busiest = max(result.cpu_shares.values(), default=0.0)
+    return (
+        f"{case.deployment} {case.policy} load {case.load} seed {case.seed}: "
+        f"{result.rate:.1f}/s, goodput {score.goodput:.3f}, by tier {tiers}, "
+        f"busiest daemon {busiest:.0%} of a core"
+    )
--- /dev/null
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_inversions.py
@@ -0,0 +1,48 @@
+"""Finds refusals out of the order of tiers, from what the callers saw."""
+
+import bisect
+from collections.abc import Sequence
+
+from skylarkdoor_bench._deployments import Deployment, EngineSpec
+from skylarkdoor_bench._load import Outcome, Result
+from skylarkdoor_bench._tiers import tier_ranks
+
+ROOM_CODE = "overloaded"
+# Slowdown of a straggler, and the longest way of messages, that are allowed for.
+SLOWEST_FACTOR = 4.0
+MESSAGE_S = 0.5
+
+
+def count_inversions(deployment: Deployment, results: Sequence[Result]) -> int:
+    """Return how many requests were refused out of the order of tiers.
+
+    A model request is refused out of order if it is refused for lack of room
+    while a streamed request of a lower tier, sent before, has not begun to run,
+    and that one then runs. A stream counts as waiting up to its first token less
+    the longest that its own prompt may take, so that none is counted wrongly.
+    """
+    ranks = tier_ranks(deployment)
+    models = [item for item in results if item.arrival.kind != "service"]
+    refused = [item for item in models if item.reply.code == ROOM_CODE]
+    waits = sorted(
+        (item.sent_s, _waited_until_s(deployment, item), ranks[item.arrival.customer])
+        for item in models
+        if item.reply.outcome is Outcome.ANSWERED and item.first_token_s is not None
+    )
+    sent = [wait[0] for wait in waits]
+    count = 0
+    for item in refused:
+        rank = ranks[item.arrival.customer]
+        before = waits[: bisect.bisect_left(sent, item.sent_s)]
+        count += any(
+            until_s > item.ended_s and lower > rank for _, until_s, lower in before
+        )
+    return count
+
+
+def _waited_until_s(deployment: Deployment, item: Result) -> float:
+    engines = [spec for spec in deployment.upstreams if isinstance(spec, EngineSpec)]
+    slowest_tps = min(engine.prefill_tps for engine in engines)
+    prompt_s = item.arrival.words / (slowest_tps * deployment.time_scale)
+    assert item.first_token_s is not None
+    return item.sent_s + item.first_token_s - prompt_s * SLOWEST_FACTOR - MESSAGE_S
--- /dev/null
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_run_faults.py
@@ -0,0 +1,68 @@
+"""Faults at stated times of a run."""
+
+import asyncio
+from typing import NamedTuple
+
+from skylarkdoor_bench._commands import sidecar_name
+from skylarkdoor_bench._deployments import Deployment, EngineSpec
+from skylarkdoor_bench._launcher import Cluster
+from skylarkdoor_bench._load import Storm
+
+
+class FaultPlan(NamedTuple):
+    """What goes wrong in a run, in shares of the time in which requests arrive.
+
+    Attributes:
+        straggler: Engine that turns slow.
+        slow_factor: How many times slower its steps are.
+        slow_from: When it turns slow.
+        slow_until: When it is as before.
+        killed: Engine whose sidecar is killed.
+        killed_at: When.
+        back_at: When the sidecar is started again.
+        storm_from: From when on callers resend.
+        storm_until: Until when.
+    """
+
+    straggler: str
+    killed: str
+    slow_factor: float = 4.0
+    slow_from: float = 0.15
+    slow_until: float = 0.60
+    killed_at: float = 0.50
+    back_at: float = 0.65
+    storm_from: float = 0.70
+    storm_until: float = 0.90
+
+    def storm(self, duration_s: float) -> Storm:
+        """Return when callers resend."""
+        return Storm(self.storm_from * duration_s, self.storm_until * duration_s)
+
+
+def plan_faults(deployment: Deployment) -> FaultPlan:
+    """Return the plan in which a fast engine straggles and a middling one is cut."""
+    engines = [spec for spec in deployment.upstreams if isinstance(spec, EngineSpec)]
+    engines.sort(key=lambda engine: engine.prefill_tps)
+    return FaultPlan(straggler=engines[-2].name, killed=engines[len(engines) // 2].name)
+
+
+async def cause_faults(cluster: Cluster, plan: FaultPlan, duration_s: float) -> None:
+    """Cause the faults of a plan at their times from now on."""
+    async with asyncio.TaskGroup() as group:
+        group.create_task(_straggle(cluster, plan, duration_s))
+        group.create_task(_kill_sidecar(cluster, plan, duration_s))
+
+
+async def _straggle(cluster: Cluster, plan: FaultPlan, duration_s: float) -> None:
+    await asyncio.sleep(plan.slow_from * duration_s)
+    await cluster.upstream_fault(plan.straggler, slow_factor=plan.slow_factor)
+    await asyncio.sleep((plan.slow_until - plan.slow_from) * duration_s)
+    await cluster.upstream_fault(plan.straggler, slow_factor=1.0)
+
+
+async def _kill_sidecar(cluster: Cluster, plan: FaultPlan, duration_s: float) -> None:
+    name = sidecar_name(plan.killed)
+    await asyncio.sleep(plan.killed_at * duration_s)
+    await cluster.processes[name].kill()
+    await asyncio.sleep((plan.back_at - plan.killed_at) * duration_s)
+    await cluster.restart(name)
--- /dev/null
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_scores.py
@@ -0,0 +1,183 @@
+"""Scores of one run: by tier, and of the deployment as a whole."""
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+from hdrh.histogram import HdrHistogram
+
+from skylarkdoor_bench._deployments import Deployment
+from skylarkdoor_bench._inversions import count_inversions
+from skylarkdoor_bench._load import MS_PER_S, LoadReport, Outcome, Result
+from skylarkdoor_bench._tiers import customer_tiers
+from skylarkdoor_bench._trace import Arrival
+from skylarkdoor_bench._upstream_counts import UpstreamCounts
+
+_LEAST_US = 1
+_MOST_US = 3_600_000_000
+_DIGITS = 2
+_US_PER_S = 1_000_000
+_US_PER_MS = _US_PER_S / MS_PER_S
+
+
+class Percentiles(NamedTuple):
+    """Percentiles in milliseconds; zeros if nothing was measured."""
+
+    samples: int
+    p50_ms: float
+    p95_ms: float
+
+
+class TierScore(NamedTuple):
+    """What became of one tier's requests.
+
+    Attributes:
+        tier: Name of the tier.
+        rank: Its rank.
+        sent: Requests sent.
+        answered: In full, as they should be and in time.
+        refused: Not run, for another reason than the deadline.
+        expired: Given up because of the deadline, or answered after it.
+        broken: Cut, or of unknown outcome.
+        wrong: Another's answer, or an error that should not be.
+        goodput: Share of those sent that were answered.
+        goodput_per_s: Answered requests a second.
+        first_token: Time to the first token of streams.
+        inter_token: Time between the tokens of streams.
+        whole: Time to the end of answers in one piece.
+    """
+
+    tier: str
+    rank: int
+    sent: int
+    answered: int
+    refused: int
+    expired: int
+    broken: int
+    wrong: int
+    goodput: float
+    goodput_per_s: float
+    first_token: Percentiles
+    inter_token: Percentiles
+    whole: Percentiles
+
+
+class RunScore(NamedTuple):
+    """Scores of a whole run.
+
+    Attributes:
+        tiers: One for each tier, the most important first.
+        goodput: Share of all requests that were answered in full and in time.
+        prefill_computed: Prompt tokens that the engines computed.
+        wasted_prefill: Of these, tokens computed for requests then cancelled.
+        repeated_prefill: Tokens computed beyond those wasted and the least that
+            the answers given need, where each shared prefix is computed once in
+            the whole deployment.
+        inversions: Refusals out of the order of tiers, as callers saw them.
+        double_dispatches: Requests or keys that ran more than once.
+        resends: Sendings after the first.
+        codes: How often each error code was answered last.
+    """
+
+    tiers: tuple[TierScore, ...]
+    goodput: float
+    prefill_computed: int
+    wasted_prefill: int
+    repeated_prefill: int
+    inversions: int
+    double_dispatches: int
+    resends: int
+    codes: dict[str, int]
+
+
+def score_run(
+    deployment: Deployment, report: LoadReport, counts: UpstreamCounts
+) -> RunScore:
+    """Return the scores of a run."""
+    results = report.results
+    needed = least_prefill(
+        item.arrival
+        for item in results
+        if item.reply.outcome in (Outcome.ANSWERED, Outcome.LATE)
+    )
+    computed, wasted = counts.prefill_computed, counts.prefill_wasted
+    answered = sum(item.reply.outcome is Outcome.ANSWERED for item in results)
+    return RunScore(
+        tiers=_score_tiers(deployment, report),
+        goodput=_share(answered, len(results)),
+        prefill_computed=computed,
+        wasted_prefill=wasted,
+        repeated_prefill=max(0, computed - wasted - needed),
+        inversions=count_inversions(deployment, results),
+        double_dispatches=counts.double_dispatches,
+        resends=sum(item.sendings - 1 for item in results),
+        codes=Counter(item.reply.code for item in results if item.reply.code),
+    )
+
+
+def least_prefill(arrivals: Iterable[Arrival]) -> int:
+    """Return the words to compute if each shared prefix is computed once."""
+    own = 0
+    prefixes: dict[str, int] = {}
+    for arrival in arrivals:
+        own += arrival.prompt_words
+        prefixes[arrival.prefix] = arrival.prefix_words
+    return own + sum(prefixes.values())
+
+
+def percentiles(values_s: Sequence[float]) -> Percentiles:
+    """Return percentiles of times in seconds."""
+    if not values_s:
+        return Percentiles(0, 0.0, 0.0)
+    histogram = HdrHistogram(_LEAST_US, _MOST_US, _DIGITS)
+    for value in values_s:
+        histogram.record_value(max(_LEAST_US, round(value * _US_PER_S)))
+    p50, p95 = (
+        histogram.get_value_at_percentile(percentile) / _US_PER_MS
+        for percentile in (50, 95)
+    )
+    return Percentiles(len(values_s), p50, p95)
+
+
+def _score_tiers(deployment: Deployment, report: LoadReport) -> tuple[TierScore, ...]:
+    tier_of = customer_tiers(deployment)
+    by_tier: dict[str, list[Result]] = defaultdict(list)
+    for item in report.results:
+        by_tier[tier_of[item.arrival.customer]].append(item)
+    tiers = deployment.fleet.tiers
+    names = sorted(tiers, key=lambda name: tiers[name].rank)
+    return tuple(
+        _score_tier(name, tiers[name].rank, by_tier[name], report.seconds)
+        for name in names
+    )
+
+
+def _score_tier(
+    name: str, rank: int, items: Sequence[Result], seconds: float
+) -> TierScore:
+    ended = Counter(item.reply.outcome for item in items)
+    answered = [item for item in items if item.reply.outcome is Outcome.ANSWERED]
+    firsts = [item.first_token_s for item in answered if item.first_token_s is not None]
+    gaps = [gap for item in answered for gap in item.gaps_s]
+    wholes = [
+        item.ended_s - item.sent_s for item in answered if not item.arrival.stream
+    ]
+    return TierScore(
+        tier=name,
+        rank=rank,
+        sent=len(items),
+        answered=len(answered),
+        refused=ended[Outcome.REFUSED],
+        expired=ended[Outcome.EXPIRED] + ended[Outcome.LATE],
+        broken=ended[Outcome.CUT] + ended[Outcome.UNKNOWN],
+        wrong=ended[Outcome.WRONG] + ended[Outcome.ERROR],
+        goodput=_share(len(answered), len(items)),
+        goodput_per_s=len(answered) / seconds,
+        first_token=percentiles(firsts),
+        inter_token=percentiles(gaps),
+        whole=percentiles(wholes),
+    )
+
+
+def _share(part: int, whole: int) -> float:
+    return part / whole if whole else 0.0
--- a/packages/skylarkdoor-bench/src/skylarkdoor_bench/cli.py
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/cli.py
@@ -8,8 +8,11 @@
 
 import click
 
+from skylarkdoor.settings import PolicyName
+from skylarkdoor_bench._bench import POLICIES, BenchFailedError, plan_cases, run_bench
 from skylarkdoor_bench._demo import DemoFailedError, run_demo
 from skylarkdoor_bench._processes import ProcessFailedError
+from skylarkdoor_bench._run import DEPLOYMENTS
 from skylarkdoor_bench._slopes import measure_slopes
 from skylarkdoor_bench._soak import SoakFailedError, soak
 
@@ -34,6 +37,51 @@
     sys.exit(run_tool(run_demo(keep=keep, directory=directory, echo=click.echo)))
 
 
+@main.command("run")
+@click.option(
+    "--policy",
+    "policies",
+    type=click.Choice(POLICIES),
+    multiple=True,
+    help="Run only this policy; may be repeated.",
+)
+@click.option(
+    "--deployment",
+    "deployments",
+    type=click.Choice(list(DEPLOYMENTS)),
+    multiple=True,
+    default=list(DEPLOYMENTS),
+    help="Run only this deployment; may be repeated.",
+)
+@click.option(
+    "--load",
+    "loads",
+    type=click.FloatRange(min=0.0, min_open=True),
+    multiple=True,
+    help="Share of the engines' capacity; may be repeated.",
+)
+@click.option("--seeds", type=click.IntRange(min=1), default=2, show_default=True)
+@click.option(
+    "--out",
+    type=click.Path(dir_okay=False, path_type=Path),
+    default=Path("out/bench.json"),
+    show_default=True,
+    help="Write the figures here.",
+)
+def run(
+    policies: tuple[PolicyName, ...],
+    deployments: tuple[str, ...],
+    loads: tuple[float, ...],
+    seeds: int,
+    out: Path,
+) -> None:
+    """Measure goodput by tier and wasted prefill under load and faults."""
+    cases = plan_cases(
+        deployments=deployments, policies=policies, loads=loads, seeds=seeds
+    )
+    sys.exit(run_tool(run_bench(cases, out=out, echo=click.echo)))
+
+
 @main.command("slopes")
 @click.option(
     "--out",
@@ -77,7 +125,12 @@
         asyncio.run(until_signal(work))
     except* asyncio.CancelledError:
         click.echo("stopped")
-    except* (DemoFailedError, ProcessFailedError, SoakFailedError) as group:
+    except* (
+        BenchFailedError,
+        DemoFailedError,
+        ProcessFailedError,
+        SoakFailedError,
+    ) as group:
         for error in flatten(group):
             click.echo(f"failed: {error}", err=True)
         status = EXIT_FAILED
