--- a/packages/skylarkdoor-bench/src/skylarkdoor_bench/_health.py
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_health.py
@@ -1,13 +1,15 @@
 """What must not happen to the daemons of a run: crashes, tracebacks, breaches."""
 
 import asyncio
+import json
 from collections import Counter
+from collections.abc import Iterator
+from pathlib import Path
 
 import aiohttp
 from prometheus_client.parser import text_string_to_metric_families
 
 from skylarkdoor_bench._launcher import Cluster
-from skylarkdoor_bench._logs import event_count
 
 BROKEN_SAMPLE = "skylarkdoor_invariant_broken_total"
 BROKEN_EVENT = "invariant_broken"
@@ -20,12 +22,8 @@
     broken = await broken_invariants(cluster)
     faults += [f"invariant {name} broken {count}x" for name, count in broken.items()]
     for name in cluster.daemons:
-        path = cluster.processes[name].log_path
-        if event_count(path, BROKEN_EVENT):
-            faults.append(f"{name} logged a broken invariant")
-        tracebacks = path.read_text(errors="replace").count(TRACEBACK)
-        if tracebacks:
-            faults.append(f"{name} logged {tracebacks} tracebacks")
+        counts = Counter(_log_faults(cluster.processes[name].log_path))
+        faults += [f"{name} logged {count}x {what}" for what, count in counts.items()]
     return faults
 
 
@@ -49,3 +47,28 @@
             return await answer.text()
     except aiohttp.ClientError:
         return ""
+
+
+def _log_faults(path: Path) -> Iterator[str]:
+    """Yield what each breach and each traceback of a log says."""
+    is_traceback = False
+    for line in path.read_text(errors="replace").splitlines():
+        if line.startswith("{"):
+            yield from _record_faults(line)
+        elif TRACEBACK in line:
+            is_traceback = True
+        elif is_traceback and line and not line.startswith(" "):
+            is_traceback = False
+            yield f"a traceback: {line}"
+
+
+def _record_faults(line: str) -> Iterator[str]:
+    try:
+        record = json.loads(line)
+    except ValueError:
+        return
+    if record.get("event_name") == BROKEN_EVENT:
+        yield f"a broken invariant: {record.get('invariant')}"
+    if TRACEBACK in str(record.get("exc_info", "")):
+        last = str(record["exc_info"]).strip().splitlines()[-1]
+        yield f"a traceback: {last}"
