--- a/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
@@ -21,6 +21,7 @@
 
 MAX_HEADER_BYTES = 16 * 1024
 LEAVING_RETRY_AFTER_S = 1.0
+STARTING_RETRY_AFTER_S = 1.0
 DRAIN_NOTICE_S = 1.0
 STATUS_BY_CODE = {
     "concurrency_limited": 429,
@@ -129,6 +130,13 @@
                 "this entry is shutting down",
                 retry_after_s=LEAVING_RETRY_AFTER_S,
             )
+        if not self.settings_service.is_ready():
+            return problem(
+                503,
+                "starting",
+                "this entry has no settings yet",
+                retry_after_s=STARTING_RETRY_AFTER_S,
+            )
         self.active += 1
         self.idle.clear()
         try:
