--- a/packages/skylarkdoord/src/skylarkdoord/admin/_answers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/admin/_answers.py
@@ -30,13 +30,17 @@
         try:
             return await handler(request)
         except SettingsError as error:
-            return error_answer(InvalidError([Problem(error.path, error.message)]))
+            return error_answer(_invalid(error))
         except AdminError as error:
             return error_answer(error)
 
     return answer
 
 
+def _invalid(error: SettingsError) -> InvalidError:
+    return InvalidError([Problem(part.path, part.message) for part in error.problems])
+
+
 def error_answer(error: AdminError) -> web.Response:
     """Return the answer for an error."""
     match error:
--- a/packages/skylarkdoord/src/skylarkdoord/entry/__init__.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/__init__.py
@@ -3,7 +3,7 @@
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import ProcessSettings
 from skylarkdoord.admin import AdminService
-from skylarkdoord.common import InternalServer, Platform, SettingsService
+from skylarkdoord.common import InternalServer, Platform, SettingsService, TlsService
 from skylarkdoord.entry._admission import Admission
 from skylarkdoord.entry._callers import CallerServer
 from skylarkdoord.entry._directory import Directory
@@ -15,6 +15,7 @@
 
 def build(kernel: Kernel, settings: ProcessSettings) -> None:
     """Register the services of an entry."""
+    kernel.register(TlsService(settings))
     kernel.register(Platform(settings.platform))
     kernel.register(SettingsService())
     kernel.register(AdminService(settings))
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
@@ -10,7 +10,7 @@
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import ProcessSettings
 from skylarkdoord import _events
-from skylarkdoord.common import InternalServer, SettingsService
+from skylarkdoord.common import InternalServer, SettingsService, TlsService
 from skylarkdoord.entry import _parse as parse
 from skylarkdoord.entry._admission import Admission
 from skylarkdoord.entry._problems import problem
@@ -34,9 +34,6 @@
 REQUESTS = Counter(
     "skylarkdoor_requests_total", "Requests answered.", ["tier", "outcome"]
 )
-GOODPUT = Counter(
-    "skylarkdoor_goodput_total", "Requests answered whole and in time.", ["tier"]
-)
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -49,7 +46,7 @@
     """
 
     name = "callers"
-    requires: tuple[str, ...] = ("router", "internal")
+    requires: tuple[str, ...] = ("router", "internal", "tls")
 
     def __init__(self, settings: ProcessSettings) -> None:
         assert settings.listen.callers is not None
@@ -94,8 +91,10 @@
             shutdown_timeout=1.0,
         )
         await self.runner.setup()
+        tls = kernel.find("tls", TlsService).callers
+        context = tls.listening if tls else None
         host, _, port = self.address.rpartition(":")
-        await web.TCPSite(self.runner, host, int(port)).start()
+        await web.TCPSite(self.runner, host, int(port), ssl_context=context).start()
 
     async def stop(self) -> None:
         """Take no new work, finish what runs, then close the listener."""
@@ -218,7 +217,6 @@
                     delivery.close()
                 if relay.whole:
                     outcome = "answered"
-                    note_goodput(request)
                 return response
         except OutcomeUnknownError:
             outcome = "unknown"
@@ -229,9 +227,3 @@
         finally:
             tier = str(request.resolved.tier.rank)
             REQUESTS.labels(tier, outcome).inc()
-
-
-def note_goodput(request: EntryRequest) -> None:
-    """Count a request that was answered whole, if it was in time."""
-    if request.remaining_s() >= 0:
-        GOODPUT.labels(str(request.resolved.tier.rank)).inc()
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_dispatch.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_dispatch.py
@@ -5,6 +5,7 @@
 import aiohttp
 
 from skylarkdoor import invariants, tracing
+from skylarkdoord.common import TlsService
 from skylarkdoord.common import _headers as headers
 from skylarkdoord.entry._delivery import Delivery, Outcome
 from skylarkdoord.entry._offers import Taken
@@ -32,9 +33,14 @@
 
 
 class Dispatcher:
-    """Sends bodies and finds out what became of them."""
+    """Sends bodies and finds out what became of them.
 
-    def __init__(self) -> None:
+    Args:
+        tls: Contexts of the connections.
+    """
+
+    def __init__(self, tls: TlsService) -> None:
+        self.tls = tls
         timeout = aiohttp.ClientTimeout(total=None, connect=CONNECT_TIMEOUT_S)
         connector = aiohttp.TCPConnector(limit=0)
         self.session = aiohttp.ClientSession(
@@ -63,9 +69,12 @@
         taken = delivery.taken
         request_id = request.request_id
         sent = self._headers(request, taken)
-        url = f"http://{taken.peer.record.http}/internal/dispatch/{request_id}"
+        url = self._url(taken, f"/internal/dispatch/{request_id}")
+        tls = self.tls.arguments(taken.peer.instance)
         try:
-            await delivery.post(self.session.post(url, data=request.body, headers=sent))
+            await delivery.post(
+                self.session.post(url, data=request.body, headers=sent, **tls)
+            )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             raise NotRunError("unavailable", "the sidecar can't be reached") from None
         except SidecarSilentError:
@@ -91,7 +100,8 @@
         Returns:
             None if the sidecar does not answer or does not know.
         """
-        url = f"http://{taken.peer.record.http}/internal/outcome/{request_id}"
+        url = self._url(taken, f"/internal/outcome/{request_id}")
+        tls = self.tls.arguments(taken.peer.instance)
         sent = {
             headers.GRANT: str(taken.grant),
             headers.INCARNATION: str(taken.incarnation),
@@ -100,7 +110,7 @@
         for _ in range(OUTCOME_TRIES):
             try:
                 async with self.session.post(
-                    url, headers=sent, timeout=timeout
+                    url, headers=sent, timeout=timeout, **tls
                 ) as answer:
                     if answer.status == GONE_STATUS:
                         return None
@@ -130,6 +140,9 @@
         finally:
             answer.release()
 
+    def _url(self, taken: Taken, path: str) -> str:
+        return self.tls.url(taken.peer.record.http) + path
+
     def _count(self, request: EntryRequest) -> None:
         request.dispatches += 1
         invariants.check(
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_offers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_offers.py
@@ -15,7 +15,7 @@
 from skylarkdoord.exceptions import RefusedError
 
 LEAST_RETRY_AFTER_S = 1.0
-MAX_LAST_CALLS = 8
+MAX_LAST_CALLS = 32
 
 CODES = {
     pb.REFUSAL_REASON_QUEUE_FULL: ("overloaded", "every queue in reach is full"),
@@ -68,10 +68,12 @@
         refusal: What the sidecar said.
         holds_until: Monotonic time until which it lets no lower tier in, in
             seconds, reckoned from when the offer was sent.
+        is_copy: Whether the request waited elsewhere when it was offered.
     """
 
     refusal: pb.Refusal
     holds_until: float
+    is_copy: bool = False
 
     @property
     def for_lack_of_room(self) -> bool:
@@ -84,7 +86,8 @@
 
     A request is refused for lack of room only once every sidecar in reach has
     refused it and promises, at that moment, to let no lower tier in. A sidecar
-    whose promise has run out is asked again.
+    whose promise has run out is asked again, one after another, and so is one
+    that refused only a second place.
 
     Args:
         request: The request.
@@ -106,6 +109,7 @@
         self.width = 1 if choice.head_start_s else choice.offers
         self.pending: dict[str, SidecarPeer] = {}
         self.sent_at: dict[str, float] = {}
+        self.copies: set[str] = set()
         self.refused: dict[str, Refused] = {}
         self.last_reason: pb.RefusalReason | None = None
         self.last_calls = 0
@@ -158,7 +162,8 @@
         self.pending.pop(peer.instance, None)
         floor_s = refusal.floor_ms / MS_PER_S
         sent_at = self.sent_at.get(peer.instance, 0.0)
-        self.refused[peer.instance] = Refused(refusal, sent_at + floor_s)
+        is_copy = peer.instance in self.copies
+        self.refused[peer.instance] = Refused(refusal, sent_at + floor_s, is_copy)
         self.last_reason = refusal.reason
         if not self.answer.done():
             self._extend()
@@ -173,9 +178,8 @@
         again = self._to_ask_again()
         if again and self.last_calls < MAX_LAST_CALLS:
             self.last_calls += 1
-            LAST_CALLS.inc(len(again))
-            for peer in again:
-                self._offer(peer)
+            LAST_CALLS.inc()
+            self._offer(again[0])
             return
         self._give_up(proved=not again)
 
@@ -187,12 +191,19 @@
         refused = self.refused.get(peer.instance)
         if refused is None:
             return False
-        return not refused.for_lack_of_room or refused.holds_until > now
+        if not refused.for_lack_of_room:
+            return True
+        return not refused.is_copy and refused.holds_until > now
 
     def _offer(self, peer: SidecarPeer) -> None:
+        is_copy = bool(self.pending)
+        self.copies.discard(peer.instance)
+        if is_copy:
+            self.copies.add(peer.instance)
+        offer = self.request.offer(is_copy=is_copy)
         self.pending[peer.instance] = peer
         self.sent_at[peer.instance] = time.monotonic()
-        peer.offer(self.request.offer(), self)
+        peer.offer(offer, self)
 
     def _give_up(self, *, proved: bool) -> None:
         reason = self._reason()
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_router.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_router.py
@@ -3,6 +3,7 @@
 from skylarkdoor import tracing
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import ProcessSettings
+from skylarkdoord.common import TlsService
 from skylarkdoord.entry._admission import Admission
 from skylarkdoord.entry._affinity import AffinityTable
 from skylarkdoord.entry._delivery import Delivery
@@ -25,7 +26,7 @@
     """
 
     name = "router"
-    requires: tuple[str, ...] = ("admission", "directory")
+    requires: tuple[str, ...] = ("admission", "directory", "tls")
 
     def __init__(self, settings: ProcessSettings) -> None:
         self.settings = settings
@@ -36,7 +37,7 @@
         """Open the connections to sidecars."""
         self.admission = kernel.find("admission", Admission)
         self.directory = kernel.find("directory", Directory)
-        self.dispatcher = Dispatcher()
+        self.dispatcher = Dispatcher(kernel.find("tls", TlsService))
 
     async def stop(self) -> None:
         """Close them."""
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_queue.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_queue.py
@@ -46,7 +46,10 @@
         work_s: float = 0.0,
         hit_s: float = 0.0,
     ) -> tuple[bool, WaitingOffer | None]:
-        """Add an offer, displacing one of a lower tier if there is no room.
+        """Add an offer, displacing another if there is no room.
+
+        The lowest tier's newest offer makes room for a higher tier, and the
+        newest copy of a request that waits elsewhere too for its own tier.
 
         Args:
             offer: The offer.
@@ -60,7 +63,7 @@
         """
         displaced = None
         if len(self.by_id) >= self.limit:
-            displaced = self._displaceable(offer.tier)
+            displaced = self._displaceable(offer)
             if displaced is None:
                 self._check_refusal(offer.tier)
                 return False, None
@@ -155,11 +158,18 @@
         self.by_id[waiting.offer.request_id] = waiting
         self.by_start.add(waiting)
 
-    def _displaceable(self, tier: int) -> WaitingOffer | None:
+    def _displaceable(self, offer: pb.Offer) -> WaitingOffer | None:
         if not self.tiers:
             return None
+        lowest: int
+        queue: TierQueue
         lowest, queue = self.tiers.peekitem(-1)
-        return queue.newest() if lowest > tier else None
+        if lowest > offer.tier:
+            return queue.newest_copy() or queue.newest()
+        # A second place of one request is no reason to refuse another's first.
+        if lowest == offer.tier and not offer.is_copy:
+            return queue.newest_copy()
+        return None
 
     def _check_refusal(self, tier: int) -> None:
         lowest = self.tiers.peekitem(-1)[0] if self.tiers else tier
--- a/packages/skylarkdoord/tests/admin/test_service.py
+++ b/packages/skylarkdoord/tests/admin/test_service.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from skylarkdoor.hashing import key_hash
+
 CUSTOMER = {"key_hashes": ["b" * 64], "tier": "batch", "pools": ["registry"]}
 
 
@@ -78,7 +80,13 @@
         """Racing changes of other sub-paths are all accepted and none is lost."""
         names = ["one", "two", "three"]
         answers = await asyncio.gather(
-            *(admin.put(f"/teams/seed/customers/{name}", CUSTOMER) for name in names)
+            *(
+                admin.put(
+                    f"/teams/seed/customers/{name}",
+                    CUSTOMER | {"key_hashes": [key_hash(name)]},
+                )
+                for name in names
+            )
         )
         assert {answer.status for answer in answers} == {200}
         held = (await admin.get("/teams/seed/customers")).body["document"]
