--- a/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
@@ -35,9 +35,6 @@
 REQUESTS = Counter(
     "skylarkdoor_requests_total", "Requests answered.", ["tier", "outcome"]
 )
-GOODPUT = Counter(
-    "skylarkdoor_goodput_total", "Requests answered whole and in time.", ["tier"]
-)
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -228,7 +225,6 @@
                     delivery.close()
                 if relay.whole:
                     outcome = "answered"
-                    note_goodput(request)
                 return response
         except OutcomeUnknownError:
             outcome = "unknown"
@@ -239,9 +235,3 @@
         finally:
             tier = str(request.resolved.tier.rank)
             REQUESTS.labels(tier, outcome).inc()
-
-
-def note_goodput(request: EntryRequest) -> None:
-    """Count a request that was answered whole, if it was in time."""
-    if request.remaining_s() >= 0:
-        GOODPUT.labels(str(request.resolved.tier.rank)).inc()
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_request.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_request.py
@@ -68,8 +68,12 @@
         customer = f"{self.resolved.team}/{self.resolved.customer_name}"
         return f"{customer}/{key_hash(self.idempotency_key)}"
 
-    def offer(self) -> pb.Offer:
-        """Return what sidecars are told of the request."""
+    def offer(self, *, is_copy: bool = False) -> pb.Offer:
+        """Return what a sidecar is told of the request.
+
+        Args:
+            is_copy: Whether it waits at another sidecar already.
+        """
         return pb.Offer(
             request_id=self.request_id,
             team=self.resolved.team,
@@ -85,4 +89,5 @@
             fingerprint=self.fingerprint,
             weight=self.resolved.customer.weight,
             streamed=self.streamed,
+            is_copy=is_copy,
         )
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_fairness.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_fairness.py
@@ -72,6 +72,7 @@
         self.customers: dict[tuple[str, str], CustomerQueue] = {}
         self.active: SortedKeyList = SortedKeyList(key=_turn)
         self.arrivals: dict[str, WaitingOffer] = {}
+        self.copies: dict[str, WaitingOffer] = {}
         self.virtual_s = 0.0
 
     def __len__(self) -> int:
@@ -86,6 +87,8 @@
             self.active.add(customer)
         customer.waiting.add(waiting)
         self.arrivals[waiting.offer.request_id] = waiting
+        if waiting.offer.is_copy:
+            self.copies[waiting.offer.request_id] = waiting
 
     def first(self) -> WaitingOffer:
         """Return the offer whose turn it is."""
@@ -96,6 +99,10 @@
         """Return the offer that came last."""
         return next(reversed(self.arrivals.values()))
 
+    def newest_copy(self) -> WaitingOffer | None:
+        """Return the offer that came last among those that wait elsewhere too."""
+        return next(reversed(self.copies.values()), None)
+
     def remove(self, waiting: WaitingOffer) -> None:
         """Remove an offer without charging its customer."""
         customer = self.customers[waiting.customer]
@@ -103,6 +110,7 @@
         if not customer.waiting:
             self.active.remove(customer)
         del self.arrivals[waiting.offer.request_id]
+        self.copies.pop(waiting.offer.request_id, None)
 
     def charge(self, waiting: WaitingOffer) -> None:
         """Charge a customer for an offer that was granted."""
--- a/packages/skylarkdoord/tests/entry/test_offers.py
+++ b/packages/skylarkdoord/tests/entry/test_offers.py
@@ -203,7 +203,7 @@
         """A sidecar whose refusal has become old gets the offer again."""
         fleet = Fleetlet()
         for _ in range(9):
-            fleet.submit(1, 0, 3)
+            fleet.submit(1, 0, 1)
             await fleet.settle()
         fleet.submit(1, 1, 1)
         await asyncio.sleep(0)
@@ -227,6 +227,18 @@
         assert 3 not in fleet.waiting_tiers()
         await fleet.close()
 
+    async def test_second_places_make_room(self):
+        """A request has a place while others of its tier have two."""
+        fleet = Fleetlet()
+        for _ in range(9):
+            fleet.submit(1, 0, 3)
+            await fleet.settle()
+        assert not any(_refused(wait) for wait in fleet.waits.values())
+        fleet.submit(1, 1, 3)
+        await fleet.settle()
+        assert sum(_refused(wait) for wait in fleet.waits.values()) == 1
+        await fleet.close()
+
     async def test_refusal_stays_true_until_the_last(self):
         """A place that comes free meanwhile is not given to a lower tier."""
         fleet = Fleetlet(sidecars=2, queue_limit=1)
