End in a status when an entry's answer has another shape

An answer without a field, as a proxy's or another version's might be, ended in a traceback of the client.

--- a/packages/skylarkdoor-client/src/skylarkdoor_client/_admin.py
+++ b/packages/skylarkdoor-client/src/skylarkdoor_client/_admin.py
@@ -92,7 +92,7 @@
             AbsentError: There is none.
         """
         answer = await self._read(f"/admin/settings{quote(path)}")
-        return Held(int(answer["revision"]), answer["document"])
+        return Held(_field(answer, "revision"), _field(answer, "document"))
 
     async def put(
         self, path: str, document: Any, *, expect_revision: int | None
@@ -131,11 +131,12 @@
     async def drain(self, instance: str) -> dict[str, Any]:
         """Tell an instance to take no more work."""
         answer = await self._change("POST", f"/admin/drain/{quote(instance)}", None)
-        return dict(answer)
+        return _object(answer)
 
     async def explain(self, question: Mapping[str, Any]) -> dict[str, Any]:
         """Return where a request would go, and why."""
-        return dict(await self._read("/admin/explain", method="POST", body=question))
+        answer = await self._read("/admin/explain", method="POST", body=question)
+        return _object(answer)
 
     async def _read(self, target: str, *, method: str = "GET", body: Any = None) -> Any:
         try:
@@ -181,6 +182,19 @@
         return ssl.create_default_context(cafile=self.authority)
 
 
+def _object(answer: Any) -> dict[str, Any]:
+    if not isinstance(answer, dict):
+        raise AnswerError("expected an object as the answer")
+    return answer
+
+
+def _field(answer: Any, name: str) -> Any:
+    found = _object(answer)
+    if name not in found:
+        raise AnswerError(f"expected {name!r} in the answer")
+    return found[name]
+
+
 def _list(answer: Any, name: str) -> list[dict[str, Any]]:
     found = answer.get(name) if isinstance(answer, dict) else answer
     if not isinstance(found, list):
@@ -189,4 +203,8 @@
 
 
 def _changed(answer: Any) -> Changed:
-    return Changed(answer["subtree"], int(answer["revision"]), tuple(answer["changed"]))
+    return Changed(
+        _field(answer, "subtree"),
+        _field(answer, "revision"),
+        tuple(_field(answer, "changed")),
+    )
--- a/packages/skylarkdoor-client/tests/test_settings_commands.py
+++ b/packages/skylarkdoor-client/tests/test_settings_commands.py
@@ -91,6 +91,14 @@
         assert result.exit_code == code
         assert "said so" in result.output
 
+    @pytest.mark.parametrize("answer", [[], {"document": {}}, "text"])
+    async def test_strange_answer(self, admin, answer):
+        """An answer of another shape ends in a status, not in a traceback."""
+        admin.answers["GET", "/admin/settings/fleet"] = (200, answer)
+        result = await admin.run("settings", "get", "/fleet")
+        assert result.exit_code == ExitCode.UNEXPECTED
+        assert "expected" in result.output
+
     async def test_unreachable(self, admin):
         """An entry that does not listen is unavailable."""
         url = str(admin.server.make_url(""))
