Quarantine requests that crash upstreams, and relay whole answers only

Poison: whoever is inside an upstream that crashes becomes a suspect, told over the streams, in the answer and in the table.

A request that waits for its claim or for the gate is no longer tombstoned by the entry's own look: that now changes nothing.

--- a/packages/skylarkdoord/src/skylarkdoord/common/__init__.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/__init__.py
@@ -4,6 +4,16 @@
 from skylarkdoord.common._internal import InternalServer
 from skylarkdoord.common._platform import Platform
 from skylarkdoord.common._settings import SettingsService
+from skylarkdoord.common._suspicion import Suspicion, Suspicions, crash_id
 from skylarkdoord.common._tls_service import TlsService
 
-__all__ = ["Backoff", "InternalServer", "Platform", "SettingsService", "TlsService"]
+__all__ = [
+    "Backoff",
+    "InternalServer",
+    "Platform",
+    "SettingsService",
+    "Suspicion",
+    "Suspicions",
+    "TlsService",
+    "crash_id",
+]
--- a/packages/skylarkdoord/src/skylarkdoord/common/_headers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_headers.py
@@ -1,6 +1,6 @@
 """Headers that skylarkdoor processes give each other."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from multidict import CIMultiDict
 
@@ -15,7 +15,7 @@
 TIER = "X-Skylarkdoor-Tier"
 PROMPT_TOKENS = "X-Skylarkdoor-Prompt-Tokens"
 FINGERPRINT = "X-Skylarkdoor-Fingerprint"
-CRASHED = "X-Skylarkdoor-Crashed"
+CRASHES = "X-Skylarkdoor-Crashes"
 REPLAYED = "Idempotent-Replayed"
 NOT_RUN = "X-Skylarkdoor-Not-Run"
 UNKNOWN = "X-Skylarkdoor-Outcome-Unknown"
@@ -47,6 +47,16 @@
 )
 
 
+def read_crashes(headers: Mapping[str, str]) -> tuple[str, ...]:
+    """Return the crashes that a neighbour counts against a request."""
+    return tuple(filter(None, headers.get(CRASHES, "").split(",")))
+
+
+def write_crashes(crashes: Iterable[str]) -> str:
+    """Return the header's value for such crashes."""
+    return ",".join(crashes)
+
+
 def to_upstream(headers: Mapping[str, str]) -> CIMultiDict[str]:
     """Return the caller's headers that an upstream may see."""
     passed = CIMultiDict({name: headers[name] for name in PASSED_ON if name in headers})
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_delivery.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_delivery.py
@@ -13,6 +13,7 @@
 
 CHECK_INTERVAL_S = 5.0
 GRACE_S = 0.5
+GOES_ON = ("accepted", "dispatched")
 
 
 class Outcome(NamedTuple):
@@ -20,11 +21,9 @@
 
     Attributes:
         phase: How far it came there.
-        outcome: What came of it, once finished.
     """
 
     phase: str
-    outcome: str
 
 
 Ask = Callable[[], Awaitable[Outcome | None]]
@@ -40,7 +39,7 @@
 
     Args:
         taken: The grant that was taken.
-        ask: Asks the sidecar what came of the request.
+        ask: Asks the sidecar how far the request has come.
     """
 
     def __init__(self, taken: Taken, ask: Ask) -> None:
@@ -92,8 +91,8 @@
             self.verdict = await self.ask()
             # What ended may still be on its way.
             await asyncio.sleep(GRACE_S)
-            runs = self.verdict is not None and self.verdict.phase == "dispatched"
-            if not runs and self._waited_s() >= GRACE_S:
+            goes_on = self.verdict is not None and self.verdict.phase in GOES_ON
+            if not goes_on and self._waited_s() >= GRACE_S:
                 break
         self.stop()
 
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_directory.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_directory.py
@@ -14,6 +14,7 @@
 from skylarkdoord import _events
 from skylarkdoord.common import InternalServer, Platform, TlsService
 from skylarkdoord.entry._peer import SidecarPeer
+from skylarkdoord.entry._suspects import Suspects
 
 POLL_INTERVAL_S = 1.0
 
@@ -31,6 +32,7 @@
     def __init__(self, settings: ProcessSettings) -> None:
         self.settings = settings
         self.peers: dict[str, SidecarPeer] = {}
+        self.suspects = Suspects(lambda: self.peers.values())
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.fetched = False
         self.incarnation = time.time_ns()
@@ -131,7 +133,7 @@
             data_centre=self.settings.data_centre,
             incarnation=self.incarnation,
         )
-        peer = SidecarPeer(record, hello, self.tls.rpc_client)
+        peer = SidecarPeer(record, hello, self.suspects, self.tls.rpc_client)
         self.peers[record.instance] = peer
         self.tasks[record.instance] = self.kernel.spawn(
             peer.run(), name=f"peer {record.instance}"
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_dispatch.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_dispatch.py
@@ -5,11 +5,12 @@
 import aiohttp
 
 from skylarkdoor import invariants, tracing
-from skylarkdoord.common import TlsService
+from skylarkdoord.common import Suspicions, TlsService
 from skylarkdoord.common import _headers as headers
 from skylarkdoord.entry._delivery import Delivery, Outcome
 from skylarkdoord.entry._offers import Taken
 from skylarkdoord.entry._request import MS_PER_S, EntryRequest
+from skylarkdoord.entry._suspects import Suspects
 from skylarkdoord.exceptions import (
     DispatchError,
     NotRunError,
@@ -37,10 +38,12 @@
 
     Args:
         tls: Contexts of the connections.
+        suspects: What the entry knows of suspects.
     """
 
-    def __init__(self, tls: TlsService) -> None:
+    def __init__(self, tls: TlsService, suspects: Suspects) -> None:
         self.tls = tls
+        self.suspects = suspects
         timeout = aiohttp.ClientTimeout(total=None, connect=CONNECT_TIMEOUT_S)
         connector = aiohttp.TCPConnector(limit=0)
         self.session = aiohttp.ClientSession(
@@ -58,7 +61,7 @@
             NotRunError: The sidecar did not give it to its upstream.
             OutcomeUnknownError: It did, and nothing whole came back.
         """
-        delivery = Delivery(taken, lambda: self.outcome(request.request_id, taken))
+        delivery = Delivery(taken, lambda: self.ask("GET", request, taken))
         try:
             return await self._send(request, delivery)
         except BaseException:
@@ -78,9 +81,10 @@
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             raise NotRunError("unavailable", "the sidecar can't be reached") from None
         except SidecarSilentError:
-            raise self._settle(request, delivery.verdict) from None
+            said = delivery.verdict and await self.ask("POST", request, taken)
+            raise self._settle(request, said) from None
         except (aiohttp.ClientError, TimeoutError):
-            said = await self.outcome(request_id, taken)
+            said = await self.ask("POST", request, taken)
             raise self._settle(request, said) from None
         answer = delivery.answer
         if headers.NOT_RUN in answer.headers:
@@ -89,33 +93,43 @@
         if headers.REPLAYED not in answer.headers:
             self._count(request)
         if headers.UNKNOWN in answer.headers:
+            crashes = headers.read_crashes(answer.headers)
+            self._suspicions(request).learn(request.fingerprint, crashes)
             raise OutcomeUnknownError("the upstream's answer was lost")
         return delivery
 
-    async def outcome(self, request_id: str, taken: Taken) -> Outcome | None:
-        """Ask a sidecar what came of a request.
+    async def ask(
+        self, method: str, request: EntryRequest, taken: Taken
+    ) -> Outcome | None:
+        """Ask a sidecar how far a request has come.
 
-        A request that has not begun there never will after the call.
+        Args:
+            method: `GET` changes nothing; after `POST`, a request that has not
+                begun there never will.
+            request: The request.
+            taken: The grant that it took.
 
         Returns:
             None if the sidecar does not answer or does not know.
         """
-        url = self._url(taken, f"/internal/outcome/{request_id}")
+        url = self._url(taken, f"/internal/outcome/{request.request_id}")
         tls = self.tls.arguments(taken.peer.instance)
         sent = {
             headers.GRANT: str(taken.grant),
             headers.INCARNATION: str(taken.incarnation),
+            headers.FINGERPRINT: str(request.fingerprint),
         }
         timeout = aiohttp.ClientTimeout(total=OUTCOME_TIMEOUT_S)
         for _ in range(OUTCOME_TRIES):
             try:
-                async with self.session.post(
-                    url, headers=sent, timeout=timeout, **tls
+                async with self.session.request(
+                    method, url, headers=sent, timeout=timeout, **tls
                 ) as answer:
                     if answer.status == GONE_STATUS:
                         return None
                     said = await answer.json()
-                return Outcome(said["phase"], said["outcome"])
+                self._suspicions(request).learn(request.fingerprint, said["crashes"])
+                return Outcome(said["phase"])
             except (aiohttp.ClientError, TimeoutError, ValueError, KeyError):
                 await asyncio.sleep(OUTCOME_PAUSE_S)
         return None
@@ -149,6 +163,9 @@
             ONE_DISPATCH, request.dispatches == 1, request_id=request.request_id
         )
 
+    def _suspicions(self, request: EntryRequest) -> Suspicions:
+        return self.suspects.of_pool(request.pool_name)
+
     def _check_own(self, request: EntryRequest, answer: aiohttp.ClientResponse) -> None:
         invariants.check(
             OWN_ANSWER,
@@ -166,6 +183,8 @@
         sent[headers.IDEMPOTENT] = str(int(request.idempotent))
         sent[headers.DEADLINE_MS] = str(int(request.remaining_s() * MS_PER_S))
         sent[headers.FINGERPRINT] = str(request.fingerprint)
+        crashes = self._suspicions(request).of(request.fingerprint).open
+        sent[headers.CRASHES] = headers.write_crashes(crashes)
         sent[headers.TIER] = str(request.resolved.tier.rank)
         sent[headers.PROMPT_TOKENS] = str(request.prompt_tokens)
         if request.idempotency_key:
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_peer.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_peer.py
@@ -14,6 +14,7 @@
 from skylarkdoord import _events
 from skylarkdoord.common import Backoff
 from skylarkdoord.common._tls import ClientTls
+from skylarkdoord.entry._suspects import Suspects
 
 SILENCE_TIMEOUT_S = 3.0
 HEARTBEAT_INTERVAL_S = 1.0
@@ -36,6 +37,7 @@
     Args:
         record: The sidecar as the instance list shows it.
         hello: What the sidecar is told first.
+        suspects: What the entry knows of suspects.
         tls: Context of the stream; None for plain TCP.
     """
 
@@ -43,10 +45,12 @@
         self,
         record: InstanceRecord,
         hello: pb.EntryHello,
+        suspects: Suspects,
         tls: ClientTls | None = None,
     ) -> None:
         self.record = record
         self.hello = hello
+        self.suspects = suspects
         self.tls = tls
         self.outbox: Outbox[pb.EntryMessage] = Outbox()
         self.offers: dict[str, OfferListener] = {}
@@ -68,6 +72,11 @@
         """Whether offers may be made."""
         return self.connected and not self.leaving and self.record.state == "live"
 
+    @property
+    def pool(self) -> str:
+        """The pool that the sidecar's upstream serves."""
+        return self.record.pool
+
     def offer(self, offer: pb.Offer, listener: OfferListener) -> None:
         """Offer a request; the listener hears what the sidecar says."""
         self.offers[offer.request_id] = listener
@@ -149,6 +158,7 @@
                 self.connected = True
                 self.lost = asyncio.Event()
                 self.leaving = False
+                self.suspects.greet(self)
                 self.models = tuple(message.hello.models)
                 self.log.event(_events.PEER_CONNECTED, peer=self.instance)
             case "grant":
@@ -160,6 +170,8 @@
             case "load":
                 self.load = message.load
                 self.load_at = time.monotonic()
+            case "suspect":
+                self.suspects.hear(self, message.suspect)
             case "leaving":
                 self.leaving = True
 
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_relay.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_relay.py
@@ -53,6 +53,7 @@
         self.answer = delivery.answer
         self.generated_tokens = 0
         self.whole = False
+        self.tail = b""
         self.log = events.get_logger("entry.relay")
 
     async def run(self) -> web.StreamResponse:
@@ -91,7 +92,7 @@
         await response.prepare(self.raw)
         try:
             while chunk := await self.delivery.read_chunk():
-                self.generated_tokens += chunk.count(EVENT_MARK)
+                self.count_events(chunk)
                 await response.write(chunk)
         except aiohttp.ClientConnectionResetError:
             # The caller went; there is nobody to tell.
@@ -102,12 +103,23 @@
                 request_id=self.request.request_id,
                 error=repr(error),
             )
+            # The answer tells whether the request crashed its upstream, before
+            # the caller can send it again.
+            await self.delivery.ask()
             await self.cut(response)
             return response
         await response.write_eof()
+        # The last event of a model's stream is its end mark.
+        self.generated_tokens -= bool(self.request.model)
         self.whole = True
         return response
 
+    def count_events(self, chunk: bytes) -> None:
+        """Count the events of a stream, each of which bears a token."""
+        seen = self.tail + chunk
+        self.generated_tokens += seen.count(EVENT_MARK)
+        self.tail = seen[-(len(EVENT_MARK) - 1) :]
+
     async def cut(self, response: web.StreamResponse) -> None:
         """End the caller's connection so that it can't pass for a whole answer."""
         transport = self.raw.transport
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_router.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_router.py
@@ -32,7 +32,9 @@
     async def start(self, kernel: Kernel) -> None:
         """Open the connections to sidecars."""
         self.directory = kernel.find("directory", Directory)
-        self.dispatcher = Dispatcher(kernel.find("tls", TlsService))
+        self.dispatcher = Dispatcher(
+            kernel.find("tls", TlsService), self.directory.suspects
+        )
 
     async def stop(self) -> None:
         """Close them."""
@@ -45,6 +47,7 @@
             RefusedError: It was not run.
             OutcomeUnknownError: It was dispatched and its outcome is not known.
         """
+        self.check_suspicion(request)
         excluded: set[str] = set()
         for _ in range(MAX_TRIES):
             taken = await self.acquire(request, excluded)
@@ -58,6 +61,16 @@
             "unavailable", "no upstream took the request", retry_after_s=1
         )
 
+    def check_suspicion(self, request: EntryRequest) -> None:
+        """Refuse a request that is known to crash upstreams.
+
+        Raises:
+            RefusedError: It is quarantined.
+        """
+        known = self.directory.suspects.of_pool(request.pool_name)
+        if known.of(request.fingerprint).is_quarantined:
+            raise RefusedError("quarantined", "the request crashes upstreams")
+
     async def acquire(self, request: EntryRequest, excluded: set[str]) -> Taken:
         """Take a grant from one of the sidecars in reach.
 
--- a/packages/skylarkdoord/src/skylarkdoord/exceptions.py
+++ b/packages/skylarkdoord/src/skylarkdoord/exceptions.py
@@ -13,6 +13,7 @@
     "OutcomeUnknownError",
     "RefusedError",
     "SidecarSilentError",
+    "SuspectRowError",
     "TlsError",
     "TransitionError",
     "UpstreamCutError",
@@ -40,6 +41,10 @@
     """A row of the table is not a claim."""
 
 
+class SuspectRowError(DaemonError):
+    """A row of the table is not a suspect."""
+
+
 class DispatchError(DaemonError):
     """A dispatch did not bring a whole answer."""
 
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/__init__.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/__init__.py
@@ -8,6 +8,7 @@
 from skylarkdoord.sidecar._drain import Drain
 from skylarkdoord.sidecar._ledger import Ledger, Phase
 from skylarkdoord.sidecar._peers import PeerServer
+from skylarkdoord.sidecar._poison import Poison
 from skylarkdoord.sidecar._queue import OfferQueue, WaitingOffer
 from skylarkdoord.sidecar._scheduler import Scheduler
 
@@ -19,6 +20,7 @@
     "OfferQueue",
     "PeerServer",
     "Phase",
+    "Poison",
     "Scheduler",
     "WaitingOffer",
     "build",
@@ -32,6 +34,7 @@
     kernel.register(SettingsService())
     kernel.register(Scheduler(settings))
     kernel.register(Claims(settings))
+    kernel.register(Poison(settings))
     kernel.register(DispatchService(settings))
     kernel.register(PeerServer(settings))
     kernel.register(
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_call.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_call.py
@@ -27,6 +27,7 @@
         idempotent: Whether it may be run again without harm.
         identity: Customer and hashed key, empty without a key.
         fingerprint: Hash of customer and body.
+        crashes: Crashes that its entry counts against it.
         tier: Rank of its tier.
         prompt_tokens: Estimated prompt length.
         deadline_at: Monotonic time by which the answer is wanted, in seconds.
@@ -42,6 +43,7 @@
     idempotent: bool
     identity: str
     fingerprint: int
+    crashes: tuple[str, ...]
     tier: int
     prompt_tokens: int
     deadline_at: float
@@ -72,6 +74,7 @@
             idempotent=sent[headers.IDEMPOTENT] == "1",
             identity=sent.get(headers.IDENTITY, ""),
             fingerprint=int(sent[headers.FINGERPRINT]),
+            crashes=headers.read_crashes(sent),
             tier=int(sent[headers.TIER]),
             prompt_tokens=int(sent[headers.PROMPT_TOKENS]),
             deadline_at=time.monotonic() + left_s,
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_dispatch.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_dispatch.py
@@ -14,6 +14,7 @@
 from skylarkdoord.common import InternalServer
 from skylarkdoord.common import _headers as headers
 from skylarkdoord.exceptions import (
+    AnswerCrossedError,
     CallError,
     EntryGoneError,
     NotRunError,
@@ -26,11 +27,13 @@
 from skylarkdoord.sidecar._claim_rows import ClaimRow, WholeAnswer
 from skylarkdoord.sidecar._claims import Claims, Operation
 from skylarkdoord.sidecar._ledger import Phase
+from skylarkdoord.sidecar._poison import Admission, Poison
 from skylarkdoord.sidecar._scheduler import Scheduler
 from skylarkdoord.sidecar._upstream import UpstreamClient, has_marked_end
 
 STREAM_END = b"data: [DONE]"
 TAIL_BYTES = 64
+ABSENT = "absent"
 
 CLAIMED_FIRST = invariants.define(
     "claimed_first", "A non-idempotent request is claimed before its dispatch."
@@ -67,7 +70,7 @@
     """
 
     name = "dispatch"
-    requires: tuple[str, ...] = ("scheduler", "claims")
+    requires: tuple[str, ...] = ("scheduler", "claims", "poison")
 
     def __init__(self, settings: ProcessSettings) -> None:
         self.settings = settings
@@ -78,31 +81,41 @@
         self.kernel = kernel
         self.scheduler = kernel.find("scheduler", Scheduler)
         self.claims = kernel.find("claims", Claims)
+        self.poison = kernel.find("poison", Poison)
         internal = kernel.find("internal", InternalServer)
         internal.add_route("POST", "/internal/dispatch/{id}", self.post_dispatch)
         internal.add_route("POST", "/internal/outcome/{id}", self.post_outcome)
+        internal.add_route("GET", "/internal/outcome/{id}", self.get_outcome)
         self.upstream = UpstreamClient(self.scheduler.upstream.url)
 
     async def stop(self) -> None:
         """Close the session; the scheduler has drained before."""
         await self.upstream.close()
 
+    async def get_outcome(self, request: web.Request) -> web.Response:
+        """Tell how far a request has come."""
+        self._check_known(request)
+        phase = self.scheduler.ledger.phase(request.match_info["id"])
+        return self._outcome(request, phase or ABSENT)
+
     async def post_outcome(self, request: web.Request) -> web.Response:
-        """Tell what came of a request; one that has not begun never will.
+        """Tell how far a request has come; one that has not begun never will."""
+        self._check_known(request)
+        phase = self.scheduler.tombstone(request.match_info["id"])
+        return self._outcome(request, phase)
 
-        Another life of this process may have run the request, and a request
-        that ended long ago is forgotten: about both, nothing is told.
-        """
-        request_id = request.match_info["id"]
+    def _outcome(self, request: web.Request, phase: str) -> web.Response:
+        crashes = self.poison.crash_ids(int(request.headers[headers.FINGERPRINT]))
+        return web.json_response({"phase": phase, "crashes": crashes})
+
+    def _check_known(self, request: web.Request) -> None:
+        """Answer 410 for what another life has run or what is forgotten."""
         ledger = self.scheduler.ledger
         if request.headers.get(headers.INCARNATION) != str(ledger.incarnation):
             raise web.HTTPGone
-        if ledger.is_forgotten(request_id, int(request.headers[headers.GRANT])):
+        grant = int(request.headers[headers.GRANT])
+        if ledger.is_forgotten(request.match_info["id"], grant):
             raise web.HTTPGone
-        phase = self.scheduler.tombstone(request_id)
-        entry = ledger.find(request_id)
-        outcome = entry.outcome if entry else ""
-        return web.json_response({"phase": phase, "outcome": outcome})
 
     async def post_dispatch(self, request: web.Request) -> web.StreamResponse:
         """Give a granted request to the upstream and relay the answer."""
@@ -115,6 +128,7 @@
                 _events.DISPATCH_REFUSED, request_id=request_id, error=str(error)
             )
             return _not_run(NotRunError("grant_lapsed", str(error)))
+        self.poison.suspicions.learn(call.fingerprint, call.crashes)
         with tracing.span("sidecar", call.context, request_id=request_id) as here:
             try:
                 return await self.run(request, call._replace(context=here))
@@ -122,7 +136,7 @@
                 self.scheduler.tombstone(request_id)
                 return _not_run(error)
             except (EntryGoneError, UpstreamCutError, OutcomeUnknownError) as error:
-                return _unknown(request_id, error)
+                return self.unknown(call, error)
 
     async def run(self, request: web.Request, call: Call) -> web.StreamResponse:
         """Read the body and have the call run.
@@ -214,18 +228,28 @@
             NotRunError: The call to the upstream was never opened.
             UpstreamCutError: It was, and no whole answer came.
         """
+        async with self.poison.admitted(
+            call.fingerprint, call.deadline_at
+        ) as admission:
+            return await self.fetch_admitted(call, body, claim, admission)
+
+    async def fetch_admitted(
+        self, call: Call, body: bytes, claim: Operation, admission: Admission
+    ) -> WholeAnswer:
+        """Run a claimed call that may enter the upstream; see `fetch`."""
         self.mark(call, claim)
         outcome = CUT
         try:
             async with self.upstream.open(call, body) as answer:
                 whole = await _read_whole(answer)
             outcome = Outcome(f"status {whole.status}")
+            admission.whole = True
             return whole
         except NotRunError:
             outcome = NOT_REACHED
             raise
         except UpstreamCutError as error:
-            self._failed(call, error)
+            await self.note_cut(call, error, admission)
             raise
         finally:
             self.finish(call, outcome)
@@ -239,6 +263,15 @@
             NotRunError: The call to the upstream was never opened.
             UpstreamCutError: It was, and no whole answer came.
         """
+        async with self.poison.admitted(
+            call.fingerprint, call.deadline_at
+        ) as admission:
+            return await self.relay_admitted(request, call, body, admission)
+
+    async def relay_admitted(
+        self, request: web.Request, call: Call, body: bytes, admission: Admission
+    ) -> web.StreamResponse:
+        """Run a call that may enter the upstream; see `relay`."""
         self.mark(call, None)
         outcome = CUT
         response: web.StreamResponse
@@ -251,12 +284,13 @@
                     response = stream = await _begin_stream(request, call, answer)
                     await self.copy_events(stream, answer)
             outcome = Outcome(f"status {answer.status}")
+            admission.whole = True
             return response
         except NotRunError:
             outcome = NOT_REACHED
             raise
         except UpstreamCutError as error:
-            self._failed(call, error)
+            await self.note_cut(call, error, admission)
             if stream is None:
                 raise
             # A closed connection can't be taken for a whole answer.
@@ -292,9 +326,26 @@
         is_model = pool is not None and pool.kind == "model"
         return is_model or not has_marked_end(answer)
 
-    def _failed(self, call: Call, error: Exception) -> None:
-        self.log.event(
-            _events.UPSTREAM_FAILED, request_id=call.request_id, error=str(error)
+    async def note_cut(
+        self, call: Call, error: UpstreamCutError, admission: Admission
+    ) -> None:
+        """Log a cut answer and find out whether the upstream crashed."""
+        crossed = isinstance(error, AnswerCrossedError)
+        event = _events.ANSWER_CROSSED if crossed else _events.UPSTREAM_FAILED
+        self.log.event(event, request_id=call.request_id, error=str(error))
+        await self.poison.on_cut(admission, self.upstream.is_up)
+
+    def unknown(self, call: Call, error: Exception) -> web.Response:
+        """Answer that the call was dispatched and its outcome is not known."""
+        crashes = self.poison.crash_ids(call.fingerprint)
+        return web.json_response(
+            {"code": "outcome_unknown", "message": str(error)},
+            status=502,
+            headers={
+                headers.REQUEST_ID: call.request_id,
+                headers.UNKNOWN: "1",
+                headers.CRASHES: headers.write_crashes(crashes),
+            },
         )
 
 
@@ -349,14 +400,6 @@
     return response
 
 
-def _unknown(request_id: str, error: Exception) -> web.Response:
-    return web.json_response(
-        {"code": "outcome_unknown", "message": str(error)},
-        status=502,
-        headers={headers.REQUEST_ID: request_id, headers.UNKNOWN: "1"},
-    )
-
-
 def _not_run(error: NotRunError) -> web.Response:
     said = {
         "code": error.code,
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_peers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_peers.py
@@ -14,6 +14,7 @@
 from skylarkdoord import _events
 from skylarkdoord.common import TlsService
 from skylarkdoord.common._tls import names_of
+from skylarkdoord.sidecar._poison import Poison
 from skylarkdoord.sidecar._scheduler import Scheduler
 
 if TYPE_CHECKING:
@@ -43,6 +44,7 @@
     async def start(self, kernel: Kernel) -> None:
         """Listen on the address for control streams."""
         self.scheduler = kernel.find("scheduler", Scheduler)
+        self.poison = kernel.find("poison", Poison)
         self.tls = kernel.find("tls", TlsService)
         context = self.tls.rpc.listening if self.tls.rpc else None
         host, _, port = self.address.rpartition(":")
@@ -71,6 +73,8 @@
         outbox.put(pb.SidecarMessage(hello=self.hello()))
         if self.scheduler.leaving:
             outbox.put(pb.SidecarMessage(leaving=pb.Leaving(reason="shutdown")))
+        for message in self.poison.messages():
+            outbox.put(message)
         self.scheduler.connect(peer, outbox.put)
         self.log.event(_events.PEER_CONNECTED, peer=entry)
         writer = asyncio.create_task(self.write(stream, outbox), name=f"write {peer}")
@@ -117,6 +121,8 @@
                 self.scheduler.receive(message.offer, peer)
             case "withdraw":
                 self.scheduler.withdraw(message.withdraw.request_id)
+            case "suspect":
+                self.poison.hear(message.suspect)
 
     async def write(
         self,
--- /dev/null
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_poison.py
@@ -0,0 +1,312 @@
+"""Keeps a request that crashes upstreams from crashing many.
+
+Every request inside an upstream that crashes becomes a suspect. A suspect runs
+alone, on one upstream of the pool at a time; if the upstream crashes again it
+is quarantined, else it is cleared.
+"""
+
+import asyncio
+import time
+from collections import Counter
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from contextlib import asynccontextmanager, contextmanager
+from dataclasses import dataclass
+
+from skylarkdoor import events
+from skylarkdoor.kernel import Kernel
+from skylarkdoor.platform import PlatformError, TableTimeout
+from skylarkdoor.settings import ProcessSettings
+from skylarkdoor.wire import pb
+from skylarkdoord import _events
+from skylarkdoord.common import Backoff, Platform, Suspicions, crash_id
+from skylarkdoord.exceptions import (
+    RefusedError,
+    SuspectRowError,
+    UpstreamCutError,
+)
+from skylarkdoord.sidecar._gate import Gate
+from skylarkdoord.sidecar._scheduler import Scheduler
+from skylarkdoord.sidecar._suspect_rows import (
+    PREFIX,
+    SuspectTable,
+    Trial,
+    decode,
+    read_fingerprint,
+)
+
+WRITE_INTERVAL_S = 0.2
+TRIAL_MARGIN_S = 5.0
+TRIAL_TRIES = 4
+RELEASE_TIMEOUT_S = 1.0
+BUSY_RETRY_AFTER_S = 2.0
+STORE_RETRY_AFTER_S = 2.0
+MAX_ROWS_READ = 10_000
+
+Probe = Callable[[], Awaitable[bool]]
+
+
+@dataclass
+class Admission:
+    """A call's leave to enter the upstream.
+
+    Attributes:
+        fingerprint: Hash of the request's customer and body.
+        crashes_before: Crashes counted here before it entered.
+        whole: Whether it brought a whole answer.
+    """
+
+    fingerprint: int
+    crashes_before: int = 0
+    whole: bool = False
+
+
+class Poison:
+    """Admits calls to the upstream and notes who was inside at a crash.
+
+    Args:
+        settings: Settings of this process.
+    """
+
+    name = "poison"
+    requires: tuple[str, ...] = ("platform", "scheduler")
+
+    def __init__(self, settings: ProcessSettings) -> None:
+        self.settings = settings
+        self.suspicions = Suspicions()
+        self.inside: Counter[int] = Counter()
+        self.trying: Counter[int] = Counter()
+        self.crashes = 0
+        self.unwritten: dict[int, None] = {}
+        self.wake = asyncio.Event()
+        self.gate = Gate()
+        self.probing: asyncio.Task[None] | None = None
+        self.log = events.get_logger("sidecar.poison")
+
+    async def start(self, kernel: Kernel) -> None:
+        """Read the known suspects and begin to write new ones."""
+        self.kernel = kernel
+        self.scheduler = kernel.find("scheduler", Scheduler)
+        self.incarnation = self.scheduler.ledger.incarnation
+        self.holder = f"{self.settings.instance}/{self.incarnation}"
+        self.rows = SuspectTable(kernel.find("platform", Platform).table)
+        kernel.spawn(self.read_rows(), name="poison.read")
+        kernel.spawn(self.write_rows(), name="poison.write")
+
+    async def stop(self) -> None:
+        """Nothing is held."""
+
+    def messages(self) -> list[pb.SidecarMessage]:
+        """Return what an entry is told when its stream opens."""
+        return [pb.SidecarMessage(suspect=item.message()) for item in self.suspicions]
+
+    def hear(self, told: pb.Suspect) -> None:
+        """Note what an entry tells."""
+        self.suspicions.hear(told)
+
+    def crash_ids(self, fingerprint: int) -> list[str]:
+        """Return the crashes that count against a request."""
+        return sorted(self.suspicions.of(fingerprint).open)
+
+    @asynccontextmanager
+    async def admitted(
+        self, fingerprint: int, deadline_at: float
+    ) -> AsyncIterator[Admission]:
+        """Let a call into the upstream, alone if it is a suspect.
+
+        Raises:
+            RefusedError: It is quarantined, or may not be tried now.
+            UpstreamCutError: It ran alone and the deadline passed.
+        """
+        admission = Admission(fingerprint)
+        while True:
+            self._check(fingerprint)
+            if self.suspicions.of(fingerprint).is_suspect:
+                async with self._trial(admission, deadline_at):
+                    yield admission
+                return
+            async with self.gate.together():
+                # It may have become a suspect while it waited.
+                if self.suspicions.of(fingerprint).is_suspect:
+                    continue
+                with self._inside(admission):
+                    yield admission
+                return
+
+    async def on_cut(self, admission: Admission, probe: Probe) -> None:
+        """Find out whether the upstream crashed, after it cut a call.
+
+        The calls that are cut by one crash wait for one probe, so that all of
+        them are still inside when they become suspects.
+
+        Args:
+            admission: The call's admission.
+            probe: Returns whether the upstream answers.
+        """
+        if admission.crashes_before < self.crashes:
+            return
+        if self.probing is None:
+            self.probing = self.kernel.spawn(self._probe(probe), name="poison.probe")
+        await asyncio.shield(self.probing)
+
+    async def read_rows(self) -> None:
+        """Learn what the table knows, once it can be read."""
+        backoff = Backoff()
+        while True:
+            try:
+                found = await self.rows.table.list(PREFIX, limit=MAX_ROWS_READ)
+                break
+            except PlatformError:
+                await asyncio.sleep(backoff.delay_s())
+        for row in found.rows:
+            try:
+                suspect = decode(row.value)
+                fingerprint = read_fingerprint(row.key)
+            except (SuspectRowError, ValueError) as error:
+                self.log.event(_events.SUSPECT_WRITE_FAILED, error=str(error))
+                continue
+            self.suspicions.learn(fingerprint, suspect.crashes, suspect.cleared)
+
+    async def write_rows(self) -> None:
+        """Write what is new, at a limited rate, until cancelled."""
+        while True:
+            await self.wake.wait()
+            if not self.unwritten:
+                self.wake.clear()
+                continue
+            fingerprint = next(iter(self.unwritten))
+            del self.unwritten[fingerprint]
+            try:
+                await self._write_row(fingerprint)
+            except (PlatformError, SuspectRowError) as error:
+                self.unwritten[fingerprint] = None
+                self.log.event(_events.SUSPECT_WRITE_FAILED, error=str(error))
+            await asyncio.sleep(WRITE_INTERVAL_S)
+
+    @contextmanager
+    def _inside(self, admission: Admission) -> Iterator[None]:
+        admission.crashes_before = self.crashes
+        self.inside[admission.fingerprint] += 1
+        try:
+            yield
+        finally:
+            self.inside[admission.fingerprint] -= 1
+            self.inside += Counter()
+
+    @asynccontextmanager
+    async def _trial(
+        self, admission: Admission, deadline_at: float
+    ) -> AsyncIterator[None]:
+        fingerprint = admission.fingerprint
+        left_s = deadline_at - time.monotonic()
+        await self._begin_trial(fingerprint, left_s)
+        self.trying[fingerprint] += 1
+        entered = False
+        try:
+            async with asyncio.timeout(left_s), self.gate.alone():
+                self._check(fingerprint)
+                entered = True
+                with self._inside(admission):
+                    yield
+        except TimeoutError:
+            if entered:
+                raise UpstreamCutError("the deadline passed") from None
+            raise RefusedError("deadline", "the upstream is busy") from None
+        finally:
+            self.trying[fingerprint] -= 1
+            if admission.whole:
+                self._clear(fingerprint)
+            release = self.kernel.spawn(self._release(fingerprint), name="poison.end")
+            # Whoever is refused here may be tried elsewhere at once.
+            await asyncio.wait({release}, timeout=RELEASE_TIMEOUT_S)
+
+    async def _release(self, fingerprint: int) -> None:
+        """Let other sidecars run a suspect whose trial here has ended."""
+        try:
+            await self._write_row(fingerprint)
+        except (PlatformError, SuspectRowError):
+            self._write_later(fingerprint)
+
+    async def _begin_trial(self, fingerprint: int, left_s: float) -> None:
+        """Agree with the pool's other sidecars that the suspect runs here.
+
+        Raises:
+            RefusedError: It is quarantined, runs elsewhere, or the table fails.
+        """
+        trial = Trial(self.holder, time.time() + left_s + TRIAL_MARGIN_S)
+        for _ in range(TRIAL_TRIES):
+            try:
+                row, condition = await self.rows.read(fingerprint)
+                self.suspicions.learn(fingerprint, row.crashes, row.cleared)
+                self._check(fingerprint)
+                if row.is_tried_by_other(self.holder):
+                    raise _busy()
+                suspicion = self.suspicions.of(fingerprint)
+                if await self.rows.write(suspicion, trial, condition):
+                    return
+            except TableTimeout:
+                continue
+            except (PlatformError, SuspectRowError) as error:
+                raise _store_down() from error
+        raise _store_down()
+
+    async def _write_row(self, fingerprint: int) -> None:
+        row, condition = await self.rows.read(fingerprint)
+        self.suspicions.learn(fingerprint, row.crashes, row.cleared)
+        trial = row.trial
+        if trial and trial.holder == self.holder and not self.trying[fingerprint]:
+            trial = None
+        suspicion = self.suspicions.of(fingerprint)
+        if not await self.rows.write(suspicion, trial, condition):
+            raise TableTimeout("the row changed meanwhile")
+
+    async def _probe(self, probe: Probe) -> None:
+        is_up = await probe()
+        self.probing = None
+        if is_up:
+            return
+        self.scheduler.set_upstream(False)
+        self.crashes += 1
+        crash = crash_id(self.settings.instance, self.incarnation, self.crashes)
+        self.log.event(_events.UPSTREAM_CRASHED, crash=crash, inside=len(self.inside))
+        for fingerprint in list(self.inside):
+            self.suspicions.learn(fingerprint, [crash])
+            if self.suspicions.of(fingerprint).is_quarantined:
+                name = f"{fingerprint:016x}"
+                self.log.event(_events.REQUEST_QUARANTINED, fingerprint=name)
+            self._tell(fingerprint)
+
+    def _clear(self, fingerprint: int) -> None:
+        crashes = self.suspicions.of(fingerprint).crashes
+        self.suspicions.learn(fingerprint, (), crashes)
+        self.log.event(_events.SUSPECT_CLEARED, fingerprint=f"{fingerprint:016x}")
+        self._tell(fingerprint)
+
+    def _tell(self, fingerprint: int) -> None:
+        message = self.suspicions.of(fingerprint).message()
+        for peer in list(self.scheduler.senders):
+            self.scheduler.send(peer, pb.SidecarMessage(suspect=message))
+        self._write_later(fingerprint)
+
+    def _write_later(self, fingerprint: int) -> None:
+        self.unwritten[fingerprint] = None
+        self.wake.set()
+
+    def _check(self, fingerprint: int) -> None:
+        if self.suspicions.of(fingerprint).is_quarantined:
+            raise RefusedError("quarantined", "the request crashes upstreams")
+
+
+def _busy() -> RefusedError:
+    return RefusedError(
+        "suspect_busy",
+        "the request crashed an upstream and is being run alone elsewhere",
+        retry_after_s=BUSY_RETRY_AFTER_S,
+    )
+
+
+def _store_down() -> RefusedError:
+    return RefusedError(
+        "store_down",
+        "the request crashed an upstream and can't be run alone now",
+        retry_after_s=STORE_RETRY_AFTER_S,
+    )
--- a/packages/skylarkdoord/tests/sidecar/test_upstream.py
+++ b/packages/skylarkdoord/tests/sidecar/test_upstream.py
@@ -60,6 +60,7 @@
         idempotent=True,
         identity="",
         fingerprint=1,
+        crashes=(),
         tier=0,
         prompt_tokens=0,
         deadline_at=time.monotonic() + 10.0,
