--- a/packages/skylarkdoord/src/skylarkdoord/entry/_router.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_router.py
@@ -37,7 +37,9 @@
         """Open the connections to sidecars."""
         self.admission = kernel.find("admission", Admission)
         self.directory = kernel.find("directory", Directory)
-        self.dispatcher = Dispatcher(kernel.find("tls", TlsService))
+        self.dispatcher = Dispatcher(
+            kernel.find("tls", TlsService), self.directory.suspects
+        )
 
     async def stop(self) -> None:
         """Close them."""
@@ -50,6 +52,7 @@
             RefusedError: It was not run.
             OutcomeUnknownError: It was dispatched and its outcome is not known.
         """
+        self.check_suspicion(request)
         excluded: set[str] = set()
         self.admission.retries.deposit()
         for _ in range(MAX_TRIES):
@@ -66,6 +69,16 @@
             "unavailable", "no upstream took the request", retry_after_s=1
         )
 
+    def check_suspicion(self, request: EntryRequest) -> None:
+        """Refuse a request that is known to crash upstreams.
+
+        Raises:
+            RefusedError: It is quarantined.
+        """
+        known = self.directory.suspects.of_pool(request.pool_name)
+        if known.of(request.fingerprint).is_quarantined:
+            raise RefusedError("quarantined", "the request crashes upstreams")
+
     async def acquire(self, request: EntryRequest, excluded: set[str]) -> Taken:
         """Take a grant from one of the sidecars in reach.
 
