--- a/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
@@ -12,6 +12,7 @@
 from skylarkdoord import _events
 from skylarkdoord.common import InternalServer, SettingsService, TlsService
 from skylarkdoord.entry import _parse as parse
+from skylarkdoord.entry._admission import Admission
 from skylarkdoord.entry._problems import problem
 from skylarkdoord.entry._relay import Relay
 from skylarkdoord.entry._request import EntryRequest
@@ -20,16 +21,23 @@
 
 MAX_HEADER_BYTES = 16 * 1024
 LEAVING_RETRY_AFTER_S = 1.0
+STARTING_RETRY_AFTER_S = 1.0
 DRAIN_NOTICE_S = 1.0
 STATUS_BY_CODE = {
+    "concurrency_limited": 429,
     "deadline": 504,
     "idempotency_key_reused": 422,
     "quarantined": 422,
+    "requests_limited": 429,
+    "tokens_limited": 429,
 }
 
 REQUESTS = Counter(
     "skylarkdoor_requests_total", "Requests answered.", ["tier", "outcome"]
 )
+GOODPUT = Counter(
+    "skylarkdoor_goodput_total", "Requests answered whole and in time.", ["tier"]
+)
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -58,6 +66,7 @@
     async def start(self, kernel: Kernel) -> None:
         """Listen on the callers' address."""
         self.router = kernel.find("router", Router)
+        self.admission = kernel.find("admission", Admission)
         self.settings_service = kernel.find("settings", SettingsService)
         self.internal = kernel.find("internal", InternalServer)
         self.internal.add_ready_check("leaving", lambda: not self.leaving)
@@ -121,6 +130,13 @@
                 "this entry is shutting down",
                 retry_after_s=LEAVING_RETRY_AFTER_S,
             )
+        if not self.settings_service.is_ready():
+            return problem(
+                503,
+                "starting",
+                "this entry has no settings yet",
+                retry_after_s=STARTING_RETRY_AFTER_S,
+            )
         self.active += 1
         self.idle.clear()
         try:
@@ -196,19 +212,23 @@
         """Have the request run and relay its answer."""
         outcome = "refused"
         try:
-            with tracing.span(
-                "entry", request.context, request_id=request.request_id
-            ) as here:
+            with (
+                self.admission.customers.admit(request),
+                tracing.span(
+                    "entry", request.context, request_id=request.request_id
+                ) as here,
+            ):
                 request.context = here
                 delivery = await self.router.serve(request)
                 outcome = "cut"
-                relay = Relay(raw, request, delivery.answer)
+                relay = Relay(raw, request, delivery)
                 try:
                     response = await relay.run()
                 finally:
                     delivery.close()
                 if relay.whole:
                     outcome = "answered"
+                    note_goodput(request)
                 return response
         except OutcomeUnknownError:
             outcome = "unknown"
@@ -219,3 +239,9 @@
         finally:
             tier = str(request.resolved.tier.rank)
             REQUESTS.labels(tier, outcome).inc()
+
+
+def note_goodput(request: EntryRequest) -> None:
+    """Count a request that was answered whole, if it was in time."""
+    if request.remaining_s() >= 0:
+        GOODPUT.labels(str(request.resolved.tier.rank)).inc()
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_dispatch.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_dispatch.py
@@ -249,7 +249,7 @@
                     response = _whole(call, await _read_whole(answer))
                 else:
                     response = stream = await _begin_stream(request, call, answer)
-                    await self.copy_events(stream, answer)
+                    await self.copy_events(call, stream, answer)
             outcome = Outcome(f"status {answer.status}")
             return response
         except NotRunError:
@@ -270,7 +270,7 @@
             self.finish(call, outcome)
 
     async def copy_events(
-        self, stream: web.StreamResponse, answer: aiohttp.ClientResponse
+        self, call: Call, stream: web.StreamResponse, answer: aiohttp.ClientResponse
     ) -> None:
         """Copy a stream to its end.
 
@@ -281,6 +281,7 @@
         tail = b""
         async for chunk in answer.content.iter_any():
             tail = (tail + chunk)[-TAIL_BYTES:]
+            self.scheduler.on_chunk(call.request_id, chunk)
             await _pass_on(stream, chunk)
         if self.needs_end_mark(answer) and STREAM_END not in tail:
             raise UpstreamCutError("the stream ended without its end mark")
