--- a/tests/docs/test_metrics.py
+++ b/tests/docs/test_metrics.py
@@ -1,5 +1,7 @@
 """docs/METRICS.md and the metrics registry."""
 
+import re
+
 from prometheus_client import REGISTRY
 
 import skylarkdoord.entry
@@ -7,6 +9,7 @@
 
 from ._pages import DOCS, section, table_rows
 
+NAME = re.compile(r"`(\w+)`")
 PREFIX = "skylarkdoor_"
 
 
@@ -34,3 +37,10 @@
     def test_same(self):
         """Page and registry have the same names, types and meanings."""
         assert listed() == registered()
+
+    def test_labels(self):
+        """Every label of the table is explained below it."""
+        text = section((DOCS / "METRICS.md").read_text(), "## Metrics")
+        used = {label for row in table_rows(text)[1:] for label in NAME.findall(row[2])}
+        explained = {label for label in used if f"\n- `{label}`: " in text}
+        assert explained == used
--- a/tests/docs/test_settings.py
+++ b/tests/docs/test_settings.py
@@ -2,12 +2,13 @@
 
 import json
 from collections.abc import Iterator
-from typing import Any, get_args
+from typing import Annotated, Any, Literal, get_args, get_origin
 
 import pytest
 
 from skylarkdoor.settings import Fleet, ProcessSettings, Team, to_plain
 from skylarkdoor.settings._convert import field_kinds, is_record
+from skylarkdoor.settings._describe import describe
 from skylarkdoor_client.exceptions import ExitCode
 
 from ._pages import DOCS, section, table_rows
@@ -32,6 +33,11 @@
 )
 
 
+def is_plain(kind: Any) -> bool:
+    """Return whether a field holds a single value that is no record."""
+    return not is_record(kind) and get_origin(kind) in (None, Annotated, Literal)
+
+
 def default_of(record: Any, name: str) -> str:
     """Return a field's default as the page writes it."""
     if name not in record._field_defaults:
@@ -55,6 +61,18 @@
         ]
         assert listed == defined
 
+    @pytest.mark.parametrize("record", RECORDS, ids=lambda record: record.__name__)
+    def test_expected(self, record):
+        """A plain field says what errors say is expected."""
+        rows = table_rows(section(TEXT, f"### {record.__name__}"))[1:]
+        listed = {row[0]: row[1] for row in rows}
+        plain = {
+            f"`{name}`": describe(kind)
+            for name, kind in field_kinds(record).items()
+            if is_plain(kind)
+        }
+        assert {name: listed[name] for name in plain} == plain
+
     def test_no_other_records(self):
         """The page has no table for a record that is gone."""
         headings = [line[4:] for line in TEXT.splitlines() if line.startswith("### ")]
