--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_estimates.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_estimates.py
@@ -21,6 +21,20 @@
 HALF_LIFE_S = 2.0
 
 
+class Reserved(NamedTuple):
+    """What a grant reserves.
+
+    Attributes:
+        offer: The offer.
+        cached: Prompt tokens that the upstream is held to have computed before.
+        prefill_s: Estimated time to compute the rest, in seconds.
+    """
+
+    offer: pb.Offer
+    cached: int
+    prefill_s: float
+
+
 class PrefillEstimate:
     """Time to the first token as a line over the tokens to compute.
 
@@ -174,12 +188,23 @@
         usual_s = seconds / self.of_decode(model).slowdown
         self.of_prefill(model).learn(tokens, usual_s)
 
-    def learn_whole(self, model: str, seconds: float) -> None:
-        """Take in the time of an answer that came in one piece."""
+    def learn_whole(self, reserved: Reserved, seconds: float, running: int) -> None:
+        """Take in the time of an answer that came in one piece.
+
+        How many tokens it had doesn't show, so it is held to have as many as
+        answers have usually.
+        """
         self.touch()
-        known = self.whole_s.setdefault(model, seconds)
+        offer = reserved.offer
+        if offer.model:
+            decode_s = seconds - self.prefill_s(offer, cached=reserved.cached)
+            tokens = offer.max_tokens * self.length_share.get(offer.model, 1.0)
+            if tokens >= 1 and decode_s > 0:
+                self.of_decode(offer.model).learn([decode_s / tokens], running)
+            return
+        known = self.whole_s.setdefault(offer.model, seconds)
         bounded = min(seconds, OUTLIER_FACTOR * known + OUTLIER_S)
-        self.whole_s[model] = known + FAST_SHARE * (bounded - known)
+        self.whole_s[offer.model] = known + FAST_SHARE * (bounded - known)
 
     def learn_length(self, model: str, share: float) -> None:
         """Take in the length of an answer as a share of the most allowed."""
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_flights.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_flights.py
@@ -2,10 +2,9 @@
 
 import time
 from collections.abc import Callable
-from typing import NamedTuple
 
 from skylarkdoor.wire import pb
-from skylarkdoord.sidecar._estimates import Estimates
+from skylarkdoord.sidecar._estimates import Estimates, Reserved
 from skylarkdoord.sidecar._limits import AdaptiveLimit
 
 EVENT_MARK = b"data:"
@@ -14,20 +13,6 @@
 LEARN_INTERVAL_S = 0.5
 
 
-class Reserved(NamedTuple):
-    """What a grant reserves.
-
-    Attributes:
-        offer: The offer.
-        cached: Prompt tokens that the upstream is held to have computed before.
-        prefill_s: Estimated time to compute the rest, in seconds.
-    """
-
-    offer: pb.Offer
-    cached: int
-    prefill_s: float
-
-
 class Flight:
     """One dispatched request as its answer comes.
 
@@ -131,7 +116,7 @@
         if not whole:
             return
         if not flight.tokens:
-            self.estimates.learn_whole(offer.model, seconds)
+            self.estimates.learn_whole(flight.reserved, seconds, self.running)
             self.on_computed(offer)
         elif offer.max_tokens:
             share = flight.tokens / offer.max_tokens
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_scheduler.py
@@ -18,21 +18,15 @@
     is_hopeless,
     is_too_late,
 )
-from skylarkdoord.sidecar._drain_rate import DrainRate
-from skylarkdoord.sidecar._estimates import Estimates
+from skylarkdoord.sidecar._capacity import Capacity
 from skylarkdoord.sidecar._fairness import WaitingOffer
-from skylarkdoord.sidecar._flights import Flights, Reserved
 from skylarkdoord.sidecar._health import UpstreamWatch
 from skylarkdoord.sidecar._ledger import GRANT_TIMEOUT_S, Ledger, Phase
-from skylarkdoord.sidecar._limits import AdaptiveLimit, Targets
-from skylarkdoord.sidecar._prefixes import HeldPrefixes
 from skylarkdoord.sidecar._queue import OfferQueue
 
 TICK_S = 0.1
 LEAST_RETRY_AFTER_S = 1.0
 MOST_RETRY_AFTER_S = 30.0
-PREFILL_AHEAD_S = 0.25
-STRAGGLER_SLOWDOWN = 2.0
 MS_PER_S = 1000
 WHOLE_OUTCOME = "status 2"
 
@@ -70,13 +64,7 @@
         self.ledger = Ledger(time.time_ns())
         self.queue = OfferQueue(limit=1)
         self.floor = TierFloor()
-        self.drain_rate = DrainRate()
-        self.estimates = Estimates()
-        self.adaptive = AdaptiveLimit(1)
-        self.prefixes = HeldPrefixes(0)
-        self.flights = Flights(
-            self.estimates, self.adaptive, on_computed=self.on_computed
-        )
+        self.capacity = Capacity(on_room=self.pump)
         self.senders: dict[str, Sender] = {}
         self.pending: dict[str, Pending] = {}
         self.leaving = False
@@ -108,28 +96,28 @@
     @property
     def limit(self) -> int:
         """Most requests that may be granted or inside the upstream."""
-        return self.adaptive.value
+        return self.capacity.limit
 
     @property
     def running(self) -> int:
         """Requests that take room: granted, accepted or dispatched."""
-        return self.flights.running
+        return self.capacity.running
 
     def status(self) -> dict[str, Any]:
         """Return what `/status` shows."""
-        prefill, decode = self.estimates.speeds(self.running + 1)
+        load = self.load()
         return {
             "pool": self.upstream.pool,
             "incarnation": self.ledger.incarnation,
             "leaving": self.leaving,
             "upstream_up": self.upstream_up,
-            "limit": self.limit,
-            "running": self.running,
-            "waiting_by_tier": self.queue.waiting_by_tier(),
-            "drain_per_second": self.drain_rate.per_s(),
-            "prefill_tokens_per_second": prefill,
-            "decode_tokens_per_second": decode,
-            "slowdown": self.estimates.slowdown(),
+            "limit": load.limit,
+            "running": load.running,
+            "waiting_by_tier": list(load.waiting_by_tier),
+            "drain_per_second": load.drain_per_second,
+            "prefill_tokens_per_second": load.prefill_tokens_per_second,
+            "decode_tokens_per_second": load.decode_tokens_per_second,
+            "slowdown": load.slowdown,
         }
 
     def apply_settings(self) -> None:
@@ -137,10 +125,8 @@
         pool = self.pool
         if pool is None:
             return
-        least = pool.min_running if pool.adaptive_limit else pool.max_running
-        self.adaptive.configure(least=least, most=pool.max_running)
+        self.capacity.configure(pool)
         self.queue.limit = pool.queue_limit
-        self.prefixes.capacity_tokens = pool.cache_tokens
         self.pump()
 
     def connect(self, peer: str, sender: Sender) -> None:
@@ -173,19 +159,18 @@
         now = time.monotonic()
         if self.floor.keeps_out(offer.tier, now):
             return False
-        cached = self.prefixes.cached_tokens(offer)
         added, displaced = self.queue.push(
             offer,
             peer=peer,
             now=now,
-            work_s=self.service_s(offer, cached),
-            hit_s=self.hit_s(offer, cached),
+            work_s=self.capacity.service_s(offer),
+            hit_s=self.capacity.hit_s(offer),
         )
         if displaced is not None:
             self.give_up(displaced, pb.REFUSAL_REASON_DISPLACED)
         if added:
             self.floor.check(offer.tier, now)
-            self.drain_rate.note(now, departed=0, waiting=len(self.queue))
+            self.note_queue()
         return added
 
     def objection(self, offer: pb.Offer) -> "pb.RefusalReason | None":
@@ -196,40 +181,27 @@
             return pb.REFUSAL_REASON_UPSTREAM_DOWN
         if offer.model and offer.model not in self.pool.models:
             return pb.REFUSAL_REASON_MODEL_ABSENT
-        service_s = self.service_s(offer, self.prefixes.cached_tokens(offer))
         if is_hopeless(
             remaining_s=offer.deadline_ms / MS_PER_S,
             wait_s=self.wait_s(offer.tier),
-            service_s=service_s,
+            service_s=self.capacity.service_s(offer),
         ):
             return pb.REFUSAL_REASON_DEADLINE
         return None
 
-    def service_s(self, offer: pb.Offer, cached: int) -> float:
-        """Return the time that an offer is held to take, in seconds."""
-        whole_s = self.estimates.service_s(offer, self.running + 1, cached=cached)
-        return whole_s * self.estimates.confidence()
-
-    def hit_s(self, offer: pb.Offer, cached: int) -> float:
-        """Return the prefill that the cache is held to save, in seconds."""
-        return cached * self.estimates.of_prefill(offer.model).token_s()
-
     def wait_s(self, tier: int) -> float:
         """Return how long a new offer of a tier is held to wait, in seconds."""
         if self.has_room():
             return 0.0
-        return self.drain_rate.wait_s(self.queue.ahead_of(tier) + 1)
+        return self.capacity.drain_rate.wait_s(self.queue.ahead_of(tier) + 1)
 
     def has_room(self) -> bool:
-        """Return whether one more request may go to the upstream.
+        """Return whether one more request may go to the upstream."""
+        return self.upstream_up and self.capacity.has_room()
 
-        The upstream computes prompts in order of arrival, so a prompt sent
-        while others are still to be computed would only wait there, where
-        tiers don't count.
-        """
-        if not self.upstream_up or self.running >= self.limit:
-            return False
-        return self.flights.prefill_s < PREFILL_AHEAD_S
+    def note_queue(self, *, departed: int = 0) -> None:
+        """Let the drain rate know of departures and of what still waits."""
+        self.capacity.note_queue(departed=departed, waiting=len(self.queue))
 
     def withdraw(self, request_id: str) -> None:
         """Forget an offer or a grant that the entry gives back."""
@@ -243,7 +215,7 @@
         self.drop_late()
         while len(self.queue) and self.has_room():
             waiting = self.queue.pop()
-            self.drain_rate.note(time.monotonic(), departed=1, waiting=len(self.queue))
+            self.note_queue(departed=1)
             self.grant(waiting)
         self.report()
 
@@ -257,16 +229,14 @@
     def grant(self, waiting: WaitingOffer) -> None:
         """Reserve room for an offer and tell its entry."""
         offer = waiting.offer
-        cached = self.prefixes.cached_tokens(offer)
-        service_s = self.service_s(offer, cached)
+        service_s = self.capacity.service_s(offer)
         remaining_s = waiting.deadline_at - time.monotonic()
         if is_too_late(remaining_s=remaining_s, service_s=service_s):
             self.queue.refund(waiting)
             self.give_up(waiting, pb.REFUSAL_REASON_DEADLINE)
             return
         number = self.ledger.grant(offer.request_id)
-        prefill_s = self.estimates.prefill_s(offer, cached=cached)
-        self.flights.reserve(offer.request_id, Reserved(offer, cached, prefill_s))
+        reserved = self.capacity.reserve(offer)
         metrics.GRANTS.labels(str(offer.tier)).inc()
         expiry = asyncio.get_running_loop().call_later(
             GRANT_TIMEOUT_S, self.expire, offer.request_id, number
@@ -277,7 +247,7 @@
             grant=number,
             incarnation=self.ledger.incarnation,
             expires_ms=int(GRANT_TIMEOUT_S * MS_PER_S),
-            cached_tokens=cached,
+            cached_tokens=reserved.cached,
         )
         self.send(waiting.peer, pb.SidecarMessage(grant=message))
 
@@ -300,21 +270,21 @@
         pending = self.pending.pop(request_id, None)
         if pending is not None:
             pending.expiry.cancel()
-        self.flights.start(request_id)
+        self.capacity.flights.start(request_id)
 
     def on_chunk(self, request_id: str, chunk: bytes) -> None:
         """Note a part of a streamed answer as it comes from the upstream."""
-        flight = self.flights.flying.get(request_id)
+        flight = self.capacity.flights.flying.get(request_id)
         if flight is not None:
             flight.on_chunk(chunk)
 
     def finish(self, request_id: str, outcome: str) -> None:
         """Note the end of a dispatched request and use the room."""
         self.ledger.finish(request_id, outcome)
-        flight = self.flights.flying.get(request_id)
+        flight = self.capacity.flights.flying.get(request_id)
         if flight is not None:
             flight.on_end(whole=outcome.startswith(WHOLE_OUTCOME))
-        self.flights.release(request_id)
+        self.capacity.flights.release(request_id)
         self.pump()
 
     def tombstone(self, request_id: str) -> Phase:
@@ -347,7 +317,7 @@
 
     def retry_after_s(self) -> float:
         """Return when a refused caller may come back, in seconds."""
-        wait_s = self.drain_rate.wait_s(len(self.queue))
+        wait_s = self.capacity.drain_rate.wait_s(len(self.queue))
         return min(MOST_RETRY_AFTER_S, max(LEAST_RETRY_AFTER_S, wait_s))
 
     def leave(self, reason: str) -> None:
@@ -369,23 +339,7 @@
 
     def load(self) -> pb.LoadReport:
         """Return the present load, as entries are told."""
-        prefill, decode = self.estimates.speeds(self.running + 1)
-        slowdown = self.estimates.slowdown()
-        waiting = len(self.queue)
-        room = self.limit - self.running - waiting if self.has_room() else 0
-        return pb.LoadReport(
-            running=self.running,
-            limit=self.limit,
-            waiting_by_tier=self.queue.waiting_by_tier(),
-            prefill_tokens_per_second=prefill,
-            decode_tokens_per_second=decode,
-            drain_per_second=self.drain_rate.per_s(),
-            backlog_seconds=self.drain_rate.wait_s(waiting),
-            straggler=slowdown > STRAGGLER_SLOWDOWN,
-            slowdown=slowdown,
-            length_share=max(self.estimates.length_share.values(), default=1.0),
-            room=max(0, room),
-        )
+        return self.capacity.load(self.queue.waiting_by_tier(), open_=self.upstream_up)
 
     def send(self, peer: str, message: pb.SidecarMessage) -> None:
         """Send a message if the stream is still open."""
@@ -411,42 +365,8 @@
 
     def tick(self) -> None:
         """Learn, adapt the limit and refuse what has become too late."""
-        self.flights.tick()
-        self.drain_rate.note(time.monotonic(), departed=0, waiting=len(self.queue))
-        targets = self.targets()
-        if targets is not None:
-            least = [known.least_s() for known in self.estimates.decode.values()]
-            self.adaptive.adapt(
-                targets, alone_s=max(least, default=0.0), running=self.running
-            )
-        self.pump()
-        self.report_estimates()
-
-    def targets(self) -> Targets | None:
-        """Return the strictest targets among the tiers inside the upstream."""
-        inside = {held.offer.tier for held in self.flights.reserved.values()}
-        tiers = self.settings_service.view.fleet.tiers.values()
-        present = [tier for tier in tiers if tier.rank in inside]
-        if not present:
-            return None
-        first_token_ms = min(tier.first_token_ms for tier in present)
-        return Targets(
-            first_token_ms / MS_PER_S * max(1.0, self.estimates.slowdown()),
-            min(tier.inter_token_ms for tier in present) / MS_PER_S,
-        )
-
-    def report_estimates(self) -> None:
-        """Bring the gauges of what was learned up to date."""
-        prefill, decode = self.estimates.speeds(self.running + 1)
-        metrics.LIMIT.set(self.limit)
-        metrics.DRAIN_RATE.set(self.drain_rate.per_s())
-        metrics.PREFILL_SPEED.set(prefill)
-        metrics.DECODE_SPEED.set(decode)
-        metrics.SLOWDOWN.set(self.estimates.slowdown())
-
-    def on_computed(self, offer: pb.Offer) -> None:
-        """Note a computed prompt, and use the room that it leaves."""
-        self.prefixes.note(offer)
+        self.note_queue()
+        self.capacity.adapt(self.settings_service.view.fleet.tiers.values())
         self.pump()
 
     def set_upstream(self, up: bool) -> None:
@@ -458,7 +378,7 @@
         if up:
             self.pump()
         else:
-            self.prefixes.clear()
+            self.capacity.prefixes.clear()
             self.hand_back(pb.REFUSAL_REASON_UPSTREAM_DOWN)
 
     def _forget(self, request_id: str) -> None:
@@ -468,8 +388,8 @@
 
     def _drop(self, request_id: str) -> None:
         if self.queue.remove(request_id) is not None:
-            self.drain_rate.note(time.monotonic(), departed=1, waiting=len(self.queue))
-        self.flights.release(request_id)
+            self.note_queue(departed=1)
+        self.capacity.flights.release(request_id)
         pending = self.pending.pop(request_id, None)
         if pending is None:
             return
--- a/packages/skylarkdoord/tests/entry/test_offers.py
+++ b/packages/skylarkdoord/tests/entry/test_offers.py
@@ -251,7 +251,7 @@
         first.carry_offer()
         first.carry_answer()
         busy = fleet.schedulers[0]
-        busy.withdraw(next(iter(busy.flights.reserved)))
+        busy.withdraw(next(iter(busy.capacity.flights.reserved)))
         fleet.submit(3, 0, 1)
         await asyncio.sleep(0)
         fleet.entries[0][0].carry_offer()
@@ -318,13 +318,15 @@
         link = ready[data.draw(st.integers(0, len(ready) - 1))]
         self.call(link.carry_answer)
 
-    @precondition(lambda self: any(x.flights.reserved for x in self.fleet.schedulers))
+    @precondition(
+        lambda self: any(x.capacity.flights.reserved for x in self.fleet.schedulers)
+    )
     @rule(data=st.data())
     def finish(self, data):
         """A granted request gives its room back."""
-        busy = [x for x in self.fleet.schedulers if x.flights.reserved]
+        busy = [x for x in self.fleet.schedulers if x.capacity.flights.reserved]
         scheduler = busy[data.draw(st.integers(0, len(busy) - 1))]
-        name = next(iter(scheduler.flights.reserved))
+        name = next(iter(scheduler.capacity.flights.reserved))
         self.call(lambda: scheduler.withdraw(name))
 
     def settle(self):
--- a/packages/skylarkdoord/tests/sidecar/test_estimates.py
+++ b/packages/skylarkdoord/tests/sidecar/test_estimates.py
@@ -9,6 +9,7 @@
     DecodeEstimate,
     Estimates,
     PrefillEstimate,
+    Reserved,
 )
 
 
@@ -100,6 +101,19 @@
         service_s = estimates.service_s(asked, 1, cached=500)
         assert service_s == pytest.approx(0.5 + 1.0, rel=0.01)
 
+    def test_whole_model_answer(self):
+        """An answer in one piece teaches the speed of decoding."""
+        estimates = Estimates()
+        asked = pb.Offer(model="m", max_tokens=100)
+        estimates.learn_whole(Reserved(asked, 0, 0.0), 2.0, 1)
+        assert estimates.service_s(asked, 1) == pytest.approx(2.0)
+
+    def test_whole_service_answer(self):
+        """A plain service's time is learned as a whole."""
+        estimates = Estimates()
+        estimates.learn_whole(Reserved(pb.Offer(), 0, 0.0), 0.2, 1)
+        assert estimates.service_s(pb.Offer(), 1) == pytest.approx(0.2)
+
     def test_confidence_fades(self):
         """What was never measured or long ago does not count."""
         estimates = Estimates()
--- a/packages/skylarkdoord/tests/sidecar/test_scheduler.py
+++ b/packages/skylarkdoord/tests/sidecar/test_scheduler.py
@@ -92,9 +92,9 @@
     async def test_prefill_ahead(self, start):
         """No prompt is sent while another long one is still computed."""
         entry = start(max_running=8)
-        prefill = entry.scheduler.estimates.of_prefill("garden-7b")
+        prefill = entry.scheduler.capacity.estimates.of_prefill("garden-7b")
         prefill.learn(1000, 1.0)
-        entry.scheduler.estimates.touch()
+        entry.scheduler.capacity.estimates.touch()
         long = entry.offer(prompt_tokens=2000)
         short = entry.offer(prompt_tokens=10, tier=0)
         assert set(entry.grants()) == {long}
@@ -143,8 +143,8 @@
     async def test_hopeless(self, start):
         """What can't finish in time is refused at once."""
         entry = start()
-        entry.scheduler.estimates.of_decode("garden-7b").learn([0.1], 1)
-        entry.scheduler.estimates.touch()
+        entry.scheduler.capacity.estimates.of_decode("garden-7b").learn([0.1], 1)
+        entry.scheduler.capacity.estimates.touch()
         refused = entry.offer(max_tokens=100, deadline_ms=5000)
         taken = entry.offer(max_tokens=100, deadline_ms=50_000)
         assert set(entry.refusals()) == {refused}
