--- a/packages/skylarkdoord/src/skylarkdoord/entry/_peer.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_peer.py
@@ -37,25 +37,26 @@
     Args:
         record: The sidecar as the instance list shows it.
         hello: What the sidecar is told first.
-        suspects: What the entry knows of suspects.
         tls: Context of the stream; None for plain TCP.
+        suspects: What the entry knows of suspects.
     """
 
     def __init__(
         self,
         record: InstanceRecord,
         hello: pb.EntryHello,
-        suspects: Suspects,
         tls: ClientTls | None = None,
+        suspects: Suspects | None = None,
     ) -> None:
         self.record = record
         self.hello = hello
-        self.suspects = suspects
+        self.suspects = suspects or Suspects(lambda: ())
         self.tls = tls
         self.outbox: Outbox[pb.EntryMessage] = Outbox()
         self.offers: dict[str, OfferListener] = {}
         self.load = pb.LoadReport()
         self.load_at = 0.0
+        self.charged = 0
         self.models: tuple[str, ...] = ()
         self.connected = False
         self.lost = asyncio.Event()
@@ -77,9 +78,15 @@
         """The pool that the sidecar's upstream serves."""
         return self.record.pool
 
+    @property
+    def report_age_s(self) -> float:
+        """Time since the last load report, in seconds."""
+        return time.monotonic() - self.load_at
+
     def offer(self, offer: pb.Offer, listener: OfferListener) -> None:
         """Offer a request; the listener hears what the sidecar says."""
         self.offers[offer.request_id] = listener
+        self.charged += 1
         self.outbox.put(pb.EntryMessage(offer=offer))
 
     def withdraw(self, request_id: str, *, abandoned: bool = False) -> None:
@@ -93,6 +100,11 @@
         """Note that the request's grant was used."""
         self.offers.pop(request_id, None)
 
+    def give_back(self, request_id: str) -> None:
+        """Return a grant that was taken and can't be used."""
+        withdraw = pb.Withdraw(request_id=request_id, abandoned=True)
+        self.outbox.put(pb.EntryMessage(withdraw=withdraw))
+
     async def run(self) -> None:
         """Connect again and again until cancelled."""
         backoff = Backoff()
@@ -170,6 +182,7 @@
             case "load":
                 self.load = message.load
                 self.load_at = time.monotonic()
+                self.charged = 0
             case "suspect":
                 self.suspects.hear(self, message.suspect)
             case "leaving":
