--- a/packages/skylarkdoord/src/skylarkdoord/entry/_directory.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_directory.py
@@ -133,7 +133,7 @@
             data_centre=self.settings.data_centre,
             incarnation=self.incarnation,
         )
-        peer = SidecarPeer(record, hello, self.suspects, self.tls.rpc_client)
+        peer = SidecarPeer(record, hello, self.tls.rpc_client, self.suspects)
         self.peers[record.instance] = peer
         self.tasks[record.instance] = self.kernel.spawn(
             peer.run(), name=f"peer {record.instance}"
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_peer.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_peer.py
@@ -37,20 +37,20 @@
     Args:
         record: The sidecar as the instance list shows it.
         hello: What the sidecar is told first.
-        suspects: What the entry knows of suspects.
         tls: Context of the stream; None for plain TCP.
+        suspects: What the entry knows of suspects.
     """
 
     def __init__(
         self,
         record: InstanceRecord,
         hello: pb.EntryHello,
-        suspects: Suspects,
         tls: ClientTls | None = None,
+        suspects: Suspects | None = None,
     ) -> None:
         self.record = record
         self.hello = hello
-        self.suspects = suspects
+        self.suspects = suspects or Suspects(lambda: ())
         self.tls = tls
         self.outbox: Outbox[pb.EntryMessage] = Outbox()
         self.offers: dict[str, OfferListener] = {}
