--- a/packages/skylarkdoor-bench/src/skylarkdoor_bench/_health.py
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_health.py
@@ -22,7 +22,7 @@
     broken = await broken_invariants(cluster)
     faults += [f"invariant {name} broken {count}x" for name, count in broken.items()]
     for name in cluster.daemons:
-        counts = Counter(_log_faults(cluster.processes[name].log_path))
+        counts = Counter(log_faults(cluster.processes[name].log_path))
         faults += [f"{name} logged {count}x {what}" for what, count in counts.items()]
     return faults
 
@@ -49,7 +49,7 @@
         return ""
 
 
-def _log_faults(path: Path) -> Iterator[str]:
+def log_faults(path: Path) -> Iterator[str]:
     """Yield what each breach and each traceback of a log says."""
     is_traceback = False
     for line in path.read_text(errors="replace").splitlines():
--- a/packages/skylarkdoor-bench/src/skylarkdoor_bench/_load.py
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_load.py
@@ -20,6 +20,8 @@
 MOST_RESENDS = 2
 MS_PER_S = 1000
 NO_ANSWER_CODE = "no_answer"
+QUARANTINED_CODE = "quarantined"
+_REFUSED_STATUSES = (429, 503)
 _EVENT = b"data: "
 _STREAM_END = b"data: [DONE]"
 
@@ -221,15 +223,23 @@
             self.worst_lag_s = max(self.worst_lag_s, self.loop.time() - due)
 
 
-def make_calls(deployment: Deployment, arrivals: Sequence[Arrival]) -> list[Call]:
-    """Return the calls for a deployment's first model and first service."""
+def make_calls(
+    deployment: Deployment, arrivals: Sequence[Arrival], *, first: int = 0
+) -> list[Call]:
+    """Return the calls for a deployment's first model and first service.
+
+    Args:
+        deployment: Whose model and service are called.
+        arrivals: What is asked.
+        first: Number of the first arrival, by which texts differ.
+    """
     pools = deployment.fleet.pools
     model_pools = [pool for pool in pools.values() if pool.kind == "model"]
     services = [name for name, pool in pools.items() if pool.kind == "service"]
     model = model_pools[0].models[0]
     return [
         make_call(arrival, number=number, model=model, pool=services[0])
-        for number, arrival in enumerate(arrivals)
+        for number, arrival in enumerate(arrivals, start=first)
     ]
 
 
@@ -356,4 +366,5 @@
         return Outcome.UNKNOWN if code == "outcome_unknown" else Outcome.ERROR
     if code == "deadline":
         return Outcome.EXPIRED
-    return Outcome.REFUSED if status in (429, 503) else Outcome.ERROR
+    is_refused = status in _REFUSED_STATUSES or code == QUARANTINED_CODE
+    return Outcome.REFUSED if is_refused else Outcome.ERROR
--- /dev/null
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_replay.py
@@ -0,0 +1,225 @@
+"""Replays a trace against a small deployment and checks its stated outcomes."""
+
+import json
+from collections.abc import Callable, Iterable
+from pathlib import Path
+from typing import NamedTuple
+
+from skylarkdoor.exceptions import SettingsError
+from skylarkdoor.settings import convert
+from skylarkdoor_bench._deployments import (
+    Deployment,
+    EngineSpec,
+    EntrySpec,
+    ServiceSpec,
+    seed_exchange,
+)
+from skylarkdoor_bench._health import find_faults
+from skylarkdoor_bench._launcher import Cluster
+from skylarkdoor_bench._load import Outcome
+from skylarkdoor_bench._replay_context import Replay, StatementFailedError, Step
+from skylarkdoor_bench._replay_statements import (
+    Crashes,
+    Ends,
+    EndsBefore,
+    NoNewWork,
+    RunsOfKey,
+    SameAnswer,
+)
+from skylarkdoor_bench._replay_steps import (
+    ListState,
+    Mark,
+    Pause,
+    PlatformFault,
+    SendRequest,
+    Signal,
+    UpstreamFault,
+)
+from skylarkdoor_bench._replay_waits import (
+    UntilEnded,
+    UntilRan,
+    UntilReplied,
+    UntilRunning,
+    UntilSeen,
+    UntilWaiting,
+)
+from skylarkdoor_bench._upstream_counts import read_counts
+
+Print = Callable[[str], None]
+
+STEPS: dict[str, type[Step]] = {
+    "request": SendRequest,
+    "process": Signal,
+    "platform": PlatformFault,
+    "upstream": UpstreamFault,
+    "list": ListState,
+    "pause": Pause,
+    "mark": Mark,
+    "until_replied": UntilReplied,
+    "until_running": UntilRunning,
+    "until_waiting": UntilWaiting,
+    "until_ran": UntilRan,
+    "until_ended": UntilEnded,
+    "until_seen": UntilSeen,
+    "ends": Ends,
+    "same_answer": SameAnswer,
+    "runs_of_key": RunsOfKey,
+    "ends_before": EndsBefore,
+    "no_new_work": NoNewWork,
+    "crashes": Crashes,
+}
+
+
+class ReplayFailedError(Exception):
+    """A replay did not end as its trace states, or a promise was broken."""
+
+
+class ReplayCluster(NamedTuple):
+    """The first line of a trace: the deployment that it runs against.
+
+    Attributes:
+        entries: How many entries.
+        engines: How many engines, alike.
+        services: How many plain services.
+        max_batch: Most sequences in the batch of an engine.
+        max_running: Most requests inside one engine.
+        queue_limit: Requests that may wait at the sidecar of an engine.
+        time_scale: How many times faster than stated the engines run.
+        latency_s: How long a plain service runs a request.
+        crash_on: Text that crashes each upstream that runs it.
+    """
+
+    entries: int = 2
+    engines: int = 2
+    services: int = 1
+    max_batch: int = 16
+    max_running: int = 16
+    queue_limit: int = 64
+    time_scale: float = 10.0
+    latency_s: float = 0.01
+    crash_on: str = ""
+
+    def deployment(self) -> Deployment:
+        """Return the deployment, with the seed exchange's customers and tiers."""
+        base = seed_exchange()
+        pool = base.fleet.pools["assistant"]._replace(
+            max_running=self.max_running,
+            min_running=self.max_running,
+            queue_limit=self.queue_limit,
+        )
+        fleet = base.fleet._replace(pools=base.fleet.pools | {"assistant": pool})
+        return base._replace(
+            name="replay",
+            entries=tuple(
+                EntrySpec(f"entry-{number + 1}", "teika")
+                for number in range(self.entries)
+            ),
+            upstreams=(*self._engines(), *self._services()),
+            fleet=fleet,
+            time_scale=self.time_scale,
+            crash_on=self.crash_on,
+        )
+
+    def _engines(self) -> list[EngineSpec]:
+        return [
+            EngineSpec(
+                f"engine-{number + 1}",
+                "teika",
+                "assistant",
+                "garden-7b",
+                prefill_tps=4000,
+                decode_tps=40,
+                max_batch=self.max_batch,
+            )
+            for number in range(self.engines)
+        ]
+
+    def _services(self) -> list[ServiceSpec]:
+        return [
+            ServiceSpec(f"registry-{number + 1}", "teika", "registry", self.latency_s)
+            for number in range(self.services)
+        ]
+
+
+class ReplayTrace(NamedTuple):
+    """A trace read from a file."""
+
+    cluster: ReplayCluster
+    steps: tuple[tuple[int, Step], ...]
+
+
+def read_replay(path: Path) -> ReplayTrace:
+    """Return the trace of a file.
+
+    Raises:
+        SettingsError: A line is not of the form of a trace.
+    """
+    cluster = ReplayCluster()
+    steps = []
+    for number, line in enumerate(path.read_text().splitlines(), start=1):
+        source = f"{path.name}:{number}"
+        [(kind, fields)] = json.loads(line).items()
+        if kind == "cluster":
+            cluster = convert(fields, ReplayCluster, source=source)
+            continue
+        if kind not in STEPS:
+            raise SettingsError(f"no step {kind!r}", path=source)
+        steps.append((number, convert(fields, STEPS[kind], source=source)))
+    return ReplayTrace(cluster, tuple(steps))
+
+
+async def replay_files(
+    paths: Iterable[Path], *, directory: Path | None = None, echo: Print = print
+) -> None:
+    """Replay files one after another.
+
+    Raises:
+        ReplayFailedError: A statement or a promise did not hold.
+    """
+    for path in paths:
+        below = directory / path.stem if directory else None
+        await replay_file(path, directory=below, echo=echo)
+
+
+async def replay_file(
+    path: Path, *, directory: Path | None = None, echo: Print = print
+) -> None:
+    """Replay a file and check what it states and what must always hold.
+
+    Args:
+        path: The trace.
+        directory: Where settings files and logs go; by default nowhere.
+        echo: Takes each line shown.
+
+    Raises:
+        ReplayFailedError: A statement or a promise did not hold.
+        ProcessFailedError: A process did not come up.
+        SettingsError: The file is not a trace.
+    """
+    trace = read_replay(path)
+    async with Cluster(trace.cluster.deployment(), directory=directory) as cluster:
+        replay = Replay(cluster)
+        for number, step in trace.steps:
+            try:
+                await step.run(replay)
+            except StatementFailedError as error:
+                raise ReplayFailedError(f"{path.name}:{number}: {error}") from error
+        await replay.replies("*")
+        problems = await _find_problems(replay, trace.cluster)
+    if problems:
+        raise ReplayFailedError(f"{path.name}: {'; '.join(problems)}")
+    echo(f"{path.name}: {len(replay.ended)} requests ended as stated")
+
+
+async def _find_problems(replay: Replay, spec: ReplayCluster) -> list[str]:
+    problems = await find_faults(replay.cluster)
+    if spec.crash_on:
+        crashed = [f"{name} ended by itself" for name in replay.cluster.upstream_urls]
+        problems = [problem for problem in problems if problem not in crashed]
+    double = (await read_counts(replay.cluster)).double_dispatches
+    if double:
+        problems.append(f"{double} requests ran more than once")
+    for name, (reply, _) in replay.ended.items():
+        if reply.outcome is Outcome.WRONG:
+            problems.append(f"{name} had an answer that is not its own")
+    return problems
--- /dev/null
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_replay_context.py
@@ -0,0 +1,141 @@
+"""What a replay knows while it runs."""
+
+import asyncio
+import fnmatch
+from collections import Counter
+from collections.abc import Awaitable, Callable, Sequence
+from typing import NamedTuple, Protocol
+
+from skylarkdoor_bench._launcher import Cluster
+from skylarkdoor_bench._load import Outcome, Reply, make_calls, send
+from skylarkdoor_bench._trace import Arrival, Call
+from skylarkdoor_bench._upstream_counts import read_counts
+
+POLL_S = 0.02
+# Ends a replay that hangs; no verdict depends on it.
+WAIT_TIMEOUT_S = 60.0
+
+
+class StatementFailedError(Exception):
+    """A stated outcome did not come about."""
+
+
+class Ended(NamedTuple):
+    """A reply and its place in the order in which replies came."""
+
+    reply: Reply
+    order: int
+
+
+class Step(Protocol):
+    """One line of a trace."""
+
+    async def run(self, replay: "Replay") -> None:
+        """Do what the line says.
+
+        Raises:
+            StatementFailedError: The line states what is not so.
+        """
+
+
+class Replay:
+    """Requests sent so far, their replies, and the deployment they went to.
+
+    Args:
+        cluster: The running deployment.
+    """
+
+    def __init__(self, cluster: Cluster) -> None:
+        self.cluster = cluster
+        self.arrivals: dict[str, Arrival] = {}
+        self.tasks: dict[str, asyncio.Task[None]] = {}
+        self.ended: dict[str, Ended] = {}
+        self.marks: dict[str, int] = {}
+        self.started = asyncio.get_running_loop().time()
+
+    def now_s(self) -> float:
+        """Return the seconds since the start."""
+        return asyncio.get_running_loop().time() - self.started
+
+    def send(
+        self, name: str, arrival: Arrival, *, entry: int, number: int, resends: bool
+    ) -> None:
+        """Send a request without waiting for its reply.
+
+        Args:
+            name: Its name in the trace.
+            arrival: The request.
+            entry: Index of the entry that it goes to.
+            number: Makes its text unlike that of other numbers.
+            resends: Whether it is sent again for as long as it is refused.
+
+        Raises:
+            StatementFailedError: The trace uses the name twice.
+        """
+        if name in self.tasks:
+            raise StatementFailedError(f"two requests are named {name}")
+        self.arrivals[name] = arrival
+        call = make_calls(self.cluster.deployment, [arrival], first=number)[0]
+        url = self.cluster.entry_urls[entry]
+        work = self._serve(name, call, url, resends=resends)
+        self.tasks[name] = asyncio.create_task(work)
+
+    async def _serve(self, name: str, call: Call, url: str, *, resends: bool) -> None:
+        arrival = self.arrivals[name]
+        session = self.cluster.session
+        reply = await send(session, url, arrival, call, arrival.deadline_s)
+        while resends and reply.outcome is Outcome.REFUSED:
+            await asyncio.sleep(reply.retry_after_s or POLL_S)
+            reply = await send(session, url, arrival, call, arrival.deadline_s)
+        self.ended[name] = Ended(reply, len(self.ended))
+
+    def names(self, pattern: str) -> list[str]:
+        """Return the requests whose names match a pattern.
+
+        Raises:
+            StatementFailedError: None does.
+        """
+        found = fnmatch.filter(self.tasks, pattern)
+        if not found:
+            raise StatementFailedError(f"no request is named {pattern}")
+        return found
+
+    async def replies(self, pattern: str) -> dict[str, Ended]:
+        """Wait for the replies of requests and return them by name."""
+        names = self.names(pattern)
+        async with asyncio.timeout(WAIT_TIMEOUT_S):
+            await asyncio.gather(*(self.tasks[name] for name in names))
+        return {name: self.ended[name] for name in names}
+
+    async def runs_by_key(self) -> Counter[str]:
+        """Return how often the plain services ran each idempotency key."""
+        return (await read_counts(self.cluster)).keyed_runs
+
+    async def executions(self, upstream: str) -> int:
+        """Return how many requests an upstream was given."""
+        executions = (await self.cluster.upstream_stats(upstream))["executions"]
+        if isinstance(executions, dict):
+            return sum(executions.values())
+        return len(executions)
+
+    async def until(self, what: str, holds: Callable[[], Awaitable[bool]]) -> None:
+        """Wait until something holds.
+
+        Raises:
+            StatementFailedError: It does not in a long time.
+        """
+        try:
+            async with asyncio.timeout(WAIT_TIMEOUT_S):
+                while not await holds():
+                    await asyncio.sleep(POLL_S)
+        except TimeoutError:
+            raise StatementFailedError(f"waited in vain until {what}") from None
+
+    def running_sidecars(self, pattern: str) -> Sequence[str]:
+        """Return the sidecars that match a pattern and run."""
+        names = fnmatch.filter(self.cluster.daemons, pattern)
+        return [
+            name
+            for name in names
+            if name.startswith("sidecar-") and self.cluster.processes[name].is_running
+        ]
--- /dev/null
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_replay_statements.py
@@ -0,0 +1,121 @@
+"""Lines of a trace that state an outcome."""
+
+from typing import NamedTuple
+
+from skylarkdoor_bench._load import Outcome
+from skylarkdoor_bench._replay_context import Replay, StatementFailedError
+
+# An engine that crashes begins its last line so.
+CRASH_MARK = '{"crash":'
+_SHOWN = 5
+
+
+class Ends(NamedTuple):
+    """Matching requests ended in one of these ways.
+
+    Attributes:
+        requests: Pattern of their names.
+        outcomes: The ways that are right.
+        codes: Codes that are right for those that were not answered; empty for any.
+        retry_after: Whether each refusal says when to come back.
+        least: How many there are at least of each outcome named.
+    """
+
+    requests: str
+    outcomes: tuple[str, ...] = (Outcome.ANSWERED.value,)
+    codes: tuple[str, ...] = ()
+    retry_after: bool = False
+    least: int = 0
+
+    async def run(self, replay: Replay) -> None:
+        """Check it once all have ended."""
+        replies = await replay.replies(self.requests)
+        wrong = []
+        for name, (reply, _) in replies.items():
+            is_right = reply.outcome in self.outcomes
+            if reply.code and self.codes:
+                is_right &= reply.code in self.codes
+            if reply.outcome is Outcome.REFUSED and self.retry_after:
+                is_right &= reply.retry_after_s is not None
+            if not is_right:
+                said = f"{reply.outcome} {reply.status} {reply.code}"
+                wrong.append(f"{name}: {said} retry after {reply.retry_after_s}")
+        _state(not wrong, f"{len(wrong)} ended wrongly: {wrong[:_SHOWN]}")
+        ended = [reply.outcome for reply, _ in replies.values()]
+        for outcome in self.outcomes:
+            count = ended.count(Outcome(outcome))
+            _state(count >= self.least, f"only {count} of {self.requests} {outcome}")
+
+
+class SameAnswer(NamedTuple):
+    """Matching requests were answered, all alike."""
+
+    requests: str
+
+    async def run(self, replay: Replay) -> None:
+        """Check it once all have ended."""
+        replies = await replay.replies(self.requests)
+        bodies = {ended.reply.body for ended in replies.values()}
+        _state(len(bodies) == 1, f"{self.requests} had {len(bodies)} answers")
+
+
+class RunsOfKey(NamedTuple):
+    """The plain services ran the key of matching requests so many times."""
+
+    requests: str
+    times: int
+
+    async def run(self, replay: Replay) -> None:
+        """Check it once all have ended."""
+        await replay.replies(self.requests)
+        runs = await replay.runs_by_key()
+        for name in replay.names(self.requests):
+            key = replay.arrivals[name].key
+            _state(runs[key] == self.times, f"{key} ran {runs[key]} times")
+
+
+class EndsBefore(NamedTuple):
+    """Each of some requests ended before any of some others."""
+
+    requests: str
+    others: str
+
+    async def run(self, replay: Replay) -> None:
+        """Check it once all have ended."""
+        sooner = await replay.replies(self.requests)
+        later = await replay.replies(self.others)
+        last = max(ended.order for ended in sooner.values())
+        first = min(ended.order for ended in later.values())
+        _state(last < first, f"{self.requests} did not end before {self.others}")
+
+
+class NoNewWork(NamedTuple):
+    """An upstream was given nothing since its mark."""
+
+    upstream: str
+
+    async def run(self, replay: Replay) -> None:
+        """Check it."""
+        new = await replay.executions(self.upstream) - replay.marks[self.upstream]
+        _state(new == 0, f"{self.upstream} was given {new} requests")
+
+
+class Crashes(NamedTuple):
+    """At most so many upstreams crashed."""
+
+    most: int
+
+    async def run(self, replay: Replay) -> None:
+        """Check it."""
+        logs = [replay.cluster.processes[name].log_path for name in _upstreams(replay)]
+        crashes = sum(log.read_text().count(CRASH_MARK) for log in logs)
+        _state(crashes <= self.most, f"upstreams crashed {crashes} times")
+
+
+def _upstreams(replay: Replay) -> list[str]:
+    return [spec.name for spec in replay.cluster.deployment.upstreams]
+
+
+def _state(holds: bool, message: str) -> None:
+    if not holds:
+        raise StatementFailedError(message)
--- a/packages/skylarkdoor-bench/src/skylarkdoor_bench/_upstream_counts.py
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_upstream_counts.py
@@ -32,11 +32,13 @@
 
 
 async def read_counts(cluster: Cluster) -> UpstreamCounts:
-    """Ask every upstream for its counts."""
+    """Ask every upstream that runs for its counts."""
     prefill: Counter[str] = Counter()
     executions: Counter[str] = Counter()
     keyed_runs: Counter[str] = Counter()
     for spec in cluster.deployment.upstreams:
+        if not cluster.processes[spec.name].is_running:
+            continue
         stats = await cluster.upstream_stats(spec.name)
         if isinstance(spec, EngineSpec):
             prefill.update(stats["prefill"])
--- a/packages/skylarkdoor-bench/src/skylarkdoor_bench/cli.py
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/cli.py
@@ -8,10 +8,12 @@
 
 import click
 
+from skylarkdoor.exceptions import SettingsError
 from skylarkdoor.settings import PolicyName
 from skylarkdoor_bench._bench import POLICIES, BenchFailedError, plan_cases, run_bench
 from skylarkdoor_bench._demo import DemoFailedError, run_demo
 from skylarkdoor_bench._processes import ProcessFailedError
+from skylarkdoor_bench._replay import ReplayFailedError, replay_files
 from skylarkdoor_bench._run import DEPLOYMENTS
 from skylarkdoor_bench._slopes import measure_slopes
 from skylarkdoor_bench._soak import SoakFailedError, soak
@@ -82,6 +84,23 @@
     sys.exit(run_tool(run_bench(cases, out=out, echo=click.echo)))
 
 
+@main.command("replay")
+@click.argument(
+    "files",
+    nargs=-1,
+    required=True,
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+)
+@click.option(
+    "--directory",
+    type=click.Path(file_okay=False, path_type=Path),
+    help="Keep settings files and logs here.",
+)
+def replay(files: tuple[Path, ...], directory: Path | None) -> None:
+    """Replay recorded traces and check the outcomes that they state."""
+    sys.exit(run_tool(replay_files(files, directory=directory, echo=click.echo)))
+
+
 @main.command("slopes")
 @click.option(
     "--out",
@@ -129,6 +148,8 @@
         BenchFailedError,
         DemoFailedError,
         ProcessFailedError,
+        ReplayFailedError,
+        SettingsError,
         SoakFailedError,
     ) as group:
         for error in flatten(group):
--- /dev/null
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/replay.py
@@ -0,0 +1,10 @@
+"""Replays recorded traces against their stated outcomes."""
+
+from skylarkdoor_bench._replay import (
+    ReplayFailedError,
+    read_replay,
+    replay_file,
+    replay_files,
+)
+
+__all__ = ["ReplayFailedError", "read_replay", "replay_file", "replay_files"]
--- /dev/null
+++ b/packages/skylarkdoor-bench/tests/test_inversions.py
@@ -0,0 +1,62 @@
+"""Refusals out of the order of tiers, as callers see them."""
+
+from skylarkdoor_bench._inversions import count_inversions
+from skylarkdoor_bench._load import Outcome, Reply, Result
+from skylarkdoor_bench._run import scaled_deployment
+from skylarkdoor_bench._trace import Arrival
+
+DEPLOYMENT = scaled_deployment("seed-exchange", "late-binding")
+TOP, LOW = "packet-desk", "reply-desk"
+
+
+def answered(customer: str, *, sent_s: float, first_token_s: float) -> Result:
+    """Return a stream that was answered."""
+    arrival = Arrival(sent_s, customer, "chat", True, 10, max_tokens=5)
+    reply = Reply(Outcome.ANSWERED, 200)
+    ended_s = sent_s + first_token_s + 1
+    return Result(arrival, reply, sent_s, ended_s, first_token_s, (), 1)
+
+
+def refused(customer: str, *, at_s: float, code: str = "overloaded") -> Result:
+    """Return a request that was refused at once."""
+    arrival = Arrival(at_s, customer, "chat", False, 10, max_tokens=5)
+    reply = Reply(Outcome.REFUSED, 503, code)
+    return Result(arrival, reply, at_s, at_s, None, (), 1)
+
+
+class TestCountInversions:
+    """Counted are refusals while a lower tier's request waits and then runs."""
+
+    def test_lower_waited(self) -> None:
+        """A lower request that waits over the refusal and runs counts."""
+        results = [
+            answered(LOW, sent_s=0.0, first_token_s=5.0),
+            refused(TOP, at_s=2.0),
+        ]
+        assert count_inversions(DEPLOYMENT, results) == 1
+
+    def test_lower_ran_already(self) -> None:
+        """One that may have begun before the refusal does not."""
+        results = [
+            answered(LOW, sent_s=0.0, first_token_s=2.2),
+            refused(TOP, at_s=2.0),
+        ]
+        assert count_inversions(DEPLOYMENT, results) == 0
+
+    def test_lower_came_later(self) -> None:
+        """One that came after the refusal does not."""
+        results = [
+            refused(TOP, at_s=2.0),
+            answered(LOW, sent_s=2.1, first_token_s=5.0),
+        ]
+        assert count_inversions(DEPLOYMENT, results) == 0
+
+    def test_order_kept(self) -> None:
+        """Neither a lower tier's refusal nor one for another reason counts."""
+        results = [
+            answered(TOP, sent_s=0.0, first_token_s=5.0),
+            answered(LOW, sent_s=0.0, first_token_s=5.0),
+            refused(LOW, at_s=2.0),
+            refused(TOP, at_s=2.0, code="unavailable"),
+        ]
+        assert count_inversions(DEPLOYMENT, results) == 0
--- /dev/null
+++ b/packages/skylarkdoor-bench/tests/test_load.py
@@ -0,0 +1,121 @@
+"""Requests sent at their times, and what is made of the answers."""
+
+import json
+from collections.abc import AsyncIterator, Callable
+
+import aiohttp
+import pytest
+from aiohttp import web
+from aiohttp.test_utils import TestServer
+
+from skylarkdoor_bench._load import Load, LoadReport, Outcome, Storm
+from skylarkdoor_bench._run import scaled_deployment
+from skylarkdoor_bench._trace import Arrival
+from skylarkdoor_standins import chat_prompt, expected_text
+
+DEPLOYMENT = scaled_deployment("seed-exchange", "late-binding")
+STREAM = Arrival(
+    0.0, "teika-garden", "chat", True, 5, max_tokens=4, deadline_s=2.0, key="k"
+)
+RESENDING = Storm(0.0, 60.0)
+
+
+class FakeEntry:
+    """An entry whose streams end as told.
+
+    Attributes:
+        refusals: How many requests it refuses first.
+        ending: What it sends after the tokens of a stream.
+        crossed: Whether it answers with another request's text.
+        keys: Idempotency key of each request.
+    """
+
+    def __init__(self) -> None:
+        self.refusals = 0
+        self.ending = b"data: [DONE]\n\n"
+        self.crossed = False
+        self.keys: list[str] = []
+
+    async def answer(self, request: web.Request) -> web.StreamResponse:
+        """Refuse, or stream the answer."""
+        self.keys.append(request.headers["Idempotency-Key"])
+        body = await request.json()
+        if len(self.keys) <= self.refusals:
+            error = {"code": "overloaded", "not_run": True}
+            headers = {"Retry-After": "1"}
+            return web.json_response({"error": error}, status=503, headers=headers)
+        prompt = "other" if self.crossed else chat_prompt(body["messages"])
+        response = web.StreamResponse()
+        await response.prepare(request)
+        for index, word in enumerate(expected_text(prompt, 4).split()):
+            text = f" {word}" if index else word
+            event = json.dumps({"choices": [{"delta": {"content": text}}]})
+            await response.write(f"data: {event}\n\n".encode())
+        await response.write(self.ending)
+        return response
+
+
+@pytest.fixture
+def entry() -> FakeEntry:
+    """Return a fake entry."""
+    return FakeEntry()
+
+
+@pytest.fixture
+async def run(entry: FakeEntry) -> AsyncIterator[Callable[..., LoadReport]]:
+    """Return a function that sends one stream to the fake entry."""
+    app = web.Application()
+    app.router.add_post("/v1/chat/completions", entry.answer)
+    async with TestServer(app) as server, aiohttp.ClientSession() as session:
+
+        async def run_load(*, storm: Storm = Storm()) -> LoadReport:  # noqa: B008
+            url = str(server.make_url("")).rstrip("/")
+            load = Load(session, DEPLOYMENT, [url], [STREAM], storm=storm)
+            return await load.run()
+
+        yield run_load
+
+
+class TestStream:
+    """The end of a stream."""
+
+    async def test_whole(self, run: Callable[..., LoadReport]) -> None:
+        """A whole stream of the request's own text is answered, with its times."""
+        [result] = (await run()).results
+        assert result.reply.outcome is Outcome.ANSWERED
+        assert result.first_token_s is not None
+        assert len(result.gaps_s) == 3
+
+    async def test_cut(self, entry: FakeEntry, run: Callable[..., LoadReport]) -> None:
+        """A stream without its end mark is cut."""
+        entry.ending = b""
+        [result] = (await run()).results
+        assert result.reply.outcome is Outcome.CUT
+
+    async def test_crossed(
+        self, entry: FakeEntry, run: Callable[..., LoadReport]
+    ) -> None:
+        """Another request's text is wrong."""
+        entry.crossed = True
+        [result] = (await run()).results
+        assert result.reply.outcome is Outcome.WRONG
+
+
+class TestResend:
+    """Refused requests within and outside a storm."""
+
+    async def test_calm(self, entry: FakeEntry, run: Callable[..., LoadReport]) -> None:
+        """Outside of a storm a refusal is the end."""
+        entry.refusals = 1
+        [result] = (await run()).results
+        assert (result.reply.outcome, result.sendings) == (Outcome.REFUSED, 1)
+
+    async def test_storm(
+        self, entry: FakeEntry, run: Callable[..., LoadReport]
+    ) -> None:
+        """Within one it is sent again under its key, not before Retry-After."""
+        entry.refusals = 1
+        [result] = (await run(storm=RESENDING)).results
+        assert (result.reply.outcome, result.sendings) == (Outcome.ANSWERED, 2)
+        assert entry.keys == ["k", "k"]
+        assert result.ended_s - result.sent_s >= 1.0
--- /dev/null
+++ b/packages/skylarkdoor-bench/tests/test_scores.py
@@ -0,0 +1,90 @@
+"""Scores of a run."""
+
+from collections import Counter
+
+import pytest
+
+from skylarkdoor_bench._load import LoadReport, Outcome, Reply, Result
+from skylarkdoor_bench._run import scaled_deployment
+from skylarkdoor_bench._scores import least_prefill, percentiles, score_run
+from skylarkdoor_bench._trace import Arrival
+from skylarkdoor_bench._upstream_counts import UpstreamCounts
+
+DEPLOYMENT = scaled_deployment("seed-exchange", "late-binding")
+
+
+def result(customer: str, outcome: Outcome, *, sendings: int = 1) -> Result:
+    """Return a request of a hundred words and its end."""
+    arrival = Arrival(0.0, customer, "chat", False, 40, "leaf", 60, 5)
+    return Result(arrival, Reply(outcome), 0.0, 0.5, None, (), sendings)
+
+
+def counts(**changes: object) -> UpstreamCounts:
+    """Return counts of upstreams that ran nothing twice."""
+    return UpstreamCounts(200, 0, 30, Counter(a=1, b=1), Counter())._replace(**changes)
+
+
+RESULTS = [
+    result("packet-desk", Outcome.ANSWERED),
+    result("packet-desk", Outcome.LATE),
+    result("packet-desk", Outcome.EXPIRED),
+    result("reply-desk", Outcome.REFUSED, sendings=3),
+    result("reply-desk", Outcome.CUT),
+]
+REPORT = LoadReport(RESULTS, seconds=2.0, worst_lag_s=0.0, cpu_share=0.1)
+
+
+class TestScoreRun:
+    """Scores from replies and counts."""
+
+    def test_tiers(self) -> None:
+        """Each end is counted under its tier, and only whole ones in time are good."""
+        tiers = {tier.tier: tier for tier in score_run(DEPLOYMENT, REPORT, counts())[0]}
+        lookup, reply = tiers["lookup"], tiers["reply"]
+        assert (lookup.sent, lookup.answered, lookup.expired) == (3, 1, 2)
+        assert lookup.goodput == pytest.approx(1 / 3)
+        assert lookup.goodput_per_s == 0.5
+        assert (reply.refused, reply.broken, reply.goodput) == (1, 1, 0.0)
+
+    def test_prefill(self) -> None:
+        """Repeated is what is neither wasted nor needed for the answers given."""
+        score = score_run(DEPLOYMENT, REPORT, counts())
+        assert score.wasted_prefill == 30
+        assert score.repeated_prefill == 200 - 30 - (40 + 40 + 60)
+
+    def test_double_dispatches(self) -> None:
+        """An id or a key that ran twice counts."""
+        twice = counts(executions=Counter(a=2, b=1), keyed_runs=Counter(k=3))
+        assert score_run(DEPLOYMENT, REPORT, twice).double_dispatches == 2
+
+    def test_resends(self) -> None:
+        """Sendings after the first are counted."""
+        assert score_run(DEPLOYMENT, REPORT, counts()).resends == 2
+
+
+class TestPercentiles:
+    """Percentiles from the histogram."""
+
+    def test_values(self) -> None:
+        """They are right within the histogram's digits."""
+        found = percentiles([index / 1000 for index in range(1, 101)])
+        assert found.samples == 100
+        assert found.p50_ms == pytest.approx(50, rel=0.02)
+        assert found.p95_ms == pytest.approx(95, rel=0.02)
+
+    def test_none(self) -> None:
+        """Without values they are zero."""
+        assert percentiles([]) == (0, 0.0, 0.0)
+
+
+class TestLeastPrefill:
+    """The least to compute for some requests."""
+
+    def test_shared_prefix(self) -> None:
+        """A prefix counts once for all who share it."""
+        arrivals = [
+            Arrival(0.0, "reply-desk", "chat", False, 10, "leaf", 100, 5),
+            Arrival(0.0, "reply-desk", "chat", False, 20, "leaf", 100, 5),
+            Arrival(0.0, "reply-desk", "chat", False, 30, "root", 50, 5),
+        ]
+        assert least_prefill(arrivals) == 10 + 20 + 30 + 100 + 50
