--- a/packages/skylarkdoor-bench/tests/test_arrivals.py
+++ b/packages/skylarkdoor-bench/tests/test_arrivals.py
@@ -1,6 +1,7 @@
 """Generated arrivals."""
 
 from collections import Counter
+from pathlib import Path
 
 import pytest
 
@@ -13,8 +14,9 @@
 )
 from skylarkdoor_bench._run import DEPLOYMENTS
 from skylarkdoor_bench._tiers import customer_tiers
-from skylarkdoor_bench._trace import Arrival
+from skylarkdoor_bench._trace import Arrival, read_trace
 
+TRACES = Path(__file__).with_name("traces")
 DURATION_S = 20.0
 RATE = 60.0
 
@@ -38,6 +40,12 @@
         assert arrivals(name) == arrivals(name)
         assert arrivals(name) != arrivals(name, seed=2)
 
+    def test_recorded(self, name: str) -> None:
+        """The recorded trace is what its seed gives."""
+        recorded = read_trace(TRACES / f"{name}.jsonl")
+        again = generate(WORKLOADS[name], seed=1, rate=30.0, duration_s=2.0)
+        assert recorded == again
+
     def test_rate(self, name: str) -> None:
         """The mean rate is as asked for, and higher within the burst."""
         times = [arrival.at_s for arrival in arrivals(name)]
