--- a/packages/skylarkdoor-bench/src/skylarkdoor_bench/_inversions.py
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_inversions.py
@@ -4,7 +4,8 @@
 from collections.abc import Sequence
 
 from skylarkdoor_bench._deployments import Deployment, EngineSpec
-from skylarkdoor_bench._load import Outcome, Result
+from skylarkdoor_bench._load import Result
+from skylarkdoor_bench._replies import Outcome
 from skylarkdoor_bench._tiers import tier_ranks
 
 ROOM_CODE = "overloaded"
--- a/packages/skylarkdoor-bench/src/skylarkdoor_bench/_replay.py
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_replay.py
@@ -16,7 +16,6 @@
 )
 from skylarkdoor_bench._health import find_faults
 from skylarkdoor_bench._launcher import Cluster
-from skylarkdoor_bench._load import Outcome
 from skylarkdoor_bench._replay_context import Replay, StatementFailedError, Step
 from skylarkdoor_bench._replay_statements import (
     Crashes,
@@ -43,6 +42,7 @@
     UntilSeen,
     UntilWaiting,
 )
+from skylarkdoor_bench._replies import Outcome
 from skylarkdoor_bench._upstream_counts import read_counts
 
 Print = Callable[[str], None]
--- a/packages/skylarkdoor-bench/src/skylarkdoor_bench/_replay_context.py
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_replay_context.py
@@ -6,9 +6,10 @@
 from collections.abc import Awaitable, Callable, Sequence
 from typing import NamedTuple, Protocol
 
+from skylarkdoor_bench._calls import Call, make_calls
 from skylarkdoor_bench._launcher import Cluster
-from skylarkdoor_bench._load import Outcome, Reply, make_calls, send
-from skylarkdoor_bench._trace import Arrival, Call
+from skylarkdoor_bench._replies import Outcome, Reply, send
+from skylarkdoor_bench._trace import Arrival
 from skylarkdoor_bench._upstream_counts import read_counts
 
 POLL_S = 0.02
--- a/packages/skylarkdoor-bench/src/skylarkdoor_bench/_replay_statements.py
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_replay_statements.py
@@ -2,8 +2,8 @@
 
 from typing import NamedTuple
 
-from skylarkdoor_bench._load import Outcome
 from skylarkdoor_bench._replay_context import Replay, StatementFailedError
+from skylarkdoor_bench._replies import Outcome
 
 # An engine that crashes begins its last line so.
 CRASH_MARK = '{"crash":'
--- a/packages/skylarkdoor-bench/src/skylarkdoor_bench/_run.py
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_run.py
@@ -17,7 +17,8 @@
 )
 from skylarkdoor_bench._health import find_faults
 from skylarkdoor_bench._launcher import Cluster
-from skylarkdoor_bench._load import Load, LoadReport, Outcome
+from skylarkdoor_bench._load import Load, LoadReport
+from skylarkdoor_bench._replies import Outcome
 from skylarkdoor_bench._run_faults import cause_faults, plan_faults
 from skylarkdoor_bench._scores import RunScore, score_run
 from skylarkdoor_bench._trace import Arrival
--- a/packages/skylarkdoor-bench/src/skylarkdoor_bench/_scores.py
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_scores.py
@@ -8,7 +8,8 @@
 
 from skylarkdoor_bench._deployments import Deployment
 from skylarkdoor_bench._inversions import count_inversions
-from skylarkdoor_bench._load import MS_PER_S, LoadReport, Outcome, Result
+from skylarkdoor_bench._load import LoadReport, Result
+from skylarkdoor_bench._replies import Outcome
 from skylarkdoor_bench._tiers import customer_tiers
 from skylarkdoor_bench._trace import Arrival
 from skylarkdoor_bench._upstream_counts import UpstreamCounts
@@ -17,7 +18,7 @@
 _MOST_US = 3_600_000_000
 _DIGITS = 2
 _US_PER_S = 1_000_000
-_US_PER_MS = _US_PER_S / MS_PER_S
+_US_PER_MS = 1_000
 
 
 class Percentiles(NamedTuple):
--- a/packages/skylarkdoor-bench/tests/test_inversions.py
+++ b/packages/skylarkdoor-bench/tests/test_inversions.py
@@ -1,7 +1,8 @@
 """Refusals out of the order of tiers, as callers see them."""
 
 from skylarkdoor_bench._inversions import count_inversions
-from skylarkdoor_bench._load import Outcome, Reply, Result
+from skylarkdoor_bench._load import Result
+from skylarkdoor_bench._replies import Outcome, Reply
 from skylarkdoor_bench._run import scaled_deployment
 from skylarkdoor_bench._trace import Arrival
 
--- a/packages/skylarkdoor-bench/tests/test_load.py
+++ b/packages/skylarkdoor-bench/tests/test_load.py
@@ -8,7 +8,8 @@
 from aiohttp import web
 from aiohttp.test_utils import TestServer
 
-from skylarkdoor_bench._load import Load, LoadReport, Outcome, Storm
+from skylarkdoor_bench._load import Load, LoadReport, Storm
+from skylarkdoor_bench._replies import Outcome
 from skylarkdoor_bench._run import scaled_deployment
 from skylarkdoor_bench._trace import Arrival
 from skylarkdoor_standins import chat_prompt, expected_text
--- a/packages/skylarkdoor-bench/tests/test_scores.py
+++ b/packages/skylarkdoor-bench/tests/test_scores.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from skylarkdoor_bench._load import LoadReport, Outcome, Reply, Result
+from skylarkdoor_bench._load import LoadReport, Result
+from skylarkdoor_bench._replies import Outcome, Reply
 from skylarkdoor_bench._run import scaled_deployment
 from skylarkdoor_bench._scores import least_prefill, percentiles, score_run
 from skylarkdoor_bench._trace import Arrival
--- a/packages/skylarkdoor-bench/tests/test_trace.py
+++ b/packages/skylarkdoor-bench/tests/test_trace.py
@@ -7,7 +7,8 @@
 
 from skylarkdoor.exceptions import SettingsError
 from skylarkdoor_bench._arrivals import SEED_EXCHANGE, generate
-from skylarkdoor_bench._trace import Arrival, make_call, read_trace, write_trace
+from skylarkdoor_bench._calls import make_call
+from skylarkdoor_bench._trace import Arrival, read_trace, write_trace
 from skylarkdoor_standins import expected_text
 
 CHAT = Arrival(0.5, "teika-garden", "chat", prompt_words=3, max_tokens=2)
