--- a/packages/skylarkdoor-bench/src/skylarkdoor_bench/__init__.py
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/__init__.py
@@ -1,6 +1,7 @@
 """Launcher, demo, load and measurement tools for skylarkdoor."""
 
 from skylarkdoor_bench._deployments import (
+    OPERATOR_TOKEN,
     Deployment,
     EngineSpec,
     EntrySpec,
@@ -12,14 +13,18 @@
 )
 from skylarkdoor_bench._launcher import Cluster
 from skylarkdoor_bench._logs import Span, read_spans
+from skylarkdoor_bench._operator import Operator, OperatorAnswer
 from skylarkdoor_bench._processes import ManagedProcess, ProcessFailedError
 
 __all__ = [
+    "OPERATOR_TOKEN",
     "Cluster",
     "Deployment",
     "EngineSpec",
     "EntrySpec",
     "ManagedProcess",
+    "Operator",
+    "OperatorAnswer",
     "ProcessFailedError",
     "ServiceSpec",
     "Span",
--- a/packages/skylarkdoor-bench/src/skylarkdoor_bench/_commands.py
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_commands.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 from typing import NamedTuple
 
+from skylarkdoor.hashing import key_hash
 from skylarkdoor.settings import (
     Listen,
     PlatformAddresses,
@@ -13,6 +14,7 @@
     to_plain,
 )
 from skylarkdoor_bench._deployments import (
+    OPERATOR_TOKEN,
     Deployment,
     EngineSpec,
     EntrySpec,
@@ -138,6 +140,7 @@
         data_centre=data_centre,
         listen=listen,
         platform=addresses,
+        operator_token_hashes=(key_hash(OPERATOR_TOKEN),),
         fatal_invariants=True,
     )
 
--- a/packages/skylarkdoor-bench/src/skylarkdoor_bench/_deployments.py
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_deployments.py
@@ -5,6 +5,8 @@
 from skylarkdoor.hashing import key_hash
 from skylarkdoor.settings import Customer, Fleet, Pool, Route, Team, Tier
 
+OPERATOR_TOKEN = "operator-token"
+
 
 class EntrySpec(NamedTuple):
     """An entry instance."""
--- a/packages/skylarkdoor-bench/src/skylarkdoor_bench/_logs.py
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_logs.py
@@ -56,6 +56,12 @@
             yield from _subtree(spans, span, depth + 1)
 
 
+def event_count(log_path: Path, event_name: str) -> int:
+    """Return how often a log holds an event."""
+    records = read_records(log_path)
+    return sum(record.get("event_name") == event_name for record in records)
+
+
 def read_records(log_path: Path) -> Iterator[dict[str, Any]]:
     """Yield the JSON lines of a log and leave out all others."""
     with log_path.open(errors="replace") as lines:
--- a/packages/skylarkdoor-bench/src/skylarkdoor_bench/_processes.py
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_processes.py
@@ -8,6 +8,8 @@
 
 import aiohttp
 
+from skylarkdoor_bench._logs import event_count
+
 READY_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 10.0
 POLL_INTERVAL_S = 0.05
@@ -131,6 +133,12 @@
         """Let a paused process go on."""
         self._signal(signal.SIGCONT)
 
+    async def wait_log(self, event_name: str, *, count: int = 1) -> None:
+        """Wait until the log holds an event that many times."""
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while event_count(self.log_path, event_name) < count:
+                await asyncio.sleep(POLL_INTERVAL_S)
+
     def log_tail(self) -> str:
         """Return the last lines of the log."""
         lines = self.log_path.read_text(errors="replace").splitlines()
--- a/packages/skylarkdoor/src/skylarkdoor/exceptions.py
+++ b/packages/skylarkdoor/src/skylarkdoor/exceptions.py
@@ -3,6 +3,7 @@
 __all__ = [
     "ArgumentError",
     "InvariantBrokenError",
+    "OutboxFullError",
     "ServiceAbsentError",
     "ServiceCycleError",
     "ServiceExistsError",
@@ -23,6 +24,10 @@
     """A named invariant does not hold."""
 
 
+class OutboxFullError(SkylarkdoorError):
+    """A peer takes messages too slowly."""
+
+
 class ServiceAbsentError(SkylarkdoorError):
     """No service is registered under the name."""
 
--- a/packages/skylarkdoor/src/skylarkdoor/platform/__init__.py
+++ b/packages/skylarkdoor/src/skylarkdoor/platform/__init__.py
@@ -1,7 +1,7 @@
 """Clients of the platform: table, object store, instance list, weight store."""
 
 from skylarkdoor.platform._instances import InstanceList, InstanceRecord
-from skylarkdoor.platform._objects import ObjectStore
+from skylarkdoor.platform._objects import ObjectStore, StoredObject
 from skylarkdoor.platform._table import EtcdTable
 from skylarkdoor.platform._transactions import (
     Absent,
@@ -20,6 +20,7 @@
 from skylarkdoor.platform.exceptions import (
     ListUnavailable,
     ObjectAbsent,
+    ObjectChanged,
     ObjectsUnavailable,
     PlatformError,
     TableRejected,
@@ -39,6 +40,7 @@
     "InstanceRecord",
     "ListUnavailable",
     "ObjectAbsent",
+    "ObjectChanged",
     "ObjectStore",
     "ObjectsUnavailable",
     "PlatformError",
@@ -46,6 +48,7 @@
     "RevisionIs",
     "Row",
     "RowList",
+    "StoredObject",
     "Table",
     "TableRejected",
     "TableTimeout",
--- a/packages/skylarkdoor/src/skylarkdoor/platform/_http.py
+++ b/packages/skylarkdoor/src/skylarkdoor/platform/_http.py
@@ -1,5 +1,6 @@
 """Idempotent HTTP requests to a service with several endpoints."""
 
+from collections.abc import Mapping
 from typing import NamedTuple
 
 import aiohttp
@@ -29,6 +30,7 @@
     *,
     timeout: aiohttp.ClientTimeout,
     data: bytes | None = None,
+    headers: Mapping[str, str] | None = None,
 ) -> HttpAnswer:
     """Return the first answer that an endpoint gives.
 
@@ -39,7 +41,7 @@
     for url in endpoints:
         try:
             async with session.request(
-                method, f"{url}{path}", data=data, timeout=timeout
+                method, f"{url}{path}", data=data, headers=headers, timeout=timeout
             ) as response:
                 body = await response.read()
                 if response.status < _SERVER_ERROR:
--- a/packages/skylarkdoor/src/skylarkdoor/platform/_objects.py
+++ b/packages/skylarkdoor/src/skylarkdoor/platform/_objects.py
@@ -1,17 +1,29 @@
 """The object store, path style as in S3."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
+from typing import NamedTuple
 from urllib.parse import quote
 
 import aiohttp
 
 from skylarkdoor.platform._endpoints import Endpoints
 from skylarkdoor.platform._http import HttpAnswer, NoAnswerError, request
-from skylarkdoor.platform.exceptions import ObjectAbsent, ObjectsUnavailable
+from skylarkdoor.platform.exceptions import (
+    ObjectAbsent,
+    ObjectChanged,
+    ObjectsUnavailable,
+)
 
 OBJECTS_TIMEOUT_S = 5.0
 
 
+class StoredObject(NamedTuple):
+    """An object and the mark of its present content."""
+
+    data: bytes
+    etag: str
+
+
 class ObjectStore:
     """Objects by key.
 
@@ -35,6 +47,15 @@
     async def get(self, key: str) -> bytes:
         """Return an object.
 
+        Raises:
+            ObjectAbsent: There is none of this key.
+            ObjectsUnavailable: The store did not answer.
+        """
+        return (await self.read(key)).data
+
+    async def read(self, key: str) -> StoredObject:
+        """Return an object with the mark of its content.
+
         Raises:
             ObjectAbsent: There is none of this key.
             ObjectsUnavailable: The store did not answer.
@@ -44,7 +65,7 @@
             raise ObjectAbsent(key)
         if answer.status != 200:
             raise ObjectsUnavailable(f"status {answer.status}")
-        return answer.body
+        return StoredObject(answer.body, answer.headers.get("ETag", ""))
 
     async def put(self, key: str, data: bytes) -> None:
         """Write an object; a write without an answer may have taken effect.
@@ -56,8 +77,32 @@
         if answer.status != 200:
             raise ObjectsUnavailable(f"status {answer.status}")
 
+    async def replace(self, key: str, data: bytes, *, etag: str | None) -> None:
+        """Write an object if it is as it was read.
+
+        Args:
+            key: The object's key.
+            data: Its new content.
+            etag: Mark of the content that was read; None if there was no object.
+
+        Raises:
+            ObjectChanged: It is not, or an earlier try without an answer wrote it.
+            ObjectsUnavailable: The store did not answer.
+        """
+        condition = {"If-None-Match": "*"} if etag is None else {"If-Match": etag}
+        answer = await self._request("PUT", key, data=data, headers=condition)
+        if answer.status == 412:
+            raise ObjectChanged(key)
+        if answer.status != 200:
+            raise ObjectsUnavailable(f"status {answer.status}")
+
     async def _request(
-        self, method: str, key: str, *, data: bytes | None = None
+        self,
+        method: str,
+        key: str,
+        *,
+        data: bytes | None = None,
+        headers: Mapping[str, str] | None = None,
     ) -> HttpAnswer:
         path = f"/objects/{quote(key)}"
         try:
@@ -68,6 +113,7 @@
                 path,
                 timeout=self.timeout,
                 data=data,
+                headers=headers,
             )
         except NoAnswerError as error:
             raise ObjectsUnavailable(str(error)) from error
--- a/packages/skylarkdoor/src/skylarkdoor/platform/exceptions.py
+++ b/packages/skylarkdoor/src/skylarkdoor/platform/exceptions.py
@@ -28,6 +28,10 @@
     """The object store has no object of this key."""
 
 
+class ObjectChanged(PlatformError):
+    """The object is not as it was read; nothing was written."""
+
+
 class ListUnavailable(PlatformError):
     """The instance list did not answer, or not in its form."""
 
--- a/packages/skylarkdoor/src/skylarkdoor/wire/__init__.py
+++ b/packages/skylarkdoor/src/skylarkdoor/wire/__init__.py
@@ -1,7 +1,8 @@
 """Messages between skylarkdoor processes and the code generated for them."""
 
+from skylarkdoor.exceptions import OutboxFullError
 from skylarkdoor.wire import peer_pb2 as pb
 from skylarkdoor.wire._outbox import Outbox
 from skylarkdoor.wire.peer_grpc import PeerBase, PeerStub
 
-__all__ = ["Outbox", "PeerBase", "PeerStub", "pb"]
+__all__ = ["Outbox", "OutboxFullError", "PeerBase", "PeerStub", "pb"]
--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -18,6 +18,9 @@
 DRAIN_TIMED_OUT = define(
     206, "drain_timed_out", logging.WARNING, "The drain timeout ended running requests."
 )
+DRAIN_CANCELLED = define(
+    207, "drain_cancelled", logging.INFO, "Work is taken again; nobody asks to leave."
+)
 
 SETTINGS_APPLIED = define(
     301, "settings_applied", logging.INFO, "A settings revision came into force."
@@ -31,6 +34,9 @@
 SETTINGS_ACCEPTED = define(
     304, "settings_accepted", logging.INFO, "An operator's change was accepted."
 )
+SNAPSHOT_FAILED = define(
+    305, "snapshot_failed", logging.WARNING, "The settings snapshot was not written."
+)
 
 LIST_POLL_FAILED = define(
     401, "list_poll_failed", logging.WARNING, "The instance list could not be read."
--- a/packages/skylarkdoord/src/skylarkdoord/admin/_service.py
+++ b/packages/skylarkdoord/src/skylarkdoord/admin/_service.py
@@ -1,6 +1,7 @@
 """The operators' API on an entry's internal address."""
 
 import uuid
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -32,13 +33,17 @@
 
     Args:
         settings: Settings of this process.
+        on_accepted: Called after each accepted change.
     """
 
     name = "admin"
     requires: tuple[str, ...] = ("platform", "settings")
 
-    def __init__(self, settings: ProcessSettings) -> None:
+    def __init__(
+        self, settings: ProcessSettings, *, on_accepted: Callable[[], None]
+    ) -> None:
         self.settings = settings
+        self.on_accepted = on_accepted
         self.log = events.get_logger("admin")
 
     async def start(self, kernel: Kernel) -> None:
@@ -142,6 +147,7 @@
             author=accepted.row.author,
         )
         self.shared.offer(accepted.subtree, accepted.row)
+        self.on_accepted()
 
     async def get_history(self, request: web.Request) -> web.Response:
         """Answer with the changes kept of a path's subtree that touched the path."""
--- a/packages/skylarkdoord/src/skylarkdoord/common/__init__.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/__init__.py
@@ -1,8 +1,17 @@
 """Services that both roles run."""
 
 from skylarkdoord.common._backoff import Backoff
+from skylarkdoord.common._departure import Departure
 from skylarkdoord.common._internal import InternalServer
 from skylarkdoord.common._platform import Platform
 from skylarkdoord.common._settings import SettingsService
+from skylarkdoord.common._settings_exchange import Exchange
 
-__all__ = ["Backoff", "InternalServer", "Platform", "SettingsService"]
+__all__ = [
+    "Backoff",
+    "Departure",
+    "Exchange",
+    "InternalServer",
+    "Platform",
+    "SettingsService",
+]
--- a/packages/skylarkdoord/src/skylarkdoord/common/_internal.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_internal.py
@@ -68,6 +68,10 @@
         if self.runner is not None:
             await self.runner.cleanup()
 
+    async def finish_answers(self) -> None:
+        """Take no more connections and wait until every answer is sent."""
+        await finish_answers(self.runner)
+
     def unready(self) -> list[str]:
         """Return the names of the ready checks that do not hold."""
         return [name for name, check in self.ready_checks.items() if not check()]
@@ -98,3 +102,16 @@
             "ready": not self.unready(),
         }
         return web.json_response(head | parts)
+
+
+async def finish_answers(runner: web.AppRunner | None) -> None:
+    """Close a runner's listeners and wait until every answer is sent.
+
+    Connections without a request are closed at once. The caller bounds the time.
+    """
+    if runner is None or runner.server is None:
+        return
+    for site in list(runner.sites):
+        await site.stop()
+    runner.server.pre_shutdown()
+    await runner.server.shutdown(timeout=None)
--- a/packages/skylarkdoord/src/skylarkdoord/entry/__init__.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/__init__.py
@@ -2,11 +2,17 @@
 
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import ProcessSettings
-from skylarkdoord.admin import AdminService
-from skylarkdoord.common import InternalServer, Platform, SettingsService
+from skylarkdoord.admin import AdminService, DrainOrders
+from skylarkdoord.common import (
+    Departure,
+    InternalServer,
+    Platform,
+    SettingsService,
+)
 from skylarkdoord.entry._callers import CallerServer
 from skylarkdoord.entry._directory import Directory
 from skylarkdoord.entry._router import Router
+from skylarkdoord.entry._snapshot import SnapshotWriter
 
 __all__ = ["CallerServer", "Directory", "Router", "build"]
 
@@ -15,10 +21,16 @@
     """Register the services of an entry."""
     kernel.register(Platform(settings.platform))
     kernel.register(SettingsService())
-    kernel.register(AdminService(settings))
+    snapshot = SnapshotWriter()
+    kernel.register(snapshot)
+    kernel.register(AdminService(settings, on_accepted=snapshot.request))
     kernel.register(
-        InternalServer(settings, requires=("settings", "directory", "admin"))
+        InternalServer(
+            settings, requires=("settings", "directory", "admin", "drain-orders")
+        )
     )
+    kernel.register(Departure())
+    kernel.register(DrainOrders(settings))
     kernel.register(Directory(settings))
     kernel.register(Router(settings))
     kernel.register(CallerServer(settings))
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
@@ -11,8 +11,10 @@
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import ProcessSettings
 from skylarkdoord import _events
-from skylarkdoord.common import InternalServer, SettingsService
+from skylarkdoord.common import Departure, InternalServer, SettingsService
+from skylarkdoord.common import _departure as departure
 from skylarkdoord.common import _headers as headers
+from skylarkdoord.common._internal import finish_answers
 from skylarkdoord.entry import _parse as parse
 from skylarkdoord.entry._problems import problem
 from skylarkdoord.entry._request import EntryRequest
@@ -44,7 +46,6 @@
         assert settings.listen.callers is not None
         self.settings = settings
         self.address: str = settings.listen.callers
-        self.leaving = False
         self.active = 0
         self.idle = asyncio.Event()
         self.idle.set()
@@ -56,7 +57,7 @@
         self.router = kernel.find("router", Router)
         self.settings_service = kernel.find("settings", SettingsService)
         self.internal = kernel.find("internal", InternalServer)
-        self.internal.add_ready_check("leaving", lambda: not self.leaving)
+        self.departure = kernel.find("departure", Departure)
         self.internal.add_status("callers", lambda: {"active": self.active})
 
         @web.middleware
@@ -87,19 +88,23 @@
 
     async def stop(self) -> None:
         """Take no new work, finish what runs, then close the listener."""
-        self.leaving = True
-        self.log.event(_events.DRAIN_STARTED, reason="shutdown", running=self.active)
+        self.departure.leave(departure.SHUTDOWN)
         # The balancer needs a moment to see /readyz before connections close.
-        await asyncio.sleep(DRAIN_NOTICE_S)
+        await asyncio.sleep(max(0.0, DRAIN_NOTICE_S - self.departure.age_s))
         try:
             async with asyncio.timeout(self.settings.limits.drain_timeout_s):
                 await self.idle.wait()
+                await finish_answers(self.runner)
             self.log.event(_events.DRAIN_ENDED)
         except TimeoutError:
             self.log.event(_events.DRAIN_TIMED_OUT, running=self.active)
         if self.runner is not None:
             await self.runner.cleanup()
 
+    def is_closed(self) -> bool:
+        """Return whether requests are refused; the balancer gets a moment to see it."""
+        return self.departure.is_leaving and self.departure.age_s >= DRAIN_NOTICE_S
+
     async def guard(self, raw: web.Request, handler: Handler) -> web.StreamResponse:
         """Turn errors into answers and count what is active."""
         if raw.match_info.handler in (
@@ -108,13 +113,21 @@
             self.internal.get_metrics,
         ):
             return await handler(raw)
-        if self.leaving:
+        if self.is_closed():
             return problem(
                 503,
                 "leaving",
                 "this entry is shutting down",
                 retry_after_s=LEAVING_RETRY_AFTER_S,
             )
+        if not self.settings_service.is_ready():
+            return problem(
+                503,
+                "starting",
+                "this entry has no settings yet",
+                retry_after_s=LEAVING_RETRY_AFTER_S,
+            )
+        self.departure.check_new_work()
         self.active += 1
         self.idle.clear()
         try:
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_directory.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_directory.py
@@ -12,7 +12,13 @@
 from skylarkdoor.settings import ProcessSettings
 from skylarkdoor.wire import pb
 from skylarkdoord import _events
-from skylarkdoord.common import InternalServer, Platform
+from skylarkdoord.common import (
+    Departure,
+    InternalServer,
+    Platform,
+    SettingsService,
+)
+from skylarkdoord.common import _departure as departure
 from skylarkdoord.entry._peer import SidecarPeer
 
 POLL_INTERVAL_S = 1.0
@@ -26,7 +32,7 @@
     """
 
     name = "directory"
-    requires: tuple[str, ...] = ("platform", "settings")
+    requires: tuple[str, ...] = ("platform", "settings", "departure")
 
     def __init__(self, settings: ProcessSettings) -> None:
         self.settings = settings
@@ -40,6 +46,8 @@
         """Begin to follow the list; readiness waits for the first answer."""
         self.kernel = kernel
         self.platform = kernel.find("platform", Platform)
+        self.shared = kernel.find("settings", SettingsService)
+        self.departure = kernel.find("departure", Departure)
         internal = kernel.find("internal", InternalServer)
         internal.add_ready_check("directory", lambda: self.fetched)
         internal.add_status("sidecars", self.status)
@@ -87,6 +95,7 @@
 
     def update(self, records: list[InstanceRecord]) -> None:
         """Open streams to new sidecars and close those to vanished ones."""
+        self.note_own(records)
         wanted = {record.instance: record for record in self.choose(records)}
         for instance in list(self.peers):
             known = self.peers[instance].record
@@ -95,11 +104,23 @@
                 self.tasks.pop(instance).cancel()
                 del self.peers[instance]
             else:
-                self.peers[instance].record = new
+                self.peers[instance].update(new)
         for instance, record in wanted.items():
             if instance not in self.peers:
                 self.connect(record)
 
+    def note_own(self, records: list[InstanceRecord]) -> None:
+        """Follow what the list says of this entry, if it is this life of it."""
+        for record in records:
+            if record.instance != self.settings.instance:
+                continue
+            if record.http != self.settings.listen.internal:
+                continue
+            if record.state == "live":
+                self.departure.rejoin(departure.LISTED)
+            else:
+                self.departure.leave(departure.LISTED)
+
     def choose(self, records: list[InstanceRecord]) -> list[InstanceRecord]:
         """Return the sidecars to connect to: own data centre first, bounded."""
         by_pool: dict[str, list[InstanceRecord]] = {}
@@ -130,7 +151,7 @@
             data_centre=self.settings.data_centre,
             incarnation=self.incarnation,
         )
-        peer = SidecarPeer(record, hello)
+        peer = SidecarPeer(record, hello, self.shared)
         self.peers[record.instance] = peer
         self.tasks[record.instance] = self.kernel.spawn(
             peer.run(), name=f"peer {record.instance}"
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_peer.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_peer.py
@@ -9,13 +9,14 @@
 
 from skylarkdoor import events
 from skylarkdoor.platform import InstanceRecord
-from skylarkdoor.wire import Outbox, PeerStub, pb
+from skylarkdoor.wire import Outbox, OutboxFullError, PeerStub, pb
 from skylarkdoord import _events
-from skylarkdoord.common import Backoff
+from skylarkdoord.common import Backoff, Exchange, SettingsService
 
 SILENCE_TIMEOUT_S = 3.0
 HEARTBEAT_INTERVAL_S = 1.0
 CONNECT_TIMEOUT_S = 2.0
+MAX_UNSENT = 8192
 
 
 class OfferListener(Protocol):
@@ -34,12 +35,17 @@
     Args:
         record: The sidecar as the instance list shows it.
         hello: What the sidecar is told first.
+        settings: The shared settings of this process.
     """
 
-    def __init__(self, record: InstanceRecord, hello: pb.EntryHello) -> None:
+    def __init__(
+        self, record: InstanceRecord, hello: pb.EntryHello, settings: SettingsService
+    ) -> None:
         self.record = record
         self.hello = hello
-        self.outbox: Outbox[pb.EntryMessage] = Outbox()
+        self.settings = settings
+        self.exchange: Exchange | None = None
+        self.outbox: Outbox[pb.EntryMessage] = Outbox(limit=MAX_UNSENT)
         self.offers: dict[str, OfferListener] = {}
         self.load = pb.LoadReport()
         self.load_at = 0.0
@@ -74,13 +80,31 @@
         """Note that the request's grant was used."""
         self.offers.pop(request_id, None)
 
+    def update(self, record: InstanceRecord) -> None:
+        """Take over what the instance list says now."""
+        is_changed = record.state != self.record.state
+        self.record = record
+        if is_changed:
+            self.tell_listed()
+
+    def tell_listed(self) -> None:
+        """Tell the sidecar whether it is listed as leaving."""
+        listed = pb.Listed(leaving=self.record.state != "live")
+        self.outbox.put(pb.EntryMessage(listed=listed))
+
     async def run(self) -> None:
         """Connect again and again until cancelled."""
         backoff = Backoff()
         while True:
             try:
                 await self.serve(backoff)
-            except (GRPCError, StreamTerminatedError, OSError, TimeoutError) as error:
+            except (
+                GRPCError,
+                StreamTerminatedError,
+                OSError,
+                TimeoutError,
+                OutboxFullError,
+            ) as error:
                 self.log.event(_events.PEER_LOST, peer=self.instance, error=repr(error))
             finally:
                 self.lose()
@@ -91,6 +115,7 @@
 
         Raises:
             GRPCError, StreamTerminatedError, OSError, TimeoutError: It was lost.
+            OutboxFullError: The sidecar takes messages too slowly.
         """
         host, _, port = self.record.rpc.rpartition(":")
         channel = Channel(host, int(port))
@@ -99,10 +124,11 @@
                 first = pb.EntryBatch(messages=[pb.EntryMessage(hello=self.hello)])
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
                     await stream.send_message(first)
+                self.tell_listed()
                 async with asyncio.TaskGroup() as group:
-                    writer = group.create_task(self.write(stream))
+                    group.create_task(self.write(stream))
+                    group.create_task(self.outbox.overflow())
                     await self.read(stream, backoff)
-                    writer.cancel()
         except ExceptionGroup as errors:
             raise errors.exceptions[0] from None
         finally:
@@ -127,10 +153,15 @@
 
     def handle(self, message: pb.SidecarMessage) -> None:
         """Handle one message."""
+        if self.exchange is not None and self.exchange.handle(message):
+            return
         match message.WhichOneof("kind"):
             case "hello":
                 self.connected = True
                 self.leaving = False
+                self.exchange = self.settings.exchanges.open(
+                    pb.EntryMessage, self.outbox.put
+                )
                 self.models = tuple(message.hello.models)
                 self.log.event(_events.PEER_CONNECTED, peer=self.instance)
             case "grant":
@@ -143,7 +174,7 @@
                 self.load = message.load
                 self.load_at = time.monotonic()
             case "leaving":
-                self.leaving = True
+                self.leaving = not message.leaving.ended
 
     def on_grant(self, grant: pb.Grant) -> None:
         """Pass a grant on, or give it back if nobody waits for it."""
@@ -157,7 +188,10 @@
     def lose(self) -> None:
         """Turn open offers into refusals; the sidecar has dropped them."""
         self.connected = False
-        self.outbox = Outbox()
+        if self.exchange is not None:
+            self.exchange.close()
+            self.exchange = None
+        self.outbox = Outbox(limit=MAX_UNSENT)
         offers, self.offers = self.offers, {}
         for request_id, listener in offers.items():
             refusal = pb.Refusal(
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/__init__.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/__init__.py
@@ -2,7 +2,13 @@
 
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import ProcessSettings
-from skylarkdoord.common import InternalServer, Platform, SettingsService
+from skylarkdoord.admin import DrainOrders
+from skylarkdoord.common import (
+    Departure,
+    InternalServer,
+    Platform,
+    SettingsService,
+)
 from skylarkdoord.sidecar._dispatch import DispatchService
 from skylarkdoord.sidecar._drain import Drain
 from skylarkdoord.sidecar._ledger import Ledger, Phase
@@ -27,10 +33,14 @@
     """Register the services of a sidecar."""
     kernel.register(Platform(settings.platform))
     kernel.register(SettingsService())
+    kernel.register(Departure())
+    kernel.register(DrainOrders(settings))
     kernel.register(Scheduler(settings))
     kernel.register(DispatchService(settings))
     kernel.register(PeerServer(settings))
     kernel.register(
-        InternalServer(settings, requires=("settings", "scheduler", "dispatch"))
+        InternalServer(
+            settings, requires=("settings", "scheduler", "dispatch", "drain-orders")
+        )
     )
     kernel.register(Drain(settings))
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_drain.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_drain.py
@@ -6,6 +6,8 @@
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import ProcessSettings
 from skylarkdoord import _events
+from skylarkdoord.common import Departure, InternalServer
+from skylarkdoord.common import _departure as departure
 from skylarkdoord.sidecar._scheduler import Scheduler
 
 
@@ -24,15 +26,18 @@
         self.log = events.get_logger("sidecar.drain")
 
     async def start(self, kernel: Kernel) -> None:
-        """Find the scheduler."""
+        """Find the services to drain."""
         self.scheduler = kernel.find("scheduler", Scheduler)
+        self.departure = kernel.find("departure", Departure)
+        self.internal = kernel.find("internal", InternalServer)
 
     async def stop(self) -> None:
-        """Hand back what waits and finish what runs."""
-        self.scheduler.leave("shutdown")
+        """Hand back what waits and finish what runs, answers included."""
+        self.departure.leave(departure.SHUTDOWN)
         try:
             async with asyncio.timeout(self.settings.limits.drain_timeout_s):
                 await self.scheduler.idle.wait()
+                await self.internal.finish_answers()
             self.log.event(_events.DRAIN_ENDED)
         except TimeoutError:
             self.log.event(_events.DRAIN_TIMED_OUT, running=self.scheduler.running)
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_peers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_peers.py
@@ -10,14 +10,40 @@
 from skylarkdoor import events
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import ProcessSettings
-from skylarkdoor.wire import Outbox, PeerBase, pb
+from skylarkdoor.wire import Outbox, OutboxFullError, PeerBase, pb
 from skylarkdoord import _events
+from skylarkdoord.common import Departure, Exchange, SettingsService
+from skylarkdoord.sidecar._listing import Listing
 from skylarkdoord.sidecar._scheduler import Scheduler
 
 if TYPE_CHECKING:
     from grpclib.server import Stream
 
 REPORT_INTERVAL_S = 0.2
+SILENCE_TIMEOUT_S = 4.0
+
+
+class EntryPeer:
+    """The stream of one entry.
+
+    Args:
+        key: Key of the stream, unique in this process.
+        instance: Name of the entry's instance.
+        exchange: Exchange of settings on the stream.
+        outbox: Messages to the entry.
+    """
+
+    def __init__(
+        self,
+        key: str,
+        instance: str,
+        exchange: Exchange,
+        outbox: Outbox[pb.SidecarMessage],
+    ) -> None:
+        self.key = key
+        self.instance = instance
+        self.exchange = exchange
+        self.outbox = outbox
 
 
 class PeerServer(PeerBase):
@@ -28,7 +54,7 @@
     """
 
     name = "peers"
-    requires: tuple[str, ...] = ("scheduler", "dispatch")
+    requires: tuple[str, ...] = ("scheduler", "dispatch", "settings", "departure")
 
     def __init__(self, settings: ProcessSettings) -> None:
         assert settings.listen.rpc is not None
@@ -41,6 +67,8 @@
     async def start(self, kernel: Kernel) -> None:
         """Listen on the address for control streams."""
         self.scheduler = kernel.find("scheduler", Scheduler)
+        self.shared = kernel.find("settings", SettingsService)
+        self.listing = Listing(kernel.find("departure", Departure))
         host, _, port = self.address.rpartition(":")
         await self.server.start(host, int(port))
 
@@ -56,23 +84,45 @@
         first = await stream.recv_message()
         if first is None or not first.messages[0].HasField("hello"):
             return
-        entry = first.messages[0].hello.instance
-        peer = f"{entry}#{next(self.counter)}"
+        peer = self.open(first.messages[0].hello)
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self.write(stream, peer))
+                group.create_task(peer.outbox.overflow())
+                await self.read(stream, peer)
+        except ExceptionGroup as errors:
+            lost, others = errors.split(
+                (
+                    GRPCError,
+                    StreamTerminatedError,
+                    OSError,
+                    TimeoutError,
+                    OutboxFullError,
+                )
+            )
+            if others is not None:
+                raise others from None
+            self.log.event(_events.PEER_LOST, peer=peer.instance, error=repr(lost))
+        finally:
+            self.close(peer)
+
+    def open(self, hello: pb.EntryHello) -> EntryPeer:
+        """Begin to serve a stream and greet its entry."""
+        key = f"{hello.instance}#{next(self.counter)}"
         outbox: Outbox[pb.SidecarMessage] = Outbox()
         outbox.put(pb.SidecarMessage(hello=self.hello()))
         if self.scheduler.leaving:
             outbox.put(pb.SidecarMessage(leaving=pb.Leaving(reason="shutdown")))
-        self.scheduler.connect(peer, outbox.put)
-        self.log.event(_events.PEER_CONNECTED, peer=entry)
-        writer = asyncio.create_task(self.write(stream, outbox), name=f"write {peer}")
-        try:
-            await self.read(stream, peer)
-        except (GRPCError, StreamTerminatedError, ConnectionError):
-            pass
-        finally:
-            writer.cancel()
-            self.scheduler.disconnect(peer)
-            self.log.event(_events.PEER_LOST, peer=entry)
+        exchange = self.shared.exchanges.open(pb.SidecarMessage, outbox.put)
+        self.scheduler.connect(key, outbox.put)
+        self.log.event(_events.PEER_CONNECTED, peer=hello.instance)
+        return EntryPeer(key, hello.instance, exchange, outbox)
+
+    def close(self, peer: EntryPeer) -> None:
+        """Drop what came on a stream and was not begun."""
+        self.scheduler.disconnect(peer.key)
+        self.listing.forget(peer.key)
+        peer.exchange.close()
 
     def hello(self) -> pb.SidecarHello:
         """Return what an entry is told when its stream opens."""
@@ -86,28 +136,39 @@
         )
 
     async def read(
-        self, stream: "Stream[pb.EntryBatch, pb.SidecarBatch]", peer: str
+        self, stream: "Stream[pb.EntryBatch, pb.SidecarBatch]", peer: EntryPeer
     ) -> None:
-        """Handle the entry's messages one after another."""
-        while (batch := await stream.recv_message()) is not None:
+        """Handle the entry's messages one after another.
+
+        Raises:
+            ConnectionResetError: The entry ended the stream.
+            TimeoutError: The entry is silent.
+        """
+        while True:
+            async with asyncio.timeout(SILENCE_TIMEOUT_S):
+                batch = await stream.recv_message()
+            if batch is None:
+                raise ConnectionResetError("the entry ended the stream")
             for message in batch.messages:
                 self.handle(message, peer)
 
-    def handle(self, message: pb.EntryMessage, peer: str) -> None:
+    def handle(self, message: pb.EntryMessage, peer: EntryPeer) -> None:
         """Handle one message."""
+        if peer.exchange.handle(message):
+            return
         match message.WhichOneof("kind"):
             case "offer":
-                self.scheduler.receive(message.offer, peer)
+                self.scheduler.receive(message.offer, peer.key)
             case "withdraw":
                 self.scheduler.withdraw(message.withdraw.request_id)
+            case "listed":
+                self.listing.hear(peer.key, message.listed.leaving)
 
     async def write(
-        self,
-        stream: "Stream[pb.EntryBatch, pb.SidecarBatch]",
-        outbox: Outbox[pb.SidecarMessage],
+        self, stream: "Stream[pb.EntryBatch, pb.SidecarBatch]", peer: EntryPeer
     ) -> None:
         """Send what waits, with the load in every batch."""
         while True:
-            messages = await outbox.take(timeout_s=REPORT_INTERVAL_S)
+            messages = await peer.outbox.take(timeout_s=REPORT_INTERVAL_S)
             messages.append(pb.SidecarMessage(load=self.scheduler.load()))
             await stream.send_message(pb.SidecarBatch(messages=messages))
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_scheduler.py
@@ -13,7 +13,7 @@
 from skylarkdoor.settings import Pool, ProcessSettings, Upstream
 from skylarkdoor.wire import pb
 from skylarkdoord import _events
-from skylarkdoord.common import InternalServer, SettingsService
+from skylarkdoord.common import Departure, InternalServer, SettingsService
 from skylarkdoord.sidecar._ledger import Ledger, Phase
 from skylarkdoord.sidecar._queue import OfferQueue, WaitingOffer
 
@@ -40,7 +40,7 @@
     """
 
     name = "scheduler"
-    requires: tuple[str, ...] = ("settings",)
+    requires: tuple[str, ...] = ("settings", "departure")
 
     def __init__(self, settings: ProcessSettings) -> None:
         assert settings.upstream is not None
@@ -51,7 +51,7 @@
         self.senders: dict[str, Sender] = {}
         self.expiries: dict[str, asyncio.TimerHandle] = {}
         self.limit = 1
-        self.leaving = False
+        self.departure = Departure()
         self.upstream_up = False
         self.idle = asyncio.Event()
         self.idle.set()
@@ -63,7 +63,8 @@
         self.settings_service.listeners.append(lambda subtree: self.apply_settings())
         internal = kernel.find("internal", InternalServer)
         internal.add_ready_check("upstream", lambda: self.upstream_up)
-        internal.add_ready_check("leaving", lambda: not self.leaving)
+        self.departure = kernel.find("departure", Departure)
+        self.departure.listeners.append(self.on_departure)
         internal.add_status("scheduler", self.status)
         kernel.spawn(self.watch_upstream(), name="scheduler.health")
 
@@ -75,6 +76,11 @@
         """The settings of the upstream's pool, if it is defined."""
         return self.settings_service.view.fleet.pools.get(self.upstream.pool)
 
+    @property
+    def leaving(self) -> bool:
+        """Whether no new work is taken."""
+        return self.departure.is_leaving
+
     @property
     def running(self) -> int:
         """Requests that take room: granted, accepted or dispatched."""
@@ -162,6 +168,7 @@
     def grant(self, waiting: WaitingOffer) -> None:
         """Reserve room for an offer and tell its entry."""
         request_id = waiting.offer.request_id
+        self.departure.check_new_work(request_id=request_id)
         number = self.ledger.grant(request_id)
         GRANTS.labels(str(waiting.offer.tier)).inc()
         loop = asyncio.get_running_loop()
@@ -224,15 +231,13 @@
         )
         self.send(peer, pb.SidecarMessage(refusal=refusal))
 
-    def leave(self, reason: str) -> None:
-        """Take no new work and hand back what waits."""
-        if self.leaving:
-            return
-        self.leaving = True
-        self.log.event(_events.DRAIN_STARTED, reason=reason, running=self.running)
+    def on_departure(self, reason: str, leaving: bool) -> None:
+        """Hand back what waits when leaving; tell the entries either way."""
+        message = pb.Leaving(reason=reason, ended=not leaving)
         for peer in self.senders:
-            self.send(peer, pb.SidecarMessage(leaving=pb.Leaving(reason=reason)))
-        self.hand_back(pb.REFUSAL_REASON_LEAVING)
+            self.send(peer, pb.SidecarMessage(leaving=message))
+        if leaving:
+            self.hand_back(pb.REFUSAL_REASON_LEAVING)
 
     def hand_back(self, reason: "pb.RefusalReason") -> None:
         """Refuse every waiting offer."""
--- a/packages/skylarkdoord/tests/admin/conftest.py
+++ b/packages/skylarkdoord/tests/admin/conftest.py
@@ -104,7 +104,7 @@
         kernel = Kernel()
         kernel.register(Platform(addresses))
         kernel.register(SettingsService())
-        kernel.register(AdminService(settings))
+        kernel.register(AdminService(settings, on_accepted=lambda: None))
         kernel.register(InternalServer(settings, requires=("admin",)))
         await kernel.start()
         async with ClientSession() as session:
@@ -112,7 +112,7 @@
             row = {"revision": 1, "document": FLEET}
             write = Put("settings/fleet", json.dumps(row).encode())
             await api.table.commit([Txn(writes=(write,))])
-            await api.settings.refresh()
+            await api.settings.poll.read_all()
             answer = await api.put("/teams/seed", {"customers": {"desk": CUSTOMER}})
             assert answer.status == 200, answer.body
             yield api
