--- a/packages/skylarkdoord/src/skylarkdoord/entry/_peer.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_peer.py
@@ -51,6 +51,7 @@
         self.load_at = 0.0
         self.models: tuple[str, ...] = ()
         self.connected = False
+        self.lost = asyncio.Event()
         self.leaving = False
         self.log = events.get_logger("entry.peer")
 
@@ -158,6 +159,7 @@
         match message.WhichOneof("kind"):
             case "hello":
                 self.connected = True
+                self.lost = asyncio.Event()
                 self.leaving = False
                 self.exchange = self.settings.exchanges.open(
                     pb.EntryMessage, self.outbox.put
@@ -188,6 +190,7 @@
     def lose(self) -> None:
         """Turn open offers into refusals; the sidecar has dropped them."""
         self.connected = False
+        self.lost.set()
         if self.exchange is not None:
             self.exchange.close()
             self.exchange = None
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/__init__.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/__init__.py
@@ -9,6 +9,7 @@
     Platform,
     SettingsService,
 )
+from skylarkdoord.sidecar._claims import Claims
 from skylarkdoord.sidecar._dispatch import DispatchService
 from skylarkdoord.sidecar._drain import Drain
 from skylarkdoord.sidecar._ledger import Ledger, Phase
@@ -17,6 +18,7 @@
 from skylarkdoord.sidecar._scheduler import Scheduler
 
 __all__ = [
+    "Claims",
     "DispatchService",
     "Drain",
     "Ledger",
@@ -36,6 +38,7 @@
     kernel.register(Departure())
     kernel.register(DrainOrders(settings))
     kernel.register(Scheduler(settings))
+    kernel.register(Claims(settings))
     kernel.register(DispatchService(settings))
     kernel.register(PeerServer(settings))
     kernel.register(
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Fixtures of tests that run whole deployments as processes."""
+"""Fixtures of the tests that run whole deployments."""
 
 from skylarkdoor_bench.testing import start_cluster
 
