--- a/packages/skylarkdoor-bench/src/skylarkdoor_bench/__init__.py
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/__init__.py
@@ -1,5 +1,6 @@
 """Launcher, demo, load and measurement tools for skylarkdoor."""
 
+from skylarkdoor_bench._caller import Caller, CutStreamError
 from skylarkdoor_bench._deployments import (
     OPERATOR_TOKEN,
     Deployment,
@@ -18,7 +19,9 @@
 
 __all__ = [
     "OPERATOR_TOKEN",
+    "Caller",
     "Cluster",
+    "CutStreamError",
     "Deployment",
     "EngineSpec",
     "EntrySpec",
--- a/packages/skylarkdoor-bench/src/skylarkdoor_bench/_commands.py
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_commands.py
@@ -7,6 +7,7 @@
 
 from skylarkdoor.hashing import key_hash
 from skylarkdoor.settings import (
+    Limits,
     Listen,
     PlatformAddresses,
     ProcessSettings,
@@ -50,6 +51,19 @@
         """Base URL of health, metrics and status."""
         return f"http://{self.settings.listen.internal}"
 
+    def moved(self, limits: Limits | None) -> "DaemonCommand":
+        """Return the daemon at other addresses, with other limits if given."""
+        old = self.settings.listen
+        listen = Listen(
+            internal=_address(),
+            callers=_address() if old.callers else None,
+            rpc=_address() if old.rpc else None,
+        )
+        settings = self.settings._replace(
+            listen=listen, limits=limits or self.settings.limits
+        )
+        return self._replace(settings=settings)
+
     def write(self, directory: Path) -> tuple[str, ...]:
         """Write the settings file and return the arguments that name it."""
         path = directory / f"{self.name}.json"
--- a/packages/skylarkdoord/src/skylarkdoord/admin/_check.py
+++ b/packages/skylarkdoord/src/skylarkdoord/admin/_check.py
@@ -1,6 +1,6 @@
 """Checks of a changed subtree against the others."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from typing import Any
 
 from skylarkdoor.exceptions import SettingsError
@@ -41,8 +41,10 @@
         return check_document(path, document)
     except SettingsError as error:
         if path == changed:
-            raise InvalidError([_problem(error, below=path)]) from None
-        message = f"{path} in the table can't be read: {error.message}"
+            raise InvalidError(
+                [_problem(part, below=path) for part in error.problems]
+            ) from None
+        message = f"{path} in the table can't be read: {error}"
         raise InvalidError([Problem(path, message)]) from None
 
 
@@ -57,18 +59,12 @@
     }
     try:
         check_shared(fleet, teams)
-    except ExceptionGroup as group:
-        raise InvalidError(list(_problems(group.exceptions))) from None
-
-
-def _problems(errors: Iterable[Exception]) -> Iterable[Problem]:
-    for error in errors:
-        if isinstance(error, SettingsError):
-            yield Problem(error.path, error.message)
+    except SettingsError as error:
+        found = [Problem(part.path, part.message) for part in error.problems]
+        raise InvalidError(found) from None
 
 
 def _problem(error: SettingsError, *, below: str) -> Problem:
     if error.path.startswith("/"):
         return Problem(error.path, error.message)
-    inner = error.path.replace(".", "/")
-    return Problem(f"{below}/{inner}" if inner else below, error.message)
+    return Problem("/".join((below, *error.keys)), error.message)
--- a/packages/skylarkdoord/src/skylarkdoord/admin/_instances.py
+++ b/packages/skylarkdoord/src/skylarkdoord/admin/_instances.py
@@ -7,6 +7,7 @@
 
 from skylarkdoor.platform import InstanceList, InstanceRecord, PlatformError
 from skylarkdoord.admin.exceptions import AbsentError, UnreachableError
+from skylarkdoord.common import TlsService
 
 MAX_CALLS = 16
 CALL_TIMEOUT_S = 2.0
@@ -17,10 +18,12 @@
 
     Args:
         listed: The platform's list.
+        tls: Contexts of the connections.
     """
 
-    def __init__(self, listed: InstanceList) -> None:
+    def __init__(self, listed: InstanceList, tls: TlsService) -> None:
         self.listed = listed
+        self.tls = tls
         self.slots = asyncio.Semaphore(MAX_CALLS)
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
         self.session = aiohttp.ClientSession(timeout=timeout)
@@ -61,10 +64,14 @@
             raise UnreachableError(f"the instance list: {error}") from None
 
     async def _status(self, record: InstanceRecord) -> dict[str, Any]:
+        url = f"{self.tls.url(record.http)}/status"
+        tls = self.tls.arguments(record.instance)
         shown: dict[str, Any] = {**record._asdict(), "status": None, "error": None}
+        url = f"{self.tls.url(record.http)}/status"
+        tls = self.tls.arguments(record.instance)
         try:
             async with self.slots:
-                async with self.session.get(f"http://{record.http}/status") as answer:
+                async with self.session.get(url, **tls) as answer:
                     shown["status"] = await answer.json()
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             shown["error"] = repr(error)
@@ -73,10 +80,11 @@
     async def _post_drain(
         self, record: InstanceRecord, authorization: str
     ) -> dict[str, Any]:
-        url = f"http://{record.http}/internal/drain"
+        url = f"{self.tls.url(record.http)}/internal/drain"
+        tls = self.tls.arguments(record.instance)
         headers = {"Authorization": authorization}
         try:
-            async with self.session.post(url, headers=headers) as answer:
+            async with self.session.post(url, headers=headers, **tls) as answer:
                 if answer.status != 200:
                     raise UnreachableError(
                         f"{record.instance} answered with status {answer.status}"
--- a/packages/skylarkdoord/src/skylarkdoord/admin/_service.py
+++ b/packages/skylarkdoord/src/skylarkdoord/admin/_service.py
@@ -18,7 +18,7 @@
 from skylarkdoord.admin._paths import SettingsPath, overlaps, parse_path, value_at
 from skylarkdoord.admin._reader import SettingsReader
 from skylarkdoord.admin.exceptions import AbsentError, InvalidError, Problem
-from skylarkdoord.common import InternalServer, Platform, SettingsService
+from skylarkdoord.common import InternalServer, Platform, SettingsService, TlsService
 from skylarkdoord.common import _headers as headers
 from skylarkdoord.common import _rows as rows
 
@@ -37,7 +37,7 @@
     """
 
     name = "admin"
-    requires: tuple[str, ...] = ("platform", "settings")
+    requires: tuple[str, ...] = ("platform", "settings", "tls")
 
     def __init__(
         self, settings: ProcessSettings, *, on_accepted: Callable[[], None]
@@ -52,7 +52,7 @@
         self.shared = kernel.find("settings", SettingsService)
         self.reader = SettingsReader(platform.table, self.shared.view.revision)
         self.editor = SettingsEditor(platform.table, self.reader)
-        self.instances = Instances(platform.instances)
+        self.instances = Instances(platform.instances, kernel.find("tls", TlsService))
         internal = kernel.find("internal", InternalServer)
         for method, path, handler in (
             ("GET", "/admin/settings", self.get_heads),
--- a/packages/skylarkdoord/src/skylarkdoord/common/__init__.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/__init__.py
@@ -6,6 +6,7 @@
 from skylarkdoord.common._platform import Platform
 from skylarkdoord.common._settings import SettingsService
 from skylarkdoord.common._settings_exchange import Exchange
+from skylarkdoord.common._tls_service import TlsService
 
 __all__ = [
     "Backoff",
@@ -14,4 +15,5 @@
     "InternalServer",
     "Platform",
     "SettingsService",
+    "TlsService",
 ]
--- a/packages/skylarkdoord/src/skylarkdoord/entry/__init__.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/__init__.py
@@ -8,6 +8,7 @@
     InternalServer,
     Platform,
     SettingsService,
+    TlsService,
 )
 from skylarkdoord.entry._callers import CallerServer
 from skylarkdoord.entry._directory import Directory
@@ -19,6 +20,7 @@
 
 def build(kernel: Kernel, settings: ProcessSettings) -> None:
     """Register the services of an entry."""
+    kernel.register(TlsService(settings))
     kernel.register(Platform(settings.platform))
     kernel.register(SettingsService())
     snapshot = SnapshotWriter()
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
@@ -10,7 +10,7 @@
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import ProcessSettings
 from skylarkdoord import _events
-from skylarkdoord.common import Departure, InternalServer, SettingsService
+from skylarkdoord.common import Departure, InternalServer, SettingsService, TlsService
 from skylarkdoord.common import _departure as departure
 from skylarkdoord.common._internal import finish_answers
 from skylarkdoord.entry import _parse as parse
@@ -44,7 +44,7 @@
     """
 
     name = "callers"
-    requires: tuple[str, ...] = ("router", "internal")
+    requires: tuple[str, ...] = ("router", "internal", "tls")
 
     def __init__(self, settings: ProcessSettings) -> None:
         assert settings.listen.callers is not None
@@ -87,8 +87,10 @@
             shutdown_timeout=1.0,
         )
         await self.runner.setup()
+        tls = kernel.find("tls", TlsService).callers
+        context = tls.listening if tls else None
         host, _, port = self.address.rpartition(":")
-        await web.TCPSite(self.runner, host, int(port)).start()
+        await web.TCPSite(self.runner, host, int(port), ssl_context=context).start()
 
     async def stop(self) -> None:
         """Take no new work, finish what runs, then close the listener."""
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_directory.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_directory.py
@@ -17,6 +17,7 @@
     InternalServer,
     Platform,
     SettingsService,
+    TlsService,
 )
 from skylarkdoord.common import _departure as departure
 from skylarkdoord.entry._peer import SidecarPeer
@@ -32,7 +33,7 @@
     """
 
     name = "directory"
-    requires: tuple[str, ...] = ("platform", "settings", "departure")
+    requires: tuple[str, ...] = ("platform", "settings", "departure", "tls")
 
     def __init__(self, settings: ProcessSettings) -> None:
         self.settings = settings
@@ -48,6 +49,7 @@
         self.platform = kernel.find("platform", Platform)
         self.shared = kernel.find("settings", SettingsService)
         self.departure = kernel.find("departure", Departure)
+        self.tls = kernel.find("tls", TlsService)
         internal = kernel.find("internal", InternalServer)
         internal.add_ready_check("directory", lambda: self.fetched)
         internal.add_status("sidecars", self.status)
@@ -151,7 +153,7 @@
             data_centre=self.settings.data_centre,
             incarnation=self.incarnation,
         )
-        peer = SidecarPeer(record, hello, self.shared)
+        peer = SidecarPeer(record, hello, self.shared, self.tls.rpc_client)
         self.peers[record.instance] = peer
         self.tasks[record.instance] = self.kernel.spawn(
             peer.run(), name=f"peer {record.instance}"
--- a/packages/skylarkdoord/src/skylarkdoord/exceptions.py
+++ b/packages/skylarkdoord/src/skylarkdoord/exceptions.py
@@ -13,6 +13,7 @@
     "OutcomeUnknownError",
     "RefusedError",
     "SidecarSilentError",
+    "TlsError",
     "TransitionError",
     "UpstreamCutError",
     "UpstreamLostError",
@@ -23,6 +24,10 @@
     """Base of the daemon's errors."""
 
 
+class TlsError(DaemonError):
+    """A certificate, key or authority cannot be loaded."""
+
+
 class TransitionError(DaemonError):
     """A request was moved to a phase that its present one does not allow."""
 
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/__init__.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/__init__.py
@@ -8,6 +8,7 @@
     InternalServer,
     Platform,
     SettingsService,
+    TlsService,
 )
 from skylarkdoord.sidecar._claims import Claims
 from skylarkdoord.sidecar._dispatch import DispatchService
@@ -33,6 +34,7 @@
 
 def build(kernel: Kernel, settings: ProcessSettings) -> None:
     """Register the services of a sidecar."""
+    kernel.register(TlsService(settings))
     kernel.register(Platform(settings.platform))
     kernel.register(SettingsService())
     kernel.register(Departure())
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_claims.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_claims.py
@@ -33,7 +33,7 @@
 )
 from skylarkdoor.settings import ProcessSettings
 from skylarkdoord import _events
-from skylarkdoord.common import Backoff, InternalServer, Platform
+from skylarkdoord.common import Backoff, InternalServer, Platform, TlsService
 from skylarkdoord.exceptions import (
     ClaimRowError,
     NotRunError,
@@ -101,7 +101,7 @@
     """
 
     name = "claims"
-    requires: tuple[str, ...] = ("platform", "scheduler")
+    requires: tuple[str, ...] = ("platform", "scheduler", "tls")
 
     def __init__(self, settings: ProcessSettings) -> None:
         self.settings = settings
@@ -116,6 +116,7 @@
         incarnation = kernel.find("scheduler", Scheduler).ledger.incarnation
         internal = kernel.find("internal", InternalServer)
         internal.add_route("POST", "/internal/claims/{operation}", self.post_claim)
+        self.tls = kernel.find("tls", TlsService)
         self.session = aiohttp.ClientSession()
         self.open(kernel, platform.table, platform.objects, incarnation)
 
@@ -313,11 +314,14 @@
         return said or await self._reread(key, found)
 
     async def _ask_owner(self, found: ClaimRow, *, wait_s: float) -> ClaimRow | None:
-        url = f"http://{found.address}/internal/claims/{found.operation}"
+        url = f"{self.tls.url(found.address)}/internal/claims/{found.operation}"
+        tls = self.tls.arguments(found.instance)
         query = {WAIT_QUERY: str(wait_s), INCARNATION_QUERY: str(found.incarnation)}
         timeout = aiohttp.ClientTimeout(total=wait_s + JOIN_GRACE_S)
         try:
-            async with self.session.post(url, params=query, timeout=timeout) as answer:
+            async with self.session.post(
+                url, params=query, timeout=timeout, **tls
+            ) as answer:
                 if answer.status != 200:
                     return None
                 return decode(await answer.read())
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_peers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_peers.py
@@ -12,7 +12,8 @@
 from skylarkdoor.settings import ProcessSettings
 from skylarkdoor.wire import Outbox, OutboxFullError, PeerBase, pb
 from skylarkdoord import _events
-from skylarkdoord.common import Departure, Exchange, SettingsService
+from skylarkdoord.common import Departure, Exchange, SettingsService, TlsService
+from skylarkdoord.common._tls import names_of
 from skylarkdoord.sidecar._listing import Listing
 from skylarkdoord.sidecar._scheduler import Scheduler
 
@@ -54,7 +55,13 @@
     """
 
     name = "peers"
-    requires: tuple[str, ...] = ("scheduler", "dispatch", "settings", "departure")
+    requires: tuple[str, ...] = (
+        "scheduler",
+        "dispatch",
+        "settings",
+        "departure",
+        "tls",
+    )
 
     def __init__(self, settings: ProcessSettings) -> None:
         assert settings.listen.rpc is not None
@@ -69,8 +76,10 @@
         self.scheduler = kernel.find("scheduler", Scheduler)
         self.shared = kernel.find("settings", SettingsService)
         self.listing = Listing(kernel.find("departure", Departure))
+        self.tls = kernel.find("tls", TlsService)
+        context = self.tls.rpc.listening if self.tls.rpc else None
         host, _, port = self.address.rpartition(":")
-        await self.server.start(host, int(port))
+        await self.server.start(host, int(port), ssl=context)
 
     async def stop(self) -> None:
         """Close the streams."""
@@ -84,7 +93,15 @@
         first = await stream.recv_message()
         if first is None or not first.messages[0].HasField("hello"):
             return
-        peer = self.open(first.messages[0].hello)
+        hello = first.messages[0].hello
+        if not self.is_known(hello.instance, stream):
+            self.log.event(
+                _events.PEER_REFUSED,
+                peer=hello.instance,
+                reason="certificate of another name",
+            )
+            return
+        peer = self.open(hello)
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(self.write(stream, peer))
@@ -124,6 +141,14 @@
         self.listing.forget(peer.key)
         peer.exchange.close()
 
+    def is_known(
+        self, entry: str, stream: "Stream[pb.EntryBatch, pb.SidecarBatch]"
+    ) -> bool:
+        """Return whether the peer's certificate bears the entry's name."""
+        if self.tls.rpc is None:
+            return True
+        return entry in names_of(stream.peer.cert())
+
     def hello(self) -> pb.SidecarHello:
         """Return what an entry is told when its stream opens."""
         pool = self.scheduler.pool
--- a/packages/skylarkdoord/tests/admin/conftest.py
+++ b/packages/skylarkdoord/tests/admin/conftest.py
@@ -18,7 +18,7 @@
 )
 from skylarkdoor_standins import platform
 from skylarkdoord.admin import AdminService
-from skylarkdoord.common import InternalServer, Platform, SettingsService
+from skylarkdoord.common import InternalServer, Platform, SettingsService, TlsService
 
 DEPLOYMENT_TOKEN = "deployment-token"
 SEED_TOKEN = "seed-token"
@@ -102,6 +102,7 @@
             operator_token_hashes=(key_hash(DEPLOYMENT_TOKEN),),
         )
         kernel = Kernel()
+        kernel.register(TlsService(settings))
         kernel.register(Platform(addresses))
         kernel.register(SettingsService())
         kernel.register(AdminService(settings, on_accepted=lambda: None))
