--- a/packages/skylarkdoor-bench/src/skylarkdoor_bench/_launcher.py
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_launcher.py
@@ -121,6 +121,20 @@
         self.processes[name].ready_url = f"{daemon.internal_url}/readyz"
         await self.restart(name)
 
+    async def replace(self, name: str) -> ManagedProcess:
+        """Start a second life of a daemon elsewhere while the first is still about.
+
+        Returns:
+            The first life's process, which goes by `NAME-former` from now on.
+        """
+        former = self.processes[name]
+        self.processes[f"{name}-former"] = former
+        self.processes[name] = ManagedProcess(
+            name, former.arguments, ready_url="", log_path=former.log_path
+        )
+        await self.move(name)
+        return former
+
     async def status(self, name: str) -> dict[str, Any]:
         """Return what a daemon says of itself."""
         return await self._get_json(f"{self.daemons[name].internal_url}/status")
--- a/packages/skylarkdoor/src/skylarkdoor/settings/_shared.py
+++ b/packages/skylarkdoor/src/skylarkdoor/settings/_shared.py
@@ -71,6 +71,7 @@
         min_running: Fewest to which the adaptive limit falls.
         min_share: Share of the pool that is offered work however slow.
         fencing: Whether the engines check fencing numbers on orders.
+        adapters: Adapters that the engines carry.
     """
 
     kind: Literal["model", "service"]
@@ -83,6 +84,7 @@
     min_running: Count = 1
     min_share: Ratio = 0.5
     fencing: Literal["check", "ignore"] = "ignore"
+    adapters: tuple[str, ...] = ()
 
 
 class Operator(NamedTuple):
--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -111,3 +111,27 @@
 SUSPECT_WRITE_FAILED = define(
     515, "suspect_write_failed", logging.WARNING, "Suspects are not written yet."
 )
+
+PLANNER_ELECTED = define(
+    601, "planner_elected", logging.INFO, "This process plans for its pool."
+)
+PLANNER_DEPOSED = define(
+    602, "planner_deposed", logging.WARNING, "Another process plans for the pool."
+)
+PLANNER_STORE_FAILED = define(
+    603, "planner_store_failed", logging.WARNING, "The pool's rows were not reached."
+)
+PLANNER_ROW_REJECTED = define(
+    604, "planner_row_rejected", logging.ERROR, "A row of the planner can't be read."
+)
+PLAN_WRITTEN = define(605, "plan_written", logging.INFO, "A new plan was written.")
+PLAN_STALE = define(
+    606, "plan_stale", logging.INFO, "A plan was read too long ago to act on it."
+)
+ORDER_SENT = define(607, "order_sent", logging.INFO, "The engine was given an order.")
+ORDER_FENCED = define(
+    608, "order_fenced", logging.WARNING, "The engine refused an order as old."
+)
+ORDER_UNANSWERED = define(
+    609, "order_unanswered", logging.WARNING, "The engine did not answer an order."
+)
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/__init__.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/__init__.py
@@ -10,6 +10,7 @@
     SettingsService,
     TlsService,
 )
+from skylarkdoord.planner import Planner
 from skylarkdoord.sidecar._claims import Claims
 from skylarkdoord.sidecar._dispatch import DispatchService
 from skylarkdoord.sidecar._drain import Drain
@@ -39,7 +40,8 @@
     kernel.register(SettingsService())
     kernel.register(Departure())
     kernel.register(DrainOrders(settings))
-    kernel.register(Scheduler(settings))
+    scheduler = Scheduler(settings)
+    kernel.register(scheduler)
     kernel.register(Claims(settings))
     kernel.register(DispatchService(settings))
     kernel.register(PeerServer(settings))
@@ -48,4 +50,11 @@
             settings, requires=("settings", "scheduler", "dispatch", "drain-orders")
         )
     )
+    kernel.register(
+        Planner(
+            settings,
+            incarnation=scheduler.ledger.incarnation,
+            is_idle=lambda: scheduler.running == 0,
+        )
+    )
     kernel.register(Drain(settings))
