--- a/packages/skylarkdoord/src/skylarkdoord/entry/__init__.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/__init__.py
@@ -10,12 +10,14 @@
     SettingsService,
     TlsService,
 )
+from skylarkdoord.entry._admission import Admission
 from skylarkdoord.entry._callers import CallerServer
 from skylarkdoord.entry._directory import Directory
+from skylarkdoord.entry._explain import Explain
 from skylarkdoord.entry._router import Router
 from skylarkdoord.entry._snapshot import SnapshotWriter
 
-__all__ = ["CallerServer", "Directory", "Router", "build"]
+__all__ = ["Admission", "CallerServer", "Directory", "Explain", "Router", "build"]
 
 
 def build(kernel: Kernel, settings: ProcessSettings) -> None:
@@ -28,11 +30,14 @@
     kernel.register(AdminService(settings, on_accepted=snapshot.request))
     kernel.register(
         InternalServer(
-            settings, requires=("settings", "directory", "admin", "drain-orders")
+            settings,
+            requires=("settings", "directory", "admin", "drain-orders", "explain"),
         )
     )
     kernel.register(Departure())
     kernel.register(DrainOrders(settings))
     kernel.register(Directory(settings))
+    kernel.register(Explain(settings))
+    kernel.register(Admission(settings))
     kernel.register(Router(settings))
     kernel.register(CallerServer(settings))
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_request.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_request.py
@@ -84,4 +84,5 @@
             idempotency_key=self.idempotency_key,
             fingerprint=self.fingerprint,
             weight=self.resolved.customer.weight,
+            streamed=self.streamed,
         )
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/__init__.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/__init__.py
@@ -14,9 +14,10 @@
 from skylarkdoord.sidecar._claims import Claims
 from skylarkdoord.sidecar._dispatch import DispatchService
 from skylarkdoord.sidecar._drain import Drain
+from skylarkdoord.sidecar._fairness import WaitingOffer
 from skylarkdoord.sidecar._ledger import Ledger, Phase
 from skylarkdoord.sidecar._peers import PeerServer
-from skylarkdoord.sidecar._queue import OfferQueue, WaitingOffer
+from skylarkdoord.sidecar._queue import OfferQueue
 from skylarkdoord.sidecar._scheduler import Scheduler
 
 __all__ = [
