--- a/packages/skylarkdoor-bench/src/skylarkdoor_bench/_commands.py
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_commands.py
@@ -5,7 +5,9 @@
 from pathlib import Path
 from typing import NamedTuple
 
+from skylarkdoor.hashing import key_hash
 from skylarkdoor.settings import (
+    Limits,
     Listen,
     PlatformAddresses,
     ProcessSettings,
@@ -13,6 +15,7 @@
     to_plain,
 )
 from skylarkdoor_bench._deployments import (
+    OPERATOR_TOKEN,
     Deployment,
     EngineSpec,
     EntrySpec,
@@ -48,6 +51,19 @@
         """Base URL of health, metrics and status."""
         return f"http://{self.settings.listen.internal}"
 
+    def moved(self, limits: Limits | None) -> "DaemonCommand":
+        """Return the daemon at other addresses, with other limits if given."""
+        old = self.settings.listen
+        listen = Listen(
+            internal=_address(),
+            callers=_address() if old.callers else None,
+            rpc=_address() if old.rpc else None,
+        )
+        settings = self.settings._replace(
+            listen=listen, limits=limits or self.settings.limits
+        )
+        return self._replace(settings=settings)
+
     def write(self, directory: Path) -> tuple[str, ...]:
         """Write the settings file and return the arguments that name it."""
         path = directory / f"{self.name}.json"
@@ -138,6 +154,7 @@
         data_centre=data_centre,
         listen=listen,
         platform=addresses,
+        operator_token_hashes=(key_hash(OPERATOR_TOKEN),),
         fatal_invariants=True,
     )
 
--- a/packages/skylarkdoor-bench/src/skylarkdoor_bench/_launcher.py
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_launcher.py
@@ -10,6 +10,7 @@
 
 import aiohttp
 
+from skylarkdoor.settings import Limits
 from skylarkdoor_bench._commands import (
     DaemonCommand,
     StandinCommand,
@@ -107,6 +108,33 @@
             await self.platform.register(daemon.role, daemon.settings)
         await process.wait_ready(self.session)
 
+    async def move(self, name: str, limits: Limits | None = None) -> None:
+        """Start a daemon that has ended at other addresses, under the same name.
+
+        Args:
+            name: The daemon.
+            limits: Its new limits, if they change.
+        """
+        daemon = self.daemons[name].moved(limits)
+        self.daemons[name] = daemon
+        daemon.write(self.directory)
+        self.processes[name].ready_url = f"{daemon.internal_url}/readyz"
+        await self.restart(name)
+
+    async def replace(self, name: str) -> ManagedProcess:
+        """Start a second life of a daemon elsewhere while the first is still about.
+
+        Returns:
+            The first life's process, which goes by `NAME-former` from now on.
+        """
+        former = self.processes[name]
+        self.processes[f"{name}-former"] = former
+        self.processes[name] = ManagedProcess(
+            name, former.arguments, ready_url="", log_path=former.log_path
+        )
+        await self.move(name)
+        return former
+
     async def status(self, name: str) -> dict[str, Any]:
         """Return what a daemon says of itself."""
         return await self._get_json(f"{self.daemons[name].internal_url}/status")
--- a/packages/skylarkdoor/src/skylarkdoor/exceptions.py
+++ b/packages/skylarkdoor/src/skylarkdoor/exceptions.py
@@ -5,6 +5,7 @@
 __all__ = [
     "ArgumentError",
     "InvariantBrokenError",
+    "OutboxFullError",
     "ServiceAbsentError",
     "ServiceCycleError",
     "ServiceExistsError",
@@ -26,6 +27,10 @@
     """A named invariant does not hold."""
 
 
+class OutboxFullError(SkylarkdoorError):
+    """A peer takes messages too slowly."""
+
+
 class ServiceAbsentError(SkylarkdoorError):
     """No service is registered under the name."""
 
--- a/packages/skylarkdoor/src/skylarkdoor/platform/_http.py
+++ b/packages/skylarkdoor/src/skylarkdoor/platform/_http.py
@@ -30,6 +30,7 @@
     *,
     timeout: aiohttp.ClientTimeout,
     data: bytes | None = None,
+    headers: Mapping[str, str] | None = None,
 ) -> HttpAnswer:
     """Return the first answer that an endpoint gives.
 
@@ -40,7 +41,7 @@
     for url in endpoints:
         try:
             async with session.request(
-                method, f"{url}{path}", data=data, timeout=timeout
+                method, f"{url}{path}", data=data, headers=headers, timeout=timeout
             ) as response:
                 body = await response.read()
                 if response.status < _SERVER_ERROR:
--- a/packages/skylarkdoor/src/skylarkdoor/settings/_shared.py
+++ b/packages/skylarkdoor/src/skylarkdoor/settings/_shared.py
@@ -74,6 +74,7 @@
         cache_tokens: Prompt tokens that an engine's prefix cache holds.
         min_share: Share of the pool that is offered work however slow.
         fencing: Whether the engines check fencing numbers on orders.
+        adapters: Adapters that the engines carry.
     """
 
     kind: Literal["model", "service"]
@@ -88,6 +89,7 @@
     cache_tokens: Annotated[int, Meta(ge=0)] = 65536
     min_share: Ratio = 0.5
     fencing: Literal["check", "ignore"] = "ignore"
+    adapters: tuple[str, ...] = ()
 
 
 class Operator(NamedTuple):
--- a/packages/skylarkdoord/src/skylarkdoord/admin/_instances.py
+++ b/packages/skylarkdoord/src/skylarkdoord/admin/_instances.py
@@ -67,6 +67,8 @@
         url = f"{self.tls.url(record.http)}/status"
         tls = self.tls.arguments(record.instance)
         shown: dict[str, Any] = {**record._asdict(), "status": None, "error": None}
+        url = f"{self.tls.url(record.http)}/status"
+        tls = self.tls.arguments(record.instance)
         try:
             async with self.slots:
                 async with self.session.get(url, **tls) as answer:
--- a/packages/skylarkdoord/src/skylarkdoord/common/_internal.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_internal.py
@@ -78,6 +78,10 @@
         if self.runner is not None:
             await self.runner.cleanup()
 
+    async def finish_answers(self) -> None:
+        """Take no more connections and wait until every answer is sent."""
+        await finish_answers(self.runner)
+
     async def guard(self, request: web.Request, handler: Handler) -> web.StreamResponse:
         """Refuse what only processes of the deployment may ask for."""
         assert self.tls is not None
@@ -119,6 +123,19 @@
         return web.json_response(head | parts)
 
 
+async def finish_answers(runner: web.AppRunner | None) -> None:
+    """Close a runner's listeners and wait until every answer is sent.
+
+    Connections without a request are closed at once. The caller bounds the time.
+    """
+    if runner is None or runner.server is None:
+        return
+    for site in list(runner.sites):
+        await site.stop()
+    runner.server.pre_shutdown()
+    await runner.server.shutdown(timeout=None)
+
+
 def _refusal() -> web.Response:
     said = {
         "code": "unknown_peer",
--- a/packages/skylarkdoord/src/skylarkdoord/entry/__init__.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/__init__.py
@@ -2,13 +2,20 @@
 
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import ProcessSettings
-from skylarkdoord.admin import AdminService
-from skylarkdoord.common import InternalServer, Platform, SettingsService, TlsService
+from skylarkdoord.admin import AdminService, DrainOrders
+from skylarkdoord.common import (
+    Departure,
+    InternalServer,
+    Platform,
+    SettingsService,
+    TlsService,
+)
 from skylarkdoord.entry._admission import Admission
 from skylarkdoord.entry._callers import CallerServer
 from skylarkdoord.entry._directory import Directory
 from skylarkdoord.entry._explain import Explain
 from skylarkdoord.entry._router import Router
+from skylarkdoord.entry._snapshot import SnapshotWriter
 
 __all__ = ["Admission", "CallerServer", "Directory", "Explain", "Router", "build"]
 
@@ -18,10 +25,17 @@
     kernel.register(TlsService(settings))
     kernel.register(Platform(settings.platform))
     kernel.register(SettingsService())
-    kernel.register(AdminService(settings))
+    snapshot = SnapshotWriter()
+    kernel.register(snapshot)
+    kernel.register(AdminService(settings, on_accepted=snapshot.request))
     kernel.register(
-        InternalServer(settings, requires=("settings", "directory", "admin", "explain"))
+        InternalServer(
+            settings,
+            requires=("settings", "directory", "admin", "drain-orders", "explain"),
+        )
     )
+    kernel.register(Departure())
+    kernel.register(DrainOrders(settings))
     kernel.register(Directory(settings))
     kernel.register(Explain(settings))
     kernel.register(Admission(settings))
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
@@ -10,7 +10,9 @@
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import ProcessSettings
 from skylarkdoord import _events
-from skylarkdoord.common import InternalServer, SettingsService, TlsService
+from skylarkdoord.common import Departure, InternalServer, SettingsService, TlsService
+from skylarkdoord.common import _departure as departure
+from skylarkdoord.common._internal import finish_answers
 from skylarkdoord.entry import _parse as parse
 from skylarkdoord.entry._admission import Admission
 from skylarkdoord.entry._problems import problem
@@ -53,7 +55,6 @@
         assert settings.listen.callers is not None
         self.settings = settings
         self.address: str = settings.listen.callers
-        self.leaving = False
         self.active = 0
         self.idle = asyncio.Event()
         self.idle.set()
@@ -66,7 +67,7 @@
         self.admission = kernel.find("admission", Admission)
         self.settings_service = kernel.find("settings", SettingsService)
         self.internal = kernel.find("internal", InternalServer)
-        self.internal.add_ready_check("leaving", lambda: not self.leaving)
+        self.departure = kernel.find("departure", Departure)
         self.internal.add_status("callers", lambda: {"active": self.active})
 
         @web.middleware
@@ -99,19 +100,23 @@
 
     async def stop(self) -> None:
         """Take no new work, finish what runs, then close the listener."""
-        self.leaving = True
-        self.log.event(_events.DRAIN_STARTED, reason="shutdown", running=self.active)
+        self.departure.leave(departure.SHUTDOWN)
         # The balancer needs a moment to see /readyz before connections close.
-        await asyncio.sleep(DRAIN_NOTICE_S)
+        await asyncio.sleep(max(0.0, DRAIN_NOTICE_S - self.departure.age_s))
         try:
             async with asyncio.timeout(self.settings.limits.drain_timeout_s):
                 await self.idle.wait()
+                await finish_answers(self.runner)
             self.log.event(_events.DRAIN_ENDED)
         except TimeoutError:
             self.log.event(_events.DRAIN_TIMED_OUT, running=self.active)
         if self.runner is not None:
             await self.runner.cleanup()
 
+    def is_closed(self) -> bool:
+        """Return whether requests are refused; the balancer gets a moment to see it."""
+        return self.departure.is_leaving and self.departure.age_s >= DRAIN_NOTICE_S
+
     async def guard(self, raw: web.Request, handler: Handler) -> web.StreamResponse:
         """Turn errors into answers and count what is active."""
         if raw.match_info.handler in (
@@ -120,7 +125,7 @@
             self.internal.get_metrics,
         ):
             return await handler(raw)
-        if self.leaving:
+        if self.is_closed():
             return problem(
                 503,
                 "leaving",
@@ -134,6 +139,7 @@
                 "this entry has no settings yet",
                 retry_after_s=STARTING_RETRY_AFTER_S,
             )
+        self.departure.check_new_work()
         self.active += 1
         self.idle.clear()
         try:
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_peer.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_peer.py
@@ -10,15 +10,16 @@
 
 from skylarkdoor import events
 from skylarkdoor.platform import InstanceRecord
-from skylarkdoor.wire import Outbox, PeerStub, pb
+from skylarkdoor.wire import Outbox, OutboxFullError, PeerStub, pb
 from skylarkdoord import _events
-from skylarkdoord.common import Backoff
+from skylarkdoord.common import Backoff, Exchange, SettingsService
 from skylarkdoord.common._tls import ClientTls
 from skylarkdoord.entry._suspects import Suspects
 
 SILENCE_TIMEOUT_S = 3.0
 HEARTBEAT_INTERVAL_S = 1.0
 CONNECT_TIMEOUT_S = 2.0
+MAX_UNSENT = 8192
 
 
 class OfferListener(Protocol):
@@ -37,6 +38,7 @@
     Args:
         record: The sidecar as the instance list shows it.
         hello: What the sidecar is told first.
+        settings: The shared settings of this process.
         tls: Context of the stream; None for plain TCP.
         suspects: What the entry knows of suspects.
     """
@@ -45,14 +47,17 @@
         self,
         record: InstanceRecord,
         hello: pb.EntryHello,
+        settings: SettingsService,
         tls: ClientTls | None = None,
         suspects: Suspects | None = None,
     ) -> None:
         self.record = record
         self.hello = hello
         self.suspects = suspects or Suspects(lambda: ())
+        self.settings = settings
         self.tls = tls
-        self.outbox: Outbox[pb.EntryMessage] = Outbox()
+        self.exchange: Exchange | None = None
+        self.outbox: Outbox[pb.EntryMessage] = Outbox(limit=MAX_UNSENT)
         self.offers: dict[str, OfferListener] = {}
         self.load = pb.LoadReport()
         self.load_at = 0.0
@@ -100,6 +105,18 @@
         """Note that the request's grant was used."""
         self.offers.pop(request_id, None)
 
+    def update(self, record: InstanceRecord) -> None:
+        """Take over what the instance list says now."""
+        is_changed = record.state != self.record.state
+        self.record = record
+        if is_changed:
+            self.tell_listed()
+
+    def tell_listed(self) -> None:
+        """Tell the sidecar whether it is listed as leaving."""
+        listed = pb.Listed(leaving=self.record.state != "live")
+        self.outbox.put(pb.EntryMessage(listed=listed))
+
     def give_back(self, request_id: str) -> None:
         """Return a grant that was taken and can't be used."""
         withdraw = pb.Withdraw(request_id=request_id, abandoned=True)
@@ -111,7 +128,13 @@
         while True:
             try:
                 await self.serve(backoff)
-            except (GRPCError, StreamTerminatedError, OSError, TimeoutError) as error:
+            except (
+                GRPCError,
+                StreamTerminatedError,
+                OSError,
+                TimeoutError,
+                OutboxFullError,
+            ) as error:
                 self.log.event(_events.PEER_LOST, peer=self.instance, error=repr(error))
             finally:
                 self.lose()
@@ -122,6 +145,7 @@
 
         Raises:
             GRPCError, StreamTerminatedError, OSError, TimeoutError: It was lost.
+            OutboxFullError: The sidecar takes messages too slowly.
         """
         channel = self.channel()
         try:
@@ -129,10 +153,11 @@
                 first = pb.EntryBatch(messages=[pb.EntryMessage(hello=self.hello)])
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
                     await stream.send_message(first)
+                self.tell_listed()
                 async with asyncio.TaskGroup() as group:
-                    writer = group.create_task(self.write(stream))
+                    group.create_task(self.write(stream))
+                    group.create_task(self.outbox.overflow())
                     await self.read(stream, backoff)
-                    writer.cancel()
         except ExceptionGroup as errors:
             raise errors.exceptions[0] from None
         finally:
@@ -165,12 +190,17 @@
 
     def handle(self, message: pb.SidecarMessage) -> None:
         """Handle one message."""
+        if self.exchange is not None and self.exchange.handle(message):
+            return
         match message.WhichOneof("kind"):
             case "hello":
                 self.connected = True
                 self.lost = asyncio.Event()
                 self.leaving = False
                 self.suspects.greet(self)
+                self.exchange = self.settings.exchanges.open(
+                    pb.EntryMessage, self.outbox.put
+                )
                 self.models = tuple(message.hello.models)
                 self.log.event(_events.PEER_CONNECTED, peer=self.instance)
             case "grant":
@@ -186,7 +216,7 @@
             case "suspect":
                 self.suspects.hear(self, message.suspect)
             case "leaving":
-                self.leaving = True
+                self.leaving = not message.leaving.ended
 
     def on_grant(self, grant: pb.Grant) -> None:
         """Pass a grant on, or give it back if nobody waits for it."""
@@ -201,7 +231,10 @@
         """Turn open offers into refusals; the sidecar has dropped them."""
         self.connected = False
         self.lost.set()
-        self.outbox = Outbox()
+        if self.exchange is not None:
+            self.exchange.close()
+            self.exchange = None
+        self.outbox = Outbox(limit=MAX_UNSENT)
         offers, self.offers = self.offers, {}
         for request_id, listener in offers.items():
             refusal = pb.Refusal(
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/__init__.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/__init__.py
@@ -2,7 +2,15 @@
 
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import ProcessSettings
-from skylarkdoord.common import InternalServer, Platform, SettingsService, TlsService
+from skylarkdoord.admin import DrainOrders
+from skylarkdoord.common import (
+    Departure,
+    InternalServer,
+    Platform,
+    SettingsService,
+    TlsService,
+)
+from skylarkdoord.planner import Planner
 from skylarkdoord.sidecar._claims import Claims
 from skylarkdoord.sidecar._dispatch import DispatchService
 from skylarkdoord.sidecar._drain import Drain
@@ -33,12 +41,24 @@
     kernel.register(TlsService(settings))
     kernel.register(Platform(settings.platform))
     kernel.register(SettingsService())
-    kernel.register(Scheduler(settings))
+    kernel.register(Departure())
+    kernel.register(DrainOrders(settings))
+    scheduler = Scheduler(settings)
+    kernel.register(scheduler)
     kernel.register(Claims(settings))
     kernel.register(Poison(settings))
     kernel.register(DispatchService(settings))
     kernel.register(PeerServer(settings))
     kernel.register(
-        InternalServer(settings, requires=("settings", "scheduler", "dispatch"))
+        InternalServer(
+            settings, requires=("settings", "scheduler", "dispatch", "drain-orders")
+        )
+    )
+    kernel.register(
+        Planner(
+            settings,
+            incarnation=scheduler.ledger.incarnation,
+            is_idle=lambda: scheduler.running == 0,
+        )
     )
     kernel.register(Drain(settings))
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_scheduler.py
@@ -10,7 +10,7 @@
 from skylarkdoor.settings import Pool, ProcessSettings, Upstream
 from skylarkdoor.wire import pb
 from skylarkdoord import _events
-from skylarkdoord.common import InternalServer, SettingsService
+from skylarkdoord.common import Departure, InternalServer, SettingsService
 from skylarkdoord.sidecar import _metrics as metrics
 from skylarkdoord.sidecar._admission import (
     FLOOR_S,
@@ -55,7 +55,7 @@
     """
 
     name = "scheduler"
-    requires: tuple[str, ...] = ("settings",)
+    requires: tuple[str, ...] = ("settings", "departure")
 
     def __init__(self, settings: ProcessSettings) -> None:
         assert settings.upstream is not None
@@ -67,7 +67,7 @@
         self.capacity = Capacity(on_room=self.pump)
         self.senders: dict[str, Sender] = {}
         self.pending: dict[str, Pending] = {}
-        self.leaving = False
+        self.departure = Departure()
         self.upstream_up = False
         self.idle = asyncio.Event()
         self.idle.set()
@@ -79,7 +79,8 @@
         self.settings_service.listeners.append(lambda subtree: self.apply_settings())
         internal = kernel.find("internal", InternalServer)
         internal.add_ready_check("upstream", lambda: self.upstream_up)
-        internal.add_ready_check("leaving", lambda: not self.leaving)
+        self.departure = kernel.find("departure", Departure)
+        self.departure.listeners.append(self.on_departure)
         internal.add_status("scheduler", self.status)
         watch = UpstreamWatch(self.upstream.url, self.set_upstream)
         kernel.spawn(watch.run(), name="scheduler.health")
@@ -93,6 +94,11 @@
         """The settings of the upstream's pool, if it is defined."""
         return self.settings_service.view.fleet.pools.get(self.upstream.pool)
 
+    @property
+    def leaving(self) -> bool:
+        """Whether no new work is taken."""
+        return self.departure.is_leaving
+
     @property
     def limit(self) -> int:
         """Most requests that may be granted or inside the upstream."""
@@ -229,6 +235,7 @@
     def grant(self, waiting: WaitingOffer) -> None:
         """Reserve room for an offer and tell its entry."""
         offer = waiting.offer
+        self.departure.check_new_work(request_id=offer.request_id)
         service_s = self.capacity.service_s(offer)
         remaining_s = waiting.deadline_at - time.monotonic()
         if is_too_late(remaining_s=remaining_s, service_s=service_s):
@@ -320,15 +327,13 @@
         wait_s = self.capacity.drain_rate.wait_s(len(self.queue))
         return min(MOST_RETRY_AFTER_S, max(LEAST_RETRY_AFTER_S, wait_s))
 
-    def leave(self, reason: str) -> None:
-        """Take no new work and hand back what waits."""
-        if self.leaving:
-            return
-        self.leaving = True
-        self.log.event(_events.DRAIN_STARTED, reason=reason, running=self.running)
+    def on_departure(self, reason: str, leaving: bool) -> None:
+        """Hand back what waits when leaving; tell the entries either way."""
+        message = pb.Leaving(reason=reason, ended=not leaving)
         for peer in self.senders:
-            self.send(peer, pb.SidecarMessage(leaving=pb.Leaving(reason=reason)))
-        self.hand_back(pb.REFUSAL_REASON_LEAVING)
+            self.send(peer, pb.SidecarMessage(leaving=message))
+        if leaving:
+            self.hand_back(pb.REFUSAL_REASON_LEAVING)
 
     def hand_back(self, reason: "pb.RefusalReason") -> None:
         """Refuse every waiting offer."""
