--- a/packages/skylarkdoord/src/skylarkdoord/entry/_peer.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_peer.py
@@ -14,6 +14,7 @@
 from skylarkdoord import _events
 from skylarkdoord.common import Backoff, Exchange, SettingsService
 from skylarkdoord.common._tls import ClientTls
+from skylarkdoord.entry._affinity import HeldMarks
 from skylarkdoord.entry._suspects import Suspects
 
 SILENCE_TIMEOUT_S = 3.0
@@ -62,6 +63,7 @@
         self.load = pb.LoadReport()
         self.load_at = 0.0
         self.charged = 0
+        self.held = HeldMarks()
         self.models: tuple[str, ...] = ()
         self.connected = False
         self.lost = asyncio.Event()
@@ -215,6 +217,8 @@
                 self.charged = 0
             case "suspect":
                 self.suspects.hear(self, message.suspect)
+            case "held":
+                self.held.note(message.held.model, message.held.marks)
             case "leaving":
                 self.leaving = not message.leaving.ended
 
@@ -230,6 +234,7 @@
     def lose(self) -> None:
         """Turn open offers into refusals; the sidecar has dropped them."""
         self.connected = False
+        self.held.clear()
         self.lost.set()
         if self.exchange is not None:
             self.exchange.close()
