Keep metrics from callers, and count goodput once

The callers' address served /metrics without a key, and labels there name customers. It is served on the internal address alone. Goodput was counted twice, by `skylarkdoor_goodput_total` and `skylarkdoor_goodput_requests_total`; the latter stays, since it leaves out answers that are errors.

--- a/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
@@ -35,9 +35,6 @@
 REQUESTS = Counter(
     "skylarkdoor_requests_total", "Requests answered.", ["tier", "outcome"]
 )
-GOODPUT = Counter(
-    "skylarkdoor_goodput_total", "Requests answered whole and in time.", ["tier"]
-)
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -85,7 +82,6 @@
         app.router.add_route("*", "/services/{pool}/{path:.*}", self.any_service)
         app.router.add_get("/healthz", self.internal.get_health)
         app.router.add_get("/readyz", self.internal.get_ready)
-        app.router.add_get("/metrics", self.internal.get_metrics)
         self.runner = web.AppRunner(
             app,
             handler_cancellation=True,
@@ -120,7 +116,6 @@
         if raw.match_info.handler in (
             self.internal.get_health,
             self.internal.get_ready,
-            self.internal.get_metrics,
         ):
             return await handler(raw)
         if self.leaving:
@@ -228,7 +223,6 @@
                     delivery.close()
                 if relay.whole:
                     outcome = "answered"
-                    note_goodput(request)
                 return response
         except OutcomeUnknownError:
             outcome = "unknown"
@@ -239,9 +233,3 @@
         finally:
             tier = str(request.resolved.tier.rank)
             REQUESTS.labels(tier, outcome).inc()
-
-
-def note_goodput(request: EntryRequest) -> None:
-    """Count a request that was answered whole, if it was in time."""
-    if request.remaining_s() >= 0:
-        GOODPUT.labels(str(request.resolved.tier.rank)).inc()
