--- a/packages/skylarkdoord/tests/entry/test_callers.py
+++ b/packages/skylarkdoord/tests/entry/test_callers.py
@@ -4,16 +4,20 @@
 
 import pytest
 
-from .._inprocess import Deployment
+from skylarkdoord.common import InternalServer
+
+from .._inprocess import Deployment, until
 
 
 @pytest.fixture
 async def deployment():
-    """Return a deployment with an entry."""
+    """Return a deployment with an entry that is ready."""
     async with AsyncExitStack() as stack:
         started = Deployment(stack)
         await started.start()
-        await started.run_entry()
+        kernel = await started.run_entry()
+        internal = kernel.find("internal", InternalServer)
+        await until(lambda: not internal.unready())
         yield started
 
 
