--- a/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
@@ -83,7 +83,6 @@
         app.router.add_route("*", "/services/{pool}/{path:.*}", self.any_service)
         app.router.add_get("/healthz", self.internal.get_health)
         app.router.add_get("/readyz", self.internal.get_ready)
-        app.router.add_get("/metrics", self.internal.get_metrics)
         self.runner = web.AppRunner(
             app,
             handler_cancellation=True,
@@ -122,7 +121,6 @@
         if raw.match_info.handler in (
             self.internal.get_health,
             self.internal.get_ready,
-            self.internal.get_metrics,
         ):
             return await handler(raw)
         if self.is_closed():
