Refuse at the offer what can't run, and join keyed resends

An offer that needs a claim while the table is down, or whose request is quarantined, is refused at once rather than after its grant. Keyed idempotent calls join a run that the same sidecar remembers. An unexpected error in a dispatch is answered as unknown and no longer stops the process.

--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -105,3 +105,6 @@
 SUSPECT_WRITE_FAILED = define(
     515, "suspect_write_failed", logging.WARNING, "Suspects are not written yet."
 )
+DISPATCH_FAILED = define(
+    516, "dispatch_failed", logging.ERROR, "A dispatch failed inside the sidecar."
+)
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_dispatch.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_dispatch.py
@@ -180,6 +180,7 @@
         sent[headers.INCARNATION] = str(taken.incarnation)
         sent[headers.METHOD] = request.method
         sent[headers.PATH] = request.path
+        sent[headers.STREAMED] = str(int(request.streamed))
         sent[headers.IDEMPOTENT] = str(int(request.idempotent))
         sent[headers.DEADLINE_MS] = str(int(request.remaining_s() * MS_PER_S))
         sent[headers.FINGERPRINT] = str(request.fingerprint)
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_call.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_call.py
@@ -25,6 +25,7 @@
         path: Path and query.
         headers: Headers for the upstream.
         idempotent: Whether it may be run again without harm.
+        streamed: Whether the caller asked for a stream.
         identity: Customer and hashed key, empty without a key.
         fingerprint: Hash of customer and body.
         crashes: Crashes that its entry counts against it.
@@ -41,6 +42,7 @@
     path: str
     headers: CIMultiDict[str]
     idempotent: bool
+    streamed: bool
     identity: str
     fingerprint: int
     crashes: tuple[str, ...]
@@ -72,6 +74,7 @@
             path=sent[headers.PATH],
             headers=headers.to_upstream(sent),
             idempotent=sent[headers.IDEMPOTENT] == "1",
+            streamed=sent[headers.STREAMED] == "1",
             identity=sent.get(headers.IDENTITY, ""),
             fingerprint=int(sent[headers.FINGERPRINT]),
             crashes=headers.read_crashes(sent),
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_claims.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_claims.py
@@ -31,6 +31,7 @@
     ValueIs,
 )
 from skylarkdoor.settings import ProcessSettings
+from skylarkdoor.wire import pb
 from skylarkdoord import _events
 from skylarkdoord.common import Backoff, InternalServer, Platform, TlsService
 from skylarkdoord.exceptions import (
@@ -115,7 +116,9 @@
     async def start(self, kernel: Kernel) -> None:
         """Begin to commit and answer the questions of other sidecars."""
         platform = kernel.find("platform", Platform)
-        incarnation = kernel.find("scheduler", Scheduler).ledger.incarnation
+        scheduler = kernel.find("scheduler", Scheduler)
+        scheduler.objectors.append(self.objection)
+        incarnation = scheduler.ledger.incarnation
         internal = kernel.find("internal", InternalServer)
         internal.add_route("POST", "/internal/claims/{operation}", self.post_claim)
         self.http_owners = HttpOwners(kernel.find("tls", TlsService))
@@ -146,6 +149,12 @@
             await asyncio.wait(self.writers, timeout=STOP_TIMEOUT_S)
         await self.http_owners.close()
 
+    def objection(self, offer: pb.Offer) -> "pb.RefusalReason | None":
+        """Return why an offer may not wait: its claim could not be written."""
+        if self.store_down and not offer.idempotent:
+            return pb.REFUSAL_REASON_STORE_DOWN
+        return None
+
     async def acquire(
         self,
         identity: str,
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_dispatch.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_dispatch.py
@@ -1,6 +1,7 @@
 """Takes the bodies of granted requests and gives them to the upstream."""
 
 import asyncio
+import time
 from typing import NamedTuple
 
 import aiohttp
@@ -8,6 +9,7 @@
 from prometheus_client import Counter
 
 from skylarkdoor import events, invariants, tracing
+from skylarkdoor.exceptions import InvariantBrokenError
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import ProcessSettings
 from skylarkdoord import _events
@@ -28,12 +30,14 @@
 from skylarkdoord.sidecar._claims import Claims, Operation
 from skylarkdoord.sidecar._ledger import Phase
 from skylarkdoord.sidecar._poison import Admission, Poison
+from skylarkdoord.sidecar._recent import RecentRuns, Run, RunKey
 from skylarkdoord.sidecar._scheduler import Scheduler
 from skylarkdoord.sidecar._upstream import UpstreamClient, has_marked_end
 
 STREAM_END = b"data: [DONE]"
 TAIL_BYTES = 64
 ABSENT = "absent"
+FIRST_SERVER_ERROR = 500
 
 CLAIMED_FIRST = invariants.define(
     "claimed_first", "A non-idempotent request is claimed before its dispatch."
@@ -86,6 +90,7 @@
         internal.add_route("POST", "/internal/dispatch/{id}", self.post_dispatch)
         internal.add_route("POST", "/internal/outcome/{id}", self.post_outcome)
         internal.add_route("GET", "/internal/outcome/{id}", self.get_outcome)
+        self.recent = RecentRuns()
         self.upstream = UpstreamClient(self.scheduler.upstream.url)
 
     async def stop(self) -> None:
@@ -137,6 +142,15 @@
                 return _not_run(error)
             except (EntryGoneError, UpstreamCutError, OutcomeUnknownError) as error:
                 return self.unknown(call, error)
+            except InvariantBrokenError:
+                raise
+            except Exception as error:
+                # How far the call came is not certain.
+                self.log.event(
+                    _events.DISPATCH_FAILED, request_id=request_id, error=repr(error)
+                )
+                self.scheduler.tombstone(request_id)
+                return self.unknown(call, error)
 
     async def run(self, request: web.Request, call: Call) -> web.StreamResponse:
         """Read the body and have the call run.
@@ -152,7 +166,7 @@
             self.scheduler.tombstone(call.request_id)
             raise
         if call.idempotent:
-            return await self.relay(request, call, body)
+            return await self.run_idempotent(request, call, body)
         running = self.run_claimed(call, body)
         # The run and the record of its result outlive this connection.
         task = self.kernel.spawn(_caught(running), name=f"run {call.request_id}")
@@ -161,6 +175,47 @@
             raise result
         return result
 
+    async def run_idempotent(
+        self, request: web.Request, call: Call, body: bytes
+    ) -> web.StreamResponse:
+        """Run an idempotent call, or join a run under the same key.
+
+        Raises:
+            NotRunError: The call to the upstream was never opened.
+            UpstreamCutError: It was, and no whole answer came.
+        """
+        if not call.identity or call.streamed:
+            return await self.relay(request, call, body)
+        pool = self.scheduler.upstream.pool
+        key = RunKey(call.identity, call.hash(pool, body))
+        run = self.recent.find(key)
+        if run is not None:
+            return await self.join(call, run)
+        self.recent.begin(key)
+        answer = None
+        try:
+            response = await self.relay(request, call, body)
+            answer = _to_remember(response)
+            return response
+        finally:
+            self.recent.end(key, answer)
+
+    async def join(self, call: Call, run: Run) -> web.Response:
+        """Wait for the answer of another run of the call.
+
+        Raises:
+            NotRunError: It brought none, or not in time.
+        """
+        self.step_back(call)
+        try:
+            async with asyncio.timeout(call.deadline_at - time.monotonic()):
+                answer = await asyncio.shield(run.answer)
+        except TimeoutError:
+            raise RefusedError("deadline", "the run that was joined goes on") from None
+        if answer is None:
+            raise NotRunError("run_released", "the run that was joined failed")
+        return _whole(call, answer, replayed=True)
+
     async def run_claimed(self, call: Call, body: bytes) -> web.Response:
         """Run a non-idempotent call under a claim, or give the stored answer.
 
@@ -354,7 +409,9 @@
     """Return a run's error instead of raising it, which would end the process."""
     try:
         return await running
-    except (NotRunError, OutcomeUnknownError, UpstreamCutError) as error:
+    except InvariantBrokenError:
+        raise
+    except Exception as error:
         return error
 
 
@@ -392,6 +449,17 @@
     return WholeAnswer(answer.status, tuple(passed.items()), body)
 
 
+def _to_remember(response: web.StreamResponse) -> WholeAnswer | None:
+    """Return an answer that a resend may get as well."""
+    if not isinstance(response, web.Response):
+        return None
+    if response.status >= FIRST_SERVER_ERROR or not isinstance(response.body, bytes):
+        return None
+    passed = response.headers.copy()
+    passed.popall(headers.REQUEST_ID, None)
+    return WholeAnswer(response.status, tuple(passed.items()), response.body)
+
+
 def _whole(call: Call, answer: WholeAnswer, *, replayed: bool = False) -> web.Response:
     response = web.Response(status=answer.status, body=answer.body)
     response.headers.extend(answer.headers)
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_poison.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_poison.py
@@ -86,6 +86,7 @@
         """Read the known suspects and begin to write new ones."""
         self.kernel = kernel
         self.scheduler = kernel.find("scheduler", Scheduler)
+        self.scheduler.objectors.append(self.objection)
         self.incarnation = self.scheduler.ledger.incarnation
         self.holder = f"{self.settings.instance}/{self.incarnation}"
         self.rows = SuspectTable(kernel.find("platform", Platform).table)
@@ -107,6 +108,12 @@
         """Return the crashes that count against a request."""
         return sorted(self.suspicions.of(fingerprint).open)
 
+    def objection(self, offer: pb.Offer) -> "pb.RefusalReason | None":
+        """Return why an offer may not wait: the request crashes upstreams."""
+        if self.suspicions.of(offer.fingerprint).is_quarantined:
+            return pb.REFUSAL_REASON_QUARANTINED
+        return None
+
     @asynccontextmanager
     async def admitted(
         self, fingerprint: int, deadline_at: float
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_scheduler.py
@@ -37,6 +37,7 @@
 WHOLE_OUTCOME = "status 2"
 
 Sender = Callable[[pb.SidecarMessage], None]
+Objector = Callable[[pb.Offer], "pb.RefusalReason | None"]
 
 
 class Pending:
@@ -79,6 +80,7 @@
         )
         self.senders: dict[str, Sender] = {}
         self.pending: dict[str, Pending] = {}
+        self.objectors: list[Objector] = []
         self.leaving = False
         self.upstream_up = False
         self.idle = asyncio.Event()
@@ -196,6 +198,9 @@
             return pb.REFUSAL_REASON_UPSTREAM_DOWN
         if offer.model and offer.model not in self.pool.models:
             return pb.REFUSAL_REASON_MODEL_ABSENT
+        for objector in self.objectors:
+            if (reason := objector(offer)) is not None:
+                return reason
         service_s = self.service_s(offer, self.prefixes.cached_tokens(offer))
         if is_hopeless(
             remaining_s=offer.deadline_ms / MS_PER_S,
--- a/packages/skylarkdoord/tests/sidecar/test_upstream.py
+++ b/packages/skylarkdoord/tests/sidecar/test_upstream.py
@@ -58,6 +58,7 @@
         path="/packets/1",
         headers=CIMultiDict({"X-Request-Id": "request-1"}),
         idempotent=True,
+        streamed=False,
         identity="",
         fingerprint=1,
         crashes=(),
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -165,6 +165,31 @@
             await asyncio.sleep(POLL_S)
 
 
+class TestKeyed:
+    """Requests that may be repeated, sent again under their key."""
+
+    async def test_joined(self, cluster: Cluster) -> None:
+        """Resends get the one run's answer, while it runs and for a while after."""
+        sent = asked("seeds", max_tokens=100)
+        sent["headers"]["Idempotency-Key"] = "key-1"
+        together = await asyncio.gather(*(read(cluster, sent) for _ in range(4)))
+        later = await read(cluster, sent)
+        assert set(together) == {later}
+        assert len((await cluster.upstream_stats("engine-1"))["executions"]) == 1
+
+    async def test_first_caller_gone(self, cluster: Cluster) -> None:
+        """A resend is not left without an answer when the first caller goes."""
+        sent = asked("seeds", max_tokens=400)
+        sent["headers"]["Idempotency-Key"] = "key-1"
+        first = asyncio.create_task(read(cluster, sent))
+        while not (await cluster.upstream_stats("engine-1"))["executions"]:
+            await asyncio.sleep(POLL_S)
+        first.cancel()
+        await asyncio.wait({first})
+        while b"choices" not in await read(cluster, sent):
+            pass
+
+
 class TestSlowCaller:
     """A caller that reads slowly."""
 
