Bound a shared commit by bytes and let an invalid one fail alone

64 results of 64 KiB in one request are above what the table takes, and one refused transaction failed its whole group, again and again. test_group_commit.py before: test_large and test_invalid failed, three passed. After: 5 passed.

--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_group_commit.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_group_commit.py
@@ -3,9 +3,18 @@
 import asyncio
 from typing import NamedTuple
 
-from skylarkdoor.platform import PlatformError, Table, Txn, TxnResult
+from skylarkdoor.platform import (
+    PlatformError,
+    Put,
+    Table,
+    TableRejected,
+    Txn,
+    TxnResult,
+)
 
 MAX_TXNS = 64
+# The table refuses requests above a size, and a group is one request.
+MAX_BYTES = 512 * 1024
 
 
 class _Pending(NamedTuple):
@@ -42,19 +51,49 @@
         """Commit group after group until cancelled."""
         while True:
             await self.ready.wait()
-            group, self.pending = self.pending[:MAX_TXNS], self.pending[MAX_TXNS:]
+            group = self._take_group()
             if not self.pending:
                 self.ready.clear()
             await self._commit([item for item in group if not item.result.done()])
 
+    def _take_group(self) -> list[_Pending]:
+        group: list[_Pending] = []
+        size = 0
+        for item in self.pending[:MAX_TXNS]:
+            size += _size(item.txn)
+            if group and size > MAX_BYTES:
+                break
+            group.append(item)
+        del self.pending[: len(group)]
+        return group
+
     async def _commit(self, group: list[_Pending]) -> None:
         try:
             results = await self.table.commit([item.txn for item in group])
+        except TableRejected as error:
+            await self._commit_apart(group, error)
+            return
         except PlatformError as error:
             for item in group:
-                if not item.result.done():
-                    item.result.set_exception(error)
+                _fail(item, error)
             return
         for item, result in zip(group, results, strict=True):
             if not item.result.done():
                 item.result.set_result(result)
+
+    async def _commit_apart(self, group: list[_Pending], error: TableRejected) -> None:
+        """Find the invalid transaction, so that its neighbours do not fail."""
+        if len(group) == 1:
+            _fail(group[0], error)
+            return
+        for item in group:
+            await self._commit([item])
+
+
+def _size(txn: Txn) -> int:
+    return sum(len(write.value) for write in txn.writes if isinstance(write, Put))
+
+
+def _fail(item: _Pending, error: PlatformError) -> None:
+    if not item.result.done():
+        item.result.set_exception(error)
