Suspect a call with its method and path, not its body alone

Every call without a body had the customer's one fingerprint, so a crash among lookups would have suspected, and a second quarantined, all of them. test_parse.py before: test_other failed, since calls were kept apart by body and customer name only. After: passed.

--- a/packages/skylarkdoor/src/skylarkdoor/hashing.py
+++ b/packages/skylarkdoor/src/skylarkdoor/hashing.py
@@ -16,9 +16,9 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
-def fingerprint(customer: str, body: bytes) -> int:
-    """Return the 64-bit fingerprint of a customer's request body."""
-    return xxhash.xxh3_64_intdigest(customer.encode() + b"\0" + body)
+def fingerprint(customer: str, call: bytes) -> int:
+    """Return the 64-bit fingerprint of a customer's call with its body."""
+    return xxhash.xxh3_64_intdigest(customer.encode() + b"\0" + call)
 
 
 def prefix_hashes(words: list[str]) -> tuple[int, ...]:
--- a/packages/skylarkdoord/src/skylarkdoord/common/_suspicion.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_suspicion.py
@@ -34,7 +34,7 @@
     """Crashes with one request inside.
 
     Attributes:
-        fingerprint: Hash of the request's customer and body.
+        fingerprint: Hash of the request's customer, call and body.
         crashes: Ids of the crashes.
         cleared: Those of which a run alone to its end has cleared it.
     """
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_parse.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_parse.py
@@ -217,7 +217,7 @@
         body=body,
         idempotent=target.idempotent,
         idempotency_key=idempotency_key(raw.headers, target),
-        fingerprint=hashing.fingerprint(resolved.customer_name, body),
+        fingerprint=_fingerprint(resolved, raw.method, target, body),
         context=tracing.extract(raw.headers),
     )
     allowed_s = deadline_s(raw.headers, resolved.tier.deadline_s)
@@ -229,3 +229,9 @@
         request.max_tokens = prompt.max_tokens
         request.prefix_hashes = hashing.prefix_hashes(prompt.words)
     return request
+
+
+def _fingerprint(resolved: Resolved, method: str, target: Target, body: bytes) -> int:
+    customer = f"{resolved.team}/{resolved.customer_name}"
+    call = f"{method} {target.pool_name} {target.path}\0".encode()
+    return hashing.fingerprint(customer, call + body)
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_request.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_request.py
@@ -33,7 +33,7 @@
         prefix_hashes: Running hashes of the prompt's blocks.
         idempotent: Whether it may be run again without harm.
         idempotency_key: The caller's key, empty for none.
-        fingerprint: Hash of customer and body.
+        fingerprint: Hash of customer, call and body.
         deadline_at: Monotonic time by which the answer is wanted, in seconds.
         context: Trace context.
         dispatches: Times that an upstream got it.
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_call.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_call.py
@@ -27,7 +27,7 @@
         idempotent: Whether it may be run again without harm.
         streamed: Whether the caller asked for a stream.
         identity: Customer and hashed key, empty without a key.
-        fingerprint: Hash of customer and body.
+        fingerprint: Hash of customer, call and body.
         crashes: Crashes that its entry counts against it.
         tier: Rank of its tier.
         prompt_tokens: Estimated prompt length.
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_poison.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_poison.py
@@ -50,7 +50,7 @@
     """A call's leave to enter the upstream.
 
     Attributes:
-        fingerprint: Hash of the request's customer and body.
+        fingerprint: Hash of the request's customer, call and body.
         crashes_before: Crashes counted here before it entered.
         whole: Whether it brought a whole answer.
     """
