--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -111,6 +111,9 @@
 SUSPECT_WRITE_FAILED = define(
     515, "suspect_write_failed", logging.WARNING, "Suspects are not written yet."
 )
+DISPATCH_FAILED = define(
+    516, "dispatch_failed", logging.ERROR, "A dispatch failed inside the sidecar."
+)
 
 PLANNER_ELECTED = define(
     601, "planner_elected", logging.INFO, "This process plans for its pool."
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_scheduler.py
@@ -32,6 +32,7 @@
 WHOLE_OUTCOME = "status 2"
 
 Sender = Callable[[pb.SidecarMessage], None]
+Objector = Callable[[pb.Offer], "pb.RefusalReason | None"]
 
 
 class Pending:
@@ -69,6 +70,7 @@
         self.senders: dict[str, Sender] = {}
         self.pending: dict[str, Pending] = {}
         self.departure = Departure()
+        self.objectors: list[Objector] = []
         self.upstream_up = False
         self.idle = asyncio.Event()
         self.idle.set()
@@ -188,6 +190,9 @@
             return pb.REFUSAL_REASON_UPSTREAM_DOWN
         if offer.model and offer.model not in self.pool.models:
             return pb.REFUSAL_REASON_MODEL_ABSENT
+        for objector in self.objectors:
+            if (reason := objector(offer)) is not None:
+                return reason
         if is_hopeless(
             remaining_s=offer.deadline_ms / MS_PER_S,
             wait_s=self.wait_s(offer.tier),
