--- a/packages/skylarkdoor-bench/src/skylarkdoor_bench/_load.py
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_load.py
@@ -57,6 +57,9 @@
         return self.start_s <= now_s < self.end_s
 
 
+NO_STORM = Storm()
+
+
 class LoadReport(NamedTuple):
     """What a load did.
 
@@ -91,7 +94,7 @@
         urls: Sequence[str],
         arrivals: Sequence[Arrival],
         *,
-        storm: Storm = Storm(),  # noqa: B008
+        storm: Storm = NO_STORM,
     ) -> None:
         self.session = session
         self.arrivals = arrivals
--- a/packages/skylarkdoor-bench/src/skylarkdoor_bench/_replay.py
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_replay.py
@@ -3,7 +3,7 @@
 import json
 from collections.abc import Callable, Iterable
 from pathlib import Path
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from skylarkdoor.exceptions import SettingsError
 from skylarkdoor.settings import convert
@@ -70,6 +70,10 @@
 }
 
 
+# A trace without requests states nothing, and fails here.
+LAST_STEP: tuple[int, Step] = (0, UntilReplied("*"))
+
+
 class ReplayFailedError(Exception):
     """A replay did not end as its trace states, or a promise was broken."""
 
@@ -158,16 +162,24 @@
     steps = []
     for number, line in enumerate(path.read_text().splitlines(), start=1):
         source = f"{path.name}:{number}"
-        [(kind, fields)] = json.loads(line).items()
+        kind, fields = _read_line(line, source)
         if kind == "cluster":
             cluster = convert(fields, ReplayCluster, source=source)
             continue
         if kind not in STEPS:
-            raise SettingsError(f"no step {kind!r}", path=source)
+            raise SettingsError(f"no step {kind!r}", source=source)
         steps.append((number, convert(fields, STEPS[kind], source=source)))
     return ReplayTrace(cluster, tuple(steps))
 
 
+def _read_line(line: str, source: str) -> tuple[str, Any]:
+    try:
+        [(kind, fields)] = json.loads(line).items()
+    except (ValueError, AttributeError):
+        raise SettingsError("expected an object with one key", source=source) from None
+    return kind, fields
+
+
 async def replay_files(
     paths: Iterable[Path], *, directory: Path | None = None, echo: Print = print
 ) -> None:
@@ -199,18 +211,25 @@
     trace = read_replay(path)
     async with Cluster(trace.cluster.deployment(), directory=directory) as cluster:
         replay = Replay(cluster)
-        for number, step in trace.steps:
-            try:
-                await step.run(replay)
-            except StatementFailedError as error:
-                raise ReplayFailedError(f"{path.name}:{number}: {error}") from error
-        await replay.replies("*")
-        problems = await _find_problems(replay, trace.cluster)
+        try:
+            await _run_steps(trace, replay, path.name)
+            problems = await _find_problems(replay, trace.cluster)
+        finally:
+            replay.cancel()
     if problems:
         raise ReplayFailedError(f"{path.name}: {'; '.join(problems)}")
     echo(f"{path.name}: {len(replay.ended)} requests ended as stated")
 
 
+async def _run_steps(trace: ReplayTrace, replay: Replay, name: str) -> None:
+    steps = [*trace.steps, LAST_STEP]
+    for number, step in steps:
+        try:
+            await step.run(replay)
+        except StatementFailedError as error:
+            raise ReplayFailedError(f"{name}:{number}: {error}") from error
+
+
 async def _find_problems(replay: Replay, spec: ReplayCluster) -> list[str]:
     problems = await find_faults(replay.cluster)
     if spec.crash_on:
--- a/packages/skylarkdoor-bench/src/skylarkdoor_bench/_replay_context.py
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_replay_context.py
@@ -90,6 +90,11 @@
             reply = await send(session, url, arrival, call, arrival.deadline_s)
         self.ended[name] = Ended(reply, len(self.ended))
 
+    def cancel(self) -> None:
+        """Give up the requests that have no reply yet."""
+        for task in self.tasks.values():
+            task.cancel()
+
     def names(self, pattern: str) -> list[str]:
         """Return the requests whose names match a pattern.
 
@@ -102,10 +107,18 @@
         return found
 
     async def replies(self, pattern: str) -> dict[str, Ended]:
-        """Wait for the replies of requests and return them by name."""
+        """Wait for the replies of requests and return them by name.
+
+        Raises:
+            StatementFailedError: No request matches, or one has no reply.
+        """
         names = self.names(pattern)
-        async with asyncio.timeout(WAIT_TIMEOUT_S):
-            await asyncio.gather(*(self.tasks[name] for name in names))
+        tasks = [self.tasks[name] for name in names]
+        _, pending = await asyncio.wait(tasks, timeout=WAIT_TIMEOUT_S)
+        if pending:
+            raise StatementFailedError(f"{len(pending)} of {pattern} had no reply")
+        for task in tasks:
+            task.result()
         return {name: self.ended[name] for name in names}
 
     async def runs_by_key(self) -> Counter[str]:
--- a/packages/skylarkdoor-bench/tests/test_load.py
+++ b/packages/skylarkdoor-bench/tests/test_load.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 from aiohttp.test_utils import TestServer
 
-from skylarkdoor_bench._load import Load, LoadReport, Storm
+from skylarkdoor_bench._load import NO_STORM, Load, LoadReport, Storm
 from skylarkdoor_bench._replies import Outcome
 from skylarkdoor_bench._run import scaled_deployment
 from skylarkdoor_bench._trace import Arrival
@@ -69,7 +69,7 @@
     app.router.add_post("/v1/chat/completions", entry.answer)
     async with TestServer(app) as server, aiohttp.ClientSession() as session:
 
-        async def run_load(*, storm: Storm = Storm()) -> LoadReport:  # noqa: B008
+        async def run_load(*, storm: Storm = NO_STORM) -> LoadReport:
             url = str(server.make_url("")).rstrip("/")
             load = Load(session, DEPLOYMENT, [url], [STREAM], storm=storm)
             return await load.run()
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -52,3 +52,9 @@
         path = write(tmp_path, '{"pause": {"seconds": 1.0, "minutes": 1}}')
         with pytest.raises(SettingsError, match="minutes"):
             read_replay(path)
+
+    def test_no_object(self, tmp_path: Path) -> None:
+        """A line that is not an object with one key is an error."""
+        path = write(tmp_path, '{"pause": {"seconds": 1.0}, "mark": {}}')
+        with pytest.raises(SettingsError, match="one key"):
+            read_replay(path)
