--- a/packages/skylarkdoord/tests/entry/conftest.py
+++ b/packages/skylarkdoord/tests/entry/conftest.py
@@ -9,6 +9,7 @@
 from skylarkdoor.platform import InstanceRecord
 from skylarkdoor.settings import Customer, Pool, Resolved, Tier
 from skylarkdoor.wire import pb
+from skylarkdoord.common import SettingsService
 from skylarkdoord.entry._peer import SidecarPeer
 from skylarkdoord.entry._request import EntryRequest
 
@@ -52,7 +53,7 @@
             http="127.0.0.1:2",
             pool="assistant",
         )
-        peer = SidecarPeer(record, pb.EntryHello())
+        peer = SidecarPeer(record, pb.EntryHello(), SettingsService())
         peer.connected = True
         peer.load = pb.LoadReport(**load)
         return peer
--- a/packages/skylarkdoord/tests/entry/test_offers.py
+++ b/packages/skylarkdoord/tests/entry/test_offers.py
@@ -31,6 +31,7 @@
     Upstream,
 )
 from skylarkdoor.wire import pb
+from skylarkdoord.common import SettingsService
 from skylarkdoord.entry._offers import OfferRound
 from skylarkdoord.entry._peer import SidecarPeer
 from skylarkdoord.entry._policies import Choice
@@ -83,7 +84,7 @@
             http="127.0.0.1:1",
             rpc="127.0.0.1:1",
         )
-        self.peer = SidecarPeer(record, pb.EntryHello())
+        self.peer = SidecarPeer(record, pb.EntryHello(), SettingsService())
         self.peer.connected = True
         self.to_entry = deque()
         scheduler.connect(name, self.to_entry.append)
