--- a/packages/skylarkdoor/tests/platform/test_objects.py
+++ b/packages/skylarkdoor/tests/platform/test_objects.py
@@ -2,7 +2,12 @@
 
 import pytest
 
-from skylarkdoor.platform import ObjectAbsent, ObjectStore, ObjectsUnavailable
+from skylarkdoor.platform import (
+    ObjectAbsent,
+    ObjectChanged,
+    ObjectStore,
+    ObjectsUnavailable,
+)
 
 
 class TestObjectStore:
@@ -27,3 +32,26 @@
         await platform.fault("objects", mode=mode)
         with pytest.raises(ObjectsUnavailable):
             await store.get("a")
+
+
+class TestReplace:
+    """`ObjectStore.replace`."""
+
+    async def test_unchanged(self, platform):
+        """An object that is as it was read is replaced."""
+        objects = ObjectStore(platform.session, [platform.url])
+        await objects.replace("a", b"1", etag=None)
+        stored = await objects.read("a")
+        await objects.replace("a", b"2", etag=stored.etag)
+        assert await objects.get("a") == b"2"
+
+    async def test_changed(self, platform):
+        """An object that changed since it was read, or is there by now, stays."""
+        objects = ObjectStore(platform.session, [platform.url])
+        await objects.put("a", b"1")
+        stored = await objects.read("a")
+        await objects.put("a", b"2")
+        for etag in (stored.etag, None):
+            with pytest.raises(ObjectChanged):
+                await objects.replace("a", b"3", etag=etag)
+        assert await objects.get("a") == b"2"
