--- a/packages/skylarkdoor-client/tests/test_process.py
+++ b/packages/skylarkdoor-client/tests/test_process.py
@@ -113,3 +113,14 @@
         (line,) = [line for line in ended.output.splitlines() if SIDECAR in line]
         assert line.split()[:5] == [SIDECAR, "teika", "assistant", "live", "yes"]
         assert "entry-2" in ended.output
+
+    async def test_drain(self, client):
+        """A drained sidecar is shown as leaving."""
+        before = await client.run("status")
+        assert before.status == ExitCode.OK
+        assert "leaving" not in before.output
+        done = await client.run("drain", SIDECAR)
+        assert done.status == ExitCode.OK, done.errors
+        after = await client.run("status")
+        (line,) = [line for line in after.output.splitlines() if SIDECAR in line]
+        assert "leaving" in line
