--- a/packages/skylarkdoor-bench/src/skylarkdoor_bench/_slopes.py
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_slopes.py
@@ -11,7 +11,7 @@
 import aiohttp
 
 from skylarkdoor.hashing import key_hash
-from skylarkdoor.platform import EtcdTable, Put, Txn
+from skylarkdoor.platform import EtcdTable, Put, Table, Txn
 from skylarkdoor.settings import Customer, Team, team_path, to_plain
 from skylarkdoor_bench._counting import CountingRelay
 from skylarkdoor_bench._deployments import (
@@ -34,6 +34,7 @@
 SIDECAR = "sidecar-engine-1"
 SERVICE_SIDECAR = "sidecar-registry-1"
 STREAM_TOKENS = 100_000
+CHANGES_KEY = "settings-changes"
 
 Echo = Callable[[str], None]
 
@@ -117,19 +118,18 @@
     )
 
 
-async def measure_slopes(*, out: Path, echo: Echo) -> None:
-    """Run every series, print each as it ends and write all as JSON."""
-    series: list[Callable[[], Awaitable[list[Slope]]]] = [
-        sidecar_streams,
-        sidecar_offers,
-        entry_streams,
-        entry_customers,
-        settings_changes,
-        requests,
-        token_streams,
-    ]
+async def measure_slopes(*, names: tuple[str, ...], out: Path, echo: Echo) -> None:
+    """Run series, print each as it ends and write all as JSON.
+
+    Args:
+        names: Series to run; none for all.
+        out: File for the points and lines.
+        echo: Takes lines for people.
+    """
     measured: list[Slope] = []
-    for run in series:
+    for name, run in SERIES.items():
+        if names and name not in names:
+            continue
         for result in await run():
             measured.append(result)
             echo(table(result))
@@ -272,15 +272,22 @@
         await asyncio.sleep(0.2)
 
 
-async def entry_customers() -> list[Slope]:
-    """An entry against the number of customers in the settings."""
-    points = []
+async def customers() -> list[Slope]:
+    """Entry and sidecar against the number of customers in the settings."""
+    entry_points, sidecar_points = [], []
     async with Cluster(deployment()) as cluster:
         for count in (0, 2000, 8000, 16000, 32000):
             await write_customers(cluster, count, revision=count + 2)
-            usage = await measure(_pid(cluster, ENTRY), WINDOW_S)
-            points.append(Point(count, usage.core_percent, usage.rss_mb))
-    return [slope("entry, by customers", "customers", points)]
+            entry, sidecar = await asyncio.gather(
+                measure(_pid(cluster, ENTRY), WINDOW_S),
+                measure(_pid(cluster, SIDECAR), WINDOW_S),
+            )
+            entry_points.append(_point(count, entry))
+            sidecar_points.append(_point(count, sidecar))
+    return [
+        slope("entry, by customers", "customers", entry_points),
+        slope("sidecar, by customers", "customers", sidecar_points),
+    ]
 
 
 async def write_customers(cluster: Cluster, count: int, *, revision: int) -> None:
@@ -305,9 +312,16 @@
             for path, team in rows[start : start + 50]
         )
         await table_.commit([Txn(writes=writes)])
+    if rows:
+        await count_changes(table_, revision)
     await wait_revision(cluster, last, revision)
 
 
+async def count_changes(table: Table, change: int) -> None:
+    """Note in the table that settings have changed, so that polls see it."""
+    await table.commit([Txn(writes=(Put(CHANGES_KEY, str(change).encode()),))])
+
+
 def row(team: Team, revision: int) -> bytes:
     """Return a team's row of the table."""
     return json.dumps(
@@ -368,9 +382,11 @@
     table_ = EtcdTable(cluster.session, [cluster.platform.url])
     while rate:
         value = row(team, next(revisions))
-        await table_.commit(
-            [Txn(writes=(Put(f"settings{team_path('changing')}", value),))]
+        writes = (
+            Put(f"settings{team_path('changing')}", value),
+            Put(CHANGES_KEY, value[:1]),
         )
+        await table_.commit([Txn(writes=writes)])
         await asyncio.sleep(1 / rate)
 
 
@@ -480,3 +496,14 @@
             task.cancel()
             await asyncio.gather(task, return_exceptions=True)
             answer.close()
+
+
+SERIES: dict[str, Callable[[], Awaitable[list[Slope]]]] = {
+    "sidecar-streams": sidecar_streams,
+    "sidecar-offers": sidecar_offers,
+    "entry-streams": entry_streams,
+    "customers": customers,
+    "settings-changes": settings_changes,
+    "requests": requests,
+    "token-streams": token_streams,
+}
--- a/packages/skylarkdoor-bench/src/skylarkdoor_bench/cli.py
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/cli.py
@@ -15,7 +15,7 @@
 from skylarkdoor_bench._processes import ProcessFailedError
 from skylarkdoor_bench._replay import ReplayFailedError, replay_files
 from skylarkdoor_bench._run import DEPLOYMENTS
-from skylarkdoor_bench._slopes import measure_slopes
+from skylarkdoor_bench._slopes import SERIES, measure_slopes
 from skylarkdoor_bench._soak import SoakFailedError, soak
 
 EXIT_OK = 0
@@ -109,9 +109,16 @@
     show_default=True,
     help="Write the points and lines here.",
 )
-def slopes(out: Path) -> None:
+@click.option(
+    "--series",
+    "names",
+    multiple=True,
+    type=click.Choice(list(SERIES)),
+    help="Run only this series; may be given again. Default: all.",
+)
+def slopes(out: Path, names: tuple[str, ...]) -> None:
     """Measure what entries and sidecars cost by the size of what they serve."""
-    sys.exit(run_tool(measure_slopes(out=out, echo=click.echo)))
+    sys.exit(run_tool(measure_slopes(names=names, out=out, echo=click.echo)))
 
 
 @main.command("soak")
