Hold settings packed, and customers only where they are looked up

Cause: every process kept each team's document three times over: as records, as the plain document for its peers, and resolved by key; and each change indexed every customer anew. Ruled out: the tracing and metrics libraries, whose share does not grow with customers.

--- a/packages/skylarkdoor-bench/src/skylarkdoor_bench/_slopes.py
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_slopes.py
@@ -28,6 +28,7 @@
 
 WINDOW_S = 5.0
 SETTLE_S = 2.0
+POLL_S = 10.0
 CUSTOMER = "teika-garden"
 ENTRY = "entry-1"
 ENGINE = "engine-1"
@@ -278,6 +279,7 @@
     async with Cluster(deployment()) as cluster:
         for count in (0, 2000, 8000, 16000, 32000):
             await write_customers(cluster, count, revision=count + 2)
+            await asyncio.sleep(POLL_S)
             entry, sidecar = await asyncio.gather(
                 measure(_pid(cluster, ENTRY), WINDOW_S),
                 measure(_pid(cluster, SIDECAR), WINDOW_S),
--- a/packages/skylarkdoor/src/skylarkdoor/settings/_view.py
+++ b/packages/skylarkdoor/src/skylarkdoor/settings/_view.py
@@ -1,5 +1,7 @@
 """The settings that a process holds, subtree by subtree."""
 
+import sys
+from collections.abc import Iterator
 from typing import NamedTuple
 
 from skylarkdoor.settings._shared import (
@@ -34,12 +36,20 @@
     tier: Tier
 
 
+class CustomerRef(NamedTuple):
+    """Where the customer stands to whom an API key belongs."""
+
+    path: str
+    name: str
+
+
 class SettingsView:
     """Subtrees in force; a lower revision never replaces a higher one."""
 
     def __init__(self) -> None:
         self.subtrees: dict[str, Subtree] = {}
-        self.by_key_hash: dict[str, Resolved] = {}
+        self.by_key_hash: dict[str, CustomerRef] = {}
+        self.shared_pools: dict[tuple[str, ...], tuple[str, ...]] = {}
 
     @property
     def fleet(self) -> Fleet:
@@ -60,26 +70,66 @@
         Returns:
             Whether it came into force.
         """
-        if subtree.revision <= self.revision(subtree.path):
+        former = self.subtrees.get(subtree.path)
+        if former is not None and subtree.revision <= former.revision:
             return False
+        if isinstance(subtree.content, Team):
+            subtree = subtree._replace(content=self._compact(subtree.content))
+        if former is not None:
+            self._forget_keys(former)
         self.subtrees[subtree.path] = subtree
-        self._index()
+        self._add_keys(subtree)
         return True
 
     def resolve(self, hashed_key: str) -> Resolved | None:
         """Return the customer to whom a hashed API key belongs."""
-        return self.by_key_hash.get(hashed_key)
-
-    def _index(self) -> None:
-        self.by_key_hash = {}
-        tiers = self.fleet.tiers
+        ref = self.by_key_hash.get(hashed_key)
+        return None if ref is None else self.find_customer(ref)
+
+    def find_customer(self, ref: CustomerRef) -> Resolved | None:
+        """Return a customer, None while its tier is not defined."""
+        team = self.subtrees[ref.path].content
+        assert isinstance(team, Team)
+        customer = team.customers[ref.name]
+        tier = self.fleet.tiers.get(customer.tier)
+        if tier is None:
+            return None
+        return Resolved(ref.path.rpartition("/")[2], ref.name, customer, tier)
+
+    def customers(self) -> Iterator[Resolved]:
+        """Yield every customer whose tier is defined."""
         for path, subtree in self.subtrees.items():
-            if not isinstance(subtree.content, Team):
-                continue
-            team = path.rpartition("/")[2]
-            for name, customer in subtree.content.customers.items():
-                tier = tiers.get(customer.tier)
-                if tier is None:
-                    continue
-                for hashed in customer.key_hashes:
-                    self.by_key_hash[hashed] = Resolved(team, name, customer, tier)
+            if isinstance(subtree.content, Team):
+                for name in subtree.content.customers:
+                    resolved = self.find_customer(CustomerRef(path, name))
+                    if resolved is not None:
+                        yield resolved
+
+    def _compact(self, team: Team) -> Team:
+        """Return the team with what its customers have alike held once."""
+        return Team(
+            {
+                name: customer._replace(
+                    tier=sys.intern(customer.tier),
+                    pools=self.shared_pools.setdefault(customer.pools, customer.pools),
+                )
+                for name, customer in team.customers.items()
+            }
+        )
+
+    def _add_keys(self, subtree: Subtree) -> None:
+        if not isinstance(subtree.content, Team):
+            return
+        for name, customer in subtree.content.customers.items():
+            ref = CustomerRef(subtree.path, name)
+            for hashed in customer.key_hashes:
+                self.by_key_hash[hashed] = ref
+
+    def _forget_keys(self, subtree: Subtree) -> None:
+        if not isinstance(subtree.content, Team):
+            return
+        for customer in subtree.content.customers.values():
+            for hashed in customer.key_hashes:
+                ref = self.by_key_hash.get(hashed)
+                if ref is not None and ref.path == subtree.path:
+                    del self.by_key_hash[hashed]
--- a/packages/skylarkdoor/tests/settings/test_settings.py
+++ b/packages/skylarkdoor/tests/settings/test_settings.py
@@ -105,6 +105,17 @@
         view.apply(Subtree(FLEET_PATH, 1, FLEET))
         assert view.resolve("a" * 64).customer_name == "a"
 
+    def test_key_that_moves(self):
+        """A key that one team gives up and another takes stays known."""
+        view = SettingsView()
+        view.apply(Subtree(FLEET_PATH, 1, FLEET))
+        view.apply(Subtree("/teams/one", 1, Team(customers={"a": customer()})))
+        view.apply(Subtree("/teams/two", 1, Team(customers={"b": customer()})))
+        view.apply(Subtree("/teams/one", 2, Team(customers={})))
+        assert view.resolve("a" * 64).customer_name == "b"
+        view.apply(Subtree("/teams/two", 2, Team(customers={})))
+        assert view.resolve("a" * 64) is None
+
     @given(st.lists(st.integers(min_value=1, max_value=50)))
     def test_never_reverts(self, revisions: list[int]):
         """Whatever order revisions come in, the one in force only grows."""
--- a/packages/skylarkdoord/src/skylarkdoord/common/_settings.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_settings.py
@@ -17,6 +17,7 @@
 )
 from skylarkdoord import _events
 from skylarkdoord.common import _rows as rows
+from skylarkdoord.common._held_rows import HeldRows
 from skylarkdoord.common._internal import InternalServer
 from skylarkdoord.common._platform import Platform
 from skylarkdoord.common._settings_exchange import SettingsExchanges
@@ -30,14 +31,20 @@
 
 
 class SettingsService:
-    """Holds the settings, learned from the table, peers and the snapshot."""
+    """Holds the settings, learned from the table, peers and the snapshot.
+
+    Args:
+        knows_customers: Whether this process looks customers up; one that does
+            not only passes their teams' rows on.
+    """
 
     name = "settings"
     requires: tuple[str, ...] = ("platform",)
 
-    def __init__(self) -> None:
+    def __init__(self, *, knows_customers: bool = True) -> None:
+        self.knows_customers = knows_customers
         self.view = SettingsView()
-        self.rows: dict[str, rows.SettingsRow] = {}
+        self.rows = HeldRows()
         self.seen: dict[str, int] = {}
         self.listeners: list[Callable[[Subtree], None]] = []
         self.exchanges = SettingsExchanges(self)
@@ -89,7 +96,7 @@
             return
         self.seen[path] = row.revision
         try:
-            content = _content(path, row)
+            content = self._content(path, row)
         except SettingsError as error:
             self.log.event(_events.SETTINGS_REJECTED, path=path, error=str(error))
             return
@@ -117,8 +124,8 @@
         for listener in self.listeners:
             listener(subtree)
 
-
-def _content(path: str, row: rows.SettingsRow) -> Fleet | Team:
-    if row.document is None and path != FLEET_PATH:
-        return Team(customers={})
-    return check_document(path, row.document)
+    def _content(self, path: str, row: rows.SettingsRow) -> Fleet | Team:
+        is_team = path != FLEET_PATH
+        if is_team and (row.document is None or not self.knows_customers):
+            return Team(customers={})
+        return check_document(path, row.document)
--- a/packages/skylarkdoord/src/skylarkdoord/common/_settings_exchange.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_settings_exchange.py
@@ -6,7 +6,7 @@
 from typing import Any, NamedTuple, Protocol, TypeAlias
 
 from skylarkdoor.wire import pb
-from skylarkdoord.common import _rows as rows
+from skylarkdoord.common._held_rows import HeldRows
 
 FETCH_TIMEOUT_S = 1.0
 MAX_FETCHES = 64
@@ -17,7 +17,7 @@
 class HeldSettings(Protocol):
     """The settings that a process holds and takes."""
 
-    rows: dict[str, rows.SettingsRow]
+    rows: HeldRows
 
     def seen_revision(self, path: str) -> int:
         """Return the highest revision met at a path."""
@@ -90,11 +90,12 @@
     def on_wanted(self, wanted: pb.SettingsWanted) -> None:
         """Send the subtrees that the other end asks for."""
         for path in wanted.paths:
-            row = self.exchanges.held.rows.get(path)
-            if row is None:
+            held = self.exchanges.held.rows
+            if path not in held:
                 continue
-            self.known[path] = max(row.revision, self.known.get(path, 0))
-            document = pb.SettingsDocument(path=path, row=rows.encode_row(row))
+            revision = held.packed[path].revision
+            self.known[path] = max(revision, self.known.get(path, 0))
+            document = pb.SettingsDocument(path=path, row=held.value(path))
             self.put(self.envelope(settings_document=document))
 
     def on_document(self, document: pb.SettingsDocument) -> None:
@@ -204,7 +205,7 @@
             fetch.timer.cancel()
 
     def _heads(self) -> dict[str, int]:
-        return {path: row.revision for path, row in self.held.rows.items()}
+        return self.held.rows.revisions()
 
 
 def _heads(revisions: Mapping[str, int]) -> pb.SettingsHeads:
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_explain.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_explain.py
@@ -158,7 +158,7 @@
 
     def find_customer(self, question: Question) -> Resolved | None:
         """Return the customer in question with its tier."""
-        for resolved in self.settings_service.view.by_key_hash.values():
+        for resolved in self.settings_service.view.customers():
             if (resolved.team, resolved.customer_name) == question[:2]:
                 return resolved
         return None
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/__init__.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/__init__.py
@@ -40,7 +40,7 @@
     """Register the services of a sidecar."""
     kernel.register(TlsService(settings))
     kernel.register(Platform(settings.platform))
-    kernel.register(SettingsService())
+    kernel.register(SettingsService(knows_customers=False))
     kernel.register(Departure())
     kernel.register(DrainOrders(settings))
     scheduler = Scheduler(settings)
