--- /dev/null
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_slope_series.py
@@ -0,0 +1,410 @@
+"""Series that measure entries and sidecars against the size of what they serve."""
+
+import asyncio
+import itertools
+import json
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import AsyncExitStack, asynccontextmanager
+
+import aiohttp
+
+from skylarkdoor.hashing import key_hash
+from skylarkdoor.platform import EtcdTable, Put, Table, Txn
+from skylarkdoor.settings import Customer, Team, team_path, to_plain
+from skylarkdoor_bench._counting import CountingRelay
+from skylarkdoor_bench._deployments import (
+    Deployment,
+    EngineSpec,
+    EntrySpec,
+    ServiceSpec,
+    api_key,
+    small_demo,
+)
+from skylarkdoor_bench._launcher import Cluster
+from skylarkdoor_bench._peers import PeerEntry, PeerSidecar
+from skylarkdoor_bench._slope import Point, Slope, slope
+from skylarkdoor_bench._usage import Usage, measure
+
+WINDOW_S = 5.0
+SETTLE_S = 2.0
+POLL_S = 10.0
+CUSTOMER = "teika-garden"
+ENTRY = "entry-1"
+ENGINE = "engine-1"
+SIDECAR = "sidecar-engine-1"
+SERVICE_SIDECAR = "sidecar-registry-1"
+STREAM_TOKENS = 100_000
+CHANGES_KEY = "settings-changes"
+
+
+def deployment(*, max_running: int = 16) -> Deployment:
+    """Return one entry, one engine and one service, with a wide limit."""
+    base = small_demo()
+    pools = {
+        name: pool._replace(max_running=max_running, min_running=max_running)
+        for name, pool in base.fleet.pools.items()
+    }
+    engine = EngineSpec(
+        ENGINE, "teika", "assistant", "garden-7b", 1e6, 36, max_batch=max_running
+    )
+    return base._replace(
+        name="slopes",
+        entries=(EntrySpec(ENTRY, "teika"),),
+        upstreams=(
+            engine,
+            ServiceSpec("registry-1", "teika", "registry", concurrency=max_running),
+        ),
+        fleet=base.fleet._replace(pools=pools),
+    )
+
+
+def _pid(cluster: Cluster, name: str) -> int:
+    pid = cluster.processes[name].pid
+    assert pid is not None
+    return pid
+
+
+async def sidecar_streams() -> list[Slope]:
+    """A sidecar against the number of idle entry streams."""
+    points = []
+    async with Cluster(deployment()) as cluster:
+        for count in (0, 8, 24, 64):
+            async with peer_entries(cluster, count) as (_, relay):
+                await asyncio.sleep(SETTLE_S)
+                before = relay.passed_bytes
+                usage = await measure(_pid(cluster, SIDECAR), WINDOW_S)
+                traffic = (relay.passed_bytes - before) / usage.seconds / 1000
+            points.append(Point(count, usage.core_percent, usage.rss_mb, traffic))
+    return [slope("sidecar, idle, by entry streams", "streams", points)]
+
+
+@asynccontextmanager
+async def peer_entries(
+    cluster: Cluster, count: int
+) -> AsyncIterator[tuple[list[PeerEntry], CountingRelay]]:
+    """Open streams to the engine's sidecar through a counting relay."""
+    rpc = cluster.daemons[SIDECAR].settings.listen.rpc
+    assert rpc is not None
+    async with AsyncExitStack() as stack:
+        relay = await stack.enter_async_context(CountingRelay(rpc))
+        peers = []
+        for number in range(count):
+            peer = PeerEntry(relay.address, f"peer-{number}")
+            peers.append(await stack.enter_async_context(peer))
+        yield peers, relay
+
+
+async def sidecar_offers() -> list[Slope]:
+    """A sidecar against offers a second, each granted and given back."""
+    points = []
+    async with Cluster(deployment(max_running=256)) as cluster:
+        for rate in (0, 25, 50, 100, 200):
+            async with peer_entries(cluster, 8) as (peers, relay):
+                await asyncio.sleep(SETTLE_S)
+                before = relay.passed_bytes
+                task = asyncio.create_task(offer_steadily(peers, rate))
+                usage = await measure(_pid(cluster, SIDECAR), WINDOW_S)
+                task.cancel()
+                granted = sum(peer.granted for peer in peers) / usage.seconds
+                traffic = (relay.passed_bytes - before) / usage.seconds / 1000
+            points.append(
+                Point(rate, usage.core_percent, usage.rss_mb, traffic, granted)
+            )
+    return [slope("sidecar, by offers a second", "offers/s", points)]
+
+
+async def offer_steadily(peers: list[PeerEntry], rate: float) -> None:
+    """Offer requests over the peers in turn until cancelled."""
+    if rate == 0:
+        return
+    for number, peer in enumerate(itertools.cycle(peers)):
+        peer.offer(f"{rate}-{number}-{id(peer)}")
+        await asyncio.sleep(1 / rate)
+
+
+async def entry_streams() -> list[Slope]:
+    """An entry against the number of idle sidecar streams."""
+    points = []
+    async with Cluster(deployment()) as cluster:
+        for count in (0, 8, 24, 48):
+            async with peer_sidecars(cluster, count) as relays:
+                await wait_streams(cluster, count + 2)
+                await asyncio.sleep(SETTLE_S)
+                before = sum(relay.passed_bytes for relay in relays)
+                usage = await measure(_pid(cluster, ENTRY), WINDOW_S)
+                passed = sum(relay.passed_bytes for relay in relays) - before
+                traffic = passed / usage.seconds / 1000
+            points.append(Point(count, usage.core_percent, usage.rss_mb, traffic))
+    return [slope("entry, idle, by sidecar streams", "streams", points)]
+
+
+@asynccontextmanager
+async def peer_sidecars(
+    cluster: Cluster, count: int
+) -> AsyncIterator[list[CountingRelay]]:
+    """Put sidecars on the list, in pools of 24, each behind a counting relay."""
+    template = cluster.daemons[SIDECAR].settings
+    async with AsyncExitStack() as stack:
+        relays = []
+        for number in range(count):
+            pool = f"peers-{number // 24}"
+            name = f"peer-sidecar-{number}"
+            sidecar = await stack.enter_async_context(PeerSidecar(name, pool))
+            relay = await stack.enter_async_context(CountingRelay(sidecar.address))
+            relays.append(relay)
+            assert template.upstream is not None
+            settings = template._replace(
+                instance=name,
+                listen=template.listen._replace(rpc=relay.address),
+                upstream=template.upstream._replace(pool=pool),
+            )
+            await cluster.platform.register("sidecar", settings)
+            stack.push_async_callback(cluster.platform.deregister, name)
+        yield relays
+
+
+async def wait_streams(cluster: Cluster, count: int) -> None:
+    """Wait until the entry has that many streams."""
+    while True:
+        status = await cluster.status(ENTRY)
+        if sum(item["connected"] for item in status["sidecars"]) == count:
+            return
+        await asyncio.sleep(0.2)
+
+
+async def customers() -> list[Slope]:
+    """Entry and sidecar against the number of customers in the settings."""
+    entry_points, sidecar_points = [], []
+    async with Cluster(deployment()) as cluster:
+        for count in (0, 2000, 8000, 16000, 32000):
+            await write_customers(cluster, count, revision=count + 2)
+            await asyncio.sleep(POLL_S)
+            entry, sidecar = await asyncio.gather(
+                measure(_pid(cluster, ENTRY), WINDOW_S),
+                measure(_pid(cluster, SIDECAR), WINDOW_S),
+            )
+            entry_points.append(_point(count, entry))
+            sidecar_points.append(_point(count, sidecar))
+    return [
+        slope("entry, by customers", "customers", entry_points),
+        slope("sidecar, by customers", "customers", sidecar_points),
+    ]
+
+
+async def write_customers(cluster: Cluster, count: int, *, revision: int) -> None:
+    """Write customers in teams of 100 and wait until the entry has them."""
+    rows = []
+    last = ""
+    for team in range(count // 100):
+        customers = {
+            f"customer-{number}": Customer(
+                key_hashes=(key_hash(f"{team}-{number}"),),
+                tier="swap",
+                pools=("assistant", "registry"),
+            )
+            for number in range(100)
+        }
+        last = team_path(f"team-{team}")
+        rows.append((last, Team(customers)))
+    table_ = EtcdTable(cluster.session, [cluster.platform.url])
+    for start in range(0, len(rows), 50):
+        writes = tuple(
+            Put(f"settings{path}", row(team, revision))
+            for path, team in rows[start : start + 50]
+        )
+        await table_.commit([Txn(writes=writes)])
+    if rows:
+        await count_changes(table_, revision)
+    await wait_revision(cluster, last, revision)
+
+
+async def count_changes(table: Table, change: int) -> None:
+    """Note in the table that settings have changed, so that polls see it."""
+    await table.commit([Txn(writes=(Put(CHANGES_KEY, str(change).encode()),))])
+
+
+def row(team: Team, revision: int) -> bytes:
+    """Return a team's row of the table."""
+    return json.dumps(
+        {
+            "revision": revision,
+            "operation": f"slopes-{revision}",
+            "author": "slopes",
+            "changed_at": 0.0,
+            "document": to_plain(team),
+        }
+    ).encode()
+
+
+async def wait_revision(cluster: Cluster, path: str, revision: int) -> None:
+    """Wait until the entry has a revision in force."""
+    while path:
+        status = await cluster.status(ENTRY)
+        if status["settings"].get(path, 0) >= revision:
+            return
+        await asyncio.sleep(0.2)
+
+
+async def settings_changes() -> list[Slope]:
+    """Entry and sidecar against changes a second of a team of 100 customers."""
+    entry_points, sidecar_points = [], []
+    async with Cluster(deployment()) as cluster:
+        team = Team(
+            {
+                f"customer-{number}": Customer(
+                    key_hashes=(key_hash(str(number)),),
+                    tier="swap",
+                    pools=("assistant",),
+                )
+                for number in range(100)
+            }
+        )
+        revisions = itertools.count(10)
+        for rate in (0, 1, 2, 5):
+            task = asyncio.create_task(change_steadily(cluster, team, rate, revisions))
+            await asyncio.sleep(SETTLE_S)
+            entry, sidecar = await asyncio.gather(
+                measure(_pid(cluster, ENTRY), 2 * WINDOW_S),
+                measure(_pid(cluster, SIDECAR), 2 * WINDOW_S),
+            )
+            task.cancel()
+            entry_points.append(_point(rate, entry, events=rate))
+            sidecar_points.append(_point(rate, sidecar, events=rate))
+    return [
+        slope("entry, by settings changes", "changes/s", entry_points),
+        slope("sidecar, by settings changes", "changes/s", sidecar_points),
+    ]
+
+
+async def change_steadily(
+    cluster: Cluster, team: Team, rate: float, revisions: "itertools.count[int]"
+) -> None:
+    """Write new revisions of one team until cancelled."""
+    table_ = EtcdTable(cluster.session, [cluster.platform.url])
+    while rate:
+        value = row(team, next(revisions))
+        writes = (
+            Put(f"settings{team_path('changing')}", value),
+            Put(CHANGES_KEY, value[:1]),
+        )
+        await table_.commit([Txn(writes=writes)])
+        await asyncio.sleep(1 / rate)
+
+
+def _point(x: float, usage: Usage, *, events: float = 0.0) -> Point:
+    return Point(x, usage.core_percent, usage.rss_mb, events_per_s=events)
+
+
+async def requests() -> list[Slope]:
+    """Entry and sidecar against short requests a second."""
+    entry_points, sidecar_points = [], []
+    async with Cluster(deployment(max_running=128)) as cluster:
+        for rate in (0, 20, 40, 80, 120):
+            task = asyncio.create_task(call_steadily(cluster, rate))
+            await asyncio.sleep(SETTLE_S)
+            entry, sidecar = await asyncio.gather(
+                measure(_pid(cluster, ENTRY), WINDOW_S),
+                measure(_pid(cluster, SERVICE_SIDECAR), WINDOW_S),
+            )
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            entry_points.append(_point(rate, entry, events=rate))
+            sidecar_points.append(_point(rate, sidecar, events=rate))
+    return [
+        slope("entry, by short requests", "requests/s", entry_points),
+        slope("sidecar, by short requests", "requests/s", sidecar_points),
+    ]
+
+
+async def call_steadily(cluster: Cluster, rate: float) -> None:
+    """Call the plain service at a rate until cancelled."""
+    url = f"{cluster.entry_urls[0]}/services/registry/packets/17"
+    sent = {"Authorization": f"Bearer {api_key(CUSTOMER)}"}
+
+    async def call() -> None:
+        async with cluster.session.get(url, headers=sent) as answer:
+            await answer.read()
+
+    async with asyncio.TaskGroup() as group:
+        while rate:
+            group.create_task(call())
+            await asyncio.sleep(1 / rate)
+        await asyncio.sleep(0)
+
+
+async def token_streams() -> list[Slope]:
+    """Entry and sidecar against streams of a token each 28 ms."""
+    entry_points, sidecar_points = [], []
+    async with Cluster(deployment(max_running=128)) as cluster:
+        for count in (0, 10, 20, 40, 80):
+            async with AsyncExitStack() as stack:
+                counters = []
+                for number in range(count):
+                    counter = await stack.enter_async_context(
+                        open_stream(cluster, number)
+                    )
+                    counters.append(counter)
+                await asyncio.sleep(SETTLE_S)
+                before = sum(counter.chunks for counter in counters)
+                entry, sidecar = await asyncio.gather(
+                    measure(_pid(cluster, ENTRY), WINDOW_S),
+                    measure(_pid(cluster, SIDECAR), WINDOW_S),
+                )
+                chunks = sum(counter.chunks for counter in counters) - before
+            per_s = chunks / entry.seconds
+            entry_points.append(_point(count, entry, events=per_s))
+            sidecar_points.append(_point(count, sidecar, events=per_s))
+    return [
+        slope("entry, by token streams", "streams", entry_points),
+        slope("sidecar, by token streams", "streams", sidecar_points),
+    ]
+
+
+class ChunkCounter:
+    """Counts the events of one stream."""
+
+    def __init__(self) -> None:
+        self.chunks = 0
+
+    async def read(self, answer: aiohttp.ClientResponse) -> None:
+        """Count until the stream ends."""
+        async for line in answer.content:
+            if line.startswith(b"data: "):
+                self.chunks += 1
+
+
+@asynccontextmanager
+async def open_stream(cluster: Cluster, number: int) -> AsyncIterator[ChunkCounter]:
+    """Hold one long stream open."""
+    body = {
+        "model": "garden-7b",
+        "stream": True,
+        "max_tokens": STREAM_TOKENS,
+        "messages": [{"role": "user", "content": f"stream {number}"}],
+    }
+    sent = {
+        "Authorization": f"Bearer {api_key(CUSTOMER)}",
+        "X-Request-Timeout": "100000",
+    }
+    url = f"{cluster.entry_urls[0]}/v1/chat/completions"
+    counter = ChunkCounter()
+    async with cluster.session.post(url, json=body, headers=sent) as answer:
+        answer.raise_for_status()
+        task = asyncio.create_task(counter.read(answer))
+        try:
+            yield counter
+        finally:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            answer.close()
+
+
+SERIES: dict[str, Callable[[], Awaitable[list[Slope]]]] = {
+    "sidecar-streams": sidecar_streams,
+    "sidecar-offers": sidecar_offers,
+    "entry-streams": entry_streams,
+    "customers": customers,
+    "settings-changes": settings_changes,
+    "requests": requests,
+    "token-streams": token_streams,
+}
--- a/packages/skylarkdoor-bench/src/skylarkdoor_bench/cli.py
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/cli.py
@@ -15,7 +15,8 @@
 from skylarkdoor_bench._processes import ProcessFailedError
 from skylarkdoor_bench._replay import ReplayFailedError, replay_files
 from skylarkdoor_bench._run import DEPLOYMENTS
-from skylarkdoor_bench._slopes import SERIES, measure_slopes
+from skylarkdoor_bench._slope_series import SERIES
+from skylarkdoor_bench._slopes import measure_slopes
 from skylarkdoor_bench._soak import SoakFailedError, soak
 
 EXIT_OK = 0
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_dispatch.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_dispatch.py
@@ -25,6 +25,7 @@
     TransitionError,
     UpstreamCutError,
 )
+from skylarkdoord.sidecar import _answers as answers
 from skylarkdoord.sidecar._call import Call, read_call
 from skylarkdoord.sidecar._claim_rows import ClaimRow, WholeAnswer
 from skylarkdoord.sidecar._claims import Claims, Operation
@@ -37,7 +38,6 @@
 STREAM_END = b"data: [DONE]"
 TAIL_BYTES = 64
 ABSENT = "absent"
-FIRST_SERVER_ERROR = 500
 
 CLAIMED_FIRST = invariants.define(
     "claimed_first", "A non-idempotent request is claimed before its dispatch."
@@ -132,14 +132,14 @@
             self.log.event(
                 _events.DISPATCH_REFUSED, request_id=request_id, error=str(error)
             )
-            return _not_run(NotRunError("grant_lapsed", str(error)))
+            return answers.not_run(NotRunError("grant_lapsed", str(error)))
         self.poison.suspicions.learn(call.fingerprint, call.crashes)
         with tracing.span("sidecar", call.context, request_id=request_id) as here:
             try:
                 return await self.run(request, call._replace(context=here))
             except NotRunError as error:
                 self.scheduler.tombstone(request_id)
-                return _not_run(error)
+                return answers.not_run(error)
             except (EntryGoneError, UpstreamCutError, OutcomeUnknownError) as error:
                 return self.unknown(call, error)
             except InvariantBrokenError:
@@ -195,7 +195,7 @@
         answer = None
         try:
             response = await self.relay(request, call, body)
-            answer = _to_remember(response)
+            answer = answers.to_remember(response)
             return response
         finally:
             self.recent.end(key, answer)
@@ -214,7 +214,7 @@
             raise RefusedError("deadline", "the run that was joined goes on") from None
         if answer is None:
             raise NotRunError("run_released", "the run that was joined failed")
-        return _whole(call, answer, replayed=True)
+        return answers.whole(call, answer, replayed=True)
 
     async def run_claimed(self, call: Call, body: bytes) -> web.Response:
         """Run a non-idempotent call under a claim, or give the stored answer.
@@ -233,7 +233,7 @@
         if isinstance(claim, ClaimRow):
             self.step_back(call)
             answer = await self.claims.read_answer(claim)
-            return _whole(call, answer, replayed=True)
+            return answers.whole(call, answer, replayed=True)
         try:
             answer = await self.fetch(call, body, claim)
         except NotRunError:
@@ -243,7 +243,7 @@
             self.claims.finish(claim, None)
             raise
         self.claims.finish(claim, answer)
-        return _whole(call, answer)
+        return answers.whole(call, answer)
 
     def step_back(self, call: Call) -> None:
         """Give the room of a call back; it waits for another run of it."""
@@ -296,7 +296,7 @@
         outcome = CUT
         try:
             async with self.upstream.open(call, body) as answer:
-                whole = await _read_whole(answer)
+                whole = await answers.read_whole(answer)
             outcome = Outcome(f"status {whole.status}")
             admission.whole = True
             return whole
@@ -334,9 +334,11 @@
         try:
             async with self.upstream.open(call, body) as answer:
                 if answer.content_type != "text/event-stream":
-                    response = _whole(call, await _read_whole(answer))
+                    response = answers.whole(call, await answers.read_whole(answer))
                 else:
-                    response = stream = await _begin_stream(request, call, answer)
+                    response = stream = await answers.begin_stream(
+                        request, call, answer
+                    )
                     await self.copy_events(call, stream, answer)
             outcome = Outcome(f"status {answer.status}")
             admission.whole = True
@@ -371,10 +373,10 @@
         async for chunk in answer.content.iter_any():
             tail = (tail + chunk)[-TAIL_BYTES:]
             self.scheduler.on_chunk(call.request_id, chunk)
-            await _pass_on(stream, chunk)
+            await answers.pass_on(stream, chunk)
         if self.needs_end_mark(answer) and STREAM_END not in tail:
             raise UpstreamCutError("the stream ended without its end mark")
-        await _pass_on(stream, b"")
+        await answers.pass_on(stream, b"")
 
     def needs_end_mark(self, answer: aiohttp.ClientResponse) -> bool:
         """Return whether only a last event shows that a stream is whole."""
@@ -413,67 +415,3 @@
         raise
     except Exception as error:
         return error
-
-
-async def _begin_stream(
-    request: web.Request, call: Call, answer: aiohttp.ClientResponse
-) -> web.StreamResponse:
-    passed = headers.to_caller(answer.headers)
-    passed[headers.REQUEST_ID] = call.request_id
-    stream = web.StreamResponse(status=answer.status, headers=passed)
-    await stream.prepare(request)
-    return stream
-
-
-async def _pass_on(stream: web.StreamResponse, chunk: bytes) -> None:
-    """Write a chunk, or end the stream after the last one.
-
-    Raises:
-        EntryGoneError: The entry closed its connection.
-    """
-    try:
-        if chunk:
-            await stream.write(chunk)
-        else:
-            await stream.write_eof()
-    except ConnectionError as error:
-        raise EntryGoneError(repr(error)) from error
-
-
-async def _read_whole(answer: aiohttp.ClientResponse) -> WholeAnswer:
-    if not has_marked_end(answer):
-        raise UpstreamCutError("the end of the answer can't be told from a cut")
-    body = await answer.read()
-    passed = headers.to_caller(answer.headers)
-    passed.popall(headers.REQUEST_ID, None)
-    return WholeAnswer(answer.status, tuple(passed.items()), body)
-
-
-def _to_remember(response: web.StreamResponse) -> WholeAnswer | None:
-    """Return an answer that a resend may get as well."""
-    if not isinstance(response, web.Response):
-        return None
-    if response.status >= FIRST_SERVER_ERROR or not isinstance(response.body, bytes):
-        return None
-    passed = response.headers.copy()
-    passed.popall(headers.REQUEST_ID, None)
-    return WholeAnswer(response.status, tuple(passed.items()), response.body)
-
-
-def _whole(call: Call, answer: WholeAnswer, *, replayed: bool = False) -> web.Response:
-    response = web.Response(status=answer.status, body=answer.body)
-    response.headers.extend(answer.headers)
-    response.headers[headers.REQUEST_ID] = call.request_id
-    if replayed:
-        response.headers[headers.REPLAYED] = "true"
-    return response
-
-
-def _not_run(error: NotRunError) -> web.Response:
-    said = {
-        "code": error.code,
-        "message": error.message,
-        "retry_after_s": error.retry_after_s,
-        "final": isinstance(error, RefusedError),
-    }
-    return web.json_response(said, status=503, headers={headers.NOT_RUN: "1"})
