--- a/packages/skylarkdoor/src/skylarkdoor/wire/_outbox.py
+++ b/packages/skylarkdoor/src/skylarkdoor/wire/_outbox.py
@@ -32,8 +32,12 @@
         self.messages.append(message)
         self.ready.set()
 
+    def wake(self) -> None:
+        """Let `take` return now, even with nothing."""
+        self.ready.set()
+
     async def take(self, *, timeout_s: float) -> list[M]:
-        """Return everything that waits, or nothing after the timeout."""
+        """Return everything that waits, or nothing after the timeout or `wake`."""
         try:
             async with asyncio.timeout(timeout_s):
                 await self.ready.wait()
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_peers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_peers.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import itertools
+import time
+from collections.abc import Callable
 from typing import TYPE_CHECKING, NamedTuple
 
 from grpclib.exceptions import GRPCError, StreamTerminatedError
@@ -22,6 +24,8 @@
     from grpclib.server import Stream
 
 REPORT_INTERVAL_S = 0.2
+HEARTBEAT_INTERVAL_S = 1.0
+MAX_LOAD_AGE_S = 0.1
 SILENCE_TIMEOUT_S = 4.0
 
 
@@ -41,6 +45,27 @@
     outbox: Outbox[pb.SidecarMessage]
 
 
+class LoadCache:
+    """The present load, worked out once for all streams.
+
+    Args:
+        measure: Works the load out.
+    """
+
+    def __init__(self, measure: Callable[[], pb.LoadReport]) -> None:
+        self.measure = measure
+        self.load = pb.LoadReport()
+        self.measured_at = -MAX_LOAD_AGE_S
+
+    def read(self) -> pb.LoadReport:
+        """Return a load that is at most `MAX_LOAD_AGE_S` old."""
+        now = time.monotonic()
+        if now - self.measured_at >= MAX_LOAD_AGE_S:
+            self.load = self.measure()
+            self.measured_at = now
+        return self.load
+
+
 class PeerServer(PeerBase):
     """Listens for the streams of entries; one task for each.
 
@@ -62,12 +87,14 @@
         self.settings = settings
         self.address: str = settings.listen.rpc
         self.counter = itertools.count()
+        self.outboxes: set[Outbox[pb.SidecarMessage]] = set()
         self.server = Server([self])
         self.log = events.get_logger("sidecar.peers")
 
     async def start(self, kernel: Kernel) -> None:
         """Listen on the address for control streams."""
         self.scheduler = kernel.find("scheduler", Scheduler)
+        self.loads = LoadCache(self.scheduler.load)
         self.poison = kernel.find("poison", Poison)
         self.shared = kernel.find("settings", SettingsService)
         self.listing = Listing(kernel.find("departure", Departure))
@@ -75,9 +102,11 @@
         context = self.tls.rpc.listening if self.tls.rpc else None
         host, _, port = self.address.rpartition(":")
         await self.server.start(host, int(port), ssl=context)
+        self.task = kernel.spawn(self.watch_load(), name="peers.load")
 
     async def stop(self) -> None:
         """Close the streams."""
+        self.task.cancel()
         self.server.close()
         await self.server.wait_closed()
 
@@ -128,12 +157,14 @@
         for message in self.poison.messages():
             outbox.put(message)
         exchange = self.shared.exchanges.open(pb.SidecarMessage, outbox.put)
+        self.outboxes.add(outbox)
         self.scheduler.connect(key, outbox.put)
         self.log.event(_events.PEER_CONNECTED, peer=hello.instance)
         return EntryPeer(key, hello.instance, exchange, outbox)
 
     def close(self, peer: EntryPeer) -> None:
         """Drop what came on a stream and was not begun."""
+        self.outboxes.discard(peer.outbox)
         self.scheduler.disconnect(peer.key)
         self.listing.forget(peer.key)
         peer.exchange.close()
@@ -188,11 +219,29 @@
             case "listed":
                 self.listing.hear(peer.key, message.listed.leaving)
 
+    async def watch_load(self) -> None:
+        """Wake the streams whenever the load has changed."""
+        told = pb.LoadReport()
+        while True:
+            await asyncio.sleep(REPORT_INTERVAL_S)
+            load = self.loads.read()
+            if load != told:
+                told = load
+                for outbox in self.outboxes:
+                    outbox.wake()
+
     async def write(
         self, stream: "Stream[pb.EntryBatch, pb.SidecarBatch]", peer: EntryPeer
     ) -> None:
-        """Send what waits, with the load in every batch."""
+        """Send what waits, with the load if it changed, and a heartbeat."""
+        told = pb.LoadReport()
+        told_at = 0.0
         while True:
-            messages = await peer.outbox.take(timeout_s=REPORT_INTERVAL_S)
-            messages.append(pb.SidecarMessage(load=self.scheduler.load()))
-            await stream.send_message(pb.SidecarBatch(messages=messages))
+            messages = await peer.outbox.take(timeout_s=HEARTBEAT_INTERVAL_S)
+            load = self.loads.read()
+            now = time.monotonic()
+            if load != told or now - told_at >= HEARTBEAT_INTERVAL_S:
+                messages.append(pb.SidecarMessage(load=load))
+                told, told_at = load, now
+            if messages:
+                await stream.send_message(pb.SidecarBatch(messages=messages))
