Serve callers directly through an adapter of the users' platform

Cause: the product ran only before its own stand-ins; nothing spoke the platform's protocols. A direct entry now follows the store's tables, calls upstreams itself on fresh connections, and finds its adapter by name. The package of clients is named skylarkdoor.clients, so that one thing is called platform.

--- a/packages/skylarkdoor-bench/src/skylarkdoor_bench/_platform.py
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_platform.py
@@ -7,7 +7,7 @@
 
 import aiohttp
 
-from skylarkdoor.platform import EtcdTable, Put, Txn
+from skylarkdoor.clients import EtcdTable, Put, Txn
 from skylarkdoor.settings import FLEET_PATH, ProcessSettings, team_path, to_plain
 from skylarkdoor_bench._deployments import Deployment
 
--- a/packages/skylarkdoor/src/skylarkdoor/platform/__init__.py
+++ b/packages/skylarkdoor/src/skylarkdoor/clients/__init__.py
@@ -1,9 +1,9 @@
 """Clients of the platform: table, object store, instance list, weight store."""
 
-from skylarkdoor.platform._instances import InstanceList, InstanceRecord
-from skylarkdoor.platform._objects import ObjectStore, StoredObject
-from skylarkdoor.platform._table import EtcdTable
-from skylarkdoor.platform._transactions import (
+from skylarkdoor.clients._instances import InstanceList, InstanceRecord
+from skylarkdoor.clients._objects import ObjectStore, StoredObject
+from skylarkdoor.clients._table import EtcdTable
+from skylarkdoor.clients._transactions import (
     Absent,
     Condition,
     Delete,
@@ -16,8 +16,8 @@
     TxnResult,
     ValueIs,
 )
-from skylarkdoor.platform._weights import WeightStore
-from skylarkdoor.platform.exceptions import (
+from skylarkdoor.clients._weights import WeightStore
+from skylarkdoor.clients.exceptions import (
     ListUnavailable,
     ObjectAbsent,
     ObjectChanged,
--- a/packages/skylarkdoor/src/skylarkdoor/platform/_gateway.py
+++ b/packages/skylarkdoor/src/skylarkdoor/clients/_gateway.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from skylarkdoor.platform._transactions import (
+from skylarkdoor.clients._transactions import (
     Absent,
     Condition,
     Delete,
--- a/packages/skylarkdoor/src/skylarkdoor/platform/_grouping.py
+++ b/packages/skylarkdoor/src/skylarkdoor/clients/_grouping.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Iterator, Sequence
 
-from skylarkdoor.platform._transactions import Txn
+from skylarkdoor.clients._transactions import Txn
 
 # The table takes at most 128 operations at a level, less those of the level above.
 MAX_GROUP = 64
--- a/packages/skylarkdoor/src/skylarkdoor/platform/_http.py
+++ b/packages/skylarkdoor/src/skylarkdoor/clients/_http.py
@@ -5,7 +5,7 @@
 
 import aiohttp
 
-from skylarkdoor.platform._endpoints import Endpoints
+from skylarkdoor.clients._endpoints import Endpoints
 
 _SERVER_ERROR = 500
 
--- a/packages/skylarkdoor/src/skylarkdoor/platform/_instances.py
+++ b/packages/skylarkdoor/src/skylarkdoor/clients/_instances.py
@@ -6,9 +6,9 @@
 import aiohttp
 import msgspec
 
-from skylarkdoor.platform._endpoints import Endpoints
-from skylarkdoor.platform._http import NoAnswerError, request
-from skylarkdoor.platform.exceptions import ListUnavailable
+from skylarkdoor.clients._endpoints import Endpoints
+from skylarkdoor.clients._http import NoAnswerError, request
+from skylarkdoor.clients.exceptions import ListUnavailable
 
 LIST_TIMEOUT_S = 2.0
 
--- a/packages/skylarkdoor/src/skylarkdoor/platform/_objects.py
+++ b/packages/skylarkdoor/src/skylarkdoor/clients/_objects.py
@@ -6,9 +6,9 @@
 
 import aiohttp
 
-from skylarkdoor.platform._endpoints import Endpoints
-from skylarkdoor.platform._http import HttpAnswer, NoAnswerError, request
-from skylarkdoor.platform.exceptions import (
+from skylarkdoor.clients._endpoints import Endpoints
+from skylarkdoor.clients._http import HttpAnswer, NoAnswerError, request
+from skylarkdoor.clients.exceptions import (
     ObjectAbsent,
     ObjectChanged,
     ObjectsUnavailable,
--- a/packages/skylarkdoor/src/skylarkdoor/platform/_table.py
+++ b/packages/skylarkdoor/src/skylarkdoor/clients/_table.py
@@ -6,8 +6,8 @@
 import aiohttp
 import msgspec
 
-from skylarkdoor.platform._endpoints import Endpoints
-from skylarkdoor.platform._gateway import (
+from skylarkdoor.clients._endpoints import Endpoints
+from skylarkdoor.clients._gateway import (
     CommitAnswer,
     ErrorAnswer,
     Message,
@@ -18,9 +18,9 @@
     read_results,
     read_row,
 )
-from skylarkdoor.platform._grouping import group_txns
-from skylarkdoor.platform._transactions import Row, RowList, Txn, TxnResult
-from skylarkdoor.platform.exceptions import (
+from skylarkdoor.clients._grouping import group_txns
+from skylarkdoor.clients._transactions import Row, RowList, Txn, TxnResult
+from skylarkdoor.clients.exceptions import (
     TableRejected,
     TableTimeout,
     TableUnavailable,
--- a/packages/skylarkdoor/tests/platform/test_grouping.py
+++ b/packages/skylarkdoor/tests/clients/test_grouping.py
@@ -3,8 +3,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from skylarkdoor.platform._grouping import MAX_GROUP, group_txns
-from skylarkdoor.platform._transactions import Absent, Put, Txn
+from skylarkdoor.clients._grouping import MAX_GROUP, group_txns
+from skylarkdoor.clients._transactions import Absent, Put, Txn
 
 KEYS = st.lists(st.sampled_from("abcdef"), unique=True, max_size=3)
 TXNS = st.lists(
--- a/packages/skylarkdoor/tests/platform/test_objects.py
+++ b/packages/skylarkdoor/tests/clients/test_objects.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from skylarkdoor.platform import (
+from skylarkdoor.clients import (
     ObjectAbsent,
     ObjectChanged,
     ObjectStore,
--- a/packages/skylarkdoor/tests/platform/test_table.py
+++ b/packages/skylarkdoor/tests/clients/test_table.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from skylarkdoor.platform import (
+from skylarkdoor.clients import (
     Absent,
     Delete,
     EtcdTable,
@@ -59,7 +59,7 @@
 
     async def test_pages(self, table, monkeypatch):
         """A list longer than a page comes back whole, or up to its limit."""
-        monkeypatch.setattr("skylarkdoor.platform._table._PAGE_ROWS", 3)
+        monkeypatch.setattr("skylarkdoor.clients._table._PAGE_ROWS", 3)
         keys = [f"k{index}" for index in range(8)]
         await table.commit([put(key) for key in keys])
         assert [row.key for row in (await table.list("")).rows] == keys
--- a/packages/skylarkdoor/tests/platform/test_weights.py
+++ b/packages/skylarkdoor/tests/clients/test_weights.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from skylarkdoor.platform import WeightsLimited, WeightStore, WeightsUnavailable
+from skylarkdoor.clients import WeightsLimited, WeightStore, WeightsUnavailable
 
 
 class TestWeightStore:
--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -138,3 +138,22 @@
 ORDER_UNANSWERED = define(
     609, "order_unanswered", logging.WARNING, "The engine did not answer an order."
 )
+
+FLEET_CONFIG_APPLIED = define(
+    701, "fleet_config_applied", logging.INFO, "A configuration came into force."
+)
+ROW_REJECTED = define(
+    702, "row_rejected", logging.ERROR, "A row of the store could not be used."
+)
+UPSTREAM_CHANGED = define(
+    703, "upstream_changed", logging.INFO, "The registry says something new."
+)
+STORE_LOST = define(704, "store_lost", logging.WARNING, "The store does not answer.")
+STORE_REGAINED = define(705, "store_regained", logging.INFO, "The store answers again.")
+UPSTREAM_PAUSED = define(
+    706, "upstream_paused", logging.WARNING, "An upstream failed and is spared."
+)
+UPSTREAM_REGAINED = define(
+    707, "upstream_regained", logging.INFO, "A spared upstream answered."
+)
+REQUEST_STEP = define(708, "request_step", logging.INFO, "A request took a step.")
--- a/packages/skylarkdoord/src/skylarkdoord/_process.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_process.py
@@ -7,7 +7,8 @@
 from skylarkdoor import events, invariants, tracing
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import ProcessSettings
-from skylarkdoord import _events
+from skylarkdoord import _events, direct
+from skylarkdoord.direct import DirectSettings
 
 Builder = Callable[[Kernel, ProcessSettings], None]
 
@@ -30,13 +31,19 @@
     invariants.configure(
         fatal=settings.fatal_invariants, exit_process=settings.fatal_invariants
     )
-    return asyncio.run(_serve(settings, build))
+    return asyncio.run(_serve(lambda kernel: build(kernel, settings)))
 
 
-async def _serve(settings: ProcessSettings, build: Builder) -> int:
+def run_direct(settings: DirectSettings) -> int:
+    """Run a direct entry until it is told to stop; returns the exit status."""
+    events.configure(level=settings.log_level, instance=settings.instance)
+    return asyncio.run(_serve(lambda kernel: direct.build(kernel, settings)))
+
+
+async def _serve(build: Callable[[Kernel], None]) -> int:
     log = events.get_logger("process")
     kernel = Kernel()
-    build(kernel, settings)
+    build(kernel)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, kernel.request_stop)
--- a/packages/skylarkdoord/src/skylarkdoord/admin/_editor.py
+++ b/packages/skylarkdoord/src/skylarkdoord/admin/_editor.py
@@ -4,7 +4,7 @@
 from collections.abc import Sequence
 from typing import Any, NamedTuple
 
-from skylarkdoor.platform import (
+from skylarkdoor.clients import (
     Absent,
     Condition,
     Delete,
--- a/packages/skylarkdoord/src/skylarkdoord/admin/_instances.py
+++ b/packages/skylarkdoord/src/skylarkdoord/admin/_instances.py
@@ -5,7 +5,7 @@
 
 import aiohttp
 
-from skylarkdoor.platform import InstanceList, InstanceRecord, PlatformError
+from skylarkdoor.clients import InstanceList, InstanceRecord, PlatformError
 from skylarkdoord.admin.exceptions import AbsentError, UnreachableError
 from skylarkdoord.common import TlsService
 
--- a/packages/skylarkdoord/src/skylarkdoord/admin/_reader.py
+++ b/packages/skylarkdoord/src/skylarkdoord/admin/_reader.py
@@ -4,7 +4,7 @@
 from typing import Any, NamedTuple
 
 from skylarkdoor.exceptions import SettingsError
-from skylarkdoor.platform import PlatformError, Row, RowList, Table
+from skylarkdoor.clients import PlatformError, Row, RowList, Table
 from skylarkdoord.admin.exceptions import StoreDownError
 from skylarkdoord.common import _rows as rows
 
--- a/packages/skylarkdoord/src/skylarkdoord/cli.py
+++ b/packages/skylarkdoord/src/skylarkdoord/cli.py
@@ -2,13 +2,15 @@
 
 import sys
 from collections.abc import Callable
+from typing import NoReturn
 
 import click
 
 from skylarkdoor.exceptions import SettingsError
 from skylarkdoor.settings import load_process
-from skylarkdoord._process import run
+from skylarkdoord._process import run, run_direct
 from skylarkdoord._roles import ENTRY, SIDECAR, Role, check_role
+from skylarkdoord.direct import load_direct
 from skylarkdoord.exceptions import TlsError
 
 EXIT_OK = 0
@@ -52,14 +54,32 @@
     _run(SIDECAR, path, check_only=check)
 
 
+@main.command("direct")
+@options
+def run_direct_entry(path: str, check: bool) -> None:
+    """Take requests from callers and call the upstreams directly."""
+    try:
+        settings = load_direct(path)
+    except SettingsError as error:
+        _exit_for(error)
+    if check:
+        click.echo(f"{path}: ok for the role direct")
+        sys.exit(EXIT_OK)
+    sys.exit(run_direct(settings))
+
+
+def _exit_for(error: SettingsError) -> NoReturn:
+    for problem in error.problems:
+        click.echo(f"skylarkdoord: {problem}", err=True)
+    sys.exit(EXIT_SETTINGS)
+
+
 def _run(role: Role, path: str, *, check_only: bool) -> None:
     try:
         settings = load_process(path)
         check_role(role, settings, source=path)
     except SettingsError as error:
-        for problem in error.problems:
-            click.echo(f"skylarkdoord: {problem}", err=True)
-        sys.exit(EXIT_SETTINGS)
+        _exit_for(error)
     except TlsError as error:
         click.echo(f"skylarkdoord: {path}: {error}", err=True)
         sys.exit(EXIT_SETTINGS)
--- a/packages/skylarkdoord/src/skylarkdoord/common/_platform.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_platform.py
@@ -3,7 +3,7 @@
 import aiohttp
 
 from skylarkdoor.kernel import Kernel
-from skylarkdoor.platform import (
+from skylarkdoor.clients import (
     EtcdTable,
     InstanceList,
     ObjectStore,
--- a/packages/skylarkdoord/src/skylarkdoord/common/_settings.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_settings.py
@@ -6,7 +6,7 @@
 from skylarkdoor import events, invariants
 from skylarkdoor.exceptions import SettingsError
 from skylarkdoor.kernel import Kernel
-from skylarkdoor.platform import Row
+from skylarkdoor.clients import Row
 from skylarkdoor.settings import (
     FLEET_PATH,
     Fleet,
--- a/packages/skylarkdoord/src/skylarkdoord/common/_settings_poll.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_settings_poll.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from skylarkdoor import events
-from skylarkdoor.platform import PlatformError, Row
+from skylarkdoor.clients import PlatformError, Row
 from skylarkdoord import _events
 from skylarkdoord.common import _rows as rows
 from skylarkdoord.common import _snapshot as snapshot
--- /dev/null
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
@@ -0,0 +1,254 @@
+"""Carries one request to an upstream and its answer back."""
+
+import asyncio
+import time
+from typing import NamedTuple
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from skylarkdoor import events
+from skylarkdoord import _events
+from skylarkdoord.direct._adapter import Adapter
+from skylarkdoord.direct._budget import Budget
+from skylarkdoord.direct._call import Answer, UpstreamClient
+from skylarkdoord.direct._model import Admitted
+from skylarkdoord.direct._quota import Quota
+from skylarkdoord.direct._relay import CallerStream, EventSplitter
+from skylarkdoord.direct._scheduler import Place, Scheduler
+from skylarkdoord.direct._upstreams import Upstreams
+from skylarkdoord.direct.exceptions import (
+    AnswerCutError,
+    NoRoomError,
+    UpstreamFailedError,
+    UpstreamNotRunError,
+    UpstreamSilentError,
+)
+from skylarkdoord.exceptions import NotRunError, OutcomeUnknownError
+
+FIRST_SERVER_ERROR = 500
+UNAVAILABLE_RETRY_AFTER_S = 0.5
+MAX_SENDS = 4
+
+
+class Parts(NamedTuple):
+    """What forwarding works with.
+
+    Attributes:
+        adapter: Translates the platform's protocols.
+        client: Calls upstreams.
+        scheduler: Gives places.
+        upstreams: What is known of upstreams.
+        budget: Bounds repeats.
+        quota: Customers' limits.
+    """
+
+    adapter: Adapter
+    client: UpstreamClient
+    scheduler: Scheduler
+    upstreams: Upstreams
+    budget: Budget
+    quota: Quota
+
+
+class Forwarding:
+    """One request on its way.
+
+    Args:
+        parts: What it works with.
+        admitted: The request.
+        raw: The caller's connection.
+        is_leaving: Whether that connection is to end after the answer.
+    """
+
+    def __init__(
+        self,
+        parts: Parts,
+        admitted: Admitted,
+        raw: web.BaseRequest,
+        *,
+        is_leaving: bool,
+    ) -> None:
+        self.parts = parts
+        self.admitted = admitted
+        self.raw = raw
+        self.is_leaving = is_leaving
+        self.stream = CallerStream(raw, is_leaving=is_leaving)
+        self.runs = 0
+        self.sends = 0
+        self.tried: set[str] = set()
+        self.log = events.get_logger("direct.forward")
+
+    async def serve(self) -> web.StreamResponse:
+        """Have the request run and pass its answer on.
+
+        Raises:
+            NotRunError: It certainly did not run.
+            OutcomeUnknownError: It may have run and no answer came of it.
+            TimeoutError: Its time is up; it may have run.
+        """
+        self.parts.budget.count(self.admitted.service)
+        self.parts.quota.take(self.admitted)
+        while True:
+            place = await self.acquire()
+            began = time.monotonic()
+            try:
+                return await self.run_at(place)
+            except UpstreamNotRunError as error:
+                self.on_not_run(place, error)
+            except UpstreamFailedError as error:
+                self.runs += 1
+                self.note(place, "failed", began, status=error.response.status)
+                if not self.may_run_again():
+                    return error.response
+            except (UpstreamSilentError, AnswerCutError) as error:
+                self.on_lost(place, error)
+                if not self.may_run_again():
+                    return self.give_up(error)
+            except TimeoutError:
+                self.note(place, "timeout", began)
+                if self.stream.has_begun:
+                    return self.stream.cut()
+                raise
+            finally:
+                self.parts.scheduler.release(place.upstream)
+
+    async def acquire(self) -> Place:
+        """Wait for a place; a stream that is cut off has to end without one.
+
+        Raises:
+            NotRunError: There is none, and the request has not run.
+            OutcomeUnknownError: There is none, and an earlier run was lost.
+        """
+        try:
+            return await self.parts.scheduler.acquire(
+                self.admitted, excluded=frozenset(self.tried)
+            )
+        except NoRoomError as error:
+            if self.runs:
+                raise OutcomeUnknownError(str(error)) from None
+            self.parts.quota.give_back(self.admitted)
+            raise
+
+    async def run_at(self, place: Place) -> web.StreamResponse:
+        """Send the request to one upstream and relay its answer."""
+        upstream = place.upstream
+        self.sends += 1
+        self.tried.add(upstream.instance)
+        began = time.monotonic()
+        self.note(place, "sent", began)
+        answer = await self.parts.client.send(
+            self.admitted, upstream.record, last_event_id=self.stream.last_id
+        )
+        try:
+            async with asyncio.timeout_at(self.admitted.deadline):
+                response = await self.relay(answer)
+        finally:
+            answer.close()
+        self.parts.upstreams.on_success(upstream)
+        self.note(place, "answered", began, status=answer.status)
+        return response
+
+    async def relay(self, answer: Answer) -> web.StreamResponse:
+        """Pass an answer on.
+
+        Raises:
+            AnswerCutError: It ended before it was whole.
+        """
+        headers = self.parts.adapter.caller_headers(answer.response.headers)
+        if self.admitted.route.is_stream and answer.status == web.HTTPOk.status_code:
+            return await self.relay_stream(answer, headers)
+        body = await answer.read_whole()
+        if self.stream.has_begun:
+            raise AnswerCutError(f"status {answer.status} amid a stream")
+        response = web.Response(
+            status=answer.status, headers=CIMultiDict(headers), body=body
+        )
+        if self.is_leaving:
+            response.force_close()
+        if answer.status >= FIRST_SERVER_ERROR and self.admitted.route.may_repeat:
+            raise UpstreamFailedError(response)
+        return response
+
+    async def relay_stream(
+        self, answer: Answer, headers: list[tuple[str, str]]
+    ) -> web.StreamResponse:
+        """Pass whole events on as they come."""
+        splitter = EventSplitter()
+        while chunk := await answer.read_chunk():
+            for event in splitter.feed(chunk):
+                await self.stream.begin(answer.status, headers)
+                await self.stream.write(event)
+        if splitter.rest:
+            raise AnswerCutError("the stream ended amid an event")
+        await self.stream.begin(answer.status, headers)
+        return await self.stream.end()
+
+    def on_not_run(self, place: Place, error: UpstreamNotRunError) -> None:
+        """Note why an upstream did not run the request; it may go elsewhere.
+
+        Raises:
+            NotRunError: It may not.
+            OutcomeUnknownError: It may not, and an earlier run was lost.
+        """
+        if error.code == "full":
+            self.parts.upstreams.on_full(place.upstream)
+        else:
+            self.parts.upstreams.on_failure(place.upstream, error.code)
+        self.note(place, error.code, time.monotonic())
+        if self.sends < MAX_SENDS and self.has_budget(reached=error.reached):
+            return
+        if self.runs:
+            raise OutcomeUnknownError(str(error))
+        self.parts.quota.give_back(self.admitted)
+        raise NotRunError(
+            "unavailable",
+            "no upstream took the request",
+            retry_after_s=UNAVAILABLE_RETRY_AFTER_S,
+        )
+
+    def on_lost(self, place: Place, error: Exception) -> None:
+        """Note that a run gave no whole answer."""
+        self.runs += 1
+        self.parts.upstreams.on_failure(place.upstream, str(error))
+        self.note(place, "lost", time.monotonic(), error=str(error))
+
+    def may_run_again(self) -> bool:
+        """Return whether another run is allowed, and count it if so."""
+        route = self.admitted.route
+        if not route.may_repeat or self.runs >= route.max_attempts:
+            return False
+        if self.sends >= MAX_SENDS or self.admitted.remaining_s() <= 0:
+            return False
+        return self.has_budget(reached=True)
+
+    def has_budget(self, *, reached: bool) -> bool:
+        """Return whether a repeat fits the budget; it counts if one arrived."""
+        return not reached or self.parts.budget.spend(self.admitted.service)
+
+    def give_up(self, error: Exception) -> web.StreamResponse:
+        """End a request whose run was lost.
+
+        Raises:
+            OutcomeUnknownError: Nothing of an answer was sent yet.
+        """
+        if self.stream.has_begun:
+            return self.stream.cut()
+        raise OutcomeUnknownError(str(error))
+
+    def note(self, place: Place, step: str, since: float, **fields: object) -> None:
+        """Log a step of the request."""
+        admitted = self.admitted
+        self.log.event(
+            _events.REQUEST_STEP,
+            request_id=admitted.request.request_id,
+            step=step,
+            upstream=place.upstream.instance,
+            route=admitted.route.name,
+            rank=admitted.rank,
+            waited_ms=round(place.waited_s * 1000),
+            took_ms=round((time.monotonic() - since) * 1000),
+            running=place.upstream.running,
+            config_version=admitted.version,
+            **fields,
+        )
--- /dev/null
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_sockets.py
@@ -0,0 +1,27 @@
+"""Sockets that notice a silent peer."""
+
+import socket
+from typing import Any
+
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+# Data that a peer does not acknowledge for this long ends the connection.
+UNACKNOWLEDGED_MS = 3000
+
+
+def open_socket(info: tuple[Any, ...]) -> socket.socket:
+    """Return a socket whose connection ends within seconds of the peer's silence.
+
+    Args:
+        info: Family, kind, protocol, canonical name and address, as
+            `socket.getaddrinfo` returns them.
+    """
+    family, kind, protocol, _, _ = info
+    sock = socket.socket(family, kind, protocol)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+    return sock
--- /dev/null
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_table.py
@@ -0,0 +1,103 @@
+"""Routes and keys of one configuration, arranged for look-up."""
+
+import random
+from typing import NamedTuple
+
+from skylarkdoord.direct._model import (
+    Admitted,
+    CallerRequest,
+    Customer,
+    FleetConfig,
+    Route,
+)
+from skylarkdoord.direct.exceptions import KeyUnknownError, RouteAbsentError
+
+
+class _Host(NamedTuple):
+    by_prefix: dict[str, Route]
+
+
+class RoutingTable:
+    """Finds the route and the customer of a request.
+
+    Args:
+        config: The configuration in force.
+    """
+
+    def __init__(self, config: FleetConfig) -> None:
+        self.config = config
+        self.hosts: dict[str, _Host] = {}
+        for route in config.routes:
+            host = self.hosts.setdefault(route.host.lower(), _Host({}))
+            host.by_prefix[route.prefix] = route
+        self.customers = {
+            key: customer for customer in config.customers for key in customer.keys
+        }
+
+    def find_route(self, host: str, path: str) -> Route:
+        """Return the route with the longest prefix of the path.
+
+        Raises:
+            RouteAbsentError: No route of the host fits.
+        """
+        prefixes = self.hosts.get(host.lower())
+        end = len(path)
+        while prefixes is not None:
+            end = path.rfind("/", 0, end)
+            if end < 0:
+                break
+            route = prefixes.by_prefix.get(path[: end + 1])
+            if route is not None:
+                return route
+        raise RouteAbsentError(f"no route for {host} {path}")
+
+    def find_customer(self, key: str) -> Customer:
+        """Return the holder of an API key.
+
+        Raises:
+            KeyUnknownError: Nobody holds it.
+        """
+        customer = self.customers.get(key)
+        if customer is None:
+            raise KeyUnknownError("the API key is not known")
+        return customer
+
+    def admit(self, request: CallerRequest) -> Admitted:
+        """Resolve route, service, customer and tier of a request.
+
+        Raises:
+            RouteAbsentError: No route fits.
+            KeyUnknownError: The route needs a key and this one is not known.
+        """
+        route = self.find_route(request.host, request.path)
+        customer = None
+        if self.config.customers and not route.is_open:
+            customer = self.find_customer(request.key)
+        rank = route.rank
+        if customer is not None and customer.rank is not None:
+            rank = customer.rank
+        return Admitted(
+            request=request,
+            route=route,
+            service=self.choose_service(route),
+            customer=customer,
+            rank=rank,
+            deadline=min(request.deadline, request.received + route.timeout_s),
+            on_time_until=self.on_time_until(request, route),
+            version=self.config.version,
+        )
+
+    def on_time_until(self, request: CallerRequest, route: Route) -> float:
+        """Return when the first byte is due, counted from the caller's first try.
+
+        A caller that comes back has less time left than its route allows.
+        """
+        waited = max(0.0, route.timeout_s - (request.deadline - request.received))
+        return request.received + route.target_latency_s - waited
+
+    def choose_service(self, route: Route) -> str:
+        """Return one of the route's targets, drawn by weight."""
+        if len(route.targets) == 1:
+            return route.targets[0].service
+        weights = [target.weight for target in route.targets]
+        return random.choices(route.targets, weights)[0].service
--- /dev/null
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_upstreams.py
@@ -0,0 +1,118 @@
+"""What an entry has learned of each upstream by using it."""
+
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from skylarkdoor import events
+from skylarkdoord import _events
+from skylarkdoord.direct._fleet import Fleet
+from skylarkdoord.direct._model import UpstreamRecord
+
+FIRST_PAUSE_S = 0.4
+MAX_PAUSE_S = 3.0
+# An upstream that is full has room again after about one short request.
+FULL_PAUSE_S = 0.05
+SPEED_WEIGHT = 0.2
+
+
+@dataclass
+class Upstream:
+    """An upstream in use.
+
+    Attributes:
+        record: What the registry says of it.
+        running: Requests of this entry that are under way there.
+        paused_until: Monotonic time until which it is spared, in seconds.
+        failures: Failures in a row.
+        slowness: Time to the first byte in proportion to what was expected.
+    """
+
+    record: UpstreamRecord
+    running: int = 0
+    paused_until: float = 0.0
+    failures: int = 0
+    slowness: float = 1.0
+    versions: set[int] = field(default_factory=set)
+
+    @property
+    def instance(self) -> str:
+        """Identity of the upstream."""
+        return self.record.instance
+
+    def is_paused(self, now: float) -> bool:
+        """Return whether it is spared for now."""
+        return now < self.paused_until
+
+
+class Upstreams:
+    """Keeps what was learned of the upstreams that the fleet lists.
+
+    Args:
+        fleet: Lists the upstreams.
+        clock: Monotonic time in seconds.
+    """
+
+    def __init__(
+        self, fleet: Fleet, *, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        self.fleet = fleet
+        self.clock = clock
+        self.known: dict[tuple[str, int], Upstream] = {}
+        self.log = events.get_logger("direct.upstreams")
+        fleet.on_upstreams.append(self.forget_gone)
+
+    def of_service(self, service: str) -> list[Upstream]:
+        """Return the upstreams of a service that take new work."""
+        return [self.get(record) for record in self.fleet.upstreams(service)]
+
+    def get(self, record: UpstreamRecord) -> Upstream:
+        """Return what is known of this life of an upstream."""
+        key = (record.instance, record.started_ms)
+        upstream = self.known.get(key)
+        if upstream is None:
+            upstream = self.known[key] = Upstream(record)
+        upstream.record = record
+        return upstream
+
+    def forget_gone(self) -> None:
+        """Drop what was learned of upstreams that are gone and idle."""
+        for key, upstream in list(self.known.items()):
+            if not upstream.running and not self.fleet.is_current(upstream.record):
+                del self.known[key]
+
+    def usable(self, candidates: Iterable[Upstream]) -> list[Upstream]:
+        """Return those that are not paused, or the one to be tried again first.
+
+        A service is never left without any upstream.
+        """
+        now = self.clock()
+        listed = list(candidates)
+        free = [upstream for upstream in listed if not upstream.is_paused(now)]
+        if free or not listed:
+            return free
+        return [min(listed, key=lambda upstream: upstream.paused_until)]
+
+    def on_full(self, upstream: Upstream) -> None:
+        """Note that the upstream had no room."""
+        until = self.clock() + FULL_PAUSE_S
+        upstream.paused_until = max(upstream.paused_until, until)
+
+    def on_failure(self, upstream: Upstream, reason: str) -> None:
+        """Spare an upstream that failed, longer each time."""
+        pause_s = min(MAX_PAUSE_S, FIRST_PAUSE_S * 2**upstream.failures)
+        upstream.failures += 1
+        upstream.paused_until = self.clock() + pause_s
+        self.log.event(
+            _events.UPSTREAM_PAUSED,
+            upstream=upstream.instance,
+            reason=reason,
+            failures=upstream.failures,
+            pause_s=pause_s,
+        )
+
+    def on_success(self, upstream: Upstream) -> None:
+        """Note that the upstream answered."""
+        if upstream.failures:
+            self.log.event(_events.UPSTREAM_REGAINED, upstream=upstream.instance)
+        upstream.failures = 0
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_directory.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_directory.py
@@ -8,7 +8,7 @@
 from skylarkdoor import events
 from skylarkdoor.hashing import rendezvous
 from skylarkdoor.kernel import Kernel
-from skylarkdoor.platform import InstanceRecord, PlatformError
+from skylarkdoor.clients import InstanceRecord, PlatformError
 from skylarkdoor.settings import ProcessSettings
 from skylarkdoor.wire import pb
 from skylarkdoord import _events
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_peer.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_peer.py
@@ -9,7 +9,7 @@
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from skylarkdoor import events
-from skylarkdoor.platform import InstanceRecord
+from skylarkdoor.clients import InstanceRecord
 from skylarkdoor.wire import Outbox, OutboxFullError, PeerStub, pb
 from skylarkdoord import _events
 from skylarkdoord.common import Backoff, Exchange, SettingsService
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_snapshot.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_snapshot.py
@@ -5,7 +5,7 @@
 
 from skylarkdoor import events
 from skylarkdoor.kernel import Kernel
-from skylarkdoor.platform import (
+from skylarkdoor.clients import (
     ObjectAbsent,
     ObjectChanged,
     ObjectsUnavailable,
--- a/packages/skylarkdoord/src/skylarkdoord/planner/_lease.py
+++ b/packages/skylarkdoord/src/skylarkdoord/planner/_lease.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from skylarkdoor.platform import (
+from skylarkdoor.clients import (
     Absent,
     Condition,
     Put,
--- a/packages/skylarkdoord/src/skylarkdoord/planner/_ownership.py
+++ b/packages/skylarkdoord/src/skylarkdoord/planner/_ownership.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from skylarkdoor.platform import Absent, Condition, Put, RevisionIs, Table, Txn
+from skylarkdoor.clients import Absent, Condition, Put, RevisionIs, Table, Txn
 from skylarkdoord.planner.exceptions import DeposedError
 
 Clock = Callable[[], float]
--- a/packages/skylarkdoord/src/skylarkdoord/planner/_rows.py
+++ b/packages/skylarkdoord/src/skylarkdoord/planner/_rows.py
@@ -3,7 +3,7 @@
 import json
 from typing import Any, NamedTuple
 
-from skylarkdoor.platform import Row, RowList
+from skylarkdoor.clients import Row, RowList
 from skylarkdoord.planner.exceptions import PlannerRowError
 
 
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_claims.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_claims.py
@@ -15,7 +15,7 @@
 
 from skylarkdoor import events, invariants
 from skylarkdoor.kernel import Kernel
-from skylarkdoor.platform import (
+from skylarkdoor.clients import (
     Absent,
     Condition,
     ObjectStore,
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_group_commit.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_group_commit.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import NamedTuple
 
-from skylarkdoor.platform import (
+from skylarkdoor.clients import (
     PlatformError,
     Put,
     Table,
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_poison.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_poison.py
@@ -14,7 +14,7 @@
 
 from skylarkdoor import events
 from skylarkdoor.kernel import Kernel
-from skylarkdoor.platform import PlatformError, TableTimeout
+from skylarkdoor.clients import PlatformError, TableTimeout
 from skylarkdoor.settings import ProcessSettings
 from skylarkdoor.wire import pb
 from skylarkdoord import _events
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_suspect_rows.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_suspect_rows.py
@@ -4,7 +4,7 @@
 import time
 from typing import NamedTuple
 
-from skylarkdoor.platform import Absent, Condition, Put, RevisionIs, Row, Table, Txn
+from skylarkdoor.clients import Absent, Condition, Put, RevisionIs, Row, Table, Txn
 from skylarkdoord.common import Suspicion
 from skylarkdoord.exceptions import SuspectRowError
 
--- a/packages/skylarkdoord/tests/_fakes.py
+++ b/packages/skylarkdoord/tests/_fakes.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 
-from skylarkdoor.platform import (
+from skylarkdoor.clients import (
     Absent,
     Condition,
     Delete,
--- a/packages/skylarkdoord/tests/admin/conftest.py
+++ b/packages/skylarkdoord/tests/admin/conftest.py
@@ -10,7 +10,7 @@
 
 from skylarkdoor.hashing import key_hash
 from skylarkdoor.kernel import Kernel
-from skylarkdoor.platform import Put, Txn
+from skylarkdoor.clients import Put, Txn
 from skylarkdoor.settings import (
     Listen,
     PlatformAddresses,
--- a/packages/skylarkdoord/tests/common/test_settings_spread.py
+++ b/packages/skylarkdoord/tests/common/test_settings_spread.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from skylarkdoor.platform import PlatformError, Put, Txn
+from skylarkdoor.clients import PlatformError, Put, Txn
 from skylarkdoor.wire import pb
 from skylarkdoord.admin._editor import Change, SettingsEditor
 from skylarkdoord.admin._paths import parse_path
--- a/packages/skylarkdoord/tests/entry/conftest.py
+++ b/packages/skylarkdoord/tests/entry/conftest.py
@@ -6,7 +6,7 @@
 import pytest
 from multidict import CIMultiDict
 
-from skylarkdoor.platform import InstanceRecord
+from skylarkdoor.clients import InstanceRecord
 from skylarkdoor.settings import Customer, Pool, Resolved, Tier
 from skylarkdoor.wire import pb
 from skylarkdoord.common import SettingsService
--- a/packages/skylarkdoord/tests/entry/test_offers.py
+++ b/packages/skylarkdoord/tests/entry/test_offers.py
@@ -15,7 +15,7 @@
 )
 from multidict import CIMultiDict
 
-from skylarkdoor.platform import InstanceRecord
+from skylarkdoor.clients import InstanceRecord
 from skylarkdoor.settings import (
     FLEET_PATH,
     Customer,
--- a/packages/skylarkdoord/tests/entry/test_snapshot.py
+++ b/packages/skylarkdoord/tests/entry/test_snapshot.py
@@ -1,6 +1,6 @@
 """The snapshot of the settings."""
 
-from skylarkdoor.platform import ObjectAbsent, ObjectChanged, StoredObject
+from skylarkdoor.clients import ObjectAbsent, ObjectChanged, StoredObject
 from skylarkdoord.common import SettingsService
 from skylarkdoord.common import _rows as rows
 from skylarkdoord.common import _snapshot as snapshot
--- a/packages/skylarkdoord/tests/planner/test_lease.py
+++ b/packages/skylarkdoord/tests/planner/test_lease.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from skylarkdoor.platform import PlatformError, Put
+from skylarkdoor.clients import PlatformError, Put
 from skylarkdoord.planner._lease import LEASE_S, MARGIN_S, Lease
 from skylarkdoord.planner._rows import decode_lease, lease_key
 from skylarkdoord.planner.exceptions import DeposedError
--- a/packages/skylarkdoord/tests/sidecar/test_claims.py
+++ b/packages/skylarkdoord/tests/sidecar/test_claims.py
@@ -12,7 +12,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from skylarkdoor.kernel import Kernel
-from skylarkdoor.platform import (
+from skylarkdoor.clients import (
     Absent,
     Delete,
     ObjectAbsent,
--- a/packages/skylarkdoord/tests/sidecar/test_group_commit.py
+++ b/packages/skylarkdoord/tests/sidecar/test_group_commit.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from skylarkdoor.platform import Put, TableRejected, TableTimeout, Txn, TxnResult
+from skylarkdoor.clients import Put, TableRejected, TableTimeout, Txn, TxnResult
 from skylarkdoord.sidecar._group_commit import MAX_BYTES, MAX_TXNS, GroupCommit
 
 INVALID = Txn(writes=(Put("invalid", b""),))
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from skylarkdoor.platform import EtcdTable
+from skylarkdoor.clients import EtcdTable
 from skylarkdoor_bench import Cluster, Deployment, EngineSpec, api_key, small_demo
 from skylarkdoor_bench.testing import StartCluster
 
