--- a/Makefile
+++ b/Makefile
@@ -44,5 +44,5 @@
 # Only for whoever changes the wire format: the generated code is committed.
 proto: setup
 	$(BIN)/pip install --quiet grpcio-tools
-	cd packages/skylarkdoor/src && ../../../$(BIN)/python -m grpc_tools.protoc -I. \
+	cd packages/skylarkdoor/src && PATH="$(CURDIR)/$(BIN):$$PATH" ../../../$(BIN)/python -m grpc_tools.protoc -I. \
 		--python_out=. --pyi_out=. --grpclib_python_out=. skylarkdoor/wire/peer.proto
--- /dev/null
+++ b/packages/skylarkdoor/src/skylarkdoor/backoff.py
@@ -0,0 +1,5 @@
+"""Exponential backoff with full jitter."""
+
+from skylarkdoor._backoff import Backoff
+
+__all__ = ["Backoff"]
--- a/packages/skylarkdoor/src/skylarkdoor/wire/__init__.py
+++ b/packages/skylarkdoor/src/skylarkdoor/wire/__init__.py
@@ -3,6 +3,14 @@
 from skylarkdoor.exceptions import OutboxFullError
 from skylarkdoor.wire import peer_pb2 as pb
 from skylarkdoor.wire._outbox import Outbox
-from skylarkdoor.wire.peer_grpc import PeerBase, PeerStub
+from skylarkdoor.wire.peer_grpc import EntriesBase, EntriesStub, PeerBase, PeerStub
 
-__all__ = ["Outbox", "OutboxFullError", "PeerBase", "PeerStub", "pb"]
+__all__ = [
+    "EntriesBase",
+    "EntriesStub",
+    "Outbox",
+    "OutboxFullError",
+    "PeerBase",
+    "PeerStub",
+    "pb",
+]
--- a/packages/skylarkdoor/src/skylarkdoor/wire/peer_grpc.py
+++ b/packages/skylarkdoor/src/skylarkdoor/wire/peer_grpc.py
@@ -38,3 +38,31 @@
             skylarkdoor.wire.peer_pb2.EntryBatch,
             skylarkdoor.wire.peer_pb2.SidecarBatch,
         )
+
+
+class EntriesBase(abc.ABC):
+
+    @abc.abstractmethod
+    async def Exchange(self, stream: 'grpclib.server.Stream[skylarkdoor.wire.peer_pb2.EntryNews, skylarkdoor.wire.peer_pb2.EntryNews]') -> None:
+        pass
+
+    def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
+        return {
+            '/skylarkdoor.wire.Entries/Exchange': grpclib.const.Handler(
+                self.Exchange,
+                grpclib.const.Cardinality.STREAM_STREAM,
+                skylarkdoor.wire.peer_pb2.EntryNews,
+                skylarkdoor.wire.peer_pb2.EntryNews,
+            ),
+        }
+
+
+class EntriesStub:
+
+    def __init__(self, channel: grpclib.client.Channel) -> None:
+        self.Exchange = grpclib.client.StreamStreamMethod(
+            channel,
+            '/skylarkdoor.wire.Entries/Exchange',
+            skylarkdoor.wire.peer_pb2.EntryNews,
+            skylarkdoor.wire.peer_pb2.EntryNews,
+        )
--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -22,6 +22,10 @@
     207, "drain_cancelled", logging.INFO, "Work is taken again; nobody asks to leave."
 )
 
+PROCESS_RELOADED = define(
+    208, "process_reloaded", logging.INFO, "The process was told to read settings again."
+)
+
 SETTINGS_APPLIED = define(
     301, "settings_applied", logging.INFO, "A settings revision came into force."
 )
--- a/packages/skylarkdoord/src/skylarkdoord/_process.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_process.py
@@ -7,7 +7,7 @@
 from skylarkdoor import events, invariants, tracing
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import ProcessSettings
-from skylarkdoord import _events, direct
+from skylarkdoord import _events
 from skylarkdoord.direct import DirectSettings
 
 Builder = Callable[[Kernel, ProcessSettings], None]
@@ -34,10 +34,20 @@
     return asyncio.run(_serve(lambda kernel: build(kernel, settings)))
 
 
-def run_direct(settings: DirectSettings) -> int:
-    """Run a direct entry until it is told to stop; returns the exit status."""
+def run_direct(
+    settings: DirectSettings, build: Callable[[Kernel, DirectSettings], None]
+) -> int:
+    """Run a direct entry or a guard until it is told to stop.
+
+    Args:
+        settings: The process's own settings.
+        build: Registers the services of the role.
+
+    Returns:
+        The exit status.
+    """
     events.configure(level=settings.log_level, instance=settings.instance)
-    return asyncio.run(_serve(lambda kernel: direct.build(kernel, settings)))
+    return asyncio.run(_serve(lambda kernel: build(kernel, settings)))
 
 
 async def _serve(build: Callable[[Kernel], None]) -> int:
@@ -47,6 +57,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, kernel.request_stop)
+    loop.add_signal_handler(signal.SIGHUP, lambda: log.event(_events.PROCESS_RELOADED))
     try:
         await kernel.run()
     except ExceptionGroup as group:
--- a/packages/skylarkdoord/src/skylarkdoord/cli.py
+++ b/packages/skylarkdoord/src/skylarkdoord/cli.py
@@ -7,16 +7,18 @@
 import click
 
 from skylarkdoor.exceptions import SettingsError
+from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import load_process
+from skylarkdoord import direct
 from skylarkdoord._process import run, run_direct
 from skylarkdoord._roles import ENTRY, SIDECAR, Role, check_role
-from skylarkdoord.direct import load_direct
 from skylarkdoord.exceptions import TlsError
 
 EXIT_OK = 0
 EXIT_SETTINGS = 78  # EX_CONFIG
 
 Command = Callable[..., None]
+DirectBuilder = Callable[[Kernel, direct.DirectSettings], None]
 
 
 @click.group()
@@ -58,14 +60,25 @@
 @options
 def run_direct_entry(path: str, check: bool) -> None:
     """Take requests from callers and call the upstreams directly."""
+    _run_direct(path, direct.build, check_only=check)
+
+
+@main.command("guard")
+@options
+def run_guard(path: str, check: bool) -> None:
+    """Give out the places of the upstream beside this process."""
+    _run_direct(path, direct.build_guard, check_only=check)
+
+
+def _run_direct(path: str, build: DirectBuilder, *, check_only: bool) -> None:
     try:
-        settings = load_direct(path)
+        settings = direct.load_direct(path)
     except SettingsError as error:
         _exit_for(error)
-    if check:
-        click.echo(f"{path}: ok for the role direct")
+    if check_only:
+        click.echo(f"{path}: ok for direct dispatch")
         sys.exit(EXIT_OK)
-    sys.exit(run_direct(settings))
+    sys.exit(run_direct(settings, build))
 
 
 def _exit_for(error: SettingsError) -> NoReturn:
--- a/packages/skylarkdoord/src/skylarkdoord/common/__init__.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/__init__.py
@@ -1,6 +1,6 @@
 """Services that both roles run."""
 
-from skylarkdoord.common._backoff import Backoff
+from skylarkdoor.backoff import Backoff
 from skylarkdoord.common._departure import Departure
 from skylarkdoord.common._internal import InternalServer
 from skylarkdoord.common._platform import Platform
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_call.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_call.py
@@ -140,6 +140,8 @@
             raise UpstreamNotRunError(
                 "unreachable", repr(error), reached=False
             ) from None
+        except TimeoutError:
+            raise
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise UpstreamSilentError(repr(error)) from None
         return self.check(admitted, response)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
@@ -30,7 +30,7 @@
 # The balancer needs two failed checks, a second apart, to turn callers away.
 DRAIN_NOTICE_S = 2.5
 # What is left of the shutdown's time once requests are cut.
-SHUTDOWN_MARGIN_S = 0.4
+SHUTDOWN_MARGIN_S = 1.0
 
 REQUESTS = Counter(
     "skylarkdoor_direct_requests_total",
--- /dev/null
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
@@ -0,0 +1,331 @@
+"""What entries tell each other: use of limits, and newer rows of the store."""
+
+import asyncio
+import time
+from dataclasses import dataclass, field
+
+from grpclib.server import Server, Stream
+
+from skylarkdoor import events
+from skylarkdoor.backoff import Backoff
+from skylarkdoor.kernel import Kernel
+from skylarkdoor.wire import EntriesBase, EntriesStub, Outbox, pb
+from skylarkdoord import _events
+from skylarkdoord.direct._adapter import Row, Store
+from skylarkdoord.direct._fleet import CONFIG, UPSTREAMS, Fleet
+from skylarkdoord.direct._link import LOST_ERRORS, Link, converse
+from skylarkdoord.direct._quota import Quota
+from skylarkdoord.direct._settings import DirectSettings
+from skylarkdoord.direct.exceptions import StoreError
+
+MEMBERS = "members"
+NEWS_INTERVAL_S = 0.2
+# An entry that is not heard from for this long does not share the upstreams.
+LIVE_S = 2.0
+# For this long an entry that fell silent is taken to go on using its share.
+SILENT_S = 30.0
+# Versions that others hold longer than this were missed by this entry's watch.
+BEHIND_S = 0.3
+NS_PER_MS = 1_000_000
+
+
+@dataclass
+class Member:
+    """Another entry.
+
+    Attributes:
+        instance: Its name.
+        incarnation: Its life, in milliseconds of its start.
+        heard_at: Monotonic time of its last news, in seconds.
+        is_cut_off: Whether it fell silent rather than ended its stream.
+        used: Units that it said it admitted, by customer.
+        config_version: Version of the configuration's row that it holds.
+        upstreams_version: Newest version of upstreams' rows that it holds.
+        behind_since: Monotonic time since which it holds newer rows; 0 if not.
+    """
+
+    instance: str
+    incarnation: int = 0
+    heard_at: float = 0.0
+    is_cut_off: bool = False
+    used: dict[str, float] = field(default_factory=dict)
+    config_version: int = 0
+    upstreams_version: int = 0
+    behind_since: float = 0.0
+
+
+class Members:
+    """The other entries, as their news show them.
+
+    Args:
+        instance: Name of this entry.
+        fleet: Takes newer rows.
+        quota: Is charged with what the others admit.
+    """
+
+    def __init__(self, instance: str, fleet: Fleet, quota: Quota) -> None:
+        self.instance = instance
+        self.fleet = fleet
+        self.quota = quota
+        self.known: dict[str, Member] = {}
+        self.log = events.get_logger("direct.members")
+
+    def live(self) -> int:
+        """Return how many entries share the upstreams, this one included."""
+        since = time.monotonic() - LIVE_S
+        return 1 + sum(member.heard_at > since for member in self.known.values())
+
+    def silent(self) -> tuple[int, int]:
+        """Return how many entries may be cut off, and how many there are in all."""
+        now = time.monotonic()
+        silent = sum(
+            member.is_cut_off and now - member.heard_at < SILENT_S
+            for member in self.known.values()
+        )
+        return silent, self.live() + silent
+
+    def hear(self, news: pb.EntryNews) -> None:
+        """Take over what another entry tells."""
+        member = self.known.setdefault(news.instance, Member(news.instance))
+        if news.incarnation < member.incarnation:
+            return
+        if news.incarnation > member.incarnation:
+            member.used = {}
+            member.incarnation = news.incarnation
+        member.heard_at = time.monotonic()
+        member.is_cut_off = False
+        for customer, units in news.used.items():
+            before = member.used.get(customer, 0.0)
+            if units != before:
+                self.quota.charge(customer, units - before)
+                member.used[customer] = units
+        member.config_version = news.config_version
+        member.upstreams_version = news.upstreams_version
+
+    def lose(self, instance: str, *, is_silent: bool) -> None:
+        """Note that an entry's stream ended."""
+        member = self.known.get(instance)
+        if member is not None and is_silent:
+            member.is_cut_off = True
+
+    def is_behind(self, instance: str) -> bool:
+        """Return whether an entry has held newer rows for some time."""
+        member = self.known.get(instance)
+        if member is None:
+            return False
+        newer = (
+            member.config_version > self.fleet.config_version
+            or member.upstreams_version > self.fleet.upstreams_version
+        )
+        now = time.monotonic()
+        if not newer:
+            member.behind_since = 0.0
+        elif not member.behind_since:
+            member.behind_since = now
+        return newer and now - member.behind_since >= BEHIND_S
+
+    def take_rows(self, rows: list[pb.StoreRow], source: str) -> None:
+        """Take over rows that another entry sent."""
+        for sent in rows:
+            row = Row(sent.key, sent.version, None if sent.removed else sent.data)
+            if sent.table == CONFIG:
+                self.fleet.apply_config(row, source=source)
+            elif sent.table == UPSTREAMS:
+                self.fleet.apply_upstream(row, source=source)
+        if rows:
+            self.fleet.notify()
+
+    def newer_rows(self, wanted: pb.RowsWanted) -> list[pb.StoreRow]:
+        """Return the rows that are newer than what another entry holds."""
+        rows = []
+        config = self.fleet.config_row
+        if config is not None and config.version > wanted.config_since:
+            rows.append(_to_wire(CONFIG, config))
+        rows += [
+            _to_wire(UPSTREAMS, held.row)
+            for held in self.fleet.held.values()
+            if held.row.version > wanted.upstreams_since
+        ]
+        return rows
+
+
+def _to_wire(table: str, row: Row) -> pb.StoreRow:
+    return pb.StoreRow(
+        table=table,
+        key=row.key,
+        version=row.version,
+        data=row.data or b"",
+        removed=row.data is None,
+    )
+
+
+class _Teller:
+    """This entry's end of its stream to another one."""
+
+    def __init__(self, exchange: "EntryExchange", instance: str) -> None:
+        self.exchange = exchange
+        self.instance = instance
+
+    def greet(self) -> list[pb.EntryNews]:
+        return []
+
+    def batch(self, messages: list[pb.EntryNews]) -> pb.EntryNews:
+        return self.exchange.news(wanted_from=self.instance)
+
+    def hear(self, batch: pb.EntryNews) -> None:
+        self.exchange.members.hear(batch)
+        self.exchange.members.take_rows(list(batch.rows), batch.instance)
+
+    def on_open(self) -> None:
+        self.exchange.on_open(self.instance)
+
+    def on_lost(self) -> None:
+        """What the other entry tells comes on its own stream as well."""
+
+
+class _Listener:
+    """This entry's end of a stream that another one opened."""
+
+    def __init__(self, exchange: "EntryExchange", outbox: Outbox[pb.EntryNews]) -> None:
+        self.exchange = exchange
+        self.outbox = outbox
+        self.instance = ""
+
+    def greet(self) -> list[pb.EntryNews]:
+        return []
+
+    def batch(self, messages: list[pb.EntryNews]) -> pb.EntryNews:
+        news = self.exchange.news()
+        for message in messages:
+            news.rows.extend(message.rows)
+        return news
+
+    def hear(self, batch: pb.EntryNews) -> None:
+        self.instance = batch.instance
+        self.exchange.members.hear(batch)
+        self.exchange.link(batch.instance, batch.address)
+        if batch.HasField("wanted"):
+            rows = self.exchange.members.newer_rows(batch.wanted)
+            self.outbox.put(pb.EntryNews(rows=rows))
+
+    def on_open(self) -> None:
+        pass
+
+    def on_lost(self) -> None:
+        pass
+
+
+class EntryExchange(EntriesBase):
+    """Holds a stream to every other entry.
+
+    Entries find each other by a row each in the store; one that is told of by a
+    stream needs no row.
+
+    Args:
+        settings: Settings of this process.
+        store: The platform's store.
+        members: The other entries.
+    """
+
+    name = "entries"
+    requires: tuple[str, ...] = ("fleet",)
+
+    def __init__(
+        self, settings: DirectSettings, store: Store, members: Members
+    ) -> None:
+        self.settings = settings
+        self.store = store
+        self.members = members
+        self.incarnation = time.time_ns() // NS_PER_MS
+        self.links: dict[str, Link] = {}
+        self.server = Server([self])
+        self.log = events.get_logger("direct.exchange")
+
+    async def start(self, kernel: Kernel) -> None:
+        """Listen, and begin to look for the others."""
+        self.kernel = kernel
+        host, _, port = self.settings.listen.peers.rpartition(":")
+        await self.server.start(host, int(port))
+        kernel.spawn(self.join(), name="entries.join")
+        kernel.spawn(self.tell(), name="entries.tell")
+
+    async def stop(self) -> None:
+        """Close the streams; the others see it at once."""
+        self.server.close()
+        await self.server.wait_closed()
+
+    async def join(self) -> None:
+        """Write this entry's row and read the others', until it has worked."""
+        backoff = Backoff(first_s=0.2, most_s=2.0)
+        address = self.settings.listen.peers
+        while True:
+            try:
+                await self.store.put(
+                    MEMBERS, self.settings.instance, address.encode()
+                )
+                rows = await self.store.read(MEMBERS)
+                break
+            except StoreError as error:
+                self.log.event(_events.STORE_LOST, table=MEMBERS, error=str(error))
+                await asyncio.sleep(backoff.delay_s())
+        for row in rows.rows:
+            if row.data is not None:
+                self.link(row.key, row.data.decode("ascii", "replace"))
+
+    def link(self, instance: str, address: str) -> None:
+        """Open a stream to another entry unless there is one."""
+        if instance == self.settings.instance or not address:
+            return
+        link = self.links.get(instance)
+        if link is not None:
+            link.address = address
+            return
+        link = Link(
+            address, EntriesStub, "Exchange", _Teller(self, instance), peer=instance
+        )
+        self.links[instance] = link
+        self.kernel.spawn(link.run(), name=f"entries.{instance}")
+
+    def on_open(self, instance: str) -> None:
+        """Note that another entry was reached."""
+        self.log.event(_events.PEER_CONNECTED, peer=instance)
+
+    async def tell(self) -> None:
+        """Send news to everyone in turn, at a steady pace."""
+        while True:
+            await asyncio.sleep(NEWS_INTERVAL_S)
+            for link in self.links.values():
+                if link.is_open:
+                    link.outbox.wake()
+
+    def news(self, *, wanted_from: str = "") -> pb.EntryNews:
+        """Return what this entry tells."""
+        fleet = self.members.fleet
+        news = pb.EntryNews(
+            instance=self.settings.instance,
+            incarnation=self.incarnation,
+            address=self.settings.listen.peers,
+            config_version=fleet.config_version,
+            upstreams_version=fleet.upstreams_version,
+            used=self.members.quota.used(),
+        )
+        if wanted_from and self.members.is_behind(wanted_from):
+            news.wanted.config_since = fleet.config_version
+            news.wanted.upstreams_since = fleet.upstreams_version
+        return news
+
+    async def Exchange(  # noqa: N802
+        self, stream: "Stream[pb.EntryNews, pb.EntryNews]"
+    ) -> None:
+        """Serve another entry's stream until it ends."""
+        outbox: Outbox[pb.EntryNews] = Outbox()
+        listener = _Listener(self, outbox)
+        try:
+            await converse(stream, listener, outbox)
+        except LOST_ERRORS as error:
+            self.members.lose(
+                listener.instance, is_silent=isinstance(error, TimeoutError)
+            )
+            self.log.event(
+                _events.PEER_LOST, peer=listener.instance, error=repr(error)
+            )
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_fleet.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_fleet.py
@@ -8,7 +8,7 @@
 from skylarkdoor import events
 from skylarkdoor.kernel import Kernel
 from skylarkdoord import _events
-from skylarkdoord.common import Backoff
+from skylarkdoor.backoff import Backoff
 from skylarkdoord.direct._adapter import Adapter, Row, Rows, Store
 from skylarkdoord.direct._model import UpstreamRecord
 from skylarkdoord.direct._settings import DirectSettings
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
@@ -111,7 +111,7 @@
                     return self.stream.cut()
                 raise
             finally:
-                self.parts.scheduler.release(place.upstream)
+                self.parts.scheduler.release(place)
 
     async def acquire(self) -> Place:
         """Wait for a place; a stream that is cut off has to end without one.
--- /dev/null
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
@@ -0,0 +1,144 @@
+"""The guard beside an upstream: one queue for the requests of all entries."""
+
+import asyncio
+import itertools
+
+from grpclib.server import Server, Stream
+
+from skylarkdoor import events
+from skylarkdoor.kernel import Kernel
+from skylarkdoor.wire import Outbox, PeerBase, pb
+from skylarkdoord import _events
+from skylarkdoord.direct._guard_queue import PlaceQueue
+from skylarkdoord.direct._link import LOST_ERRORS, converse
+from skylarkdoord.direct._settings import DirectSettings
+
+REPORT_INTERVAL_S = 0.1
+# A request whose entry is not heard from may still run for this long.
+ORPHAN_S = 2.0
+
+
+class _EntryStream:
+    """The guard's end of one entry's stream."""
+
+    def __init__(
+        self, guard: "Guard", key: str, outbox: Outbox[pb.SidecarMessage]
+    ) -> None:
+        self.guard = guard
+        self.key = key
+        self.outbox = outbox
+        self.entry = ""
+
+    def greet(self) -> list[pb.SidecarMessage]:
+        return []
+
+    def batch(self, messages: list[pb.SidecarMessage]) -> pb.SidecarBatch:
+        return pb.SidecarBatch(messages=messages)
+
+    def hear(self, batch: pb.EntryBatch) -> None:
+        for message in batch.messages:
+            self.guard.handle(message, self)
+
+    def on_open(self) -> None:
+        pass
+
+    def on_lost(self) -> None:
+        pass
+
+
+class Guard(PeerBase):
+    """Listens for entries and gives them places.
+
+    Args:
+        settings: Settings of this process.
+    """
+
+    name = "guard"
+    requires: tuple[str, ...] = ()
+
+    def __init__(self, settings: DirectSettings) -> None:
+        self.settings = settings
+        self.queue = PlaceQueue(self.grant)
+        self.outboxes: dict[str, Outbox[pb.SidecarMessage]] = {}
+        self.keys = itertools.count()
+        self.server = Server([self])
+        self.log = events.get_logger("direct.guard")
+
+    async def start(self, kernel: Kernel) -> None:
+        """Listen for entries."""
+        host, _, port = self.settings.listen.peers.rpartition(":")
+        await self.server.start(host, int(port))
+        kernel.spawn(self.report(), name="guard.report")
+        self.log.event(_events.PROCESS_READY, address=self.settings.listen.peers)
+
+    async def stop(self) -> None:
+        """Close the streams; the entries go on by themselves."""
+        self.server.close()
+        await self.server.wait_closed()
+
+    async def Connect(  # noqa: N802
+        self, stream: "Stream[pb.EntryBatch, pb.SidecarBatch]"
+    ) -> None:
+        """Serve one entry's stream until it ends."""
+        outbox: Outbox[pb.SidecarMessage] = Outbox()
+        speaker = _EntryStream(self, f"stream-{next(self.keys)}", outbox)
+        self.outboxes[speaker.key] = outbox
+        outbox.put(self.load())
+        try:
+            await converse(stream, speaker, outbox)
+        except LOST_ERRORS as error:
+            self.log.event(_events.PEER_LOST, peer=speaker.entry, error=repr(error))
+        finally:
+            self.lose(speaker.key)
+
+    def lose(self, stream: str) -> None:
+        """Drop a stream; what it runs keeps its places for a while."""
+        del self.outboxes[stream]
+        loop = asyncio.get_running_loop()
+        for request in self.queue.drop_waiting(stream):
+            loop.call_later(ORPHAN_S, self.queue.withdraw, stream, request)
+
+    def handle(self, message: pb.EntryMessage, stream: _EntryStream) -> None:
+        """Handle one message of an entry."""
+        match message.WhichOneof("kind"):
+            case "hello":
+                stream.entry = message.hello.instance
+                self.log.event(_events.PEER_CONNECTED, peer=stream.entry)
+            case "offer":
+                offer = message.offer
+                self.queue.offer(
+                    stream.key, offer.request_id, tier=offer.tier, is_late=offer.late
+                )
+            case "withdraw":
+                self.queue.withdraw(stream.key, message.withdraw.request_id)
+            case "listed":
+                self.queue.resize(message.listed.slots)
+
+    def grant(self, stream: str, request: str) -> None:
+        """Tell an entry that its request has a place."""
+        outbox = self.outboxes.get(stream)
+        if outbox is not None:
+            outbox.put(pb.SidecarMessage(grant=pb.Grant(request_id=request)))
+
+    def load(self) -> pb.SidecarMessage:
+        """Return how busy the upstream is."""
+        counts = self.queue.counts()
+        report = pb.LoadReport(
+            running=counts.running,
+            limit=counts.places,
+            room=max(0, counts.places - counts.running),
+            waiting_by_tier=[counts.waiting],
+        )
+        return pb.SidecarMessage(load=report)
+
+    async def report(self) -> None:
+        """Tell every entry the load when it has changed."""
+        told = self.queue.counts()
+        while True:
+            await asyncio.sleep(REPORT_INTERVAL_S)
+            counts = self.queue.counts()
+            if counts == told:
+                continue
+            told = counts
+            for outbox in self.outboxes.values():
+                outbox.put(self.load())
--- /dev/null
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guard_queue.py
@@ -0,0 +1,95 @@
+"""The places of one upstream, given to the most important requests first."""
+
+import heapq
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+Key = tuple[str, str]
+
+
+class Counts(NamedTuple):
+    """How busy the upstream is.
+
+    Attributes:
+        running: Requests that hold a place.
+        places: Places in all.
+        waiting: Requests that wait.
+    """
+
+    running: int
+    places: int
+    waiting: int
+
+
+@dataclass(order=True)
+class Offered:
+    """A request that waits, in the order in which it is served."""
+
+    tier: int
+    is_late: bool
+    number: int
+    key: Key = field(compare=False)
+    is_withdrawn: bool = field(default=False, compare=False)
+
+
+class PlaceQueue:
+    """Gives places to requests of all entries.
+
+    Args:
+        grant: Called with the stream and the request that get a place.
+    """
+
+    def __init__(self, grant: Callable[[str, str], None]) -> None:
+        self.grant = grant
+        self.places = 0
+        self.waiting: dict[Key, Offered] = {}
+        self.queue: list[Offered] = []
+        self.granted: set[Key] = set()
+        self.numbers = itertools.count()
+
+    def counts(self) -> Counts:
+        """Return how busy the upstream is."""
+        return Counts(len(self.granted), self.places, len(self.waiting))
+
+    def resize(self, places: int) -> None:
+        """Set how many requests may run at a time."""
+        self.places = places
+        self.pump()
+
+    def offer(self, stream: str, request: str, *, tier: int, is_late: bool) -> None:
+        """Let a request wait for a place."""
+        key = (stream, request)
+        if key in self.waiting or key in self.granted:
+            return
+        offered = Offered(tier, is_late, next(self.numbers), key)
+        self.waiting[key] = offered
+        heapq.heappush(self.queue, offered)
+        self.pump()
+
+    def withdraw(self, stream: str, request: str) -> None:
+        """Drop a request that waits, or free the place that it holds."""
+        key = (stream, request)
+        offered = self.waiting.pop(key, None)
+        if offered is not None:
+            offered.is_withdrawn = True
+        elif key in self.granted:
+            self.granted.discard(key)
+            self.pump()
+
+    def drop_waiting(self, stream: str) -> list[str]:
+        """Drop a stream's waiting requests; return those that hold places."""
+        for key in [key for key in self.waiting if key[0] == stream]:
+            self.waiting.pop(key).is_withdrawn = True
+        return [request for holder, request in self.granted if holder == stream]
+
+    def pump(self) -> None:
+        """Give out what places there are."""
+        while self.queue and len(self.granted) < self.places:
+            offered = heapq.heappop(self.queue)
+            if offered.is_withdrawn:
+                continue
+            del self.waiting[offered.key]
+            self.granted.add(offered.key)
+            self.grant(*offered.key)
--- /dev/null
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guards.py
@@ -0,0 +1,195 @@
+"""An entry's streams to the guards of upstreams."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol
+
+from skylarkdoor import events
+from skylarkdoor.kernel import Kernel
+from skylarkdoor.wire import PeerStub, pb
+from skylarkdoord import _events
+from skylarkdoord.direct._fleet import Fleet
+from skylarkdoord.direct._link import Link
+from skylarkdoord.direct._model import UpstreamRecord
+from skylarkdoord.direct._settings import DirectSettings
+
+
+class GrantListener(Protocol):
+    """Hears that an offered request has a place."""
+
+    def on_grant(self, guard: "GuardLink", request: str) -> None:
+        """The guard holds a place for the request."""
+
+    def on_guard_lost(self, guard: "GuardLink") -> None:
+        """The guard is no longer reached; its offers are void."""
+
+    def on_guard_found(self, guard: "GuardLink") -> None:
+        """The guard was reached; it can be asked."""
+
+
+class GuardLink:
+    """The stream to one upstream's guard.
+
+    Args:
+        settings: Settings of this process.
+        record: The upstream.
+        listener: Hears of grants.
+    """
+
+    def __init__(
+        self,
+        settings: DirectSettings,
+        record: UpstreamRecord,
+        listener: GrantListener,
+    ) -> None:
+        self.settings = settings
+        self.record = record
+        self.listener = listener
+        self.is_connected = False
+        self.load = pb.LoadReport()
+        self.charged = 0
+        self.log = events.get_logger("direct.guards")
+        host = record.address.rpartition(":")[0]
+        address = f"{host}:{settings.guard_port}"
+        self.link = Link(address, PeerStub, "Connect", self, peer=record.instance)
+        self.task: asyncio.Task[None] | None = None
+
+    @property
+    def room(self) -> int:
+        """Places that are likely free."""
+        return self.load.room - self.charged
+
+    @property
+    def running(self) -> int:
+        """Requests that likely run at the upstream."""
+        return self.load.running + self.charged
+
+    def offer(self, request: str, *, tier: int, is_late: bool) -> None:
+        """Ask for a place."""
+        offer = pb.Offer(request_id=request, tier=tier, late=is_late)
+        self.charged += 1
+        self.link.outbox.put(pb.EntryMessage(offer=offer))
+
+    def withdraw(self, request: str) -> None:
+        """Take an offer back, or return a place."""
+        withdraw = pb.Withdraw(request_id=request)
+        self.link.outbox.put(pb.EntryMessage(withdraw=withdraw))
+
+    def update(self, record: UpstreamRecord) -> None:
+        """Take over what the registry says now."""
+        if record != self.record:
+            self.record = record
+            if self.is_connected:
+                self.link.outbox.put(self.listed())
+
+    def listed(self) -> pb.EntryMessage:
+        """Return what the guard has to know of its upstream."""
+        return pb.EntryMessage(
+            listed=pb.Listed(leaving=self.record.is_leaving, slots=self.record.slots)
+        )
+
+    def greet(self) -> list[pb.EntryMessage]:
+        """Return the messages that open the stream."""
+        hello = pb.EntryHello(
+            instance=self.settings.instance, data_centre=self.settings.data_centre
+        )
+        return [pb.EntryMessage(hello=hello), self.listed()]
+
+    def batch(self, messages: list[pb.EntryMessage]) -> pb.EntryBatch:
+        """Return what is sent for the messages that wait."""
+        return pb.EntryBatch(messages=messages)
+
+    def hear(self, batch: pb.SidecarBatch) -> None:
+        """Handle what the guard sent."""
+        for message in batch.messages:
+            match message.WhichOneof("kind"):
+                case "grant":
+                    self.listener.on_grant(self, message.grant.request_id)
+                case "load":
+                    self.load = message.load
+                    self.charged = 0
+
+    def on_open(self) -> None:
+        """The guard answers."""
+        self.is_connected = True
+        self.log.event(_events.PEER_CONNECTED, peer=self.record.instance)
+        self.listener.on_guard_found(self)
+
+    def on_lost(self) -> None:
+        """The guard is no longer reached."""
+        if self.is_connected:
+            self.is_connected = False
+            self.load = pb.LoadReport()
+            self.charged = 0
+            self.listener.on_guard_lost(self)
+
+
+class Guards:
+    """Holds a stream to the guard of each engine.
+
+    Args:
+        settings: Settings of this process.
+        fleet: Lists the upstreams.
+        listener: Hears of grants.
+    """
+
+    name = "guards"
+    requires: tuple[str, ...] = ("fleet",)
+
+    def __init__(
+        self, settings: DirectSettings, fleet: Fleet, listener: GrantListener
+    ) -> None:
+        self.settings = settings
+        self.fleet = fleet
+        self.listener = listener
+        self.links: dict[tuple[str, int], GuardLink] = {}
+        self.spawn: Callable[..., asyncio.Task[None]] | None = None
+
+    async def start(self, kernel: Kernel) -> None:
+        """Begin to follow the fleet."""
+        self.spawn = kernel.spawn
+        self.fleet.on_upstreams.append(self.refresh)
+        self.fleet.on_config.append(self.refresh)
+        self.refresh()
+
+    async def stop(self) -> None:
+        """Close the streams."""
+        for link in self.links.values():
+            if link.task is not None:
+                link.task.cancel()
+
+    def of(self, record: UpstreamRecord) -> GuardLink | None:
+        """Return the stream to an upstream's guard, if it is open."""
+        link = self.links.get((record.instance, record.started_ms))
+        return link if link is not None and link.is_connected else None
+
+    def refresh(self) -> None:
+        """Open streams to new engines and close those to engines that left."""
+        if self.fleet.routing is None or self.spawn is None:
+            return
+        wanted = {
+            (record.instance, record.started_ms): record
+            for service in self.fleet.routing.config.services.values()
+            if service.is_engine
+            for record in self.fleet.upstreams(service.name)
+        }
+        for key in list(self.links):
+            if key not in wanted:
+                self.close(self.links.pop(key))
+        for key, record in wanted.items():
+            if key in self.links:
+                self.links[key].update(record)
+            else:
+                self.links[key] = self.open(record)
+
+    def open(self, record: UpstreamRecord) -> GuardLink:
+        """Open a stream."""
+        assert self.spawn is not None
+        link = GuardLink(self.settings, record, self.listener)
+        link.task = self.spawn(link.link.run(), name=f"guards.{record.instance}")
+        return link
+
+    def close(self, link: GuardLink) -> None:
+        """Close a stream; its requests run on."""
+        if link.task is not None:
+            link.task.cancel()
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_quota.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_quota.py
@@ -12,9 +12,13 @@
 from dataclasses import dataclass
 
 from skylarkdoord.direct._model import Admitted, Customer
+from skylarkdoord.direct._settings import QuotaBounds
 from skylarkdoord.direct.exceptions import QuotaError
 
 MAX_RETRY_AFTER_S = 5.0
+# Part of what may be exceeded that is used on purpose, so that nothing below the
+# limit is refused; the rest covers what other entries have not told yet.
+USED_SHARE = 0.4
 
 
 @dataclass
@@ -36,6 +40,7 @@
     """Admits requests within their customers' limits.
 
     Args:
+        bounds: How exactly limits are kept.
         silent_entries: Returns how many entries are not heard from, and how many
             there are.
         clock: Monotonic time in seconds.
@@ -43,10 +48,12 @@
 
     def __init__(
         self,
+        bounds: QuotaBounds,
         *,
         silent_entries: Callable[[], tuple[int, int]] = lambda: (0, 1),
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
+        self.bounds = bounds
         self.silent_entries = silent_entries
         self.clock = clock
         self.buckets: dict[str, Bucket] = {}
@@ -72,7 +79,7 @@
             return
         units = self.cost(admitted)
         bucket = self.fill(customer)
-        if customer.rate and bucket.level < units:
+        if customer.rate and bucket.level + self.credit(customer) < units:
             wait_s = min(MAX_RETRY_AFTER_S, (units - bucket.level) / customer.rate)
             raise QuotaError(
                 "quota", "the customer's limit is used up", retry_after_s=wait_s
@@ -80,6 +87,12 @@
         bucket.level -= units
         bucket.used += units
 
+    def credit(self, customer: Customer) -> float:
+        """Return the units by which a bucket may go below zero."""
+        allowed = customer.rate * self.bounds.window_s + customer.burst
+        exceeding = self.bounds.overshoot * allowed + self.bounds.tolerance
+        return USED_SHARE * exceeding
+
     def give_back(self, admitted: Admitted) -> None:
         """Return the units of a request that did not run."""
         if admitted.customer is None:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
@@ -1,8 +1,9 @@
 """Decides which request gets which upstream's place, and when.
 
 Requests wait in one queue for each service, the most important tier first, those
-that can still be on time before those that cannot, then by age. Each upstream
-has as many places for this entry as its share of the upstream's slots.
+that can still be on time before those that cannot, then by age. An upstream with
+a guard is asked for a place; one without has as many places for this entry as its
+share of the upstream's slots.
 """
 
 import asyncio
@@ -15,7 +16,8 @@
 from typing import NamedTuple
 
 from skylarkdoor import events
-from skylarkdoord.direct._model import Admitted
+from skylarkdoord.direct._guards import GuardLink
+from skylarkdoord.direct._model import Admitted, UpstreamRecord
 from skylarkdoord.direct._upstreams import Upstream, Upstreams
 from skylarkdoord.direct.exceptions import NoRoomError
 
@@ -25,6 +27,8 @@
 # Cost of another data centre, as a share of a busy upstream.
 REMOTE_COST = 0.05
 MIN_PATIENCE_S = 0.05
+# The best guard answers within a round trip; then the others are asked too.
+HEAD_START_S = 0.008
 
 
 class Place(NamedTuple):
@@ -33,10 +37,14 @@
     Attributes:
         upstream: The upstream.
         waited_s: Time in the queue, in seconds.
+        guard: Stream to the guard that granted it; None without a guard.
+        request: The request's name on that stream.
     """
 
     upstream: Upstream
     waited_s: float
+    guard: GuardLink | None
+    request: str
 
 
 @dataclass(order=True)
@@ -49,7 +57,25 @@
     admitted: Admitted = field(compare=False)
     excluded: frozenset[str] = field(compare=False)
     since: float = field(compare=False)
-    place: "asyncio.Future[Upstream]" = field(compare=False)
+    place: "asyncio.Future[Granted]" = field(compare=False)
+    asked: list[GuardLink] = field(default_factory=list, compare=False)
+
+    @property
+    def name(self) -> str:
+        """The request's name on streams to guards."""
+        return str(self.number)
+
+
+class Granted(NamedTuple):
+    """An upstream's place for a waiting request.
+
+    Attributes:
+        upstream: The upstream.
+        guard: Stream to the guard that granted it; None without a guard.
+    """
+
+    upstream: Upstream
+    guard: GuardLink | None = None
 
 
 class Scheduler:
@@ -71,6 +97,8 @@
         self.upstreams = upstreams
         self.data_centre = data_centre
         self.live_entries = live_entries
+        self.guard_of: Callable[[UpstreamRecord], GuardLink | None] = lambda _: None
+        self.asking: dict[str, Waiter] = {}
         self.queues: dict[str, list[Waiter]] = {}
         self.numbers = itertools.count()
         self.log = events.get_logger("direct.scheduler")
@@ -112,9 +140,10 @@
         queue = self.queues.setdefault(admitted.service, [])
         heapq.heappush(queue, waiter)
         self.pump(admitted.service)
+        self.ask(waiter)
         try:
             async with asyncio.timeout(self.patience_s(admitted)):
-                upstream = await waiter.place
+                granted = await waiter.place
         except TimeoutError:
             raise NoRoomError(
                 "overloaded",
@@ -123,26 +152,96 @@
             ) from None
         finally:
             self.leave(waiter)
-        return Place(upstream, time.monotonic() - now)
+        waited_s = time.monotonic() - now
+        return Place(granted.upstream, waited_s, granted.guard, waiter.name)
 
     def leave(self, waiter: Waiter) -> None:
-        """Drop a request that no longer waits; a place it got unseen is freed."""
-        if waiter.place.cancel():
-            return
+        """Drop a request that no longer waits, and its open offers."""
+        waiter.place.cancel()
+        self.asking.pop(waiter.name, None)
+        taken = None
+        if not waiter.place.cancelled():
+            taken = waiter.place.result().guard
+        for guard in waiter.asked:
+            if guard is not taken:
+                guard.withdraw(waiter.name)
         if waiter.place.cancelled():
             queue = self.queues.get(waiter.admitted.service, [])
             if waiter in queue:
                 queue.remove(waiter)
                 heapq.heapify(queue)
 
+    def ask(self, waiter: Waiter) -> None:
+        """Offer a request to the best guard with room, soon to the others too."""
+        if waiter.place.done():
+            return
+        self.asking[waiter.name] = waiter
+        guards = self.guards(waiter)
+        best = next((guard for guard in guards if guard.room > 0), None)
+        if best is None:
+            self.ask_all(waiter)
+            return
+        self.offer(waiter, best)
+        loop = asyncio.get_running_loop()
+        loop.call_later(HEAD_START_S, self.ask_all, waiter)
+
+    def ask_all(self, waiter: Waiter) -> None:
+        """Offer a request to every guard that was not asked yet."""
+        if waiter.place.done():
+            return
+        for guard in self.guards(waiter):
+            if guard not in waiter.asked:
+                self.offer(waiter, guard)
+
+    def offer(self, waiter: Waiter, guard: GuardLink) -> None:
+        """Ask one guard for a place."""
+        waiter.asked.append(guard)
+        guard.offer(waiter.name, tier=waiter.rank, is_late=waiter.is_late)
+
+    def guards(self, waiter: Waiter) -> list[GuardLink]:
+        """Return the guards that may be asked, the best first."""
+        ranked = []
+        for upstream in self.candidates(waiter):
+            guard = self.guard_of(upstream.record)
+            if guard is not None:
+                ranked.append((self.cost(upstream, guard.running), guard))
+        ranked.sort(key=lambda pair: pair[0])
+        return [guard for _, guard in ranked]
+
+    def on_grant(self, guard: GuardLink, request: str) -> None:
+        """Take the first grant; give back any other."""
+        waiter = self.asking.get(request)
+        if waiter is None or waiter.place.done():
+            guard.withdraw(request)
+            return
+        upstream = self.upstreams.get(guard.record)
+        upstream.running += 1
+        waiter.place.set_result(Granted(upstream, guard))
+
+    def on_guard_lost(self, guard: GuardLink) -> None:
+        """Serve the upstream without its guard from now on."""
+        for waiter in self.asking.values():
+            if guard in waiter.asked:
+                waiter.asked.remove(guard)
+        self.pump(guard.record.service)
+
+    def on_guard_found(self, guard: GuardLink) -> None:
+        """Offer what waits to a guard that was just reached."""
+        for waiter in list(self.asking.values()):
+            if waiter.admitted.service == guard.record.service:
+                self.ask_all(waiter)
+
     def retry_after_s(self, admitted: Admitted) -> float:
         """Return when a place is likely, in seconds."""
         return 1.0
 
-    def release(self, upstream: Upstream) -> None:
+    def release(self, place: Place) -> None:
         """Free a place and give it to who waits."""
-        upstream.running -= 1
-        self.pump(upstream.record.service)
+        place.upstream.running -= 1
+        if place.guard is not None:
+            place.guard.withdraw(place.request)
+        else:
+            self.pump(place.upstream.record.service)
 
     def pump_all(self) -> None:
         """Give out places of every service."""
@@ -166,23 +265,28 @@
                     break
                 continue
             upstream.running += 1
-            waiter.place.set_result(upstream)
+            waiter.place.set_result(Granted(upstream))
         for waiter in kept:
             heapq.heappush(queue, waiter)
 
-    def choose(self, waiter: Waiter) -> Upstream | None:
-        """Return the best upstream with a free place; None if all are full."""
+    def candidates(self, waiter: Waiter) -> list[Upstream]:
+        """Return the upstreams that may take a request."""
         listed = self.upstreams.of_service(waiter.admitted.service)
         others = [one for one in listed if one.instance not in waiter.excluded]
+        return self.upstreams.usable(others or listed)
+
+    def choose(self, waiter: Waiter) -> Upstream | None:
+        """Return the best upstream without a guard that has a free place."""
         free = [
             upstream
-            for upstream in self.upstreams.usable(others or listed)
-            if upstream.running < self.places(upstream)
+            for upstream in self.candidates(waiter)
+            if self.guard_of(upstream.record) is None
+            and upstream.running < self.places(upstream)
         ]
-        return min(free, key=self.cost, default=None)
+        return min(free, key=lambda one: self.cost(one, one.running), default=None)
 
-    def cost(self, upstream: Upstream) -> float:
+    def cost(self, upstream: Upstream, running: int) -> float:
         """Return how bad a choice the upstream is; lower is better."""
-        busy = (upstream.running + 1) / max(1, upstream.record.slots)
+        busy = (running + 1) / max(1, upstream.record.slots)
         remote = upstream.record.data_centre != self.data_centre
         return busy * upstream.slowness + (REMOTE_COST if remote else 0.0)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_settings.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_settings.py
@@ -52,10 +52,12 @@
     Attributes:
         window_s: Time over which use is counted, in seconds.
         overshoot: Share by which all entries together may exceed a limit.
+        tolerance: Units by which they may exceed it besides.
     """
 
     window_s: Seconds = 8.0
     overshoot: Ratio = 0.1
+    tolerance: Units = 0.0
 
 
 class DirectSettings(NamedTuple):
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_table.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_table.py
@@ -13,6 +13,16 @@
 from skylarkdoord.direct.exceptions import KeyUnknownError, RouteAbsentError
 
 
+# Tiers of routes that each tier of customers has.
+ROUTE_TIERS = 16
+
+
+def tier(route: Route, customer: Customer | None) -> int:
+    """Return a request's tier: the customer's first, the route's within it."""
+    of_customer = customer.rank or 0 if customer is not None else 0
+    return of_customer * ROUTE_TIERS + min(route.rank, ROUTE_TIERS - 1)
+
+
 class _Host(NamedTuple):
     by_prefix: dict[str, Route]
 
@@ -73,15 +83,12 @@
         customer = None
         if self.config.customers and not route.is_open:
             customer = self.find_customer(request.key)
-        rank = route.rank
-        if customer is not None and customer.rank is not None:
-            rank = customer.rank
         return Admitted(
             request=request,
             route=route,
             service=self.choose_service(route),
             customer=customer,
-            rank=rank,
+            rank=tier(route, customer),
             deadline=min(request.deadline, request.received + route.timeout_s),
             on_time_until=self.on_time_until(request, route),
             version=self.config.version,
