--- a/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
@@ -72,7 +72,7 @@
         self.fleet = fleet
         self.parts = parts
         self.is_leaving = False
-        self.active = 0
+        self.busy: set[object] = set()
         self.idle = asyncio.Event()
         self.log = events.get_logger("direct.callers")
         self.runners: list[web.ServerRunner] = []
@@ -107,25 +107,31 @@
         """Turn callers away, finish what runs, then close."""
         began = time.monotonic()
         self.is_leaving = True
-        self.log.event(_events.DRAIN_STARTED, reason="shutdown", running=self.active)
+        self.log.event(_events.DRAIN_STARTED, reason="shutdown", running=len(self.busy))
         await asyncio.sleep(DRAIN_NOTICE_S)
         for site in list(self.callers.sites):
             await site.stop()
-        assert self.callers.server is not None
-        self.callers.server.pre_shutdown()
+        self.close_idle()
         left_s = self.settings.shutdown_timeout_s - SHUTDOWN_MARGIN_S
         left_s -= time.monotonic() - began
         try:
             async with asyncio.timeout(max(0.0, left_s)):
-                while self.active:
+                while self.busy:
                     self.idle.clear()
                     await self.idle.wait()
             self.log.event(_events.DRAIN_ENDED)
         except TimeoutError:
-            self.log.event(_events.DRAIN_TIMED_OUT, running=self.active)
+            self.log.event(_events.DRAIN_TIMED_OUT, running=len(self.busy))
         for runner in self.runners:
             await runner.cleanup()
 
+    def close_idle(self) -> None:
+        """Close the connections that wait for a request; the others end with theirs."""
+        assert self.callers.server is not None
+        for connection in self.callers.server.connections:
+            if connection not in self.busy and connection.transport is not None:
+                connection.transport.close()
+
     async def answer_ready(self, raw: web.BaseRequest) -> web.StreamResponse:
         """Tell the balancer whether callers may be sent here."""
         if raw.path != self.parts.adapter.readiness_path:
@@ -135,12 +141,12 @@
 
     async def answer(self, raw: web.BaseRequest) -> web.StreamResponse:
         """Serve one request."""
-        self.active += 1
+        self.busy.add(raw.protocol)
         try:
             response = await self.answer_problems(raw, time.monotonic())
         finally:
-            self.active -= 1
-            if not self.active:
+            self.busy.discard(raw.protocol)
+            if not self.busy:
                 self.idle.set()
         if self.is_leaving:
             response.force_close()
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
@@ -239,6 +239,7 @@
         self.incarnation = time.time_ns() // NS_PER_MS
         self.links: dict[str, Link] = {}
         self.server = Server([self])
+        members.quota.on_untold = self.wake
         self.log = events.get_logger("direct.exchange")
 
     async def start(self, kernel: Kernel) -> None:
@@ -294,9 +295,13 @@
         """Send news to everyone in turn, at a steady pace."""
         while True:
             await asyncio.sleep(NEWS_INTERVAL_S)
-            for link in self.links.values():
-                if link.is_open:
-                    link.outbox.wake()
+            self.wake()
+
+    def wake(self) -> None:
+        """Send news to everyone now."""
+        for link in self.links.values():
+            if link.is_open:
+                link.outbox.wake()
 
     def news(self, *, wanted_from: str = "") -> pb.EntryNews:
         """Return what this entry tells."""
@@ -307,7 +312,7 @@
             address=self.settings.listen.peers,
             config_version=fleet.config_version,
             upstreams_version=fleet.upstreams_version,
-            used=self.members.quota.used(),
+            used=self.members.quota.tell(),
         )
         if wanted_from and self.members.is_behind(wanted_from):
             news.wanted.config_since = fleet.config_version
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_quota.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_quota.py
@@ -1,39 +1,79 @@
 """Customers' limits, kept by all entries together.
 
-Each entry keeps a bucket for each customer that fills at the whole rate, and
-takes from it what it admits itself and what the other entries say that they
-admitted. What they admit between two of their messages is bounded by how often
-they send one. While an entry is not heard from, it is charged with an equal
-share of the rate.
+Each entry counts, over a sliding window, what it admits itself and what the
+other entries say that they admitted. An entry that has admitted much since it
+last spoke tells the others at once, which bounds what they do not know. While an
+entry is not heard from, the others leave it an equal share.
 """
 
 import time
+from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from skylarkdoord.direct._model import Admitted, Customer
 from skylarkdoord.direct._settings import QuotaBounds
 from skylarkdoord.direct.exceptions import QuotaError
 
 MAX_RETRY_AFTER_S = 5.0
-# Part of what may be exceeded that is used on purpose, so that nothing below the
-# limit is refused; the rest covers what other entries have not told yet.
-USED_SHARE = 0.4
+# Part of what a limit may be exceeded by that is handed out, so that nothing
+# below the limit is refused; the rest covers what others have not told yet.
+USED_SHARE = 0.8
+# Share of a limit that an entry may admit before it tells the others.
+UNTOLD_SHARE = 0.02
+# Uses within this time are counted as one.
+BIN_S = 0.1
 
 
 @dataclass
-class Bucket:
-    """Units that a customer may still use.
+class Use:
+    """Units used in one short span.
 
     Attributes:
-        level: Units left; below zero after others' use was heard of late.
-        filled_at: Monotonic time up to which it was filled, in seconds.
-        used: Units that this entry admitted in all.
+        at: Monotonic time of the first use, in seconds.
+        units: Units used.
     """
 
-    level: float
-    filled_at: float
-    used: float = 0.0
+    at: float
+    units: float
+
+
+@dataclass
+class Account:
+    """What one customer has used.
+
+    Attributes:
+        uses: Uses within the window, by any entry.
+        total: Their sum.
+        own: Units that this entry admitted since it started.
+        told: The same when the other entries were last told.
+    """
+
+    uses: deque[Use] = field(default_factory=deque)
+    total: float = 0.0
+    own: float = 0.0
+    told: float = 0.0
+
+    def add(self, units: float, now: float) -> None:
+        """Count a use; negative units give one back."""
+        self.total += units
+        if self.uses and now - self.uses[-1].at < BIN_S:
+            self.uses[-1].units += units
+        else:
+            self.uses.append(Use(now, units))
+
+    def forget(self, before: float) -> None:
+        """Drop the uses before a time."""
+        while self.uses and self.uses[0].at < before:
+            self.total -= self.uses.popleft().units
+
+    def wait_s(self, excess: float, now: float, window_s: float) -> float:
+        """Return when so many units will have left the window, in seconds."""
+        for use in self.uses:
+            excess -= use.units
+            if excess <= 0:
+                return max(0.0, use.at + window_s - now)
+        return window_s
 
 
 class Quota:
@@ -41,22 +81,17 @@
 
     Args:
         bounds: How exactly limits are kept.
-        silent_entries: Returns how many entries are not heard from, and how many
-            there are.
         clock: Monotonic time in seconds.
     """
 
     def __init__(
-        self,
-        bounds: QuotaBounds,
-        *,
-        silent_entries: Callable[[], tuple[int, int]] = lambda: (0, 1),
-        clock: Callable[[], float] = time.monotonic,
+        self, bounds: QuotaBounds, *, clock: Callable[[], float] = time.monotonic
     ) -> None:
         self.bounds = bounds
-        self.silent_entries = silent_entries
         self.clock = clock
-        self.buckets: dict[str, Bucket] = {}
+        self.accounts: dict[str, Account] = {}
+        self.silent_entries: Callable[[], tuple[int, int]] = lambda: (0, 1)
+        self.on_untold: Callable[[], None] = lambda: None
 
     def cost(self, admitted: Admitted) -> float:
         """Return the units that a request takes."""
@@ -68,8 +103,16 @@
             return float(customer.default_tokens)
         return float(request.prompt_tokens + request.max_tokens)
 
+    def limit(self, customer: Customer) -> float:
+        """Return the units that a window may hold."""
+        stated = customer.rate * self.bounds.window_s + customer.burst
+        exceeding = self.bounds.overshoot * stated + self.bounds.tolerance
+        silent, entries = self.silent_entries()
+        share = 1 - silent / max(1, entries)
+        return share * (stated + USED_SHARE * exceeding)
+
     def take(self, admitted: Admitted) -> None:
-        """Take a request's units from its customer's bucket.
+        """Count a request against its customer's limit.
 
         Raises:
             QuotaError: The customer has used up its limit.
@@ -78,51 +121,58 @@
         if customer is None:
             return
         units = self.cost(admitted)
-        bucket = self.fill(customer)
-        if customer.rate and bucket.level + self.credit(customer) < units:
-            wait_s = min(MAX_RETRY_AFTER_S, (units - bucket.level) / customer.rate)
-            raise QuotaError(
-                "quota", "the customer's limit is used up", retry_after_s=wait_s
-            )
-        bucket.level -= units
-        bucket.used += units
-
-    def credit(self, customer: Customer) -> float:
-        """Return the units by which a bucket may go below zero."""
-        allowed = customer.rate * self.bounds.window_s + customer.burst
-        exceeding = self.bounds.overshoot * allowed + self.bounds.tolerance
-        return USED_SHARE * exceeding
+        now = self.clock()
+        account = self.account(customer.name, now)
+        if customer.rate:
+            self.check(customer, account, units, now)
+        account.add(units, now)
+        account.own += units
+        untold = account.own - account.told
+        if customer.rate and untold > UNTOLD_SHARE * self.limit(customer):
+            self.on_untold()
+
+    def check(
+        self, customer: Customer, account: Account, units: float, now: float
+    ) -> None:
+        """Check that a use fits the limit.
+
+        Raises:
+            QuotaError: It does not.
+        """
+        excess = account.total + units - self.limit(customer)
+        if excess <= 0:
+            return
+        wait_s = account.wait_s(excess, now, self.bounds.window_s)
+        raise QuotaError(
+            "quota",
+            "the customer's limit is used up",
+            retry_after_s=min(MAX_RETRY_AFTER_S, wait_s),
+        )
 
     def give_back(self, admitted: Admitted) -> None:
         """Return the units of a request that did not run."""
         if admitted.customer is None:
             return
-        bucket = self.buckets.get(admitted.customer.name)
-        if bucket is not None:
-            units = self.cost(admitted)
-            bucket.level += units
-            bucket.used -= units
-
-    def fill(self, customer: Customer) -> Bucket:
-        """Return a customer's bucket, filled up to now."""
-        now = self.clock()
-        bucket = self.buckets.get(customer.name)
-        if bucket is None:
-            bucket = self.buckets[customer.name] = Bucket(customer.burst, now)
-        silent, entries = self.silent_entries()
-        rate = customer.rate * (1 - silent / max(1, entries))
-        filled = bucket.level + rate * (now - bucket.filled_at)
-        bucket.level = min(customer.burst, filled)
-        bucket.filled_at = now
-        return bucket
+        units = self.cost(admitted)
+        account = self.account(admitted.customer.name, self.clock())
+        account.add(-units, self.clock())
+        account.own -= units
+
+    def account(self, customer: str, now: float) -> Account:
+        """Return a customer's account as of now."""
+        account = self.accounts.get(customer)
+        if account is None:
+            account = self.accounts[customer] = Account()
+        account.forget(now - self.bounds.window_s)
+        return account
 
     def charge(self, customer: str, units: float) -> None:
-        """Take units that another entry admitted or gave back."""
-        bucket = self.buckets.get(customer)
-        if bucket is None:
-            return
-        bucket.level -= units
+        """Count units that another entry admitted, or gave back if negative."""
+        now = self.clock()
+        self.account(customer, now).add(units, now)
 
-    def used(self) -> dict[str, float]:
+    def tell(self) -> dict[str, float]:
         """Return the units that this entry admitted in all, by customer."""
-        return {name: bucket.used for name, bucket in self.buckets.items()}
+        for account in self.accounts.values():
+            account.told = account.own
+        return {name: account.own for name, account in self.accounts.items()}
