--- a/Makefile
+++ b/Makefile
@@ -5,14 +5,14 @@
 VENV := .venv
 BIN := $(VENV)/bin
 PACKAGES := skylarkdoor skylarkdoord skylarkdoor-client skylarkdoor-standins skylarkdoor-bench
-EDITABLE := $(foreach package,$(PACKAGES),-e packages/$(package))
+EDITABLE := $(foreach package,$(PACKAGES),-e packages/$(package)) -e platform
 SEED ?= 1
 MINUTES ?= 5
 TEST_PROCESSES ?= 6
 
 .PHONY: setup lint test demo bench slopes soak proto
 
-$(VENV)/.ready: constraints.txt requirements-dev.txt $(foreach package,$(PACKAGES),packages/$(package)/pyproject.toml)
+$(VENV)/.ready: constraints.txt requirements-dev.txt $(foreach package,$(PACKAGES),packages/$(package)/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --constraint constraints.txt --requirement requirements-dev.txt
 	$(BIN)/pip install --quiet --constraint constraints.txt --no-build-isolation $(EDITABLE)
--- a/packages/skylarkdoor-bench/src/skylarkdoor_bench/_slope_series.py
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_slope_series.py
@@ -8,8 +8,8 @@
 
 import aiohttp
 
-from skylarkdoor.hashing import key_hash
 from skylarkdoor.clients import EtcdTable, Put, Table, Txn
+from skylarkdoor.hashing import key_hash
 from skylarkdoor.settings import Customer, Team, team_path, to_plain
 from skylarkdoor_bench._counting import CountingRelay
 from skylarkdoor_bench._deployments import (
--- a/packages/skylarkdoor/src/skylarkdoor/_events.py
+++ b/packages/skylarkdoor/src/skylarkdoor/_events.py
@@ -1,14 +1,15 @@
 """Structured logs: every line carries the number of its event."""
 
 import logging
-import sys
 from typing import Any, NamedTuple
 
 from pythonjsonlogger.json import JsonFormatter
 
+from skylarkdoor._log_output import BoundedOutput
 from skylarkdoor.exceptions import ArgumentError
 
 ROOT = "skylarkdoor"
+STDOUT = 1
 
 
 class Event(NamedTuple):
@@ -64,14 +65,17 @@
     return EventLogger(part)
 
 
-def configure(*, level: str = "info", instance: str = "") -> None:
-    """Write the product's events to standard error as JSON lines.
+def configure(
+    *, level: str = "info", instance: str = "", descriptor: int = STDOUT
+) -> None:
+    """Write the product's events as JSON lines.
 
     Args:
         level: Lowest level written, a name of the `logging` module.
         instance: Instance named on each line.
+        descriptor: Where to write; standard output unless told otherwise.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    handler = BoundedOutput(descriptor, _tell_dropped)
     handler.setFormatter(
         JsonFormatter(
             "%(levelname)s %(name)s %(message)s",
@@ -86,6 +90,10 @@
     root.propagate = False
 
 
+def _tell_dropped(lines: int) -> None:
+    get_logger("events").event(LINES_DROPPED, lines=lines)
+
+
 SERVICE_STARTED = define(101, "service_started", logging.DEBUG, "Service started.")
 TASK_FAILED = define(
     102, "task_failed", logging.ERROR, "A task failed; the process stops."
@@ -94,3 +102,6 @@
     103, "invariant_broken", logging.CRITICAL, "An invariant does not hold."
 )
 SPAN_ENDED = define(104, "span_ended", logging.INFO, "A traced hop ended.")
+LINES_DROPPED = define(
+    105, "lines_dropped", logging.WARNING, "Log lines were dropped to stay in bounds."
+)
--- a/packages/skylarkdoor/tests/test_events.py
+++ b/packages/skylarkdoor/tests/test_events.py
@@ -1,10 +1,9 @@
 """Structured logs."""
 
 import datetime
-import io
 import json
 import logging
-import sys
+import os
 
 import pytest
 
@@ -19,11 +18,20 @@
     monkeypatch.setattr(root, "handlers", list(root.handlers))
     monkeypatch.setattr(root, "propagate", root.propagate)
     level = root.level
-    written = io.StringIO()
-    monkeypatch.setattr(sys, "stderr", written)
-    events.configure(level="info", instance="entry-1")
-    yield lambda: [json.loads(line) for line in written.getvalue().splitlines()]
+    reading, writing = os.pipe()
+    os.set_blocking(reading, False)
+    events.configure(level="info", instance="entry-1", descriptor=writing)
+    yield lambda: [json.loads(line) for line in _read_all(reading).splitlines()]
     root.setLevel(level)
+    os.close(reading)
+    os.close(writing)
+
+
+def _read_all(descriptor):
+    try:
+        return os.read(descriptor, 1 << 20)
+    except BlockingIOError:
+        return b""
 
 
 class TestEventLogger:
--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -23,7 +23,10 @@
 )
 
 PROCESS_RELOADED = define(
-    208, "process_reloaded", logging.INFO, "The process was told to read settings again."
+    208, "process_reloaded", logging.INFO, "The settings file was read again."
+)
+RELOAD_FAILED = define(
+    209, "reload_failed", logging.ERROR, "Changed settings could not be used."
 )
 
 SETTINGS_APPLIED = define(
--- /dev/null
+++ b/packages/skylarkdoord/src/skylarkdoord/_lifetime.py
@@ -0,0 +1,49 @@
+"""Life of one daemon process: signals and exit status."""
+
+import asyncio
+import signal
+from collections.abc import Callable
+
+from skylarkdoor import events
+from skylarkdoor.kernel import Kernel
+from skylarkdoord import _events
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+
+
+def _ignore() -> None:
+    events.get_logger("process").event(_events.PROCESS_RELOADED, changed=False)
+
+
+def live(
+    build: Callable[[Kernel], None], *, reload: Callable[[], None] = _ignore
+) -> int:
+    """Run services until the process is told to stop.
+
+    Args:
+        build: Registers the services.
+        reload: Called on SIGHUP.
+
+    Returns:
+        The exit status.
+    """
+    return asyncio.run(_live(build, reload))
+
+
+async def _live(build: Callable[[Kernel], None], reload: Callable[[], None]) -> int:
+    log = events.get_logger("process")
+    kernel = Kernel()
+    build(kernel)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, kernel.request_stop)
+    loop.add_signal_handler(signal.SIGHUP, reload)
+    try:
+        await kernel.run()
+    except ExceptionGroup as group:
+        errors = [repr(error) for error in group.exceptions]
+        log.event(_events.PROCESS_FAILED, errors=errors)
+        return EXIT_FAILED
+    log.event(_events.PROCESS_STOPPED)
+    return EXIT_OK
--- a/packages/skylarkdoord/src/skylarkdoord/_roles.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_roles.py
@@ -25,6 +25,7 @@
 
 ENTRY = Role("entry", entry.build, ("listen.callers",))
 SIDECAR = Role("sidecar", sidecar.build, ("listen.rpc", "upstream"))
+ROLES = {role.name: role for role in (ENTRY, SIDECAR)}
 
 
 def check_role(role: Role, settings: ProcessSettings, *, source: str) -> None:
--- a/packages/skylarkdoord/src/skylarkdoord/admin/_reader.py
+++ b/packages/skylarkdoord/src/skylarkdoord/admin/_reader.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from skylarkdoor.exceptions import SettingsError
 from skylarkdoor.clients import PlatformError, Row, RowList, Table
+from skylarkdoor.exceptions import SettingsError
 from skylarkdoord.admin.exceptions import StoreDownError
 from skylarkdoord.common import _rows as rows
 
--- a/packages/skylarkdoord/src/skylarkdoord/cli.py
+++ b/packages/skylarkdoord/src/skylarkdoord/cli.py
@@ -1,5 +1,10 @@
-"""Command line of `skylarkdoord`."""
+"""Command line of `skylarkdoord`.
 
+A role's modules are imported when the role runs: a guard is small and does not
+load what entries need.
+"""
+
+import importlib
 import sys
 from collections.abc import Callable
 from typing import NoReturn
@@ -7,18 +12,11 @@
 import click
 
 from skylarkdoor.exceptions import SettingsError
-from skylarkdoor.kernel import Kernel
-from skylarkdoor.settings import load_process
-from skylarkdoord import direct
-from skylarkdoord._process import run, run_direct
-from skylarkdoord._roles import ENTRY, SIDECAR, Role, check_role
-from skylarkdoord.exceptions import TlsError
 
 EXIT_OK = 0
 EXIT_SETTINGS = 78  # EX_CONFIG
 
 Command = Callable[..., None]
-DirectBuilder = Callable[[Kernel, direct.DirectSettings], None]
 
 
 @click.group()
@@ -46,39 +44,48 @@
 @options
 def run_entry(path: str, check: bool) -> None:
     """Take requests from callers."""
-    _run(ENTRY, path, check_only=check)
+    _run("entry", path, check_only=check)
 
 
 @main.command("sidecar")
 @options
 def run_sidecar(path: str, check: bool) -> None:
     """Guard the upstream beside this process."""
-    _run(SIDECAR, path, check_only=check)
+    _run("sidecar", path, check_only=check)
 
 
-@main.command("direct")
+@main.command("direct-entry")
 @options
 def run_direct_entry(path: str, check: bool) -> None:
     """Take requests from callers and call the upstreams directly."""
-    _run_direct(path, direct.build, check_only=check)
+    _run_direct("skylarkdoord.direct.entry", path, check_only=check)
 
 
 @main.command("guard")
 @options
 def run_guard(path: str, check: bool) -> None:
     """Give out the places of the upstream beside this process."""
-    _run_direct(path, direct.build_guard, check_only=check)
+    _run_direct("skylarkdoord.direct.guard", path, check_only=check)
+
 
+def _run_direct(module: str, path: str, *, check_only: bool) -> None:
+    from skylarkdoord.direct import load_direct
+    from skylarkdoord.direct.exceptions import AdapterAbsentError
+    from skylarkdoord.direct.process import run
 
-def _run_direct(path: str, build: DirectBuilder, *, check_only: bool) -> None:
+    build = importlib.import_module(module).build
     try:
-        settings = direct.load_direct(path)
+        settings = load_direct(path)
     except SettingsError as error:
         _exit_for(error)
     if check_only:
         click.echo(f"{path}: ok for direct dispatch")
         sys.exit(EXIT_OK)
-    sys.exit(run_direct(settings, build))
+    try:
+        sys.exit(run(path, settings, build))
+    except AdapterAbsentError as error:
+        click.echo(f"skylarkdoord: {path}: adapter: {error}", err=True)
+        sys.exit(EXIT_SETTINGS)
 
 
 def _exit_for(error: SettingsError) -> NoReturn:
@@ -87,7 +94,13 @@
     sys.exit(EXIT_SETTINGS)
 
 
-def _run(role: Role, path: str, *, check_only: bool) -> None:
+def _run(name: str, path: str, *, check_only: bool) -> None:
+    from skylarkdoor.settings import load_process
+    from skylarkdoord._process import run
+    from skylarkdoord._roles import ROLES, check_role
+    from skylarkdoord.exceptions import TlsError
+
+    role = ROLES[name]
     try:
         settings = load_process(path)
         check_role(role, settings, source=path)
--- a/packages/skylarkdoord/src/skylarkdoord/common/_platform.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_platform.py
@@ -2,7 +2,6 @@
 
 import aiohttp
 
-from skylarkdoor.kernel import Kernel
 from skylarkdoor.clients import (
     EtcdTable,
     InstanceList,
@@ -10,6 +9,7 @@
     Table,
     WeightStore,
 )
+from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import PlatformAddresses
 
 
--- a/packages/skylarkdoord/src/skylarkdoord/common/_settings.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_settings.py
@@ -4,9 +4,9 @@
 from collections.abc import Callable
 
 from skylarkdoor import events, invariants
+from skylarkdoor.clients import Row
 from skylarkdoor.exceptions import SettingsError
 from skylarkdoor.kernel import Kernel
-from skylarkdoor.clients import Row
 from skylarkdoor.settings import (
     FLEET_PATH,
     Fleet,
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_adapter.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_adapter.py
@@ -190,7 +190,9 @@
     try:
         module = importlib.import_module(name)
     except ImportError as error:
-        raise AdapterAbsentError(f"adapter {name!r} cannot be loaded: {error}") from None
+        raise AdapterAbsentError(
+            f"adapter {name!r} cannot be loaded: {error}"
+        ) from None
     adapter = getattr(module, "adapter", None)
     if adapter is None:
         raise AdapterAbsentError(f"package {name!r} has no adapter")
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import time
+from typing import NamedTuple
 
 from aiohttp import web
 from multidict import CIMultiDict
@@ -45,14 +46,20 @@
 )
 
 
-class Problem(NotRunError):
-    """An answer of this entry's own to a request that was not passed on."""
+class Problem(NamedTuple):
+    """An answer of this entry's own.
 
-    def __init__(
-        self, status: int, code: str, message: str, *, retry_after_s: float | None = None
-    ) -> None:
-        self.status = status
-        super().__init__(code, message, retry_after_s=retry_after_s)
+    Attributes:
+        status: HTTP status.
+        code: Stable code for programs.
+        message: One sentence for people.
+        retry_after_s: When the caller may come back, in seconds.
+    """
+
+    status: int
+    code: str
+    message: str
+    retry_after_s: float | None = None
 
 
 class CallerServer:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
@@ -261,9 +261,7 @@
         address = self.settings.listen.peers
         while True:
             try:
-                await self.store.put(
-                    MEMBERS, self.settings.instance, address.encode()
-                )
+                await self.store.put(MEMBERS, self.settings.instance, address.encode())
                 rows = await self.store.read(MEMBERS)
                 break
             except StoreError as error:
@@ -331,6 +329,4 @@
             self.members.lose(
                 listener.instance, is_silent=isinstance(error, TimeoutError)
             )
-            self.log.event(
-                _events.PEER_LOST, peer=listener.instance, error=repr(error)
-            )
+            self.log.event(_events.PEER_LOST, peer=listener.instance, error=repr(error))
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_fleet.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_fleet.py
@@ -6,9 +6,9 @@
 from typing import NamedTuple
 
 from skylarkdoor import events
+from skylarkdoor.backoff import Backoff
 from skylarkdoor.kernel import Kernel
 from skylarkdoord import _events
-from skylarkdoor.backoff import Backoff
 from skylarkdoord.direct._adapter import Adapter, Row, Rows, Store
 from skylarkdoord.direct._model import UpstreamRecord
 from skylarkdoord.direct._settings import DirectSettings
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
@@ -12,7 +12,7 @@
 from skylarkdoord.direct._adapter import Adapter
 from skylarkdoord.direct._budget import Budget
 from skylarkdoord.direct._call import Answer, UpstreamClient
-from skylarkdoord.direct._model import Admitted
+from skylarkdoord.direct._model import MS_PER_S, Admitted
 from skylarkdoord.direct._quota import Quota
 from skylarkdoord.direct._relay import CallerStream, EventSplitter
 from skylarkdoord.direct._scheduler import Place, Scheduler
@@ -146,7 +146,10 @@
         finally:
             answer.close()
         self.parts.upstreams.on_success(upstream)
-        self.note(place, "answered", began, status=answer.status)
+        first_ms = 0
+        if self.stream.has_begun:
+            first_ms = round((self.stream.began_at - began) * MS_PER_S)
+        self.note(place, "answered", began, status=answer.status, first_ms=first_ms)
         return response
 
     async def relay(self, answer: Answer) -> web.StreamResponse:
@@ -246,8 +249,8 @@
             upstream=place.upstream.instance,
             route=admitted.route.name,
             rank=admitted.rank,
-            waited_ms=round(place.waited_s * 1000),
-            took_ms=round((time.monotonic() - since) * 1000),
+            waited_ms=round(place.waited_s * MS_PER_S),
+            took_ms=round((time.monotonic() - since) * MS_PER_S),
             running=place.upstream.running,
             config_version=admitted.version,
             **fields,
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_relay.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_relay.py
@@ -1,5 +1,6 @@
 """Passes an upstream's answer on to the caller."""
 
+import time
 from collections.abc import Iterator
 
 from aiohttp import HttpVersion11, web
@@ -47,6 +48,7 @@
         self.is_leaving = is_leaving
         self.response: web.StreamResponse | None = None
         self.last_id = ""
+        self.began_at = 0.0
 
     @property
     def has_begun(self) -> bool:
@@ -57,6 +59,7 @@
         """Send the head, once."""
         if self.response is not None:
             return
+        self.began_at = time.monotonic()
         self.response = web.StreamResponse(status=status, headers=CIMultiDict(headers))
         if self.is_leaving:
             self.response.force_close()
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_table.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_table.py
@@ -12,7 +12,6 @@
 )
 from skylarkdoord.direct.exceptions import KeyUnknownError, RouteAbsentError
 
-
 # Tiers of routes that each tier of customers has.
 ROUTE_TIERS = 16
 
--- /dev/null
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -0,0 +1,45 @@
+"""The services of an entry that calls upstreams itself."""
+
+from skylarkdoor.kernel import Kernel
+from skylarkdoord.direct._adapter import load_adapter
+from skylarkdoord.direct._budget import Budget
+from skylarkdoord.direct._call import UpstreamClient
+from skylarkdoord.direct._callers import CallerServer
+from skylarkdoord.direct._exchange import EntryExchange, Members
+from skylarkdoord.direct._fleet import Fleet, FleetWatcher
+from skylarkdoord.direct._forward import Parts
+from skylarkdoord.direct._guards import Guards
+from skylarkdoord.direct._quota import Quota
+from skylarkdoord.direct._scheduler import Scheduler
+from skylarkdoord.direct._settings import DirectSettings
+from skylarkdoord.direct._upstreams import Upstreams
+
+__all__ = ["build"]
+
+
+def build(kernel: Kernel, settings: DirectSettings) -> None:
+    """Register the services of a direct entry."""
+    adapter = load_adapter(settings.adapter)
+    store = adapter.open_store(settings.store)
+    fleet = Fleet(adapter, return_after_s=settings.return_after_s)
+    upstreams = Upstreams(fleet)
+    quota = Quota(settings.quota)
+    members = Members(settings.instance, fleet, quota)
+    quota.silent_entries = members.silent
+    scheduler = Scheduler(
+        upstreams, data_centre=settings.data_centre, live_entries=members.live
+    )
+    guards = Guards(settings, fleet, scheduler)
+    scheduler.guard_of = guards.of
+    parts = Parts(
+        adapter=adapter,
+        client=UpstreamClient(adapter),
+        scheduler=scheduler,
+        upstreams=upstreams,
+        budget=Budget(settings.retry_budget, live_entries=members.live),
+        quota=quota,
+    )
+    kernel.register(FleetWatcher(settings, fleet, store))
+    kernel.register(EntryExchange(settings, store, members))
+    kernel.register(guards)
+    kernel.register(CallerServer(settings, fleet, parts))
--- a/packages/skylarkdoord/src/skylarkdoord/direct/exceptions.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/exceptions.py
@@ -1,9 +1,12 @@
 """Errors of the direct entry."""
 
-from aiohttp import web
+from typing import TYPE_CHECKING
 
 from skylarkdoord.exceptions import DaemonError, NotRunError
 
+if TYPE_CHECKING:
+    from aiohttp import web
+
 __all__ = [
     "AdapterAbsentError",
     "AnswerCutError",
@@ -94,7 +97,7 @@
         response: The answer, ready for the caller.
     """
 
-    def __init__(self, response: web.Response) -> None:
+    def __init__(self, response: "web.Response") -> None:
         self.response = response
         super().__init__(f"status {response.status}")
 
--- /dev/null
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/guard.py
@@ -0,0 +1,12 @@
+"""The services of the guard beside an upstream."""
+
+from skylarkdoor.kernel import Kernel
+from skylarkdoord.direct._guard import Guard
+from skylarkdoord.direct._settings import DirectSettings
+
+__all__ = ["build"]
+
+
+def build(kernel: Kernel, settings: DirectSettings) -> None:
+    """Register the services of an upstream's guard."""
+    kernel.register(Guard(settings))
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_directory.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_directory.py
@@ -6,9 +6,9 @@
 from typing import Any
 
 from skylarkdoor import events
+from skylarkdoor.clients import InstanceRecord, PlatformError
 from skylarkdoor.hashing import rendezvous
 from skylarkdoor.kernel import Kernel
-from skylarkdoor.clients import InstanceRecord, PlatformError
 from skylarkdoor.settings import ProcessSettings
 from skylarkdoor.wire import pb
 from skylarkdoord import _events
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_snapshot.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_snapshot.py
@@ -4,13 +4,13 @@
 import random
 
 from skylarkdoor import events
-from skylarkdoor.kernel import Kernel
 from skylarkdoor.clients import (
     ObjectAbsent,
     ObjectChanged,
     ObjectsUnavailable,
     StoredObject,
 )
+from skylarkdoor.kernel import Kernel
 from skylarkdoord import _events
 from skylarkdoord.common import Platform, SettingsService
 from skylarkdoord.common import _snapshot as snapshot
--- a/packages/skylarkdoord/src/skylarkdoord/planner/_planner.py
+++ b/packages/skylarkdoord/src/skylarkdoord/planner/_planner.py
@@ -7,8 +7,8 @@
 from typing import Any
 
 from skylarkdoor import events, invariants
-from skylarkdoor.kernel import Kernel
 from skylarkdoor.clients import PlatformError, Put
+from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import FLEET_PATH, Pool, ProcessSettings
 from skylarkdoord import _events
 from skylarkdoord.common import InternalServer, Platform, SettingsService
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_claims.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_claims.py
@@ -14,7 +14,6 @@
 from aiohttp import web
 
 from skylarkdoor import events, invariants
-from skylarkdoor.kernel import Kernel
 from skylarkdoor.clients import (
     Absent,
     Condition,
@@ -30,6 +29,7 @@
     Txn,
     ValueIs,
 )
+from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import ProcessSettings
 from skylarkdoor.wire import pb
 from skylarkdoord import _events
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_poison.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_poison.py
@@ -13,8 +13,8 @@
 from dataclasses import dataclass
 
 from skylarkdoor import events
-from skylarkdoor.kernel import Kernel
 from skylarkdoor.clients import PlatformError, TableTimeout
+from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import ProcessSettings
 from skylarkdoor.wire import pb
 from skylarkdoord import _events
--- a/packages/skylarkdoord/tests/admin/conftest.py
+++ b/packages/skylarkdoord/tests/admin/conftest.py
@@ -8,9 +8,9 @@
 from aiohttp import ClientSession
 from aiohttp.test_utils import TestServer
 
+from skylarkdoor.clients import Put, Txn
 from skylarkdoor.hashing import key_hash
 from skylarkdoor.kernel import Kernel
-from skylarkdoor.clients import Put, Txn
 from skylarkdoor.settings import (
     Listen,
     PlatformAddresses,
--- a/packages/skylarkdoord/tests/sidecar/test_claims.py
+++ b/packages/skylarkdoord/tests/sidecar/test_claims.py
@@ -11,7 +11,6 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from skylarkdoor.kernel import Kernel
 from skylarkdoor.clients import (
     Absent,
     Delete,
@@ -26,6 +25,7 @@
     TxnResult,
     ValueIs,
 )
+from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import Listen, PlatformAddresses, ProcessSettings
 from skylarkdoord.exceptions import NotRunError, OutcomeUnknownError
 from skylarkdoord.sidecar._claim_rows import ClaimRow, ClaimState, WholeAnswer
