--- a/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
@@ -146,10 +146,17 @@
         finally:
             answer.close()
         self.parts.upstreams.on_success(upstream)
-        first_ms = 0
+        first_s = 0.0
         if self.stream.has_begun:
-            first_ms = round((self.stream.began_at - began) * MS_PER_S)
-        self.note(place, "answered", began, status=answer.status, first_ms=first_ms)
+            first_s = self.stream.began_at - began
+            self.parts.upstreams.on_first(upstream, first_s)
+        self.note(
+            place,
+            "answered",
+            began,
+            status=answer.status,
+            first_ms=round(first_s * MS_PER_S),
+        )
         return response
 
     async def relay(self, answer: Answer) -> web.StreamResponse:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
@@ -10,6 +10,7 @@
 import heapq
 import itertools
 import math
+import random
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -27,8 +28,17 @@
 # Cost of another data centre, as a share of a busy upstream.
 REMOTE_COST = 0.05
 MIN_PATIENCE_S = 0.05
+# A request that is late already waits this long for a place.
+LATE_PATIENCE_S = 0.5
+# Callers wait as told up to this share of the time that they have left.
+RETURN_SHARE = 1 / 3
+MAX_RETURN_S = 3.0
 # The best guard answers within a round trip; then the others are asked too.
 HEAD_START_S = 0.008
+# For this long after a request waited in vain, others are taken to do so too.
+RUSH_S = 0.4
+# Requests that may wait ahead of one that joins during a rush.
+MAX_AHEAD = 1
 
 
 class Place(NamedTuple):
@@ -78,6 +88,46 @@
     guard: GuardLink | None = None
 
 
+class Flow:
+    """How the queue of one service moves.
+
+    Attributes:
+        waiting: Requests that wait, by number.
+        gave_up_at: Monotonic time, in seconds, at which a request of each tier
+            last found no place in time.
+    """
+
+    def __init__(self) -> None:
+        self.waiting: dict[int, Waiter] = {}
+        self.gave_up_at: dict[int, float] = {}
+
+    def join(self, waiter: Waiter) -> None:
+        """Count a request that waits."""
+        self.waiting[waiter.number] = waiter
+
+    def leave(self, waiter: Waiter) -> None:
+        """Drop a request that no longer waits."""
+        self.waiting.pop(waiter.number, None)
+
+    def give_up(self, waiter: Waiter, now: float) -> None:
+        """Note that a request found no place in time."""
+        self.gave_up_at[waiter.rank] = now
+
+    def is_hopeless(self, waiter: Waiter, now: float) -> bool:
+        """Return whether a request would wait in vain.
+
+        It would where others of its tier or a more important one just did, and
+        some still wait ahead of it.
+        """
+        since = now - RUSH_S
+        if not any(
+            rank <= waiter.rank and at > since for rank, at in self.gave_up_at.items()
+        ):
+            return False
+        ahead = sum(other < waiter for other in self.waiting.values())
+        return ahead >= MAX_AHEAD
+
+
 class Scheduler:
     """Gives places to requests.
 
@@ -100,6 +150,7 @@
         self.guard_of: Callable[[UpstreamRecord], GuardLink | None] = lambda _: None
         self.asking: dict[str, Waiter] = {}
         self.queues: dict[str, list[Waiter]] = {}
+        self.flows: dict[str, Flow] = {}
         self.numbers = itertools.count()
         self.log = events.get_logger("direct.scheduler")
         upstreams.fleet.on_upstreams.append(self.pump_all)
@@ -110,14 +161,16 @@
         return max(1, math.ceil(share * OVERCOMMIT))
 
     def patience_s(self, admitted: Admitted) -> float:
-        """Return how long a request may wait for a place, in seconds."""
+        """Return how long a request may wait for a place, in seconds.
+
+        One that can be on time waits only as long as it still can.
+        """
         now = time.monotonic()
-        on_time_s = admitted.on_time_until - now
-        remaining_s = admitted.deadline - now
-        target_s = admitted.route.target_latency_s
-        if on_time_s > 0:
-            return min(remaining_s, max(MIN_PATIENCE_S, on_time_s))
-        return min(remaining_s, max(MIN_PATIENCE_S, target_s))
+        first_s = self.upstreams.expected_first_s(admitted.service)
+        spare_s = admitted.on_time_until - now - first_s
+        if admitted.on_time_until <= now:
+            spare_s = LATE_PATIENCE_S
+        return min(admitted.deadline - now, max(MIN_PATIENCE_S, spare_s))
 
     async def acquire(
         self, admitted: Admitted, *, excluded: frozenset[str] = frozenset()
@@ -128,6 +181,7 @@
             NoRoomError: None came free in time.
         """
         now = time.monotonic()
+        patience_s = self.patience_s(admitted)
         waiter = Waiter(
             rank=admitted.rank,
             is_late=now > admitted.on_time_until,
@@ -139,17 +193,20 @@
         )
         queue = self.queues.setdefault(admitted.service, [])
         heapq.heappush(queue, waiter)
+        self.asking[waiter.name] = waiter
+        self.flow(admitted.service).join(waiter)
         self.pump(admitted.service)
         self.ask(waiter)
+        flow = self.flow(admitted.service)
+        if not waiter.place.done() and flow.is_hopeless(waiter, now):
+            self.leave(waiter)
+            raise self.no_room(admitted, "the queue is too long")
         try:
-            async with asyncio.timeout(self.patience_s(admitted)):
+            async with asyncio.timeout(patience_s):
                 granted = await waiter.place
         except TimeoutError:
-            raise NoRoomError(
-                "overloaded",
-                "no upstream had room in time",
-                retry_after_s=self.retry_after_s(admitted),
-            ) from None
+            flow.give_up(waiter, time.monotonic())
+            raise self.no_room(admitted, "no upstream had room in time") from None
         finally:
             self.leave(waiter)
         waited_s = time.monotonic() - now
@@ -159,6 +216,7 @@
         """Drop a request that no longer waits, and its open offers."""
         waiter.place.cancel()
         self.asking.pop(waiter.name, None)
+        self.flow(waiter.admitted.service).leave(waiter)
         taken = None
         if not waiter.place.cancelled():
             taken = waiter.place.result().guard
@@ -175,7 +233,6 @@
         """Offer a request to the best guard with room, soon to the others too."""
         if waiter.place.done():
             return
-        self.asking[waiter.name] = waiter
         guards = self.guards(waiter)
         best = next((guard for guard in guards if guard.room > 0), None)
         if best is None:
@@ -231,9 +288,18 @@
             if waiter.admitted.service == guard.record.service:
                 self.ask_all(waiter)
 
-    def retry_after_s(self, admitted: Admitted) -> float:
-        """Return when a place is likely, in seconds."""
-        return 1.0
+    def flow(self, service: str) -> Flow:
+        """Return how a service's queue moves."""
+        return self.flows.setdefault(service, Flow())
+
+    def no_room(self, admitted: Admitted, message: str) -> NoRoomError:
+        """Return the refusal of a request, with a time at which to come back.
+
+        Callers come back spread out, when the present rush may have passed.
+        """
+        most_s = min(MAX_RETURN_S, RETURN_SHARE * admitted.remaining_s())
+        retry_after_s = most_s * random.uniform(0.5, 1.0)
+        return NoRoomError("overloaded", message, retry_after_s=retry_after_s)
 
     def release(self, place: Place) -> None:
         """Free a place and give it to who waits."""
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_upstreams.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_upstreams.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from skylarkdoor import events
 from skylarkdoord import _events
@@ -13,7 +13,13 @@
 MAX_PAUSE_S = 3.0
 # An upstream that is full has room again after about one short request.
 FULL_PAUSE_S = 0.05
-SPEED_WEIGHT = 0.2
+# Weight of the newest measurement in a moving average.
+NEWEST = 0.1
+# Bounds on how much slower or faster than its peers an upstream is taken to be.
+MIN_SLOWNESS = 0.3
+MAX_SLOWNESS = 4.0
+# Until one is measured.
+DEFAULT_FIRST_S = 0.15
 
 
 @dataclass
@@ -25,7 +31,7 @@
         running: Requests of this entry that are under way there.
         paused_until: Monotonic time until which it is spared, in seconds.
         failures: Failures in a row.
-        slowness: Time to the first byte in proportion to what was expected.
+        slowness: Time to the first byte in proportion to that of its peers.
     """
 
     record: UpstreamRecord
@@ -33,7 +39,6 @@
     paused_until: float = 0.0
     failures: int = 0
     slowness: float = 1.0
-    versions: set[int] = field(default_factory=set)
 
     @property
     def instance(self) -> str:
@@ -59,6 +64,7 @@
         self.fleet = fleet
         self.clock = clock
         self.known: dict[tuple[str, int], Upstream] = {}
+        self.first_s: dict[str, float] = {}
         self.log = events.get_logger("direct.upstreams")
         fleet.on_upstreams.append(self.forget_gone)
 
@@ -93,6 +99,18 @@
             return free
         return [min(listed, key=lambda upstream: upstream.paused_until)]
 
+    def expected_first_s(self, service: str) -> float:
+        """Return the usual time to the first byte of a service, in seconds."""
+        return self.first_s.get(service, DEFAULT_FIRST_S)
+
+    def on_first(self, upstream: Upstream, first_s: float) -> None:
+        """Learn from the time that the first byte of an answer took."""
+        service = upstream.record.service
+        usual_s = self.expected_first_s(service)
+        self.first_s[service] = usual_s + NEWEST * (first_s - usual_s)
+        ratio = min(MAX_SLOWNESS, max(MIN_SLOWNESS, first_s / usual_s))
+        upstream.slowness += NEWEST * (ratio - upstream.slowness)
+
     def on_full(self, upstream: Upstream) -> None:
         """Note that the upstream had no room."""
         until = self.clock() + FULL_PAUSE_S
