--- a/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
@@ -28,8 +28,8 @@
 # Cost of another data centre, as a share of a busy upstream.
 REMOTE_COST = 0.05
 MIN_PATIENCE_S = 0.05
-# A request that is late already waits this long for a place.
-LATE_PATIENCE_S = 0.5
+# A request that is late already waits for this share of the time that is left.
+LATE_PATIENCE_SHARE = 0.35
 # Callers wait as told up to this share of the time that they have left.
 RETURN_SHARE = 1 / 3
 MAX_RETURN_S = 3.0
@@ -169,7 +169,7 @@
         first_s = self.upstreams.expected_first_s(admitted.service)
         spare_s = admitted.on_time_until - now - first_s
         if admitted.on_time_until <= now:
-            spare_s = LATE_PATIENCE_S
+            spare_s = LATE_PATIENCE_SHARE * (admitted.deadline - now)
         return min(admitted.deadline - now, max(MIN_PATIENCE_S, spare_s))
 
     async def acquire(
