Bound what entries and guards tell each other as they grow in number

Cause: on the grown deployment (29 entries before 27 engines) every request was offered to every guard, two streams joined each pair of entries, and every change of load was told to all.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from grpclib.server import Server, Stream
@@ -20,6 +21,10 @@
 
 MEMBERS = "members"
 NEWS_INTERVAL_S = 0.2
+# Entries that are told within that interval; with more it is longer.
+TOLD_ENTRIES = 8
+# News out of turn are sent this often at the most.
+MIN_NEWS_INTERVAL_S = 0.05
 # An entry that is not heard from for this long does not share the upstreams.
 LIVE_S = 2.0
 # For this long an entry that fell silent is taken to go on using its share.
@@ -159,60 +164,48 @@
     )
 
 
-class _Teller:
-    """This entry's end of its stream to another one."""
+class _EntryStream:
+    """This entry's end of a stream to another one, whoever opened it."""
 
-    def __init__(self, exchange: "EntryExchange", instance: str) -> None:
-        self.exchange = exchange
-        self.instance = instance
-
-    def greet(self) -> list[pb.EntryNews]:
-        return []
-
-    def batch(self, messages: list[pb.EntryNews]) -> pb.EntryNews:
-        return self.exchange.news(wanted_from=self.instance)
-
-    def hear(self, batch: pb.EntryNews) -> None:
-        self.exchange.members.hear(batch)
-        self.exchange.members.take_rows(list(batch.rows), batch.instance)
-
-    def on_open(self) -> None:
-        self.exchange.on_open(self.instance)
-
-    def on_lost(self) -> None:
-        """What the other entry tells comes on its own stream as well."""
-
-
-class _Listener:
-    """This entry's end of a stream that another one opened."""
-
-    def __init__(self, exchange: "EntryExchange", outbox: Outbox[pb.EntryNews]) -> None:
+    def __init__(
+        self,
+        exchange: "EntryExchange",
+        outbox: Callable[[], Outbox[pb.EntryNews]],
+        *,
+        is_ours: bool,
+    ) -> None:
         self.exchange = exchange
         self.outbox = outbox
+        self.is_ours = is_ours
         self.instance = ""
 
     def greet(self) -> list[pb.EntryNews]:
         return []
 
     def batch(self, messages: list[pb.EntryNews]) -> pb.EntryNews:
-        news = self.exchange.news()
+        news = self.exchange.news(wanted_from=self.instance)
         for message in messages:
             news.rows.extend(message.rows)
         return news
 
     def hear(self, batch: pb.EntryNews) -> None:
-        self.instance = batch.instance
+        if not self.instance:
+            self.instance = batch.instance
+            self.exchange.on_stream(self, batch.address)
         self.exchange.members.hear(batch)
-        self.exchange.link(batch.instance, batch.address)
+        self.exchange.members.take_rows(list(batch.rows), batch.instance)
         if batch.HasField("wanted"):
             rows = self.exchange.members.newer_rows(batch.wanted)
-            self.outbox.put(pb.EntryNews(rows=rows))
+            self.outbox().put(pb.EntryNews(rows=rows))
 
     def on_open(self) -> None:
-        pass
+        self.exchange.outboxes.add(self.outbox())
 
     def on_lost(self) -> None:
-        pass
+        self.exchange.outboxes.discard(self.outbox())
+        if self.instance:
+            self.exchange.on_stream_lost(self)
+            self.instance = ""
 
 
 class EntryExchange(EntriesBase):
@@ -237,9 +230,12 @@
         self.store = store
         self.members = members
         self.incarnation = time.time_ns() // NS_PER_MS
-        self.links: dict[str, Link] = {}
+        self.links: dict[str, asyncio.Task[None]] = {}
+        self.inbound: dict[str, str] = {}
+        self.outboxes: set[Outbox[pb.EntryNews]] = set()
+        self.untold = asyncio.Event()
         self.server = Server([self])
-        members.quota.on_untold = self.wake
+        members.quota.on_untold = self.untold.set
         self.log = events.get_logger("direct.exchange")
 
     async def start(self, kernel: Kernel) -> None:
@@ -275,31 +271,50 @@
         """Open a stream to another entry unless there is one."""
         if instance == self.settings.instance or not address:
             return
-        link = self.links.get(instance)
-        if link is not None:
-            link.address = address
+        if instance in self.links or instance in self.inbound:
             return
-        link = Link(
-            address, EntriesStub, "Exchange", _Teller(self, instance), peer=instance
-        )
-        self.links[instance] = link
-        self.kernel.spawn(link.run(), name=f"entries.{instance}")
+        stream = _EntryStream(self, lambda: link.outbox, is_ours=True)
+        link = Link(address, EntriesStub, "Exchange", stream, peer=instance)
+        self.links[instance] = self.kernel.spawn(link.run(), name=f"entries.{instance}")
+
+    def on_stream(self, stream: _EntryStream, address: str) -> None:
+        """Note that another entry was reached; one stream to each is enough.
 
-    def on_open(self, instance: str) -> None:
-        """Note that another entry was reached."""
+        Of two, the one that the entry with the lower name opened stays.
+        """
+        instance = stream.instance
         self.log.event(_events.PEER_CONNECTED, peer=instance)
+        if stream.is_ours:
+            return
+        self.inbound[instance] = address
+        if instance < self.settings.instance and instance in self.links:
+            self.links.pop(instance).cancel()
+
+    def on_stream_lost(self, stream: _EntryStream) -> None:
+        """Open a stream in place of one that the other entry had opened."""
+        if stream.is_ours:
+            return
+        address = self.inbound.pop(stream.instance, "")
+        self.link(stream.instance, address)
 
     async def tell(self) -> None:
-        """Send news to everyone in turn, at a steady pace."""
+        """Send news to everyone at a steady pace, or at once when asked to."""
         while True:
-            await asyncio.sleep(NEWS_INTERVAL_S)
-            self.wake()
-
-    def wake(self) -> None:
-        """Send news to everyone now."""
-        for link in self.links.values():
-            if link.is_open:
-                link.outbox.wake()
+            await self.wait_turn()
+            for outbox in self.outboxes:
+                outbox.wake()
+
+    async def wait_turn(self) -> None:
+        """Wait until news are due."""
+        entries = len(self.outboxes)
+        interval_s = NEWS_INTERVAL_S * max(1.0, entries / TOLD_ENTRIES)
+        try:
+            async with asyncio.timeout(interval_s):
+                await self.untold.wait()
+            await asyncio.sleep(MIN_NEWS_INTERVAL_S)
+        except TimeoutError:
+            pass
+        self.untold.clear()
 
     def news(self, *, wanted_from: str = "") -> pb.EntryNews:
         """Return what this entry tells."""
@@ -322,11 +337,13 @@
     ) -> None:
         """Serve another entry's stream until it ends."""
         outbox: Outbox[pb.EntryNews] = Outbox()
-        listener = _Listener(self, outbox)
+        speaker = _EntryStream(self, lambda: outbox, is_ours=False)
         try:
-            await converse(stream, listener, outbox)
+            await converse(stream, speaker, outbox)
         except LOST_ERRORS as error:
             self.members.lose(
-                listener.instance, is_silent=isinstance(error, TimeoutError)
+                speaker.instance, is_silent=isinstance(error, TimeoutError)
             )
-            self.log.event(_events.PEER_LOST, peer=listener.instance, error=repr(error))
+            self.log.event(_events.PEER_LOST, peer=speaker.instance, error=repr(error))
+        finally:
+            speaker.on_lost()
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_fleet.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_fleet.py
@@ -1,6 +1,7 @@
 """The configuration in force and the upstreams that are known."""
 
 import asyncio
+import random
 import time
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
@@ -25,6 +26,10 @@
 CONFIG_KEY = "config"
 # Bounds how long a connection that has gone silent goes unnoticed.
 WATCH_WAIT_S = 4.0
+# Entries among which one notices a silent store that soon; with more, each waits
+# longer, for what one learns is told to all.
+WATCHING_ENTRIES = 4
+MAX_WATCH_WAIT_S = 15.0
 # After a failure the store is asked more often, to see it return soon.
 WATCH_WAIT_AFTER_FAILURE_S = 1.0
 MAX_RETRY_DELAY_S = 0.5
@@ -241,12 +246,21 @@
         settings: Settings of this process.
         fleet: Takes what is read.
         store: The platform's store.
+        live_entries: Returns how many entries watch the store.
     """
 
     name = "fleet"
     requires: tuple[str, ...] = ()
 
-    def __init__(self, settings: DirectSettings, fleet: Fleet, store: Store) -> None:
+    def __init__(
+        self,
+        settings: DirectSettings,
+        fleet: Fleet,
+        store: Store,
+        *,
+        live_entries: Callable[[], int] = lambda: 1,
+    ) -> None:
+        self.live_entries = live_entries
         self.settings = settings
         self.fleet = fleet
         self.store = store
@@ -285,7 +299,7 @@
                     rows = await self.store.read(table)
                     self.apply_all(table, rows, after_outage=self.is_unsettled(is_down))
                 else:
-                    wait_s = WATCH_WAIT_AFTER_FAILURE_S if is_down else WATCH_WAIT_S
+                    wait_s = self.wait_s(is_down)
                     rows = await self.store.changes(table, version, wait_s=wait_s)
                     unsettled = self.is_unsettled(is_down)
                     self.apply_changes(table, rows, after_outage=unsettled)
@@ -303,6 +317,16 @@
                 is_down = True
                 await asyncio.sleep(backoff.delay_s())
 
+    def wait_s(self, is_down: bool) -> float:
+        """Return how long the store may keep a call that has nothing to tell.
+
+        It varies, so that the entries do not all call at the same time.
+        """
+        if is_down:
+            return WATCH_WAIT_AFTER_FAILURE_S
+        crowd = max(1.0, self.live_entries() / WATCHING_ENTRIES)
+        return min(MAX_WATCH_WAIT_S, WATCH_WAIT_S * crowd) * random.uniform(0.6, 1.0)
+
     def is_unsettled(self, is_down: bool) -> bool:
         """Return whether upstreams that are missing may yet come back."""
         return is_down or time.monotonic() < self.settled_at
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
@@ -14,6 +14,10 @@
 from skylarkdoord.direct._settings import DirectSettings
 
 REPORT_INTERVAL_S = 0.1
+# Entries to which a load is told within that interval; with more it is longer.
+REPORTED_ENTRIES = 6
+# A load that did not turn from free to full or back is told this often, in turns.
+MINOR_TURNS = 5
 # A request whose entry is not heard from may still run for this long.
 ORPHAN_S = 2.0
 
@@ -132,12 +136,21 @@
         return pb.SidecarMessage(load=report)
 
     async def report(self) -> None:
-        """Tell every entry the load when it has changed."""
+        """Tell every entry the load when it has changed.
+
+        That places came free or ran out is told soon, other changes less often.
+        """
         told = self.queue.counts()
+        turn = 0
         while True:
-            await asyncio.sleep(REPORT_INTERVAL_S)
+            entries = len(self.outboxes)
+            await asyncio.sleep(
+                REPORT_INTERVAL_S * max(1.0, entries / REPORTED_ENTRIES)
+            )
+            turn += 1
             counts = self.queue.counts()
-            if counts == told:
+            is_minor = counts.is_full == told.is_full and turn % MINOR_TURNS
+            if counts == told or is_minor:
                 continue
             told = counts
             for outbox in self.outboxes.values():
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guard_queue.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guard_queue.py
@@ -22,6 +22,11 @@
     places: int
     waiting: int
 
+    @property
+    def is_full(self) -> bool:
+        """Whether no place is free."""
+        return self.running >= self.places
+
 
 @dataclass(order=True)
 class Offered:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_link.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_link.py
@@ -12,8 +12,8 @@
 from skylarkdoord import _events
 
 CONNECT_TIMEOUT_S = 0.7
-HEARTBEAT_S = 0.5
-SILENCE_TIMEOUT_S = 1.6
+HEARTBEAT_S = 1.0
+SILENCE_TIMEOUT_S = 2.6
 MAX_RETRY_DELAY_S = 1.0
 LOST_ERRORS = (
     GRPCError,
@@ -141,5 +141,5 @@
     def close(self) -> None:
         """Drop what was not sent."""
         self.is_open = False
-        self.outbox = Outbox()
         self.speaker.on_lost()
+        self.outbox = Outbox()
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
@@ -35,6 +35,8 @@
 MAX_RETURN_S = 3.0
 # The best guard answers within a round trip; then the others are asked too.
 HEAD_START_S = 0.008
+# Guards that hold an offer of the same request at a time.
+MAX_OFFERS = 6
 # For this long after a request waited in vain, others are taken to do so too.
 RUSH_S = 0.4
 # Requests that may wait ahead of one that joins during a rush.
@@ -230,25 +232,30 @@
                 heapq.heapify(queue)
 
     def ask(self, waiter: Waiter) -> None:
-        """Offer a request to the best guard with room, soon to the others too."""
+        """Offer a request to the best guard with room, soon to some others too."""
         if waiter.place.done():
             return
         guards = self.guards(waiter)
         best = next((guard for guard in guards if guard.room > 0), None)
         if best is None:
-            self.ask_all(waiter)
+            self.ask_some(waiter)
             return
         self.offer(waiter, best)
         loop = asyncio.get_running_loop()
-        loop.call_later(HEAD_START_S, self.ask_all, waiter)
+        loop.call_later(HEAD_START_S, self.ask_some, waiter)
 
-    def ask_all(self, waiter: Waiter) -> None:
-        """Offer a request to every guard that was not asked yet."""
+    def ask_some(self, waiter: Waiter) -> None:
+        """Offer a request to more guards: those with room, then any.
+
+        Each further offer may be granted in vain and hold a place for a round
+        trip, so there are few; drawing them spreads the requests.
+        """
         if waiter.place.done():
             return
-        for guard in self.guards(waiter):
-            if guard not in waiter.asked:
-                self.offer(waiter, guard)
+        others = [one for one in self.guards(waiter) if one not in waiter.asked]
+        others.sort(key=lambda guard: (guard.room <= 0, random.random()))
+        for guard in others[: MAX_OFFERS - len(waiter.asked)]:
+            self.offer(waiter, guard)
 
     def offer(self, waiter: Waiter, guard: GuardLink) -> None:
         """Ask one guard for a place."""
@@ -286,7 +293,7 @@
         """Offer what waits to a guard that was just reached."""
         for waiter in list(self.asking.values()):
             if waiter.admitted.service == guard.record.service:
-                self.ask_all(waiter)
+                self.ask_some(waiter)
 
     def flow(self, service: str) -> Flow:
         """Return how a service's queue moves."""
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -39,7 +39,7 @@
         budget=Budget(settings.retry_budget, live_entries=members.live),
         quota=quota,
     )
-    kernel.register(FleetWatcher(settings, fleet, store))
+    kernel.register(FleetWatcher(settings, fleet, store, live_entries=members.live))
     kernel.register(EntryExchange(settings, store, members))
     kernel.register(guards)
     kernel.register(CallerServer(settings, fleet, parts))
