--- a/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
@@ -1,6 +1,7 @@
 """What entries tell each other: use of limits, and newer rows of the store."""
 
 import asyncio
+import random
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -15,6 +16,7 @@
 from skylarkdoord.direct._adapter import Row, Store
 from skylarkdoord.direct._fleet import CONFIG, UPSTREAMS, Fleet
 from skylarkdoord.direct._link import LOST_ERRORS, Link, converse
+from skylarkdoord.direct._model import MS_PER_S
 from skylarkdoord.direct._quota import Quota
 from skylarkdoord.direct._settings import DirectSettings
 from skylarkdoord.direct.exceptions import StoreError
@@ -27,11 +29,13 @@
 MIN_NEWS_INTERVAL_S = 0.05
 # An entry that is not heard from for this long does not share the upstreams.
 LIVE_S = 2.0
+# An entry of which this many news are missed may be cut off.
+MISSED_NEWS = 3.5
 # For this long an entry that fell silent is taken to go on using its share.
 SILENT_S = 30.0
 # Versions that others hold longer than this were missed by this entry's watch.
 BEHIND_S = 0.3
-NS_PER_MS = 1_000_000
+MAX_INCARNATION = 2**63
 
 
 @dataclass
@@ -40,9 +44,9 @@
 
     Attributes:
         instance: Its name.
-        incarnation: Its life, in milliseconds of its start.
+        incarnation: Its life, drawn anew at each start.
         heard_at: Monotonic time of its last news, in seconds.
-        is_cut_off: Whether it fell silent rather than ended its stream.
+        has_left: Whether it ended its stream rather than fell silent.
         used: Units that it said it admitted, by customer.
         config_version: Version of the configuration's row that it holds.
         upstreams_version: Newest version of upstreams' rows that it holds.
@@ -52,7 +56,7 @@
     instance: str
     incarnation: int = 0
     heard_at: float = 0.0
-    is_cut_off: bool = False
+    has_left: bool = False
     used: dict[str, float] = field(default_factory=dict)
     config_version: int = 0
     upstreams_version: int = 0
@@ -73,32 +77,40 @@
         self.fleet = fleet
         self.quota = quota
         self.known: dict[str, Member] = {}
-        self.log = events.get_logger("direct.members")
+        self.started = time.monotonic()
 
     def live(self) -> int:
         """Return how many entries share the upstreams, this one included."""
         since = time.monotonic() - LIVE_S
         return 1 + sum(member.heard_at > since for member in self.known.values())
 
+    def news_interval_s(self) -> float:
+        """Return how often entries speak to each other, in seconds."""
+        return NEWS_INTERVAL_S * max(1.0, len(self.known) / TOLD_ENTRIES)
+
     def silent(self) -> tuple[int, int]:
         """Return how many entries may be cut off, and how many there are in all."""
         now = time.monotonic()
-        silent = sum(
-            member.is_cut_off and now - member.heard_at < SILENT_S
+        quiet_s = MISSED_NEWS * self.news_interval_s()
+        present = [
+            member
             for member in self.known.values()
-        )
-        return silent, self.live() + silent
+            if not member.has_left and now - member.heard_at < SILENT_S
+        ]
+        silent = sum(now - member.heard_at > quiet_s for member in present)
+        return silent, 1 + len(present)
+
+    def age_ms(self) -> int:
+        """Return the time since this entry's start, in milliseconds."""
+        return int((time.monotonic() - self.started) * MS_PER_S)
 
     def hear(self, news: pb.EntryNews) -> None:
         """Take over what another entry tells."""
-        member = self.known.setdefault(news.instance, Member(news.instance))
-        if news.incarnation < member.incarnation:
-            return
-        if news.incarnation > member.incarnation:
-            member.used = {}
-            member.incarnation = news.incarnation
+        member = self.known.get(news.instance)
+        if member is None or member.incarnation != news.incarnation:
+            member = self.meet(news)
         member.heard_at = time.monotonic()
-        member.is_cut_off = False
+        member.has_left = False
         for customer, units in news.used.items():
             before = member.used.get(customer, 0.0)
             if units != before:
@@ -107,11 +119,25 @@
         member.config_version = news.config_version
         member.upstreams_version = news.upstreams_version
 
+    def meet(self, news: pb.EntryNews) -> Member:
+        """Begin to follow an entry, or a new life of one.
+
+        From an entry that is older than this one, this one learns what all have
+        used of late, its own former life included.
+        """
+        member = Member(news.instance, news.incarnation)
+        self.known[news.instance] = member
+        if news.age_ms >= self.age_ms():
+            member.used = dict(news.used)
+            for customer, units in news.totals.items():
+                self.quota.raise_total(customer, units)
+        return member
+
     def lose(self, instance: str, *, is_silent: bool) -> None:
         """Note that an entry's stream ended."""
         member = self.known.get(instance)
-        if member is not None and is_silent:
-            member.is_cut_off = True
+        if member is not None:
+            member.has_left = not is_silent
 
     def is_behind(self, instance: str) -> bool:
         """Return whether an entry has held newer rows for some time."""
@@ -201,9 +227,10 @@
     def on_open(self) -> None:
         self.exchange.outboxes.add(self.outbox())
 
-    def on_lost(self) -> None:
+    def on_lost(self, *, is_silent: bool) -> None:
         self.exchange.outboxes.discard(self.outbox())
         if self.instance:
+            self.exchange.members.lose(self.instance, is_silent=is_silent)
             self.exchange.on_stream_lost(self)
             self.instance = ""
 
@@ -229,7 +256,7 @@
         self.settings = settings
         self.store = store
         self.members = members
-        self.incarnation = time.time_ns() // NS_PER_MS
+        self.incarnation = random.randrange(1, MAX_INCARNATION)
         self.links: dict[str, asyncio.Task[None]] = {}
         self.inbound: dict[str, str] = {}
         self.outboxes: set[Outbox[pb.EntryNews]] = set()
@@ -306,8 +333,7 @@
 
     async def wait_turn(self) -> None:
         """Wait until news are due."""
-        entries = len(self.outboxes)
-        interval_s = NEWS_INTERVAL_S * max(1.0, entries / TOLD_ENTRIES)
+        interval_s = self.members.news_interval_s()
         try:
             async with asyncio.timeout(interval_s):
                 await self.untold.wait()
@@ -326,7 +352,10 @@
             config_version=fleet.config_version,
             upstreams_version=fleet.upstreams_version,
             used=self.members.quota.tell(),
+            age_ms=self.members.age_ms(),
         )
+        if not wanted_from:
+            news.totals.update(self.members.quota.totals())
         if wanted_from and self.members.is_behind(wanted_from):
             news.wanted.config_since = fleet.config_version
             news.wanted.upstreams_since = fleet.upstreams_version
@@ -338,12 +367,11 @@
         """Serve another entry's stream until it ends."""
         outbox: Outbox[pb.EntryNews] = Outbox()
         speaker = _EntryStream(self, lambda: outbox, is_ours=False)
+        is_silent = False
         try:
             await converse(stream, speaker, outbox)
         except LOST_ERRORS as error:
-            self.members.lose(
-                speaker.instance, is_silent=isinstance(error, TimeoutError)
-            )
+            is_silent = isinstance(error, TimeoutError)
             self.log.event(_events.PEER_LOST, peer=speaker.instance, error=repr(error))
         finally:
-            speaker.on_lost()
+            speaker.on_lost(is_silent=is_silent)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
@@ -46,7 +46,7 @@
     def on_open(self) -> None:
         pass
 
-    def on_lost(self) -> None:
+    def on_lost(self, *, is_silent: bool) -> None:
         pass
 
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guards.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guards.py
@@ -115,7 +115,7 @@
         self.log.event(_events.PEER_CONNECTED, peer=self.record.instance)
         self.listener.on_guard_found(self)
 
-    def on_lost(self) -> None:
+    def on_lost(self, *, is_silent: bool) -> None:
         """The guard is no longer reached."""
         if self.is_connected:
             self.is_connected = False
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_link.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_link.py
@@ -39,8 +39,8 @@
     def on_open(self) -> None:
         """The peer has answered."""
 
-    def on_lost(self) -> None:
-        """The stream has ended."""
+    def on_lost(self, *, is_silent: bool) -> None:
+        """The stream has ended, or the peer no longer answers on it."""
 
 
 async def converse(stream: Any, speaker: Speaker, outbox: Outbox[Any]) -> None:
@@ -99,6 +99,7 @@
         self.peer = peer
         self.outbox: Outbox[Any] = Outbox()
         self.is_open = False
+        self.is_silent = False
         self.log = events.get_logger("direct.link")
 
     async def run(self) -> None:
@@ -130,6 +131,7 @@
 
     def lose(self, error: Exception) -> None:
         """Log the end of a connection that had been open."""
+        self.is_silent = isinstance(error, TimeoutError)
         if self.is_open:
             self.log.event(
                 _events.PEER_LOST,
@@ -141,5 +143,5 @@
     def close(self) -> None:
         """Drop what was not sent."""
         self.is_open = False
-        self.speaker.on_lost()
+        self.speaker.on_lost(is_silent=self.is_silent)
         self.outbox = Outbox()
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_quota.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_quota.py
@@ -171,6 +171,18 @@
         now = self.clock()
         self.account(customer, now).add(units, now)
 
+    def raise_total(self, customer: str, units: float) -> None:
+        """Take over another entry's count of a window if it is higher."""
+        now = self.clock()
+        account = self.account(customer, now)
+        if units > account.total:
+            account.add(units - account.total, now)
+
+    def totals(self) -> dict[str, float]:
+        """Return the units used within the window by all, by customer."""
+        now = self.clock()
+        return {name: self.account(name, now).total for name in self.accounts}
+
     def tell(self) -> dict[str, float]:
         """Return the units that this entry admitted in all, by customer."""
         for account in self.accounts.values():
