Quarantine requests that crash upstreams; give up on silent ones early; test the whole path

The path is tested against a store and servers scripted byte by byte: cuts, resets without a length, second answers, answers to others, forged headers, resumed streams.

--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -164,3 +164,6 @@
     707, "upstream_regained", logging.INFO, "A spared upstream answered."
 )
 REQUEST_STEP = define(708, "request_step", logging.INFO, "A request took a step.")
+REQUEST_SUSPECTED = define(
+    709, "request_suspected", logging.WARNING, "An upstream crashed with a request."
+)
--- a/packages/skylarkdoord/src/skylarkdoord/common/__init__.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/__init__.py
@@ -1,12 +1,12 @@
 """Services that both roles run."""
 
 from skylarkdoor.backoff import Backoff
+from skylarkdoor.suspicion import Suspicion, Suspicions, crash_id
 from skylarkdoord.common._departure import Departure
 from skylarkdoord.common._internal import InternalServer
 from skylarkdoord.common._platform import Platform
 from skylarkdoord.common._settings import SettingsService
 from skylarkdoord.common._settings_exchange import Exchange
-from skylarkdoord.common._suspicion import Suspicion, Suspicions, crash_id
 from skylarkdoord.common._tls_service import TlsService
 
 __all__ = [
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
@@ -79,6 +79,7 @@
         self.fleet = fleet
         self.parts = parts
         self.is_leaving = False
+        self.drain_notice_s = DRAIN_NOTICE_S
         self.busy: set[object] = set()
         self.idle = asyncio.Event()
         self.log = events.get_logger("direct.callers")
@@ -115,7 +116,7 @@
         began = time.monotonic()
         self.is_leaving = True
         self.log.event(_events.DRAIN_STARTED, reason="shutdown", running=len(self.busy))
-        await asyncio.sleep(DRAIN_NOTICE_S)
+        await asyncio.sleep(self.drain_notice_s)
         for site in list(self.callers.sites):
             await site.stop()
         self.close_idle()
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
@@ -14,6 +14,7 @@
 from skylarkdoor.wire import EntriesBase, EntriesStub, Outbox, pb
 from skylarkdoord import _events
 from skylarkdoord.direct._adapter import Row, Store
+from skylarkdoord.direct._crashes import Crashes
 from skylarkdoord.direct._fleet import CONFIG, UPSTREAMS, Fleet
 from skylarkdoord.direct._link import LOST_ERRORS, Link, converse
 from skylarkdoord.direct._model import MS_PER_S
@@ -69,11 +70,15 @@
     Args:
         instance: Name of this entry.
         fleet: Takes newer rows.
-        quota: Is charged with what the others admit.
+        quota: Is charged with what the others use.
+        crashes: Takes over what the others suspect.
     """
 
-    def __init__(self, instance: str, fleet: Fleet, quota: Quota) -> None:
+    def __init__(
+        self, instance: str, fleet: Fleet, quota: Quota, crashes: Crashes
+    ) -> None:
         self.instance = instance
+        self.crashes = crashes
         self.fleet = fleet
         self.quota = quota
         self.known: dict[str, Member] = {}
@@ -116,6 +121,7 @@
             if units != before:
                 self.quota.charge(customer, units - before)
                 member.used[customer] = units
+        self.crashes.hear(news.suspects)
         member.config_version = news.config_version
         member.upstreams_version = news.upstreams_version
 
@@ -353,6 +359,7 @@
             upstreams_version=fleet.upstreams_version,
             used=self.members.quota.tell(),
             age_ms=self.members.age_ms(),
+            suspects=self.members.crashes.tell(),
         )
         if not wanted_from:
             news.totals.update(self.members.quota.totals())
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
@@ -12,6 +12,7 @@
 from skylarkdoord.direct._adapter import Adapter
 from skylarkdoord.direct._budget import Budget
 from skylarkdoord.direct._call import Answer, UpstreamClient
+from skylarkdoord.direct._crashes import Crashes, mark_of
 from skylarkdoord.direct._model import MS_PER_S, Admitted
 from skylarkdoord.direct._quota import Quota
 from skylarkdoord.direct._relay import CallerStream, EventSplitter
@@ -29,6 +30,11 @@
 FIRST_SERVER_ERROR = 500
 UNAVAILABLE_RETRY_AFTER_S = 0.5
 MAX_SENDS = 4
+# An upstream is silent if no first byte came within so many times the route's
+# target, and so many times what is usual.
+SILENT_TARGETS = 2.0
+SILENT_FIRSTS = 6.0
+MIN_SILENCE_S = 1.0
 
 
 class Parts(NamedTuple):
@@ -41,6 +47,7 @@
         upstreams: What is known of upstreams.
         budget: Bounds repeats.
         quota: Customers' limits.
+        crashes: Requests that crash upstreams.
     """
 
     adapter: Adapter
@@ -49,6 +56,7 @@
     upstreams: Upstreams
     budget: Budget
     quota: Quota
+    crashes: Crashes
 
 
 class Forwarding:
@@ -77,6 +85,7 @@
         self.runs = 0
         self.sends = 0
         self.tried: set[str] = set()
+        self.mark = mark_of(admitted)
         self.log = events.get_logger("direct.forward")
 
     async def serve(self) -> web.StreamResponse:
@@ -88,6 +97,8 @@
             TimeoutError: Its time is up; it may have run.
         """
         self.parts.budget.count(self.admitted.service)
+        if self.parts.crashes.is_quarantined(self.mark):
+            raise NotRunError("quarantined", "the request crashes upstreams")
         self.parts.quota.check(self.admitted)
         while True:
             place = await self.acquire()
@@ -98,6 +109,7 @@
                 self.on_not_run(place, error)
             except UpstreamFailedError as error:
                 self.runs += 1
+                self.parts.upstreams.on_answer(place.upstream, is_error=True)
                 self.note(place, "failed", began, status=error.response.status)
                 if not self.may_run_again():
                     return error.response
@@ -107,6 +119,8 @@
                     return self.give_up(error)
             except TimeoutError:
                 self.note(place, "timeout", began)
+                if not self.stream.has_begun:
+                    self.parts.upstreams.on_failure(place.upstream, "timeout")
                 if self.stream.has_begun:
                     return self.stream.cut()
                 raise
@@ -138,14 +152,16 @@
         self.tried.add(upstream.instance)
         began = time.monotonic()
         self.note(place, "sent", began)
-        answer = await self.parts.client.send(
-            self.admitted, upstream.record, last_event_id=self.stream.last_id
-        )
+        self.parts.crashes.enter(upstream.record, self.mark)
         try:
-            async with asyncio.timeout_at(self.admitted.deadline):
-                response = await self.relay(answer)
+            response = await self.exchange(place, self.first_deadline())
+        except asyncio.CancelledError:
+            self.on_left(place, time.monotonic() - began)
+            raise
         finally:
-            answer.close()
+            self.parts.crashes.leave(upstream.record, self.mark)
+        is_error = response.status >= FIRST_SERVER_ERROR
+        self.parts.upstreams.on_answer(upstream, is_error=is_error)
         self.parts.upstreams.on_success(upstream)
         first_s = 0.0
         if self.stream.has_begun:
@@ -155,20 +171,71 @@
             place,
             "answered",
             began,
-            status=answer.status,
+            status=response.status,
             first_ms=round(first_s * MS_PER_S),
         )
         return response
 
-    async def relay(self, answer: Answer) -> web.StreamResponse:
+    def first_deadline(self) -> float:
+        """Return until when the first byte is awaited, as monotonic time.
+
+        Where another run is allowed, a silent upstream is given up on early.
+        """
+        admitted = self.admitted
+        if (
+            not admitted.route.may_repeat
+            or self.runs + 1 >= admitted.route.max_attempts
+        ):
+            return admitted.deadline
+        usual_s = self.parts.upstreams.expected_first_s(admitted.service)
+        silence_s = max(
+            SILENT_TARGETS * admitted.route.target_latency_s, SILENT_FIRSTS * usual_s
+        )
+        return min(admitted.deadline, time.monotonic() + silence_s)
+
+    async def exchange(self, place: Place, first_deadline: float) -> web.StreamResponse:
+        """Send the request and pass its answer on.
+
+        Raises:
+            UpstreamSilentError: No first byte came in time.
+        """
+        client = self.parts.client
+        last_id = self.stream.last_id
+        try:
+            async with asyncio.timeout_at(first_deadline) as first:
+                answer = await client.send(
+                    self.admitted, place.upstream.record, last_event_id=last_id
+                )
+                try:
+                    return await self.relay(answer, first)
+                finally:
+                    answer.close()
+        except TimeoutError:
+            if self.admitted.remaining_s() <= 0:
+                raise
+            raise UpstreamSilentError("no first byte in time") from None
+
+    def on_left(self, place: Place, after_s: float) -> None:
+        """Learn from a caller that left before anything came."""
+        usual_s = self.parts.upstreams.expected_first_s(self.admitted.service)
+        if not self.stream.has_begun and after_s > max(MIN_SILENCE_S, 4 * usual_s):
+            self.parts.upstreams.on_failure(place.upstream, "silent")
+
+    async def relay(self, answer: Answer, first: asyncio.Timeout) -> web.StreamResponse:
         """Pass an answer on.
 
+        Args:
+            answer: The answer.
+            first: The time limit, put off once the first byte has come.
+
         Raises:
             AnswerCutError: It ended before it was whole.
+            UpstreamFailedError: It is an error, and another run may do better.
         """
         headers = self.parts.adapter.caller_headers(answer.response.headers)
         if self.admitted.route.is_stream and answer.status == web.HTTPOk.status_code:
-            return await self.relay_stream(answer, headers)
+            return await self.relay_stream(answer, headers, first)
+        first.reschedule(self.admitted.deadline)
         body = await answer.read_whole()
         if self.stream.has_begun:
             raise AnswerCutError(f"status {answer.status} amid a stream")
@@ -182,12 +249,13 @@
         return response
 
     async def relay_stream(
-        self, answer: Answer, headers: list[tuple[str, str]]
+        self, answer: Answer, headers: list[tuple[str, str]], first: asyncio.Timeout
     ) -> web.StreamResponse:
         """Pass whole events on as they come."""
         splitter = EventSplitter()
         while chunk := await answer.read_chunk():
             for event in splitter.feed(chunk):
+                first.reschedule(self.admitted.deadline)
                 await self.stream.begin(answer.status, headers)
                 await self.stream.write(event)
         if splitter.rest:
@@ -221,6 +289,7 @@
         """Note that a run gave no whole answer."""
         self.runs += 1
         self.parts.upstreams.on_failure(place.upstream, str(error))
+        self.parts.crashes.on_lost(place.upstream.record, self.mark)
         self.note(place, "lost", time.monotonic(), error=str(error))
 
     def may_run_again(self) -> bool:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
@@ -27,6 +27,8 @@
 OVERCOMMIT = 1.5
 # Cost of another data centre, as a share of a busy upstream.
 REMOTE_COST = 0.05
+# Cost of an upstream all of whose answers are errors, in the same measure.
+FAILURE_COST = 10.0
 MIN_PATIENCE_S = 0.05
 # A request that is late already waits for this share of the time that is left.
 LATE_PATIENCE_SHARE = 0.35
@@ -362,4 +364,6 @@
         """Return how bad a choice the upstream is; lower is better."""
         busy = (running + 1) / max(1, upstream.record.slots)
         remote = upstream.record.data_centre != self.data_centre
-        return busy * upstream.slowness + (REMOTE_COST if remote else 0.0)
+        avoided = FAILURE_COST * self.upstreams.excess_failures(upstream)
+        distance = REMOTE_COST if remote else 0.0
+        return upstream.slowness * (1.0 + busy) + avoided + distance
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_upstreams.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_upstreams.py
@@ -13,6 +13,9 @@
 MAX_PAUSE_S = 3.0
 # An upstream that is full has room again after about one short request.
 FULL_PAUSE_S = 0.05
+MAX_FULL_PAUSE_S = 2.0
+# Share of failed answers beyond that of the peers at which an upstream is avoided.
+TOLERATED_FAILURES = 0.15
 # Weight of the newest measurement in a moving average.
 NEWEST = 0.1
 # Bounds on how much slower or faster than its peers an upstream is taken to be.
@@ -31,6 +34,8 @@
         running: Requests of this entry that are under way there.
         paused_until: Monotonic time until which it is spared, in seconds.
         failures: Failures in a row.
+        refusals: Times in a row that it had no room.
+        failing: Share of its answers that are errors of its own.
         slowness: Time to the first byte in proportion to that of its peers.
     """
 
@@ -38,6 +43,8 @@
     running: int = 0
     paused_until: float = 0.0
     failures: int = 0
+    refusals: int = 0
+    failing: float = 0.0
     slowness: float = 1.0
 
     @property
@@ -65,6 +72,7 @@
         self.clock = clock
         self.known: dict[tuple[str, int], Upstream] = {}
         self.first_s: dict[str, float] = {}
+        self.failing: dict[str, float] = {}
         self.log = events.get_logger("direct.upstreams")
         fleet.on_upstreams.append(self.forget_gone)
 
@@ -112,8 +120,13 @@
         upstream.slowness += NEWEST * (ratio - upstream.slowness)
 
     def on_full(self, upstream: Upstream) -> None:
-        """Note that the upstream had no room."""
-        until = self.clock() + FULL_PAUSE_S
+        """Spare an upstream that had no room, longer each time.
+
+        One that turns everything away always looks idle.
+        """
+        pause_s = min(MAX_FULL_PAUSE_S, FULL_PAUSE_S * 2**upstream.refusals)
+        upstream.refusals += 1
+        until = self.clock() + pause_s
         upstream.paused_until = max(upstream.paused_until, until)
 
     def on_failure(self, upstream: Upstream, reason: str) -> None:
@@ -129,8 +142,21 @@
             pause_s=pause_s,
         )
 
+    def on_answer(self, upstream: Upstream, *, is_error: bool) -> None:
+        """Learn from an answer's status."""
+        service = upstream.record.service
+        usual = self.failing.get(service, 0.0)
+        self.failing[service] = usual + NEWEST * (is_error - usual)
+        upstream.failing += NEWEST * (is_error - upstream.failing)
+
+    def excess_failures(self, upstream: Upstream) -> float:
+        """Return by how much more of its answers are errors than is usual."""
+        usual = self.failing.get(upstream.record.service, 0.0)
+        return max(0.0, upstream.failing - usual - TOLERATED_FAILURES)
+
     def on_success(self, upstream: Upstream) -> None:
         """Note that the upstream answered."""
+        upstream.refusals = 0
         if upstream.failures:
             self.log.event(_events.UPSTREAM_REGAINED, upstream=upstream.instance)
         upstream.failures = 0
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -5,6 +5,7 @@
 from skylarkdoord.direct._budget import Budget
 from skylarkdoord.direct._call import UpstreamClient
 from skylarkdoord.direct._callers import CallerServer
+from skylarkdoord.direct._crashes import Crashes
 from skylarkdoord.direct._exchange import EntryExchange, Members
 from skylarkdoord.direct._fleet import Fleet, FleetWatcher
 from skylarkdoord.direct._forward import Parts
@@ -24,7 +25,8 @@
     fleet = Fleet(adapter, return_after_s=settings.return_after_s)
     upstreams = Upstreams(fleet)
     quota = Quota(settings.quota)
-    members = Members(settings.instance, fleet, quota)
+    crashes = Crashes()
+    members = Members(settings.instance, fleet, quota, crashes)
     quota.silent_entries = members.silent
     scheduler = Scheduler(
         upstreams, data_centre=settings.data_centre, live_entries=members.live
@@ -38,6 +40,7 @@
         upstreams=upstreams,
         budget=Budget(settings.retry_budget, live_entries=members.live),
         quota=quota,
+        crashes=crashes,
     )
     kernel.register(FleetWatcher(settings, fleet, store, live_entries=members.live))
     kernel.register(EntryExchange(settings, store, members))
--- /dev/null
+++ b/tests/adapter/_standins.py
@@ -0,0 +1,355 @@
+"""Stand-ins for the platform's store and servers, scripted byte by byte."""
+
+import asyncio
+import base64
+import contextlib
+import json
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+
+from skylarkdoor.kernel import Kernel
+from skylarkdoord.direct import DirectSettings
+from skylarkdoord.direct._settings import DirectListen
+from skylarkdoord.direct.entry import build
+
+HOST = "desk.example"
+SIGNATURE = "3e1b.07"
+LOOPBACK = "127.0.0.1"
+
+Script = Callable[["Request", asyncio.StreamWriter], Awaitable[None]]
+
+
+class Store:
+    """The platform's store, with tables in memory.
+
+    Attributes:
+        status: Answered to every call instead of the rows; 200 for none.
+        is_history_lost: Whether the feed answers that it forgot its history.
+    """
+
+    def __init__(self):
+        self.tables = {}
+        self.version = 1
+        self.changed = asyncio.Condition()
+        self.status = 200
+        self.is_history_lost = False
+        self.calls = []
+
+    async def __aenter__(self):
+        """Listen on a free port."""
+        app = web.Application()
+        app.router.add_get("/rows-get", self.get)
+        app.router.add_get("/rows-feed", self.feed)
+        app.router.add_post("/rows-tx", self.commit)
+        self.runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, LOOPBACK, 0)
+        await site.start()
+        self.address = f"{LOOPBACK}:{self.runner.addresses[0][1]}"
+        return self
+
+    async def __aexit__(self, *exc):
+        """Close the listener."""
+        await self.runner.cleanup()
+
+    async def put(self, table, key, value):
+        """Write a row; bytes are written as they are, None removes it."""
+        data = value if value is None or isinstance(value, bytes) else to_json(value)
+        async with self.changed:
+            self.version += 1
+            self.tables.setdefault(table, {})[key] = (data, self.version)
+            self.changed.notify_all()
+
+    def rows(self, table, since=-1):
+        """Return the rows changed after a version."""
+        rows = []
+        for key, (data, version) in sorted(self.tables.get(table, {}).items()):
+            if version <= since or (data is None and since < 0):
+                continue
+            row = {"tableName": table, "part": "", "key": key, "rowVersion": version}
+            if data is None:
+                row["deleted"] = True
+            else:
+                row["data"] = base64.b64encode(data).decode()
+            rows.append(row)
+        return rows
+
+    def answer(self, rows):
+        """Return an answer with rows."""
+        return web.json_response(
+            {"rows": rows, "hasMore": False, "rowVersion": self.version, "nowMs": 1}
+        )
+
+    async def get(self, request):
+        """Answer a full reading."""
+        self.calls.append(request.path)
+        if self.status != 200:
+            return web.Response(status=self.status)
+        return self.answer(self.rows(request.query["tableName"]))
+
+    async def feed(self, request):
+        """Answer with changes as soon as there are some."""
+        self.calls.append(request.path)
+        if self.status != 200:
+            return web.Response(status=self.status)
+        if self.is_history_lost:
+            self.is_history_lost = False
+            return web.Response(status=410)
+        table, since = request.query["tableName"], int(request.query["sinceRevision"])
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(int(request.query["waitMs"]) / 1000):
+                async with self.changed:
+                    await self.changed.wait_for(lambda: self.rows(table, since))
+        return self.answer(self.rows(table, since))
+
+    async def commit(self, request):
+        """Write rows."""
+        body = await request.json()
+        for row in body.get("write", []):
+            data = base64.b64decode(row["data"])
+            await self.put(row["tableName"], row["key"], data)
+        return self.answer([])
+
+
+class Request:
+    """A request as a server received it."""
+
+    def __init__(self, line, headers, body):
+        self.method, self.target, _ = line.split(" ", 2)
+        self.headers = headers
+        self.body = body
+
+    def header(self, name):
+        """Return a header's values."""
+        return [value for key, value in self.headers if key.lower() == name.lower()]
+
+
+class Server:
+    """A server of the platform that follows a script.
+
+    Args:
+        script: Answers one request.
+    """
+
+    def __init__(self, script):
+        self.script = script
+        self.requests = []
+        self.closed = asyncio.Event()
+
+    async def __aenter__(self):
+        """Listen on a free port."""
+        self.server = await asyncio.start_server(self.serve, LOOPBACK, 0)
+        self.address = f"{LOOPBACK}:{self.server.sockets[0].getsockname()[1]}"
+        return self
+
+    async def __aexit__(self, *exc):
+        """Close the listener."""
+        self.server.close()
+
+    async def serve(self, reader, writer):
+        """Serve one connection."""
+        try:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+            line, *fields = head.strip().split("\r\n")
+            headers = [tuple(field.split(": ", 1)) for field in fields]
+            request = Request(line, headers, b"")
+            length = int((request.header("Content-Length") or ["0"])[0])
+            request.body = await reader.readexactly(length)
+            self.requests.append(request)
+            work = asyncio.create_task(self.script(request, writer))
+            gone = asyncio.create_task(reader.read(1))
+            await asyncio.wait({work, gone}, return_when=asyncio.FIRST_COMPLETED)
+            if not work.done():
+                self.closed.set()
+                work.cancel()
+            gone.cancel()
+            await asyncio.gather(work, gone, return_exceptions=True)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+
+def to_json(value):
+    """Return a value as JSON bytes."""
+    return json.dumps(value).encode()
+
+
+def head(request, *fields, status="200 OK"):
+    """Return the head of a signed answer to a request."""
+    attempt = request.header("Attempt-Id")[0]
+    lines = (f"HTTP/1.1 {status}", f"Attempt-Id: {attempt}", *fields, "", "")
+    return "\r\n".join(lines).encode()
+
+
+def signed(request, *fields, status="200 OK"):
+    """Return the head of an answer with the server's signature."""
+    return head(request, f"Server-Signature: {SIGNATURE}", *fields, status=status)
+
+
+def whole(body=b"answer", status="200 OK"):
+    """Return a script that answers with a whole body."""
+
+    async def script(request, writer):
+        length = f"Content-Length: {len(body)}"
+        writer.write(signed(request, length, status=status) + body)
+        await writer.drain()
+
+    return script
+
+
+def reset(writer):
+    """Reset a connection."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+def refuse():
+    """Return a script that says that it did not run the request."""
+
+    async def script(request, writer):
+        fields = ("Not-Executed: 1", "Content-Length: 0")
+        writer.write(head(request, *fields, status="503 Service Unavailable"))
+
+    return script
+
+
+def event(number):
+    """Return one event of a stream."""
+    return f"id: {number}\ndata: word {number}\n\n".encode()
+
+
+def chunk(data):
+    """Return bytes as one chunk."""
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+def stream(numbers, *, tail=b"", is_cut=False, pause_s=0.0):
+    """Return a script that sends events, goes on at the id asked for, and ends."""
+
+    async def script(request, writer):
+        last = int((request.header("Last-Event-Id") or ["0"])[0])
+        fields = ("Content-Type: text/event-stream", "Transfer-Encoding: chunked")
+        writer.write(signed(request, *fields))
+        for number in numbers:
+            if number > last:
+                writer.write(chunk(event(number)))
+                await writer.drain()
+                await asyncio.sleep(pause_s)
+        if tail:
+            writer.write(chunk(tail))
+        if not is_cut:
+            writer.write(b"0\r\n\r\n")
+        await writer.drain()
+
+    return script
+
+
+def route(name="desk", **changes):
+    """Return a route of the operator's configuration."""
+    fields = {
+        "name": name,
+        "hostname": HOST,
+        "prefix": f"/{name}/",
+        "routeType": "idempotent",
+        "timeoutMs": 4000,
+        "targetLatencyMs": 500,
+        "priority": 1,
+        "service": "desk",
+        "maxAttempts": 2,
+        "anonymous": True,
+    }
+    return fields | changes
+
+
+def config(*routes, version=3, **changes):
+    """Return an operator's configuration."""
+    services = {item["service"] for item in routes}
+    fields = {
+        "version": version,
+        "routes": list(routes),
+        "services": [{"name": name, "healthPath": "/healthz"} for name in services],
+        "limits": {"maxBodyBytes": 1000},
+        "tenants": [],
+    }
+    return fields | changes
+
+
+def server_row(server, **changes):
+    """Return a server's row."""
+    fields = {
+        "service": "desk",
+        "address": server.address,
+        "zone": "north",
+        "version": "v1",
+        "slots": 4,
+        "state": "ready",
+        "coldRemainingMs": 0,
+        "sequence": 1,
+        "born": 1,
+    }
+    return fields | changes
+
+
+class Entry:
+    """A direct entry in this process.
+
+    Args:
+        store: The platform's store.
+        free_port: Returns a port that is free.
+    """
+
+    def __init__(self, store, free_port, instance="edge-1"):
+        self.settings = DirectSettings(
+            instance=instance,
+            data_centre="north",
+            adapter="skylarkdoor_platform",
+            store=store.address,
+            listen=DirectListen(
+                peers=f"{LOOPBACK}:{free_port()}",
+                metrics=f"{LOOPBACK}:{free_port()}",
+                callers=f"{LOOPBACK}:{free_port()}",
+                ready=f"{LOOPBACK}:{free_port()}",
+            ),
+            guard_port=free_port(),
+            shutdown_timeout_s=6.0,
+        )
+        self.kernel = Kernel()
+
+    @property
+    def url(self):
+        """Where callers are served."""
+        return f"http://{self.settings.listen.callers}"
+
+    async def __aenter__(self):
+        """Start the services."""
+        build(self.kernel, self.settings)
+        await self.kernel.start()
+        return self
+
+    async def __aexit__(self, *exc):
+        """Stop them without waiting for the balancer."""
+        callers = self.kernel.services["callers"]
+        callers.drain_notice_s = 0.0
+        await self.kernel.stop()
+
+    async def until(self, holds):
+        """Wait until a condition holds."""
+        async with asyncio.timeout(10):
+            while not holds():
+                await asyncio.sleep(0.01)
+
+    async def until_serving(self, servers=1):
+        """Wait until the configuration and so many servers are known."""
+        fleet = self.kernel.services["fleet"].fleet
+        await self.until(
+            lambda: (
+                fleet.routing is not None
+                and sum(held.record is not None for held in fleet.held.values())
+                >= servers
+            )
+        )
--- /dev/null
+++ b/tests/adapter/conftest.py
@@ -0,0 +1,72 @@
+"""Fixtures of the adapter's tests."""
+
+import socket
+
+import aiohttp
+import pytest
+
+from ._standins import HOST, Entry, Store, config, server_row
+
+
+@pytest.fixture
+def free_port():
+    """Return a function that finds a free port."""
+
+    def find():
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            return sock.getsockname()[1]
+
+    return find
+
+
+@pytest.fixture
+async def store():
+    """Return a store that answers."""
+    async with Store() as running:
+        yield running
+
+
+class Caller:
+    """Sends requests to an entry."""
+
+    def __init__(self, entry, session):
+        self.entry = entry
+        self.session = session
+
+    def request(self, target, method="GET", headers=(), **options):
+        """Return a request's context, with the headers that callers send."""
+        own = {"Host": HOST, "Attempt-Id": "a1", "Deadline-Ms": "3000"}
+        return self.session.request(
+            method, self.entry.url + target, headers=own | dict(headers), **options
+        )
+
+    async def get(self, target="/desk/1", **options):
+        """Return status, headers and body of an answer."""
+        async with self.request(target, **options) as response:
+            return response.status, response.headers, await response.read()
+
+
+@pytest.fixture
+def start(store, free_port):
+    """Return a context that serves routes by servers and gives a caller."""
+
+    class Serving:
+        def __init__(self, routes, servers, **changes):
+            self.routes, self.servers, self.changes = routes, servers, changes
+
+        async def __aenter__(self):
+            await store.put("op", "config", config(*self.routes, **self.changes))
+            for number, server in enumerate(self.servers):
+                await store.put("servers", f"i-{number}", server_row(server))
+            self.entry = Entry(store, free_port)
+            await self.entry.__aenter__()
+            await self.entry.until_serving(len(self.servers))
+            self.session = aiohttp.ClientSession()
+            return Caller(self.entry, self.session)
+
+        async def __aexit__(self, *exc):
+            await self.session.close()
+            await self.entry.__aexit__()
+
+    return Serving
--- /dev/null
+++ b/tests/adapter/test_path.py
@@ -0,0 +1,377 @@
+"""The whole path from a caller to a server and back."""
+
+import asyncio
+
+import aiohttp
+import pytest
+from yarl import URL
+
+from ._standins import (
+    SIGNATURE,
+    Server,
+    event,
+    head,
+    refuse,
+    reset,
+    route,
+    signed,
+    stream,
+    whole,
+)
+
+ONCE = route(routeType="non_idempotent", maxAttempts=1)
+STREAM = route(routeType="streaming", streamResume=True, itlTargetMs=400)
+STREAM_ONCE = route(routeType="streaming", maxAttempts=1)
+
+
+class TestWholeAnswers:
+    """Answers that are not streams."""
+
+    async def test_unchanged(self, start):
+        """Status, signature and body come as the server sent them."""
+        async with Server(whole(b"reserved", "404 Not Found")) as server:
+            async with start([ONCE], [server]) as caller:
+                status, headers, body = await caller.get()
+        assert (status, body) == (404, b"reserved")
+        assert headers["Server-Signature"] == SIGNATURE
+        assert headers["Attempt-Id"] == "a1"
+
+    async def test_cut(self, start):
+        """An answer that breaks off is no success; what may not repeat is not."""
+
+        async def cut(request, writer):
+            writer.write(signed(request, "Content-Length: 100") + b"half")
+            await writer.drain()
+
+        async with Server(cut) as one, Server(cut) as two:
+            async with start([ONCE], [one, two]) as caller:
+                status, headers, _ = await caller.get(method="POST", data=b"x")
+        assert status == 502
+        assert "Server-Signature" not in headers
+        assert len(one.requests) + len(two.requests) == 1
+
+    async def test_repeat(self, start):
+        """What may repeat is sent to another server after a reset."""
+
+        async def broken(request, writer):
+            reset(writer)
+
+        async with Server(broken) as bad, Server(whole()) as good:
+            async with start([route()], [bad, good]) as caller:
+                for _ in range(4):
+                    assert (await caller.get())[0] == 200
+
+    async def test_silent(self, start):
+        """A silent server is given up on while there is time for another."""
+
+        async def hang(request, writer):
+            await asyncio.sleep(60)
+
+        quick = route(targetLatencyMs=50)
+        async with Server(hang) as bad, Server(whole()) as good:
+            async with start([quick], [bad, good]) as caller:
+                for _ in range(3):
+                    assert (await caller.get())[0] == 200
+
+    async def test_reset_without_length(self, start):
+        """An answer that ends with its connection is not whole after a reset."""
+
+        async def unframed(request, writer):
+            writer.write(signed(request, "Connection: close") + b"half")
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            reset(writer)
+
+        async with Server(unframed) as server:
+            async with start([ONCE], [server]) as caller:
+                assert (await caller.get())[0] == 502
+
+    async def test_whole_without_length(self, start):
+        """An answer that ends with its connection is whole after a clean end."""
+
+        async def unframed(request, writer):
+            writer.write(signed(request, "Connection: close") + b"all")
+            await writer.drain()
+
+        async with Server(unframed) as server:
+            async with start([ONCE], [server]) as caller:
+                status, _, body = await caller.get()
+        assert (status, body) == (200, b"all")
+
+    async def test_answer_to_another(self, start):
+        """An answer that bears another request's id is not passed on."""
+
+        async def crossed(request, writer):
+            fields = "Attempt-Id: other\r\nServer-Signature: x\r\nContent-Length: 2"
+            writer.write(f"HTTP/1.1 200 OK\r\n{fields}\r\n\r\nno".encode())
+            await writer.drain()
+
+        async with Server(crossed) as server:
+            async with start([ONCE], [server]) as caller:
+                assert (await caller.get())[0] == 502
+
+    async def test_unsigned(self, start):
+        """A success that no server vouches for is not passed on."""
+
+        async def unsigned(request, writer):
+            writer.write(head(request, "Content-Length: 2") + b"no")
+            await writer.drain()
+
+        async with Server(unsigned) as server:
+            async with start([ONCE], [server]) as caller:
+                assert (await caller.get())[0] == 502
+
+    async def test_second_answer(self, start):
+        """Bytes after a whole answer reach nobody."""
+
+        async def twice(request, writer):
+            answer = signed(request, "Content-Length: 5") + b"first"
+            writer.write(answer)
+            await writer.drain()
+            await asyncio.sleep(0.02)
+            writer.write(answer.replace(b"first", b"wrong"))
+            await writer.drain()
+
+        async with Server(twice) as server:
+            async with start([ONCE], [server]) as caller:
+                for _ in range(5):
+                    assert (await caller.get())[2] == b"first"
+
+    async def test_error_of_a_server(self, start):
+        """Another server is tried after an error where that does no harm."""
+        failing = whole(b"broken", "500 Internal Server Error")
+        async with Server(failing) as bad, Server(whole()) as good:
+            async with start([route()], [bad, good]) as caller:
+                for _ in range(4):
+                    assert (await caller.get())[0] == 200
+            async with start([ONCE], [bad]) as caller:
+                status, headers, body = await caller.get()
+        assert (status, body) == (500, b"broken")
+        assert headers["Server-Signature"] == SIGNATURE
+
+
+class TestStreams:
+    """Streams of events."""
+
+    async def test_whole(self, start):
+        """Every event comes, in order and once."""
+        async with Server(stream(range(1, 6))) as server:
+            async with start([STREAM_ONCE], [server]) as caller:
+                status, headers, body = await caller.get()
+        assert status == 200
+        assert headers["Server-Signature"] == SIGNATURE
+        assert body == b"".join(event(number) for number in range(1, 6))
+
+    async def test_cut(self, start):
+        """A stream that breaks off never looks complete."""
+        async with Server(stream(range(1, 4), is_cut=True)) as server:
+            async with start([STREAM_ONCE], [server]) as caller:
+                with pytest.raises(aiohttp.ClientPayloadError):
+                    await caller.get()
+        assert len(server.requests) == 1
+
+    async def test_resumed(self, start):
+        """A stream that may goes on at another server, within one answer."""
+        first = stream(range(1, 4), tail=b"id: 4\nda", is_cut=True)
+        async with Server(first) as one, Server(stream(range(1, 7))) as two:
+            async with start([STREAM], [one, two]) as caller:
+                _, _, body = await caller.get()
+        assert body == b"".join(event(number) for number in range(1, 7))
+        if one.requests:
+            assert two.requests[0].header("Last-Event-Id") == ["3"]
+
+    async def test_resumed_once(self, start):
+        """A stream runs on no more servers than its route allows."""
+        cut = stream(range(1, 4), is_cut=True)
+        async with Server(cut) as one, Server(cut) as two, Server(cut) as three:
+            async with start([STREAM], [one, two, three]) as caller:
+                with pytest.raises(aiohttp.ClientPayloadError):
+                    await caller.get()
+        runs = [len(server.requests) for server in (one, two, three)]
+        assert sum(runs) == 2
+
+    async def test_cut_before_the_first_event(self, start):
+        """A run that is lost before any event is told as an error."""
+        async with Server(stream([], tail=b"id: 1\nda", is_cut=True)) as server:
+            async with start([STREAM_ONCE], [server]) as caller:
+                assert (await caller.get())[0] == 502
+
+    async def test_time_is_up(self, start):
+        """A stream ends when its route's time is up."""
+        short = STREAM_ONCE | {"timeoutMs": 300}
+        async with Server(stream(range(1, 100), pause_s=0.1)) as server:
+            async with start([short], [server]) as caller:
+                with pytest.raises(aiohttp.ClientPayloadError):
+                    async with asyncio.timeout(2):
+                        await caller.get()
+
+
+class TestHeads:
+    """What servers get to see."""
+
+    async def test_unchanged(self, start):
+        """Method, path, query, host and body come as sent."""
+        async with Server(whole()) as server:
+            async with start([route()], [server]) as caller:
+                url = URL(caller.entry.url + "/desk/a%2Fb//c;d?x=%20+&y", encoded=True)
+                headers = {"Host": "desk.example", "Attempt-Id": "a1"}
+                async with caller.session.put(
+                    url, headers=headers, data=b"body"
+                ) as got:
+                    assert got.status == 200
+        (request,) = server.requests
+        assert request.method == "PUT"
+        assert request.target == "/desk/a%2Fb//c;d?x=%20+&y"
+        assert request.body == b"body"
+        assert request.header("Host") == ["desk.example"]
+
+    async def test_forged(self, start):
+        """Headers that only the system sets are not taken from callers."""
+        forged = {
+            "Retain": "r",
+            "Pin-Ms": "4000",
+            "Kv-Backup": "10.0.0.1:1",
+            "Kv-From": "10.0.0.1:1/x",
+            "Target-Instance": "i-9",
+            "Tenant": "other",
+            "Connection": "X-Private",
+            "X-Private": "1",
+            "X-Kept": "1",
+        }
+        async with Server(whole()) as server:
+            async with start([route()], [server]) as caller:
+                assert (await caller.get(headers=forged))[0] == 200
+        (request,) = server.requests
+        assert request.header("X-Kept") == ["1"]
+        assert request.header("Target-Instance") == ["i-0"]
+        for name in ("Retain", "Pin-Ms", "Kv-Backup", "Kv-From", "Tenant", "X-Private"):
+            assert request.header(name) == []
+
+    async def test_customer(self, start):
+        """A server learns the customer's name and never the key."""
+        tenants = [{"name": "garden", "apiKeys": ["k1"]}]
+        closed = route(anonymous=False)
+        async with Server(whole()) as server:
+            async with start([closed], [server], tenants=tenants) as caller:
+                assert (await caller.get(headers={"Api-Key": "k1"}))[0] == 200
+                assert (await caller.get(headers={"Api-Key": "k2"}))[0] == 401
+                assert (await caller.get())[0] == 401
+        (request,) = server.requests
+        assert request.header("Tenant") == ["garden"]
+        assert request.header("Api-Key") == []
+
+    async def test_deadline(self, start):
+        """A server is told the time that is left, never more."""
+        async with Server(whole()) as server:
+            async with start([route(timeoutMs=2000)], [server]) as caller:
+                await caller.get()
+        (deadline,) = server.requests[0].header("Deadline-Ms")
+        assert 1000 < int(deadline) <= 2000
+
+    async def test_chunked_body(self, start):
+        """A body without a length arrives whole."""
+
+        async def parts():
+            yield b"one "
+            yield b"two"
+
+        async with Server(whole()) as server:
+            async with start([route()], [server]) as caller:
+                assert (await caller.get(method="POST", data=parts()))[0] == 200
+        assert server.requests[0].body == b"one two"
+
+
+class TestRefusals:
+    """Answers of the entry's own."""
+
+    async def test_full_server(self, start):
+        """A request that did not run is sent elsewhere, also if it may run once."""
+        async with Server(refuse()) as full, Server(whole()) as free:
+            async with start([ONCE], [full, free]) as caller:
+                for _ in range(3):
+                    assert (await caller.get(method="POST", data=b"x"))[0] == 200
+
+    async def test_all_full(self, start):
+        """Where nobody runs it, the caller is told when to come back."""
+        async with Server(refuse()) as full:
+            async with start([ONCE], [full]) as caller:
+                status, headers, _ = await caller.get(method="POST", data=b"x")
+        assert status == 503
+        assert float(headers["Retry-After"]) > 0
+
+    async def test_no_route(self, start):
+        """A path without a route is not found."""
+        async with Server(whole()) as server:
+            async with start([route()], [server]) as caller:
+                assert (await caller.get("/other/1"))[0] == 404
+        assert server.requests == []
+
+    async def test_longest_prefix(self, start):
+        """The route with the longest prefix serves."""
+        narrow = route("deep", prefix="/desk/deep/", service="deep")
+        async with Server(whole(b"wide")) as wide:
+            async with start([route(), narrow], [wide]) as caller:
+                assert (await caller.get("/desk/deeper/1"))[2] == b"wide"
+                short = {"Deadline-Ms": "200"}
+                assert (await caller.get("/desk/deep/1", headers=short))[0] == 503
+
+    async def test_large_body(self, start):
+        """A body over the limit is refused before it is sent anywhere."""
+        async with Server(whole()) as server:
+            async with start([route()], [server]) as caller:
+                assert (await caller.get(method="POST", data=b"x" * 2000))[0] == 413
+        assert server.requests == []
+
+    async def test_malformed(self, start):
+        """A header that is not a number is told to the caller."""
+        async with Server(whole()) as server:
+            async with start([route()], [server]) as caller:
+                bad = {"Deadline-Ms": "soon"}
+                assert (await caller.get(headers=bad))[0] == 400
+
+    async def test_quota(self, start):
+        """Use beyond a customer's limit is refused, with a time to come back."""
+        tenants = [
+            {
+                "name": "garden",
+                "apiKeys": ["k1"],
+                "ratePerS": 1,
+                "burstSize": 1,
+                "unit": "token_based",
+                "uncachedTokens": 4,
+            }
+        ]
+        closed = route(anonymous=False)
+        async with Server(whole()) as server:
+            async with start([closed], [server], tenants=tenants) as caller:
+                key = {"Api-Key": "k1"}
+                statuses = [(await caller.get(headers=key))[0] for _ in range(4)]
+        assert statuses == [200, 200, 429, 429]
+
+    async def test_time_is_up(self, start):
+        """A request that may have run when its time is up is not called refused."""
+
+        async def hang(request, writer):
+            await asyncio.sleep(60)
+
+        async with Server(hang) as server:
+            async with start([ONCE | {"timeoutMs": 200}], [server]) as caller:
+                assert (await caller.get())[0] == 504
+
+
+class TestCallers:
+    """Callers that leave."""
+
+    async def test_leaves(self, start):
+        """The server's work ends when its caller has gone."""
+
+        async def hang(request, writer):
+            await asyncio.sleep(60)
+
+        async with Server(hang) as server:
+            async with start([ONCE], [server]) as caller:
+                task = asyncio.create_task(caller.get())
+                await caller.entry.until(lambda: server.requests)
+                task.cancel()
+                async with asyncio.timeout(2):
+                    await server.closed.wait()
