--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -167,3 +167,6 @@
 REQUEST_SUSPECTED = define(
     709, "request_suspected", logging.WARNING, "An upstream crashed with a request."
 )
+REQUEST_GIVEN_UP = define(
+    710, "request_given_up", logging.WARNING, "A request got an answer of the entry's."
+)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
@@ -7,7 +7,6 @@
 
 from aiohttp import web
 from multidict import CIMultiDict
-from prometheus_client import Counter, Histogram
 
 from skylarkdoor import events
 from skylarkdoor.kernel import Kernel
@@ -15,6 +14,7 @@
 from skylarkdoord.direct._adapter import RawHead
 from skylarkdoord.direct._fleet import Fleet
 from skylarkdoord.direct._forward import Forwarding, Parts
+from skylarkdoord.direct._metrics import DURATION, REQUESTS
 from skylarkdoord.direct._model import Admitted, CallerRequest
 from skylarkdoord.direct._settings import DirectSettings
 from skylarkdoord.direct.exceptions import (
@@ -33,18 +33,6 @@
 # What is left of the shutdown's time once requests are cut.
 SHUTDOWN_MARGIN_S = 1.0
 
-REQUESTS = Counter(
-    "skylarkdoor_direct_requests_total",
-    "Requests answered, by tier and outcome.",
-    ["tier", "outcome"],
-)
-DURATION = Histogram(
-    "skylarkdoor_direct_request_seconds",
-    "Time from a request's receipt to the end of its answer.",
-    ["tier"],
-    buckets=(0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 15),
-)
-
 
 class Problem(NamedTuple):
     """An answer of this entry's own.
@@ -132,6 +120,7 @@
             self.log.event(_events.DRAIN_TIMED_OUT, running=len(self.busy))
         for runner in self.runners:
             await runner.cleanup()
+        await self.parts.client.close()
 
     def close_idle(self) -> None:
         """Close the connections that wait for a request; the others end with theirs."""
@@ -240,7 +229,7 @@
         """Return an answer of this entry's own."""
         request_id = request.request_id if request else ""
         self.log.event(
-            _events.REQUEST_REFUSED,
+            _events.REQUEST_GIVEN_UP,
             request_id=request_id,
             status=problem.status,
             code=problem.code,
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
@@ -17,6 +17,7 @@
 from skylarkdoord.direct._crashes import Crashes
 from skylarkdoord.direct._fleet import CONFIG, UPSTREAMS, Fleet
 from skylarkdoord.direct._link import LOST_ERRORS, Link, converse
+from skylarkdoord.direct._metrics import ENTRIES, LIMIT_USED
 from skylarkdoord.direct._model import MS_PER_S
 from skylarkdoord.direct._quota import Quota
 from skylarkdoord.direct._settings import DirectSettings
@@ -209,12 +210,16 @@
         self.outbox = outbox
         self.is_ours = is_ours
         self.instance = ""
+        self.told_totals = False
 
     def greet(self) -> list[pb.EntryNews]:
         return []
 
     def batch(self, messages: list[pb.EntryNews]) -> pb.EntryNews:
         news = self.exchange.news(wanted_from=self.instance)
+        if not self.told_totals:
+            self.told_totals = True
+            news.totals.update(self.exchange.members.quota.totals())
         for message in messages:
             news.rows.extend(message.rows)
         return news
@@ -234,6 +239,7 @@
 
     def on_lost(self, *, is_silent: bool) -> None:
         self.exchange.outboxes.discard(self.outbox())
+        self.told_totals = False
         if self.instance:
             self.exchange.members.lose(self.instance, is_silent=is_silent)
             self.exchange.on_stream_lost(self)
@@ -333,9 +339,16 @@
         """Send news to everyone at a steady pace, or at once when asked to."""
         while True:
             await self.wait_turn()
+            self.measure()
             for outbox in self.outboxes:
                 outbox.wake()
 
+    def measure(self) -> None:
+        """Set the gauges of what entries know together."""
+        ENTRIES.set(self.members.live())
+        for customer, units in self.members.quota.totals().items():
+            LIMIT_USED.labels(customer).set(units)
+
     async def wait_turn(self) -> None:
         """Wait until news are due."""
         interval_s = self.members.news_interval_s()
@@ -361,8 +374,6 @@
             knows_past=self.members.quota.knows_past(),
             suspects=self.members.crashes.tell(),
         )
-        if not wanted_from:
-            news.totals.update(self.members.quota.totals())
         if wanted_from and self.members.is_behind(wanted_from):
             news.wanted.config_since = fleet.config_version
             news.wanted.upstreams_since = fleet.upstreams_version
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_fleet.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_fleet.py
@@ -11,6 +11,7 @@
 from skylarkdoor.kernel import Kernel
 from skylarkdoord import _events
 from skylarkdoord.direct._adapter import Adapter, Row, Rows, Store
+from skylarkdoord.direct._metrics import CONFIG_VERSION, STORE_CALLS
 from skylarkdoord.direct._model import UpstreamRecord
 from skylarkdoord.direct._settings import DirectSettings
 from skylarkdoord.direct._table import RoutingTable
@@ -126,6 +127,7 @@
             return
         self.config_row = row
         self.routing = RoutingTable(config)
+        CONFIG_VERSION.set(config.version)
         self.log.event(
             _events.FLEET_CONFIG_APPLIED,
             version=config.version,
@@ -304,10 +306,13 @@
                     self.log.event(_events.STORE_REGAINED, table=table)
                 self.apply(table, rows, is_whole=version is None, until=return_until)
                 version = max(version or 0, rows.version)
+                STORE_CALLS.labels(table, "ok").inc()
                 backoff.reset()
             except HistoryLostError:
                 version = None
+                STORE_CALLS.labels(table, "history_lost").inc()
             except StoreError as error:
+                STORE_CALLS.labels(table, "failed").inc()
                 if not is_down:
                     self.log.event(_events.STORE_LOST, table=table, error=str(error))
                 is_down = True
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
@@ -13,6 +13,7 @@
 from skylarkdoord.direct._budget import Budget
 from skylarkdoord.direct._call import Answer, UpstreamClient
 from skylarkdoord.direct._crashes import Crashes, mark_of
+from skylarkdoord.direct._metrics import CALLS, FIRST, QUEUED, REPEATS
 from skylarkdoord.direct._model import MS_PER_S, Admitted
 from skylarkdoord.direct._quota import Quota
 from skylarkdoord.direct._relay import CallerStream, EventSplitter
@@ -146,6 +147,7 @@
     async def run_at(self, place: Place) -> web.StreamResponse:
         """Send the request to one upstream and relay its answer."""
         upstream = place.upstream
+        QUEUED.labels(str(self.admitted.rank)).observe(place.waited_s)
         if not self.sends:
             self.parts.quota.use(self.admitted)
         self.sends += 1
@@ -167,6 +169,7 @@
         if self.stream.has_begun:
             first_s = self.stream.began_at - began
             self.parts.upstreams.on_first(upstream, first_s)
+            FIRST.labels(str(self.admitted.rank)).observe(first_s)
         self.note(
             place,
             "answered",
@@ -303,7 +306,12 @@
 
     def has_budget(self, *, reached: bool) -> bool:
         """Return whether a repeat fits the budget; it counts if one arrived."""
-        return not reached or self.parts.budget.spend(self.admitted.service)
+        if not reached:
+            return True
+        service = self.admitted.service
+        allowed = self.parts.budget.spend(service)
+        REPEATS.labels(service, str(allowed).lower()).inc()
+        return allowed
 
     def give_up(self, error: Exception) -> web.StreamResponse:
         """End a request whose run was lost.
@@ -316,8 +324,9 @@
         raise OutcomeUnknownError(str(error))
 
     def note(self, place: Place, step: str, since: float, **fields: object) -> None:
-        """Log a step of the request."""
+        """Log and count a step of the request."""
         admitted = self.admitted
+        CALLS.labels(admitted.service, step).inc()
         self.log.event(
             _events.REQUEST_STEP,
             request_id=admitted.request.request_id,
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
@@ -11,6 +11,7 @@
 from skylarkdoord import _events
 from skylarkdoord.direct._guard_queue import PlaceQueue
 from skylarkdoord.direct._link import LOST_ERRORS, converse
+from skylarkdoord.direct._metrics import HELD, PLACES, QUEUE
 from skylarkdoord.direct._settings import DirectSettings
 
 REPORT_INTERVAL_S = 0.1
@@ -18,6 +19,8 @@
 REPORTED_ENTRIES = 6
 # A load that did not turn from free to full or back is told this often, in turns.
 MINOR_TURNS = 5
+# Time for the last messages to be sent.
+FAREWELL_S = 0.05
 # A request whose entry is not heard from may still run for this long.
 ORPHAN_S = 2.0
 
@@ -76,7 +79,11 @@
         self.log.event(_events.PROCESS_READY, address=self.settings.listen.peers)
 
     async def stop(self) -> None:
-        """Close the streams; the entries go on by themselves."""
+        """Tell the entries to go on by themselves, then close the streams."""
+        leaving = pb.SidecarMessage(leaving=pb.Leaving(reason="shutdown"))
+        for outbox in self.outboxes.values():
+            outbox.put(leaving)
+        await asyncio.sleep(FAREWELL_S)
         self.server.close()
         await self.server.wait_closed()
 
@@ -149,6 +156,9 @@
             )
             turn += 1
             counts = self.queue.counts()
+            PLACES.set(counts.places)
+            HELD.set(counts.running)
+            QUEUE.set(counts.waiting)
             is_minor = counts.is_full == told.is_full and turn % MINOR_TURNS
             if counts == told or is_minor:
                 continue
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guards.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guards.py
@@ -108,6 +108,8 @@
                 case "load":
                     self.load = message.load
                     self.charged = 0
+                case "leaving":
+                    self.disconnect()
 
     def on_open(self) -> None:
         """The guard answers."""
@@ -117,6 +119,10 @@
 
     def on_lost(self, *, is_silent: bool) -> None:
         """The guard is no longer reached."""
+        self.disconnect()
+
+    def disconnect(self) -> None:
+        """Go on without the guard."""
         if self.is_connected:
             self.is_connected = False
             self.load = pb.LoadReport()
--- /dev/null
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_metrics.py
@@ -0,0 +1,99 @@
+"""Metrics of direct dispatch, and the address that serves them."""
+
+import threading
+from wsgiref.simple_server import WSGIServer
+
+from prometheus_client import Counter, Gauge, Histogram, start_http_server
+
+from skylarkdoor.kernel import Kernel
+from skylarkdoord.direct._settings import DirectSettings
+
+SECONDS = (0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 15.0)
+
+REQUESTS = Counter(
+    "skylarkdoor_direct_requests_total",
+    "Requests answered, by tier and outcome.",
+    ["tier", "outcome"],
+)
+DURATION = Histogram(
+    "skylarkdoor_direct_request_seconds",
+    "Time from a request's receipt to the end of its answer.",
+    ["tier"],
+    buckets=SECONDS,
+)
+QUEUED = Histogram(
+    "skylarkdoor_direct_queue_seconds",
+    "Time in which a request waited for its place.",
+    ["tier"],
+    buckets=SECONDS,
+)
+FIRST = Histogram(
+    "skylarkdoor_direct_first_event_seconds",
+    "Time from the call of an upstream to the first event of its stream.",
+    ["tier"],
+    buckets=SECONDS,
+)
+CALLS = Counter(
+    "skylarkdoor_direct_calls_total",
+    "Calls of upstreams, by how they ended.",
+    ["service", "result"],
+)
+REPEATS = Counter(
+    "skylarkdoor_direct_repeats_total",
+    "Repeats that the retry budget allowed or refused.",
+    ["service", "allowed"],
+)
+RUNNING = Gauge(
+    "skylarkdoor_direct_running",
+    "Requests of this entry that are under way at upstreams.",
+    ["service"],
+)
+WAITING = Gauge(
+    "skylarkdoor_direct_waiting", "Requests that wait for a place.", ["service"]
+)
+LIMIT_USED = Gauge(
+    "skylarkdoor_direct_limit_used_units",
+    "Units that a customer used within the window, by any entry.",
+    ["customer"],
+)
+CONFIG_VERSION = Gauge(
+    "skylarkdoor_direct_config_version", "Version of the configuration in force."
+)
+STORE_CALLS = Counter(
+    "skylarkdoor_direct_store_calls_total",
+    "Readings of the store, by table and result.",
+    ["table", "result"],
+)
+ENTRIES = Gauge(
+    "skylarkdoor_direct_entries", "Entries that are heard from, this one included."
+)
+PLACES = Gauge("skylarkdoor_guard_places", "Places of the guarded upstream.")
+HELD = Gauge("skylarkdoor_guard_held_places", "Places that requests hold.")
+QUEUE = Gauge("skylarkdoor_guard_waiting", "Requests that wait at the guard.")
+
+
+class MetricsServer:
+    """Serves the metrics in Prometheus text form.
+
+    Args:
+        settings: Settings of this process.
+    """
+
+    name = "metrics"
+    requires: tuple[str, ...] = ()
+
+    def __init__(self, settings: DirectSettings) -> None:
+        self.address = settings.listen.metrics
+        self.server: WSGIServer | None = None
+        self.thread: threading.Thread | None = None
+
+    async def start(self, kernel: Kernel) -> None:
+        """Listen on the metrics address."""
+        host, _, port = self.address.rpartition(":")
+        self.server, self.thread = start_http_server(int(port), host)
+
+    async def stop(self) -> None:
+        """Close the listener."""
+        if self.server is not None:
+            self.server.shutdown()
+            self.server.server_close()
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_quota.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_quota.py
@@ -23,6 +23,8 @@
 USED_SHARE = 0.8
 # Share of a limit that an entry may admit before it tells the others.
 UNTOLD_SHARE = 0.02
+# Share of a limit that is handed out at once after a start.
+START_SHARE = 0.03
 # Uses within this time are counted as one.
 BIN_S = 0.1
 
@@ -114,7 +116,8 @@
         silent, entries = self.silent_entries()
         share = 1 - silent / max(1, entries)
         if not self.knows_past():
-            share *= (self.clock() - self.started) / self.bounds.window_s
+            age_s = self.clock() - self.started
+            share *= max(START_SHARE, age_s / self.bounds.window_s)
         return share * (stated + USED_SHARE * exceeding)
 
     def knows_past(self) -> bool:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
@@ -18,6 +18,7 @@
 
 from skylarkdoor import events
 from skylarkdoord.direct._guards import GuardLink
+from skylarkdoord.direct._metrics import RUNNING, WAITING
 from skylarkdoord.direct._model import Admitted, UpstreamRecord
 from skylarkdoord.direct._upstreams import Upstream, Upstreams
 from skylarkdoord.direct.exceptions import NoRoomError
@@ -109,9 +110,9 @@
         """Count a request that waits."""
         self.waiting[waiter.number] = waiter
 
-    def leave(self, waiter: Waiter) -> None:
-        """Drop a request that no longer waits."""
-        self.waiting.pop(waiter.number, None)
+    def leave(self, waiter: Waiter) -> bool:
+        """Drop a request that no longer waits; returns whether it still did."""
+        return self.waiting.pop(waiter.number, None) is not None
 
     def give_up(self, waiter: Waiter, now: float) -> None:
         """Note that a request found no place in time."""
@@ -199,6 +200,7 @@
         heapq.heappush(queue, waiter)
         self.asking[waiter.name] = waiter
         self.flow(admitted.service).join(waiter)
+        WAITING.labels(admitted.service).inc()
         self.pump(admitted.service)
         self.ask(waiter)
         flow = self.flow(admitted.service)
@@ -220,7 +222,8 @@
         """Drop a request that no longer waits, and its open offers."""
         waiter.place.cancel()
         self.asking.pop(waiter.name, None)
-        self.flow(waiter.admitted.service).leave(waiter)
+        if self.flow(waiter.admitted.service).leave(waiter):
+            WAITING.labels(waiter.admitted.service).dec()
         taken = None
         if not waiter.place.cancelled():
             taken = waiter.place.result().guard
@@ -281,7 +284,7 @@
             guard.withdraw(request)
             return
         upstream = self.upstreams.get(guard.record)
-        upstream.running += 1
+        self.hold(upstream)
         waiter.place.set_result(Granted(upstream, guard))
 
     def on_guard_lost(self, guard: GuardLink) -> None:
@@ -310,9 +313,15 @@
         retry_after_s = most_s * random.uniform(0.5, 1.0)
         return NoRoomError("overloaded", message, retry_after_s=retry_after_s)
 
+    def hold(self, upstream: Upstream) -> None:
+        """Count a place as taken."""
+        upstream.running += 1
+        RUNNING.labels(upstream.record.service).inc()
+
     def release(self, place: Place) -> None:
         """Free a place and give it to who waits."""
         place.upstream.running -= 1
+        RUNNING.labels(place.upstream.record.service).dec()
         if place.guard is not None:
             place.guard.withdraw(place.request)
         else:
@@ -339,7 +348,7 @@
                 if not waiter.excluded:
                     break
                 continue
-            upstream.running += 1
+            self.hold(upstream)
             waiter.place.set_result(Granted(upstream))
         for waiter in kept:
             heapq.heappush(queue, waiter)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_settings.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_settings.py
@@ -71,6 +71,7 @@
         listen: Its addresses.
         guard_port: Port on which guards listen, beside their upstreams.
         upstream: Address of the upstream beside the process; guards only.
+        first_start: Whether the whole deployment starts for the first time.
         retry_budget: Bound on repeats.
         quota: How exactly limits are kept.
         leave_after_s: Time within which a leaving upstream gets no more work, in
@@ -88,6 +89,7 @@
     listen: DirectListen
     guard_port: Annotated[int, Meta(ge=1, le=65535)]
     upstream: Address | None = None
+    first_start: bool = False
     retry_budget: RetryBudget = RetryBudget()
     quota: QuotaBounds = QuotaBounds()
     leave_after_s: Seconds = 2.0
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -10,6 +10,7 @@
 from skylarkdoord.direct._fleet import Fleet, FleetWatcher
 from skylarkdoord.direct._forward import Parts
 from skylarkdoord.direct._guards import Guards
+from skylarkdoord.direct._metrics import MetricsServer
 from skylarkdoord.direct._quota import Quota
 from skylarkdoord.direct._scheduler import Scheduler
 from skylarkdoord.direct._settings import DirectSettings
@@ -25,6 +26,7 @@
     fleet = Fleet(adapter)
     upstreams = Upstreams(fleet)
     quota = Quota(settings.quota)
+    quota.was_told_past = settings.first_start
     crashes = Crashes()
     members = Members(settings.instance, fleet, quota, crashes)
     quota.silent_entries = members.silent
@@ -42,6 +44,7 @@
         quota=quota,
         crashes=crashes,
     )
+    kernel.register(MetricsServer(settings))
     kernel.register(FleetWatcher(settings, fleet, store, live_entries=members.live))
     kernel.register(EntryExchange(settings, store, members))
     kernel.register(guards)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/guard.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/guard.py
@@ -2,6 +2,7 @@
 
 from skylarkdoor.kernel import Kernel
 from skylarkdoord.direct._guard import Guard
+from skylarkdoord.direct._metrics import MetricsServer
 from skylarkdoord.direct._settings import DirectSettings
 
 __all__ = ["build"]
@@ -9,4 +10,5 @@
 
 def build(kernel: Kernel, settings: DirectSettings) -> None:
     """Register the services of an upstream's guard."""
+    kernel.register(MetricsServer(settings))
     kernel.register(Guard(settings))
--- /dev/null
+++ b/packages/skylarkdoord/tests/direct/test_guard_queue.py
@@ -0,0 +1,147 @@
+"""The places of one upstream."""
+
+import hypothesis.strategies as st
+import pytest
+from hypothesis import settings
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from skylarkdoord.direct._guard_queue import PlaceQueue
+
+
+@pytest.fixture
+def granted():
+    """Return the list of what was granted."""
+    return []
+
+
+@pytest.fixture
+def queue(granted):
+    """Return a queue without places."""
+    return PlaceQueue(lambda stream, request: granted.append(request))
+
+
+class TestPlaceQueue:
+    """`PlaceQueue`."""
+
+    def test_room(self, queue, granted):
+        """With room, a request is granted at once."""
+        queue.resize(1)
+        queue.offer("s", "a", tier=0, is_late=False)
+        assert granted == ["a"]
+        assert queue.counts().is_full
+
+    def test_order(self, queue, granted):
+        """Tier goes first, then what can be on time, then age."""
+        queue.offer("s", "low", tier=2, is_late=False)
+        queue.offer("s", "late", tier=1, is_late=True)
+        queue.offer("t", "first", tier=1, is_late=False)
+        queue.offer("s", "second", tier=1, is_late=False)
+        queue.resize(4)
+        assert granted == ["first", "second", "late", "low"]
+
+    def test_place_returned(self, queue, granted):
+        """A place that is returned goes to the next."""
+        queue.resize(1)
+        queue.offer("s", "a", tier=0, is_late=False)
+        queue.offer("s", "b", tier=0, is_late=False)
+        queue.withdraw("s", "a")
+        assert granted == ["a", "b"]
+
+    def test_withdrawn(self, queue, granted):
+        """A request that was withdrawn gets nothing."""
+        queue.offer("s", "a", tier=0, is_late=False)
+        queue.withdraw("s", "a")
+        queue.resize(1)
+        assert granted == []
+
+    def test_stream_lost(self, queue, granted):
+        """A lost stream's waiting requests go; what runs keeps its place."""
+        queue.resize(1)
+        queue.offer("s", "runs", tier=0, is_late=False)
+        queue.offer("s", "waits", tier=0, is_late=False)
+        queue.offer("t", "other", tier=0, is_late=False)
+        assert queue.drop_waiting("s") == ["runs"]
+        assert granted == ["runs"]
+        queue.withdraw("s", "runs")
+        assert granted == ["runs", "other"]
+
+    def test_same_name(self, queue, granted):
+        """Streams may use the same names; one offer twice is one offer."""
+        queue.resize(4)
+        queue.offer("s", "1", tier=0, is_late=False)
+        queue.offer("t", "1", tier=0, is_late=False)
+        queue.offer("s", "1", tier=0, is_late=False)
+        assert granted == ["1", "1"]
+
+    def test_fewer_places(self, queue, granted):
+        """With fewer places, nothing is taken back and nothing more given."""
+        queue.resize(2)
+        queue.offer("s", "a", tier=0, is_late=False)
+        queue.offer("s", "b", tier=0, is_late=False)
+        queue.resize(1)
+        queue.offer("s", "c", tier=0, is_late=False)
+        queue.withdraw("s", "a")
+        assert granted == ["a", "b"]
+
+
+NAMES = st.sampled_from(["a", "b", "c", "d", "e"])
+STREAMS = st.sampled_from(["s", "t"])
+
+
+class PlacesMachine(RuleBasedStateMachine):
+    """Any order of offers, returns and losses."""
+
+    def __init__(self):
+        super().__init__()
+        self.queue = PlaceQueue(self.on_grant)
+        self.waiting = {}
+        self.running = set()
+        self.places = 2
+        self.queue.resize(2)
+
+    def on_grant(self, stream, request):
+        """Check that nobody of a higher tier is passed over."""
+        key = (stream, request)
+        order = self.waiting.pop(key)
+        assert all(order <= other for other in self.waiting.values())
+        self.running.add(key)
+
+    @rule(stream=STREAMS, name=NAMES, tier=st.integers(0, 2), late=st.booleans())
+    def offer(self, stream, name, tier, late):
+        """Offer a request."""
+        key = (stream, name)
+        if key not in self.waiting and key not in self.running:
+            self.waiting[key] = (tier, late)
+        self.queue.offer(stream, name, tier=tier, is_late=late)
+
+    @rule(stream=STREAMS, name=NAMES)
+    def withdraw(self, stream, name):
+        """Withdraw a request or return its place."""
+        self.waiting.pop((stream, name), None)
+        self.running.discard((stream, name))
+        self.queue.withdraw(stream, name)
+
+    @rule(stream=STREAMS)
+    def lose(self, stream):
+        """Lose a stream."""
+        self.waiting = {k: v for k, v in self.waiting.items() if k[0] != stream}
+        names = {name for holder, name in self.running if holder == stream}
+        assert set(self.queue.drop_waiting(stream)) == names
+
+    @rule(places=st.integers(0, 4))
+    def resize(self, places):
+        """Change the number of places."""
+        self.places = places
+        self.queue.resize(places)
+
+    @invariant()
+    def no_place_idle(self):
+        """Nobody waits while a place is free, and nobody is forgotten."""
+        assert set(self.queue.waiting) == set(self.waiting)
+        assert self.queue.granted == self.running
+        if self.waiting:
+            assert len(self.running) >= self.places
+
+
+TestPlacesMachine = PlacesMachine.TestCase
+TestPlacesMachine.settings = settings(max_examples=100, derandomize=True, deadline=None)
--- /dev/null
+++ b/packages/skylarkdoord/tests/direct/test_streams.py
@@ -0,0 +1,305 @@
+"""Streams between entries and to guards, over loopback."""
+
+import asyncio
+import json
+import socket
+
+import pytest
+
+from skylarkdoor.kernel import Kernel
+from skylarkdoord.direct import DirectSettings, FleetConfig, Row, Rows, Service
+from skylarkdoord.direct._crashes import Crashes
+from skylarkdoord.direct._exchange import EntryExchange, Members
+from skylarkdoord.direct._fleet import Fleet
+from skylarkdoord.direct._guard import Guard
+from skylarkdoord.direct._guards import Guards
+from skylarkdoord.direct._quota import Quota
+from skylarkdoord.direct._scheduler import Scheduler
+from skylarkdoord.direct._settings import DirectListen, QuotaBounds
+from skylarkdoord.direct._upstreams import Upstreams
+from skylarkdoord.direct.exceptions import StoreError
+
+from ._make import SERVICE, make_admitted, make_customer, make_record, make_route
+
+LOOPBACK = "127.0.0.1"
+
+
+def free_port():
+    """Return a port that is free."""
+    with socket.socket() as sock:
+        sock.bind((LOOPBACK, 0))
+        return sock.getsockname()[1]
+
+
+def make_settings(instance, guard_port=1):
+    """Return the settings of one process."""
+    return DirectSettings(
+        instance=instance,
+        data_centre="north",
+        adapter="none",
+        store="127.0.0.1:1",
+        listen=DirectListen(peers=f"{LOOPBACK}:{free_port()}", metrics="127.0.0.1:1"),
+        guard_port=guard_port,
+    )
+
+
+async def until(holds):
+    """Wait until a condition holds."""
+    async with asyncio.timeout(20):
+        while not holds():
+            await asyncio.sleep(0.01)
+
+
+class StubAdapter:
+    """Decodes rows of plain JSON."""
+
+    def decode_config(self, data):
+        """Return a configuration with one service of engines."""
+        services = {SERVICE: Service(SERVICE, is_engine=True)}
+        return FleetConfig(json.loads(data), (make_route(),), services, ())
+
+    def decode_upstream(self, key, data):
+        """Return an upstream at an address."""
+        return make_record(key, address=json.loads(data))
+
+
+class StubStore:
+    """Rows of the members."""
+
+    def __init__(self):
+        self.rows = {}
+        self.is_down = False
+
+    async def put(self, table, key, data):
+        """Write a row."""
+        if self.is_down:
+            raise StoreError("down")
+        self.rows[key] = data
+
+    async def read(self, table):
+        """Return all rows."""
+        return Rows(tuple(Row(key, 1, data) for key, data in self.rows.items()), 1)
+
+
+class EntryUnderTest:
+    """One entry's exchange and what it fills."""
+
+    def __init__(self, instance, store):
+        self.kernel = Kernel()
+        self.fleet = Fleet(StubAdapter())
+        self.quota = Quota(QuotaBounds())
+        self.members = Members(instance, self.fleet, self.quota, Crashes())
+        self.quota.silent_entries = self.members.silent
+        self.exchange = EntryExchange(make_settings(instance), store, self.members)
+
+    async def start(self):
+        """Start the exchange."""
+        await self.exchange.start(self.kernel)
+        return self
+
+    async def kill(self):
+        """End every task and close the listener."""
+        for task in list(self.kernel.tasks):
+            task.cancel()
+        await self.exchange.stop()
+
+
+@pytest.fixture
+async def entries():
+    """Return a function that starts entries, which end with the test."""
+    store = StubStore()
+    started = []
+
+    async def start(*names):
+        for name in names:
+            started.append(await EntryUnderTest(name, store).start())
+        return started[-len(names) :]
+
+    start.store = store
+    yield start
+    for entry in started:
+        await entry.kill()
+
+
+class TestExchange:
+    """`EntryExchange`."""
+
+    async def test_find_each_other(self, entries):
+        """Entries find each other by their rows, one stream for each pair."""
+        a, b, c = await entries("a", "b", "c")
+        for entry in (a, b, c):
+            await until(lambda entry=entry: entry.members.live() == 3)
+        await until(lambda: len(a.exchange.outboxes) == 2)
+        await until(lambda: len(c.exchange.outboxes) == 2)
+
+    async def test_use(self, entries):
+        """What one entry uses counts at the other."""
+        a, b = await entries("a", "b")
+        await until(lambda: a.members.live() == b.members.live() == 2)
+        a.quota.was_told_past = True
+        a.quota.use(make_admitted(customer=make_customer()))
+        await until(lambda: b.quota.totals().get("garden") == 100.0)
+
+    async def test_past(self, entries):
+        """An entry that starts anew learns what all have used."""
+        a, b = await entries("a", "b")
+        await until(lambda: a.members.live() == b.members.live() == 2)
+        a.quota.was_told_past = True
+        a.quota.use(make_admitted(customer=make_customer()))
+        await b.kill()
+        (again,) = await entries("b")
+        await until(lambda: again.quota.totals().get("garden") == 100.0)
+        assert again.quota.knows_past()
+        assert a.quota.totals()["garden"] == 100.0
+
+    async def test_rows(self, entries):
+        """An entry that cannot read the store learns from one that can."""
+        a, b = await entries("a", "b")
+        await until(lambda: a.members.live() == b.members.live() == 2)
+        a.fleet.apply_config(Row("config", 5, b"12"), source="store")
+        a.fleet.apply_changes(
+            Rows((Row("i-1", 6, b'"x:1"'), Row("i-2", 7, None)), 7), source="store"
+        )
+        await until(lambda: b.fleet.upstreams_version == 7)
+        await until(lambda: b.fleet.config_version == 5)
+        assert [record.instance for record in b.fleet.upstreams(SERVICE)] == ["i-1"]
+
+    async def test_store_down_at_start(self, entries):
+        """An entry that starts without the store joins once that is back."""
+        (a,) = await entries("a")
+        await until(lambda: "a" in entries.store.rows)
+        entries.store.is_down = True
+        (b,) = await entries("b")
+        await asyncio.sleep(0.1)
+        entries.store.is_down = False
+        await until(lambda: a.members.live() == b.members.live() == 2)
+
+    async def test_left(self, entries):
+        """An entry that ended is not taken for one that is cut off."""
+        a, b = await entries("a", "b")
+        await until(lambda: a.members.live() == b.members.live() == 2)
+        await b.kill()
+        await until(lambda: a.members.known["b"].has_left)
+        assert a.members.silent() == (0, 1)
+
+    async def test_silent(self, entries):
+        """One that is not heard from leaves the others only their shares."""
+        a, b = await entries("a", "b")
+        await until(lambda: a.members.live() == b.members.live() == 2)
+        for task in list(b.kernel.tasks):
+            task.cancel()
+        a.members.known["b"].heard_at -= 1.0
+        a.members.known["b"].has_left = False
+        assert a.members.silent() == (1, 2)
+
+
+class EntryWithGuard:
+    """An entry's scheduler and its streams to guards."""
+
+    def __init__(self, instance, guard_port, slots=1):
+        self.kernel = Kernel()
+        self.fleet = Fleet(StubAdapter())
+        self.scheduler = Scheduler(Upstreams(self.fleet), data_centre="north")
+        settings = make_settings(instance, guard_port)
+        self.guards = Guards(settings, self.fleet, self.scheduler)
+        self.scheduler.guard_of = self.guards.of
+
+    async def start(self):
+        """Follow one upstream and wait for its guard."""
+        await self.guards.start(self.kernel)
+        self.fleet.apply_config(Row("config", 1, b"1"), source="test")
+        address = json.dumps(f"{LOOPBACK}:9").encode()
+        self.fleet.apply_changes(Rows((Row("i-1", 2, address),), 2), source="test")
+        await until(lambda: any(one.is_connected for one in self.links))
+        return self
+
+    @property
+    def links(self):
+        """The streams to guards."""
+        return list(self.guards.links.values())
+
+    async def stop(self):
+        """End every task."""
+        for task in list(self.kernel.tasks):
+            task.cancel()
+        await asyncio.gather(*self.kernel.tasks, return_exceptions=True)
+
+
+@pytest.fixture
+async def guard():
+    """Return a guard that listens."""
+    guard = Guard(make_settings("side-1"))
+    kernel = Kernel()
+    await guard.start(kernel)
+    yield guard
+    for task in list(kernel.tasks):
+        task.cancel()
+    await guard.stop()
+
+
+def port_of(guard):
+    """Return the port on which a guard listens."""
+    return int(guard.settings.listen.peers.rpartition(":")[2])
+
+
+class TestGuard:
+    """A guard and entries' schedulers."""
+
+    async def test_shared_places(self, guard):
+        """Entries share an upstream's places; the higher tier goes first."""
+        one = await EntryWithGuard("a", port_of(guard)).start()
+        two = await EntryWithGuard("b", port_of(guard)).start()
+        held = [await one.scheduler.acquire(make_admitted()) for _ in range(2)]
+        order = []
+
+        async def wait(entry, rank):
+            place = await entry.scheduler.acquire(make_admitted(rank=rank))
+            order.append(rank)
+            entry.scheduler.release(place)
+
+        low = asyncio.create_task(wait(one, 2))
+        await until(lambda: len(guard.queue.waiting) == 1)
+        high = asyncio.create_task(wait(two, 0))
+        await until(lambda: len(guard.queue.waiting) == 2)
+        one.scheduler.release(held[0])
+        await asyncio.gather(low, high)
+        assert order == [0, 2]
+        one.scheduler.release(held[1])
+        await until(lambda: guard.queue.counts().running == 0)
+        for entry in (one, two):
+            await entry.stop()
+
+    async def test_caller_leaves(self, guard):
+        """A request whose caller left waits at no guard."""
+        entry = await EntryWithGuard("a", port_of(guard)).start()
+        for _ in range(2):
+            await entry.scheduler.acquire(make_admitted())
+        task = asyncio.create_task(entry.scheduler.acquire(make_admitted()))
+        await until(lambda: len(guard.queue.waiting) == 1)
+        task.cancel()
+        await until(lambda: not guard.queue.waiting)
+        await entry.stop()
+
+    async def test_guard_lost(self, guard):
+        """Without its guard, an upstream is used within this entry's share."""
+        entry = await EntryWithGuard("a", port_of(guard)).start()
+        for _ in range(2):
+            await entry.scheduler.acquire(make_admitted())
+        task = asyncio.create_task(entry.scheduler.acquire(make_admitted()))
+        await until(lambda: len(guard.queue.waiting) == 1)
+        await guard.stop()
+        place = await task
+        assert place.guard is None
+        await entry.stop()
+
+    async def test_entry_lost(self, guard):
+        """What an entry that is gone had waiting gets no place."""
+        entry = await EntryWithGuard("a", port_of(guard)).start()
+        for _ in range(2):
+            await entry.scheduler.acquire(make_admitted())
+        task = asyncio.create_task(entry.scheduler.acquire(make_admitted()))
+        await until(lambda: len(guard.queue.waiting) == 1)
+        await entry.stop()
+        await until(lambda: not guard.queue.waiting)
+        assert guard.queue.counts().running == 2
+        task.cancel()
--- a/tests/adapter/_standins.py
+++ b/tests/adapter/_standins.py
@@ -316,6 +316,7 @@
                 ready=f"{LOOPBACK}:{free_port()}",
             ),
             guard_port=free_port(),
+            first_start=True,
             shutdown_timeout_s=6.0,
         )
         self.kernel = Kernel()
--- a/tests/docs/test_metrics.py
+++ b/tests/docs/test_metrics.py
@@ -4,6 +4,8 @@
 
 from prometheus_client import REGISTRY
 
+import skylarkdoord.direct.entry
+import skylarkdoord.direct.guard
 import skylarkdoord.entry
 import skylarkdoord.sidecar  # noqa: F401
 
