--- a/packages/skylarkdoord/src/skylarkdoord/direct/_fleet.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_fleet.py
@@ -31,6 +31,10 @@
 # longer, for what one learns is told to all.
 WATCHING_ENTRIES = 4
 MAX_WATCH_WAIT_S = 15.0
+# Pause after a change, for each entry that watches, so that changes in quick
+# succession come in one answer.
+PAUSE_PER_ENTRY_S = 0.02
+MAX_PAUSE_S = 0.4
 # After a failure the store is asked more often, to see it return soon.
 WATCH_WAIT_AFTER_FAILURE_S = 1.0
 MAX_RETRY_DELAY_S = 0.5
@@ -308,6 +312,8 @@
                 version = max(version or 0, rows.version)
                 STORE_CALLS.labels(table, "ok").inc()
                 backoff.reset()
+                if rows.rows:
+                    await asyncio.sleep(self.pause_s())
             except HistoryLostError:
                 version = None
                 STORE_CALLS.labels(table, "history_lost").inc()
@@ -341,6 +347,10 @@
         else:
             self.fleet.apply_changes(rows, source="store", return_until=until)
 
+    def pause_s(self) -> float:
+        """Return how long to leave the store alone after a change, in seconds."""
+        return min(MAX_PAUSE_S, PAUSE_PER_ENTRY_S * self.live_entries())
+
     def wait_s(self, is_down: bool) -> float:
         """Return how long the store may keep a call that has nothing to tell.
 
