--- a/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
@@ -17,8 +17,9 @@
 from skylarkdoord.direct._model import MS_PER_S, Admitted
 from skylarkdoord.direct._quota import Quota
 from skylarkdoord.direct._relay import CallerStream, EventSplitter
-from skylarkdoord.direct._scheduler import Place, Scheduler
+from skylarkdoord.direct._scheduler import Scheduler
 from skylarkdoord.direct._upstreams import Upstreams
+from skylarkdoord.direct._waiting import Place
 from skylarkdoord.direct.exceptions import (
     AnswerCutError,
     NoRoomError,
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -6,15 +6,17 @@
 from skylarkdoord.direct._call import UpstreamClient
 from skylarkdoord.direct._callers import CallerServer
 from skylarkdoord.direct._crashes import Crashes
-from skylarkdoord.direct._exchange import EntryExchange, Members
-from skylarkdoord.direct._fleet import Fleet, FleetWatcher
+from skylarkdoord.direct._exchange import EntryExchange
+from skylarkdoord.direct._fleet import Fleet
 from skylarkdoord.direct._forward import Parts
 from skylarkdoord.direct._guards import Guards
+from skylarkdoord.direct._members import Members
 from skylarkdoord.direct._metrics import MetricsServer
 from skylarkdoord.direct._quota import Quota
 from skylarkdoord.direct._scheduler import Scheduler
 from skylarkdoord.direct._settings import DirectSettings
 from skylarkdoord.direct._upstreams import Upstreams
+from skylarkdoord.direct._watch import FleetWatcher
 
 __all__ = ["build"]
 
--- a/packages/skylarkdoord/tests/direct/test_fleet.py
+++ b/packages/skylarkdoord/tests/direct/test_fleet.py
@@ -7,7 +7,8 @@
 import pytest
 
 from skylarkdoord.direct import FleetConfig, Row, Rows, Service
-from skylarkdoord.direct._fleet import CONFIG, UPSTREAMS, Fleet, FleetWatcher
+from skylarkdoord.direct._fleet import CONFIG, UPSTREAMS, Fleet
+from skylarkdoord.direct._watch import FleetWatcher
 from skylarkdoord.direct.exceptions import HistoryLostError, RowError, StoreError
 
 from ._make import SERVICE, make_record, make_route
--- a/packages/skylarkdoord/tests/direct/test_streams.py
+++ b/packages/skylarkdoord/tests/direct/test_streams.py
@@ -9,10 +9,11 @@
 from skylarkdoor.kernel import Kernel
 from skylarkdoord.direct import DirectSettings, FleetConfig, Row, Rows, Service
 from skylarkdoord.direct._crashes import Crashes
-from skylarkdoord.direct._exchange import EntryExchange, Members
+from skylarkdoord.direct._exchange import EntryExchange
 from skylarkdoord.direct._fleet import Fleet
 from skylarkdoord.direct._guard import Guard
 from skylarkdoord.direct._guards import Guards
+from skylarkdoord.direct._members import Members
 from skylarkdoord.direct._quota import Quota
 from skylarkdoord.direct._scheduler import Scheduler
 from skylarkdoord.direct._settings import DirectListen, QuotaBounds
