Free a place that comes as its caller leaves; cut a stream that nobody goes on with

Cause, found by reading: a place granted in the moment in which its caller left stayed taken for good; and a resumed stream for which no upstream had room would have been followed by an error answer on the same connection. Both tests fail before (the second hangs on two answers). An entry's row is removed when it stops.

--- a/packages/skylarkdoor-bench/src/skylarkdoor_bench/_slope_series.py
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_slope_series.py
@@ -6,8 +6,6 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
 
-import aiohttp
-
 from skylarkdoor.clients import EtcdTable, Put, Table, Txn
 from skylarkdoor.hashing import key_hash
 from skylarkdoor.settings import Customer, Team, team_path, to_plain
@@ -23,17 +21,16 @@
 from skylarkdoor_bench._launcher import Cluster
 from skylarkdoor_bench._peers import PeerEntry, PeerSidecar
 from skylarkdoor_bench._slope import Point, Slope, slope
+from skylarkdoor_bench._streams import CUSTOMER, open_stream
 from skylarkdoor_bench._usage import Usage, measure
 
 WINDOW_S = 5.0
 SETTLE_S = 2.0
 POLL_S = 10.0
-CUSTOMER = "teika-garden"
 ENTRY = "entry-1"
 ENGINE = "engine-1"
 SIDECAR = "sidecar-engine-1"
 SERVICE_SIDECAR = "sidecar-registry-1"
-STREAM_TOKENS = 100_000
 CHANGES_KEY = "settings-changes"
 
 
@@ -360,45 +357,6 @@
     ]
 
 
-class ChunkCounter:
-    """Counts the events of one stream."""
-
-    def __init__(self) -> None:
-        self.chunks = 0
-
-    async def read(self, answer: aiohttp.ClientResponse) -> None:
-        """Count until the stream ends."""
-        async for line in answer.content:
-            if line.startswith(b"data: "):
-                self.chunks += 1
-
-
-@asynccontextmanager
-async def open_stream(cluster: Cluster, number: int) -> AsyncIterator[ChunkCounter]:
-    """Hold one long stream open."""
-    body = {
-        "model": "garden-7b",
-        "stream": True,
-        "max_tokens": STREAM_TOKENS,
-        "messages": [{"role": "user", "content": f"stream {number}"}],
-    }
-    sent = {
-        "Authorization": f"Bearer {api_key(CUSTOMER)}",
-        "X-Request-Timeout": "100000",
-    }
-    url = f"{cluster.entry_urls[0]}/v1/chat/completions"
-    counter = ChunkCounter()
-    async with cluster.session.post(url, json=body, headers=sent) as answer:
-        answer.raise_for_status()
-        task = asyncio.create_task(counter.read(answer))
-        try:
-            yield counter
-        finally:
-            task.cancel()
-            await asyncio.gather(task, return_exceptions=True)
-            answer.close()
-
-
 SERIES: dict[str, Callable[[], Awaitable[list[Slope]]]] = {
     "sidecar-streams": sidecar_streams,
     "sidecar-offers": sidecar_offers,
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
@@ -113,7 +113,12 @@
         kernel.spawn(self.tell(), name="entries.tell")
 
     async def stop(self) -> None:
-        """Close the streams; the others see it at once."""
+        """Take this entry's row back and close the streams."""
+        try:
+            await self.store.remove(MEMBERS, self.settings.instance)
+        except StoreError as error:
+            # Others that find the row try in vain to reach this entry.
+            self.log.event(_events.STORE_LOST, table=MEMBERS, error=str(error))
         self.server.close()
         await self.server.wait_closed()
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
@@ -98,6 +98,20 @@
             OutcomeUnknownError: It may have run and no answer came of it.
             TimeoutError: Its time is up; it may have run.
         """
+        try:
+            return await self.run()
+        except (NotRunError, OutcomeUnknownError, TimeoutError) as error:
+            # What has begun can't be followed by another answer.
+            if not self.stream.has_begun:
+                raise
+            return self.cut(str(error) or "timeout")
+
+    async def run(self) -> web.StreamResponse:
+        """Send the request until it has run once, or as often as it may.
+
+        Raises:
+            NotRunError, OutcomeUnknownError, TimeoutError: As for `serve`.
+        """
         self.parts.budget.count(self.admitted.service)
         if self.parts.crashes.is_quarantined(self.mark):
             raise NotRunError("quarantined", "the request crashes upstreams")
@@ -118,13 +132,11 @@
             except (UpstreamSilentError, AnswerCutError) as error:
                 self.on_lost(place, error)
                 if not self.may_run_again():
-                    return self.give_up(error)
+                    raise OutcomeUnknownError(str(error)) from None
             except TimeoutError:
                 self.note(place, "timeout", began)
                 if not self.stream.has_begun:
                     self.parts.upstreams.on_failure(place.upstream, "timeout")
-                if self.stream.has_begun:
-                    return self.cut("timeout")
                 raise
             finally:
                 self.parts.scheduler.release(place)
@@ -315,16 +327,6 @@
         REPEATS.labels(service, str(allowed).lower()).inc()
         return allowed
 
-    def give_up(self, error: Exception) -> web.StreamResponse:
-        """End a request whose run was lost.
-
-        Raises:
-            OutcomeUnknownError: Nothing of an answer was sent yet.
-        """
-        if self.stream.has_begun:
-            return self.cut(str(error))
-        raise OutcomeUnknownError(str(error))
-
     def cut(self, reason: str) -> web.StreamResponse:
         """End a stream that has begun so that it does not look complete."""
         self.log.event(
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
@@ -117,13 +117,24 @@
             raise self.no_room(waiter, "others just waited in vain")
         try:
             async with asyncio.timeout(patience_s):
-                granted = await waiter.place
+                await waiter.place
         except TimeoutError:
-            flow.give_up(waiter, time.monotonic())
-            raise self.no_room(waiter, "no upstream had room in time") from None
+            if not waiter.is_granted:
+                flow.give_up(waiter, time.monotonic())
+                raise self.no_room(waiter, "no upstream had room in time") from None
+        except asyncio.CancelledError:
+            # A place may have come just as the caller left.
+            if waiter.is_granted:
+                self.release(self.place_of(waiter))
+            raise
         finally:
             self.leave(waiter)
-        waited_s = time.monotonic() - now
+        return self.place_of(waiter)
+
+    def place_of(self, waiter: Waiter) -> Place:
+        """Return the place that a request was granted."""
+        granted = waiter.place.result()
+        waited_s = time.monotonic() - waiter.since
         return Place(granted.upstream, waited_s, granted.guard, waiter.name)
 
     def leave(self, waiter: Waiter) -> None:
@@ -132,9 +143,7 @@
         self.asking.pop(waiter.name, None)
         if self.flow(waiter.admitted.service).leave(waiter):
             WAITING.labels(waiter.admitted.service).dec()
-        taken = None
-        if not waiter.place.cancelled():
-            taken = waiter.place.result().guard
+        taken = waiter.place.result().guard if waiter.is_granted else None
         for guard in waiter.asked:
             if guard is not taken:
                 guard.withdraw(waiter.name)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_waiting.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_waiting.py
@@ -48,6 +48,11 @@
         """The request's name on streams to guards."""
         return str(self.number)
 
+    @property
+    def is_granted(self) -> bool:
+        """Whether it has a place."""
+        return self.place.done() and not self.place.cancelled()
+
 
 class Granted(NamedTuple):
     """An upstream's place for a waiting request.
--- a/packages/skylarkdoord/tests/direct/test_scheduler.py
+++ b/packages/skylarkdoord/tests/direct/test_scheduler.py
@@ -187,6 +187,17 @@
         scheduler.release(places[0])
         assert places[0].upstream.running == 2
 
+    async def test_caller_leaves_as_a_place_comes(self, scheduler):
+        """A place that comes just as the caller leaves is given to the next."""
+        places = await fill(scheduler, 3)
+        waiting = asyncio.create_task(scheduler.acquire(make_admitted()))
+        await asyncio.sleep(0)
+        scheduler.release(places[0])
+        waiting.cancel()
+        await asyncio.gather(waiting, return_exceptions=True)
+        assert places[0].upstream.running == 2
+        await scheduler.acquire(make_admitted())
+
 
 class TestUpstreams:
     """Which upstream is chosen."""
--- a/packages/skylarkdoord/tests/direct/test_streams.py
+++ b/packages/skylarkdoord/tests/direct/test_streams.py
@@ -77,6 +77,10 @@
             raise StoreError("down")
         self.rows[key] = data
 
+    async def remove(self, table, key):
+        """Remove a row."""
+        self.rows.pop(key, None)
+
     async def read(self, table):
         """Return all rows."""
         return Rows(tuple(Row(key, 1, data) for key, data in self.rows.items()), 1)
@@ -181,6 +185,7 @@
         await until(lambda: a.members.live() == b.members.live() == 2)
         await b.kill()
         await until(lambda: a.members.known["b"].has_left)
+        assert list(entries.store.rows) == ["a"]
         assert a.members.silent() == (0, 1)
 
     async def test_silent(self, entries):
--- a/tests/adapter/_standins.py
+++ b/tests/adapter/_standins.py
@@ -111,6 +111,8 @@
         for row in body.get("write", []):
             data = base64.b64decode(row["data"])
             await self.put(row["tableName"], row["key"], data)
+        for row in body.get("remove", []):
+            await self.put(row["tableName"], row["key"], None)
         return self.answer([])
 
 
--- a/tests/adapter/test_path.py
+++ b/tests/adapter/test_path.py
@@ -190,6 +190,19 @@
         runs = [len(server.requests) for server in (one, two, three)]
         assert sum(runs) == 2
 
+    async def test_nobody_to_resume(self, start):
+        """A stream that nobody goes on with is cut, not followed by an error."""
+        cut = stream(range(1, 4), is_cut=True)
+
+        async def cut_then_refuse(request, writer):
+            last = request.header("Last-Event-Id")
+            await (refuse() if last else cut)(request, writer)
+
+        async with Server(cut_then_refuse) as one, Server(cut_then_refuse) as two:
+            async with start([STREAM], [one, two]) as caller:
+                with pytest.raises(aiohttp.ClientPayloadError):
+                    await caller.get()
+
     async def test_cut_before_the_first_event(self, start):
         """A run that is lost before any event is told as an error."""
         async with Server(stream([], tail=b"id: 1\nda", is_cut=True)) as server:
