Soak the programs under random faults; take no signal for a failure while starting

The process now ignores SIGHUP and leaves with status 0 on SIGTERM until its own handlers stand; a test does it without the soak. Before that the interpreter itself dies by any signal.

--- a/packages/skylarkdoord/src/skylarkdoord/__main__.py
+++ b/packages/skylarkdoord/src/skylarkdoord/__main__.py
@@ -1,5 +1,5 @@
 """Run the daemon with `python -m skylarkdoord`."""
 
-from skylarkdoord.cli import main
+from skylarkdoord._start import main
 
 main()
--- /dev/null
+++ b/tests/soak/_world.py
@@ -0,0 +1,180 @@
+"""What surrounds the programs: store, servers, callers, and what they saw."""
+
+import asyncio
+import contextlib
+import random
+import time
+from collections import Counter
+from typing import NamedTuple
+
+import aiohttp
+
+from tests.adapter._standins import HOST, Server, chunk, event, signed
+
+CALL_S = 4.0
+EVENTS = 8
+PAUSE_S = 0.03
+
+
+class Kind(NamedTuple):
+    """A kind of request.
+
+    Attributes:
+        name: First part of its path.
+        is_stream: Whether the answer is a stream.
+        may_repeat: Whether it may run more than once.
+    """
+
+    name: str
+    is_stream: bool
+    may_repeat: bool
+
+
+KINDS = (
+    Kind("lookup", False, True),
+    Kind("booking", False, False),
+    Kind("notes", True, True),
+    Kind("plan", True, False),
+)
+BY_NAME = {kind.name: kind for kind in KINDS}
+
+
+class Seen:
+    """What servers and callers saw, and the promises broken.
+
+    Attributes:
+        runs: How often each request ran.
+        outcomes: How calls ended.
+        not_run: Requests that were said not to have run.
+        broken: What must not be.
+    """
+
+    def __init__(self):
+        self.runs = Counter()
+        self.outcomes = Counter()
+        self.not_run = set()
+        self.broken = []
+
+    def check_runs(self):
+        """Check what can only be known at the end."""
+        for call in self.not_run:
+            if self.runs[call] and not BY_NAME[call.split("-")[0]].may_repeat:
+                self.broken.append(f"{call} was said not to have run, and ran")
+
+
+class Backend:
+    """A server of the platform that counts what it runs.
+
+    Args:
+        seen: Where runs are counted.
+        rng: Random numbers.
+    """
+
+    def __init__(self, seen, rng):
+        self.seen = seen
+        self.rng = rng
+        self.left_at = None
+        self.server = Server(self.answer)
+
+    async def answer(self, request, writer):
+        """Run one request."""
+        (call,) = request.header("Attempt-Id")
+        kind = BY_NAME[request.target.split("/")[1]]
+        if self.left_at is not None and time.monotonic() > self.left_at:
+            self.seen.broken.append(f"{call} reached a server that had left")
+        if request.target != f"/{kind.name}/{call}" or request.header("Retain"):
+            self.seen.broken.append(f"{call} was changed on its way")
+        self.seen.runs[call] += 1
+        if self.seen.runs[call] > 1 and not kind.may_repeat:
+            self.seen.broken.append(f"{call} ran {self.seen.runs[call]} times")
+        if kind.is_stream:
+            await self.stream(request, writer)
+            return
+        await asyncio.sleep(self.rng.uniform(0.0, 0.1))
+        body = f"answer to {call}".encode()
+        writer.write(signed(request, f"Content-Length: {len(body)}") + body)
+        await writer.drain()
+
+    async def stream(self, request, writer):
+        """Send events from where the caller left off."""
+        last = int((request.header("Last-Event-Id") or ["0"])[0])
+        fields = ("Content-Type: text/event-stream", "Transfer-Encoding: chunked")
+        writer.write(signed(request, *fields))
+        for number in range(last + 1, EVENTS + 1):
+            writer.write(chunk(event(number)))
+            await writer.drain()
+            await asyncio.sleep(PAUSE_S)
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+
+
+class Callers:
+    """Callers that go on calling.
+
+    Args:
+        seen: Where outcomes are counted.
+        urls: Where entries listen.
+        rng: Random numbers.
+    """
+
+    def __init__(self, seen, urls, rng):
+        self.seen = seen
+        self.urls = urls
+        self.rng = rng
+        self.served_at = time.monotonic()
+
+    async def run(self, number):
+        """Call again and again until cancelled."""
+        timeout = aiohttp.ClientTimeout(total=CALL_S)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            for count in range(1_000_000):
+                kind = self.rng.choice(KINDS)
+                await self.call(session, kind, f"{kind.name}-{number}-{count}")
+                await asyncio.sleep(self.rng.uniform(0.0, 0.05))
+
+    async def call(self, session, kind, call):
+        """Make one call and check its answer."""
+        url = f"{self.rng.choice(self.urls)}/{kind.name}/{call}"
+        headers = {"Host": HOST, "Attempt-Id": call, "Deadline-Ms": "3000"}
+        headers["Retain"] = "forged"
+        try:
+            async with session.post(url, headers=headers, data=b"x") as answer:
+                body = await answer.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            self.seen.outcomes[type(error).__name__] += 1
+            return
+        self.seen.outcomes[answer.status] += 1
+        if answer.status in (429, 503):
+            self.seen.not_run.add(call)
+        elif answer.status == 200:
+            self.served_at = time.monotonic()
+            self.check(kind, call, body, answer)
+
+    def check(self, kind, call, body, answer):
+        """Check that an answer is the whole one to this call."""
+        expected = f"answer to {call}".encode()
+        if kind.is_stream:
+            expected = b"".join(event(number) for number in range(1, EVENTS + 1))
+        if body != expected or answer.headers.get("Attempt-Id") != call:
+            self.seen.broken.append(f"{call} got {body[:60]!r}")
+        if not self.seen.runs[call]:
+            self.seen.broken.append(f"{call} was answered without a run")
+
+    @contextlib.asynccontextmanager
+    async def calling(self, count):
+        """Call with so many callers."""
+        tasks = [asyncio.create_task(self.run(number)) for number in range(count)]
+        try:
+            yield
+        finally:
+            for task in tasks:
+                task.cancel()
+            ends = await asyncio.gather(*tasks, return_exceptions=True)
+            errors = [end for end in ends if isinstance(end, Exception)]
+            if errors:
+                raise ExceptionGroup("callers failed", errors)
+
+
+def new_rng(seed, name):
+    """Return random numbers of their own for one part of a run."""
+    return random.Random(f"{seed} {name}")
