--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+import random
 import signal
 import socket
 import sys
@@ -25,6 +26,8 @@
 LEAVE_S = 4.0
 STOP_S = 8.0
 INTERPRETER_S = 0.1
+# Below those that Linux gives to connections.
+PORTS = (12000, 32000)
 
 
 class Result(NamedTuple):
@@ -109,14 +112,23 @@
         self.folder = folder
         self.seen = Seen()
         self.faults = []
+        self.ports = set()
         self.store = Store()
         self.began = time.monotonic()
 
     def free_port(self):
-        """Return a port that is free on loopback."""
-        with socket.socket() as sock:
-            sock.bind((LOOPBACK, 0))
-            return sock.getsockname()[1]
+        """Return a port that is free on loopback, also while its process is down.
+
+        Ports that the kernel gives to connections are none: one was taken by a
+        connection while its process was being started again.
+        """
+        while True:
+            port = random.SystemRandom().randrange(*PORTS)
+            with socket.socket() as sock:
+                is_taken = not sock.connect_ex((LOOPBACK, port))
+            if port not in self.ports and not is_taken:
+                self.ports.add(port)
+                return port
 
     async def set_up(self):
         """Start servers, proxies and programs."""
