--- a/packages/skylarkdoord/src/skylarkdoord/direct/_crashes.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_crashes.py
@@ -108,12 +108,12 @@
                 crashes=len(self.suspicions.of(mark).open),
             )
 
-    def tell(self) -> list[pb.Suspect]:
+    def report(self) -> list[pb.Suspect]:
         """Return the latest suspicions."""
         told = [one.message() for one in self.suspicions if one.crashes]
         return told[-MAX_TOLD:]
 
-    def hear(self, suspects: Iterable[pb.Suspect]) -> None:
+    def merge(self, suspects: Iterable[pb.Suspect]) -> None:
         """Take over what another entry has seen."""
         for suspect in suspects:
             self.suspicions.hear(suspect)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
@@ -12,7 +12,7 @@
 from skylarkdoor.wire import EntriesBase, EntriesStub, Outbox, pb
 from skylarkdoord import _events
 from skylarkdoord.direct._adapter import Store
-from skylarkdoord.direct._link import LOST_ERRORS, Link, converse
+from skylarkdoord.direct._link import LOST_ERRORS, Link, run_stream
 from skylarkdoord.direct._members import Members
 from skylarkdoord.direct._metrics import ENTRIES, LIMIT_USED
 from skylarkdoord.direct._settings import DirectSettings
@@ -40,7 +40,7 @@
         self.instance = ""
         self.told_totals = False
 
-    def greet(self) -> list[pb.EntryNews]:
+    def opening(self) -> list[pb.EntryNews]:
         return []
 
     def batch(self, messages: list[pb.EntryNews]) -> pb.EntryNews:
@@ -52,11 +52,11 @@
             news.rows.extend(message.rows)
         return news
 
-    def hear(self, batch: pb.EntryNews) -> None:
+    def receive(self, batch: pb.EntryNews) -> None:
         if not self.instance:
             self.instance = batch.instance
             self.exchange.on_stream(self, batch.address)
-        self.exchange.members.hear(batch)
+        self.exchange.members.receive(batch)
         self.exchange.members.take_rows(list(batch.rows), batch.instance)
         if batch.HasField("wanted"):
             rows = self.exchange.members.newer_rows(batch.wanted)
@@ -110,7 +110,7 @@
         host, _, port = self.settings.listen.peers.rpartition(":")
         await self.server.start(host, int(port))
         kernel.spawn(self.join(), name="entries.join")
-        kernel.spawn(self.tell(), name="entries.tell")
+        kernel.spawn(self.announce(), name="entries.announce")
 
     async def stop(self) -> None:
         """Take this entry's row back and close the streams."""
@@ -168,7 +168,7 @@
         address = self.inbound.pop(stream.instance, "")
         self.link(stream.instance, address)
 
-    async def tell(self) -> None:
+    async def announce(self) -> None:
         """Send news to everyone at a steady pace, or at once when asked to."""
         while True:
             await self.wait_turn()
@@ -202,10 +202,10 @@
             address=self.settings.listen.peers,
             config_version=fleet.config_version,
             upstreams_version=fleet.upstreams_version,
-            used=self.members.quota.tell(),
+            used=self.members.quota.report_used(),
             age_ms=self.members.age_ms(),
             knows_past=self.members.quota.knows_past(),
-            suspects=self.members.crashes.tell(),
+            suspects=self.members.crashes.report(),
         )
         if wanted_from and self.members.is_behind(wanted_from):
             news.wanted.config_since = fleet.config_version
@@ -217,12 +217,12 @@
     ) -> None:
         """Serve another entry's stream until it ends."""
         outbox: Outbox[pb.EntryNews] = Outbox()
-        speaker = _EntryStream(self, lambda: outbox, is_ours=False)
+        handler = _EntryStream(self, lambda: outbox, is_ours=False)
         is_silent = False
         try:
-            await converse(stream, speaker, outbox)
+            await run_stream(stream, handler, outbox)
         except LOST_ERRORS as error:
             is_silent = isinstance(error, TimeoutError)
-            self.log.event(_events.PEER_LOST, peer=speaker.instance, error=repr(error))
+            self.log.event(_events.PEER_LOST, peer=handler.instance, error=repr(error))
         finally:
-            speaker.on_lost(is_silent=is_silent)
+            handler.on_lost(is_silent=is_silent)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
@@ -10,7 +10,7 @@
 from skylarkdoor.wire import Outbox, PeerBase, pb
 from skylarkdoord import _events
 from skylarkdoord.direct._guard_queue import PlaceQueue
-from skylarkdoord.direct._link import LOST_ERRORS, converse
+from skylarkdoord.direct._link import LOST_ERRORS, run_stream
 from skylarkdoord.direct._metrics import HELD, PLACES, QUEUE
 from skylarkdoord.direct._settings import DirectSettings
 
@@ -20,7 +20,7 @@
 # A load that did not turn from free to full or back is told this often, in turns.
 MINOR_TURNS = 5
 # Time for the last messages to be sent.
-FAREWELL_S = 0.05
+LEAVING_NOTICE_S = 0.05
 # A request whose entry is not heard from may still run for this long.
 ORPHAN_S = 2.0
 
@@ -36,13 +36,13 @@
         self.outbox = outbox
         self.entry = ""
 
-    def greet(self) -> list[pb.SidecarMessage]:
+    def opening(self) -> list[pb.SidecarMessage]:
         return []
 
     def batch(self, messages: list[pb.SidecarMessage]) -> pb.SidecarBatch:
         return pb.SidecarBatch(messages=messages)
 
-    def hear(self, batch: pb.EntryBatch) -> None:
+    def receive(self, batch: pb.EntryBatch) -> None:
         for message in batch.messages:
             self.guard.handle(message, self)
 
@@ -83,7 +83,7 @@
         leaving = pb.SidecarMessage(leaving=pb.Leaving(reason="shutdown"))
         for outbox in self.outboxes.values():
             outbox.put(leaving)
-        await asyncio.sleep(FAREWELL_S)
+        await asyncio.sleep(LEAVING_NOTICE_S)
         self.server.close()
         await self.server.wait_closed()
 
@@ -92,15 +92,15 @@
     ) -> None:
         """Serve one entry's stream until it ends."""
         outbox: Outbox[pb.SidecarMessage] = Outbox()
-        speaker = _EntryStream(self, f"stream-{next(self.keys)}", outbox)
-        self.outboxes[speaker.key] = outbox
+        handler = _EntryStream(self, f"stream-{next(self.keys)}", outbox)
+        self.outboxes[handler.key] = outbox
         outbox.put(self.load())
         try:
-            await converse(stream, speaker, outbox)
+            await run_stream(stream, handler, outbox)
         except LOST_ERRORS as error:
-            self.log.event(_events.PEER_LOST, peer=speaker.entry, error=repr(error))
+            self.log.event(_events.PEER_LOST, peer=handler.entry, error=repr(error))
         finally:
-            self.lose(speaker.key)
+            self.lose(handler.key)
 
     def lose(self, stream: str) -> None:
         """Drop a stream; what it runs keeps its places for a while."""
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guards.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guards.py
@@ -88,7 +88,7 @@
             listed=pb.Listed(leaving=self.record.is_leaving, slots=self.record.slots)
         )
 
-    def greet(self) -> list[pb.EntryMessage]:
+    def opening(self) -> list[pb.EntryMessage]:
         """Return the messages that open the stream."""
         hello = pb.EntryHello(
             instance=self.settings.instance, data_centre=self.settings.data_centre
@@ -99,7 +99,7 @@
         """Return what is sent for the messages that wait."""
         return pb.EntryBatch(messages=messages)
 
-    def hear(self, batch: pb.SidecarBatch) -> None:
+    def receive(self, batch: pb.SidecarBatch) -> None:
         """Handle what the guard sent."""
         for message in batch.messages:
             match message.WhichOneof("kind"):
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_link.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_link.py
@@ -24,16 +24,16 @@
 )
 
 
-class Speaker(Protocol):
-    """What one end of a stream says and does."""
+class StreamHandler(Protocol):
+    """Builds and handles the messages of one end of a stream."""
 
-    def greet(self) -> list[Any]:
+    def opening(self) -> list[Any]:
         """Return the messages that open the stream."""
 
     def batch(self, messages: list[Any]) -> Any:
         """Return what is sent for the messages that wait; none is a heartbeat."""
 
-    def hear(self, batch: Any) -> None:
+    def receive(self, batch: Any) -> None:
         """Handle what the peer sent."""
 
     def on_open(self) -> None:
@@ -43,7 +43,7 @@
         """The stream has ended, or the peer no longer answers on it."""
 
 
-async def converse(stream: Any, speaker: Speaker, outbox: Outbox[Any]) -> None:
+async def run_stream(stream: Any, handler: StreamHandler, outbox: Outbox[Any]) -> None:
     """Send and receive on an open stream until it ends.
 
     Raises:
@@ -52,20 +52,20 @@
     """
     try:
         async with asyncio.TaskGroup() as group:
-            group.create_task(_write(stream, speaker, outbox))
+            group.create_task(_write(stream, handler, outbox))
             group.create_task(outbox.overflow())
-            await _read(stream, speaker)
+            await _read(stream, handler)
     except ExceptionGroup as errors:
         raise errors.exceptions[0] from None
 
 
-async def _write(stream: Any, speaker: Speaker, outbox: Outbox[Any]) -> None:
+async def _write(stream: Any, handler: StreamHandler, outbox: Outbox[Any]) -> None:
     while True:
         messages = await outbox.take(timeout_s=HEARTBEAT_S)
-        await stream.send_message(speaker.batch(messages))
+        await stream.send_message(handler.batch(messages))
 
 
-async def _read(stream: Any, speaker: Speaker) -> None:
+async def _read(stream: Any, handler: StreamHandler) -> None:
     is_open = False
     while True:
         async with asyncio.timeout(SILENCE_TIMEOUT_S):
@@ -74,8 +74,8 @@
             raise ConnectionResetError("the peer ended the stream")
         if not is_open:
             is_open = True
-            speaker.on_open()
-        speaker.hear(batch)
+            handler.on_open()
+        handler.receive(batch)
 
 
 class Link:
@@ -85,17 +85,17 @@
         address: The peer's `host:port`.
         stub: Class of the generated stub's method holder.
         method: Name of the method that opens the stream.
-        speaker: What is said on the stream.
+        handler: Builds and handles the messages.
         peer: Name of the peer in logs.
     """
 
     def __init__(
-        self, address: str, stub: Any, method: str, speaker: Speaker, *, peer: str
+        self, address: str, stub: Any, method: str, handler: StreamHandler, *, peer: str
     ) -> None:
         self.address = address
         self.stub = stub
         self.method = method
-        self.speaker = speaker
+        self.handler = handler
         self.peer = peer
         self.outbox: Outbox[Any] = Outbox()
         self.is_open = False
@@ -121,11 +121,13 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S) as opening:
                 async with getattr(self.stub(channel), self.method).open() as stream:
-                    await stream.send_message(self.speaker.batch(self.speaker.greet()))
+                    await stream.send_message(
+                        self.handler.batch(self.handler.opening())
+                    )
                     opening.reschedule(None)
                     self.is_open = True
                     backoff.reset()
-                    await converse(stream, self.speaker, self.outbox)
+                    await run_stream(stream, self.handler, self.outbox)
         finally:
             channel.close()
 
@@ -143,5 +145,5 @@
     def close(self) -> None:
         """Drop what was not sent."""
         self.is_open = False
-        self.speaker.on_lost(is_silent=self.is_silent)
+        self.handler.on_lost(is_silent=self.is_silent)
         self.outbox = Outbox()
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
@@ -93,7 +93,7 @@
         """Return the time since this entry's start, in milliseconds."""
         return int((time.monotonic() - self.started) * MS_PER_S)
 
-    def hear(self, news: pb.EntryNews) -> None:
+    def receive(self, news: pb.EntryNews) -> None:
         """Take over what another entry tells."""
         member = self.known.get(news.instance)
         if member is None or member.incarnation != news.incarnation:
@@ -105,7 +105,7 @@
             if units != before:
                 self.quota.charge(customer, units - before)
                 member.used[customer] = units
-        self.crashes.hear(news.suspects)
+        self.crashes.merge(news.suspects)
         member.config_version = news.config_version
         member.upstreams_version = news.upstreams_version
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_quota.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_quota.py
@@ -195,7 +195,7 @@
         now = self.clock()
         return {name: self.account(name, now).total for name in self.accounts}
 
-    def tell(self) -> dict[str, float]:
+    def report_used(self) -> dict[str, float]:
         """Return the units that this entry used in all, by customer."""
         for account in self.accounts.values():
             account.told = account.own
--- a/packages/skylarkdoord/tests/direct/test_crashes.py
+++ b/packages/skylarkdoord/tests/direct/test_crashes.py
@@ -76,7 +76,7 @@
         for number in range(MAX_CRASHES):
             await lose(crashes, f"i-{number}", 7)
         assert not crashes.is_quarantined(7)
-        assert crashes.tell() == []
+        assert crashes.report() == []
 
     async def test_one_crash(self):
         """All that one crash broke off count it once."""
@@ -86,7 +86,7 @@
             crashes.enter(record, mark)
             crashes.on_lost(record, mark)
         await asyncio.gather(*crashes.checks)
-        told = {suspect.fingerprint: suspect.crashes for suspect in crashes.tell()}
+        told = {suspect.fingerprint: suspect.crashes for suspect in crashes.report()}
         assert told == {7: 1, 8: 1}
 
     async def test_other_entries(self):
@@ -96,9 +96,9 @@
             await lose(crashes, f"i-{number}", 7)
         last = seen[-1]
         for _ in range(2):
-            last.hear(seen[0].tell())
+            last.merge(seen[0].report())
             assert not last.is_quarantined(7)
-        last.hear(seen[1].tell())
+        last.merge(seen[1].report())
         assert last.is_quarantined(7)
 
     async def test_probe(self):
--- a/packages/skylarkdoord/tests/direct/test_quota.py
+++ b/packages/skylarkdoord/tests/direct/test_quota.py
@@ -110,7 +110,7 @@
     def test_tells_at_once(self, quota):
         """Much use that others do not know of is told out of turn."""
         told = []
-        quota.on_untold = lambda: told.append(quota.tell())
+        quota.on_untold = lambda: told.append(quota.report_used())
         quota.use(admitted(tokens=10))
         assert told == []
         quota.use(admitted(tokens=10))
