Let KNOWN-RED name a state machine

Cause: the check looked for the test's name in the file's text, and a state machine's runTest is made by the library. It asks for the machine's own name there instead.

--- a/tests/test_workspace.py
+++ b/tests/test_workspace.py
@@ -36,4 +36,8 @@
             test, _, _, _ = line.split(" | ")
             path, *names = test.partition("[")[0].split("::")
             text = (root / path).read_text()
+            if names[1:] == ["runTest"]:
+                # The library makes a state machine's test; only its name is written.
+                assert f"\n{names[0]} = " in text
+                continue
             assert all(f" {name}(" in text or f" {name}:" in text for name in names)
