One way to draw ports for all tests, and a set clock for the offers' machine

The soak bound the TCP port with SO_REUSEADDR, the bench a UDP port and then looked at TCP with SO_REUSEADDR, which succeeds as long as nobody listens. A script that holds a port as the soak did shows it: the bench's reservation returned True. The adapter's tests drew theirs from the kernel's range for connections and gave them up before use. All use skylarkdoor_bench.testing.free_port now.

Cause of the listed flake: the rounds of offers read the real clock, so replays differed under load. The machine sets the clock; a new rule lets time pass, so floors and grants run out too, which it never tried before.

--- a/packages/skylarkdoor-bench/src/skylarkdoor_bench/testing.py
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/testing.py
@@ -1,6 +1,6 @@
-"""Fixtures for tests that run whole deployments as processes.
+"""What tests take from the bench: whole deployments as processes, free ports.
 
-A ``conftest.py`` imports them by name.
+A ``conftest.py`` imports the fixtures by name.
 """
 
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -11,8 +11,9 @@
 
 from skylarkdoor_bench._deployments import Deployment
 from skylarkdoor_bench._launcher import Cluster
+from skylarkdoor_bench._ports import free_port
 
-__all__ = ["StartCluster", "start_cluster"]
+__all__ = ["StartCluster", "free_port", "start_cluster"]
 
 StartCluster = Callable[[Deployment], Awaitable[Cluster]]
 
--- a/packages/skylarkdoord/tests/_inprocess.py
+++ b/packages/skylarkdoord/tests/_inprocess.py
@@ -20,7 +20,7 @@
 )
 from skylarkdoor_bench import small_demo
 from skylarkdoor_bench._platform import PlatformControl
-from skylarkdoor_bench._ports import free_port
+from skylarkdoor_bench.testing import free_port
 from skylarkdoor_standins import platform
 from skylarkdoord import entry, sidecar
 from skylarkdoord.entry import Directory
--- a/packages/skylarkdoord/tests/direct/test_streams.py
+++ b/packages/skylarkdoord/tests/direct/test_streams.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import json
-import socket
 
 import pytest
 
 from skylarkdoor.kernel import Kernel
+from skylarkdoor_bench.testing import free_port
 from skylarkdoord.direct import DirectSettings, FleetConfig, Row, Rows, Service
 from skylarkdoord.direct._crashes import Crashes
 from skylarkdoord.direct._exchange import EntryExchange
@@ -25,13 +25,6 @@
 LOOPBACK = "127.0.0.1"
 
 
-def free_port():
-    """Return a port that is free."""
-    with socket.socket() as sock:
-        sock.bind((LOOPBACK, 0))
-        return sock.getsockname()[1]
-
-
 def make_settings(instance, guard_port=1):
     """Return the settings of one process."""
     return DirectSettings(
--- a/packages/skylarkdoord/tests/entry/test_offers.py
+++ b/packages/skylarkdoord/tests/entry/test_offers.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import itertools
+import time
 from collections import deque
+from unittest import mock
 
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -272,11 +274,15 @@
     """Requests of any tier at two entries, messages in any order between them.
 
     The entries' and the sidecars' own invariants are fatal here too, so a broken
-    one ends the run.
+    one ends the run. Time passes by a rule alone: a promise to let no lower tier
+    in runs out at the same step in each replay, however busy the machine is.
     """
 
     def __init__(self):
         super().__init__()
+        self.now = time.monotonic()
+        self.clock = mock.patch("time.monotonic", lambda: self.now)
+        self.clock.start()
         self.loop = asyncio.new_event_loop()
         self.fleet = self.call(lambda: Fleetlet(sidecars=2, queue_limit=1))
 
@@ -330,6 +336,11 @@
         name = next(iter(scheduler.capacity.flights.reserved))
         self.call(lambda: scheduler.withdraw(name))
 
+    @rule(seconds=st.sampled_from([0.01, 0.3, 1.0, 5.0]))
+    def pass_time(self, seconds):
+        """Promises run out, and so do grants that no call has used."""
+        self.now += seconds
+
     def settle(self):
         """Everything under way arrives."""
         self.loop.run_until_complete(self.fleet.settle())
@@ -349,6 +360,7 @@
         """End what is left."""
         self.loop.run_until_complete(self.fleet.close())
         self.loop.close()
+        self.clock.stop()
 
 
 TestTierMachine = TierMachine.TestCase
--- a/tests/adapter/_standins.py
+++ b/tests/adapter/_standins.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 
 from skylarkdoor.kernel import Kernel
+from skylarkdoor_bench.testing import free_port
 from skylarkdoord.direct import DirectSettings
 from skylarkdoord.direct._settings import DirectListen
 from skylarkdoord.direct.entry import build
@@ -302,10 +303,9 @@
 
     Args:
         store: The platform's store.
-        free_port: Returns a port that is free.
     """
 
-    def __init__(self, store, free_port, instance="edge-1"):
+    def __init__(self, store, instance="edge-1"):
         self.settings = DirectSettings(
             instance=instance,
             data_centre="north",
--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -1,25 +1,11 @@
 """Fixtures of the adapter's tests."""
 
-import socket
-
 import aiohttp
 import pytest
 
 from ._standins import HOST, Entry, Store, config, server_row
 
 
-@pytest.fixture
-def free_port():
-    """Return a function that finds a free port."""
-
-    def find():
-        with socket.socket() as sock:
-            sock.bind(("127.0.0.1", 0))
-            return sock.getsockname()[1]
-
-    return find
-
-
 @pytest.fixture
 async def store():
     """Return a store that answers."""
@@ -48,7 +34,7 @@
 
 
 @pytest.fixture
-def start(store, free_port):
+def start(store):
     """Return a context that serves routes by servers and gives a caller."""
 
     class Serving:
@@ -59,7 +45,7 @@
             await store.put("op", "config", config(*self.routes, **self.changes))
             for number, server in enumerate(self.servers):
                 await store.put("servers", f"i-{number}", server_row(server))
-            self.entry = Entry(store, free_port)
+            self.entry = Entry(store)
             await self.entry.__aenter__()
             await self.entry.until_serving(len(self.servers))
             self.session = aiohttp.ClientSession()
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -80,10 +80,10 @@
 class TestEntry:
     """An entry whose store misbehaves."""
 
-    async def test_not_ready_without_store(self, store, free_port):
+    async def test_not_ready_without_store(self, store):
         """An entry that knows no configuration is not ready and runs nothing."""
         store.status = 503
-        async with Entry(store, free_port) as entry:
+        async with Entry(store) as entry:
             client = entry.kernel.services["callers"].parts.client.session
             ready = f"http://{entry.settings.listen.ready}/readiness"
             async with client.get(ready) as answer:
--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -6,13 +6,12 @@
 
 import asyncio
 import json
-import random
 import signal
-import socket
 import sys
 import time
 from typing import NamedTuple
 
+from skylarkdoor_bench.testing import free_port
 from tests.adapter._standins import LOOPBACK, Store, config, route, server_row
 
 from ._proxy import Harm, Proxy
@@ -26,8 +25,6 @@
 LEAVE_S = 4.0
 STOP_S = 8.0
 INTERPRETER_S = 0.1
-# Below those that Linux gives to connections.
-PORTS = (12000, 32000)
 
 
 class Result(NamedTuple):
@@ -112,32 +109,13 @@
         self.folder = folder
         self.seen = Seen()
         self.faults = []
-        self.ports = []
         self.store = Store()
         self.began = time.monotonic()
 
-    def free_port(self):
-        """Return a port that nobody else gets before the run ends.
-
-        It stays bound without listening: another run that looks for a port finds
-        it taken, while a program that allows reuse can still listen on it.
-        """
-        while True:
-            port = random.SystemRandom().randrange(*PORTS)
-            sock = socket.socket()
-            try:
-                sock.bind((LOOPBACK, port))
-            except OSError:
-                sock.close()
-                continue
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            self.ports.append(sock)
-            return port
-
     async def set_up(self):
         """Start servers, proxies and programs."""
         await self.store.__aenter__()
-        guard_port = self.free_port()
+        guard_port = free_port()
         self.backends, self.proxies, self.programs = [], [], []
         for number in range(1, ENGINES + 1):
             backend = Backend(self.seen, new_rng(self.seed, f"server {number}"))
@@ -193,7 +171,7 @@
             "store": self.store.address,
             "listen": {
                 "peers": f"127.0.1.{number}:{port}",
-                "metrics": f"127.0.1.{number}:{self.free_port()}",
+                "metrics": f"127.0.1.{number}:{free_port()}",
             },
             "guard_port": port,
         }
@@ -201,7 +179,7 @@
 
     def entry(self, number, guard_port, store):
         """Return an entry."""
-        callers = f"{LOOPBACK}:{self.free_port()}"
+        callers = f"{LOOPBACK}:{free_port()}"
         self.urls.append(f"http://{callers}")
         settings = {
             "instance": f"entry-{number}",
@@ -209,10 +187,10 @@
             "adapter": "skylarkdoor_platform",
             "store": store,
             "listen": {
-                "peers": f"{LOOPBACK}:{self.free_port()}",
-                "metrics": f"{LOOPBACK}:{self.free_port()}",
+                "peers": f"{LOOPBACK}:{free_port()}",
+                "metrics": f"{LOOPBACK}:{free_port()}",
                 "callers": callers,
-                "ready": f"{LOOPBACK}:{self.free_port()}",
+                "ready": f"{LOOPBACK}:{free_port()}",
             },
             "guard_port": guard_port,
             "first_start": True,
@@ -343,8 +321,6 @@
         """End all that was started."""
         for program in self.programs:
             await program.kill()
-        for sock in self.ports:
-            sock.close()
         for proxy in (*self.proxies, *self.store_proxies[1:]):
             await proxy.stop()
         for backend in self.backends:
