--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -170,3 +170,6 @@
 REQUEST_GIVEN_UP = define(
     710, "request_given_up", logging.WARNING, "A request got an answer of the entry's."
 )
+REQUEST_QUEUED = define(
+    711, "request_queued", logging.INFO, "A request waits, since no place was free."
+)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
@@ -223,10 +223,18 @@
             tier = str(admitted.rank)
             REQUESTS.labels(tier, outcome).inc()
             DURATION.labels(tier).observe(time.monotonic() - admitted.request.received)
-        return self.refuse(admitted.request, problem)
+        return self.refuse(
+            admitted.request,
+            problem,
+            route=admitted.route.name,
+            rank=admitted.rank,
+            config_version=admitted.version,
+        )
 
-    def refuse(self, request: CallerRequest | None, problem: Problem) -> web.Response:
-        """Return an answer of this entry's own."""
+    def refuse(
+        self, request: CallerRequest | None, problem: Problem, **fields: object
+    ) -> web.Response:
+        """Return an answer of this entry's own, and log why with further fields."""
         request_id = request.request_id if request else ""
         self.log.event(
             _events.REQUEST_GIVEN_UP,
@@ -235,6 +243,7 @@
             code=problem.code,
             reason=problem.message,
             retry_after_s=problem.retry_after_s,
+            **fields,
         )
         headers = self.parts.adapter.own_headers(request_id, problem.retry_after_s)
         said = {"error": {"code": problem.code, "message": problem.message}}
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
@@ -148,6 +148,7 @@
             NoRoomError: There is none, and the request has not run.
             OutcomeUnknownError: There is none, and an earlier run was lost.
         """
+        began = time.monotonic()
         try:
             return await self.parts.scheduler.acquire(
                 self.admitted, excluded=frozenset(self.tried)
@@ -156,6 +157,9 @@
             if self.runs:
                 raise OutcomeUnknownError(str(error)) from None
             raise
+        except asyncio.CancelledError:
+            self.note(None, "left", began)
+            raise
 
     async def run_at(self, place: Place) -> web.StreamResponse:
         """Send the request to one upstream and relay its answer."""
@@ -338,20 +342,25 @@
         )
         return self.stream.cut()
 
-    def note(self, place: Place, step: str, since: float, **fields: object) -> None:
-        """Log and count a step of the request."""
+    def note(
+        self, place: Place | None, step: str, since: float, **fields: object
+    ) -> None:
+        """Log and count a step of the request, at an upstream if it has a place."""
         admitted = self.admitted
         CALLS.labels(admitted.service, step).inc()
+        if place is not None:
+            fields |= {
+                "upstream": place.upstream.instance,
+                "waited_ms": round(place.waited_s * MS_PER_S),
+                "running": place.upstream.running,
+            }
         self.log.event(
             _events.REQUEST_STEP,
             request_id=admitted.request.request_id,
             step=step,
-            upstream=place.upstream.instance,
             route=admitted.route.name,
             rank=admitted.rank,
-            waited_ms=round(place.waited_s * MS_PER_S),
             took_ms=round((time.monotonic() - since) * MS_PER_S),
-            running=place.upstream.running,
             config_version=admitted.version,
             **fields,
         )
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guards.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guards.py
@@ -1,6 +1,7 @@
 """An entry's streams to the guards of upstreams."""
 
 import asyncio
+import time
 from collections.abc import Callable
 from typing import Protocol
 
@@ -47,6 +48,7 @@
         self.listener = listener
         self.is_connected = False
         self.load = pb.LoadReport()
+        self.load_at = time.monotonic()
         self.charged = 0
         self.log = events.get_logger("direct.guards")
         host = record.address.rpartition(":")[0]
@@ -107,6 +109,7 @@
                     self.listener.on_grant(self, message.grant.request_id)
                 case "load":
                     self.load = message.load
+                    self.load_at = time.monotonic()
                     self.charged = 0
                 case "leaving":
                     self.disconnect()
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable
 
 from skylarkdoor import events
+from skylarkdoord import _events
 from skylarkdoord.direct._guards import GuardLink
 from skylarkdoord.direct._metrics import RUNNING, WAITING
 from skylarkdoord.direct._model import MS_PER_S, Admitted, UpstreamRecord
@@ -94,7 +95,6 @@
             NoRoomError: None came free in time.
         """
         now = time.monotonic()
-        patience_s = self.patience_s(admitted)
         waiter = Waiter(
             rank=admitted.rank,
             is_late=now > admitted.on_time_until,
@@ -102,6 +102,7 @@
             admitted=admitted,
             excluded=excluded,
             since=now,
+            patience_s=self.patience_s(admitted),
             place=asyncio.get_running_loop().create_future(),
         )
         queue = self.queues.setdefault(admitted.service, [])
@@ -116,7 +117,7 @@
             self.leave(waiter)
             raise self.no_room(waiter, "others just waited in vain")
         try:
-            async with asyncio.timeout(patience_s):
+            async with asyncio.timeout(waiter.patience_s):
                 await waiter.place
         except TimeoutError:
             if not waiter.is_granted:
@@ -178,6 +179,23 @@
         others.sort(key=lambda guard: (guard.room <= 0, random.random()))
         for guard in others[: MAX_OFFERS - len(waiter.asked)]:
             self.offer(waiter, guard)
+        self.note_queued(waiter)
+
+    def note_queued(self, waiter: Waiter) -> None:
+        """Log that a request waits, and what decides how long."""
+        now = time.monotonic()
+        ages = [now - guard.load_at for guard in waiter.asked]
+        self.log.event(
+            _events.REQUEST_QUEUED,
+            request_id=waiter.admitted.request.request_id,
+            service=waiter.admitted.service,
+            rank=waiter.rank,
+            is_late=waiter.is_late,
+            patience_ms=round(waiter.patience_s * MS_PER_S),
+            ahead=self.flow(waiter.admitted.service).ahead(waiter),
+            guards=len(waiter.asked),
+            load_age_ms=round(min(ages, default=0.0) * MS_PER_S),
+        )
 
     def offer(self, waiter: Waiter, guard: GuardLink) -> None:
         """Ask one guard for a place."""
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_waiting.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_waiting.py
@@ -32,7 +32,19 @@
 
 @dataclass(order=True)
 class Waiter:
-    """A request in the queue, in the order in which it is served."""
+    """A request in the queue, in the order in which it is served.
+
+    Attributes:
+        rank: Its tier; 0 is the most important.
+        is_late: Whether it can no longer be on time.
+        number: Order of arrival at this entry.
+        admitted: The request.
+        excluded: Upstreams that it was sent to before.
+        since: Monotonic time from which it waits, in seconds.
+        patience_s: How long it may wait, in seconds.
+        place: The place, once it has one.
+        asked: Guards that hold an offer of it.
+    """
 
     rank: int
     is_late: bool
@@ -40,6 +52,7 @@
     admitted: Admitted = field(compare=False)
     excluded: frozenset[str] = field(compare=False)
     since: float = field(compare=False)
+    patience_s: float = field(compare=False)
     place: "asyncio.Future[Granted]" = field(compare=False)
     asked: list[GuardLink] = field(default_factory=list, compare=False)
 
--- a/tests/adapter/_standins.py
+++ b/tests/adapter/_standins.py
@@ -139,6 +139,7 @@
 
     def __init__(self, script):
         self.script = script
+        self.slots = 4
         self.requests = []
         self.closed = asyncio.Event()
 
@@ -289,7 +290,7 @@
         "address": server.address,
         "zone": "north",
         "version": "v1",
-        "slots": 4,
+        "slots": server.slots,
         "state": "ready",
         "coldRemainingMs": 0,
         "sequence": 1,
--- a/tests/adapter/test_path.py
+++ b/tests/adapter/test_path.py
@@ -388,3 +388,45 @@
                 task.cancel()
                 async with asyncio.timeout(2):
                     await server.closed.wait()
+
+
+class TestDecisions:
+    """A line for each decision on a request, also on one that is sent nowhere."""
+
+    async def test_leaves_in_queue(self, start, caplog):
+        """It is told why a request waited, and that its caller went away."""
+        caplog.set_level("INFO", "skylarkdoor")
+
+        async def hang(request, writer):
+            await asyncio.sleep(60)
+
+        patient = {"timeoutMs": 3000, "targetLatencyMs": 2500}
+        async with Server(hang) as server:
+            server.slots = 1  # And half a place more, which makes two.
+            async with start([ONCE | patient], [server]) as caller:
+                ran = [asyncio.create_task(caller.get()) for _ in range(2)]
+                await caller.entry.until(lambda: len(server.requests) == 2)
+                waits = asyncio.create_task(caller.get(headers={"Attempt-Id": "waits"}))
+                await caller.entry.until(lambda: said(caplog, "waits"))
+                waits.cancel()
+                await caller.entry.until(lambda: len(said(caplog, "waits")) > 1)
+                for task in ran:
+                    task.cancel()
+        queued, left = said(caplog, "waits")
+        assert (queued.event_name, queued.ahead, queued.guards) == (
+            "request_queued",
+            0,
+            0,
+        )
+        assert queued.patience_ms > 1500
+        assert (left.event_name, left.step) == ("request_step", "left")
+        assert not hasattr(left, "upstream")
+
+
+def said(caplog, request_id):
+    """Return the log records about a request."""
+    return [
+        record
+        for record in caplog.records
+        if getattr(record, "request_id", "") == request_id
+    ]
