Entries that outnumber an engine's places no longer overfill it together

In seconds 11 to 14 up to 346 requests held 216 places and the mean time to the first token rose from 160 to 440 ms, which the entries then took for usual and refused more. Now a new engine is left alone until the first attempt to reach its guard has an outcome, and where the share of an unguarded upstream is under one place, each entry has a place at some of them, drawn by name.

Tests for each fail before.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guards.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guards.py
@@ -35,6 +35,13 @@
         settings: Settings of this process.
         record: The upstream.
         listener: Hears of grants.
+
+    Attributes:
+        is_opening: Whether it is not known yet if there is a guard.
+        is_connected: Whether the guard answers.
+        load: The guard's newest report.
+        load_at: Monotonic time of that report, in seconds.
+        charged: Offers made since.
     """
 
     def __init__(
@@ -46,6 +53,7 @@
         self.settings = settings
         self.record = record
         self.listener = listener
+        self.is_opening = True
         self.is_connected = False
         self.load = pb.LoadReport()
         self.load_at = time.monotonic()
@@ -116,6 +124,7 @@
 
     def on_open(self) -> None:
         """The guard answers."""
+        self.is_opening = False
         self.is_connected = True
         self.log.event(_events.PEER_CONNECTED, peer=self.record.instance)
         self.listener.on_guard_found(self)
@@ -126,7 +135,8 @@
 
     def disconnect(self) -> None:
         """Go on without the guard."""
-        if self.is_connected:
+        if self.is_connected or self.is_opening:
+            self.is_opening = False
             self.is_connected = False
             self.load = pb.LoadReport()
             self.charged = 0
@@ -168,9 +178,16 @@
                 link.task.cancel()
 
     def of(self, record: UpstreamRecord) -> GuardLink | None:
-        """Return the stream to an upstream's guard, if it is open."""
+        """Return the stream to an upstream's guard, open or being opened.
+
+        Until the first attempt has an outcome, nobody knows whether there is a
+        guard. If every entry used a new engine by itself meanwhile, the engine
+        would begin with a long queue.
+        """
         link = self.links.get((record.instance, record.started_ms))
-        return link if link is not None and link.is_connected else None
+        if link is None or not (link.is_connected or link.is_opening):
+            return None
+        return link
 
     def refresh(self) -> None:
         """Open streams to new engines and close those to engines that left."""
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import hashlib
 import heapq
 import itertools
 import math
@@ -26,10 +27,13 @@
 # Entries together may claim this much more than an upstream's slots, since the
 # callers do not spread evenly over the entries.
 OVERCOMMIT = 1.5
+# Places of an entry at all the upstreams of a service that has no guards.
+MIN_PLACES = 4
 # Cost of another data centre, as a share of a busy upstream.
 REMOTE_COST = 0.05
 # Cost of an upstream all of whose answers are errors, in the same measure.
 FAILURE_COST = 10.0
+DRAW_BYTES = 8
 MIN_PATIENCE_S = 0.05
 # A request that is late already waits for this share of the time that is left.
 LATE_PATIENCE_SHARE = 0.35
@@ -47,7 +51,8 @@
 
     Args:
         upstreams: The upstreams in use.
-        data_centre: Where this entry runs.
+        instance: Name of this entry.
+        data_centre: Where it runs.
         live_entries: Returns how many entries share the upstreams.
     """
 
@@ -56,10 +61,12 @@
         upstreams: Upstreams,
         *,
         data_centre: str,
+        instance: str = "",
         live_entries: Callable[[], int] = lambda: 1,
     ) -> None:
         self.upstreams = upstreams
         self.data_centre = data_centre
+        self.instance = instance
         self.live_entries = live_entries
         self.guard_of: Callable[[UpstreamRecord], GuardLink | None] = lambda _: None
         self.asking: dict[str, Waiter] = {}
@@ -70,9 +77,21 @@
         upstreams.fleet.on_upstreams.append(self.pump_all)
 
     def places(self, upstream: Upstream) -> int:
-        """Return how many requests of this entry may run there at once."""
-        share = upstream.record.slots / max(1, self.live_entries())
-        return max(1, math.ceil(share * OVERCOMMIT))
+        """Return how many requests of this entry may run there at once.
+
+        Where there are more entries than places, each entry has one at some of
+        the upstreams: one place each at all of them would overfill every one.
+        """
+        share = upstream.record.slots / max(1, self.live_entries()) * OVERCOMMIT
+        if share >= 1.0:
+            return math.ceil(share)
+        return int(self.draw(upstream) < share)
+
+    def draw(self, upstream: Upstream) -> float:
+        """Return a number from 0 to 1 that is fixed for this entry and upstream."""
+        name = f"{self.instance} {upstream.instance}".encode()
+        digest = hashlib.blake2b(name, digest_size=DRAW_BYTES).digest()
+        return int.from_bytes(digest) / 256**DRAW_BYTES
 
     def patience_s(self, admitted: Admitted) -> float:
         """Return how long a request may wait for a place, in seconds.
@@ -207,7 +226,7 @@
         ranked = []
         for upstream in self.candidates(waiter):
             guard = self.guard_of(upstream.record)
-            if guard is not None:
+            if guard is not None and guard.is_connected:
                 ranked.append((self.cost(upstream, guard.running), guard))
         ranked.sort(key=lambda pair: pair[0])
         return [guard for _, guard in ranked]
@@ -302,12 +321,20 @@
         return self.upstreams.usable(others or listed)
 
     def choose(self, waiter: Waiter) -> Upstream | None:
-        """Return the best upstream without a guard that has a free place."""
+        """Return the best upstream without a guard that has a free place.
+
+        An entry whose share comes to next to nothing has one place at each, or
+        its requests would wait for each other beside idle upstreams.
+        """
+        candidates = self.candidates(waiter)
+        unguarded = [one for one in candidates if self.guard_of(one.record) is None]
+        places = [self.places(upstream) for upstream in unguarded]
+        is_short = sum(places) < MIN_PLACES and len(unguarded) == len(candidates)
+        least = 1 if is_short else 0
         free = [
             upstream
-            for upstream in self.candidates(waiter)
-            if self.guard_of(upstream.record) is None
-            and upstream.running < self.places(upstream)
+            for upstream, most in zip(unguarded, places, strict=True)
+            if upstream.running < max(least, most)
         ]
         return min(free, key=lambda one: self.cost(one, one.running), default=None)
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -33,7 +33,10 @@
     members = Members(settings.instance, fleet, quota, crashes)
     quota.silent_entries = members.silent
     scheduler = Scheduler(
-        upstreams, data_centre=settings.data_centre, live_entries=members.live
+        upstreams,
+        data_centre=settings.data_centre,
+        instance=settings.instance,
+        live_entries=members.live,
     )
     guards = Guards(settings, fleet, scheduler)
     scheduler.guard_of = guards.of
--- a/packages/skylarkdoord/tests/direct/test_scheduler.py
+++ b/packages/skylarkdoord/tests/direct/test_scheduler.py
@@ -28,10 +28,33 @@
         return record in self.records
 
 
-def make_scheduler(*records, entries=1):
+def make_scheduler(*records, entries=1, instance="edge-1"):
     """Return a scheduler over these upstreams."""
     upstreams = Upstreams(StubFleet(list(records)))
-    return Scheduler(upstreams, data_centre="north", live_entries=lambda: entries)
+    return Scheduler(
+        upstreams,
+        data_centre="north",
+        instance=instance,
+        live_entries=lambda: entries,
+    )
+
+
+class StubGuard:
+    """A stream to a guard that notes what it is asked."""
+
+    def __init__(self, record, *, is_connected=True):
+        self.record = record
+        self.is_connected = is_connected
+        self.room = self.running = 0
+        self.load_at = time.monotonic()
+        self.offered = []
+
+    def offer(self, request, *, tier, is_late):
+        """Note an offer."""
+        self.offered.append(request)
+
+    def withdraw(self, request):
+        """Note nothing."""
 
 
 @pytest.fixture
@@ -55,10 +78,46 @@
         assert scheduler.places(scheduler.upstreams.get(record)) == 3
 
     async def test_one_at_least(self):
-        """However many entries there are, each has a place."""
-        record = make_record(slots=2)
-        scheduler = make_scheduler(record, entries=50)
-        assert scheduler.places(scheduler.upstreams.get(record)) == 1
+        """However many entries there are, each has a place somewhere."""
+        for number in range(50):
+            scheduler = make_scheduler(
+                make_record(slots=2), entries=50, instance=f"edge-{number}"
+            )
+            assert (await scheduler.acquire(make_admitted())).upstream
+
+    async def test_few_upstreams(self):
+        """Entries that outnumber a small service's places use all of it."""
+        records = [make_record(f"i-{number}", slots=6) for number in range(3)]
+        for number in range(29):
+            scheduler = make_scheduler(*records, entries=29, instance=f"edge-{number}")
+            places = await fill(scheduler, 3)
+            assert len({place.upstream.instance for place in places}) == 3
+
+    async def test_many_entries(self):
+        """Entries that lost the guards of a large pool do not overfill it together."""
+        records = [make_record(f"i-{number}", slots=8) for number in range(27)]
+        held = dict.fromkeys((record.instance for record in records), 0)
+        for number in range(29):
+            scheduler = make_scheduler(*records, entries=29, instance=f"edge-{number}")
+            for upstream in scheduler.upstreams.of_service(SERVICE):
+                held[upstream.instance] += scheduler.places(upstream)
+        assert sum(held.values()) <= 27 * 8 * 1.7
+        assert max(held.values()) <= 20
+        assert min(held.values()) >= 4
+
+    async def test_guard_not_yet_reached(self):
+        """An engine that has just come is left alone until its guard may answer."""
+        record = make_record("i-1")
+        scheduler = make_scheduler(record)
+        opening = StubGuard(record, is_connected=False)
+        scheduler.guard_of = lambda _: opening
+        waits = asyncio.create_task(scheduler.acquire(make_admitted()))
+        await asyncio.sleep(0)
+        assert not waits.done()
+        assert opening.offered == []
+        scheduler.guard_of = lambda _: None
+        scheduler.on_guard_lost(opening)
+        assert (await waits).upstream.instance == "i-1"
 
     async def test_no_more(self, scheduler):
         """A request waits while every place is taken, and gets one that is freed."""
@@ -234,3 +293,18 @@
         scheduler.upstreams.on_failure(two, "reset")
         (place,) = await fill(scheduler, 1)
         assert place.upstream.instance in {"i-1", "i-2"}
+
+    async def test_moved(self):
+        """One whose address another life has is out until its record changes."""
+        old, new = make_record("i-1"), make_record("i-2")
+        scheduler = make_scheduler(old, new)
+        upstreams = scheduler.upstreams
+        now = time.monotonic()
+        upstreams.clock = lambda: now
+        upstreams.on_moved(upstreams.get(old))
+        now += 60.0
+        places = await fill(scheduler, 3)
+        assert {place.upstream.instance for place in places} == {"i-2"}
+        upstreams.fleet.records[0] = old._replace(address="10.0.0.9:80")
+        (place,) = await fill(scheduler, 1)
+        assert place.upstream.instance == "i-1"
