--- a/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
@@ -293,6 +293,8 @@
         """
         if error.code == "full":
             self.parts.upstreams.on_full(place.upstream)
+        elif error.code == "moved":
+            self.parts.upstreams.on_moved(place.upstream)
         else:
             self.parts.upstreams.on_failure(place.upstream, error.code)
         self.note(place, error.code, time.monotonic())
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_upstreams.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_upstreams.py
@@ -37,6 +37,7 @@
         refusals: Times in a row that it had no room.
         failing: Share of its answers that are errors of its own.
         slowness: Time to the first byte in proportion to that of its peers.
+        moved: The record that named an address where another life answers.
     """
 
     record: UpstreamRecord
@@ -46,6 +47,7 @@
     refusals: int = 0
     failing: float = 0.0
     slowness: float = 1.0
+    moved: UpstreamRecord | None = None
 
     @property
     def instance(self) -> str:
@@ -54,7 +56,7 @@
 
     def is_paused(self, now: float) -> bool:
         """Return whether it is spared for now."""
-        return now < self.paused_until
+        return now < self.paused_until or self.moved == self.record
 
 
 class Upstreams:
@@ -129,6 +131,14 @@
         until = self.clock() + pause_s
         upstream.paused_until = max(upstream.paused_until, until)
 
+    def on_moved(self, upstream: Upstream) -> None:
+        """Spare an upstream whose address has another life, until its record changes.
+
+        The registry keeps the record of a lost life until it lapses.
+        """
+        upstream.moved = upstream.record
+        self.on_failure(upstream, "moved")
+
     def on_failure(self, upstream: Upstream, reason: str) -> None:
         """Spare an upstream that failed, longer each time."""
         pause_s = min(MAX_PAUSE_S, FIRST_PAUSE_S * 2**upstream.failures)
