Guards count places by what the engine says that it runs

Cause: grants alone do not say what runs. An entry that lost its power keeps its places for 2.6 s of silence and 2 s more, an entry that lost its guard runs what was never granted, and a guard that is started again knows nothing of eight running requests and would grant eight more. The guard asks the engine beside it (fresh and free there) every 0.2 s; a difference on which three reports agree corrects the count, and is logged (714) with its inputs. Without reports the grants count alone, as before.

--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -173,3 +173,12 @@
 REQUEST_QUEUED = define(
     711, "request_queued", logging.INFO, "A request waits, since no place was free."
 )
+REPORTS_LOST = define(
+    712, "engine_reports_lost", logging.WARNING, "The engine does not tell its load."
+)
+REPORTS_REGAINED = define(
+    713, "engine_reports_regained", logging.INFO, "The engine tells its load again."
+)
+PLACES_CORRECTED = define(
+    714, "places_corrected", logging.INFO, "Grants and what the engine runs differ."
+)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
@@ -9,9 +9,11 @@
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.wire import Outbox, PeerBase, pb
 from skylarkdoord import _events
+from skylarkdoord.direct._adapter import EngineLoad
 from skylarkdoord.direct._guard_queue import PlaceQueue
 from skylarkdoord.direct._link import LOST_ERRORS, run_stream
 from skylarkdoord.direct._metrics import HELD, PLACES, QUEUE
+from skylarkdoord.direct._occupancy import SETTLE_S, Occupancy, Sample
 from skylarkdoord.direct._settings import DirectSettings
 
 REPORT_INTERVAL_S = 0.1
@@ -66,6 +68,7 @@
     def __init__(self, settings: DirectSettings) -> None:
         self.settings = settings
         self.queue = PlaceQueue(self.grant)
+        self.occupancy = Occupancy()
         self.outboxes: dict[str, Outbox[pb.SidecarMessage]] = {}
         self.keys = itertools.count()
         self.server = Server([self])
@@ -131,6 +134,26 @@
         if outbox is not None:
             outbox.put(pb.SidecarMessage(grant=pb.Grant(request_id=request)))
 
+    def on_report(self, report: EngineLoad | None) -> None:
+        """Compare the grants with what the engine says of itself."""
+        if report is None:
+            self.occupancy.forget()
+        else:
+            granted = len(self.queue.granted)
+            settled = self.queue.settled(SETTLE_S)
+            in_engine = report.running + report.waiting
+            self.occupancy.note(Sample(granted, settled, in_engine))
+        correction = self.occupancy.correction()
+        if correction != self.queue.correction:
+            self.log.event(
+                _events.PLACES_CORRECTED,
+                correction=correction,
+                granted=len(self.queue.granted),
+                running=report.running if report else None,
+                waiting=report.waiting if report else None,
+            )
+        self.queue.correct(correction)
+
     def load(self) -> pb.SidecarMessage:
         """Return how busy the upstream is."""
         counts = self.queue.counts()
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guard_queue.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guard_queue.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import NamedTuple
@@ -13,7 +14,7 @@
     """How busy the upstream is.
 
     Attributes:
-        running: Requests that hold a place.
+        running: Places that are taken.
         places: Places in all.
         waiting: Requests that wait.
     """
@@ -44,19 +45,42 @@
 
     Args:
         grant: Called with the stream and the request that get a place.
+        clock: Monotonic time in seconds.
     """
 
-    def __init__(self, grant: Callable[[str, str], None]) -> None:
+    def __init__(
+        self,
+        grant: Callable[[str, str], None],
+        *,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
         self.grant = grant
+        self.clock = clock
         self.places = 0
+        self.correction = 0
         self.waiting: dict[Key, Offered] = {}
         self.queue: list[Offered] = []
-        self.granted: set[Key] = set()
+        self.granted: dict[Key, float] = {}
         self.numbers = itertools.count()
 
     def counts(self) -> Counts:
         """Return how busy the upstream is."""
-        return Counts(len(self.granted), self.places, len(self.waiting))
+        return Counts(self.taken, self.places, len(self.waiting))
+
+    @property
+    def taken(self) -> int:
+        """Places that are taken: those granted, as corrected by what really runs."""
+        return len(self.granted) + self.correction
+
+    def settled(self, age_s: float) -> int:
+        """Return how many places were granted at least so many seconds ago."""
+        latest = self.clock() - age_s
+        return sum(since <= latest for since in self.granted.values())
+
+    def correct(self, correction: int) -> None:
+        """Set how many more places are taken than granted."""
+        self.correction = correction
+        self.pump()
 
     def resize(self, places: int) -> None:
         """Set how many requests may run at a time."""
@@ -80,7 +104,7 @@
         if offered is not None:
             offered.is_withdrawn = True
         elif key in self.granted:
-            self.granted.discard(key)
+            del self.granted[key]
             self.pump()
 
     def drop_waiting(self, stream: str) -> list[str]:
@@ -91,10 +115,10 @@
 
     def pump(self) -> None:
         """Give out what places there are."""
-        while self.queue and len(self.granted) < self.places:
+        while self.queue and self.taken < self.places:
             offered = heapq.heappop(self.queue)
             if offered.is_withdrawn:
                 continue
             del self.waiting[offered.key]
-            self.granted.add(offered.key)
+            self.granted[offered.key] = self.clock()
             self.grant(*offered.key)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/guard.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/guard.py
@@ -1,8 +1,10 @@
 """The services of the guard beside an upstream."""
 
 from skylarkdoor.kernel import Kernel
+from skylarkdoord.direct._adapter import load_adapter
 from skylarkdoord.direct._guard import Guard
 from skylarkdoord.direct._metrics import MetricsServer
+from skylarkdoord.direct._occupancy import EngineReports
 from skylarkdoord.direct._settings import DirectSettings
 
 __all__ = ["build"]
@@ -11,4 +13,8 @@
 def build(kernel: Kernel, settings: DirectSettings) -> None:
     """Register the services of an upstream's guard."""
     kernel.register(MetricsServer(settings))
-    kernel.register(Guard(settings))
+    guard = Guard(settings)
+    kernel.register(guard)
+    if settings.upstream is not None:
+        adapter = load_adapter(settings.adapter)
+        kernel.register(EngineReports(adapter, settings.upstream, guard.on_report))
