Within a tier, answers much longer than usual go after the others

Where one tier alone asks for more than all places, each long answer makes several short ones of the same tier late.

A request whose caller expects more than four times the usual tokens of its tier gets its place after the others of the tier and the same lateness; a request gives up at once only where others that go no later just waited in vain.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
@@ -13,6 +13,7 @@
 from skylarkdoord.direct._guard_queue import PlaceQueue
 from skylarkdoord.direct._link import LOST_ERRORS, run_stream
 from skylarkdoord.direct._metrics import HELD, PLACES, QUEUE
+from skylarkdoord.direct._model import Precedence
 from skylarkdoord.direct._occupancy import SETTLE_S, Occupancy, Sample
 from skylarkdoord.direct._settings import DirectSettings
 
@@ -120,9 +121,8 @@
                 self.log.event(_events.PEER_CONNECTED, peer=stream.entry)
             case "offer":
                 offer = message.offer
-                self.queue.offer(
-                    stream.key, offer.request_id, tier=offer.tier, is_late=offer.late
-                )
+                precedence = Precedence(offer.tier, offer.late, offer.long)
+                self.queue.offer(stream.key, offer.request_id, precedence)
             case "withdraw":
                 self.queue.withdraw(stream.key, message.withdraw.request_id)
             case "listed":
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guard_queue.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guard_queue.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from skylarkdoord.direct._model import Precedence
+
 Key = tuple[str, str]
 
 
@@ -33,8 +35,7 @@
 class Offered:
     """A request that waits, in the order in which it is served."""
 
-    tier: int
-    is_late: bool
+    precedence: Precedence
     number: int
     key: Key = field(compare=False)
     is_withdrawn: bool = field(default=False, compare=False)
@@ -87,12 +88,12 @@
         self.places = places
         self.pump()
 
-    def offer(self, stream: str, request: str, *, tier: int, is_late: bool) -> None:
+    def offer(self, stream: str, request: str, precedence: Precedence) -> None:
         """Let a request wait for a place."""
         key = (stream, request)
         if key in self.waiting or key in self.granted:
             return
-        offered = Offered(tier, is_late, next(self.numbers), key)
+        offered = Offered(precedence, next(self.numbers), key)
         self.waiting[key] = offered
         heapq.heappush(self.queue, offered)
         self.pump()
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guards.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guards.py
@@ -11,7 +11,7 @@
 from skylarkdoord import _events
 from skylarkdoord.direct._fleet import Fleet
 from skylarkdoord.direct._link import Link
-from skylarkdoord.direct._model import UpstreamRecord
+from skylarkdoord.direct._model import Precedence, UpstreamRecord
 from skylarkdoord.direct._settings import DirectSettings
 
 
@@ -74,9 +74,14 @@
         """Requests that likely run at the upstream."""
         return self.load.running + self.charged
 
-    def offer(self, request: str, *, tier: int, is_late: bool) -> None:
+    def offer(self, request: str, precedence: Precedence) -> None:
         """Ask for a place."""
-        offer = pb.Offer(request_id=request, tier=tier, late=is_late)
+        offer = pb.Offer(
+            request_id=request,
+            tier=precedence.tier,
+            late=precedence.is_late,
+            long=precedence.is_long,
+        )
         self.charged += 1
         self.link.outbox.put(pb.EntryMessage(offer=offer))
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_model.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_model.py
@@ -146,6 +146,20 @@
     started_ms: int = 0
 
 
+class Precedence(NamedTuple):
+    """What decides between requests that wait for the same place; lower goes first.
+
+    Attributes:
+        tier: Its tier; 0 is the most important.
+        is_late: Whether it can no longer be on time.
+        is_long: Whether it likely holds a place much longer than its tier's usual.
+    """
+
+    tier: int
+    is_late: bool = False
+    is_long: bool = False
+
+
 class CallerRequest(NamedTuple):
     """A request as the caller sent it.
 
@@ -161,6 +175,7 @@
         received: Monotonic time of receipt, in seconds.
         prompt_tokens: Tokens of the prompt.
         max_tokens: Most tokens of the answer.
+        expected_tokens: Tokens of the answer as the caller expects; 0 if not stated.
         states_tokens: Whether the caller stated its tokens.
         prefix: Parts of the prompt, as identity and number of tokens.
         last_event_id: Event after which a resumed stream goes on; empty if new.
@@ -177,6 +192,7 @@
     received: float
     prompt_tokens: int = 0
     max_tokens: int = 0
+    expected_tokens: int = 0
     states_tokens: bool = False
     prefix: tuple[tuple[str, int], ...] = ()
     last_event_id: str = ""
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
@@ -18,8 +18,9 @@
 from skylarkdoor import events
 from skylarkdoord import _events
 from skylarkdoord.direct._guards import GuardLink
+from skylarkdoord.direct._lengths import Lengths
 from skylarkdoord.direct._metrics import RUNNING, WAITING
-from skylarkdoord.direct._model import MS_PER_S, Admitted, UpstreamRecord
+from skylarkdoord.direct._model import MS_PER_S, Admitted, Precedence, UpstreamRecord
 from skylarkdoord.direct._upstreams import Upstream, Upstreams
 from skylarkdoord.direct._waiting import Flow, Granted, Place, Waiter
 from skylarkdoord.direct.exceptions import NoRoomError
@@ -72,6 +73,7 @@
         self.asking: dict[str, Waiter] = {}
         self.queues: dict[str, list[Waiter]] = {}
         self.flows: dict[str, Flow] = {}
+        self.lengths = Lengths()
         self.numbers = itertools.count()
         self.log = events.get_logger("direct.scheduler")
         upstreams.fleet.on_upstreams.append(self.pump_all)
@@ -115,8 +117,11 @@
         """
         now = time.monotonic()
         waiter = Waiter(
-            rank=admitted.rank,
-            is_late=now > admitted.on_time_until,
+            precedence=Precedence(
+                admitted.rank,
+                is_late=now > admitted.on_time_until,
+                is_long=self.lengths.is_long(admitted),
+            ),
             number=next(self.numbers),
             admitted=admitted,
             excluded=excluded,
@@ -209,7 +214,8 @@
             request_id=waiter.admitted.request.request_id,
             service=waiter.admitted.service,
             rank=waiter.rank,
-            is_late=waiter.is_late,
+            is_late=waiter.precedence.is_late,
+            is_long=waiter.precedence.is_long,
             patience_ms=round(waiter.patience_s * MS_PER_S),
             ahead=self.flow(waiter.admitted.service).ahead(waiter),
             guards=len(waiter.asked),
@@ -219,7 +225,7 @@
     def offer(self, waiter: Waiter, guard: GuardLink) -> None:
         """Ask one guard for a place."""
         waiter.asked.append(guard)
-        guard.offer(waiter.name, tier=waiter.rank, is_late=waiter.is_late)
+        guard.offer(waiter.name, waiter.precedence)
 
     def guards(self, waiter: Waiter) -> list[GuardLink]:
         """Return the guards that may be asked, the best first."""
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_waiting.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_waiting.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from skylarkdoord.direct._guards import GuardLink
-from skylarkdoord.direct._model import Admitted
+from skylarkdoord.direct._model import Admitted, Precedence
 from skylarkdoord.direct._upstreams import Upstream
 
 # For this long after a request waited in vain, others are taken to do so too.
@@ -35,8 +35,7 @@
     """A request in the queue, in the order in which it is served.
 
     Attributes:
-        rank: Its tier; 0 is the most important.
-        is_late: Whether it can no longer be on time.
+        precedence: Its tier and what else decides who goes first.
         number: Order of arrival at this entry.
         admitted: The request.
         excluded: Upstreams that it was sent to before.
@@ -46,8 +45,7 @@
         asked: Guards that hold an offer of it.
     """
 
-    rank: int
-    is_late: bool
+    precedence: Precedence
     number: int
     admitted: Admitted = field(compare=False)
     excluded: frozenset[str] = field(compare=False)
@@ -61,6 +59,11 @@
         """The request's name on streams to guards."""
         return str(self.number)
 
+    @property
+    def rank(self) -> int:
+        """Its tier; 0 is the most important."""
+        return self.precedence.tier
+
     @property
     def is_granted(self) -> bool:
         """Whether it has a place."""
@@ -84,13 +87,13 @@
 
     Attributes:
         waiting: Requests that wait, by number.
-        gave_up_at: Monotonic time, in seconds, at which a request of each tier
-            last found no place in time.
+        gave_up_at: Monotonic time, in seconds, at which a request of each
+            precedence last found no place in time.
     """
 
     def __init__(self) -> None:
         self.waiting: dict[int, Waiter] = {}
-        self.gave_up_at: dict[int, float] = {}
+        self.gave_up_at: dict[Precedence, float] = {}
 
     def join(self, waiter: Waiter) -> None:
         """Count a request that waits."""
@@ -102,17 +105,18 @@
 
     def give_up(self, waiter: Waiter, now: float) -> None:
         """Note that a request found no place in time."""
-        self.gave_up_at[waiter.rank] = now
+        self.gave_up_at[waiter.precedence] = now
 
     def is_hopeless(self, waiter: Waiter, now: float) -> bool:
         """Return whether a request would wait in vain.
 
-        It would where others of its tier or a more important one just did, and
-        some still wait ahead of it.
+        It would where others that go no later just did, and some still wait ahead
+        of it.
         """
         since = now - RUSH_S
         if not any(
-            rank <= waiter.rank and at > since for rank, at in self.gave_up_at.items()
+            other <= waiter.precedence and at > since
+            for other, at in self.gave_up_at.items()
         ):
             return False
         return self.ahead(waiter) >= MAX_AHEAD
--- a/packages/skylarkdoord/tests/direct/test_guard_queue.py
+++ b/packages/skylarkdoord/tests/direct/test_guard_queue.py
@@ -6,6 +6,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from skylarkdoord.direct._guard_queue import PlaceQueue
+from skylarkdoord.direct._model import Precedence
 
 
 @pytest.fixture
@@ -26,30 +27,30 @@
     def test_room(self, queue, granted):
         """With room, a request is granted at once."""
         queue.resize(1)
-        queue.offer("s", "a", tier=0, is_late=False)
+        queue.offer("s", "a", Precedence(0))
         assert granted == ["a"]
         assert queue.counts().is_full
 
     def test_order(self, queue, granted):
         """Tier goes first, then what can be on time, then age."""
-        queue.offer("s", "low", tier=2, is_late=False)
-        queue.offer("s", "late", tier=1, is_late=True)
-        queue.offer("t", "first", tier=1, is_late=False)
-        queue.offer("s", "second", tier=1, is_late=False)
+        queue.offer("s", "low", Precedence(2))
+        queue.offer("s", "late", Precedence(1, is_late=True))
+        queue.offer("t", "first", Precedence(1))
+        queue.offer("s", "second", Precedence(1))
         queue.resize(4)
         assert granted == ["first", "second", "late", "low"]
 
     def test_place_returned(self, queue, granted):
         """A place that is returned goes to the next."""
         queue.resize(1)
-        queue.offer("s", "a", tier=0, is_late=False)
-        queue.offer("s", "b", tier=0, is_late=False)
+        queue.offer("s", "a", Precedence(0))
+        queue.offer("s", "b", Precedence(0))
         queue.withdraw("s", "a")
         assert granted == ["a", "b"]
 
     def test_withdrawn(self, queue, granted):
         """A request that was withdrawn gets nothing."""
-        queue.offer("s", "a", tier=0, is_late=False)
+        queue.offer("s", "a", Precedence(0))
         queue.withdraw("s", "a")
         queue.resize(1)
         assert granted == []
@@ -57,9 +58,9 @@
     def test_stream_lost(self, queue, granted):
         """A lost stream's waiting requests go; what runs keeps its place."""
         queue.resize(1)
-        queue.offer("s", "runs", tier=0, is_late=False)
-        queue.offer("s", "waits", tier=0, is_late=False)
-        queue.offer("t", "other", tier=0, is_late=False)
+        queue.offer("s", "runs", Precedence(0))
+        queue.offer("s", "waits", Precedence(0))
+        queue.offer("t", "other", Precedence(0))
         assert queue.drop_waiting("s") == ["runs"]
         assert granted == ["runs"]
         queue.withdraw("s", "runs")
@@ -68,18 +69,18 @@
     def test_same_name(self, queue, granted):
         """Streams may use the same names; one offer twice is one offer."""
         queue.resize(4)
-        queue.offer("s", "1", tier=0, is_late=False)
-        queue.offer("t", "1", tier=0, is_late=False)
-        queue.offer("s", "1", tier=0, is_late=False)
+        queue.offer("s", "1", Precedence(0))
+        queue.offer("t", "1", Precedence(0))
+        queue.offer("s", "1", Precedence(0))
         assert granted == ["1", "1"]
 
     def test_fewer_places(self, queue, granted):
         """With fewer places, nothing is taken back and nothing more given."""
         queue.resize(2)
-        queue.offer("s", "a", tier=0, is_late=False)
-        queue.offer("s", "b", tier=0, is_late=False)
+        queue.offer("s", "a", Precedence(0))
+        queue.offer("s", "b", Precedence(0))
         queue.resize(1)
-        queue.offer("s", "c", tier=0, is_late=False)
+        queue.offer("s", "c", Precedence(0))
         queue.withdraw("s", "a")
         assert granted == ["a", "b"]
 
@@ -112,7 +113,7 @@
         key = (stream, name)
         if key not in self.waiting and key not in self.running:
             self.waiting[key] = (tier, late)
-        self.queue.offer(stream, name, tier=tier, is_late=late)
+        self.queue.offer(stream, name, Precedence(tier, is_late=late))
 
     @rule(stream=STREAMS, name=NAMES)
     def withdraw(self, stream, name):
--- a/packages/skylarkdoord/tests/direct/test_occupancy.py
+++ b/packages/skylarkdoord/tests/direct/test_occupancy.py
@@ -7,6 +7,7 @@
 from skylarkdoor_bench.testing import free_port
 from skylarkdoord.direct import EngineLoad
 from skylarkdoord.direct._guard_queue import PlaceQueue
+from skylarkdoord.direct._model import Precedence
 from skylarkdoord.direct._occupancy import (
     REPORTS,
     EngineReports,
@@ -77,7 +78,7 @@
         queue = PlaceQueue(lambda stream, request: granted.append(request))
         queue.resize(2)
         for name in ("a", "b", "c"):
-            queue.offer("s", name, tier=0, is_late=False)
+            queue.offer("s", name, Precedence(0))
         return queue
 
     @pytest.fixture
@@ -103,9 +104,9 @@
         now = 10.0
         queue = PlaceQueue(lambda *_: None, clock=lambda: now)
         queue.resize(2)
-        queue.offer("s", "a", tier=0, is_late=False)
+        queue.offer("s", "a", Precedence(0))
         now = 10.2
-        queue.offer("s", "b", tier=0, is_late=False)
+        queue.offer("s", "b", Precedence(0))
         now = 10.3
         assert queue.settled(0.3) == 1
 
--- /dev/null
+++ b/packages/skylarkdoord/tests/direct/test_overload.py
@@ -0,0 +1,110 @@
+"""Patterns of overload, played against the queue of one upstream without a network.
+
+Time is simulated: requests come, wait as long as they may, hold a place and
+leave. Each class names the pattern that it plays.
+"""
+
+import heapq
+import itertools
+import random
+from typing import NamedTuple
+
+import pytest
+
+from skylarkdoord.direct._guard_queue import PlaceQueue
+from skylarkdoord.direct._lengths import Lengths
+from skylarkdoord.direct._model import Precedence
+
+from ._make import make_admitted, make_request
+
+SLOTS = 8
+PATIENCE_S = 0.4
+SECONDS_A_TOKEN = 0.006
+FIRST_S = 0.1
+END_S = 60.0
+
+
+class Arrival(NamedTuple):
+    """A request of a simulated day.
+
+    Attributes:
+        at: When it comes, in seconds.
+        precedence: What decides who goes first.
+        hold_s: How long it holds its place, in seconds.
+        is_long: Whether its answer is among the longest.
+    """
+
+    at: float
+    precedence: Precedence
+    hold_s: float
+    is_long: bool = False
+
+
+def play(arrivals):
+    """Return which of the arrivals, by number, got a place in time."""
+    events = [(arrival.at, number, "come") for number, arrival in enumerate(arrivals)]
+    heapq.heapify(events)
+    order = itertools.count(len(events))
+    now = 0.0
+    served = set()
+
+    def grant(_, name):
+        served.add(int(name))
+        end = now + arrivals[int(name)].hold_s
+        heapq.heappush(events, (end, next(order), f"leave {name}"))
+
+    queue = PlaceQueue(grant, clock=lambda: now)
+    queue.resize(SLOTS)
+    while events:
+        now, number, what = heapq.heappop(events)
+        if what == "come":
+            queue.offer("s", str(number), arrivals[number].precedence)
+            heapq.heappush(events, (now + PATIENCE_S, next(order), f"give-up {number}"))
+            continue
+        what, name = what.split()
+        if what == "leave" or int(name) not in served:
+            queue.withdraw("s", name)
+    return served
+
+
+class TestLongAnswers:
+    """More requests of one tier than fit, their lengths spread over a hundredfold."""
+
+    @pytest.fixture
+    def lengths(self):
+        """Return the tokens of answers: most are short, a few very long."""
+        rng = random.Random(7)
+        return [min(500, 1 + int(rng.lognormvariate(2.6, 1.5))) for _ in range(1800)]
+
+    def arrivals(self, lengths, knows):
+        """Return a minute of requests whose callers state lengths, or don't."""
+        rng = random.Random(8)
+        known = Lengths()
+        longest = sorted(lengths)[len(lengths) * 9 // 10]
+        times = sorted(rng.uniform(0.0, END_S) for _ in lengths)
+        for at, tokens in zip(times, lengths, strict=True):
+            # Callers are right at the median, and often far off.
+            told = max(1, round(tokens * rng.lognormvariate(0.0, 0.5)))
+            request = make_request(expected_tokens=told if knows else 0)
+            is_long = known.is_long(make_admitted(request))
+            yield Arrival(
+                at,
+                Precedence(0, is_long=is_long),
+                FIRST_S + tokens * SECONDS_A_TOKEN,
+                tokens >= longest,
+            )
+
+    def test_more_are_served(self, lengths):
+        """Short answers don't wait behind long ones, so more requests are served."""
+        blind = play(list(self.arrivals(lengths, knows=False)))
+        known = play(list(self.arrivals(lengths, knows=True)))
+        assert len(blind) < 0.85 * len(lengths)
+        assert len(known) > 1.05 * len(blind)
+
+    def test_long_are_not_starved(self, lengths):
+        """The longest tenth is served at least half as often as all."""
+        arrivals = list(self.arrivals(lengths, knows=True))
+        served = play(arrivals)
+        long = [number for number, one in enumerate(arrivals) if one.is_long]
+        share = len(served & set(long)) / len(long)
+        assert share > 0.5 * len(served) / len(arrivals)
--- a/packages/skylarkdoord/tests/direct/test_scheduler.py
+++ b/packages/skylarkdoord/tests/direct/test_scheduler.py
@@ -49,7 +49,7 @@
         self.load_at = time.monotonic()
         self.offered = []
 
-    def offer(self, request, *, tier, is_late):
+    def offer(self, request, precedence):
         """Note an offer."""
         self.offered.append(request)
 
@@ -308,3 +308,33 @@
         upstreams.fleet.records[0] = old._replace(address="10.0.0.9:80")
         (place,) = await fill(scheduler, 1)
         assert place.upstream.instance == "i-1"
+
+    async def test_long_request(self):
+        """One that answered others meanwhile is not blamed for a long request."""
+        scheduler = make_scheduler(make_record("i-1"), make_record("i-2"))
+        upstreams = scheduler.upstreams
+        now = 100.0
+        upstreams.clock = lambda: now
+        one, two = upstreams.of_service(SERVICE)
+        now = 101.0
+        upstreams.on_success(one)
+        now = 102.0
+        upstreams.on_silence(one, "timeout", since=100.5)
+        upstreams.on_silence(two, "timeout", since=100.5)
+        assert not one.is_paused(now)
+        assert two.is_paused(now)
+
+    async def test_silent_to_some(self):
+        """One that is silent to every second request gets less than its peers."""
+        scheduler = make_scheduler(
+            *(make_record(name, slots=8) for name in ("deaf", "b", "c", "d"))
+        )
+        upstreams = scheduler.upstreams
+        deaf, *well = upstreams.of_service(SERVICE)
+        for _ in range(20):
+            for upstream in (deaf, *well):
+                upstreams.on_answer(upstream, is_error=False)
+                upstreams.on_success(upstream)
+            upstreams.on_silence(deaf, "timeout", since=deaf.answered_at)
+        assert not deaf.is_paused(deaf.answered_at)
+        assert scheduler.cost(deaf, 0) > scheduler.cost(well[0], 7)
