An upstream that answers others is not blamed for one request that takes too long

Silence counts as a failure in the upstream's share of errors, which is compared with its peers'; it pauses the upstream only if it answered nothing else meanwhile.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
@@ -136,7 +136,9 @@
             except TimeoutError:
                 self.note(place, "timeout", began)
                 if not self.stream.has_begun:
-                    self.parts.upstreams.on_failure(place.upstream, "timeout")
+                    self.parts.upstreams.on_silence(
+                        place.upstream, "timeout", since=began
+                    )
                 raise
             finally:
                 self.parts.scheduler.release(place)
@@ -240,7 +242,8 @@
         self.note(place, "left", time.monotonic() - after_s)
         usual_s = self.parts.upstreams.expected_first_s(self.admitted.service)
         if not self.stream.has_begun and after_s > max(MIN_SILENCE_S, 4 * usual_s):
-            self.parts.upstreams.on_failure(place.upstream, "silent")
+            since = time.monotonic() - after_s
+            self.parts.upstreams.on_silence(place.upstream, "silent", since=since)
 
     async def relay(self, answer: Answer, first: asyncio.Timeout) -> web.StreamResponse:
         """Pass an answer on.
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_upstreams.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_upstreams.py
@@ -37,6 +37,7 @@
         refusals: Times in a row that it had no room.
         failing: Share of its answers that are errors of its own.
         slowness: Time to the first byte in proportion to that of its peers.
+        answered_at: Monotonic time of its latest answer, in seconds.
         moved: The record that named an address where another life answers.
     """
 
@@ -47,6 +48,7 @@
     refusals: int = 0
     failing: float = 0.0
     slowness: float = 1.0
+    answered_at: float = 0.0
     moved: UpstreamRecord | None = None
 
     @property
@@ -152,6 +154,16 @@
             pause_s=pause_s,
         )
 
+    def on_silence(self, upstream: Upstream, reason: str, *, since: float) -> None:
+        """Spare an upstream that was silent, unless it answered others meanwhile.
+
+        Some requests just take longer than their time. An upstream that is silent
+        to more of its requests than its peers are is avoided as for errors.
+        """
+        self.on_answer(upstream, is_error=True)
+        if upstream.answered_at < since:
+            self.on_failure(upstream, reason)
+
     def on_answer(self, upstream: Upstream, *, is_error: bool) -> None:
         """Learn from an answer's status."""
         service = upstream.record.service
@@ -166,6 +178,7 @@
 
     def on_success(self, upstream: Upstream) -> None:
         """Note that the upstream answered."""
+        upstream.answered_at = self.clock()
         upstream.refusals = 0
         if upstream.failures:
             self.log.event(_events.UPSTREAM_REGAINED, upstream=upstream.instance)
