Split the writing of endings from the claims of a sidecar

_claims.py had 453 lines and two jobs: deciding an operation, and writing its ending until it stands in the table. The second is EndingWriter now, with the Operation that both share. No behaviour changed; the sidecar's tests pass.

--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_claims.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_claims.py
@@ -9,11 +9,10 @@
 import time
 import uuid
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 from aiohttp import web
 
-from skylarkdoor import events, invariants
+from skylarkdoor import events
 from skylarkdoor.clients import (
     Absent,
     Condition,
@@ -27,19 +26,19 @@
     TableTimeout,
     TableUnavailable,
     Txn,
-    ValueIs,
 )
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import ProcessSettings
 from skylarkdoor.wire import pb
 from skylarkdoord import _events
-from skylarkdoord.common import Backoff, InternalServer, Platform, TlsService
+from skylarkdoord.common import InternalServer, Platform, TlsService
 from skylarkdoord.exceptions import (
     ClaimRowError,
     NotRunError,
     OutcomeUnknownError,
     RefusedError,
 )
+from skylarkdoord.sidecar._claim_endings import EndingWriter, Operation
 from skylarkdoord.sidecar._claim_rows import (
     ClaimRow,
     ClaimState,
@@ -60,41 +59,9 @@
 CLAIM_TRIES = 2
 STORE_RETRY_AFTER_S = 2.0
 STORE_PROBE_INTERVAL_S = 0.5
-MAX_ROW_BODY_BYTES = 64 * 1024
 JOIN_POLL_S = 2.0
 STOP_TIMEOUT_S = 10.0
 
-CLAIM_KEPT = invariants.define(
-    "claim_kept", "The claim of a dispatched request is replaced only by its result."
-)
-
-
-@dataclass
-class Operation:
-    """One attempt to run a request.
-
-    Attributes:
-        key: Key of the request's row.
-        claim: The row that it writes to claim the request.
-        may_land: Whether its claim stands in the table or may come to.
-        held: Whether it holds the claim.
-        ending: What became of it, once it ended.
-        ended: Set once it ended.
-    """
-
-    key: str
-    claim: ClaimRow
-    may_land: bool = False
-    held: bool = False
-    ending: ClaimRow | None = None
-    ended: asyncio.Event = field(default_factory=asyncio.Event)
-
-    def end(self, ending: ClaimRow) -> None:
-        """Note what became of it, once and for all."""
-        assert self.ending is None
-        self.ending = ending
-        self.ended.set()
-
 
 class Claims:
     """Holds this sidecar's operations and asks others for theirs.
@@ -109,7 +76,6 @@
     def __init__(self, settings: ProcessSettings) -> None:
         self.settings = settings
         self.operations: dict[str, Operation] = {}
-        self.writers: set[asyncio.Task[None]] = set()
         self.store_down = False
         self.log = events.get_logger("sidecar.claims")
 
@@ -141,12 +107,12 @@
         self.objects = objects
         self.incarnation = incarnation
         self.group = GroupCommit(table)
+        self.endings = EndingWriter(kernel, self.group, objects, self.operations)
         kernel.spawn(self.group.run(), name="claims.commit")
 
     async def stop(self) -> None:
         """Write what is not written yet, for a bounded time."""
-        if self.writers:
-            await asyncio.wait(self.writers, timeout=STOP_TIMEOUT_S)
+        await self.endings.flush(timeout_s=STOP_TIMEOUT_S)
         await self.http_owners.close()
 
     def objection(self, offer: pb.Offer) -> "pb.RefusalReason | None":
@@ -211,14 +177,14 @@
         """
         state = ClaimState.UNKNOWN if answer is None else ClaimState.DONE
         operation.end(operation.claim._replace(state=state, answer=answer))
-        self._spawn(self._write_ending(operation), operation)
+        self.endings.begin(operation)
 
     def abandon(self, operation: Operation) -> None:
         """Give an operation up that was not dispatched and never will be."""
         operation.held = False
         operation.end(operation.claim._replace(state=ClaimState.NOT_RUN))
         if operation.may_land:
-            self._spawn(self._write_ending(operation), operation)
+            self.endings.begin(operation)
         else:
             self.operations.pop(operation.claim.operation, None)
 
@@ -360,60 +326,6 @@
         self.log.event(_events.CLAIM_ORPHANED, key=key, owner=found.instance)
         raise OutcomeUnknownError("the earlier run's owner is gone")
 
-    async def _write_ending(self, operation: Operation) -> None:
-        """Write an operation's ending until the table has it."""
-        backoff = Backoff()
-        while True:
-            try:
-                await self._try_ending(operation)
-                break
-            except (PlatformError, ClaimRowError) as error:
-                self.log.event(
-                    _events.CLAIM_WRITE_FAILED, key=operation.key, error=str(error)
-                )
-            await asyncio.sleep(backoff.delay_s())
-        self.operations.pop(operation.claim.operation, None)
-
-    async def _try_ending(self, operation: Operation) -> None:
-        assert operation.ending is not None
-        key = operation.key
-        ending = await self._outsource(operation.ending)
-        value = encode(ending)
-        claimed = ValueIs(key, encode(operation.claim))
-        result = await self.group.commit(Txn((claimed,), (Put(key, value),), (key,)))
-        if result.succeeded:
-            return
-        row = result.rows[0] if result.rows else None
-        if ending.state is ClaimState.NOT_RUN:
-            await self._bar(operation, row, value)
-            return
-        written = row is not None and row.value == value
-        invariants.check(CLAIM_KEPT, written, key=key)
-
-    async def _bar(self, operation: Operation, row: Row | None, value: bytes) -> None:
-        """Make sure that an abandoned claim that has not landed never does.
-
-        A claim lands only on an absent row or on the revision of a row that
-        says not run, so both are replaced; any other row bars it already.
-        """
-        key = operation.key
-        condition: Condition = Absent(key)
-        if row is not None:
-            if decode(row.value).state is not ClaimState.NOT_RUN or row.value == value:
-                return
-            condition = RevisionIs(key, row.revision)
-        result = await self.group.commit(Txn((condition,), (Put(key, value),), (key,)))
-        if not result.succeeded:
-            raise TableTimeout("the row changed meanwhile")
-
-    async def _outsource(self, ending: ClaimRow) -> ClaimRow:
-        answer = ending.answer
-        if answer is None or len(answer.body) <= MAX_ROW_BODY_BYTES:
-            return ending
-        name = f"answers/{ending.operation}"
-        await self.objects.put(name, answer.body)
-        return ending._replace(answer=answer._replace(body=b""), body_object=name)
-
     def _note_store_down(self, error: Exception) -> None:
         if self.store_down:
             return
@@ -431,12 +343,6 @@
                 continue
         self.log.event(_events.CLAIMS_UP)
 
-    def _spawn(self, writing, operation: Operation) -> None:  # type: ignore[no-untyped-def]
-        name = f"claim {operation.claim.operation}"
-        task = self.kernel.spawn(writing, name=name)
-        self.writers.add(task)
-        task.add_done_callback(self.writers.discard)
-
 
 def _check_same_call(claim: ClaimRow, found: ClaimRow) -> None:
     if found.fingerprint != claim.fingerprint:
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_dispatch.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_dispatch.py
@@ -27,8 +27,9 @@
 )
 from skylarkdoord.sidecar import _answers as answers
 from skylarkdoord.sidecar._call import Call, read_call
+from skylarkdoord.sidecar._claim_endings import Operation
 from skylarkdoord.sidecar._claim_rows import ClaimRow, WholeAnswer
-from skylarkdoord.sidecar._claims import Claims, Operation
+from skylarkdoord.sidecar._claims import Claims
 from skylarkdoord.sidecar._ledger import Phase
 from skylarkdoord.sidecar._poison import Admission, Poison
 from skylarkdoord.sidecar._recent import RecentRuns, Run, RunKey
--- a/packages/skylarkdoord/tests/sidecar/test_claims.py
+++ b/packages/skylarkdoord/tests/sidecar/test_claims.py
@@ -28,8 +28,9 @@
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import Listen, PlatformAddresses, ProcessSettings
 from skylarkdoord.exceptions import NotRunError, OutcomeUnknownError
+from skylarkdoord.sidecar._claim_endings import MAX_ROW_BODY_BYTES, Operation
 from skylarkdoord.sidecar._claim_rows import ClaimRow, ClaimState, WholeAnswer
-from skylarkdoord.sidecar._claims import MAX_ROW_BODY_BYTES, Claims, Operation
+from skylarkdoord.sidecar._claims import Claims
 
 SETTLE_S = 6.0
 KEYS = ("key-1", "key-2")
@@ -400,7 +401,7 @@
         claim = await acquire(first, "key-1")
         assert isinstance(claim, Operation)
         first.claims.finish(claim, WholeAnswer(200, (), body))
-        await asyncio.gather(*first.claims.writers)
+        await asyncio.gather(*first.claims.endings.tasks)
         await first.die()
         found = await acquire(second, "key-1")
         assert isinstance(found, ClaimRow)
