--- a/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
@@ -38,6 +38,8 @@
 MIN_PATIENCE_S = 0.05
 # A request that is late already waits for this share of the time that is left.
 LATE_PATIENCE_SHARE = 0.35
+# And no longer, since it may be better served elsewhere or not at all.
+MAX_LATE_PATIENCE_S = 2.5
 # Callers wait as told up to this share of the time that they have left.
 RETURN_SHARE = 1 / 3
 MAX_RETURN_S = 3.0
@@ -103,10 +105,17 @@
         now = time.monotonic()
         first_s = self.upstreams.expected_first_s(admitted.service)
         spare_s = admitted.on_time_until - now - first_s
-        if admitted.on_time_until <= now:
-            spare_s = LATE_PATIENCE_SHARE * (admitted.deadline - now)
+        if spare_s < MIN_PATIENCE_S:
+            spare_s = min(
+                MAX_LATE_PATIENCE_S, LATE_PATIENCE_SHARE * (admitted.deadline - now)
+            )
         return min(admitted.deadline - now, max(MIN_PATIENCE_S, spare_s))
 
+    def is_late(self, admitted: Admitted, now: float) -> bool:
+        """Return whether a request can't be on time, even if it were sent now."""
+        first_s = self.upstreams.expected_first_s(admitted.service)
+        return admitted.on_time_until - now - first_s < MIN_PATIENCE_S
+
     async def acquire(
         self, admitted: Admitted, *, excluded: frozenset[str] = frozenset()
     ) -> Place:
@@ -119,7 +128,7 @@
         waiter = Waiter(
             precedence=Precedence(
                 admitted.rank,
-                is_late=now > admitted.on_time_until,
+                is_late=self.is_late(admitted, now),
                 is_long=self.lengths.is_long(admitted),
             ),
             number=next(self.numbers),
