--- a/packages/skylarkdoord/src/skylarkdoord/direct/_lengths.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_lengths.py
@@ -11,7 +11,7 @@
 # Weight of the newest request in the usual length.
 NEWEST = 0.02
 # A request is long from so many times the usual length of its tier.
-LONG = 4.0
+LONG = 2.0
 
 
 class Lengths:
