Guards of an engine that is down give out no places

Cause: an engine that has crashed runs nothing, so its guard had all places free, looked best to every entry and granted each request a place that led nowhere; the request went to the back of the queue. Nothing listening at an address that has answered before means down; an engine that only does not tell its load keeps its places.

Tests fail before.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
@@ -9,12 +9,11 @@
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.wire import Outbox, PeerBase, pb
 from skylarkdoord import _events
-from skylarkdoord.direct._adapter import EngineLoad
 from skylarkdoord.direct._guard_queue import PlaceQueue
 from skylarkdoord.direct._link import LOST_ERRORS, run_stream
 from skylarkdoord.direct._metrics import HELD, PLACES, QUEUE
 from skylarkdoord.direct._model import Precedence
-from skylarkdoord.direct._occupancy import SETTLE_S, Occupancy, Sample
+from skylarkdoord.direct._occupancy import SETTLE_S, Occupancy, Report, Sample
 from skylarkdoord.direct._settings import DirectSettings
 
 REPORT_INTERVAL_S = 0.1
@@ -134,14 +133,21 @@
         if outbox is not None:
             outbox.put(pb.SidecarMessage(grant=pb.Grant(request_id=request)))
 
-    def on_report(self, report: EngineLoad | None) -> None:
-        """Compare the grants with what the engine says of itself."""
-        if report is None:
+    def on_report(self, report: Report) -> None:
+        """Compare the grants with what the engine says of itself.
+
+        An engine that is down looks idle; were its places given out, it would
+        draw requests away from those that run.
+        """
+        if report.is_down == self.queue.is_open:
+            self.queue.set_open(not report.is_down)
+        load = report.load
+        if load is None:
             self.occupancy.forget()
         else:
             granted = len(self.queue.granted)
             settled = self.queue.settled(SETTLE_S)
-            in_engine = report.running + report.waiting
+            in_engine = load.running + load.waiting
             self.occupancy.note(Sample(granted, settled, in_engine))
         correction = self.occupancy.correction()
         if correction != self.queue.correction:
@@ -149,8 +155,8 @@
                 _events.PLACES_CORRECTED,
                 correction=correction,
                 granted=len(self.queue.granted),
-                running=report.running if report else None,
-                waiting=report.waiting if report else None,
+                running=load.running if load else None,
+                waiting=load.waiting if load else None,
             )
         self.queue.correct(correction)
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guard_queue.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guard_queue.py
@@ -58,6 +58,7 @@
         self.grant = grant
         self.clock = clock
         self.places = 0
+        self.is_open = True
         self.correction = 0
         self.waiting: dict[Key, Offered] = {}
         self.queue: list[Offered] = []
@@ -66,7 +67,8 @@
 
     def counts(self) -> Counts:
         """Return how busy the upstream is."""
-        return Counts(self.taken, self.places, len(self.waiting))
+        places = self.places if self.is_open else 0
+        return Counts(self.taken, places, len(self.waiting))
 
     @property
     def taken(self) -> int:
@@ -78,6 +80,11 @@
         latest = self.clock() - age_s
         return sum(since <= latest for since in self.granted.values())
 
+    def set_open(self, is_open: bool) -> None:
+        """Give out places, or none while the engine is down."""
+        self.is_open = is_open
+        self.pump()
+
     def correct(self, correction: int) -> None:
         """Set how many more places are taken than granted."""
         self.correction = correction
@@ -116,7 +123,7 @@
 
     def pump(self) -> None:
         """Give out what places there are."""
-        while self.queue and self.taken < self.places:
+        while self.is_open and self.queue and self.taken < self.places:
             offered = heapq.heappop(self.queue)
             if offered.is_withdrawn:
                 continue
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_occupancy.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_occupancy.py
@@ -40,6 +40,18 @@
     in_engine: int
 
 
+class Report(NamedTuple):
+    """What is heard of the engine.
+
+    Attributes:
+        load: What it says of itself; None where it says nothing usable.
+        is_down: Whether nothing listens at its address.
+    """
+
+    load: EngineLoad | None
+    is_down: bool = False
+
+
 class Occupancy:
     """Compares grants with what the engine reports."""
 
@@ -73,7 +85,7 @@
     Args:
         adapter: Decodes the report.
         address: The engine's `host:port`.
-        listener: Called with each report, and with None where there is none.
+        listener: Called with each report.
     """
 
     name = "engine_reports"
@@ -83,12 +95,13 @@
         self,
         adapter: Adapter,
         address: str,
-        listener: Callable[[EngineLoad | None], None],
+        listener: Callable[[Report], None],
     ) -> None:
         self.adapter = adapter
         self.url = f"http://{address}{adapter.load_path}"
         self.listener = listener
         self.is_answering = True
+        self.has_answered = False
         self.session: aiohttp.ClientSession | None = None
         self.log = events.get_logger("direct.engine_reports")
 
@@ -107,20 +120,21 @@
     async def watch(self, session: aiohttp.ClientSession) -> None:
         """Ask until cancelled."""
         while True:
-            load = await self.ask(session)
-            self.listener(load)
+            self.listener(await self.ask(session))
             await asyncio.sleep(REPORT_INTERVAL_S)
 
-    async def ask(self, session: aiohttp.ClientSession) -> EngineLoad | None:
-        """Return the engine's report; None where there is no usable one."""
+    async def ask(self, session: aiohttp.ClientSession) -> Report:
+        """Return the engine's report."""
         try:
             async with session.get(self.url) as response:
                 load = self.adapter.decode_load(await response.read())
         except (aiohttp.ClientError, TimeoutError, OSError, RowError) as error:
             self.note(is_answering=False, error=repr(error))
-            return None
+            # An address that never answered may be wrong, so it proves nothing.
+            return Report(None, is_down=self.has_answered and _is_refused(error))
         self.note(is_answering=True)
-        return load
+        self.has_answered = True
+        return Report(load)
 
     def note(self, *, is_answering: bool, **fields: object) -> None:
         """Log that reports stopped or came back."""
@@ -129,3 +143,10 @@
         self.is_answering = is_answering
         event = _events.REPORTS_REGAINED if is_answering else _events.REPORTS_LOST
         self.log.event(event, url=self.url, **fields)
+
+
+def _is_refused(error: Exception) -> bool:
+    """Return whether nothing listened, as told from an engine that is only slow."""
+    return isinstance(error, aiohttp.ClientConnectorError) and isinstance(
+        error.os_error, ConnectionRefusedError
+    )
--- a/packages/skylarkdoord/tests/direct/_make.py
+++ b/packages/skylarkdoord/tests/direct/_make.py
@@ -2,17 +2,21 @@
 
 import time
 
+from skylarkdoor_bench.testing import free_port
 from skylarkdoord.direct import (
     Admitted,
     CallerRequest,
     Customer,
+    DirectSettings,
     Repeat,
     Route,
     Target,
     UpstreamRecord,
 )
+from skylarkdoord.direct._settings import DirectListen
 
 SERVICE = "engines"
+LOOPBACK = "127.0.0.1"
 
 
 def make_route(**changes):
@@ -97,3 +101,15 @@
 
 
 IDEMPOTENT = Repeat.IDEMPOTENT
+
+
+def make_settings(instance, guard_port=1):
+    """Return the settings of one process."""
+    return DirectSettings(
+        instance=instance,
+        data_centre="north",
+        adapter="none",
+        store="127.0.0.1:1",
+        listen=DirectListen(peers=f"{LOOPBACK}:{free_port()}", metrics="127.0.0.1:1"),
+        guard_port=guard_port,
+    )
--- a/packages/skylarkdoord/tests/direct/test_occupancy.py
+++ b/packages/skylarkdoord/tests/direct/test_occupancy.py
@@ -6,16 +6,20 @@
 
 from skylarkdoor_bench.testing import free_port
 from skylarkdoord.direct import EngineLoad
+from skylarkdoord.direct._guard import Guard
 from skylarkdoord.direct._guard_queue import PlaceQueue
 from skylarkdoord.direct._model import Precedence
 from skylarkdoord.direct._occupancy import (
     REPORTS,
     EngineReports,
     Occupancy,
+    Report,
     Sample,
 )
 from skylarkdoord.direct.exceptions import RowError
 
+from ._make import make_settings
+
 
 @pytest.fixture
 def occupancy():
@@ -149,14 +153,51 @@
 
     async def test_decoded(self):
         """A report is passed on as the adapter decodes it."""
-        assert await self.reports([(200, "6 2")]) == [EngineLoad(6, 2, 0, 0)]
+        assert await self.reports([(200, "6 2")]) == [Report(EngineLoad(6, 2, 0, 0))]
 
     async def test_useless(self, caplog):
         """A report that can't be read is none; that is logged once, and its end."""
         caplog.set_level("INFO", "skylarkdoor")
         heard = await self.reports([(200, "?"), (500, ""), (200, "1 0")])
-        assert heard == [None, None, EngineLoad(1, 0, 0, 0)]
+        assert heard == [Report(None), Report(None), Report(EngineLoad(1, 0, 0, 0))]
         assert [record.event_name for record in caplog.records] == [
             "engine_reports_lost",
             "engine_reports_regained",
         ]
+
+    async def test_down(self):
+        """Where nothing listens any more, the engine is down, and not just silent."""
+        service = EngineReports(
+            StubAdapter(), f"127.0.0.1:{free_port()}", lambda _: None
+        )
+        async with aiohttp.ClientSession() as session:
+            assert await service.ask(session) == Report(None)
+            service.has_answered = True
+            assert await service.ask(session) == Report(None, is_down=True)
+
+
+class TestEngineDown:
+    """`Guard.on_report`, for an engine that crashes and comes back."""
+
+    async def test_no_places(self):
+        """No place is given while it is down; what waits is granted afterwards."""
+        guard = Guard(make_settings("guard-1"))
+        granted = []
+        guard.queue.grant = lambda stream, request: granted.append(request)
+        guard.queue.resize(2)
+        guard.on_report(Report(None, is_down=True))
+        guard.queue.offer("s", "a", Precedence(0))
+        assert granted == []
+        assert guard.load().load.room == 0
+        guard.on_report(Report(EngineLoad(0, 0, 0, 0)))
+        assert granted == ["a"]
+
+    async def test_silent(self):
+        """An engine that does not tell its load keeps its places."""
+        guard = Guard(make_settings("guard-1"))
+        granted = []
+        guard.queue.grant = lambda stream, request: granted.append(request)
+        guard.queue.resize(1)
+        guard.on_report(Report(None))
+        guard.queue.offer("s", "a", Precedence(0))
+        assert granted == ["a"]
--- a/packages/skylarkdoord/tests/direct/test_streams.py
+++ b/packages/skylarkdoord/tests/direct/test_streams.py
@@ -6,8 +6,7 @@
 import pytest
 
 from skylarkdoor.kernel import Kernel
-from skylarkdoor_bench.testing import free_port
-from skylarkdoord.direct import DirectSettings, FleetConfig, Row, Rows, Service
+from skylarkdoord.direct import FleetConfig, Row, Rows, Service
 from skylarkdoord.direct._crashes import Crashes
 from skylarkdoord.direct._exchange import EntryExchange
 from skylarkdoord.direct._fleet import Fleet
@@ -16,25 +15,19 @@
 from skylarkdoord.direct._members import Members
 from skylarkdoord.direct._quota import Quota
 from skylarkdoord.direct._scheduler import Scheduler
-from skylarkdoord.direct._settings import DirectListen, QuotaBounds
+from skylarkdoord.direct._settings import QuotaBounds
 from skylarkdoord.direct._upstreams import Upstreams
 from skylarkdoord.direct.exceptions import StoreError
 
-from ._make import SERVICE, make_admitted, make_customer, make_record, make_route
-
-LOOPBACK = "127.0.0.1"
-
-
-def make_settings(instance, guard_port=1):
-    """Return the settings of one process."""
-    return DirectSettings(
-        instance=instance,
-        data_centre="north",
-        adapter="none",
-        store="127.0.0.1:1",
-        listen=DirectListen(peers=f"{LOOPBACK}:{free_port()}", metrics="127.0.0.1:1"),
-        guard_port=guard_port,
-    )
+from ._make import (
+    LOOPBACK,
+    SERVICE,
+    make_admitted,
+    make_customer,
+    make_record,
+    make_route,
+    make_settings,
+)
 
 
 async def until(holds):
