--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -126,7 +126,7 @@
             backend.server.address = await proxy.start()
             self.backends.append(backend)
             self.proxies.append(proxy)
-            self.programs.append(self.guard(number, guard_port))
+            self.programs.append(self.guard(number, guard_port, f"{host}:{port}"))
             row = server_row(backend.server, service="engines", slots=4)
             await self.store.put("servers", f"i-{number}", row)
         await self.store.put("op", "config", self.config())
@@ -162,8 +162,8 @@
         engines = [{"name": "engines", "runtime": {"slots": 4}}]
         return config(*routes, version=version, services=engines)
 
-    def guard(self, number, port):
-        """Return the guard beside an engine."""
+    def guard(self, number, port, upstream):
+        """Return the guard beside an engine, which asks it for its load."""
         settings = {
             "instance": f"guard-{number}",
             "data_centre": "north",
@@ -174,6 +174,7 @@
                 "metrics": f"127.0.1.{number}:{free_port()}",
             },
             "guard_port": port,
+            "upstream": upstream,
         }
         return Program("guard", settings, self.folder)
 
--- a/tests/soak/_world.py
+++ b/tests/soak/_world.py
@@ -9,10 +9,11 @@
 
 import aiohttp
 
-from tests.adapter._standins import HOST, Server, chunk, event, signed
+from tests.adapter._standins import HOST, Server, chunk, event, signed, to_json
 
 CALL_S = 4.0
 EVENTS = 8
+REPORT = "/report"
 PAUSE_S = 0.03
 
 
@@ -74,9 +75,24 @@
         self.seen = seen
         self.rng = rng
         self.left_at = None
+        self.running = 0
         self.server = Server(self.answer)
 
     async def answer(self, request, writer):
+        """Run one request, or tell the load."""
+        if request.target == REPORT:
+            load = to_json({"running": self.running, "waiting": 0})
+            head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(load)}\r\n\r\n"
+            writer.write(head.encode() + load)
+            await writer.drain()
+            return
+        self.running += 1
+        try:
+            await self.run(request, writer)
+        finally:
+            self.running -= 1
+
+    async def run(self, request, writer):
         """Run one request."""
         (call,) = request.header("Attempt-Id")
         kind = BY_NAME[request.target.split("/")[1]]
