--- a/packages/skylarkdoord/src/skylarkdoord/direct/_occupancy.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_occupancy.py
@@ -6,12 +6,11 @@
 """
 
 import asyncio
+import http.client
 from collections import deque
 from collections.abc import Callable
 from typing import NamedTuple
 
-import aiohttp
-
 from skylarkdoor import events
 from skylarkdoor.kernel import Kernel
 from skylarkdoord import _events
@@ -82,6 +81,9 @@
 class EngineReports:
     """Asks the engine beside this process for its load, again and again.
 
+    The client of the standard library does for one call on loopback; aiohttp
+    would add half to a guard's memory.
+
     Args:
         adapter: Decodes the report.
         address: The engine's `host:port`.
@@ -98,55 +100,57 @@
         listener: Callable[[Report], None],
     ) -> None:
         self.adapter = adapter
-        self.url = f"http://{address}{adapter.load_path}"
+        self.address = address
+        self.connection = http.client.HTTPConnection(address, timeout=REPORT_TIMEOUT_S)
         self.listener = listener
         self.is_answering = True
         self.has_answered = False
-        self.session: aiohttp.ClientSession | None = None
         self.log = events.get_logger("direct.engine_reports")
 
     async def start(self, kernel: Kernel) -> None:
         """Begin to ask."""
-        self.session = aiohttp.ClientSession(
-            timeout=aiohttp.ClientTimeout(total=REPORT_TIMEOUT_S)
-        )
-        kernel.spawn(self.watch(self.session), name="engine_reports.watch")
+        kernel.spawn(self.watch(), name="engine_reports.watch")
 
     async def stop(self) -> None:
-        """Close the connection."""
-        if self.session is not None:
-            await self.session.close()
+        """Close the connection; the kernel ends the task."""
+        self.connection.close()
 
-    async def watch(self, session: aiohttp.ClientSession) -> None:
+    async def watch(self) -> None:
         """Ask until cancelled."""
         while True:
-            self.listener(await self.ask(session))
+            self.listener(await self.ask())
             await asyncio.sleep(REPORT_INTERVAL_S)
 
-    async def ask(self, session: aiohttp.ClientSession) -> Report:
+    async def ask(self) -> Report:
         """Return the engine's report."""
         try:
-            async with session.get(self.url) as response:
-                load = self.adapter.decode_load(await response.read())
-        except (aiohttp.ClientError, TimeoutError, OSError, RowError) as error:
+            load = self.adapter.decode_load(await asyncio.to_thread(self.fetch))
+        except (http.client.HTTPException, OSError, RowError) as error:
             self.note(is_answering=False, error=repr(error))
             # An address that never answered may be wrong, so it proves nothing.
-            return Report(None, is_down=self.has_answered and _is_refused(error))
+            is_refused = isinstance(error, ConnectionRefusedError)
+            return Report(None, is_down=self.has_answered and is_refused)
         self.note(is_answering=True)
         self.has_answered = True
         return Report(load)
 
+    def fetch(self) -> bytes:
+        """Return the report as the engine sends it.
+
+        Raises:
+            HTTPException, OSError: It sends none.
+        """
+        try:
+            self.connection.request("GET", self.adapter.load_path)
+            return self.connection.getresponse().read()
+        except (http.client.HTTPException, OSError):
+            self.connection.close()
+            raise
+
     def note(self, *, is_answering: bool, **fields: object) -> None:
         """Log that reports stopped or came back."""
         if is_answering == self.is_answering:
             return
         self.is_answering = is_answering
         event = _events.REPORTS_REGAINED if is_answering else _events.REPORTS_LOST
-        self.log.event(event, url=self.url, **fields)
-
-
-def _is_refused(error: Exception) -> bool:
-    """Return whether nothing listened, as told from an engine that is only slow."""
-    return isinstance(error, aiohttp.ClientConnectorError) and isinstance(
-        error.os_error, ConnectionRefusedError
-    )
+        self.log.event(event, address=self.address, **fields)
--- a/packages/skylarkdoord/tests/direct/test_occupancy.py
+++ b/packages/skylarkdoord/tests/direct/test_occupancy.py
@@ -1,6 +1,5 @@
 """How many places are taken, by grants and by the engine's own reports."""
 
-import aiohttp
 import pytest
 from aiohttp import web
 
@@ -146,8 +145,7 @@
         await runner.setup()
         await web.TCPSite(runner, host, int(port)).start()
         service = EngineReports(StubAdapter(), address, lambda _: None)
-        async with aiohttp.ClientSession() as session:
-            said = [await service.ask(session) for _ in answers]
+        said = [await service.ask() for _ in answers]
         await runner.cleanup()
         return said
 
@@ -170,10 +168,9 @@
         service = EngineReports(
             StubAdapter(), f"127.0.0.1:{free_port()}", lambda _: None
         )
-        async with aiohttp.ClientSession() as session:
-            assert await service.ask(session) == Report(None)
-            service.has_answered = True
-            assert await service.ask(session) == Report(None, is_down=True)
+        assert await service.ask() == Report(None)
+        service.has_answered = True
+        assert await service.ask() == Report(None, is_down=True)
 
 
 class TestEngineDown:
