--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guard_queue.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guard_queue.py
@@ -47,6 +47,11 @@
     Args:
         grant: Called with the stream and the request that get a place.
         clock: Monotonic time in seconds.
+
+    Attributes:
+        is_open: Whether places are given out.
+        correction: How many more places are taken than granted.
+        granted: When each place was granted, by who holds it.
     """
 
     def __init__(
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
@@ -97,24 +97,25 @@
         digest = hashlib.blake2b(name, digest_size=DRAW_BYTES).digest()
         return int.from_bytes(digest) / 256**DRAW_BYTES
 
-    def patience_s(self, admitted: Admitted) -> float:
-        """Return how long a request may wait for a place, in seconds.
-
-        One that can be on time waits only as long as it still can.
-        """
-        now = time.monotonic()
+    def spare_s(self, admitted: Admitted, now: float) -> float:
+        """Return how long a request can wait and still be on time, in seconds."""
         first_s = self.upstreams.expected_first_s(admitted.service)
-        spare_s = admitted.on_time_until - now - first_s
-        if spare_s < MIN_PATIENCE_S:
-            spare_s = min(
-                MAX_LATE_PATIENCE_S, LATE_PATIENCE_SHARE * (admitted.deadline - now)
-            )
-        return min(admitted.deadline - now, max(MIN_PATIENCE_S, spare_s))
+        return admitted.on_time_until - first_s - now
 
     def is_late(self, admitted: Admitted, now: float) -> bool:
         """Return whether a request can't be on time, even if it were sent now."""
-        first_s = self.upstreams.expected_first_s(admitted.service)
-        return admitted.on_time_until - now - first_s < MIN_PATIENCE_S
+        return self.spare_s(admitted, now) < MIN_PATIENCE_S
+
+    def patience_s(self, admitted: Admitted, now: float) -> float:
+        """Return how long a request may wait for a place, in seconds.
+
+        One that can be on time waits only as long as it still can.
+        """
+        left_s = admitted.deadline - now
+        if self.is_late(admitted, now):
+            most_s = min(MAX_LATE_PATIENCE_S, LATE_PATIENCE_SHARE * left_s)
+            return min(left_s, max(MIN_PATIENCE_S, most_s))
+        return min(left_s, self.spare_s(admitted, now))
 
     async def acquire(
         self, admitted: Admitted, *, excluded: frozenset[str] = frozenset()
@@ -135,7 +136,7 @@
             admitted=admitted,
             excluded=excluded,
             since=now,
-            patience_s=self.patience_s(admitted),
+            patience_s=self.patience_s(admitted, now),
             place=asyncio.get_running_loop().create_future(),
         )
         queue = self.queues.setdefault(admitted.service, [])
--- a/packages/skylarkdoord/tests/direct/test_scheduler.py
+++ b/packages/skylarkdoord/tests/direct/test_scheduler.py
@@ -228,14 +228,14 @@
         request = make_request()
         admitted = make_admitted(request, make_route(target_latency_s=0.5))
         assert scheduler.is_late(admitted, request.received)
-        assert scheduler.patience_s(admitted) > 1.0
+        assert scheduler.patience_s(admitted, request.received) > 1.0
 
     async def test_late_is_bounded(self, scheduler):
         """However much time a late request has left, it does not wait for long."""
         received = time.monotonic() - 1.0
         request = make_request(received=received, deadline=received + 60.0)
         admitted = make_admitted(request, make_route(timeout_s=60.0))
-        assert scheduler.patience_s(admitted) <= 2.5
+        assert scheduler.patience_s(admitted, time.monotonic()) <= 2.5
 
     async def test_rush_of_lower_tier(self, scheduler):
         """A rush in a lower tier does not turn away a higher one."""
