--- a/packages/skylarkdoord/tests/direct/test_guard_queue.py
+++ b/packages/skylarkdoord/tests/direct/test_guard_queue.py
@@ -40,6 +40,15 @@
         queue.resize(4)
         assert granted == ["first", "second", "late", "low"]
 
+    def test_long_answers(self, queue, granted):
+        """A long answer goes after others of its tier, and before lower tiers."""
+        queue.offer("s", "low", Precedence(2))
+        queue.offer("s", "long", Precedence(1, is_long=True))
+        queue.offer("s", "late", Precedence(1, is_late=True))
+        queue.offer("s", "short", Precedence(1))
+        queue.resize(4)
+        assert granted == ["short", "long", "late", "low"]
+
     def test_place_returned(self, queue, granted):
         """A place that is returned goes to the next."""
         queue.resize(1)
