The soak waits until a process handles signals, not for a tenth of a second

A signal before Python has run any of our code ends a process, and the soak took 0.1 s for enough. It looks at the signals that the process catches now, so that the first signal comes as early as it can be handled: no check is weaker. Ruled out: a signal lost after the handler was set, which would end with status 0 or time out.

--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -6,9 +6,11 @@
 
 import asyncio
 import json
+import re
 import signal
 import sys
 import time
+from pathlib import Path
 from typing import NamedTuple
 
 from skylarkdoor_bench.testing import free_port
@@ -24,7 +26,8 @@
 QUIET_S = 6.0
 LEAVE_S = 4.0
 STOP_S = 8.0
-INTERPRETER_S = 0.1
+INTERPRETER_S = 10.0
+LOOK_S = 0.005
 
 
 class Result(NamedTuple):
@@ -73,7 +76,17 @@
                 stderr=log,
             )
         # Before Python itself runs, a signal ends any process.
-        await asyncio.sleep(INTERPRETER_S)
+        async with asyncio.timeout(INTERPRETER_S):
+            while not self.catches(signal.SIGTERM):
+                await asyncio.sleep(LOOK_S)
+
+    def catches(self, number):
+        """Return whether the process handles a signal, or has ended."""
+        if self.process.returncode is not None:
+            return True
+        status = Path(f"/proc/{self.process.pid}/status").read_text()
+        (caught,) = re.findall(r"^SigCgt:\s*([0-9a-f]+)$", status, re.MULTILINE)
+        return bool(int(caught, 16) >> (number - 1) & 1)
 
     async def kill(self):
         """Kill the process."""
