Tests of streams wait for the tasks that they cancel

Some runs ended with 'Task was destroyed but it is pending' for links between entries: the tests cancelled a kernel's tasks and let the loop end before they had ended.

--- a/packages/skylarkdoord/tests/direct/test_streams.py
+++ b/packages/skylarkdoord/tests/direct/test_streams.py
@@ -72,6 +72,14 @@
         return Rows(tuple(Row(key, 1, data) for key, data in self.rows.items()), 1)
 
 
+async def end_tasks(kernel):
+    """Cancel a kernel's tasks, those too that others start meanwhile."""
+    while tasks := [task for task in kernel.tasks if not task.done()]:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
 class EntryUnderTest:
     """One entry's exchange and what it fills."""
 
@@ -90,9 +98,8 @@
 
     async def kill(self):
         """End every task and close the listener."""
-        for task in list(self.kernel.tasks):
-            task.cancel()
         await self.exchange.stop()
+        await end_tasks(self.kernel)
 
 
 @pytest.fixture
@@ -212,9 +219,7 @@
 
     async def stop(self):
         """End every task."""
-        for task in list(self.kernel.tasks):
-            task.cancel()
-        await asyncio.gather(*self.kernel.tasks, return_exceptions=True)
+        await end_tasks(self.kernel)
 
 
 @pytest.fixture
@@ -224,9 +229,8 @@
     kernel = Kernel()
     await guard.start(kernel)
     yield guard
-    for task in list(kernel.tasks):
-        task.cancel()
     await guard.stop()
+    await end_tasks(kernel)
 
 
 def port_of(guard):
