Near a limit, entries tell their use as exactly as their number asks for

From 0.8 of a limit on, an entry tells at once what exceeds its part of the free units. What is admitted there is bounded by the limit itself, and so are the messages.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_quota.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_quota.py
@@ -23,6 +23,8 @@
 USED_SHARE = 0.8
 # Share of a limit that an entry may admit before it tells the others.
 UNTOLD_SHARE = 0.02
+# From this share of a limit on, entries tell each other as exactly as they must.
+NEAR_SHARE = 0.8
 # Share of a limit that is handed out at once after a start.
 START_SHARE = 0.03
 # Uses within this time are counted as one.
@@ -109,10 +111,18 @@
             return float(customer.default_tokens)
         return float(request.prompt_tokens + request.max_tokens)
 
+    def stated(self, customer: Customer) -> float:
+        """Return the units that the operator states for a window."""
+        return customer.rate * self.bounds.window_s + customer.burst
+
+    def exceeding(self, customer: Customer) -> float:
+        """Return the units by which the operator's bounds let a window exceed it."""
+        return self.bounds.overshoot * self.stated(customer) + self.bounds.tolerance
+
     def limit(self, customer: Customer) -> float:
         """Return the units that a window may hold."""
-        stated = customer.rate * self.bounds.window_s + customer.burst
-        exceeding = self.bounds.overshoot * stated + self.bounds.tolerance
+        stated = self.stated(customer)
+        exceeding = self.exceeding(customer)
         silent, entries = self.silent_entries()
         share = 1 - silent / max(1, entries)
         if not self.knows_past():
@@ -164,10 +174,24 @@
         account = self.account(customer.name, now)
         account.add(units, now)
         account.own += units
-        untold = account.own - account.told
-        if customer.rate and untold > UNTOLD_SHARE * self.limit(customer):
+        if customer.rate and account.own - account.told > self.untold_most(
+            account, customer
+        ):
             self.on_untold()
 
+    def untold_most(self, account: Account, customer: Customer) -> float:
+        """Return the units that may stay untold until the next news.
+
+        Near the limit, what all entries together have not told has to fit in the
+        part of the exceeding units that is left free.
+        """
+        limit = self.limit(customer)
+        if account.total < NEAR_SHARE * limit:
+            return UNTOLD_SHARE * limit
+        _, entries = self.silent_entries()
+        free = (1 - USED_SHARE) * self.exceeding(customer)
+        return min(UNTOLD_SHARE * limit, free / max(1, entries))
+
     def account(self, customer: str, now: float) -> Account:
         """Return a customer's account as of now."""
         account = self.accounts.get(customer)
--- a/packages/skylarkdoord/tests/direct/test_quota.py
+++ b/packages/skylarkdoord/tests/direct/test_quota.py
@@ -1,5 +1,8 @@
 """Customers' limits over all entries."""
 
+import contextlib
+import random
+
 import pytest
 
 from skylarkdoord.direct._quota import USED_SHARE, Quota
@@ -8,6 +11,8 @@
 
 from ._make import Clock, make_admitted, make_customer, make_request
 
+# News out of turn are this far apart at least.
+URGENT_S = 0.05
 # 8 s of 100 tokens; the exceeding share of 80 may be used in part.
 LIMIT = 800 + USED_SHARE * 80
 
@@ -163,3 +168,67 @@
         quota.take_over({}, knows_past=False)
         clock.now += 4.0
         assert use_all(quota) == int(LIMIT / 2 // 100)
+
+
+class TestManyEntries:
+    """A customer's surge over many entries that tell each other seldom."""
+
+    ENTRIES = 29
+    # 0.2 s up to 8 entries, and longer in proportion beyond.
+    NEWS_INTERVAL_S = 0.2 * ENTRIES / 8
+    RATE = 300_000.0
+    BURST = 265_000.0
+    TOLERANCE = 110_000.0
+    TOKENS = 7_000
+    STEP_S = 0.005
+    SECONDS = 16.0
+
+    def play(self, clock, seed):
+        """Return when requests were sent, as (seconds, tokens)."""
+        rng = random.Random(seed)
+        bounds = QuotaBounds(window_s=8.0, overshoot=0.1, tolerance=self.TOLERANCE)
+        quotas = [Quota(bounds, clock=clock) for _ in range(self.ENTRIES)]
+        for quota in quotas:
+            quota.silent_entries = lambda: (0, self.ENTRIES)
+        clock.now += 8.0
+        told = [{} for _ in quotas]
+        urgent = set()
+        last = [0.0] * self.ENTRIES
+        for number, quota in enumerate(quotas):
+            quota.on_untold = lambda number=number: urgent.add(number)
+        due = [clock.now + rng.uniform(0, self.NEWS_INTERVAL_S) for _ in quotas]
+        until = clock.now + self.SECONDS
+        request = admitted(self.TOKENS, rate=self.RATE, burst=self.BURST)
+        sent = []
+        while clock.now < until:
+            clock.now += self.STEP_S
+            for number, quota in enumerate(quotas):
+                is_urgent = number in urgent and clock.now >= last[number] + URGENT_S
+                if not is_urgent and due[number] > clock.now:
+                    continue
+                urgent.discard(number)
+                last[number] = clock.now
+                due[number] = clock.now + self.NEWS_INTERVAL_S
+                for customer, units in quota.report_used().items():
+                    news = units - told[number].get(customer, 0.0)
+                    told[number][customer] = units
+                    for other in quotas:
+                        if other is not quota:
+                            other.charge(customer, news)
+            demand = 3.0 * self.RATE * self.STEP_S / self.TOKENS
+            for _ in range(int(demand) + (rng.random() < demand % 1)):
+                with contextlib.suppress(QuotaError):
+                    rng.choice(quotas).use(request)
+                    sent.append((clock.now, self.TOKENS))
+        return sent
+
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    def test_surge(self, clock, seed):
+        """No window holds more than the operator's bounds allow."""
+        sent = self.play(clock, seed)
+        allowed = (self.RATE * 8.0 + self.BURST) * 1.1 + self.TOLERANCE
+        most = max(
+            sum(tokens for at, tokens in sent if start <= at < start + 8.0)
+            for start, _ in sent
+        )
+        assert most <= allowed
