--- a/packages/skylarkdoord/tests/direct/test_quota.py
+++ b/packages/skylarkdoord/tests/direct/test_quota.py
@@ -156,6 +156,27 @@
             within = sum(start <= at < start + 8.0 for at in used)
             assert within * 10 <= 800 * 1.1
 
+    def test_surge_before(self, clock):
+        """All at once, too, where a customer had used its limit in a moment.
+
+        Its use then still counts for most of a window after the start.
+        """
+        bounds = QuotaBounds(window_s=8.0, overshoot=0.1)
+        used = []
+        for seconds in (1.0, 8.0):
+            quota = Quota(bounds, clock=clock)
+            quota.take_over({}, knows_past=not used)
+            for _ in range(int(seconds / 0.01)):
+                clock.now += 0.01
+                with contextlib.suppress(QuotaError):
+                    quota.use(admitted(tokens=10))
+                    used.append(clock.now)
+            # Without power.
+            clock.now += 1.1
+        for start in used:
+            within = sum(start <= at < start + 8.0 for at in used)
+            assert within * 10 <= 800 * 1.1
+
     def test_told(self, clock):
         """An entry that is told the past has the whole limit at once."""
         quota = Quota(QuotaBounds(window_s=8.0, overshoot=0.1), clock=clock)
