--- a/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
@@ -104,7 +104,7 @@
 
     def is_late(self, admitted: Admitted, now: float) -> bool:
         """Return whether a request can't be on time, even if it were sent now."""
-        return self.spare_s(admitted, now) < MIN_PATIENCE_S
+        return self.spare_s(admitted, now) <= 0.0
 
     def patience_s(self, admitted: Admitted, now: float) -> float:
         """Return how long a request may wait for a place, in seconds.
@@ -112,10 +112,10 @@
         One that can be on time waits only as long as it still can.
         """
         left_s = admitted.deadline - now
+        patience_s = self.spare_s(admitted, now)
         if self.is_late(admitted, now):
-            most_s = min(MAX_LATE_PATIENCE_S, LATE_PATIENCE_SHARE * left_s)
-            return min(left_s, max(MIN_PATIENCE_S, most_s))
-        return min(left_s, self.spare_s(admitted, now))
+            patience_s = min(MAX_LATE_PATIENCE_S, LATE_PATIENCE_SHARE * left_s)
+        return min(left_s, max(MIN_PATIENCE_S, patience_s))
 
     async def acquire(
         self, admitted: Admitted, *, excluded: frozenset[str] = frozenset()
--- a/packages/skylarkdoord/tests/direct/test_scheduler.py
+++ b/packages/skylarkdoord/tests/direct/test_scheduler.py
@@ -78,12 +78,17 @@
         assert scheduler.places(scheduler.upstreams.get(record)) == 3
 
     async def test_one_at_least(self):
-        """However many entries there are, each has a place somewhere."""
+        """However many entries there are, each has a place, and one alone."""
         for number in range(50):
             scheduler = make_scheduler(
                 make_record(slots=2), entries=50, instance=f"edge-{number}"
             )
-            assert (await scheduler.acquire(make_admitted())).upstream
+            place = await scheduler.acquire(make_admitted())
+            second = asyncio.create_task(scheduler.acquire(make_admitted()))
+            await asyncio.sleep(0)
+            assert place.upstream.running == 1
+            assert not second.done()
+            second.cancel()
 
     async def test_few_upstreams(self):
         """Entries that outnumber a small service's places use all of it."""
@@ -199,7 +204,7 @@
     async def test_refused_in_time(self, scheduler):
         """A request that finds no place while it can be on time is refused."""
         await fill(scheduler, 3)
-        route = make_route(target_latency_s=0.25)
+        route = make_route(target_latency_s=0.2)
         admitted = make_admitted(route=route)
         began = time.monotonic()
         with pytest.raises(NoRoomError) as refused:
@@ -210,7 +215,7 @@
     async def test_rush(self, scheduler):
         """Where others just waited in vain and some still wait, it is told at once."""
         await fill(scheduler, 3)
-        quick = make_route(target_latency_s=0.25)
+        quick = make_route(target_latency_s=0.2)
         with pytest.raises(NoRoomError):
             await scheduler.acquire(make_admitted(route=quick))
         first = asyncio.create_task(scheduler.acquire(make_admitted()))
@@ -240,7 +245,7 @@
     async def test_rush_of_lower_tier(self, scheduler):
         """A rush in a lower tier does not turn away a higher one."""
         await fill(scheduler, 3)
-        quick = make_route(target_latency_s=0.25)
+        quick = make_route(target_latency_s=0.2)
         with pytest.raises(NoRoomError):
             await scheduler.acquire(make_admitted(route=quick, rank=2))
         low = asyncio.create_task(scheduler.acquire(make_admitted(rank=2)))
--- a/packages/skylarkdoord/tests/direct/test_streams.py
+++ b/packages/skylarkdoord/tests/direct/test_streams.py
@@ -98,6 +98,8 @@
 
     async def kill(self):
         """End every task and close the listener."""
+        for task in list(self.kernel.tasks):
+            task.cancel()
         await self.exchange.stop()
         await end_tasks(self.kernel)
 
