--- a/packages/skylarkdoor/src/skylarkdoor/clients/_instances.py
+++ b/packages/skylarkdoor/src/skylarkdoor/clients/_instances.py
@@ -1,12 +1,10 @@
 """The platform's list of instances, as Prometheus HTTP service discovery."""
 
-from collections.abc import Sequence
 from typing import NamedTuple
 
-import aiohttp
 import msgspec
 
-from skylarkdoor.clients._endpoints import Endpoints
+from skylarkdoor.clients._client import Client
 from skylarkdoor.clients._http import NoAnswerError, request
 from skylarkdoor.clients.exceptions import ListUnavailable
 
@@ -43,25 +41,13 @@
     labels: _Labels
 
 
-class InstanceList:
+class InstanceList(Client):
     """The list of instances, which lags behind the truth.
 
-    Args:
-        session: The session for all requests.
-        endpoints: Base URLs, tried in turn.
-        timeout_s: The time for one request.
+    See `Client` for the arguments.
     """
 
-    def __init__(
-        self,
-        session: aiohttp.ClientSession,
-        endpoints: Sequence[str],
-        *,
-        timeout_s: float = LIST_TIMEOUT_S,
-    ):
-        self.session = session
-        self.endpoints = Endpoints(endpoints)
-        self.timeout = aiohttp.ClientTimeout(total=timeout_s)
+    default_timeout_s = LIST_TIMEOUT_S
 
     async def fetch(self) -> list[InstanceRecord]:
         """Return the instances listed, without entries that lack labels.
--- a/packages/skylarkdoor/src/skylarkdoor/clients/_objects.py
+++ b/packages/skylarkdoor/src/skylarkdoor/clients/_objects.py
@@ -1,12 +1,10 @@
 """The object store, path style as in S3."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
 from typing import NamedTuple
 from urllib.parse import quote
 
-import aiohttp
-
-from skylarkdoor.clients._endpoints import Endpoints
+from skylarkdoor.clients._client import Client
 from skylarkdoor.clients._http import HttpAnswer, NoAnswerError, request
 from skylarkdoor.clients.exceptions import (
     ObjectAbsent,
@@ -24,25 +22,13 @@
     etag: str
 
 
-class ObjectStore:
+class ObjectStore(Client):
     """Objects by key.
 
-    Args:
-        session: The session for all requests.
-        endpoints: Base URLs, tried in turn.
-        timeout_s: The time for one request.
+    See `Client` for the arguments.
     """
 
-    def __init__(
-        self,
-        session: aiohttp.ClientSession,
-        endpoints: Sequence[str],
-        *,
-        timeout_s: float = OBJECTS_TIMEOUT_S,
-    ):
-        self.session = session
-        self.endpoints = Endpoints(endpoints)
-        self.timeout = aiohttp.ClientTimeout(total=timeout_s)
+    default_timeout_s = OBJECTS_TIMEOUT_S
 
     async def get(self, key: str) -> bytes:
         """Return an object.
--- a/packages/skylarkdoor/src/skylarkdoor/clients/_table.py
+++ b/packages/skylarkdoor/src/skylarkdoor/clients/_table.py
@@ -6,7 +6,7 @@
 import aiohttp
 import msgspec
 
-from skylarkdoor.clients._endpoints import Endpoints
+from skylarkdoor.clients._client import Client
 from skylarkdoor.clients._gateway import (
     CommitAnswer,
     ErrorAnswer,
@@ -35,7 +35,7 @@
 Answer = TypeVar("Answer", RangeAnswer, CommitAnswer)
 
 
-class EtcdTable:
+class EtcdTable(Client):
     """A `Table` behind one or more endpoints.
 
     Args:
@@ -44,16 +44,7 @@
         timeout_s: The time for one request.
     """
 
-    def __init__(
-        self,
-        session: aiohttp.ClientSession,
-        endpoints: Sequence[str],
-        *,
-        timeout_s: float = TABLE_TIMEOUT_S,
-    ):
-        self.session = session
-        self.endpoints = Endpoints(endpoints)
-        self.timeout = aiohttp.ClientTimeout(total=timeout_s)
+    default_timeout_s = TABLE_TIMEOUT_S
 
     async def get(self, key: str) -> Row | None:
         """Return the row of a key, or None.
--- a/packages/skylarkdoor/src/skylarkdoor/clients/_weights.py
+++ b/packages/skylarkdoor/src/skylarkdoor/clients/_weights.py
@@ -1,11 +1,8 @@
 """The rate-limited store of model weights."""
 
-from collections.abc import Sequence
 from urllib.parse import quote
 
-import aiohttp
-
-from skylarkdoor.clients._endpoints import Endpoints
+from skylarkdoor.clients._client import Client
 from skylarkdoor.clients._http import HttpAnswer, NoAnswerError, request
 from skylarkdoor.clients.exceptions import (
     WeightsAbsent,
@@ -17,7 +14,7 @@
 _DEFAULT_RETRY_S = 1.0
 
 
-class WeightStore:
+class WeightStore(Client):
     """Weights by name.
 
     Args:
@@ -26,16 +23,7 @@
         timeout_s: The time for one fetch.
     """
 
-    def __init__(
-        self,
-        session: aiohttp.ClientSession,
-        endpoints: Sequence[str],
-        *,
-        timeout_s: float = WEIGHTS_TIMEOUT_S,
-    ):
-        self.session = session
-        self.endpoints = Endpoints(endpoints)
-        self.timeout = aiohttp.ClientTimeout(total=timeout_s)
+    default_timeout_s = WEIGHTS_TIMEOUT_S
 
     async def fetch(self, name: str) -> bytes:
         """Return the weights of a name.
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_quota.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_quota.py
@@ -174,9 +174,8 @@
         account = self.account(customer.name, now)
         account.add(units, now)
         account.own += units
-        if customer.rate and account.own - account.told > self.untold_most(
-            account, customer
-        ):
+        untold = account.own - account.told
+        if customer.rate and untold > self.untold_most(account, customer):
             self.on_untold()
 
     def untold_most(self, account: Account, customer: Customer) -> float:
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_capacity.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_capacity.py
@@ -14,6 +14,8 @@
 
 PREFILL_AHEAD_S = 0.25
 STRAGGLER_SLOWDOWN = 2.0
+LEAST_RETRY_AFTER_S = 1.0
+MOST_RETRY_AFTER_S = 30.0
 MS_PER_S = 1000
 
 
@@ -82,6 +84,11 @@
         """Note departures from the queue and how many offers wait."""
         self.drain_rate.note(time.monotonic(), departed=departed, waiting=waiting)
 
+    def retry_after_s(self, waiting: int) -> float:
+        """Return when a refused caller may come back, in seconds."""
+        wait_s = self.drain_rate.wait_s(waiting)
+        return min(MOST_RETRY_AFTER_S, max(LEAST_RETRY_AFTER_S, wait_s))
+
     def adapt(self, tiers: Iterable[Tier]) -> None:
         """Learn from what was measured since the last call, and move the limit."""
         self.flights.tick()
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_poison.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_poison.py
@@ -290,8 +290,7 @@
 
     def _tell(self, fingerprint: int) -> None:
         message = self.suspicions.of(fingerprint).message()
-        for peer in list(self.scheduler.senders):
-            self.scheduler.send(peer, pb.SidecarMessage(suspect=message))
+        self.scheduler.streams.send_all(pb.SidecarMessage(suspect=message))
         self._write_later(fingerprint)
 
     def _write_later(self, fingerprint: int) -> None:
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_scheduler.py
@@ -20,35 +20,20 @@
     is_too_late,
 )
 from skylarkdoord.sidecar._capacity import Capacity
+from skylarkdoord.sidecar._entry_streams import EntryStreams, Sender
 from skylarkdoord.sidecar._fairness import WaitingOffer
 from skylarkdoord.sidecar._health import UpstreamWatch
 from skylarkdoord.sidecar._ledger import GRANT_TIMEOUT_S, Ledger, Phase
+from skylarkdoord.sidecar._pending import Pending
 from skylarkdoord.sidecar._queue import OfferQueue
 
 TICK_S = 0.1
-LEAST_RETRY_AFTER_S = 1.0
-MOST_RETRY_AFTER_S = 30.0
 MS_PER_S = 1000
 WHOLE_OUTCOME = "status 2"
 
-Sender = Callable[[pb.SidecarMessage], None]
 Objector = Callable[[pb.Offer], "pb.RefusalReason | None"]
 
 
-class Pending:
-    """A grant for which no body has come yet.
-
-    Args:
-        waiting: The offer as it waited.
-        expiry: Takes the grant back.
-    """
-
-    def __init__(self, waiting: WaitingOffer, expiry: asyncio.TimerHandle) -> None:
-        self.waiting = waiting
-        self.expiry = expiry
-        self.granted_at = time.monotonic()
-
-
 class Scheduler:
     """Queues offers, grants them when the upstream has room, and drains.
 
@@ -67,7 +52,7 @@
         self.queue = OfferQueue(limit=1)
         self.floor = TierFloor()
         self.capacity = Capacity(on_computed=self.on_computed)
-        self.senders: dict[str, Sender] = {}
+        self.streams = EntryStreams()
         self.pending: dict[str, Pending] = {}
         self.departure = Departure()
         self.objectors: list[Objector] = []
@@ -140,11 +125,11 @@
 
     def connect(self, peer: str, sender: Sender) -> None:
         """Take messages for a stream that opened."""
-        self.senders[peer] = sender
+        self.streams.open(peer, sender)
 
     def disconnect(self, peer: str) -> None:
         """Drop the offers of a stream that ended."""
-        self.senders.pop(peer, None)
+        self.streams.close(peer)
         for waiting in self.queue.of_peer(peer):
             self._forget(waiting.offer.request_id)
 
@@ -262,7 +247,7 @@
             expires_ms=int(GRANT_TIMEOUT_S * MS_PER_S),
             cached_tokens=reserved.cached,
         )
-        self.send(waiting.peer, pb.SidecarMessage(grant=message))
+        self.streams.send(waiting.peer, pb.SidecarMessage(grant=message))
 
     def expire(self, request_id: str, number: int) -> None:
         """Take back a grant for which no body came."""
@@ -321,23 +306,17 @@
         refusal = pb.Refusal(
             request_id=offer.request_id,
             reason=reason,
-            retry_after_ms=int(self.retry_after_s() * MS_PER_S),
+            retry_after_ms=int(self.capacity.retry_after_s(len(self.queue)) * MS_PER_S),
         )
         if reason in (pb.REFUSAL_REASON_QUEUE_FULL, pb.REFUSAL_REASON_DISPLACED):
             self.floor.hold(offer.tier, time.monotonic())
             refusal.floor_ms = int(FLOOR_S * MS_PER_S)
-        self.send(peer, pb.SidecarMessage(refusal=refusal))
-
-    def retry_after_s(self) -> float:
-        """Return when a refused caller may come back, in seconds."""
-        wait_s = self.capacity.drain_rate.wait_s(len(self.queue))
-        return min(MOST_RETRY_AFTER_S, max(LEAST_RETRY_AFTER_S, wait_s))
+        self.streams.send(peer, pb.SidecarMessage(refusal=refusal))
 
     def on_departure(self, reason: str, leaving: bool) -> None:
         """Hand back what waits when leaving; tell the entries either way."""
         message = pb.Leaving(reason=reason, ended=not leaving)
-        for peer in self.senders:
-            self.send(peer, pb.SidecarMessage(leaving=message))
+        self.streams.send_all(pb.SidecarMessage(leaving=message))
         if leaving:
             self.hand_back(pb.REFUSAL_REASON_LEAVING)
 
@@ -352,12 +331,6 @@
         """Return the present load, as entries are told."""
         return self.capacity.load(self.queue.waiting_by_tier(), open_=self.upstream_up)
 
-    def send(self, peer: str, message: pb.SidecarMessage) -> None:
-        """Send a message if the stream is still open."""
-        sender = self.senders.get(peer)
-        if sender is not None:
-            sender(message)
-
     def report(self) -> None:
         """Bring the gauges and the idle flag up to date."""
         running = self.running
@@ -385,8 +358,7 @@
         if offer.prefix_hashes:
             marks = prefix_marks(offer.prefix_hashes)
             held = pb.SidecarMessage(held=pb.Held(model=offer.model, marks=marks))
-            for peer in self.senders:
-                self.send(peer, held)
+            self.streams.send_all(held)
         self.pump()
 
     def set_upstream(self, up: bool) -> None:
