--- a/packages/skylarkdoord/tests/direct/test_streams.py
+++ b/packages/skylarkdoord/tests/direct/test_streams.py
@@ -240,6 +240,25 @@
     return int(guard.settings.listen.peers.rpartition(":")[2])
 
 
+class TestGuards:
+    """`Guards`."""
+
+    async def test_nobody_there(self):
+        """An engine counts as guarded until the first attempt has failed."""
+        kernel = Kernel()
+        fleet = Fleet(StubAdapter())
+        scheduler = Scheduler(Upstreams(fleet), data_centre="north")
+        guards = Guards(make_settings("edge-1", free_port()), fleet, scheduler)
+        await guards.start(kernel)
+        fleet.apply_config(Row("config", 1, b"1"), source="test")
+        address = json.dumps(f"{LOOPBACK}:9").encode()
+        fleet.apply_changes(Rows((Row("i-1", 2, address),), 2), source="test")
+        (record,) = fleet.upstreams(SERVICE)
+        assert guards.of(record) is not None
+        await until(lambda: guards.of(record) is None)
+        await end_tasks(kernel)
+
+
 class TestGuard:
     """A guard and entries' schedulers."""
 
