--- a/packages/skylarkdoord/tests/direct/test_streams.py
+++ b/packages/skylarkdoord/tests/direct/test_streams.py
@@ -6,6 +6,7 @@
 import pytest
 
 from skylarkdoor.kernel import Kernel
+from skylarkdoor_bench.testing import free_port
 from skylarkdoord.direct import FleetConfig, Row, Rows, Service
 from skylarkdoord.direct._crashes import Crashes
 from skylarkdoord.direct._exchange import EntryExchange
