Customers' use is recorded in the store, for when all entries lose their power

Weighed: nothing handed out for a window after a start (refuses everyone after every loss of power); totals held by the guards (they lose their power too); a record by each entry (as many calls as entries). Kept: the first entry by name records the use of all, when a customer used 8 % of its limit unrecorded.

The old test has no store; it stays red for the case that the store was away through the surge.

--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -182,3 +182,6 @@
 PLACES_CORRECTED = define(
     714, "places_corrected", logging.INFO, "Grants and what the engine runs differ."
 )
+LIMITS_RESTORED = define(
+    715, "limits_restored", logging.INFO, "A start took over recorded use of limits."
+)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_adapter.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_adapter.py
@@ -37,14 +37,16 @@
     Attributes:
         rows: The rows, or those that changed.
         version: Version of the store at that moment.
+        clock_s: The store's steady clock at that moment, in seconds.
     """
 
     rows: tuple[Row, ...]
     version: int
+    clock_s: float = 0.0
 
 
 class Store(Protocol):
-    """Tables on the platform, named `config`, `upstreams` and `members`."""
+    """Tables on the platform: `config`, `upstreams`, `members` and `limits`."""
 
     async def read(self, table: str) -> Rows:
         """Return every row of a table.
@@ -61,8 +63,8 @@
             StoreError: The store did not answer.
         """
 
-    async def put(self, table: str, key: str, data: bytes) -> None:
-        """Write a row.
+    async def put(self, table: str, key: str, data: bytes) -> float:
+        """Write a row; returns the store's steady clock, in seconds.
 
         Raises:
             StoreError: The store did not acknowledge it.
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
@@ -73,6 +73,14 @@
         since = time.monotonic() - LIVE_S
         return 1 + sum(member.heard_at > since for member in self.known.values())
 
+    def is_first(self) -> bool:
+        """Return whether this entry is the first by name of those that are heard."""
+        since = time.monotonic() - LIVE_S
+        return not any(
+            member.heard_at > since and name < self.instance
+            for name, member in self.known.items()
+        )
+
     def news_interval_s(self) -> float:
         """Return how often entries speak to each other, in seconds."""
         return NEWS_INTERVAL_S * max(1.0, len(self.known) / TOLD_ENTRIES)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_quota.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_quota.py
@@ -3,9 +3,10 @@
 Each entry counts, over a sliding window, what it sends to upstreams itself and
 what the other entries say that they sent. An entry that has used much since it
 last spoke tells the others at once, which bounds what they do not know. An entry
-that starts takes over what the others count; where all start anew, a window's
-limit comes back only as the window passes. While an
-entry is not heard from, the others leave it an equal share.
+that starts takes over what the others count; where all start anew, what the store
+has recorded of the last window, and without a record a window's limit comes back
+only as the window passes. While an entry is not heard from, the others leave it an
+equal share.
 """
 
 import time
@@ -27,6 +28,9 @@
 NEAR_SHARE = 0.8
 # Share of a limit that is handed out at once after a start.
 START_SHARE = 0.03
+# The same where the store's record of the window is known; the rest covers what
+# was used after the record was written.
+RECORDED_SHARE = 0.8
 # Uses within this time are counted as one.
 BIN_S = 0.1
 
@@ -53,21 +57,30 @@
         total: Their sum.
         own: Units that this entry used since it started.
         told: The same when the other entries were last told.
+        added: Units that any entry used since this one started.
     """
 
     uses: deque[Use] = field(default_factory=deque)
     total: float = 0.0
     own: float = 0.0
     told: float = 0.0
+    added: float = 0.0
 
     def add(self, units: float, now: float) -> None:
         """Count a use."""
         self.total += units
+        self.added += units
         if self.uses and now - self.uses[-1].at < BIN_S:
             self.uses[-1].units += units
         else:
             self.uses.append(Use(now, units))
 
+    def add_before(self, units: float, at: float) -> None:
+        """Count a use that came before the others."""
+        self.total += units
+        first = self.uses[0].at if self.uses else at
+        self.uses.appendleft(Use(min(at, first), units))
+
     def forget(self, before: float) -> None:
         """Drop the uses before a time."""
         while self.uses and self.uses[0].at < before:
@@ -97,6 +110,7 @@
         self.clock = clock
         self.started = clock()
         self.was_told_past = False
+        self.is_recorded = False
         self.accounts: dict[str, Account] = {}
         self.silent_entries: Callable[[], tuple[int, int]] = lambda: (0, 1)
         self.on_untold: Callable[[], None] = lambda: None
@@ -127,7 +141,8 @@
         share = 1 - silent / max(1, entries)
         if not self.knows_past():
             age_s = self.clock() - self.started
-            share *= max(START_SHARE, age_s / self.bounds.window_s)
+            known = RECORDED_SHARE if self.is_recorded else START_SHARE
+            share *= max(known, age_s / self.bounds.window_s)
         return share * (stated + USED_SHARE * exceeding)
 
     def knows_past(self) -> bool:
@@ -213,6 +228,20 @@
                 account.add(units - account.total, now)
         self.was_told_past = self.was_told_past or knows_past
 
+    def take_record(self, totals: Mapping[str, float], age_s: float) -> None:
+        """Take over what the store recorded before this entry's start.
+
+        Args:
+            totals: Units used within the window before the record, by customer.
+            age_s: Time since the record, in seconds.
+        """
+        now = self.clock()
+        for customer, units in totals.items():
+            account = self.account(customer, now)
+            if units > account.total:
+                account.add_before(units - account.total, now - age_s)
+        self.is_recorded = True
+
     def totals(self) -> dict[str, float]:
         """Return the units used within the window by all, by customer."""
         now = self.clock()
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -10,6 +10,7 @@
 from skylarkdoord.direct._fleet import Fleet
 from skylarkdoord.direct._forward import Parts
 from skylarkdoord.direct._guards import Guards
+from skylarkdoord.direct._limit_records import LimitRecords
 from skylarkdoord.direct._members import Members
 from skylarkdoord.direct._metrics import MetricsServer
 from skylarkdoord.direct._quota import Quota
@@ -54,6 +55,7 @@
     watcher = FleetWatcher(settings, fleet, store, live_entries=members.live)
     kernel.register(watcher)
     kernel.register(EntryExchange(settings, store, members))
+    kernel.register(LimitRecords(settings.instance, store, members))
     kernel.register(guards)
     callers = CallerServer(settings, fleet, parts)
     kernel.register(callers)
--- a/packages/skylarkdoord/tests/direct/test_streams.py
+++ b/packages/skylarkdoord/tests/direct/test_streams.py
@@ -63,6 +63,7 @@
         if self.is_down:
             raise StoreError("down")
         self.rows[key] = data
+        return 0.0
 
     async def remove(self, table, key):
         """Remove a row."""
--- a/tests/adapter/_standins.py
+++ b/tests/adapter/_standins.py
@@ -81,7 +81,7 @@
     def answer(self, rows):
         """Return an answer with rows."""
         return web.json_response(
-            {"rows": rows, "hasMore": False, "rowVersion": self.version, "nowMs": 1}
+            {"rows": rows, "hasMore": False, "rowVersion": self.version, "nowMs": 1500}
         )
 
     async def get(self, request):
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -28,6 +28,7 @@
         rows = await client.read("upstreams")
         assert [(row.key, row.data) for row in rows.rows] == [("i-1", b'{"a": 1}')]
         assert rows.version == store.version
+        assert rows.clock_s == 1.5
 
     async def test_changes(self, store, client):
         """Changes come as soon as there are some; removed rows without data."""
@@ -44,7 +45,7 @@
 
     async def test_put(self, client):
         """What is written can be read."""
-        await client.put("members", "edge-1", b"address")
+        assert await client.put("members", "edge-1", b"address") == 1.5
         (row,) = (await client.read("members")).rows
         assert (row.key, row.data) == ("edge-1", b"address")
 
