Callers' own limits tell first tries from those that come back

Ruled out: refusals (20 in the same time) and callers that return (one in five of the first second's, when none could have).

Callers that come back do so on a new connection; a request on a used one is a first try.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import time
+import weakref
 from typing import NamedTuple
 
 from aiohttp import web
@@ -12,6 +13,7 @@
 from skylarkdoor.kernel import Kernel
 from skylarkdoord import _events
 from skylarkdoord.direct._adapter import RawHead
+from skylarkdoord.direct._first_tries import FirstTries
 from skylarkdoord.direct._fleet import Fleet
 from skylarkdoord.direct._forward import Forwarding, Parts
 from skylarkdoord.direct._metrics import DURATION, REQUESTS
@@ -69,6 +71,8 @@
         self.parts = parts
         self.is_leaving = False
         self.drain_notice_s = DRAIN_NOTICE_S
+        self.first_tries = FirstTries()
+        self.used: weakref.WeakSet[asyncio.BaseTransport] = weakref.WeakSet()
         self.busy: set[object] = set()
         self.idle = asyncio.Event()
         self.log = events.get_logger("direct.callers")
@@ -157,7 +161,8 @@
         request: CallerRequest | None = None
         try:
             request = await self.read(raw, received)
-            return await self.serve(raw, self.fleet.table.admit(request))
+            admitted = self.fleet.table.admit(request, self.first_tries)
+            return await self.serve(raw, admitted)
         except BadCallError as error:
             problem = Problem(error.status, "bad_request", str(error))
         except RouteAbsentError as error:
@@ -190,7 +195,17 @@
             if size > most:
                 raise BadCallError(413, f"expected a body of at most {most} bytes")
             chunks.append(chunk)
-        return request._replace(body=b"".join(chunks))
+        return request._replace(
+            body=b"".join(chunks), is_kept=self.is_kept(raw.transport)
+        )
+
+    def is_kept(self, connection: asyncio.BaseTransport | None) -> bool:
+        """Return whether a connection carried a request before; now it has."""
+        if connection is None:
+            return False
+        is_kept = connection in self.used
+        self.used.add(connection)
+        return is_kept
 
     async def serve(
         self, raw: web.BaseRequest, admitted: Admitted
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_model.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_model.py
@@ -179,6 +179,7 @@
         states_tokens: Whether the caller stated its tokens.
         prefix: Parts of the prompt, as identity and number of tokens.
         last_event_id: Event after which a resumed stream goes on; empty if new.
+        is_kept: Whether its connection carried a request before.
     """
 
     request_id: str
@@ -196,6 +197,7 @@
     states_tokens: bool = False
     prefix: tuple[tuple[str, int], ...] = ()
     last_event_id: str = ""
+    is_kept: bool = False
 
     @property
     def path(self) -> str:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_table.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_table.py
@@ -3,6 +3,7 @@
 import random
 from typing import NamedTuple
 
+from skylarkdoord.direct._first_tries import FirstTries
 from skylarkdoord.direct._model import (
     Admitted,
     CallerRequest,
@@ -71,9 +72,13 @@
             raise KeyUnknownError("the API key is not known")
         return customer
 
-    def admit(self, request: CallerRequest) -> Admitted:
+    def admit(self, request: CallerRequest, first_tries: FirstTries) -> Admitted:
         """Resolve route, service, customer and tier of a request.
 
+        Args:
+            request: The request.
+            first_tries: Tell how long its caller has waited already.
+
         Raises:
             RouteAbsentError: No route fits.
             KeyUnknownError: The route needs a key and this one is not known.
@@ -82,6 +87,7 @@
         customer = None
         if self.config.customers and not route.is_open:
             customer = self.find_customer(request.key)
+        waited_s = first_tries.waited_s(request, route)
         return Admitted(
             request=request,
             route=route,
@@ -89,18 +95,10 @@
             customer=customer,
             rank=tier(route, customer),
             deadline=min(request.deadline, request.received + route.timeout_s),
-            on_time_until=self.on_time_until(request, route),
+            on_time_until=request.received + route.target_latency_s - waited_s,
             version=self.config.version,
         )
 
-    def on_time_until(self, request: CallerRequest, route: Route) -> float:
-        """Return when the first byte is due, counted from the caller's first try.
-
-        A caller that comes back has less time left than its route allows.
-        """
-        waited = max(0.0, route.timeout_s - (request.deadline - request.received))
-        return request.received + route.target_latency_s - waited
-
     def choose_service(self, route: Route) -> str:
         """Return one of the route's targets, drawn by weight."""
         if len(route.targets) == 1:
