A new engine's guard is looked for before requests are sent to it

The scheduler heard of a new upstream before the streams to guards did, and so used it as one without a guard. Ruled out: guards that gave too much (none was connected yet). The test fails before and passes after.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guards.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guards.py
@@ -172,8 +172,9 @@
     async def start(self, kernel: Kernel) -> None:
         """Begin to follow the fleet."""
         self.spawn = kernel.spawn
-        self.fleet.on_upstreams.append(self.refresh)
-        self.fleet.on_config.append(self.refresh)
+        # Before the scheduler, which would take a new engine to have no guard.
+        self.fleet.on_upstreams.insert(0, self.refresh)
+        self.fleet.on_config.insert(0, self.refresh)
         self.refresh()
 
     async def stop(self) -> None:
--- a/packages/skylarkdoord/tests/direct/test_streams.py
+++ b/packages/skylarkdoord/tests/direct/test_streams.py
@@ -261,6 +261,25 @@
         await end_tasks(kernel)
 
 
+    async def test_waiting_as_an_engine_appears(self, guard):
+        """What waits as an engine appears gets its places from the guard.
+
+        Engines that came back after a crash were sent 18 to 24 requests at once by
+        as many entries, for 8 places: each entry looked for places of its own
+        before it had looked for the guard.
+        """
+        entry = EntryWithGuard("a", port_of(guard))
+        await entry.guards.start(entry.kernel)
+        entry.fleet.apply_config(Row("config", 1, b"1"), source="test")
+        waiting = asyncio.create_task(entry.scheduler.acquire(make_admitted()))
+        await until(lambda: entry.scheduler.asking)
+        address = json.dumps(f"{LOOPBACK}:9").encode()
+        entry.fleet.apply_changes(Rows((Row("i-1", 2, address),), 2), source="test")
+        place = await waiting
+        assert place.guard is not None
+        await entry.stop()
+
+
 class TestGuard:
     """A guard and entries' schedulers."""
 
