--- a/packages/skylarkdoord/tests/direct/test_streams.py
+++ b/packages/skylarkdoord/tests/direct/test_streams.py
@@ -260,7 +260,6 @@
         await until(lambda: guards.of(record) is None)
         await end_tasks(kernel)
 
-
     async def test_waiting_as_an_engine_appears(self, guard):
         """What waits as an engine appears gets its places from the guard.
 
