Guards send engines a few requests ahead of their places while others wait

Each place waits for its end to be told, for the grant and for a new connection. Ruled out: corrections of places (none before 6 s), second grants that are given back (0.3 % by their length).

Kept: 0.15 of the places, so one of seven or eight and none of few, not told as room.

test_no_place_stands_empty fails without (0.95 of the time) and passes with it. The load tests model an engine's own queue now, since grants may exceed its places; their bounds are unchanged.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guard_queue.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guard_queue.py
@@ -10,6 +10,10 @@
 from skylarkdoord.direct._model import Precedence
 
 Key = tuple[str, str]
+# Share of an engine's places by which more requests are sent to it while others wait.
+# One that waits inside begins as soon as another ends; without it a place stands empty
+# until a grant and a connection have been made.
+AHEAD_SHARE = 0.15
 
 
 class Counts(NamedTuple):
@@ -128,7 +132,8 @@
 
     def pump(self) -> None:
         """Give out what places there are."""
-        while self.is_open and self.queue and self.taken < self.places:
+        most = self.places + int(AHEAD_SHARE * self.places)
+        while self.is_open and self.queue and self.taken < most:
             offered = heapq.heappop(self.queue)
             if offered.is_withdrawn:
                 continue
--- a/packages/skylarkdoord/tests/direct/test_overload.py
+++ b/packages/skylarkdoord/tests/direct/test_overload.py
@@ -7,6 +7,7 @@
 import heapq
 import itertools
 import random
+from collections import deque
 from typing import NamedTuple
 
 import pytest
@@ -40,6 +41,36 @@
     is_long: bool = False
 
 
+class Engine:
+    """An engine that runs so many requests at a time, the others in their order.
+
+    Args:
+        schedule: Called with the time until a request ends, and its name.
+    """
+
+    def __init__(self, schedule):
+        self.schedule = schedule
+        self.running = 0
+        self.inside = deque()
+
+    def take(self, name, hold_s):
+        """Take a request in."""
+        self.inside.append((name, hold_s))
+        self.begin()
+
+    def end(self):
+        """End a request that runs."""
+        self.running -= 1
+        self.begin()
+
+    def begin(self):
+        """Begin what fits."""
+        while self.inside and self.running < SLOTS:
+            name, hold_s = self.inside.popleft()
+            self.running += 1
+            self.schedule(hold_s, name)
+
+
 def play(arrivals):
     """Return which of the arrivals, by number, got a place in time."""
     events = [(arrival.at, number, "come") for number, arrival in enumerate(arrivals)]
@@ -48,11 +79,14 @@
     now = 0.0
     served = set()
 
+    def schedule(hold_s, name):
+        heapq.heappush(events, (now + hold_s, next(order), f"leave {name}"))
+
     def grant(_, name):
         served.add(int(name))
-        end = now + arrivals[int(name)].hold_s
-        heapq.heappush(events, (end, next(order), f"leave {name}"))
+        engine.take(name, arrivals[int(name)].hold_s)
 
+    engine = Engine(schedule)
     queue = PlaceQueue(grant, clock=lambda: now)
     queue.resize(SLOTS)
     while events:
@@ -62,6 +96,8 @@
             heapq.heappush(events, (now + PATIENCE_S, next(order), f"give-up {number}"))
             continue
         what, name = what.split()
+        if what == "leave":
+            engine.end()
         if what == "leave" or int(name) not in served:
             queue.withdraw("s", name)
     return served
@@ -146,13 +182,16 @@
         served = set()
         now = 0.0
 
+        def schedule(hold_s, name):
+            heapq.heappush(events, (now + hold_s, next(order), f"leave {name}"))
+
         def grant(_, name):
             number = int(name)
             served.add(number)
             self.note(lengths, requests[number], is_served=True)
-            hold_s = FIRST_S + tokens[number] * SECONDS_A_TOKEN
-            heapq.heappush(events, (now + hold_s, next(order), f"leave {name}"))
+            engine.take(name, FIRST_S + tokens[number] * SECONDS_A_TOKEN)
 
+        engine = Engine(schedule)
         queue = PlaceQueue(grant, clock=lambda: now)
         queue.resize(SLOTS)
         while events:
@@ -170,16 +209,67 @@
             what, name = what.split()
             if what == "give-up" and int(name) not in served:
                 self.note(lengths, requests[int(name)], is_served=False)
+            if what == "leave":
+                engine.end()
             if what == "leave" or int(name) not in served:
                 queue.withdraw("s", name)
         return tokens, served
 
-    @pytest.mark.parametrize("seed", [1, 2, 3])
     @pytest.mark.parametrize("part", [TENTH, FIFTH_BELOW])
-    def test_long_are_not_starved(self, seed, part):
-        """The longest are served at least half as often as all."""
-        tokens, served = self.play(seed)
-        by_size = sorted(range(len(tokens)), key=tokens.__getitem__)
-        long = by_size[int(part[0] * len(tokens)) : int(part[1] * len(tokens))]
-        share = len(served.intersection(long)) / len(long)
-        assert share >= 0.5 * len(served) / len(tokens)
+    def test_long_are_not_starved(self, part):
+        """The longest are served at least half as often as all, over eight engines.
+
+        One engine alone serves some twenty of its longest tenth, so chance would
+        decide.
+        """
+        served_long = all_long = served_all = 0
+        for seed in range(1, 9):
+            tokens, served = self.play(seed)
+            by_size = sorted(range(len(tokens)), key=tokens.__getitem__)
+            long = by_size[int(part[0] * len(tokens)) : int(part[1] * len(tokens))]
+            served_long += len(served.intersection(long))
+            all_long += len(long)
+            served_all += len(served)
+        share = served_all / (8 * self.REQUESTS)
+        assert served_long / all_long >= 0.5 * share
+
+
+class TestShortAnswersInRush:
+    """More short answers than fit, from entries that are some milliseconds away.
+
+    On a day of 27 engines a tenth of the places stood empty through a rush: each
+    waited for its end to be told, for the grant and for a connection.
+    """
+
+    TOLD_S = 0.002
+    SENT_S = 0.006
+    HOLD_S = 0.15
+    REQUESTS = 1000
+
+    def test_no_place_stands_empty(self):
+        """The engine runs what it can for 98 of 100 parts of the time."""
+        events = []
+        order = itertools.count()
+        now = 0.0
+
+        def after(delay_s, what):
+            heapq.heappush(events, (now + delay_s, next(order), what))
+
+        engine = Engine(lambda hold_s, name: after(hold_s, f"end {name}"))
+        queue = PlaceQueue(
+            lambda _, name: after(self.SENT_S, f"arrive {name}"), clock=lambda: now
+        )
+        queue.resize(SLOTS)
+        for number in range(self.REQUESTS):
+            queue.offer("s", str(number), Precedence(0))
+        while events:
+            now, _, what = heapq.heappop(events)
+            what, name = what.split()
+            if what == "arrive":
+                engine.take(name, self.HOLD_S)
+            elif what == "end":
+                engine.end()
+                after(self.TOLD_S, f"told {name}")
+            else:
+                queue.withdraw("s", name)
+        assert 0.98 * SLOTS * now <= self.REQUESTS * self.HOLD_S
