--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,8 @@
 	$(BIN)/pytest --numprocesses $(TEST_PROCESSES)
 
 demo: setup
-	$(BIN)/python -m skylarkdoor_bench demo $(if $(KEEP),--keep)
+	rm -rf target/demo
+	$(BIN)/python -m skylarkdoor_bench demo --directory target/demo $(if $(KEEP),--keep)
 
 bench: setup
 	$(BIN)/python -m skylarkdoor_bench run
