A guard's load never tells fewer than no places taken

Grants less a correction may fall below nothing where grants end before the next report of the engine, 0.2 s later, takes the correction back; the message counts places without a sign. Ruled out: the places sent ahead, which only raise what may be granted. TestGuard.test_correction_outlives_grants fails before with the same error.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guard_queue.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guard_queue.py
@@ -81,8 +81,11 @@
 
     @property
     def taken(self) -> int:
-        """Places that are taken: those granted, as corrected by what really runs."""
-        return len(self.granted) + self.correction
+        """Places that are taken: those granted, as corrected by what really runs.
+
+        Grants may end before the correction that allowed for them does.
+        """
+        return max(0, len(self.granted) + self.correction)
 
     def settled(self, age_s: float) -> int:
         """Return how many places were granted at least so many seconds ago."""
--- a/packages/skylarkdoord/tests/direct/test_streams.py
+++ b/packages/skylarkdoord/tests/direct/test_streams.py
@@ -330,6 +330,20 @@
         for entry in (one, two):
             await entry.stop()
 
+    async def test_correction_outlives_grants(self, guard):
+        """A load is told, too, where grants end before the correction does.
+
+        On a hunted day of dslct-spread-grown a guard ended by itself as it told a
+        load of -1: its correction was that of the report before.
+        """
+        entry = await EntryWithGuard("a", port_of(guard)).start()
+        place = await entry.scheduler.acquire(make_admitted())
+        guard.queue.correct(-1)
+        entry.scheduler.release(place)
+        await until(lambda: not guard.queue.granted)
+        assert guard.load().load.running == 0
+        await entry.stop()
+
     async def test_caller_leaves(self, guard):
         """A request whose caller left waits at no guard."""
         entry = await EntryWithGuard("a", port_of(guard)).start()
