--- a/packages/skylarkdoor/src/skylarkdoor/wire/__init__.py
+++ b/packages/skylarkdoor/src/skylarkdoor/wire/__init__.py
@@ -2,15 +2,18 @@
 
 from skylarkdoor.exceptions import OutboxFullError
 from skylarkdoor.wire import peer_pb2 as pb
+from skylarkdoor.wire._lost import LOST_ERRORS, closed_connections
 from skylarkdoor.wire._outbox import Outbox
 from skylarkdoor.wire.peer_grpc import EntriesBase, EntriesStub, PeerBase, PeerStub
 
 __all__ = [
+    "LOST_ERRORS",
     "EntriesBase",
     "EntriesStub",
     "Outbox",
     "OutboxFullError",
     "PeerBase",
     "PeerStub",
+    "closed_connections",
     "pb",
 ]
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
@@ -9,11 +9,11 @@
 from skylarkdoor import events
 from skylarkdoor.backoff import Backoff
 from skylarkdoor.kernel import Kernel
-from skylarkdoor.wire import EntriesBase, EntriesStub, Outbox, pb
+from skylarkdoor.wire import LOST_ERRORS, EntriesBase, EntriesStub, Outbox, pb
 from skylarkdoord import _events
 from skylarkdoord.direct._adapter import Row, Store
 from skylarkdoord.direct._fleet import UPSTREAMS
-from skylarkdoord.direct._link import LOST_ERRORS, Link, run_stream
+from skylarkdoord.direct._link import Link, run_stream
 from skylarkdoord.direct._members import Members, to_wire
 from skylarkdoord.direct._metrics import ENTRIES, LIMIT_USED
 from skylarkdoord.direct._settings import DirectSettings
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
@@ -7,11 +7,11 @@
 
 from skylarkdoor import events
 from skylarkdoor.kernel import Kernel
-from skylarkdoor.wire import Outbox, PeerBase, pb
+from skylarkdoor.wire import LOST_ERRORS, Outbox, PeerBase, pb
 from skylarkdoord import _events
 from skylarkdoord.direct._engine_reports import Report
 from skylarkdoord.direct._guard_queue import PlaceQueue
-from skylarkdoord.direct._link import LOST_ERRORS, run_stream
+from skylarkdoord.direct._link import run_stream
 from skylarkdoord.direct._metrics import HELD, PLACES, QUEUE
 from skylarkdoord.direct._model import Precedence
 from skylarkdoord.direct._occupancy import SETTLE_S, Occupancy, Sample
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_link.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_link.py
@@ -4,24 +4,16 @@
 from typing import Any, Protocol
 
 from grpclib.client import Channel
-from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from skylarkdoor import events
 from skylarkdoor.backoff import Backoff
-from skylarkdoor.wire import Outbox, OutboxFullError
+from skylarkdoor.wire import LOST_ERRORS, Outbox, closed_connections
 from skylarkdoord import _events
 
 CONNECT_TIMEOUT_S = 0.7
 HEARTBEAT_S = 1.0
 SILENCE_TIMEOUT_S = 2.6
 MAX_RETRY_DELAY_S = 1.0
-LOST_ERRORS = (
-    GRPCError,
-    StreamTerminatedError,
-    OSError,
-    TimeoutError,
-    OutboxFullError,
-)
 
 
 class StreamHandler(Protocol):
@@ -107,7 +99,8 @@
         backoff = Backoff(most_s=MAX_RETRY_DELAY_S)
         while True:
             try:
-                await self.serve(backoff)
+                with closed_connections():
+                    await self.serve(backoff)
             except LOST_ERRORS as error:
                 self.lose(error)
             finally:
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_peer.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_peer.py
@@ -6,11 +6,10 @@
 
 from grpclib.client import Channel
 from grpclib.config import Configuration
-from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from skylarkdoor import events
 from skylarkdoor.clients import InstanceRecord
-from skylarkdoor.wire import Outbox, OutboxFullError, PeerStub, pb
+from skylarkdoor.wire import LOST_ERRORS, Outbox, PeerStub, closed_connections, pb
 from skylarkdoord import _events
 from skylarkdoord.common import Backoff, Exchange, SettingsService
 from skylarkdoord.common._tls import ClientTls
@@ -129,14 +128,9 @@
         backoff = Backoff()
         while True:
             try:
-                await self.serve(backoff)
-            except (
-                GRPCError,
-                StreamTerminatedError,
-                OSError,
-                TimeoutError,
-                OutboxFullError,
-            ) as error:
+                with closed_connections():
+                    await self.serve(backoff)
+            except LOST_ERRORS as error:
                 self.log.event(_events.PEER_LOST, peer=self.instance, error=repr(error))
             finally:
                 self.lose()
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_peers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_peers.py
@@ -6,13 +6,12 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, NamedTuple
 
-from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Server
 
 from skylarkdoor import events
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import ProcessSettings
-from skylarkdoor.wire import Outbox, OutboxFullError, PeerBase, pb
+from skylarkdoor.wire import LOST_ERRORS, Outbox, PeerBase, pb
 from skylarkdoord import _events
 from skylarkdoord.common import Departure, Exchange, SettingsService, TlsService
 from skylarkdoord.common._tls import names_of
@@ -132,15 +131,7 @@
                 group.create_task(peer.outbox.overflow())
                 await self.read(stream, peer)
         except ExceptionGroup as errors:
-            lost, others = errors.split(
-                (
-                    GRPCError,
-                    StreamTerminatedError,
-                    OSError,
-                    TimeoutError,
-                    OutboxFullError,
-                )
-            )
+            lost, others = errors.split(LOST_ERRORS)
             if others is not None:
                 raise others from None
             self.log.event(_events.PEER_LOST, peer=peer.instance, error=repr(lost))
--- a/packages/skylarkdoord/tests/direct/test_streams.py
+++ b/packages/skylarkdoord/tests/direct/test_streams.py
@@ -4,6 +4,7 @@
 import json
 
 import pytest
+from grpclib.protocol import Connection
 
 from skylarkdoor.kernel import Kernel
 from skylarkdoor_bench.testing import free_port
@@ -220,6 +221,31 @@
         assert a.members.silent() == (1, 2)
 
 
+class TestLink:
+    """`Link`."""
+
+    async def test_closed_before_the_stream_opens(self, entries, monkeypatch):
+        """A connection that closes as it is first used is opened again.
+
+        On a hunted day of seklu-maina-grown an entry ended by itself: its connection
+        to another one, which had just been killed, had closed before the stream on it
+        was opened.
+        """
+        create_stream = Connection.create_stream
+        closed = []
+
+        def close_first(connection, **options):
+            if not closed:
+                closed.append(connection)
+                connection.close()
+            return create_stream(connection, **options)
+
+        monkeypatch.setattr(Connection, "create_stream", close_first)
+        a, b = await entries("a", "b")
+        await until(lambda: a.members.live() == b.members.live() == 2)
+        assert closed
+
+
 class EntryWithGuard:
     """An entry's scheduler and its streams to guards."""
 
--- a/packages/skylarkdoord/tests/sidecar/test_peers.py
+++ b/packages/skylarkdoord/tests/sidecar/test_peers.py
@@ -1,6 +1,12 @@
 """Control streams from entries."""
 
-from skylarkdoor.wire import pb
+import asyncio
+from types import SimpleNamespace
+
+from h2.exceptions import StreamClosedError
+
+from skylarkdoor import events
+from skylarkdoor.wire import Outbox, pb
 from skylarkdoord.sidecar import _peers as peers
 
 
@@ -22,3 +28,39 @@
         assert cache.read().running == 1
         now += 2 * peers.MAX_LOAD_AGE_S
         assert cache.read().running == 2
+
+
+class ClosedStream:
+    """A stream that the entry closes right after its greeting."""
+
+    def __init__(self):
+        hello = pb.EntryHello(instance="entry-1")
+        self.messages = [pb.EntryBatch(messages=[pb.EntryMessage(hello=hello)])]
+
+    async def recv_message(self):
+        """Return the greeting, then nothing any more."""
+        if self.messages:
+            return self.messages.pop()
+        return await asyncio.Event().wait()
+
+    async def send_message(self, message):
+        """Fail as h2 does."""
+        raise StreamClosedError(1)
+
+
+class TestPeerServer:
+    """`PeerServer`."""
+
+    async def test_closed_by_the_entry(self, monkeypatch):
+        """A stream that closes while something is sent is lost, and no fault."""
+        server = peers.PeerServer.__new__(peers.PeerServer)
+        server.log = events.get_logger("sidecar.peers")
+        server.loads = peers.LoadCache(lambda: pb.LoadReport(running=1))
+        peer = SimpleNamespace(instance="entry-1", outbox=Outbox())
+        closed = []
+        monkeypatch.setattr(server, "is_known", lambda *_: True)
+        monkeypatch.setattr(server, "open", lambda hello: peer)
+        monkeypatch.setattr(server, "close", closed.append)
+        peer.outbox.wake()
+        await server.Connect(ClosedStream())
+        assert closed == [peer]
