--- a/packages/skylarkdoord/tests/direct/test_overload.py
+++ b/packages/skylarkdoord/tests/direct/test_overload.py
@@ -215,8 +215,18 @@
                 queue.withdraw("s", name)
         return tokens, served
 
+    @pytest.mark.parametrize("seed", [1, 2, 3])
     @pytest.mark.parametrize("part", [TENTH, FIFTH_BELOW])
-    def test_long_are_not_starved(self, part):
+    def test_long_are_not_starved(self, seed, part):
+        """The longest are served at least half as often as all."""
+        tokens, served = self.play(seed)
+        by_size = sorted(range(len(tokens)), key=tokens.__getitem__)
+        long = by_size[int(part[0] * len(tokens)) : int(part[1] * len(tokens))]
+        share = len(served.intersection(long)) / len(long)
+        assert share >= 0.5 * len(served) / len(tokens)
+
+    @pytest.mark.parametrize("part", [TENTH, FIFTH_BELOW])
+    def test_over_eight_engines(self, part):
         """The longest are served at least half as often as all, over eight engines.
 
         One engine alone serves some twenty of its longest tenth, so chance would
