Log fingerprints, crash checks and retry decisions

The incident's hypotheses could not be told apart: a request's steps did not show which suspicions were its own, a check that found the upstream running left no line, and retries were counted without the budget and the number of entries that decided them.

--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -276,3 +276,15 @@
     logging.INFO,
     "Recorded use of limits was restored at start.",
 )
+CRASH_CHECKED = define(
+    716,
+    "crash_checked",
+    logging.INFO,
+    "An upstream that lost an answer was checked for a crash.",
+)
+RETRY_DECIDED = define(
+    717,
+    "retry_decided",
+    logging.INFO,
+    "The retry budget allowed or refused a retry.",
+)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_crashes.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_crashes.py
@@ -114,6 +114,13 @@
         await asyncio.sleep(PROBE_DELAY_S)
         down = await self.probe(record)
         fingerprints = self.pending_suspects.pop(_incarnation(record))
+        self.log.event(
+            _events.CRASH_CHECKED,
+            upstream=record.instance,
+            started_ms=record.started_ms,
+            down=down,
+            requests=len(fingerprints),
+        )
         if not down:
             return
         crash = crash_id(record.instance, record.started_ms, 0)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
@@ -380,8 +380,18 @@
         if not reached:
             return True
         service = self.admitted.service
-        allowed = self.dependencies.retry_limiter.try_spend(service)
+        limiter = self.dependencies.retry_limiter
+        allowed = limiter.try_spend(service)
         REPEATS.labels(service, str(allowed).lower()).inc()
+        self.log.event(
+            _events.RETRY_DECIDED,
+            request_id=self.admitted.request.request_id,
+            service=service,
+            allowed=allowed,
+            spent=limiter.spent_retries(service),
+            budget=round(limiter.allowed_retries(service), 1),
+            entries=limiter.live_entries(),
+        )
         return allowed
 
     def abort(self, reason: str) -> web.StreamResponse:
@@ -410,6 +420,7 @@
         self.log.event(
             _events.REQUEST_STEP,
             request_id=admitted.request.request_id,
+            fingerprint=f"{self.fingerprint:016x}",
             step=step,
             route=admitted.route.name,
             rank=admitted.rank,
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_retry_limiter.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_retry_limiter.py
@@ -50,12 +50,15 @@
         slack = self.settings.slack / max(1, self.live_entries())
         return USABLE_BUDGET_SHARE * (self.settings.ratio * requests + slack)
 
+    def spent_retries(self, service: str) -> int:
+        """Return the number of retries within the current window."""
+        return len(self.within_window(self.retries, service))
+
     def try_spend(self, service: str) -> bool:
         """Count a retry if one more is allowed; return whether it is."""
-        retries = self.within_window(self.retries, service)
-        if len(retries) + 1 > self.allowed_retries(service):
+        if self.spent_retries(service) + 1 > self.allowed_retries(service):
             return False
-        retries.append(self.clock())
+        self.retries[service].append(self.clock())
         return True
 
     def within_window(
