Reproduce resent requests and crashes beyond the bound

On the present code a GET, PUT or DELETE whose connection is reset before an answer arrives twice at the same server, also on routes whose requests may run once. If the server ends with the first arrival, the second is refused a connection: the attempt counts as one that never ran, no crash is recorded, and the retry costs no budget. Six servers of six end where three are the bound. The same with POST passes.

--- /dev/null
+++ b/tests/adapter/test_retries.py
@@ -0,0 +1,71 @@
+"""Tests of what the servers receive when an answer is lost or a server crashes."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from ._standins import Server, reset, route
+
+ONCE = route(routeType="non_idempotent", maxAttempts=1)
+# Methods that HTTP defines as idempotent, whatever the route says.
+METHODS = ("GET", "PUT", "DELETE")
+MAX_CRASHES = 3
+
+
+async def lose_answer(request, writer):
+    """Reset the connection instead of responding."""
+    reset(writer)
+
+
+class CrashingServer(Server):
+    """A server that ends with the first request that it receives."""
+
+    def __init__(self):
+        super().__init__(self.crash)
+
+    async def crash(self, request, writer):
+        """Stop listening and reset the connection."""
+        self.server.close()
+        reset(writer)
+
+
+class TestLostAnswers:
+    """Requests whose connection is reset before an answer."""
+
+    # Guards against sends below the entry: a request that may run once ran twice.
+    @pytest.mark.parametrize("method", METHODS)
+    async def test_http_client_does_not_resend(self, start, method):
+        """A request that may run once arrives once, whatever its HTTP method."""
+        async with Server(lose_answer) as one, Server(lose_answer) as two:
+            async with start([ONCE], [one, two]) as caller:
+                status, _, _ = await caller.get(method=method)
+        assert status == 502
+        assert len(one.requests) + len(two.requests) == 1
+
+    # Guards against sends below the entry: each attempt counted twice at the servers.
+    async def test_attempts_equal_arrivals(self, start):
+        """An idempotent request arrives once for each attempt of the entry."""
+        async with Server(lose_answer) as one, Server(lose_answer) as two:
+            async with start([route(maxAttempts=2)], [one, two]) as caller:
+                assert (await caller.get())[0] == 502
+        assert (len(one.requests), len(two.requests)) == (1, 1)
+
+
+class TestCrashingRequest:
+    """A request that crashes every server that runs it."""
+
+    # Guards against a crash that is mistaken for a server that was never reached.
+    @pytest.mark.parametrize("method", [*METHODS, "POST"])
+    async def test_is_quarantined(self, start, method):
+        """After three crashes, repeats of the request reach no server."""
+        servers = [CrashingServer() for _ in range(MAX_CRASHES + 3)]
+        async with contextlib.AsyncExitStack() as running:
+            for server in servers:
+                await running.enter_async_context(server)
+            async with start([ONCE], servers) as caller:
+                crashes = caller.entry.kernel.services["callers"].dependencies.crashes
+                for _ in range(len(servers)):
+                    await caller.get(method=method)
+                    await asyncio.gather(*crashes.checks)
+        assert sum(len(server.requests) for server in servers) == MAX_CRASHES
