Send each request to an upstream at most once on direct dispatch

Callers saw a request that may run once run twice, and a request that crashes upstreams crash all of them; the servers saw up to two arrivals for each attempt, so retries exceeded the retry budget.

Cause: aiohttp resends requests whose HTTP method is idempotent (GET, PUT, DELETE) when their connection is closed before an answer, also on a new connection. The entry neither counts nor sees that. If the upstream crashed on the first arrival, the second is refused a connection, so the attempt looks like one that never ran: no suspicion is recorded, the retry costs no budget, and a non-idempotent request is refused as not run. Class: a retry in a layer below the one that counts.

The middleware is now in the shared library and used by both clients, so an attempt is one arrival, and a lost answer is reported as lost.

Ruled out: POST requests, which aiohttp never resends, kept the bound before; the partition is not needed for the failure.

--- a/packages/skylarkdoor/src/skylarkdoor/exceptions.py
+++ b/packages/skylarkdoor/src/skylarkdoor/exceptions.py
@@ -6,6 +6,7 @@
     "ArgumentError",
     "InvariantBrokenError",
     "OutboxFullError",
+    "ResponseLostError",
     "ServiceAbsentError",
     "ServiceCycleError",
     "ServiceExistsError",
@@ -31,6 +32,10 @@
     """The outbox of a peer is full because the peer receives too slowly."""
 
 
+class ResponseLostError(SkylarkdoorError):
+    """A connection was closed after a request was sent on it, before the response."""
+
+
 class ServiceAbsentError(SkylarkdoorError):
     """No service is registered under the name, or it is of another class."""
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_call.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_call.py
@@ -10,6 +10,8 @@
 import aiohttp
 from yarl import URL
 
+from skylarkdoor.exceptions import ResponseLostError
+from skylarkdoor.single_send import send_once
 from skylarkdoord.direct._adapter import Adapter, UpstreamHead
 from skylarkdoord.direct._model import Admitted, UpstreamRecord
 from skylarkdoord.direct._sockets import open_socket
@@ -89,7 +91,7 @@
 
 
 class UpstreamClient:
-    """Sends requests to upstreams.
+    """Sends each request to an upstream at most once.
 
     Args:
         adapter: Translates the platform's protocols.
@@ -110,6 +112,7 @@
             max_line_size=MAX_FIELD_BYTES,
             max_field_size=MAX_FIELD_BYTES,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+            middlewares=(send_once,),
         )
 
     async def close(self) -> None:
@@ -146,7 +149,12 @@
             ) from None
         except TimeoutError:
             raise
-        except (aiohttp.ClientError, OSError, ValueError) as error:
+        except (
+            aiohttp.ClientError,
+            ResponseLostError,
+            OSError,
+            ValueError,
+        ) as error:
             raise UpstreamSilentError(repr(error)) from None
         return self.validate(admitted, response)
 
--- a/packages/skylarkdoord/src/skylarkdoord/exceptions.py
+++ b/packages/skylarkdoord/src/skylarkdoord/exceptions.py
@@ -17,7 +17,6 @@
     "TlsError",
     "TransitionError",
     "UpstreamCutError",
-    "UpstreamLostError",
 ]
 
 
@@ -83,10 +82,6 @@
     """The upstream's answer belongs to another request."""
 
 
-class UpstreamLostError(DaemonError):
-    """The connection to the upstream was lost before its answer began."""
-
-
 class EntryGoneError(DaemonError):
     """The entry closed its connection before it had received the complete answer."""
 
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_upstream.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_upstream.py
@@ -4,15 +4,16 @@
 from contextlib import asynccontextmanager
 
 import aiohttp
-from aiohttp import ClientHandlerType, ClientRequest, ClientResponse
+from aiohttp import ClientResponse
 
 from skylarkdoor import tracing
+from skylarkdoor.exceptions import ResponseLostError
+from skylarkdoor.single_send import send_once
 from skylarkdoord.common import _headers as headers
 from skylarkdoord.exceptions import (
     AnswerCrossedError,
     NotRunError,
     UpstreamCutError,
-    UpstreamLostError,
 )
 from skylarkdoord.sidecar._call import Call
 
@@ -73,7 +74,7 @@
                 raise NotRunError(
                     "upstream_down", "no connection to the upstream"
                 ) from error
-            except (aiohttp.ClientError, UpstreamLostError, TimeoutError) as error:
+            except (aiohttp.ClientError, ResponseLostError, TimeoutError) as error:
                 raise UpstreamCutError(repr(error)) from error
 
     async def is_up(self) -> bool:
@@ -87,30 +88,10 @@
                 return True
         except TimeoutError:
             return True
-        except (aiohttp.ClientError, UpstreamLostError):
+        except (aiohttp.ClientError, ResponseLostError):
             return False
 
 
-async def send_once(
-    request: ClientRequest, handler: ClientHandlerType
-) -> ClientResponse:
-    """Prevent aiohttp from resending a request whose connection was closed.
-
-    aiohttp resends requests with idempotent HTTP methods, even those sent on a new
-    connection, after `ClientOSError` and `ServerDisconnectedError`. Both are
-    replaced by an error that doesn't trigger a resend.
-
-    Raises:
-        UpstreamLostError: The connection was closed.
-    """
-    try:
-        return await handler(request)
-    except aiohttp.ClientConnectorError:
-        raise
-    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-        raise UpstreamLostError(repr(error)) from error
-
-
 def can_detect_truncation(answer: ClientResponse) -> bool:
     """Return whether a truncated response body can be detected."""
     if answer.method == "HEAD" or answer.status in BODILESS_STATUSES:
