Report a change as unknown if the entry ended after receiving it

An operator saw 'cannot be reached', which promises that nothing was changed, for a change that the entry had received and may have made. Cause: the same hidden resend as on direct dispatch (PUT); its refused connection hid the lost response. The client's own retries had the same gap: a refused connection after an unanswered attempt was reported as unreachable. The client now sends each attempt once and reports an unknown outcome once any attempt may have arrived. test_entry_lost failed before: exit code 7 (unavailable) instead of 8.

--- a/packages/skylarkdoor-client/src/skylarkdoor_client/_admin.py
+++ b/packages/skylarkdoor-client/src/skylarkdoor_client/_admin.py
@@ -10,6 +10,8 @@
 
 import aiohttp
 
+from skylarkdoor.exceptions import ResponseLostError
+from skylarkdoor.single_send import send_once
 from skylarkdoor_client._error_responses import error_from_response
 from skylarkdoor_client.exceptions import (
     UnavailableError,
@@ -75,7 +77,10 @@
         )
         connector = aiohttp.TCPConnector(ssl=self._ssl())
         self.session = aiohttp.ClientSession(
-            headers=headers, timeout=timeout, connector=connector
+            headers=headers,
+            timeout=timeout,
+            connector=connector,
+            middlewares=(send_once,),
         )
         return self
 
@@ -150,21 +155,23 @@
     async def _read(self, target: str, *, method: str = "GET", body: Any = None) -> Any:
         try:
             return await self._call(method, target, body, {})
-        except (aiohttp.ClientError, TimeoutError) as error:
+        except (aiohttp.ClientError, ResponseLostError, TimeoutError) as error:
             raise UnavailableError(f"{self.url} does not respond: {error!r}") from None
 
     async def _change(self, method: str, target: str, body: Any) -> Any:
         """Send a change; retry with the same idempotency key if no response arrives."""
         headers = {IDEMPOTENCY_KEY: uuid.uuid4().hex}
+        may_have_arrived = False
         for _ in range(MAX_ATTEMPTS):
             try:
                 return await self._call(method, target, body, headers)
             except aiohttp.ClientConnectorError as error:
-                raise UnavailableError(
-                    f"{self.url} cannot be reached: {error}"
-                ) from None
-            except (aiohttp.ClientError, TimeoutError):
-                continue
+                if not may_have_arrived:
+                    raise UnavailableError(
+                        f"{self.url} cannot be reached: {error}"
+                    ) from None
+            except (aiohttp.ClientError, ResponseLostError, TimeoutError):
+                may_have_arrived = True
         raise UnknownOutcomeError(
             f"{self.url} did not respond; the change may or may not have been made"
         )
--- a/packages/skylarkdoor-client/tests/conftest.py
+++ b/packages/skylarkdoor-client/tests/conftest.py
@@ -32,12 +32,14 @@
         received: The requests received so far.
         connections_to_abort: Number of requests whose connection is closed without
             a response.
+        stops_listening: Whether no connection is accepted after such a request.
     """
 
     def __init__(self):
         self.responses: dict[tuple[str, str], tuple[int, Any]] = {}
         self.received: list[ReceivedRequest] = []
         self.connections_to_abort = 0
+        self.stops_listening = False
         app = web.Application()
         app.router.add_route("*", "/{path:.*}", self.handle)
         self.server = TestServer(app)
@@ -53,6 +55,9 @@
         )
         if self.connections_to_abort:
             self.connections_to_abort -= 1
+            if self.stops_listening:
+                for site in list(self.server.runner.sites):
+                    await site.stop()
             request.transport.abort()
             return web.Response()
         status, content = self.responses[request.method, request.path]
--- a/packages/skylarkdoor-client/tests/test_settings_commands.py
+++ b/packages/skylarkdoor-client/tests/test_settings_commands.py
@@ -170,6 +170,15 @@
         result = await admin.run("settings", "set", "/fleet/tiers", "{}")
         assert result.exit_code == ExitCode.OUTCOME_UNKNOWN
 
+    # Guards against "cannot be reached" for a change that the entry has received.
+    async def test_entry_lost(self, admin):
+        """A change that the entry received before it ended has an unknown outcome."""
+        admin.connections_to_abort = 1
+        admin.stops_listening = True
+        result = await admin.run("settings", "set", "/fleet/tiers", "{}")
+        assert len(admin.received) == 1
+        assert result.exit_code == ExitCode.OUTCOME_UNKNOWN
+
     async def test_store_outcome_unknown(self, admin):
         """A change of which the entry does not know the outcome gives it too."""
         body = {"error": {"message": "timeout", "not_applied": False}}
