--- a/tests/test_workspace.py
+++ b/tests/test_workspace.py
@@ -1,10 +1,24 @@
 """The workspace's packages can be imported, and KNOWN-RED.txt is valid."""
 
+import ast
 import importlib
 from pathlib import Path
 
 import pytest
 
+ROOT = Path(__file__).parent.parent
+# Modules whose sessions may resend: their GET, PUT and DELETE requests only read or
+# have the same effect twice.
+MAY_RESEND = {
+    "admin/_instances.py",
+    "common/_platform.py",
+    "entry/_dispatch.py",
+    "planner/_engine.py",
+    "sidecar/_health.py",
+    "sidecar/_owners.py",
+    "skylarkdoor_platform/_store.py",
+}
+
 
 class TestPackages:
     """Every package of the workspace."""
@@ -29,15 +43,51 @@
 
     def test_entries(self):
         """Each entry has four parts and names an existing test."""
-        root = Path(__file__).parent.parent
-        for line in (root / "KNOWN-RED.txt").read_text().splitlines():
+        for line in (ROOT / "KNOWN-RED.txt").read_text().splitlines():
             if not line.strip() or line.startswith("#"):
                 continue
             test, _, _, _ = line.split(" | ")
             path, *names = test.partition("[")[0].split("::")
-            text = (root / path).read_text()
+            text = (ROOT / path).read_text()
             if names[1:] == ["runTest"]:
                 # Hypothesis generates a state machine's test; the module assigns it.
                 assert f"\n{names[0]} = " in text
                 continue
             assert all(f" {name}(" in text or f" {name}:" in text for name in names)
+
+
+def session_calls(path: Path):
+    """Return the calls in a module that create an HTTP session."""
+    return [
+        node
+        for node in ast.walk(ast.parse(path.read_text()))
+        if isinstance(node, ast.Call)
+        and isinstance(node.func, ast.Attribute)
+        and node.func.attr == "ClientSession"
+    ]
+
+
+def product_modules():
+    """Return the modules of the product and the adapter, without the bench."""
+    names = ("skylarkdoor", "skylarkdoord", "skylarkdoor-client")
+    packages = [ROOT / "packages" / name for name in names]
+    return [
+        path
+        for package in [*packages, ROOT / "platform"]
+        for path in (package / "src").rglob("*.py")
+    ]
+
+
+class TestHttpSessions:
+    """Sessions of the HTTP client, which resends some requests by default."""
+
+    # Guards against retries below the code that counts them.
+    def test_no_resend(self):
+        """Each session sends once, unless its module is listed as safe."""
+        resending = {
+            "/".join(path.parts[-2:])
+            for path in product_modules()
+            for call in session_calls(path)
+            if "middlewares" not in {keyword.arg for keyword in call.keywords}
+        }
+        assert resending == MAY_RESEND
