Share the slack of the retry budget with entries that are silent

With all entries cut off from each other, or all started anew, each took the whole slack of the retry budget, as the number of entries was that of the last 2 s. Class: a limit over all entries that grows when knowledge is missing.

Entries that were heard within 30 s, or that the store listed at the start, keep their part. An entry that starts anew uses no slack for one window, as its former incarnation may have spent it. What remains: entries that are cut off for more than 30 s each take the whole, as with customers' limits.

Evidence: test_retry_limiter.py; with the former rule four entries spend 164 and one restarted entry 82 retries of a slack of 52; test_slack, test_start and test_restart fail.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
@@ -159,6 +159,10 @@
             except StoreError as error:
                 self.log.event(_events.STORE_LOST, table=MEMBERS, error=str(error))
                 await asyncio.sleep(backoff.delay_s())
+        self.members.listed = sum(
+            row.data is not None and row.key != self.settings.instance
+            for row in rows.rows
+        )
         for row in rows.rows:
             if row.data is not None:
                 self.connect(row.key, row.data.decode("ascii", "replace"))
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
@@ -390,7 +390,7 @@
             allowed=allowed,
             spent=limiter.spent_retries(service),
             budget=round(limiter.allowed_retries(service), 1),
-            entries=limiter.live_entries(),
+            entries=limiter.sharing_entries(),
         )
         return allowed
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
@@ -63,6 +63,11 @@
         fleet: Receives the rows that other entries send.
         quota: Is charged with the units that other entries use.
         crashes: Receives the crash suspicions of other entries.
+
+    Attributes:
+        by_name: The other entries that sent an update.
+        started: Monotonic time of this entry's start, in seconds.
+        listed: Number of other entries that the store listed at the start.
     """
 
     def __init__(
@@ -74,6 +79,7 @@
         self.quota = quota
         self.by_name: dict[str, Member] = {}
         self.started = time.monotonic()
+        self.listed = 0
 
     def live_count(self) -> int:
         """Return how many entries share the upstreams, including this one."""
@@ -82,6 +88,18 @@
             member.last_update_at > since for member in self.by_name.values()
         )
 
+    def sharing_count(self) -> int:
+        """Return how many entries may use a budget for all, including this one.
+
+        An entry that cannot be reached may go on using its part, so it counts until
+        `SILENT_RETENTION_S` after its last update or, if it was listed but never
+        reached, after the start of this entry.
+        """
+        since = time.monotonic() - SILENT_RETENTION_S
+        heard = sum(member.last_update_at > since for member in self.by_name.values())
+        listed = self.listed if self.started > since else 0
+        return 1 + max(heard, listed)
+
     def position(self) -> int:
         """Return how many live entries precede this one in the order of names.
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_retry_limiter.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_retry_limiter.py
@@ -15,14 +15,17 @@
     """Allows retries in proportion to the requests within a sliding window.
 
     The slack is allowed for all entries together, so each entry uses an equal part
-    of it.
+    of it. An entry that does not know what its former incarnation spent uses no slack
+    until a window has passed.
 
     Args:
         settings: Budget of all entries together.
-        live_entries: Returns the number of entries that share the budget.
+        sharing_entries: Returns the number of entries that may use the budget.
+        is_first_start: Whether no former incarnation can have made retries.
         clock: Returns the monotonic time, in seconds.
 
     Attributes:
+        started: Monotonic time of the start, in seconds.
         requests: Monotonic times of the callers' requests, by service, in seconds.
         retries: Monotonic times of the retries, by service, in seconds.
     """
@@ -31,12 +34,15 @@
         self,
         settings: RetryBudget,
         *,
-        live_entries: Callable[[], int] = lambda: 1,
+        sharing_entries: Callable[[], int] = lambda: 1,
+        is_first_start: bool = False,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.settings = settings
-        self.live_entries = live_entries
+        self.sharing_entries = sharing_entries
+        self.is_first_start = is_first_start
         self.clock = clock
+        self.started = clock()
         self.requests: dict[str, deque[float]] = {}
         self.retries: dict[str, deque[float]] = {}
 
@@ -47,8 +53,15 @@
     def allowed_retries(self, service: str) -> float:
         """Return the number of retries allowed within the current window."""
         requests = len(self.within_window(self.requests, service))
-        slack = self.settings.slack / max(1, self.live_entries())
-        return USABLE_BUDGET_SHARE * (self.settings.ratio * requests + slack)
+        allowed = self.settings.ratio * requests + self.slack()
+        return USABLE_BUDGET_SHARE * allowed
+
+    def slack(self) -> float:
+        """Return this entry's part of the slack."""
+        is_settled = self.clock() - self.started >= self.settings.window_s
+        if not self.is_first_start and not is_settled:
+            return 0.0
+        return self.settings.slack / max(1, self.sharing_entries())
 
     def spent_retries(self, service: str) -> int:
         """Return the number of retries within the current window."""
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -52,7 +52,9 @@
         scheduler=scheduler,
         upstreams=upstreams,
         retry_limiter=RetryLimiter(
-            settings.retry_budget, live_entries=members.live_count
+            settings.retry_budget,
+            sharing_entries=members.sharing_count,
+            is_first_start=settings.first_start,
         ),
         quota=quota,
         crashes=crashes,
