Check for quarantine at each send, not only at admission

A request that was queued, or was about to be retried, when it became known to crash upstreams was still sent: it was checked once, when it arrived, and could wait for seconds. A retry within the 0.15 s until the crash check was not held back either. Class: a check that is made earlier than the use.

The check is now made when the slot is granted, before each send, and an upstream that is still being checked counts as crashed.

test_quarantined_in_queue and test_retry_during_check failed before: the queued request was answered 200 by an upstream, and four upstreams crashed where three are the bound.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_crashes.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_crashes.py
@@ -76,8 +76,15 @@
         self.log = events.get_logger("direct.crashes")
 
     def is_quarantined(self, fingerprint: int) -> bool:
-        """Return whether a request is suspected of too many crashes."""
-        return len(self.suspicions.get(fingerprint).open) >= MAX_CRASHES
+        """Return whether a request is suspected of too many crashes.
+
+        An upstream that is still being checked counts as crashed.
+        """
+        crashes = len(self.suspicions.get(fingerprint).open)
+        unchecked = sum(
+            fingerprint in suspects for suspects in self.pending_suspects.values()
+        )
+        return crashes + unchecked >= MAX_CRASHES
 
     def add_in_flight(self, record: UpstreamRecord, fingerprint: int) -> None:
         """Record that a request is sent to an upstream."""
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
@@ -130,13 +130,14 @@
             TimeoutError: The request timed out; it may have run.
         """
         self.dependencies.retry_limiter.count_request(self.admitted.service)
-        if self.dependencies.crashes.is_quarantined(self.fingerprint):
-            raise NotRunError("quarantined", "the request crashes upstreams")
+        self.check_quarantine()
         self.dependencies.quota.check(self.admitted)
         while True:
             slot = await self.acquire_slot()
             began = time.monotonic()
             try:
+                # The request may have been quarantined while it waited.
+                self.check_quarantine()
                 return await self.attempt(slot)
             except UpstreamNotRunError as error:
                 self.on_not_run(slot, error)
@@ -160,6 +161,20 @@
             finally:
                 self.dependencies.scheduler.release(slot)
 
+    def check_quarantine(self) -> None:
+        """Check that the request may be sent.
+
+        Raises:
+            NotRunError: The request is quarantined and has not run.
+            OutcomeUnknownError: The request is quarantined and may have run.
+        """
+        if not self.dependencies.crashes.is_quarantined(self.fingerprint):
+            return
+        message = "the request crashes upstreams"
+        if self.runs:
+            raise OutcomeUnknownError(message)
+        raise NotRunError("quarantined", message)
+
     async def acquire_slot(self) -> Slot:
         """Wait for a slot at an upstream.
 
--- a/tests/adapter/test_retries.py
+++ b/tests/adapter/test_retries.py
@@ -5,7 +5,10 @@
 
 import pytest
 
-from ._standins import Server, reset, route
+from skylarkdoor.suspicion import crash_id
+from skylarkdoord.direct._crashes import fingerprint_of
+
+from ._standins import Server, reply, reset, route
 
 ONCE = route(routeType="non_idempotent", maxAttempts=1)
 # Methods that HTTP defines as idempotent, whatever the route says.
@@ -69,3 +72,39 @@
                     await caller.get(method=method)
                     await asyncio.gather(*crashes.checks)
         assert sum(len(server.requests) for server in servers) == MAX_CRASHES
+
+    # Guards against a check at admission only, which misses requests in a queue.
+    async def test_quarantined_in_queue(self, start):
+        """A request that is quarantined while it waits for a slot is not sent."""
+        async with Server(reply()) as server, start([route()], [server]) as caller:
+            dependencies = caller.entry.kernel.services["callers"].dependencies
+            acquire = dependencies.scheduler.acquire
+
+            async def acquire_late(admitted, **options):
+                slot = await acquire(admitted, **options)
+                crashes = [crash_id(f"i-{number}", 1, 0) for number in range(3)]
+                fingerprint = fingerprint_of(admitted)
+                dependencies.crashes.suspicions.merge(fingerprint, crashes)
+                return slot
+
+            dependencies.scheduler.acquire = acquire_late
+            status, _, _ = await caller.get()
+            assert status == 503
+            assert not server.requests
+            assert not any(
+                upstream.running for upstream in dependencies.upstreams.tracked.values()
+            )
+
+    # Guards against a retry between the third crash and the end of its check.
+    async def test_retry_during_check(self, start):
+        """A retry waits for no check: an unchecked lost answer counts as a crash."""
+        servers = [CrashingServer() for _ in range(MAX_CRASHES + 1)]
+        async with contextlib.AsyncExitStack() as running:
+            for server in servers:
+                await running.enter_async_context(server)
+            async with start([route(maxAttempts=2)], servers) as caller:
+                await caller.get()
+                crashes = caller.entry.kernel.services["callers"].dependencies.crashes
+                await asyncio.gather(*crashes.checks)
+                await caller.get()
+        assert sum(len(server.requests) for server in servers) == MAX_CRASHES
