Count a crash once and clear requests that are answered

Such a request was refused with 503.

Crashes now count by incarnation of the upstream, and an answer below 500 clears the request at all entries, as on the sidecars' path.

test_observed_twice and test_answered failed before.

--- a/packages/skylarkdoor/src/skylarkdoor/_suspicion.py
+++ b/packages/skylarkdoor/src/skylarkdoor/_suspicion.py
@@ -33,6 +33,15 @@
     return SEPARATOR.join(parts)
 
 
+def crashed_incarnation(crash: str) -> str:
+    """Return the part of a crash's id that is the same for all of its observers.
+
+    It consists of the instance, its incarnation and the number of the crash.
+    """
+    _, _, incarnation = crash.partition(SEPARATOR)
+    return incarnation
+
+
 def is_fresh(crash: str) -> bool:
     """Return whether a crash is recent enough to count."""
     at, _, _ = crash.partition(SEPARATOR)
--- a/packages/skylarkdoor/src/skylarkdoor/suspicion.py
+++ b/packages/skylarkdoor/src/skylarkdoor/suspicion.py
@@ -1,5 +1,10 @@
 """Records of requests that were running at an upstream when it crashed."""
 
-from skylarkdoor._suspicion import Suspicion, Suspicions, crash_id
+from skylarkdoor._suspicion import (
+    Suspicion,
+    Suspicions,
+    crash_id,
+    crashed_incarnation,
+)
 
-__all__ = ["Suspicion", "Suspicions", "crash_id"]
+__all__ = ["Suspicion", "Suspicions", "crash_id", "crashed_incarnation"]
--- a/packages/skylarkdoor/tests/test_suspicion.py
+++ b/packages/skylarkdoor/tests/test_suspicion.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from skylarkdoord.common import Suspicions, crash_id
+from skylarkdoor.suspicion import Suspicions, crash_id, crashed_incarnation
 
 CRASHES = [crash_id("sidecar-1", 1, number) for number in range(4)]
 subsets = st.sets(st.sampled_from(CRASHES))
@@ -41,6 +41,12 @@
         suspicions.merge(7, ["1000/sidecar-1/1/1", "nonsense"])
         assert not suspicions.get(7).is_suspect
 
+    def test_crashed_incarnation(self) -> None:
+        """Ids of one crash from different observers name the same incarnation."""
+        ids = ("1000/i-1/7/0", "1003/i-1/7/0", "1000/i-1/8/0")
+        names = [crashed_incarnation(crash) for crash in ids]
+        assert names[0] == names[1] != names[2]
+
     @given(updates=st.lists(st.tuples(subsets, subsets)), data=st.data())
     def test_order(self, updates, data) -> None:
         """Processes reach the same state whatever the order of the updates."""
--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -288,3 +288,9 @@
     logging.INFO,
     "The retry budget allowed or refused a retry.",
 )
+REQUEST_CLEARED = define(
+    718,
+    "request_cleared",
+    logging.INFO,
+    "A suspected request was answered; its crashes no longer count.",
+)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_crashes.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_crashes.py
@@ -1,7 +1,8 @@
 """Detects requests that crash the upstreams that run them, and quarantines them.
 
 A request that was in flight at an upstream when it crashed is suspected of that
-crash. A request suspected of several crashes is quarantined: it is not sent any more.
+crash, until an upstream answers it. A request suspected of several crashes is
+quarantined: it is not sent any more.
 Entries share their suspicions with each other.
 """
 
@@ -11,7 +12,7 @@
 
 from skylarkdoor import events
 from skylarkdoor.hashing import fingerprint
-from skylarkdoor.suspicion import Suspicions, crash_id
+from skylarkdoor.suspicion import Suspicions, crash_id, crashed_incarnation
 from skylarkdoor.wire import pb
 from skylarkdoord import _events
 from skylarkdoord.direct._model import Admitted, UpstreamRecord
@@ -80,11 +81,30 @@
 
         An upstream that is still being checked counts as crashed.
         """
-        crashes = len(self.suspicions.get(fingerprint).open)
         unchecked = sum(
             fingerprint in suspects for suspects in self.pending_suspects.values()
         )
-        return crashes + unchecked >= MAX_CRASHES
+        return self.count(fingerprint) + unchecked >= MAX_CRASHES
+
+    def count(self, fingerprint: int) -> int:
+        """Return the number of crashes of which a request is suspected.
+
+        Entries observe a crash at different times; it counts once.
+        """
+        crashes = self.suspicions.get(fingerprint).open
+        return len({crashed_incarnation(crash) for crash in crashes})
+
+    def on_answered(self, fingerprint: int) -> None:
+        """Clear a request that an upstream answered of its former suspicions."""
+        crashes = self.suspicions.get(fingerprint).open
+        if not crashes:
+            return
+        self.suspicions.merge(fingerprint, (), crashes)
+        self.log.event(
+            _events.REQUEST_CLEARED,
+            fingerprint=f"{fingerprint:016x}",
+            crashes=len(crashes),
+        )
 
     def add_in_flight(self, record: UpstreamRecord, fingerprint: int) -> None:
         """Record that a request is sent to an upstream."""
@@ -137,7 +157,7 @@
                 _events.REQUEST_SUSPECTED,
                 fingerprint=f"{suspect:016x}",
                 upstream=record.instance,
-                crashes=len(self.suspicions.get(suspect).open),
+                crashes=self.count(suspect),
             )
 
     def report(self) -> list[pb.Suspect]:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
@@ -219,6 +219,8 @@
         is_error = response.status >= MIN_SERVER_ERROR_STATUS
         self.dependencies.upstreams.on_answer(upstream, is_error=is_error)
         self.dependencies.upstreams.on_success(upstream)
+        if not is_error:
+            self.dependencies.crashes.on_answered(self.fingerprint)
         first_byte_s = 0.0
         if self.stream.has_begun:
             first_byte_s = self.stream.began_at - began
--- a/packages/skylarkdoord/tests/direct/test_crashes.py
+++ b/packages/skylarkdoord/tests/direct/test_crashes.py
@@ -91,6 +91,31 @@
         }
         assert reported == {7: 1, 8: 1}
 
+    # Guards against one crash that counts once for each entry that observes it.
+    async def test_observed_twice(self, monkeypatch):
+        """A crash that entries observe at different times counts once."""
+        entries = [make_crashes(down=True) for _ in range(MAX_CRASHES)]
+        for number, crashes in enumerate(entries):
+            now = 1.8e9 + number
+            monkeypatch.setattr("skylarkdoor._suspicion.time.time", lambda now=now: now)
+            await lose_answer(crashes, "i-1", 7)
+            entries[0].merge(crashes.report())
+        assert len(entries[0].suspicions.get(7).crashes) == MAX_CRASHES
+        assert not entries[0].is_quarantined(7)
+
+    # Guards against a quarantine of requests that were at crashing upstreams by chance.
+    async def test_answered(self):
+        """A request that an upstream answers is no longer suspected, at any entry."""
+        crashes, other = make_crashes(down=True), make_crashes(down=True)
+        for number in range(MAX_CRASHES - 1):
+            await lose_answer(crashes, f"i-{number}", 7)
+        other.merge(crashes.report())
+        crashes.on_answered(7)
+        await lose_answer(crashes, "i-9", 7)
+        assert not crashes.is_quarantined(7)
+        other.merge(crashes.report())
+        assert not other.is_quarantined(7)
+
     async def test_other_entries(self):
         """Crashes seen by different entries add up; repeated reports do not count."""
         entries = [make_crashes(down=True) for _ in range(MAX_CRASHES)]
