Find crashes of upstreams whose connections stay open

A request that makes its upstreams fall silent was sent again without end: the attempt ended by a timeout or because the caller left, and only a lost answer was examined. The same held where the probe after a lost answer came late (a frozen entry) and met the upstream's next incarnation. Class: missing evidence is taken as evidence of health.

Requests that ended without an answer are remembered for 8 s for each incarnation, 200 at most. If the registry then lists a later start of the instance, or no longer lists it and a probe fails, they are suspected like those in flight. Several crashes under one record, as while the store is down, count separately.

TestSilentCrash and test_silent_crashes failed before: no crash was counted.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_crashes.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_crashes.py
@@ -7,8 +7,11 @@
 """
 
 import asyncio
+import math
+import time
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass, field
 
 from skylarkdoor import events
 from skylarkdoor.hashing import fingerprint
@@ -23,6 +26,15 @@
 # longer than this.
 PROBE_DELAY_S = 0.15
 CONNECT_TIMEOUT_S = 0.5
+# Time for which a request that ended without an answer is suspected of a crash that
+# becomes known later. The registry drops a crashed upstream some seconds after its
+# last heartbeat.
+UNANSWERED_RETENTION_S = 8.0
+# Requests without an answer that are remembered for each upstream.
+MAX_UNANSWERED = 200
+# Two crashes under one record are at least this far apart, as an upstream takes
+# seconds to start again.
+SAME_CRASH_S = 2.0
 # Limits the size of an update sent to other entries.
 MAX_REPORTED_SUSPECTS = 50
 
@@ -52,27 +64,73 @@
     return False
 
 
+@dataclass
+class Watched:
+    """An incarnation of an upstream, with the requests to suspect if it crashed.
+
+    Attributes:
+        record: Its record in the registry.
+        in_flight: Fingerprints of the requests in flight, counted.
+        unanswered: Monotonic time at which a request ended without an answer, by
+            fingerprint, in seconds; oldest first.
+        crashes: Number of crashes under this record.
+        crashed_at: Monotonic time of the latest crash, in seconds.
+        listed_start: Start of the instance that the registry listed when it was last
+            examined, as `UpstreamRecord.started_ms`; None if none was listed.
+        is_checked: Whether a check is pending.
+    """
+
+    record: UpstreamRecord
+    listed_start: int | None
+    in_flight: Counter[int] = field(default_factory=Counter)
+    unanswered: dict[int, float] = field(default_factory=dict)
+    crashes: int = 0
+    crashed_at: float = -math.inf
+    is_checked: bool = False
+
+    def suspects(self) -> set[int]:
+        """Return the fingerprints to suspect if the upstream crashed."""
+        return {*self.in_flight, *self.unanswered}
+
+    def drop_ended_before(self, since: float) -> None:
+        """Forget the requests that ended before a monotonic time, in seconds."""
+        while self.unanswered:
+            oldest = next(iter(self.unanswered))
+            if self.unanswered[oldest] >= since:
+                return
+            del self.unanswered[oldest]
+
+
 class Crashes:
     """Tracks which requests were in flight at upstreams that crashed.
 
+    A crash is found by a probe after an answer was lost, or by the registry: it lists
+    a later start of the upstream, or no longer lists it and a probe fails.
+
     Args:
         probe: Returns whether an upstream is down.
+        find: Returns the record that the registry lists for an instance; None if there
+            is none.
+        clock: Returns the monotonic time, in seconds.
 
     Attributes:
         suspicions: Crashes of which each request is suspected.
-        in_flight: Fingerprints of the requests in flight at each upstream, counted.
-        pending_suspects: Fingerprints to suspect if a pending check finds the upstream
-            down.
+        watched: Upstreams with requests in flight or without an answer.
         checks: Tasks of the pending checks.
     """
 
     def __init__(
-        self, *, probe: Callable[[UpstreamRecord], Awaitable[bool]] = is_down
+        self,
+        *,
+        probe: Callable[[UpstreamRecord], Awaitable[bool]] = is_down,
+        find: Callable[[str], UpstreamRecord | None] = lambda instance: None,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.probe = probe
+        self.find = find
+        self.clock = clock
         self.suspicions = Suspicions()
-        self.in_flight: dict[Incarnation, Counter[int]] = {}
-        self.pending_suspects: dict[Incarnation, set[int]] = {}
+        self.watched: dict[Incarnation, Watched] = {}
         self.checks: set[asyncio.Task[None]] = set()
         self.log = events.get_logger("direct.crashes")
 
@@ -82,7 +140,8 @@
         An upstream that is still being checked counts as crashed.
         """
         unchecked = sum(
-            fingerprint in suspects for suspects in self.pending_suspects.values()
+            watched.is_checked and fingerprint in watched.suspects()
+            for watched in self.watched.values()
         )
         return self.count(fingerprint) + unchecked >= MAX_CRASHES
 
@@ -108,50 +167,99 @@
 
     def add_in_flight(self, record: UpstreamRecord, fingerprint: int) -> None:
         """Record that a request is sent to an upstream."""
-        self.in_flight.setdefault(_incarnation(record), Counter())[fingerprint] += 1
+        self.watch(record).in_flight[fingerprint] += 1
 
     def remove_in_flight(self, record: UpstreamRecord, fingerprint: int) -> None:
         """Record that a request is no longer in flight at an upstream."""
-        fingerprints = self.in_flight.get(_incarnation(record))
-        if fingerprints is None:
+        watched = self.watched.get(_incarnation(record))
+        if watched is None:
             return
-        fingerprints[fingerprint] -= 1
-        if fingerprints[fingerprint] <= 0:
-            del fingerprints[fingerprint]
-        if not fingerprints:
-            del self.in_flight[_incarnation(record)]
+        watched.in_flight[fingerprint] -= 1
+        if watched.in_flight[fingerprint] <= 0:
+            del watched.in_flight[fingerprint]
+        self.drop_idle(watched)
+
+    def on_unanswered(self, record: UpstreamRecord, fingerprint: int) -> None:
+        """Record that a request ended without an answer for an unknown reason."""
+        watched = self.watch(record)
+        watched.unanswered.pop(fingerprint, None)
+        watched.unanswered[fingerprint] = self.clock()
+        if len(watched.unanswered) > MAX_UNANSWERED:
+            del watched.unanswered[next(iter(watched.unanswered))]
 
     def on_answer_lost(self, record: UpstreamRecord, fingerprint: int) -> None:
         """Start a check whether an upstream that lost an answer has crashed."""
+        self.on_unanswered(record, fingerprint)
+        self.start_check(self.watch(record))
+
+    def on_registry_change(self) -> None:
+        """Look for crashes among the upstreams whose records have changed."""
+        for watched in list(self.watched.values()):
+            self.drop_idle(watched)
+            listed = self.find(watched.record.instance)
+            start = listed.started_ms if listed else None
+            if start == watched.listed_start or not watched.suspects():
+                continue
+            watched.listed_start = start
+            if start is None:
+                self.start_check(watched)
+            elif start > watched.record.started_ms:
+                self.suspect(watched, same_crash_s=UNANSWERED_RETENTION_S)
+
+    def watch(self, record: UpstreamRecord) -> Watched:
+        """Return the state of an incarnation; add it if it is new."""
         incarnation = _incarnation(record)
-        fingerprints = self.pending_suspects.get(incarnation)
-        if fingerprints is not None:
-            fingerprints.add(fingerprint)
+        watched = self.watched.get(incarnation)
+        if watched is None:
+            watched = self.watched[incarnation] = Watched(record, record.started_ms)
+        return watched
+
+    def drop_idle(self, watched: Watched) -> None:
+        """Forget old requests, and the upstream if there are no others."""
+        watched.drop_ended_before(self.clock() - UNANSWERED_RETENTION_S)
+        is_recent = self.clock() - watched.crashed_at < UNANSWERED_RETENTION_S
+        if not (watched.suspects() or watched.is_checked or is_recent):
+            self.watched.pop(_incarnation(watched.record), None)
+
+    def start_check(self, watched: Watched) -> None:
+        """Start a check of an upstream unless one is pending."""
+        if watched.is_checked:
             return
-        self.pending_suspects[incarnation] = {
-            fingerprint,
-            *self.in_flight.get(incarnation, ()),
-        }
-        task = asyncio.create_task(self.check(record))
+        watched.is_checked = True
+        task = asyncio.create_task(self.check(watched))
         self.checks.add(task)
         task.add_done_callback(self.checks.discard)
 
-    async def check(self, record: UpstreamRecord) -> None:
+    async def check(self, watched: Watched) -> None:
         """Suspect the requests that were in flight at an upstream if it is down."""
         await asyncio.sleep(PROBE_DELAY_S)
-        down = await self.probe(record)
-        fingerprints = self.pending_suspects.pop(_incarnation(record))
+        down = await self.probe(watched.record)
+        watched.is_checked = False
         self.log.event(
             _events.CRASH_CHECKED,
-            upstream=record.instance,
-            started_ms=record.started_ms,
+            upstream=watched.record.instance,
+            started_ms=watched.record.started_ms,
             down=down,
-            requests=len(fingerprints),
+            requests=len(watched.suspects()),
         )
-        if not down:
-            return
-        crash = crash_id(record.instance, record.started_ms, 0)
-        for suspect in fingerprints:
+        if down:
+            self.suspect(watched, same_crash_s=SAME_CRASH_S)
+
+    def suspect(self, watched: Watched, *, same_crash_s: float) -> None:
+        """Suspect the requests at an upstream of its crash.
+
+        Args:
+            watched: The upstream.
+            same_crash_s: Time after an earlier crash within which this is the same
+                one, in seconds.
+        """
+        now = self.clock()
+        if now - watched.crashed_at > same_crash_s:
+            watched.crashes += 1
+        watched.crashed_at = now
+        record = watched.record
+        crash = crash_id(record.instance, record.started_ms, watched.crashes)
+        for suspect in watched.suspects():
             self.suspicions.merge(suspect, [crash])
             self.log.event(
                 _events.REQUEST_SUSPECTED,
@@ -159,6 +267,7 @@
                 upstream=record.instance,
                 crashes=self.count(suspect),
             )
+        watched.unanswered.clear()
 
     def report(self) -> list[pb.Suspect]:
         """Return the latest suspicions, to be sent to other entries."""
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_fleet.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_fleet.py
@@ -99,12 +99,17 @@
             if record and record.service == service and not record.is_draining:
                 yield record
 
+    def find(self, instance: str) -> UpstreamRecord | None:
+        """Return the record of an upstream; None if none is listed."""
+        cached = self.cached_rows.get(instance)
+        return cached.record if cached else None
+
     def is_current(self, record: UpstreamRecord) -> bool:
         """Return whether this incarnation of an upstream accepts new requests."""
-        cached = self.cached_rows.get(record.instance)
-        if cached is None or cached.record is None or cached.record.is_draining:
+        listed = self.find(record.instance)
+        if listed is None or listed.is_draining:
             return False
-        return cached.record.started_ms == record.started_ms
+        return listed.started_ms == record.started_ms
 
     def apply_config(self, row: Row, *, source: str) -> None:
         """Put a configuration in force unless the current one is as new or newer.
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
@@ -153,6 +153,9 @@
                     raise OutcomeUnknownError(str(error)) from None
             except TimeoutError:
                 self.log_step(slot, "timeout", began)
+                self.dependencies.crashes.on_unanswered(
+                    slot.upstream.record, self.fingerprint
+                )
                 if not self.stream.has_begun:
                     self.dependencies.upstreams.on_timeout(
                         slot.upstream, "timeout", since=began
@@ -288,6 +291,7 @@
         The wait must exceed four times the service's average time to the first byte.
         """
         self.log_step(slot, "left", time.monotonic() - waited_s)
+        self.dependencies.crashes.on_unanswered(slot.upstream.record, self.fingerprint)
         average_s = self.dependencies.upstreams.average_first_byte_s(
             self.admitted.service
         )
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -35,7 +35,8 @@
     upstreams = Upstreams(fleet)
     quota = Quota(settings.quota)
     quota.is_history_complete = settings.first_start
-    crashes = Crashes()
+    crashes = Crashes(find=fleet.find)
+    fleet.on_upstreams.append(crashes.on_registry_change)
     members = Members(settings.instance, fleet, quota, crashes)
     quota.silent_entries = members.silent_entries
     scheduler = Scheduler(
--- a/packages/skylarkdoord/tests/direct/test_crashes.py
+++ b/packages/skylarkdoord/tests/direct/test_crashes.py
@@ -5,9 +5,16 @@
 import pytest
 
 from skylarkdoord.direct import _crashes
-from skylarkdoord.direct._crashes import MAX_CRASHES, Crashes, fingerprint_of
+from skylarkdoord.direct._crashes import (
+    MAX_CRASHES,
+    MAX_UNANSWERED,
+    SAME_CRASH_S,
+    UNANSWERED_RETENTION_S,
+    Crashes,
+    fingerprint_of,
+)
 
-from ._make import make_admitted, make_customer, make_record, make_request
+from ._make import Clock, make_admitted, make_customer, make_record, make_request
 
 
 @pytest.fixture(autouse=True)
@@ -137,3 +144,136 @@
         server.close()
         await server.wait_closed()
         assert await _crashes.is_down(record)
+
+
+@pytest.fixture
+def clock():
+    """Return a clock that the test sets."""
+    return Clock()
+
+
+@pytest.fixture
+def registry():
+    """Return the upstreams that the registry lists, by instance."""
+    return {"i-1": make_record("i-1", started_ms=1)}
+
+
+def make_watching(clock, registry, *, down=False):
+    """Return crashes that watch a registry."""
+
+    async def probe(record):
+        return down
+
+    return Crashes(probe=probe, find=registry.get, clock=clock)
+
+
+class TestSilentCrash:
+    """Crashes of upstreams whose connections stay open."""
+
+    # Guards against crashes that go unnoticed because no connection is reset.
+    async def test_restarted(self, clock, registry):
+        """A request without an answer is suspected once its upstream has restarted."""
+        crashes = make_watching(clock, registry)
+        crashes.on_unanswered(registry["i-1"], 7)
+        clock.now += UNANSWERED_RETENTION_S / 2
+        registry["i-1"] = make_record("i-1", started_ms=2)
+        crashes.on_registry_change()
+        assert crashes.count(7) == 1
+
+    async def test_in_flight(self, clock, registry):
+        """A request that waits for its answer is suspected as well."""
+        crashes = make_watching(clock, registry)
+        crashes.add_in_flight(registry["i-1"], 7)
+        registry["i-1"] = make_record("i-1", started_ms=2)
+        crashes.on_registry_change()
+        assert crashes.count(7) == 1
+
+    @pytest.mark.parametrize("down", [True, False])
+    async def test_gone(self, clock, registry, down):
+        """If the upstream is no longer listed, a probe tells whether it crashed."""
+        crashes = make_watching(clock, registry, down=down)
+        crashes.on_unanswered(registry.pop("i-1"), 7)
+        crashes.on_registry_change()
+        await asyncio.gather(*crashes.checks)
+        assert crashes.count(7) == down
+
+    # Guards against a probe that comes after the upstream has restarted.
+    async def test_late_probe(self, clock, registry):
+        """A crash that the probe misses is found by the upstream's new start."""
+        crashes = make_watching(clock, registry, down=False)
+        crashes.on_answer_lost(registry["i-1"], 7)
+        await asyncio.gather(*crashes.checks)
+        assert crashes.count(7) == 0
+        registry["i-1"] = make_record("i-1", started_ms=2)
+        crashes.on_registry_change()
+        assert crashes.count(7) == 1
+
+    async def test_long_ago(self, clock, registry):
+        """A request that ended long before the crash is not suspected."""
+        crashes = make_watching(clock, registry)
+        crashes.on_unanswered(registry["i-1"], 7)
+        clock.now += UNANSWERED_RETENTION_S + 1
+        registry["i-1"] = make_record("i-1", started_ms=2)
+        crashes.on_registry_change()
+        assert crashes.count(7) == 0
+
+    async def test_unchanged(self, clock, registry):
+        """Nothing is suspected while the registry lists the same incarnation."""
+        crashes = make_watching(clock, registry)
+        crashes.on_unanswered(registry["i-1"], 7)
+        crashes.on_registry_change()
+        assert not crashes.checks
+        assert crashes.count(7) == 0
+
+    async def test_found_twice(self, clock, registry):
+        """A crash that a probe and then the registry report counts once."""
+        crashes = make_watching(clock, registry, down=True)
+        crashes.on_answer_lost(registry["i-1"], 7)
+        await asyncio.gather(*crashes.checks)
+        clock.now += UNANSWERED_RETENTION_S / 2
+        registry["i-1"] = make_record("i-1", started_ms=2)
+        crashes.on_registry_change()
+        assert crashes.count(7) == 1
+
+    async def test_repeated_changes(self, clock, registry):
+        """A request that hangs at a former incarnation is suspected of one crash."""
+        crashes = make_watching(clock, registry)
+        crashes.add_in_flight(registry["i-1"], 7)
+        registry["i-1"] = make_record("i-1", started_ms=2)
+        for _ in range(MAX_CRASHES):
+            crashes.on_registry_change()
+            clock.now += SAME_CRASH_S + 1
+        assert crashes.count(7) == 1
+
+    async def test_absent(self, clock, registry):
+        """An upstream that is no longer listed is probed once."""
+        crashes = make_watching(clock, registry)
+        crashes.add_in_flight(registry.pop("i-1"), 7)
+        for _ in range(2):
+            crashes.on_registry_change()
+            await asyncio.gather(*crashes.checks)
+        assert not crashes.checks
+
+    # Guards against an outage of the store that hides the restarts between crashes.
+    async def test_stale_record(self, clock, registry):
+        """Crashes of several incarnations under one record count separately."""
+        crashes = make_watching(clock, registry, down=True)
+        for _ in range(MAX_CRASHES):
+            assert not crashes.is_quarantined(7)
+            crashes.on_answer_lost(registry["i-1"], 7)
+            await asyncio.gather(*crashes.checks)
+            clock.now += SAME_CRASH_S + 1
+        assert crashes.is_quarantined(7)
+
+    async def test_bounded(self, clock, registry):
+        """Only the latest requests without an answer are remembered."""
+        crashes = make_watching(clock, registry)
+        for fingerprint in range(2 * MAX_UNANSWERED):
+            crashes.on_unanswered(registry["i-1"], fingerprint)
+        registry["i-1"] = make_record("i-1", started_ms=2)
+        crashes.on_registry_change()
+        assert len(list(crashes.suspicions)) == MAX_UNANSWERED
+        assert crashes.count(2 * MAX_UNANSWERED - 1) == 1
+        clock.now += UNANSWERED_RETENTION_S + 1
+        crashes.on_registry_change()
+        assert not crashes.watched
--- a/tests/adapter/test_retries.py
+++ b/tests/adapter/test_retries.py
@@ -3,17 +3,19 @@
 import asyncio
 import contextlib
 
+import aiohttp
 import pytest
 
 from skylarkdoor.suspicion import crash_id
 from skylarkdoord.direct._crashes import fingerprint_of
 
-from ._standins import Server, reply, reset, route
+from ._standins import Server, reply, reset, route, server_row
 
 ONCE = route(routeType="non_idempotent", maxAttempts=1)
 # Methods that HTTP defines as idempotent, whatever the route says.
 METHODS = ("GET", "PUT", "DELETE")
 MAX_CRASHES = 3
+BRIEFLY = aiohttp.ClientTimeout(total=0.3)
 
 
 async def lose_answer(request, writer):
@@ -21,6 +23,11 @@
     reset(writer)
 
 
+async def hang(request, writer):
+    """Never respond."""
+    await asyncio.sleep(60)
+
+
 class CrashingServer(Server):
     """A server that ends with the first request that it receives."""
 
@@ -73,6 +80,33 @@
                     await asyncio.gather(*crashes.checks)
         assert sum(len(server.requests) for server in servers) == MAX_CRASHES
 
+    # Guards against crashes that go unnoticed because no connection is reset.
+    async def test_silent_crashes(self, start, store):
+        """A request whose servers fall silent and start again is quarantined."""
+        servers = [Server(hang) for _ in range(MAX_CRASHES + 1)]
+        async with contextlib.AsyncExitStack() as running:
+            for server in servers:
+                await running.enter_async_context(server)
+            async with start([ONCE], servers) as caller:
+                crashes = caller.entry.kernel.services["callers"].dependencies.crashes
+                for number in range(MAX_CRASHES):
+                    with pytest.raises(TimeoutError):
+                        await caller.get(timeout=BRIEFLY)
+                    for index, server in enumerate(servers):
+                        row = server_row(server, born=1 + len(server.requests))
+                        await store.put("servers", f"i-{index}", row)
+                    await caller.entry.until(
+                        lambda count=number + 1: (
+                            sum(
+                                crashes.count(s.fingerprint) for s in crashes.suspicions
+                            )
+                            >= count
+                        )
+                    )
+                status, _, _ = await caller.get()
+        assert status == 503
+        assert sum(len(server.requests) for server in servers) == MAX_CRASHES
+
     # Guards against a check at admission only, which misses requests in a queue.
     async def test_quarantined_in_queue(self, start):
         """A request that is quarantined while it waits for a slot is not sent."""
