Send each suspicion to the other entries once, and all of them

Each update carried the 50 suspicions that changed last. Class: a bound on a message that drops its contents.

A stream now carries what changed since its last message, 100 at a time, and everything when it opens.

test_suspicions failed before: of 250 suspicions 50 arrived, again and again.

--- a/packages/skylarkdoor/src/skylarkdoor/_suspicion.py
+++ b/packages/skylarkdoor/src/skylarkdoor/_suspicion.py
@@ -9,6 +9,7 @@
 from collections import OrderedDict
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
+from itertools import takewhile
 
 from skylarkdoor.wire import pb
 
@@ -57,11 +58,13 @@
         crashes: Ids of the crashes.
         cleared: Ids of the crashes that no longer count, because the request has
             since completed while it ran alone.
+        revision: Number of the latest change within this process.
     """
 
     fingerprint: int
     crashes: set[str] = field(default_factory=set)
     cleared: set[str] = field(default_factory=set)
+    revision: int = 0
 
     @property
     def open(self) -> set[str]:
@@ -92,9 +95,14 @@
     """The suspicions recorded by one process.
 
     Above `MAX_SUSPICIONS`, the least recently updated ones are removed.
+
+    Attributes:
+        by_fingerprint: Suspicions in the order of their latest changes.
+        revision: Number of changes so far.
     """
 
     def __init__(self) -> None:
+        self.revision = 0
         self.by_fingerprint: OrderedDict[int, Suspicion] = OrderedDict()
 
     def __iter__(self) -> Iterator[Suspicion]:
@@ -112,17 +120,26 @@
         cleared: Iterable[str] = (),
     ) -> bool:
         """Add crashes and clearances of a request; return whether any is new."""
-        recorded = self.by_fingerprint.setdefault(fingerprint, Suspicion(fingerprint))
+        recorded = self.get(fingerprint)
         new = set(crashes) - recorded.crashes, set(cleared) - recorded.cleared
-        recorded.crashes |= new[0]
-        recorded.cleared |= new[1]
         if not any(new):
             return False
+        recorded.crashes |= new[0]
+        recorded.cleared |= new[1]
+        self.revision += 1
+        recorded.revision = self.revision
+        self.by_fingerprint[fingerprint] = recorded
         self.by_fingerprint.move_to_end(fingerprint)
         while len(self.by_fingerprint) > MAX_SUSPICIONS:
             self.by_fingerprint.popitem(last=False)
         return True
 
+    def changed_since(self, revision: int) -> list[Suspicion]:
+        """Return the suspicions that changed after a revision, oldest change first."""
+        newest_first = reversed(self.by_fingerprint.values())
+        changed = takewhile(lambda recorded: recorded.revision > revision, newest_first)
+        return list(changed)[::-1]
+
     def merge_message(self, message: pb.Suspect) -> bool:
         """Add the content of a peer's message; return whether any of it is new."""
         return self.merge(message.fingerprint, message.crash_ids, message.cleared_ids)
--- a/packages/skylarkdoor/tests/test_suspicion.py
+++ b/packages/skylarkdoor/tests/test_suspicion.py
@@ -47,6 +47,20 @@
         names = [crashed_incarnation(crash) for crash in ids]
         assert names[0] == names[1] != names[2]
 
+    def test_changed_since(self) -> None:
+        """The suspicions changed since a revision are listed, oldest change first."""
+        suspicions = Suspicions()
+        for fingerprint in (1, 2, 3):
+            suspicions.merge(fingerprint, CRASHES[:1])
+        since = suspicions.revision
+        assert not suspicions.changed_since(since)
+        suspicions.merge(3, CRASHES[1:2])
+        suspicions.merge(1, CRASHES[1:2])
+        suspicions.merge(2, CRASHES[:1])
+        changed = suspicions.changed_since(since)
+        assert [suspicion.fingerprint for suspicion in changed] == [3, 1]
+        assert changed[-1].revision == suspicions.revision
+
     @given(updates=st.lists(st.tuples(subsets, subsets)), data=st.data())
     def test_order(self, updates, data) -> None:
         """Processes reach the same state whatever the order of the updates."""
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_crashes.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_crashes.py
@@ -12,6 +12,7 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from skylarkdoor import events
 from skylarkdoor.hashing import fingerprint
@@ -36,7 +37,7 @@
 # seconds to start again.
 SAME_CRASH_S = 2.0
 # Limits the size of an update sent to other entries.
-MAX_REPORTED_SUSPECTS = 50
+MAX_REPORTED_SUSPECTS = 100
 
 # Instance of an upstream and Unix time of its start in milliseconds.
 Incarnation = tuple[str, int]
@@ -64,6 +65,18 @@
     return False
 
 
+class SuspicionReport(NamedTuple):
+    """Suspicions to be sent to another entry.
+
+    Attributes:
+        suspects: The suspicions.
+        revision: Revision up to which the receiver then knows all.
+    """
+
+    suspects: list[pb.Suspect]
+    revision: int
+
+
 @dataclass
 class Watched:
     """An incarnation of an upstream, with the requests to suspect if it crashed.
@@ -269,12 +282,17 @@
             )
         watched.unanswered.clear()
 
-    def report(self) -> list[pb.Suspect]:
-        """Return the latest suspicions, to be sent to other entries."""
-        reported = [
-            suspicion.message() for suspicion in self.suspicions if suspicion.crashes
-        ]
-        return reported[-MAX_REPORTED_SUSPECTS:]
+    def report(self, since: int = 0) -> SuspicionReport:
+        """Return the suspicions that changed after a revision, for another entry.
+
+        At most `MAX_REPORTED_SUSPECTS` are returned; the next report continues after
+        them.
+        """
+        changed = self.suspicions.changed_since(since)[:MAX_REPORTED_SUSPECTS]
+        if not changed:
+            return SuspicionReport([], since)
+        messages = [suspicion.message() for suspicion in changed]
+        return SuspicionReport(messages, changed[-1].revision)
 
     def merge(self, suspects: Iterable[pb.Suspect]) -> None:
         """Add the suspicions reported by another entry."""
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
@@ -58,6 +58,7 @@
         self.is_outbound = is_outbound
         self.instance = ""
         self.has_sent_totals = False
+        self.suspicions_sent = 0
 
     def opening_messages(self) -> list[pb.EntryNews]:
         return []
@@ -67,6 +68,9 @@
         if not self.has_sent_totals:
             self.has_sent_totals = True
             update.totals.update(self.exchange.members.quota.totals())
+        report = self.exchange.members.crashes.report(self.suspicions_sent)
+        update.suspects.extend(report.suspects)
+        self.suspicions_sent = report.revision
         for message in messages:
             update.rows.extend(message.rows)
         return update
@@ -87,6 +91,7 @@
     def on_lost(self, *, is_silent: bool) -> None:
         self.exchange.outboxes.discard(self.outbox())
         self.has_sent_totals = False
+        self.suspicions_sent = 0
         if self.instance:
             self.exchange.members.on_stream_end(self.instance, is_silent=is_silent)
             self.exchange.on_stream_lost(self)
@@ -264,7 +269,6 @@
             used=self.members.quota.report_used(),
             age_ms=self.members.age_ms(),
             knows_past=self.members.quota.covers_window(),
-            suspects=self.members.crashes.report(),
         )
         if request_from and self.members.is_behind(request_from):
             update.wanted.config_since = fleet.config_version
--- a/packages/skylarkdoord/tests/direct/test_crashes.py
+++ b/packages/skylarkdoord/tests/direct/test_crashes.py
@@ -83,7 +83,7 @@
         for number in range(MAX_CRASHES):
             await lose_answer(crashes, f"i-{number}", 7)
         assert not crashes.is_quarantined(7)
-        assert crashes.report() == []
+        assert crashes.report().suspects == []
 
     async def test_one_crash(self):
         """Each request in flight counts a crash once, even if it lost two answers."""
@@ -94,7 +94,8 @@
             crashes.on_answer_lost(record, fingerprint)
         await asyncio.gather(*crashes.checks)
         reported = {
-            suspect.fingerprint: suspect.crashes for suspect in crashes.report()
+            suspect.fingerprint: suspect.crashes
+            for suspect in crashes.report().suspects
         }
         assert reported == {7: 1, 8: 1}
 
@@ -106,7 +107,7 @@
             now = 1.8e9 + number
             monkeypatch.setattr("skylarkdoor._suspicion.time.time", lambda now=now: now)
             await lose_answer(crashes, "i-1", 7)
-            entries[0].merge(crashes.report())
+            entries[0].merge(crashes.report().suspects)
         assert len(entries[0].suspicions.get(7).crashes) == MAX_CRASHES
         assert not entries[0].is_quarantined(7)
 
@@ -116,11 +117,11 @@
         crashes, other = make_crashes(down=True), make_crashes(down=True)
         for number in range(MAX_CRASHES - 1):
             await lose_answer(crashes, f"i-{number}", 7)
-        other.merge(crashes.report())
+        other.merge(crashes.report().suspects)
         crashes.on_answered(7)
         await lose_answer(crashes, "i-9", 7)
         assert not crashes.is_quarantined(7)
-        other.merge(crashes.report())
+        other.merge(crashes.report().suspects)
         assert not other.is_quarantined(7)
 
     async def test_other_entries(self):
@@ -130,9 +131,9 @@
             await lose_answer(crashes, f"i-{number}", 7)
         last = entries[-1]
         for _ in range(2):
-            last.merge(entries[0].report())
+            last.merge(entries[0].report().suspects)
             assert not last.is_quarantined(7)
-        last.merge(entries[1].report())
+        last.merge(entries[1].report().suspects)
         assert last.is_quarantined(7)
 
     async def test_probe(self):
--- a/packages/skylarkdoord/tests/direct/test_streams.py
+++ b/packages/skylarkdoord/tests/direct/test_streams.py
@@ -7,6 +7,7 @@
 from grpclib.protocol import Connection
 
 from skylarkdoor.kernel import Kernel
+from skylarkdoor.suspicion import crash_id
 from skylarkdoor_bench.testing import free_port
 from skylarkdoord.direct import FleetConfig, Row, Rows, Service
 from skylarkdoord.direct._crashes import Crashes
@@ -31,6 +32,8 @@
     make_settings,
 )
 
+SUSPECTS = 250
+
 
 async def until(condition):
     """Wait until a condition holds."""
@@ -135,6 +138,37 @@
         await until(lambda: len(a.exchange.outboxes) == 2)
         await until(lambda: len(c.exchange.outboxes) == 2)
 
+    # Guards against suspicions that are pushed out of an update by later ones.
+    async def test_suspicions(self, entries):
+        """All suspicions reach the other entries, once."""
+        a, b = await entries("a", "b")
+        await until(lambda: a.exchange.outboxes and b.exchange.outboxes)
+        received = []
+        updates = []
+        merge = b.members.crashes.merge
+
+        def record(suspects):
+            updates.append(len(suspects))
+            received.extend(suspects)
+            merge(suspects)
+
+        b.members.crashes.merge = record
+        for fingerprint in range(SUSPECTS):
+            a.members.crashes.suspicions.merge(fingerprint, [crash_id("i-1", 1, 1)])
+        known = b.members.crashes.suspicions
+        await until(lambda: len(list(known)) == SUSPECTS)
+        later = len(updates) + 3
+        await until(lambda: len(updates) >= later)
+        assert len(received) == SUSPECTS
+
+    # Guards against suspicions that only the streams open at the time receive.
+    async def test_suspicions_at_start(self, entries):
+        """An entry that starts receives the suspicions of the others."""
+        (a,) = await entries("a")
+        a.members.crashes.suspicions.merge(7, [crash_id("i-1", 1, 1)])
+        (b,) = await entries("b")
+        await until(lambda: b.members.crashes.count(7) == 1)
+
     async def test_use(self, entries):
         """Use by one entry counts at the other."""
         a, b = await entries("a", "b")
