Record suspicions in the store

Entries kept suspicions in memory and sent them over their streams only. A request that crashes upstreams was forgotten when all entries started anew, and entries that were cut off from each other but reached the store and the upstreams counted its crashes each for itself, so it crashed up to three upstreams for each entry. Class: state that has to outlast a process, or a partition, kept in memory.

Each entry now writes what it observed to a row of the table suspects and watches the rows of the others. StoreCalls, which counts a table's calls and logs its loss, is shared with the limit records.

--- a/packages/skylarkdoor/src/skylarkdoor/_suspicion.py
+++ b/packages/skylarkdoor/src/skylarkdoor/_suspicion.py
@@ -76,6 +76,11 @@
         """Whether the request may run only while no other request does."""
         return bool(self.open)
 
+    @property
+    def is_expired(self) -> bool:
+        """Whether no crash is recent enough to count."""
+        return not any(map(is_fresh, self.crashes))
+
     @property
     def is_quarantined(self) -> bool:
         """Whether the request must not run at all."""
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_adapter.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_adapter.py
@@ -48,7 +48,7 @@
 class Store(Protocol):
     """Client of the platform's store.
 
-    The tables are `config`, `upstreams`, `members` and `limits`.
+    The tables are `config`, `upstreams`, `members`, `limits` and `suspects`.
     """
 
     async def read(self, table: str) -> Rows:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_crashes.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_crashes.py
@@ -16,7 +16,12 @@
 
 from skylarkdoor import events
 from skylarkdoor.hashing import fingerprint
-from skylarkdoor.suspicion import Suspicions, crash_id, crashed_incarnation
+from skylarkdoor.suspicion import (
+    Suspicion,
+    Suspicions,
+    crash_id,
+    crashed_incarnation,
+)
 from skylarkdoor.wire import pb
 from skylarkdoord import _events
 from skylarkdoord.direct._model import Admitted, UpstreamRecord
@@ -128,6 +133,8 @@
 
     Attributes:
         suspicions: Crashes of which each request is suspected.
+        observed: Those of the suspicions, and of their clearances, that this entry
+            observed itself.
         watched: Upstreams with requests in flight or without an answer.
         checks: Tasks of the pending checks.
     """
@@ -143,6 +150,7 @@
         self.find = find
         self.clock = clock
         self.suspicions = Suspicions()
+        self.observed = Suspicions()
         self.watched: dict[Incarnation, Watched] = {}
         self.checks: set[asyncio.Task[None]] = set()
         self.log = events.get_logger("direct.crashes")
@@ -171,7 +179,7 @@
         crashes = self.suspicions.get(fingerprint).open
         if not crashes:
             return
-        self.suspicions.merge(fingerprint, (), crashes)
+        self.observe(fingerprint, crashes, crashes)
         self.log.event(
             _events.REQUEST_CLEARED,
             fingerprint=f"{fingerprint:016x}",
@@ -273,7 +281,7 @@
         record = watched.record
         crash = crash_id(record.instance, record.started_ms, watched.crashes)
         for suspect in watched.suspects():
-            self.suspicions.merge(suspect, [crash])
+            self.observe(suspect, [crash])
             self.log.event(
                 _events.REQUEST_SUSPECTED,
                 fingerprint=f"{suspect:016x}",
@@ -282,6 +290,19 @@
             )
         watched.unanswered.clear()
 
+    def observe(
+        self, fingerprint: int, crashes: Iterable[str], cleared: Iterable[str] = ()
+    ) -> None:
+        """Add crashes and clearances of a request that this entry observed."""
+        crashes, cleared = list(crashes), list(cleared)
+        self.observed.merge(fingerprint, crashes, cleared)
+        self.suspicions.merge(fingerprint, crashes, cleared)
+
+    def restore(self, observed: Iterable[Suspicion]) -> None:
+        """Add what a former incarnation of this entry observed."""
+        for suspicion in observed:
+            self.observe(suspicion.fingerprint, suspicion.crashes, suspicion.cleared)
+
     def report(self, since: int = 0) -> SuspicionReport:
         """Return the suspicions that changed after a revision, for another entry.
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_limit_records.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_limit_records.py
@@ -19,8 +19,8 @@
 from skylarkdoord import _events
 from skylarkdoord.direct._adapter import Row, Rows, Store
 from skylarkdoord.direct._members import LIVE_TIMEOUT_S, Members
-from skylarkdoord.direct._metrics import STORE_CALLS
 from skylarkdoord.direct._model import MS_PER_S
+from skylarkdoord.direct._store_calls import StoreCalls
 from skylarkdoord.direct.exceptions import StoreError
 
 LIMITS = "limits"
@@ -94,12 +94,12 @@
         self.quota = members.quota
         self.clock = clock
         self.started = clock()
-        self.is_failing = False
         self.has_written = False
         # The store's clock minus this machine's, in seconds.
         self.clock_offset_s = 0.0
         self.recorded: dict[str, float] = {}
         self.log = events.get_logger("direct.limit_records")
+        self.calls = StoreCalls(LIMITS, self.log)
 
     async def start(self, kernel: Kernel) -> None:
         """Start the task that reads and writes records."""
@@ -127,7 +127,7 @@
                 rows = await self.store.read(LIMITS)
                 break
             except StoreError as error:
-                self.on_store_failure(error)
+                self.calls.on_failure(error)
                 await asyncio.sleep(backoff.delay_s())
         self.on_store_answer(rows.clock_s)
         for row in rows.rows:
@@ -203,7 +203,7 @@
         try:
             clock_s = await self.store.put(LIMITS, self.instance, record.encode())
         except StoreError as error:
-            self.on_store_failure(error)
+            self.calls.on_failure(error)
             return
         self.has_written = True
         self.recorded = used_since_start
@@ -214,14 +214,7 @@
         try:
             await self.store.remove(LIMITS, key)
         except StoreError as error:
-            self.on_store_failure(error)
-
-    def on_store_failure(self, error: StoreError) -> None:
-        """Count a failed call; log the first one after a success."""
-        STORE_CALLS.labels(LIMITS, "failed").inc()
-        if not self.is_failing:
-            self.log.event(_events.STORE_LOST, table=LIMITS, error=str(error))
-        self.is_failing = True
+            self.calls.on_failure(error)
 
     def on_store_answer(self, clock_s: float) -> None:
         """Count a successful call and synchronize with the store's clock.
@@ -229,11 +222,8 @@
         Args:
             clock_s: The store's clock in its response, in seconds.
         """
-        STORE_CALLS.labels(LIMITS, "ok").inc()
+        self.calls.on_answer()
         self.clock_offset_s = clock_s - self.clock()
-        if self.is_failing:
-            self.log.event(_events.STORE_REGAINED, table=LIMITS)
-        self.is_failing = False
 
 
 def _most_used(
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -16,6 +16,7 @@
 from skylarkdoord.direct._retry_limiter import RetryLimiter
 from skylarkdoord.direct._scheduler import Scheduler
 from skylarkdoord.direct._settings import DirectSettings
+from skylarkdoord.direct._suspect_records import SuspectRecords
 from skylarkdoord.direct._upstreams import Upstreams
 from skylarkdoord.direct._watch import FleetWatcher
 from skylarkdoord.direct.process import Apply
@@ -73,6 +74,7 @@
     kernel.register(watcher)
     kernel.register(exchange)
     kernel.register(LimitRecords(settings.instance, store, members))
+    kernel.register(SuspectRecords(settings.instance, store, crashes))
     kernel.register(guards)
     callers = CallerServer(settings, fleet, dependencies)
     kernel.register(callers)
--- a/packages/skylarkdoord/tests/direct/test_limit_records.py
+++ b/packages/skylarkdoord/tests/direct/test_limit_records.py
@@ -151,7 +151,7 @@
         """Without a record the limit grows in the course of a window."""
         store.is_down = True
         entry = Incarnation(clock, store)
-        entry.records.on_store_failure(StoreError("down"))
+        entry.records.calls.on_failure(StoreError("down"))
         sent = await entry.serve(4.0)
         assert len(sent) * 10 <= 800 * 0.6
 
--- a/tests/adapter/test_retries.py
+++ b/tests/adapter/test_retries.py
@@ -107,6 +107,24 @@
         assert status == 503
         assert sum(len(server.requests) for server in servers) == MAX_CRASHES
 
+    # Guards against crashes that are forgotten when all entries start anew.
+    async def test_restart(self, start, store):
+        """Crashes before a restart of the only entry count after it."""
+        servers = [CrashingServer() for _ in range(MAX_CRASHES + 1)]
+        async with contextlib.AsyncExitStack() as running:
+            for server in servers:
+                await running.enter_async_context(server)
+            for _ in range(MAX_CRASHES + 1):
+                async with start([ONCE], servers) as caller:
+                    services = caller.entry.kernel.services
+                    records = services["suspect_records"]
+                    await records.has_read.wait()
+                    await caller.get()
+                    crashes = services["callers"].dependencies.crashes
+                    await asyncio.gather(*crashes.checks)
+                    await caller.entry.until(lambda r=records: not r.is_due())
+        assert sum(len(server.requests) for server in servers) == MAX_CRASHES
+
     # Guards against a check at admission only, which misses requests in a queue.
     async def test_quarantined_in_queue(self, start):
         """A request that is quarantined while it waits for a slot is not sent."""
