--- a/packages/skylarkdoord/src/skylarkdoord/direct/_suspect_records.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_suspect_records.py
@@ -25,6 +25,8 @@
 RECORD_INTERVAL_S = 0.5
 # Longest wait of a watch call without changes.
 WATCH_WAIT_S = 15.0
+# Pause after a change, so that the records of several entries come in one response.
+PAUSE_S = 1.0
 # Most requests in one record, which has to fit into a row; the latest are kept.
 MAX_RECORDED = 200
 
@@ -118,6 +120,8 @@
                 await self.remove_expired(rows)
             version = rows.version
             self.has_read.set()
+            if rows.rows:
+                await asyncio.sleep(PAUSE_S)
 
     async def next_rows(self, version: int | None) -> Rows:
         """Return the rows changed since a version, or all rows if it is None.
--- a/packages/skylarkdoord/tests/direct/test_suspect_records.py
+++ b/packages/skylarkdoord/tests/direct/test_suspect_records.py
@@ -19,8 +19,9 @@
 
 
 @pytest.fixture(autouse=True)
-def no_record_interval(monkeypatch):
-    """Write records without delay."""
+def no_pauses(monkeypatch):
+    """Write and read records without delay."""
+    monkeypatch.setattr(_suspect_records, "PAUSE_S", 0.0)
     monkeypatch.setattr(_suspect_records, "RECORD_INTERVAL_S", 0.01)
 
 
