Soak: a request that crashes each server that runs it

One caller repeats a GET that closes its server's connections and restarts it under a new start; it may crash three, and three more after 3 s under faults as the users' rule has it, none once the faults are over. The faults of a seed stay as they were.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -21,7 +21,7 @@
     for number in range(seed, seed + runs):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{number}-"))
         result = asyncio.run(Soak(number, folder).run(seconds))
-        click.echo(f"seed {number}: {result.outcomes}")
+        click.echo(f"seed {number}: {result.outcomes}, {result.crashes} crashes")
         for fault in result.faults if result.broken else ():
             click.echo(f"  {fault}")
         for broken in result.broken:
--- a/tests/soak/_environment.py
+++ b/tests/soak/_environment.py
@@ -16,6 +16,13 @@
 REPORT_PATH = "/report"
 EVENT_INTERVAL_S = 0.03
 TICK_INTERVAL_S = 0.02
+POISON_TARGET = "/lookup/poison"
+POISON_INTERVAL_S = 0.5
+# Crashes by one request after which it is refused, the time within which all entries
+# know of them, and the crashes after that time which faults excuse.
+MAX_CRASHES = 3
+KNOWN_WITHIN_S = 3.0
+MAX_LATE_CRASHES = 3
 # The time by which a tick exceeds this counts as a stall of the machine.
 MAX_TICK_S = 0.2
 
@@ -76,6 +83,7 @@
     Attributes:
         runs: Number of runs of each request.
         outcomes: Number of calls by status or type of error.
+        crashes: Times at which the poison request crashed a server.
         not_run: Requests that were reported as not run.
         broken: Violated guarantees, each as a message.
         clock: Clock for the time limits that are checked.
@@ -85,9 +93,20 @@
         self.clock = MachineClock()
         self.runs = Counter()
         self.outcomes = Counter()
+        self.crashes = []
         self.not_run = set()
         self.broken = []
 
+    def check_crashes(self, faults_ended_at):
+        """Check that the poison request crashed no server once it was quarantined."""
+        if len(self.crashes) < MAX_CRASHES:
+            return
+        known_at = self.crashes[MAX_CRASHES - 1] + KNOWN_WITHIN_S
+        late = [at for at in self.crashes if at > known_at]
+        unexcused = [at for at in late if at > faults_ended_at + KNOWN_WITHIN_S]
+        if len(late) > MAX_LATE_CRASHES or unexcused:
+            self.broken.append(f"the poison request crashed servers at {self.crashes}")
+
     def check_runs(self):
         """Check, after a run, that requests reported as not run were not run."""
         for call in self.not_run:
@@ -101,11 +120,15 @@
     Args:
         observations: Where runs and violations are recorded.
         rng: Source of the random run times.
+        crash: Called with this server when it runs the poison request.
     """
 
-    def __init__(self, observations, rng):
+    def __init__(self, observations, rng, crash):
         self.observations = observations
         self.rng = rng
+        self.crash = crash
+        self.born = 1
+        self.is_down = False
         self.drained_at = None
         self.running = 0
         self.server = Server(self.handle)
@@ -127,6 +150,9 @@
     async def run(self, request, writer):
         """Run one request."""
         (call,) = request.header("Attempt-Id")
+        if request.target == POISON_TARGET:
+            self.crash(self)
+            return
         kind = KINDS_BY_NAME[request.target.split("/")[1]]
         if (
             self.drained_at is not None
@@ -185,6 +211,20 @@
                 await self.call(session, kind, f"{kind.name}-{number}-{count}")
                 await asyncio.sleep(self.rng.uniform(0.0, 0.05))
 
+    async def run_poison(self):
+        """Send the request that crashes servers until cancelled."""
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while True:
+                url = self.rng.choice(self.urls) + POISON_TARGET
+                headers = {"Host": HOST, "Attempt-Id": "poison", "Deadline-Ms": "3000"}
+                try:
+                    async with session.get(url, headers=headers) as response:
+                        self.observations.outcomes[f"poison {response.status}"] += 1
+                except (aiohttp.ClientError, TimeoutError, OSError) as error:
+                    self.observations.outcomes[f"poison {type(error).__name__}"] += 1
+                await asyncio.sleep(POISON_INTERVAL_S)
+
     async def call(self, session, kind, call):
         """Send one request and check its response."""
         url = f"{self.rng.choice(self.urls)}/{kind.name}/{call}"
@@ -217,6 +257,7 @@
     async def running(self, count):
         """Run this many callers in the background."""
         tasks = [asyncio.create_task(self.run(number)) for number in range(count)]
+        tasks.append(asyncio.create_task(self.run_poison()))
         try:
             yield
         finally:
--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -37,11 +37,13 @@
         broken: Violated guarantees, each as a message.
         outcomes: Number of calls by status or type of error.
         faults: Injected faults, each with its time in seconds since the start.
+        crashes: Number of crashes by the poison request.
     """
 
     broken: list[str]
     outcomes: dict
     faults: list[str]
+    crashes: int
 
 
 class Daemon:
@@ -120,6 +122,8 @@
 
     def __init__(self, seed, folder):
         self.rng = new_rng(seed, "faults")
+        self.crash_rng = new_rng(seed, "crashes")
+        self.restarts = set()
         self.seed = seed
         self.folder = folder
         self.observations = Observations()
@@ -133,7 +137,8 @@
         guard_port = free_port()
         self.backends, self.proxies, self.daemons = [], [], []
         for number in range(1, ENGINES + 1):
-            backend = Backend(self.observations, new_rng(self.seed, f"server {number}"))
+            rng = new_rng(self.seed, f"server {number}")
+            backend = Backend(self.observations, rng, self.crash)
             await backend.server.__aenter__()
             host, port = backend.server.address.split(":")
             # Each engine has its own address, which its guard shares.
@@ -142,8 +147,7 @@
             self.backends.append(backend)
             self.proxies.append(proxy)
             self.daemons.append(self.guard(number, guard_port, f"{host}:{port}"))
-            row = server_row(backend.server, service="engines", slots=4)
-            await self.store.put("servers", f"i-{number}", row)
+            await self.publish(backend)
         await self.store.put("op", "config", self.config())
         store = self.store.address.split(":")
         self.store_proxies = [Proxy(LOOPBACK, (store[0], int(store[1])))]
@@ -156,6 +160,39 @@
         for daemon in self.daemons:
             await daemon.start()
 
+    async def publish(self, backend):
+        """Write a server's row."""
+        row = server_row(
+            backend.server,
+            service="engines",
+            slots=4,
+            born=backend.born,
+            state="ready" if backend.drained_at is None else "draining",
+        )
+        number = 1 + self.backends.index(backend)
+        await self.store.put("servers", f"i-{number}", row)
+
+    def crash(self, backend):
+        """Crash a server, unless it is down, and start it again after a while."""
+        if backend.is_down:
+            return
+        backend.is_down = True
+        self.observations.crashes.append(self.observations.clock.now)
+        self.record(f"the poison request crashes {backend.server.address}")
+        task = asyncio.create_task(self.restart(backend))
+        self.restarts.add(task)
+        task.add_done_callback(self.restarts.discard)
+
+    async def restart(self, backend):
+        """Close a server's connections, and accept new ones after a while."""
+        proxy = self.proxies[self.backends.index(backend)]
+        await proxy.stop()
+        await asyncio.sleep(self.crash_rng.uniform(1.0, 2.0))
+        backend.born += 1
+        await proxy.start(proxy.port)
+        backend.is_down = False
+        await self.publish(backend)
+
     def config(self, version=1):
         """Return the operator's configuration, with a route for each request kind."""
         routes = [
@@ -310,6 +347,7 @@
             await asyncio.sleep(START_S / 5)
             async with callers.running(CALLERS):
                 await self.inject_faults(seconds)
+                faults_ended_at = self.observations.clock.now
                 await asyncio.sleep(RECOVERY_S)
                 if self.observations.clock.now - callers.served_at > 1.0:
                     self.observations.broken.append(
@@ -317,6 +355,7 @@
                     )
                 await self.drain_server()
             self.check_processes()
+            self.observations.check_crashes(faults_ended_at)
         finally:
             ticking.cancel()
             await self.tear_down()
@@ -325,15 +364,18 @@
         )
         self.observations.check_runs()
         return Result(
-            self.observations.broken, dict(self.observations.outcomes), self.faults
+            self.observations.broken,
+            dict(self.observations.outcomes),
+            self.faults,
+            len(self.observations.crashes),
         )
 
     async def drain_server(self):
         """Drain a server and require that it soon gets no new requests."""
-        row = server_row(self.backends[0].server, service="engines", state="draining")
+        backend = self.backends[0]
         self.record("drain i-1")
-        await self.store.put("servers", "i-1", row)
-        self.backends[0].drained_at = self.observations.clock.now + DRAIN_S / 2
+        backend.drained_at = self.observations.clock.now + DRAIN_S / 2
+        await self.publish(backend)
         await asyncio.sleep(DRAIN_S)
 
     def check_processes(self):
@@ -344,6 +386,8 @@
 
     async def tear_down(self):
         """Stop everything that was started."""
+        for task in list(self.restarts):
+            task.cancel()
         for daemon in self.daemons:
             await daemon.kill()
         for proxy in (*self.proxies, *self.store_proxies[1:]):
