Judge long answers over ten groups of eight engines

TestLowestTierInRush failed at one engine with seed 1: 0.037 of the longest tenth served, bound 0.0445. Over seeds 1 to 120 the served share of the longest tenth is 0.68 of that of all, with a standard deviation of 0.162 and 16 seeds below 0.5; by chance alone, with 18 of 300 expected to be served, the deviation would be 0.159. So the failure is chance, and the check of a single engine (seeds 1 to 3) measured little.

It is replaced by ten groups of eight engines (seeds 1 to 80) for both parts, with the same bound of one half from the users' rule; the former check over eight engines is the first group.

--- a/packages/skylarkdoord/tests/direct/test_overload.py
+++ b/packages/skylarkdoord/tests/direct/test_overload.py
@@ -159,6 +159,7 @@
     REQUESTS = 3000
     # Short enough that the requests are several times what the slots can serve.
     SECONDS = 40.0
+    ENGINES = 8
     # Ranges of the longest tenth and of the fifth below it, as quantiles of length.
     TENTH = (0.9, 1.0)
     FIFTH_BELOW = (0.7, 0.9)
@@ -220,32 +221,23 @@
                 queue.withdraw("s", name)
         return tokens, served
 
-    @pytest.mark.parametrize("seed", [1, 2, 3])
+    @pytest.mark.parametrize("first_seed", range(1, 81, ENGINES))
     @pytest.mark.parametrize("part", [TENTH, FIFTH_BELOW])
-    def test_long_are_not_starved(self, seed, part):
-        """Long requests are served at least half as often as all requests."""
-        tokens, served = self.play(seed)
-        by_size = sorted(range(len(tokens)), key=tokens.__getitem__)
-        long = by_size[int(part[0] * len(tokens)) : int(part[1] * len(tokens))]
-        share = len(served.intersection(long)) / len(long)
-        assert share >= 0.5 * len(served) / len(tokens)
-
-    @pytest.mark.parametrize("part", [TENTH, FIFTH_BELOW])
-    def test_over_eight_engines(self, part):
+    def test_long_are_not_starved(self, first_seed, part):
         """Long requests are served at least half as often as all, over eight engines.
 
         A single engine serves only about twenty of its longest tenth, too few for a
         reliable share.
         """
         served_long = all_long = served_all = 0
-        for seed in range(1, 9):
+        for seed in range(first_seed, first_seed + self.ENGINES):
             tokens, served = self.play(seed)
             by_size = sorted(range(len(tokens)), key=tokens.__getitem__)
             long = by_size[int(part[0] * len(tokens)) : int(part[1] * len(tokens))]
             served_long += len(served.intersection(long))
             all_long += len(long)
             served_all += len(served)
-        share = served_all / (8 * self.REQUESTS)
+        share = served_all / (self.ENGINES * self.REQUESTS)
         assert served_long / all_long >= 0.5 * share
 
 
