Soak: the store comes back from older copies

Every few seconds the store is away for up to 1 s and comes back from one of its last three copies, under a new era; a thousand versions are given out again, and the operator and the servers write again up to 1.5 s later, also while other faults last. At the end a route is removed, which every entry has to apply within 2 s, and a server drains just before the store comes back from a copy in which it is ready.

--- a/tests/soak/_environment.py
+++ b/tests/soak/_environment.py
@@ -128,6 +128,7 @@
         self.rng = rng
         self.crash = crash
         self.born = 1
+        self.sequence = 0
         self.is_down = False
         self.drained_at = None
         self.running = 0
--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 import json
 import re
 import signal
@@ -13,8 +14,11 @@
 from pathlib import Path
 from typing import NamedTuple
 
+import aiohttp
+from aiohttp import web
+
 from skylarkdoor_bench.testing import free_port
-from tests.adapter._standins import LOOPBACK, Store, config, route, server_row
+from tests.adapter._standins import HOST, LOOPBACK, Store, config, route, server_row
 
 from ._environment import KINDS, Backend, Callers, Observations, new_rng
 from ._proxy import Fault, Proxy
@@ -25,7 +29,14 @@
 START_S = 15.0
 RECOVERY_S = 6.0
 DRAIN_S = 4.0
+# Time after which a configuration has to be in force.
+CONFIG_S = 2.0
+RETIRED = "retired"
 STOP_TIMEOUT_S = 8.0
+# Copies of the store that it may come back from.
+COPIES = 3
+# Versions that it gives out again after that.
+LOST_VERSIONS = 1000
 INTERPRETER_TIMEOUT_S = 10.0
 POLL_S = 0.005
 
@@ -123,6 +134,10 @@
     def __init__(self, seed, folder):
         self.rng = new_rng(seed, "faults")
         self.crash_rng = new_rng(seed, "crashes")
+        self.drill_rng = new_rng(seed, "drills")
+        self.copies = collections.deque(maxlen=COPIES)
+        self.config_version = 1
+        self.is_retired = False
         self.restarts = set()
         self.seed = seed
         self.folder = folder
@@ -134,6 +149,7 @@
     async def set_up(self):
         """Start the store, servers, proxies and daemons."""
         await self.store.__aenter__()
+        self.store.era = 1
         guard_port = free_port()
         self.backends, self.proxies, self.daemons = [], [], []
         for number in range(1, ENGINES + 1):
@@ -162,11 +178,13 @@
 
     async def publish(self, backend):
         """Write a server's row."""
+        backend.sequence += 1
         row = server_row(
             backend.server,
             service="engines",
             slots=4,
             born=backend.born,
+            sequence=backend.sequence,
             state="ready" if backend.drained_at is None else "draining",
         )
         number = 1 + self.backends.index(backend)
@@ -211,6 +229,8 @@
             )
             for number, kind in enumerate(KINDS)
         ]
+        if not self.is_retired:
+            routes.append(route(RETIRED, service="engines"))
         engines = [{"name": "engines", "runtime": {"slots": 4}}]
         return config(*routes, version=version, services=engines)
 
@@ -311,9 +331,52 @@
 
     async def change_config(self):
         """Publish a new version of the configuration."""
-        version = self.store.version + 1
-        self.record(f"configuration {version}")
-        await self.store.put("op", "config", self.config(version))
+        self.config_version += 1
+        self.record(f"configuration {self.config_version}")
+        await self.store.put("op", "config", self.config(self.config_version))
+
+    async def retire_route(self):
+        """Remove a route and require that every entry soon applies that."""
+        self.is_retired = True
+        await self.change_config()
+        await asyncio.sleep(CONFIG_S)
+        headers = {"Host": HOST, "Attempt-Id": RETIRED, "Deadline-Ms": "500"}
+        async with aiohttp.ClientSession() as session:
+            for url in self.urls:
+                target = f"{url}/{RETIRED}/1"
+                async with session.get(target, headers=headers) as response:
+                    if response.status != web.HTTPNotFound.status_code:
+                        self.observations.broken.append(
+                            f"{url} still has the route {RETIRED}"
+                        )
+
+    async def drill_store(self):
+        """Let the store come back from older copies, again and again."""
+        while True:
+            await asyncio.sleep(self.drill_rng.uniform(2.0, 8.0))
+            self.copies.append(self.store.copy())
+            self.store.version += LOST_VERSIONS
+            await self.write_again()
+            await asyncio.sleep(self.drill_rng.uniform(0.0, 0.5))
+            status, self.store.status = self.store.status, 503
+            await asyncio.sleep(self.drill_rng.uniform(0.0, 1.0))
+            self.record(f"the store comes back older, era {self.store.era + 1}")
+            await self.store.come_back(self.drill_rng.choice(self.copies))
+            self.store.status = status
+            await asyncio.sleep(self.drill_rng.uniform(0.0, 1.5))
+            await self.write_again()
+
+    async def end_drill(self, drills):
+        """Wait for the cancelled drills, and leave the store in order."""
+        await asyncio.gather(drills, return_exceptions=True)
+        self.store.status = 200
+        await self.write_again()
+
+    async def write_again(self):
+        """Write what the operator and the servers wrote."""
+        await self.store.put("op", "config", self.config(self.config_version))
+        for backend in self.backends:
+            await self.publish(backend)
 
     async def inject_faults(self, seconds):
         """Inject faults for this time, some of them concurrently."""
@@ -346,13 +409,17 @@
         try:
             await asyncio.sleep(START_S / 5)
             async with callers.running(CALLERS):
+                drills = asyncio.create_task(self.drill_store())
                 await self.inject_faults(seconds)
+                drills.cancel()
+                await self.end_drill(drills)
                 faults_ended_at = self.observations.clock.now
                 await asyncio.sleep(RECOVERY_S)
                 if self.observations.clock.now - callers.served_at > 1.0:
                     self.observations.broken.append(
                         "no request was served after the faults"
                     )
+                await self.retire_route()
                 await self.drain_server()
             self.check_processes()
             self.observations.check_crashes(faults_ended_at)
@@ -371,12 +438,20 @@
         )
 
     async def drain_server(self):
-        """Drain a server and require that it soon gets no new requests."""
+        """Drain a server and require that it soon gets no new requests.
+
+        The store then comes back from a copy in which the server is ready.
+        """
         backend = self.backends[0]
+        older = self.store.copy()
         self.record("drain i-1")
         backend.drained_at = self.observations.clock.now + DRAIN_S / 2
         await self.publish(backend)
-        await asyncio.sleep(DRAIN_S)
+        await asyncio.sleep(DRAIN_S / 2)
+        await self.store.come_back(older)
+        await asyncio.sleep(DRAIN_S / 4)
+        await self.write_again()
+        await asyncio.sleep(DRAIN_S / 4)
 
     def check_processes(self):
         """Check that no process ended unexpectedly."""
