Use a server again that two copies of the store lacked

A server whose row is missing in the copy is gone after the grace period. If the store came back a second time before the server wrote its row again, that row counted as older than the removal and the server stayed unused until its next change. Found by the new state machine (store, operator, two servers and two entries with drills at any step); an absence in a copy is no word of the server itself, so its latest row is accepted again.

With the age of rows, or the era, taken out of the order it fails at once.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_fleet.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_fleet.py
@@ -27,13 +27,21 @@
         row: The row.
         record: The upstream that the row describes; None if the row was removed
             or cannot be decoded.
-        latest_data: Contents of the newest row that was not removed; None if there was
-            none.
+        latest: Newest row that was not removed; None if there was none.
     """
 
     row: Row
     record: UpstreamRecord | None
-    latest_data: bytes | None = None
+    latest: Row | None = None
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether the row is absent only because the store came back without it."""
+        return (
+            self.row.data is None
+            and self.latest is not None
+            and self.row.era > self.latest.era
+        )
 
 
 class MissingUpstream(NamedTuple):
@@ -162,10 +170,8 @@
         if previous is not None and self.is_outdated(row, previous):
             return
         record = self.decode(row)
-        latest = previous.latest_data if previous else None
-        self.cached_rows[row.key] = CachedRow(
-            row, record, latest if row.data is None else row.data
-        )
+        latest = row if row.data is not None else previous and previous.latest
+        self.cached_rows[row.key] = CachedRow(row, record, latest)
         self.missing.pop(row.key, None)
         if previous is None or previous.record != record:
             self.log.event(
@@ -185,16 +191,16 @@
         """
         if row.era <= cached.row.era:
             return row.changed_at <= cached.row.changed_at
-        if row.data is None or cached.latest_data is None:
-            return False
-        if row.data == cached.row.data:
+        latest = cached.latest.data if cached.latest else None
+        if row.data is None or latest is None or row.data == cached.row.data:
             return False
         try:
             age = self.adapter.upstream_age(row.data)
-            return age <= self.adapter.upstream_age(cached.latest_data)
+            latest_age = self.adapter.upstream_age(latest)
         except RowError:
             # `decode` reports a malformed row.
             return False
+        return age < latest_age if cached.is_lost else age <= latest_age
 
     def decode(self, row: Row) -> UpstreamRecord | None:
         """Decode an upstream's row; None if it was removed or cannot be decoded."""
--- /dev/null
+++ b/packages/skylarkdoord/tests/direct/test_store_history.py
@@ -0,0 +1,222 @@
+"""State machine: entries never go back, whatever copy the store comes back from."""
+
+import json
+import math
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from skylarkdoor.wire import pb
+from skylarkdoord.direct import FleetConfig, Row, Rows, Service, UpstreamAge
+from skylarkdoord.direct._crashes import Crashes
+from skylarkdoord.direct._fleet import CONFIG_KEY, Fleet
+from skylarkdoord.direct._members import Members
+from skylarkdoord.direct._quota import Quota
+from skylarkdoord.direct._settings import QuotaBounds
+
+from ._make import SERVICE, make_record, make_route
+
+ENTRIES = ("a", "b")
+UPSTREAMS = ("i-1", "i-2")
+READY, DRAINING = "ready", "draining"
+
+
+class StubAdapter:
+    """Decodes rows of plain JSON."""
+
+    def decode_config(self, data):
+        """Return a configuration with one service."""
+        services = {SERVICE: Service(SERVICE)}
+        return FleetConfig(json.loads(data), (make_route(),), services, ())
+
+    def decode_upstream(self, key, data):
+        """Return an upstream in the state that its row gives."""
+        state, born, _ = json.loads(data)
+        return make_record(key, is_draining=state == DRAINING, started_ms=born)
+
+    def upstream_age(self, data):
+        """Return the start and the count of reports that a row gives."""
+        _, born, sequence = json.loads(data)
+        return UpstreamAge(born, sequence)
+
+
+class ModelStore:
+    """The store: the current rows, and a version that drills give out again."""
+
+    def __init__(self):
+        self.era = 0
+        self.version = 0
+        self.rows = {}
+
+    def write(self, key, content):
+        """Write a row; None removes it."""
+        self.version += 1
+        if content is None:
+            self.rows.pop(key, None)
+            return
+        data = json.dumps(content).encode()
+        self.rows[key] = (self.version, data)
+
+    def read(self, *keys):
+        """Return the rows with these keys."""
+        rows = tuple(
+            Row(key, version, data, self.era)
+            for key, (version, data) in self.rows.items()
+            if key in keys
+        )
+        return Rows(rows, self.version, era=self.era)
+
+
+class ModelEntry:
+    """An entry, and what it has seen of upstreams that left."""
+
+    def __init__(self, name):
+        self.fleet = Fleet(StubAdapter())
+        self.members = Members(name, self.fleet, Quota(QuotaBounds()), Crashes())
+        self.era = 0
+        self.config_version = 0
+        self.left_at = {}
+
+    def listed(self):
+        """Return the age of each upstream that accepts requests."""
+        adapter = self.fleet.adapter
+        return {
+            record.instance: adapter.upstream_age(
+                self.fleet.cached_rows[record.instance].row.data
+            )
+            for record in self.fleet.upstreams(SERVICE)
+        }
+
+    def read(self, store):
+        """Read all tables of the store, with a grace period in a new era."""
+        for row in store.read(CONFIG_KEY).rows:
+            self.fleet.apply_config(row, source="store")
+        grace_until = 0.0 if store.era == self.era else math.inf
+        self.era = store.era
+        self.fleet.apply_snapshot(store.read(*UPSTREAMS), grace_until=grace_until)
+
+    def receive(self, other):
+        """Receive the rows that another entry has and this one lacks."""
+        fleet = self.fleet
+        requested = pb.RowsWanted(
+            config_since=fleet.config_at.number,
+            config_era=fleet.config_at.era,
+            upstreams_since=fleet.upstreams_at.number,
+            upstreams_era=fleet.upstreams_at.era,
+        )
+        self.members.apply_rows(other.members.newer_rows(requested), "other")
+
+    def check(self):
+        """Check that nothing went back, and record what is known now."""
+        config = self.fleet.routing.config.version if self.fleet.routing else 0
+        assert config >= self.config_version
+        self.config_version = config
+        listed = self.listed()
+        for instance, age in listed.items():
+            assert age > self.left_at.get(instance, UpstreamAge(0, 0))
+        for instance, cached in self.fleet.cached_rows.items():
+            # An upstream that the copy lacks was not seen to leave.
+            if instance in listed or cached.is_lost:
+                continue
+            if cached.latest is not None and instance not in self.fleet.missing:
+                age = self.fleet.adapter.upstream_age(cached.latest.data)
+                left_at = self.left_at.get(instance, age)
+                self.left_at[instance] = max(left_at, age)
+
+
+class StoreHistory(RuleBasedStateMachine):
+    """The operator, the servers, two entries and a store with drills."""
+
+    def __init__(self):
+        super().__init__()
+        self.store = ModelStore()
+        self.copies = []
+        self.entries = {name: ModelEntry(name) for name in ENTRIES}
+        self.config = 0
+        self.upstreams = dict.fromkeys(UPSTREAMS)
+        self.born = dict.fromkeys(UPSTREAMS, 0)
+
+    def write_again(self):
+        """Write what the operator and the servers wrote last."""
+        if self.config:
+            self.store.write(CONFIG_KEY, self.config)
+        for name, content in self.upstreams.items():
+            self.store.write(name, content)
+
+    def report(self, name, content):
+        """Let a server write its row."""
+        self.upstreams[name] = content
+        self.store.write(name, content)
+
+    @rule()
+    def change_config(self):
+        """Write a new configuration."""
+        self.config += 1
+        self.store.write(CONFIG_KEY, self.config)
+
+    @rule(name=st.sampled_from(UPSTREAMS))
+    def start_upstream(self, name):
+        """Start a server, or start it again."""
+        self.born[name] += 1
+        self.report(name, [READY, self.born[name], 1])
+
+    @rule(name=st.sampled_from(UPSTREAMS))
+    def drain_upstream(self, name):
+        """Let a server report that it leaves."""
+        if self.upstreams[name] is not None:
+            self.report(name, [DRAINING, self.born[name], 2])
+
+    @rule(name=st.sampled_from(UPSTREAMS))
+    def end_upstream(self, name):
+        """End a server, which removes its row."""
+        self.report(name, None)
+
+    @rule()
+    def copy(self):
+        """Copy the store."""
+        self.copies.append((dict(self.store.rows), self.store.version))
+
+    @rule(data=st.data())
+    def come_back(self, data):
+        """Let the store come back from a copy."""
+        if self.copies:
+            rows, version = data.draw(st.sampled_from(self.copies))
+            self.store.rows, self.store.version = dict(rows), version
+            self.store.era += 1
+
+    @rule(name=st.sampled_from(ENTRIES))
+    def read(self, name):
+        """Let an entry read the store."""
+        self.entries[name].read(self.store)
+
+    @rule(name=st.sampled_from(ENTRIES))
+    def exchange(self, name):
+        """Let an entry receive rows from the other."""
+        (other,) = (one for key, one in self.entries.items() if key != name)
+        self.entries[name].receive(other)
+
+    @rule()
+    def settle(self):
+        """Once all is written again and read, the entries know what is true."""
+        self.write_again()
+        ready = {
+            name: UpstreamAge(self.born[name], 1)
+            for name, content in self.upstreams.items()
+            if content is not None and content[0] == READY
+        }
+        for entry in self.entries.values():
+            entry.read(self.store)
+            entry.read(self.store)
+            assert entry.listed() == ready
+            assert not self.config or entry.fleet.table.config.version == self.config
+
+    @invariant()
+    def nothing_goes_back(self):
+        """Configurations and upstreams never go back at any entry."""
+        for entry in self.entries.values():
+            entry.check()
+
+
+StoreHistory.TestCase.settings = settings(max_examples=300, stateful_step_count=40)
+TestStoreHistory = StoreHistory.TestCase
--- a/tests/adapter/test_store_era.py
+++ b/tests/adapter/test_store_era.py
@@ -185,6 +185,19 @@
                 await store.come_back(older)
                 await caller.entry.until(lambda: not list(fleet.upstreams("desk")))
 
+    # Guards against a server that stays unused because two copies lacked it.
+    async def test_written_late(self, start, store):
+        """A server that two copies lacked is used once it writes its row again."""
+        async with Server(reply()) as server:
+            older = store.copy()
+            async with start([route()], [server]) as caller:
+                fleet = fleet_of(caller)
+                await store.come_back(older)
+                await caller.entry.until(lambda: not list(fleet.upstreams("desk")))
+                await store.come_back(older)
+                await store.put("servers", "i-0", server_row(server))
+                await caller.entry.until(lambda: list(fleet.upstreams("desk")))
+
 
 class TestOwnRows:
     """The rows that entries write themselves."""
