Read the request of explain from an object

'skylarkdoor explain' always ended with 'Expected `array`, got `object`': msgspec reads a NamedTuple from arrays only. The body is now checked like settings, which also names the path of a malformed field. No test called the route over HTTP; test_explain does, and failed before with exit code 3.

--- a/packages/skylarkdoor-client/tests/test_process.py
+++ b/packages/skylarkdoor-client/tests/test_process.py
@@ -124,3 +124,14 @@
         after = await client.run("status")
         (line,) = [line for line in after.output.splitlines() if SIDECAR in line]
         assert "leaving" in line
+
+    # Guards against a request that no entry can read.
+    async def test_explain(self, client):
+        """The sidecars to which a request would be offered are shown, best first."""
+        query = ("--team", "gardens", "--customer", "teika-garden")
+        model = ("--model", "garden-7b", "--prompt-tokens", "100")
+        ended = await client.run("explain", *query, *model)
+        assert (ended.status, ended.errors) == (ExitCode.OK, "")
+        assert SIDECAR in ended.output
+        absent = await client.run("explain", *query, "--model", "none")
+        assert absent.status == ExitCode.ABSENT
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_explain.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_explain.py
@@ -6,7 +6,13 @@
 from aiohttp import web
 
 from skylarkdoor.kernel import Kernel
-from skylarkdoor.settings import Pool, ProcessSettings, ResolvedCustomer, team_path
+from skylarkdoor.settings import (
+    Pool,
+    ProcessSettings,
+    ResolvedCustomer,
+    convert,
+    team_path,
+)
 from skylarkdoord.admin import authenticate, handle_errors
 from skylarkdoord.admin.exceptions import AbsentError, InvalidError, Problem
 from skylarkdoord.common import InternalServer, SettingsService
@@ -120,16 +126,18 @@
         Raises:
             UnauthorizedError: The request carries no operator token.
             ScopeError: The team is outside the operator's scope.
-            InvalidError: The request body is malformed.
+            InvalidError: The request body is not JSON.
+            SettingsError: A field of the request body is malformed.
             AbsentError: The customer does not exist or has no such pool.
         """
         hashes = self.settings.operator_token_hashes
         fleet = self.settings_service.view.fleet
         operator = authenticate(raw.headers, fleet, hashes)
         try:
-            explain_request = msgspec.convert(await raw.json(), ExplainRequest)
-        except (ValueError, msgspec.ValidationError) as error:
+            document = await raw.json()
+        except ValueError as error:
             raise InvalidError([Problem("", str(error))]) from None
+        explain_request = convert(document, ExplainRequest)
         operator.require(team_path(explain_request.team))
         explanation = self.explain(explain_request)
         if explanation is None:
