--- a/packages/skylarkdoord/src/skylarkdoord/common/_settings_poll.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_settings_poll.py
@@ -104,7 +104,10 @@
         except PlatformError as error:
             self.log.event(_events.SETTINGS_POLL_FAILED, error=str(error))
             return False
-        for path, row in snapshot.decode(stored).items():
+        read = snapshot.decode(stored)
+        for path, reason in read.rejected.items():
+            self.log.event(_events.SETTINGS_REJECTED, path=path, error=reason)
+        for path, row in read.rows.items():
             self.sink.apply_row(path, row)
         return True
 
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_snapshot.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_snapshot.py
@@ -14,6 +14,7 @@
 from skylarkdoord import _events
 from skylarkdoord.common import Platform, SettingsService
 from skylarkdoord.common import _snapshot as snapshot
+from skylarkdoord.common._rows import SettingsRow
 
 # Limits the random delay of the first check after the start.
 FIRST_CHECK_S = 30.0
@@ -71,7 +72,7 @@
         self.update_due.clear()
         try:
             stored = await self._read()
-            stored_rows = snapshot.decode(stored.data) if stored else {}
+            stored_rows = self.decode(stored.data) if stored else {}
             merged = snapshot.merge(stored_rows, self.settings.rows)
             if merged != stored_rows:
                 etag = stored.etag if stored else None
@@ -85,6 +86,13 @@
             self.log.event(_events.SNAPSHOT_FAILED, error=str(error))
             return False
 
+    def decode(self, data: bytes) -> dict[str, SettingsRow]:
+        """Return the valid rows of a snapshot by path, and log the others."""
+        read = snapshot.decode(data)
+        for path, error in read.rejected.items():
+            self.log.event(_events.SETTINGS_REJECTED, path=path, error=error)
+        return read.rows
+
     async def _read(self) -> StoredObject | None:
         try:
             return await self.objects.read(snapshot.KEY)
--- a/packages/skylarkdoord/tests/entry/test_snapshot.py
+++ b/packages/skylarkdoord/tests/entry/test_snapshot.py
@@ -1,5 +1,7 @@
 """Tests of the updates of the settings snapshot."""
 
+import json
+
 from skylarkdoor.clients import ObjectAbsent, ObjectChanged, StoredObject
 from skylarkdoord.common import SettingsService
 from skylarkdoord.common import _rows as rows
@@ -51,12 +53,43 @@
 
 def revisions(objects: FakeObjects) -> dict[str, int]:
     """Return the revision of each subtree in the snapshot."""
-    return {path: row.revision for path, row in snapshot.decode(objects.data).items()}
+    stored = snapshot.decode(objects.data).rows
+    return {path: row.revision for path, row in stored.items()}
+
+
+class TestDecode:
+    """Tests of `snapshot.decode`."""
+
+    # Guards against one malformed row that hides all settings from a starting process.
+    def test_malformed_row(self):
+        """A malformed row is left out and named; the others are read."""
+        document = json.loads(snapshot.encode({"/teams/a": row(1), "/teams/b": row(2)}))
+        for malformed in ({}, {"revision": "2"}, "row", None):
+            document["rows"]["/teams/b"] = malformed
+            read = snapshot.decode(json.dumps(document).encode())
+            assert read.rows == {"/teams/a": row(1)}
+            assert list(read.rejected) == ["/teams/b"]
+
+    def test_malformed(self):
+        """A snapshot that is malformed as a whole has no rows."""
+        for data in (b"", b"{}", b"[]", b'{"rows": 1}'):
+            read = snapshot.decode(data)
+            assert (read.rows, list(read.rejected)) == ({}, [""])
 
 
 class TestUpdate:
     """Tests of `SnapshotWriter.update`."""
 
+    # Guards against an update that removes all settings of others.
+    async def test_malformed_row(self):
+        """An update keeps the valid rows of a snapshot with a malformed one."""
+        objects = FakeObjects()
+        document = json.loads(snapshot.encode({"/teams/a": row(5), "/teams/b": row(2)}))
+        document["rows"]["/teams/b"]["revision"] = "x"
+        objects.data = json.dumps(document).encode()
+        assert await writer(objects, b=3).update()
+        assert revisions(objects) == {"/teams/a": 5, "/teams/b": 3}
+
     async def test_first_snapshot(self):
         """The first snapshot contains all settings of the process."""
         objects = FakeObjects()
