Add own use to totals that do not include it

The same QUOTA trace showed a second way to lose use: two entries started while the store was down and had no stream for 2 s. At their first contact the younger one took the maximum of both totals, although each had used the limit since the totals that both started from. Class: two counts merged by their maximum.

The first update now says whose use its totals include; own use that they do not include is added. A peer of a former build says nothing, so own use since the start is added at its first contact.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
@@ -34,7 +34,6 @@
 MIN_UPDATE_INTERVAL_S = 0.05
 # Entries that broadcast changed rows of upstreams at once; two, so that one may fail.
 BROADCASTING_ENTRIES = 2
-MAX_INCARNATION = 2**63
 # Time over which entries write their rows again after the store lost them.
 REWRITE_SPREAD_S = 1.0
 
@@ -69,7 +68,9 @@
         update = self.exchange.build_update(request_from=self.instance)
         if not self.has_sent_totals:
             self.has_sent_totals = True
-            update.totals.update(self.exchange.members.quota.totals())
+            members = self.exchange.members
+            update.totals.update(members.quota.totals())
+            update.included_incarnation = members.incarnation_of(self.instance)
         report = self.exchange.members.crashes.report(self.suspicions_sent)
         update.suspects.extend(report.suspects)
         self.suspicions_sent = report.revision
@@ -128,7 +129,6 @@
         self.settings = settings
         self.store = store
         self.members = members
-        self.incarnation = random.randrange(1, MAX_INCARNATION)
         self.links: dict[str, asyncio.Task[None]] = {}
         self.inbound: dict[str, str] = {}
         self.outboxes: set[Outbox[pb.EntryNews]] = set()
@@ -278,7 +278,7 @@
         fleet = self.members.fleet
         update = pb.EntryNews(
             instance=self.settings.instance,
-            incarnation=self.incarnation,
+            incarnation=self.members.incarnation,
             address=self.settings.listen.peers,
             config_version=fleet.config_at.number,
             config_era=fleet.config_at.era,
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
@@ -3,6 +3,7 @@
 A member is another entry of the deployment.
 """
 
+import random
 import time
 from dataclasses import dataclass, field
 
@@ -27,6 +28,7 @@
 # Rows that another entry has had for longer than this were missed by this entry's
 # own watch of the store and are requested from that entry.
 LAG_TOLERANCE_S = 0.3
+MAX_INCARNATION = 2**63
 
 
 @dataclass
@@ -63,6 +65,7 @@
         fleet: Receives the rows that other entries send.
         quota: Is charged with the units that other entries use.
         crashes: Receives the crash suspicions of other entries.
+        incarnation: Random number that identifies this run of the entry.
 
     Attributes:
         by_name: The other entries that sent an update.
@@ -71,9 +74,16 @@
     """
 
     def __init__(
-        self, instance: str, fleet: Fleet, quota: Quota, crashes: Crashes
+        self,
+        instance: str,
+        fleet: Fleet,
+        quota: Quota,
+        crashes: Crashes,
+        *,
+        incarnation: int = 0,
     ) -> None:
         self.instance = instance
+        self.incarnation = incarnation or random.randrange(1, MAX_INCARNATION)
         self.crashes = crashes
         self.fleet = fleet
         self.quota = quota
@@ -160,9 +170,18 @@
         self.by_name[update.instance] = member
         if update.age_ms >= self.age_ms():
             member.used = dict(update.used)
-            self.quota.merge_totals(update.totals, covers_window=update.knows_past)
+            self.quota.merge_totals(
+                update.totals,
+                covers_window=update.knows_past,
+                includes_own=update.included_incarnation == self.incarnation,
+            )
         return member
 
+    def incarnation_of(self, instance: str) -> int:
+        """Return the incarnation of an entry that was heard of, 0 if none was."""
+        member = self.by_name.get(instance)
+        return member.incarnation if member else 0
+
     def on_stream_end(self, instance: str, *, is_silent: bool) -> None:
         """Record how an entry's stream ended.
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_quota.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_quota.py
@@ -245,7 +245,13 @@
         now = self.clock()
         self.account(customer, now).add(units, now)
 
-    def merge_totals(self, totals: Mapping[str, float], *, covers_window: bool) -> None:
+    def merge_totals(
+        self,
+        totals: Mapping[str, float],
+        *,
+        covers_window: bool,
+        includes_own: bool = True,
+    ) -> None:
         """Take over another entry's totals where they are higher.
 
         Complete totals replace what was restored from a record. Both count the same
@@ -254,6 +260,7 @@
         Args:
             totals: Units used within the window by all entries, by customer.
             covers_window: Whether the totals include all use within the window.
+            includes_own: Whether the totals include the use through this entry.
         """
         now = self.clock()
         if covers_window:
@@ -261,6 +268,8 @@
                 account.drop_restored()
         for customer, units in totals.items():
             account = self.account(customer, now)
+            if not includes_own:
+                units += min(account.own, account.total)
             if units > account.total:
                 account.add(units - account.total, now)
         self.is_history_complete = self.is_history_complete or covers_window
