Reserve the ports of servers that crash in a test

The log shows three crashes: the fourth arrival came from another process. A crashed server's port was free, a server of a concurrent test got it, and the entry there, or here, sent its request to the other test's server. The bound is unchanged.

--- a/tests/adapter/test_retries.py
+++ b/tests/adapter/test_retries.py
@@ -7,9 +7,10 @@
 import pytest
 
 from skylarkdoor.suspicion import crash_id
+from skylarkdoor_bench.testing import free_port
 from skylarkdoord.direct._crashes import fingerprint_of
 
-from ._standins import Server, reply, reset, route, server_row
+from ._standins import LOOPBACK, Server, reply, reset, route, server_row
 
 ONCE = route(routeType="non_idempotent", maxAttempts=1)
 # Methods that HTTP defines as idempotent, whatever the route says.
@@ -29,11 +30,21 @@
 
 
 class CrashingServer(Server):
-    """A server that ends with the first request that it receives."""
+    """A server that ends with the first request that it receives.
+
+    Its port is reserved, so that no server of a concurrent test gets it afterwards.
+    """
 
     def __init__(self):
         super().__init__(self.crash)
 
+    async def __aenter__(self):
+        """Listen on a reserved port."""
+        port = free_port()
+        self.server = await asyncio.start_server(self.serve, LOOPBACK, port)
+        self.address = f"{LOOPBACK}:{port}"
+        return self
+
     async def crash(self, request, writer):
         """Stop listening and reset the connection."""
         self.server.close()
