Suspect no request that an upstream answered lately

A GET without a body has one fingerprint for all callers of a customer. If three upstreams crashed at once, each of which was running it for some caller, it was quarantined, and a quarantined request is never sent, so it could not be cleared.

test_answered_before failed before: quarantined after three crashes.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_crashes.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_crashes.py
@@ -41,6 +41,10 @@
 # Two crashes under one record are at least this far apart, as an upstream takes
 # seconds to start again.
 SAME_CRASH_S = 2.0
+# Requests whose latest answer is remembered, and for how long. One that upstreams
+# answer does not crash them.
+MAX_ANSWERED = 10_000
+ANSWERED_RETENTION_S = 600.0
 # Limits the size of an update sent to other entries.
 MAX_REPORTED_SUSPECTS = 100
 
@@ -136,6 +140,8 @@
         observed: Those of the suspicions, and of their clearances, that this entry
             observed itself.
         watched: Upstreams with requests in flight or without an answer.
+        answered: Monotonic time of the latest answer to a request, by fingerprint, in
+            seconds; oldest first.
         checks: Tasks of the pending checks.
     """
 
@@ -152,6 +158,7 @@
         self.suspicions = Suspicions()
         self.observed = Suspicions()
         self.watched: dict[Incarnation, Watched] = {}
+        self.answered: dict[int, float] = {}
         self.checks: set[asyncio.Task[None]] = set()
         self.log = events.get_logger("direct.crashes")
 
@@ -176,6 +183,10 @@
 
     def on_answered(self, fingerprint: int) -> None:
         """Clear a request that an upstream answered of its former suspicions."""
+        self.answered.pop(fingerprint, None)
+        self.answered[fingerprint] = self.clock()
+        if len(self.answered) > MAX_ANSWERED:
+            del self.answered[next(iter(self.answered))]
         crashes = self.suspicions.get(fingerprint).open
         if not crashes:
             return
@@ -281,6 +292,8 @@
         record = watched.record
         crash = crash_id(record.instance, record.started_ms, watched.crashes)
         for suspect in watched.suspects():
+            if self.was_answered(suspect):
+                continue
             self.observe(suspect, [crash])
             self.log.event(
                 _events.REQUEST_SUSPECTED,
@@ -290,6 +303,11 @@
             )
         watched.unanswered.clear()
 
+    def was_answered(self, fingerprint: int) -> bool:
+        """Return whether an upstream answered a request lately."""
+        answered_at = self.answered.get(fingerprint, -math.inf)
+        return self.clock() - answered_at < ANSWERED_RETENTION_S
+
     def observe(
         self, fingerprint: int, crashes: Iterable[str], cleared: Iterable[str] = ()
     ) -> None:
--- a/packages/skylarkdoord/tests/direct/test_crashes.py
+++ b/packages/skylarkdoord/tests/direct/test_crashes.py
@@ -6,6 +6,7 @@
 
 from skylarkdoord.direct import _crashes
 from skylarkdoord.direct._crashes import (
+    MAX_ANSWERED,
     MAX_CRASHES,
     MAX_UNANSWERED,
     SAME_CRASH_S,
@@ -124,6 +125,26 @@
         other.merge(crashes.report().suspects)
         assert not other.is_quarantined(7)
 
+    # Guards against a lookup that is refused for a day because several upstreams, each
+    # of which was running it for some caller, crashed at once.
+    async def test_answered_before(self):
+        """A request that upstreams answered lately is suspected of no crash."""
+        crashes = make_crashes(down=True)
+        crashes.on_answered(7)
+        for number in range(MAX_CRASHES):
+            await lose_answer(crashes, f"i-{number}", 7)
+            await lose_answer(crashes, f"i-{number}", 8)
+        assert crashes.count(7) == 0
+        assert crashes.is_quarantined(8)
+
+    def test_answered_bounded(self):
+        """Only the latest answers are remembered."""
+        crashes = make_crashes(down=True)
+        for fingerprint in range(MAX_ANSWERED + 1):
+            crashes.on_answered(fingerprint)
+        assert not crashes.was_answered(0)
+        assert crashes.was_answered(MAX_ANSWERED)
+
     async def test_other_entries(self):
         """Crashes seen by different entries add up; repeated reports do not count."""
         entries = [make_crashes(down=True) for _ in range(MAX_CRASHES)]
