Stand-in table: a transaction writes all or nothing

A transaction whose later operation was invalid left the writes of the earlier ones, and a malformed number was answered 500. Transactions now run on a copy that replaces the state at their end; a malformed number is an invalid request. test_all_or_nothing and four cases of test_malformed_number failed before.

--- a/packages/skylarkdoor-standins/src/skylarkdoor_standins/platform/_store.py
+++ b/packages/skylarkdoor-standins/src/skylarkdoor_standins/platform/_store.py
@@ -56,6 +56,12 @@
         duplicate._keys = copy.copy(self._keys)
         return duplicate
 
+    def replace(self, other: "Store") -> None:
+        """Take over the state of another store, which is not used afterwards."""
+        self.revision = other.revision
+        self._rows = other._rows
+        self._keys = other._keys
+
     def get(self, key: bytes) -> StoredRow | None:
         """Return the row of a key, or None if the key does not exist."""
         return self._rows.get(key)
--- a/packages/skylarkdoor-standins/src/skylarkdoor_standins/platform/_transactions.py
+++ b/packages/skylarkdoor-standins/src/skylarkdoor_standins/platform/_transactions.py
@@ -52,10 +52,10 @@
     """Read a key or a range of keys and return the response.
 
     Raises:
-        InvalidRequestError: The key is missing, or a field is not valid base64.
+        InvalidRequestError: The key is missing, or a field is malformed.
     """
     rows = store.range(_decode_key(request), _decode_bytes(request, "range_end"))
-    limit = int(request.get("limit", 0))
+    limit = _decode_int(request, "limit")
     page = rows[:limit] if limit else rows
     response: Json = {"header": _header(store), "count": str(len(rows))}
     if page:
@@ -107,14 +107,16 @@
     """Apply a transaction and those nested in it at one revision; return the response.
 
     Raises:
-        InvalidRequestError: The transaction is invalid. If it has too many
-            operations, conflicting writes or an invalid comparison, nothing was
-            applied; on another error, earlier operations may have been applied.
+        InvalidRequestError: The transaction is invalid; nothing was applied.
     """
     _check_operation_count(request, MAX_TXN_OPS)
     _collect_writes(request)
     compare_results = list(_compare_results(store, request))
-    response = _run_branch(store, request, iter(compare_results), store.revision + 1)
+    changed = store.snapshot()
+    response = _run_branch(
+        changed, request, iter(compare_results), changed.revision + 1
+    )
+    store.replace(changed)
     response["header"] = _header(store)
     return response
 
@@ -241,12 +243,12 @@
     row = store.get(_decode_key(item))
     match item.get("target", "VERSION"):
         case "VERSION":
-            return relation(row.version if row else 0, int(item.get("version", 0)))
+            return relation(row.version if row else 0, _decode_int(item, "version"))
         case "CREATE":
-            expected = int(item.get("create_revision", 0))
+            expected = _decode_int(item, "create_revision")
             return relation(row.create_revision if row else 0, expected)
         case "MOD":
-            expected = int(item.get("mod_revision", 0))
+            expected = _decode_int(item, "mod_revision")
             return relation(row.mod_revision if row else 0, expected)
         case "VALUE":
             return row is not None and relation(row.value, _decode_bytes(item, "value"))
@@ -264,6 +266,13 @@
     return key
 
 
+def _decode_int(message: Json, name: str) -> int:
+    try:
+        return int(message.get(name, 0))
+    except (TypeError, ValueError) as error:
+        raise InvalidRequestError(f"{name} is not a whole number") from error
+
+
 def _decode_bytes(message: Json, name: str) -> bytes:
     try:
         return base64.b64decode(message.get(name, ""), validate=True)
--- a/packages/skylarkdoor-standins/tests/platform/test_transactions.py
+++ b/packages/skylarkdoor-standins/tests/platform/test_transactions.py
@@ -169,6 +169,29 @@
             apply_txn(store, {"success": twice})
         assert store.get(b"x") is None
 
+    # Guards against a transaction that fails and leaves some of its writes.
+    def test_all_or_nothing(self, store):
+        """A transaction whose last operation is invalid writes nothing."""
+        before = store.revision
+        malformed = {"request_put": {"key": b64("y"), "value": "?"}}
+        with pytest.raises(InvalidRequestError):
+            apply_txn(store, {"success": [put("x"), malformed]})
+        assert store.get(b"x") is None
+        assert store.revision == before
+
+    @pytest.mark.parametrize(
+        "name", ["version", "create_revision", "mod_revision", "limit"]
+    )
+    def test_malformed_number(self, store, name):
+        """A malformed number is refused as an invalid request."""
+        target = {"version": "VERSION", "create_revision": "CREATE"}.get(name, "MOD")
+        with pytest.raises(InvalidRequestError, match=name):
+            if name == "limit":
+                apply_range(store, {"key": b64("x"), "limit": "many"})
+            else:
+                compare = {"key": b64("x"), "target": target, name: "x"}
+                apply_txn(store, {"compare": [compare]})
+
     @pytest.mark.parametrize("end", ["", "y", "\0"])
     def test_put_and_delete(self, store, end):
         """A transaction that puts and deletes a key is refused as a whole."""
