--- /dev/null
+++ b/tests/adapter/test_repeated_crashes.py
@@ -0,0 +1,158 @@
+"""Tests of requests that crash servers which are soon back, at the same address."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from skylarkdoor_bench.testing import free_port
+from skylarkdoord.direct._crashes import MAX_CRASHES
+
+from ._standins import LOOPBACK, Server, reply, reset, route, server_row
+
+SERVERS = 4
+# Sends after the third crash that the users accept.
+MAX_SENDS_AFTER = 3
+REPEATS = 12
+REPEAT_INTERVAL_S = 0.4
+# Time for which the store keeps the row of a server that has crashed.
+LAPSE_S = 1.2
+
+
+class RestartingServer(Server):
+    """A server that crashes with each request and then starts again.
+
+    Args:
+        store: The platform's store.
+        name: Id of its first incarnation.
+        down_s: Time until it starts again, in seconds.
+        has_new_id: Whether its next incarnation has another id.
+        answers: Requests that it answers before the first that crashes it.
+    """
+
+    def __init__(self, store, name, *, down_s, has_new_id, answers=0):
+        super().__init__(self.crash)
+        self.store = store
+        self.name = name
+        self.down_s = down_s
+        self.has_new_id = has_new_id
+        self.answers = answers
+        self.crashes = 0
+        self.tasks = set()
+
+    async def __aenter__(self):
+        """Listen on a reserved port."""
+        self.port = free_port()
+        self.address = f"{LOOPBACK}:{self.port}"
+        await self.listen()
+        return self
+
+    async def __aexit__(self, *exc):
+        """Close the listener and forget pending restarts."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.server.close()
+
+    @property
+    def instance(self):
+        """Id of the current incarnation."""
+        return f"{self.name}-{self.crashes}" if self.has_new_id else self.name
+
+    async def listen(self):
+        """Accept connections and write this incarnation's row."""
+        self.server = await asyncio.start_server(self.serve, LOOPBACK, self.port)
+        row = server_row(self, born=1 + self.crashes)
+        await self.store.put("servers", self.instance, row)
+
+    async def crash(self, request, writer):
+        """Answer the first requests; then reset the connection and restart."""
+        if request.header("Target-Instance") != [self.instance]:
+            writer.write(b"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n")
+            self.requests.remove(request)
+            return
+        if self.answers:
+            self.answers -= 1
+            self.requests.remove(request)
+            await reply()(request, writer)
+            return
+        self.server.close()
+        reset(writer)
+        for work in (self.lapse(self.instance), self.restart()):
+            task = asyncio.create_task(work)
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def lapse(self, instance):
+        """Remove the row of a crashed incarnation, unless it has the same id."""
+        if self.has_new_id:
+            await asyncio.sleep(LAPSE_S)
+            await self.store.put("servers", instance, None)
+
+    async def restart(self):
+        """Start the next incarnation."""
+        await asyncio.sleep(self.down_s)
+        self.crashes += 1
+        await self.listen()
+
+
+@contextlib.asynccontextmanager
+async def running(store, **options):
+    """Run servers that crash and start again."""
+    async with contextlib.AsyncExitStack() as stack:
+        yield [
+            await stack.enter_async_context(
+                RestartingServer(store, f"desk-{number}", **options)
+            )
+            for number in range(SERVERS)
+        ]
+
+
+async def repeat(caller, times=REPEATS):
+    """Repeat a request, as impatient callers do."""
+    for _ in range(times):
+        await caller.get()
+        await asyncio.sleep(REPEAT_INTERVAL_S)
+
+
+def count_crashes(servers):
+    """Return how many requests crashed a server."""
+    return sum(len(server.requests) for server in servers)
+
+
+class TestRestartedServers:
+    """A request that crashes servers which start again at the same address."""
+
+    # Guards against a crash that is hidden by the server's next incarnation.
+    @pytest.mark.parametrize("has_new_id", [False, True])
+    @pytest.mark.parametrize("down_s", [0.05, 1.1])
+    async def test_never_answered(self, start, store, down_s, has_new_id):
+        """No server gets the request after three crashes."""
+        options = {"down_s": down_s, "has_new_id": has_new_id}
+        async with running(store, **options) as servers:
+            async with start([route(maxAttempts=3)], []) as caller:
+                await caller.entry.until_serving(SERVERS)
+                await repeat(caller)
+        assert count_crashes(servers) == MAX_CRASHES
+
+    # Guards against an earlier answer that exempts a request from quarantine.
+    @pytest.mark.parametrize("has_new_id", [False, True])
+    @pytest.mark.parametrize("down_s", [0.05, 1.1])
+    async def test_answered_before(self, start, store, down_s, has_new_id):
+        """A request that was answered earlier is stopped at the bound as well."""
+        options = {"down_s": down_s, "has_new_id": has_new_id, "answers": 1}
+        async with running(store, **options) as servers:
+            async with start([route(maxAttempts=3)], []) as caller:
+                await caller.entry.until_serving(SERVERS)
+                await repeat(caller, times=SERVERS + REPEATS)
+        assert count_crashes(servers) <= MAX_CRASHES + MAX_SENDS_AFTER
+
+    # Guards against the report: four servers, all of which crash within a moment and
+    # are back at their addresses under new ids some seconds later.
+    async def test_crash_in_waves(self, start, store):
+        """Servers that come back all at once do not get the request again."""
+        async with running(store, down_s=3.0, has_new_id=True) as servers:
+            async with start([route(maxAttempts=2)], []) as caller:
+                await caller.entry.until_serving(SERVERS)
+                await repeat(caller, times=20)
+        assert count_crashes(servers) == MAX_CRASHES
