--- a/packages/skylarkdoord/src/skylarkdoord/direct/_crashes.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_crashes.py
@@ -133,6 +133,8 @@
         probe: Returns whether an upstream is down.
         find: Returns the record that the registry lists for an instance; None if there
             is none.
+        occupant: Returns the upstream that started last at an address; None if none
+            did.
         clock: Returns the monotonic time, in seconds.
 
     Attributes:
@@ -150,10 +152,12 @@
         *,
         probe: Callable[[UpstreamRecord], Awaitable[bool]] = is_down,
         find: Callable[[str], UpstreamRecord | None] = lambda instance: None,
+        occupant: Callable[[str], UpstreamRecord | None] = lambda address: None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.probe = probe
         self.find = find
+        self.occupant = occupant
         self.clock = clock
         self.suspicions = Suspicions()
         self.observed = Suspicions()
@@ -267,11 +271,13 @@
         await asyncio.sleep(PROBE_DELAY_S)
         down = await self.probe(watched.record)
         watched.is_checked = False
+        occupant = self.occupant(watched.record.address)
         self.log.event(
             _events.CRASH_CHECKED,
             upstream=watched.record.instance,
             started_ms=watched.record.started_ms,
             down=down,
+            occupant=occupant.instance if occupant else "",
             requests=len(watched.suspects()),
         )
         if down:
@@ -292,14 +298,15 @@
         record = watched.record
         crash = crash_id(record.instance, record.started_ms, watched.crashes)
         for suspect in watched.suspects():
-            if self.was_answered(suspect):
-                continue
-            self.observe(suspect, [crash])
+            was_answered = self.was_answered(suspect)
+            if not was_answered:
+                self.observe(suspect, [crash])
             self.log.event(
                 _events.REQUEST_SUSPECTED,
                 fingerprint=f"{suspect:016x}",
                 upstream=record.instance,
                 crashes=self.count(suspect),
+                answered=was_answered,
             )
         watched.unanswered.clear()
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_fleet.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_fleet.py
@@ -70,6 +70,7 @@
         config_row: Row of the configuration in force; None if none was received.
         routing: Routing table of that configuration; None if none was received.
         cached_rows: Newest row of each upstream, by key; removed ones are kept.
+        latest_at: Upstream that started last at each address, also if it was removed.
         upstreams_at: Latest point in the store's history up to which rows were applied.
         missing: Upstreams in their grace period, by key.
         on_config: Called in order after the configuration has changed.
@@ -81,6 +82,7 @@
         self.config_row: Row | None = None
         self.routing: RoutingTable | None = None
         self.cached_rows: dict[str, CachedRow] = {}
+        self.latest_at: dict[str, UpstreamRecord] = {}
         self.upstreams_at = StoreVersion()
         self.missing: dict[str, MissingUpstream] = {}
         self.on_config: list[Callable[[], None]] = []
@@ -115,6 +117,10 @@
         cached = self.cached_rows.get(instance)
         return cached.record if cached else None
 
+    def occupant(self, address: str) -> UpstreamRecord | None:
+        """Return the upstream that started last at an address; None if none did."""
+        return self.latest_at.get(address)
+
     def is_current(self, record: UpstreamRecord) -> bool:
         """Return whether this incarnation of an upstream accepts new requests."""
         listed = self.find(record.instance)
@@ -173,6 +179,8 @@
         latest = row if row.data is not None else previous and previous.latest
         self.cached_rows[row.key] = CachedRow(row, record, latest)
         self.missing.pop(row.key, None)
+        if record is not None:
+            self.add_occupant(record)
         if previous is None or previous.record != record:
             self.log.event(
                 _events.UPSTREAM_CHANGED,
@@ -183,6 +191,12 @@
                 state=_state(record),
             )
 
+    def add_occupant(self, record: UpstreamRecord) -> None:
+        """Record that an upstream has its address, unless a later one took it over."""
+        latest = self.latest_at.get(record.address)
+        if latest is None or record.started_ms >= latest.started_ms:
+            self.latest_at[record.address] = record
+
     def is_outdated(self, row: Row, cached: CachedRow) -> bool:
         """Return whether a row is older than the one that is cached under its key.
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -36,7 +36,7 @@
     upstreams = Upstreams(fleet)
     quota = Quota(settings.quota)
     quota.is_history_complete = settings.first_start
-    crashes = Crashes(find=fleet.find)
+    crashes = Crashes(find=fleet.find, occupant=fleet.occupant)
     fleet.on_upstreams.append(crashes.on_registry_change)
     members = Members(settings.instance, fleet, quota, crashes)
     quota.silent_entries = members.silent_entries
