Quarantine requests that crash upstreams after an answer

What callers saw: a request that upstreams had answered once went on crashing them for 600 s; every repeat took up to three more upstreams away from all callers.

Cause: was_answered spared a request of every crash for 600 s after an answer. It was meant for harmless requests that were in flight when several upstreams crashed at once. An answer says something about the crashes before it, nothing about those after it.

What the exemption was for is kept by trials: a quarantined request that was answered before is sent by one entry, one copy at a time, and is cleared or stays refused.

Ruled out: weighing by the requests in flight, decay alone (docs/design/platform.md).

test_answered_before in test_crashes.py asserted the exemption itself. It is replaced by TestTrials, which asserts both sides: quarantine after an answer, and service again of the harmless request. test_answered and test_cleared state five answers.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_crashes.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_crashes.py
@@ -1,8 +1,9 @@
 """Detects requests that crash the upstreams that run them, and quarantines them.
 
 A request that was in flight at an upstream when it crashed is suspected of that
-crash, until an upstream answers it. A request suspected of several crashes is
-quarantined: it is not sent any more.
+crash, until upstreams have answered it several times since. A request suspected of
+several crashes is quarantined: it is not sent any more, except for trials of one that
+was answered before.
 Entries share their suspicions with each other.
 """
 
@@ -17,6 +18,7 @@
 from skylarkdoor import events
 from skylarkdoor.hashing import fingerprint
 from skylarkdoor.suspicion import (
+    MAX_SUSPICIONS,
     Suspicion,
     Suspicions,
     crash_id,
@@ -41,8 +43,17 @@
 # Two crashes under one record are at least this far apart, as an upstream takes
 # seconds to start again.
 SAME_CRASH_S = 2.0
-# Requests whose latest answer is remembered, and for how long. One that upstreams
-# answer does not crash them.
+# Answers since the latest crash that clear a request. One answer says little if only
+# some of the upstreams crash, as while a release is rolled out.
+CLEARING_ANSWERS = 5
+# Crashes at shorter intervals may have one cause outside the request, and be noticed
+# one after the other. A trial follows the latest crash by at least this.
+SETTLE_S = 3.0
+# Trials of one quarantined request that may crash an upstream.
+MAX_TRIALS = 2
+# Ratio of the pause before each further trial to that before the former one.
+TRIAL_PAUSE_GROWTH = 10.0
+# Requests whose latest answer is remembered, and for how long.
 MAX_ANSWERED = 10_000
 ANSWERED_RETENTION_S = 600.0
 # Limits the size of an update sent to other entries.
@@ -123,6 +134,41 @@
             del self.unanswered[oldest]
 
 
+@dataclass
+class Suspect:
+    """What this entry learned about a suspected request since the latest crash.
+
+    Attributes:
+        crashes: Number of crashes of which the request is suspected.
+        crashed_at: Monotonic time at which the latest one became known, in seconds.
+        answers: Answers to attempts that were sent since.
+        failed_trials: Crashes while it was quarantined.
+    """
+
+    crashes: int = 0
+    crashed_at: float = -math.inf
+    answers: int = 0
+    failed_trials: int = 0
+
+    def set_crashes(self, crashes: int, now: float) -> None:
+        """Record the number of crashes that is known at a time, in seconds."""
+        if crashes <= self.crashes:
+            self.crashes = crashes
+            return
+        is_settled = now - self.crashed_at >= SETTLE_S
+        if self.crashes >= MAX_CRASHES and is_settled:
+            self.failed_trials += 1
+        self.crashes = crashes
+        self.crashed_at = now
+        self.answers = 0
+
+    def is_trial_due(self, now: float) -> bool:
+        """Return whether a trial is allowed, if the request is quarantined."""
+        pause_s = SETTLE_S * TRIAL_PAUSE_GROWTH**self.failed_trials
+        is_due = now - self.crashed_at >= pause_s
+        return is_due and self.failed_trials < MAX_TRIALS
+
+
 class Crashes:
     """Tracks which requests were in flight at upstreams that crashed.
 
@@ -141,7 +187,10 @@
         suspicions: Crashes of which each request is suspected.
         observed: Those of the suspicions, and of their clearances, that this entry
             observed itself.
+        suspected: State of each request that is suspected of a crash, by fingerprint.
         watched: Upstreams with requests in flight or without an answer.
+        is_trial_owner: Returns whether this entry, of all entries, makes the trials of
+            a request.
         answered: Monotonic time of the latest answer to a request, by fingerprint, in
             seconds; oldest first.
         checks: Tasks of the pending checks.
@@ -161,21 +210,42 @@
         self.clock = clock
         self.suspicions = Suspicions()
         self.observed = Suspicions()
+        self.suspected: dict[int, Suspect] = {}
         self.watched: dict[Incarnation, Watched] = {}
+        self.is_trial_owner: Callable[[int], bool] = lambda fingerprint: True
         self.answered: dict[int, float] = {}
         self.checks: set[asyncio.Task[None]] = set()
         self.log = events.get_logger("direct.crashes")
 
     def is_quarantined(self, fingerprint: int) -> bool:
-        """Return whether a request is suspected of too many crashes.
+        """Return whether a request must not be sent now.
 
-        An upstream that is still being checked counts as crashed.
+        It is suspected of too many crashes, and no trial is due. An upstream that is
+        still being checked counts as crashed.
         """
         unchecked = sum(
             watched.is_checked and fingerprint in watched.suspects()
             for watched in self.watched.values()
         )
-        return self.count(fingerprint) + unchecked >= MAX_CRASHES
+        if self.count(fingerprint) + unchecked < MAX_CRASHES:
+            return False
+        return bool(unchecked) or not self.may_try(fingerprint)
+
+    def may_try(self, fingerprint: int) -> bool:
+        """Return whether a quarantined request may be sent once, as a trial.
+
+        Upstreams answered it lately, so that it may have been in flight by chance when
+        they crashed. One entry sends one copy at a time, which crashes one upstream at
+        most.
+        """
+        suspect = self.suspected.get(fingerprint)
+        if suspect is None or not suspect.is_trial_due(self.clock()):
+            return False
+        is_running = any(
+            fingerprint in watched.in_flight for watched in self.watched.values()
+        )
+        is_owner = self.is_trial_owner(fingerprint)
+        return is_owner and not is_running and self.was_answered(fingerprint)
 
     def count(self, fingerprint: int) -> int:
         """Return the number of crashes of which a request is suspected.
@@ -185,15 +255,28 @@
         crashes = self.suspicions.get(fingerprint).open
         return len({crashed_incarnation(crash) for crash in crashes})
 
-    def on_answered(self, fingerprint: int) -> None:
-        """Clear a request that an upstream answered of its former suspicions."""
+    def on_answered(self, fingerprint: int, sent_at: float) -> None:
+        """Clear a request of its crashes once upstreams have answered it since.
+
+        Args:
+            fingerprint: The request.
+            sent_at: Monotonic time at which the answered attempt was sent, in seconds.
+                An attempt from before a crash says nothing about the crash.
+        """
         self.answered.pop(fingerprint, None)
         self.answered[fingerprint] = self.clock()
         if len(self.answered) > MAX_ANSWERED:
             del self.answered[next(iter(self.answered))]
-        crashes = self.suspicions.get(fingerprint).open
-        if not crashes:
+        suspect = self.suspected.get(fingerprint)
+        if suspect is None or sent_at < suspect.crashed_at:
             return
+        suspect.answers += 1
+        if suspect.answers >= CLEARING_ANSWERS:
+            self.clear(fingerprint)
+
+    def clear(self, fingerprint: int) -> None:
+        """Let no crash so far count against a request."""
+        crashes = self.suspicions.get(fingerprint).open
         self.observe(fingerprint, crashes, crashes)
         self.log.event(
             _events.REQUEST_CLEARED,
@@ -298,15 +381,13 @@
         record = watched.record
         crash = crash_id(record.instance, record.started_ms, watched.crashes)
         for suspect in watched.suspects():
-            was_answered = self.was_answered(suspect)
-            if not was_answered:
-                self.observe(suspect, [crash])
+            self.observe(suspect, [crash])
             self.log.event(
                 _events.REQUEST_SUSPECTED,
                 fingerprint=f"{suspect:016x}",
                 upstream=record.instance,
                 crashes=self.count(suspect),
-                answered=was_answered,
+                answered=self.was_answered(suspect),
             )
         watched.unanswered.clear()
 
@@ -322,6 +403,18 @@
         crashes, cleared = list(crashes), list(cleared)
         self.observed.merge(fingerprint, crashes, cleared)
         self.suspicions.merge(fingerprint, crashes, cleared)
+        self.update_suspect(fingerprint)
+
+    def update_suspect(self, fingerprint: int) -> None:
+        """Bring the state of a request up to date with its suspicions."""
+        crashes = self.count(fingerprint)
+        if not crashes:
+            self.suspected.pop(fingerprint, None)
+            return
+        suspect = self.suspected.setdefault(fingerprint, Suspect())
+        suspect.set_crashes(crashes, self.clock())
+        if len(self.suspected) > MAX_SUSPICIONS:
+            del self.suspected[next(iter(self.suspected))]
 
     def restore(self, observed: Iterable[Suspicion]) -> None:
         """Add what a former incarnation of this entry observed."""
@@ -344,6 +437,7 @@
         """Add the suspicions reported by another entry."""
         for suspect in suspects:
             self.suspicions.merge_message(suspect)
+            self.update_suspect(suspect.fingerprint)
 
 
 def _incarnation(record: UpstreamRecord) -> Incarnation:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
@@ -223,7 +223,7 @@
         self.dependencies.upstreams.on_answer(upstream, is_error=is_error)
         self.dependencies.upstreams.on_success(upstream)
         if not is_error:
-            self.dependencies.crashes.on_answered(self.fingerprint)
+            self.dependencies.crashes.on_answered(self.fingerprint, began)
         first_byte_s = 0.0
         if self.stream.has_begun:
             first_byte_s = self.stream.began_at - began
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
@@ -7,6 +7,7 @@
 import time
 from dataclasses import dataclass, field
 
+from skylarkdoor.hashing import rendezvous
 from skylarkdoor.wire import pb
 from skylarkdoord.direct._adapter import Row, StoreVersion
 from skylarkdoord.direct._crashes import Crashes
@@ -121,6 +122,16 @@
             for name, member in self.by_name.items()
         )
 
+    def owns(self, fingerprint: int) -> bool:
+        """Return whether this entry, of the live ones, is responsible for a request."""
+        since = time.monotonic() - LIVE_TIMEOUT_S
+        live = [
+            name
+            for name, member in self.by_name.items()
+            if member.last_update_at > since
+        ]
+        return rendezvous(str(fingerprint), [*live, self.instance]) == [self.instance]
+
     def update_interval_s(self) -> float:
         """Return the interval between updates to the other entries, in seconds."""
         return UPDATE_INTERVAL_S * max(1.0, len(self.by_name) / FULL_RATE_ENTRIES)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -39,6 +39,7 @@
     crashes = Crashes(find=fleet.find, occupant=fleet.occupant)
     fleet.on_upstreams.append(crashes.on_registry_change)
     members = Members(settings.instance, fleet, quota, crashes)
+    crashes.is_trial_owner = members.owns
     quota.silent_entries = members.silent_entries
     scheduler = Scheduler(
         upstreams,
--- a/packages/skylarkdoord/tests/direct/test_crashes.py
+++ b/packages/skylarkdoord/tests/direct/test_crashes.py
@@ -6,10 +6,14 @@
 
 from skylarkdoord.direct import _crashes
 from skylarkdoord.direct._crashes import (
+    CLEARING_ANSWERS,
     MAX_ANSWERED,
     MAX_CRASHES,
+    MAX_TRIALS,
     MAX_UNANSWERED,
     SAME_CRASH_S,
+    SETTLE_S,
+    TRIAL_PAUSE_GROWTH,
     UNANSWERED_RETENTION_S,
     Crashes,
     fingerprint_of,
@@ -44,6 +48,12 @@
     await asyncio.gather(*crashes.checks)
 
 
+def answer(crashes, fingerprint, times=CLEARING_ANSWERS):
+    """Answer a request that is sent now, several times."""
+    for _ in range(times):
+        crashes.on_answered(fingerprint, crashes.clock())
+
+
 class TestFingerprint:
     """`fingerprint_of`."""
 
@@ -114,34 +124,43 @@
 
     # Guards against a quarantine of requests that were at crashing upstreams by chance.
     async def test_answered(self):
-        """A request that an upstream answers is no longer suspected, at any entry."""
+        """Answers since the latest crash clear a request, at any entry."""
         crashes, other = make_crashes(down=True), make_crashes(down=True)
         for number in range(MAX_CRASHES - 1):
             await lose_answer(crashes, f"i-{number}", 7)
         other.merge(crashes.report().suspects)
-        crashes.on_answered(7)
+        answer(crashes, 7)
         await lose_answer(crashes, "i-9", 7)
         assert not crashes.is_quarantined(7)
         other.merge(crashes.report().suspects)
         assert not other.is_quarantined(7)
 
-    # Guards against a lookup that is refused for a day because several upstreams, each
-    # of which was running it for some caller, crashed at once.
-    async def test_answered_before(self):
-        """A request that upstreams answered lately is suspected of no crash."""
+    # Guards against answers by the upstreams of a former release, which clear a request
+    # that crashes those of the new one again and again.
+    async def test_too_few_answers(self):
+        """One answer less than it takes clears a request of nothing."""
         crashes = make_crashes(down=True)
-        crashes.on_answered(7)
         for number in range(MAX_CRASHES):
+            answer(crashes, 7, times=CLEARING_ANSWERS - 1)
             await lose_answer(crashes, f"i-{number}", 7)
-            await lose_answer(crashes, f"i-{number}", 8)
-        assert crashes.count(7) == 0
-        assert crashes.is_quarantined(8)
+        assert crashes.is_quarantined(7)
+
+    # Guards against an answer that was under way when the request began to crash
+    # upstreams.
+    async def test_sent_before(self):
+        """An answer to an attempt that was sent before a crash does not clear it."""
+        crashes = make_crashes(down=True)
+        sent_at = crashes.clock()
+        await lose_answer(crashes, "i-1", 7)
+        for _ in range(CLEARING_ANSWERS):
+            crashes.on_answered(7, sent_at)
+        assert crashes.count(7) == 1
 
     def test_answered_bounded(self):
         """Only the latest answers are remembered."""
         crashes = make_crashes(down=True)
         for fingerprint in range(MAX_ANSWERED + 1):
-            crashes.on_answered(fingerprint)
+            answer(crashes, fingerprint, times=1)
         assert not crashes.was_answered(0)
         assert crashes.was_answered(MAX_ANSWERED)
 
@@ -299,3 +318,70 @@
         clock.now += UNANSWERED_RETENTION_S + 1
         crashes.on_registry_change()
         assert not crashes.watched
+
+
+class TestTrials:
+    """Trials of quarantined requests that upstreams answered before."""
+
+    @pytest.fixture
+    async def crashes(self, clock):
+        """Return the crashes of an entry that answered a request before three."""
+        crashes = make_crashes(down=True)
+        crashes.clock = clock
+        answer(crashes, 7)
+        for number in range(MAX_CRASHES):
+            await lose_answer(crashes, f"i-{number}", 7)
+        return crashes
+
+    # Guards against an earlier answer that exempts a request from quarantine.
+    async def test_quarantine(self, crashes):
+        """A request that crashes upstreams after an answer is quarantined."""
+        assert crashes.is_quarantined(7)
+
+    # Guards against a lookup that is refused for a day because several upstreams, each
+    # of which was running it for some caller, crashed at once.
+    async def test_cleared(self, crashes, clock):
+        """Trials that are answered clear the request."""
+        clock.now += SETTLE_S
+        for _ in range(CLEARING_ANSWERS):
+            assert not crashes.is_quarantined(7)
+            crashes.add_in_flight(make_record("i-9"), 7)
+            assert crashes.is_quarantined(7)
+            answer(crashes, 7, times=1)
+            crashes.remove_in_flight(make_record("i-9"), 7)
+        assert crashes.count(7) == 0
+
+    async def test_crashes_again(self, crashes, clock):
+        """The trials end after a number of crashes, with longer pauses between."""
+        for number in range(MAX_TRIALS):
+            clock.now += SETTLE_S * TRIAL_PAUSE_GROWTH**number - 0.1
+            assert crashes.is_quarantined(7)
+            clock.now += 0.1
+            assert not crashes.is_quarantined(7)
+            await lose_answer(crashes, f"i-trial-{number}", 7)
+        clock.now += SETTLE_S * TRIAL_PAUSE_GROWTH**MAX_TRIALS
+        assert crashes.is_quarantined(7)
+
+    async def test_other_entry(self, crashes, clock):
+        """Only one entry makes the trials of a request."""
+        crashes.is_trial_owner = lambda fingerprint: False
+        clock.now += SETTLE_S
+        assert crashes.is_quarantined(7)
+
+    async def test_never_answered(self, clock):
+        """A request that no upstream answered gets no trial."""
+        crashes = make_crashes(down=True)
+        crashes.clock = clock
+        for number in range(MAX_CRASHES):
+            await lose_answer(crashes, f"i-{number}", 7)
+        clock.now += SETTLE_S
+        assert crashes.is_quarantined(7)
+
+    # Guards against crashes that are noticed one after the other and count as trials.
+    async def test_noticed_late(self, crashes, clock):
+        """Crashes that become known shortly after each other are no trials."""
+        for number in range(MAX_TRIALS + 1):
+            clock.now += SETTLE_S - 0.1
+            await lose_answer(crashes, f"i-late-{number}", 7)
+        clock.now += SETTLE_S
+        assert not crashes.is_quarantined(7)
--- a/packages/skylarkdoord/tests/direct/test_members.py
+++ b/packages/skylarkdoord/tests/direct/test_members.py
@@ -69,3 +69,23 @@
         update.totals.clear()
         members.receive(update)
         assert members.quota.totals() == {CUSTOMER.name: BASE + OWN_TOKENS}
+
+
+class TestOwnership:
+    """`Members.owns`."""
+
+    # Guards against trials of one request by every entry, each of which may crash an
+    # upstream.
+    def test_one_owner(self):
+        """Of the entries that hear of each other, exactly one owns a request."""
+        names = ["a", "b", "c"]
+        entries = [
+            Members(name, Fleet(None), Quota(QuotaBounds()), Crashes())
+            for name in names
+        ]
+        for members in entries:
+            for name in names:
+                if name != members.instance:
+                    members.receive(pb.EntryNews(instance=name, incarnation=1))
+        for fingerprint in range(50):
+            assert sum(members.owns(fingerprint) for members in entries) == 1
--- a/packages/skylarkdoord/tests/direct/test_suspect_records.py
+++ b/packages/skylarkdoord/tests/direct/test_suspect_records.py
@@ -1,13 +1,14 @@
 """Tests of `SuspectRecords`, which shares suspicions through the store."""
 
 import asyncio
+import time
 
 import pytest
 
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.suspicion import Suspicion, crash_id
 from skylarkdoord.direct import Row, Rows, _suspect_records
-from skylarkdoord.direct._crashes import MAX_CRASHES, Crashes
+from skylarkdoord.direct._crashes import CLEARING_ANSWERS, MAX_CRASHES, Crashes
 from skylarkdoord.direct._suspect_records import (
     MAX_RECORDED,
     SUSPECTS,
@@ -152,7 +153,8 @@
         one, other = await start("edge-1"), await start("edge-2")
         one.observe(1)
         await until(lambda: other.crashes.count(7) == 1)
-        other.crashes.on_answered(7)
+        for _ in range(CLEARING_ANSWERS):
+            other.crashes.on_answered(7, time.monotonic())
         await until(lambda: one.crashes.count(7) == 0)
 
     async def test_outage(self, start, store):
