Find crashes that the next process at the address hides

What callers saw: a request crashed one upstream after the other, each of which was back at its address before the entry looked; repeats went on being sent.

Cause: the check after a lost answer asks whether the address accepts connections. The process that took over the address answers it, under whatever id. Who answers matters, not that something does.

In the log the check says `down` false, with another `occupant`.

Change: the registry decides. An upstream is down if another one that started later is listed at its address, or answers there that the address is its own (421). It is asked at each check and at each change of the registry, so it doesn't matter which comes first. Such an incarnation counts one crash at most.

Same cause looked for elsewhere, each with a test that passes on the code before as well: two entries in turn, an upstream that ends after the head or within a stream, the store away with upstreams back after 1.1 s or under new ids.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_crashes.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_crashes.py
@@ -108,6 +108,7 @@
             fingerprint, in seconds; oldest first.
         crashes: Number of crashes under this record.
         crashed_at: Monotonic time of the latest crash, in seconds.
+        is_replaced: Whether another upstream has its address.
         listed_start: Start of the instance that the registry listed when it was last
             examined, as `UpstreamRecord.started_ms`; None if none was listed.
         is_checked: Whether a check is pending.
@@ -120,6 +121,7 @@
     crashes: int = 0
     crashed_at: float = -math.inf
     is_checked: bool = False
+    is_replaced: bool = False
 
     def suspects(self) -> set[int]:
         """Return the fingerprints to suspect if the upstream crashed."""
@@ -173,7 +175,8 @@
     """Tracks which requests were in flight at upstreams that crashed.
 
     A crash is found by a probe after an answer was lost, or by the registry: it lists
-    a later start of the upstream, or no longer lists it and a probe fails.
+    a later start of the upstream, or another upstream that started later at its
+    address, or no longer lists it and a probe fails.
 
     Args:
         probe: Returns whether an upstream is down.
@@ -315,6 +318,7 @@
         """Look for crashes among the upstreams whose records have changed."""
         for watched in list(self.watched.values()):
             self.drop_idle(watched)
+            self.look_for_replacement(watched)
             listed = self.find(watched.record.instance)
             start = listed.started_ms if listed else None
             if start == watched.listed_start or not watched.suspects():
@@ -325,6 +329,23 @@
             elif start > watched.record.started_ms:
                 self.suspect(watched, same_crash_s=UNANSWERED_RETENTION_S)
 
+    def look_for_replacement(self, watched: Watched) -> None:
+        """Look for a later upstream at the address of a watched one."""
+        record = watched.record
+        occupant = self.occupant(record.address)
+        if occupant is None or occupant.instance == record.instance:
+            return
+        if occupant.started_ms > record.started_ms:
+            self.on_replaced(record)
+
+    def on_replaced(self, record: UpstreamRecord) -> None:
+        """Record that another upstream has the address of one, which is down then."""
+        watched = self.watched.get(_incarnation(record))
+        if watched is None or watched.is_replaced or not watched.suspects():
+            return
+        watched.is_replaced = True
+        self.suspect(watched, same_crash_s=UNANSWERED_RETENTION_S)
+
     def watch(self, record: UpstreamRecord) -> Watched:
         """Return the state of an incarnation; add it if it is new."""
         incarnation = _incarnation(record)
@@ -365,6 +386,8 @@
         )
         if down:
             self.suspect(watched, same_crash_s=SAME_CRASH_S)
+        else:
+            self.look_for_replacement(watched)
 
     def suspect(self, watched: Watched, *, same_crash_s: float) -> None:
         """Suspect the requests at an upstream of its crash.
@@ -375,7 +398,8 @@
                 one, in seconds.
         """
         now = self.clock()
-        if now - watched.crashed_at > same_crash_s:
+        is_same = watched.is_replaced and watched.crashes
+        if now - watched.crashed_at > same_crash_s and not is_same:
             watched.crashes += 1
         watched.crashed_at = now
         record = watched.record
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
@@ -364,6 +364,7 @@
             self.dependencies.upstreams.on_full(slot.upstream)
         elif error.code == "moved":
             self.dependencies.upstreams.on_moved(slot.upstream)
+            self.dependencies.crashes.on_replaced(slot.upstream.record)
         else:
             self.dependencies.upstreams.on_failure(slot.upstream, error.code)
         self.log_step(slot, error.code, time.monotonic())
--- a/packages/skylarkdoord/tests/direct/test_crashes.py
+++ b/packages/skylarkdoord/tests/direct/test_crashes.py
@@ -385,3 +385,68 @@
             await lose_answer(crashes, f"i-late-{number}", 7)
         clock.now += SETTLE_S
         assert not crashes.is_quarantined(7)
+
+
+class TestReplaced:
+    """Crashes of upstreams whose address the next process took over."""
+
+    @pytest.fixture
+    def occupants(self):
+        """Return the upstreams that started last, by address."""
+        return {}
+
+    @pytest.fixture
+    def crashes(self, clock, occupants):
+        """Return crashes whose probe finds every address accepting connections."""
+        crashes = make_crashes(down=False)
+        crashes.clock = clock
+        crashes.find = lambda instance: make_record(instance, started_ms=5)
+        crashes.occupant = occupants.get
+        return crashes
+
+    @staticmethod
+    def occupy(occupants, started_ms, instance="i-2"):
+        """Let another upstream have the address of the first."""
+        record = make_record(instance, started_ms=started_ms)
+        occupants[record.address] = record
+
+    # Guards against a crash that is hidden by the next process at the address.
+    async def test_probe(self, crashes, occupants):
+        """A check finds the crash if the registry lists another one already."""
+        self.occupy(occupants, started_ms=6)
+        crashes.on_answer_lost(make_record(started_ms=5), 7)
+        await asyncio.gather(*crashes.checks)
+        assert crashes.count(7) == 1
+
+    async def test_listed_later(self, crashes, occupants):
+        """The crash is found when the registry lists the other one, once."""
+        crashes.on_unanswered(make_record(started_ms=5), 7)
+        crashes.on_registry_change()
+        assert crashes.count(7) == 0
+        self.occupy(occupants, started_ms=6)
+        for _ in range(2):
+            crashes.on_registry_change()
+            crashes.clock.now += UNANSWERED_RETENTION_S
+            crashes.on_unanswered(make_record(started_ms=5), 7)
+        assert crashes.count(7) == 1
+
+    async def test_earlier(self, crashes, occupants):
+        """An earlier upstream, whose record is left at the address, shows no crash."""
+        self.occupy(occupants, started_ms=4)
+        crashes.on_unanswered(make_record(started_ms=5), 7)
+        crashes.on_registry_change()
+        assert crashes.count(7) == 0
+
+    async def test_itself(self, crashes, occupants):
+        """The upstream itself at its address shows no crash."""
+        self.occupy(occupants, started_ms=5, instance="i-1")
+        crashes.on_unanswered(make_record("i-1", started_ms=5), 7)
+        crashes.on_registry_change()
+        assert crashes.count(7) == 0
+
+    async def test_answer_of_another(self, crashes):
+        """An answer by another upstream at the address shows the crash."""
+        record = make_record(started_ms=5)
+        crashes.on_unanswered(record, 7)
+        crashes.on_replaced(record)
+        assert crashes.count(7) == 1
--- a/tests/adapter/test_repeated_crashes.py
+++ b/tests/adapter/test_repeated_crashes.py
@@ -3,13 +3,24 @@
 import asyncio
 import contextlib
 
+import aiohttp
 import pytest
 
 from skylarkdoor_bench.testing import free_port
 from skylarkdoord.direct._crashes import MAX_CRASHES
 
-from ._standins import LOOPBACK, Server, reply, reset, route, server_row
-
+from ._standins import (
+    LOOPBACK,
+    Entry,
+    Server,
+    reply,
+    reset,
+    route,
+    server_row,
+    stream,
+)
+
+ONCE = route(routeType="non_idempotent", maxAttempts=1)
 SERVERS = 4
 # Sends after the third crash that the users accept.
 MAX_SENDS_AFTER = 3
@@ -28,15 +39,17 @@
         down_s: Time until it starts again, in seconds.
         has_new_id: Whether its next incarnation has another id.
         answers: Requests that it answers before the first that crashes it.
+        begin: Script of what it sends before it crashes; None for nothing.
     """
 
-    def __init__(self, store, name, *, down_s, has_new_id, answers=0):
+    def __init__(self, store, name, *, down_s, has_new_id, answers=0, begin=None):
         super().__init__(self.crash)
         self.store = store
         self.name = name
         self.down_s = down_s
         self.has_new_id = has_new_id
         self.answers = answers
+        self.begin = begin
         self.crashes = 0
         self.tasks = set()
 
@@ -77,6 +90,8 @@
             await reply()(request, writer)
             return
         self.server.close()
+        if self.begin is not None:
+            await self.begin(request, writer)
         reset(writer)
         for work in (self.lapse(self.instance), self.restart()):
             task = asyncio.create_task(work)
@@ -156,3 +171,50 @@
                 await caller.entry.until_serving(SERVERS)
                 await repeat(caller, times=20)
         assert count_crashes(servers) == MAX_CRASHES
+
+    # Guards against a crash that looks like an answer because some of it arrived.
+    @pytest.mark.parametrize("numbers", [(), (1, 2)])
+    async def test_crash_within_answer(self, start, store, numbers):
+        """A stream that ends with its upstream, before or after its first events."""
+        begin = stream(numbers, is_cut=True)
+        options = {"down_s": 1.1, "has_new_id": True, "begin": begin}
+        async with running(store, **options) as servers:
+            streaming = route(routeType="streaming", streamResume=True, maxAttempts=2)
+            async with start([streaming], []) as caller:
+                await caller.entry.until_serving(SERVERS)
+                for _ in range(REPEATS):
+                    with contextlib.suppress(aiohttp.ClientError):
+                        await caller.get()
+                    await asyncio.sleep(REPEAT_INTERVAL_S)
+        assert count_crashes(servers) == MAX_CRASHES
+
+    # Guards against crashes that only the registry can tell, while it is away.
+    @pytest.mark.parametrize("has_new_id", [False, True])
+    @pytest.mark.parametrize("down_s", [0.05, 1.1])
+    async def test_store_away(self, start, store, down_s, has_new_id):
+        """Crashes during an outage of the store count."""
+        options = {"down_s": down_s, "has_new_id": has_new_id}
+        async with running(store, **options) as servers:
+            async with start([route(maxAttempts=3)], []) as caller:
+                await caller.entry.until_serving(SERVERS)
+                store.status = 503
+                await repeat(caller)
+        assert count_crashes(servers) <= MAX_CRASHES + MAX_SENDS_AFTER
+
+    # Guards against each entry counting only the crashes that it saw itself.
+    @pytest.mark.parametrize("has_new_id", [False, True])
+    @pytest.mark.parametrize("down_s", [0.05, 1.1])
+    async def test_two_entries(self, start, store, down_s, has_new_id):
+        """Crashes add up that two entries see in turn."""
+        options = {"down_s": down_s, "has_new_id": has_new_id}
+        async with running(store, **options) as servers:
+            async with start([ONCE], []) as caller, Entry(store, "edge-2") as other:
+                entries = (caller.entry, other)
+                for entry in entries:
+                    await entry.until_serving(SERVERS)
+                for number in range(REPEATS):
+                    caller.entry = entries[number % 2]
+                    await caller.get()
+                    await asyncio.sleep(REPEAT_INTERVAL_S)
+                caller.entry = entries[0]
+        assert count_crashes(servers) <= MAX_CRASHES + MAX_SENDS_AFTER
