Count upstreams that restart at once while the store is away

What callers saw: during an outage of the store, a request went on crashing upstreams that were back within a moment under their ids.

Cause: a probe finds the next process, and the registry, which would show its later start, can't be read. The check took what it could not know for "still running".

Change: an upstream that lost an answer, accepts connections and can't be looked up counts as one that is still being checked, which already counts as crashed. An answer of another upstream that was sent afterwards ends it, so a harmless request whose answers get lost is refused only until one of them arrives.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_crashes.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_crashes.py
@@ -112,6 +112,8 @@
         listed_start: Start of the instance that the registry listed when it was last
             examined, as `UpstreamRecord.started_ms`; None if none was listed.
         is_checked: Whether a check is pending.
+        is_unconfirmed: Whether a check found it running, but could not ask the registry
+            whether it has restarted.
     """
 
     record: UpstreamRecord
@@ -121,12 +123,23 @@
     crashes: int = 0
     crashed_at: float = -math.inf
     is_checked: bool = False
+    is_unconfirmed: bool = False
     is_replaced: bool = False
 
     def suspects(self) -> set[int]:
         """Return the fingerprints to suspect if the upstream crashed."""
         return {*self.in_flight, *self.unanswered}
 
+    def on_answered_elsewhere(self, fingerprint: int, sent_at: float) -> None:
+        """Forget a request that another upstream answered afterwards.
+
+        Args:
+            fingerprint: The request.
+            sent_at: Monotonic time at which it was sent there, in seconds.
+        """
+        if self.unanswered.get(fingerprint, math.inf) <= sent_at:
+            del self.unanswered[fingerprint]
+
     def drop_ended_before(self, since: float) -> None:
         """Forget the requests that ended before a monotonic time, in seconds."""
         while self.unanswered:
@@ -184,6 +197,7 @@
             is none.
         occupant: Returns the upstream that started last at an address; None if none
             did.
+        is_registry_down: Returns whether the registry can't be read at present.
         clock: Returns the monotonic time, in seconds.
 
     Attributes:
@@ -205,8 +219,10 @@
         probe: Callable[[UpstreamRecord], Awaitable[bool]] = is_down,
         find: Callable[[str], UpstreamRecord | None] = lambda instance: None,
         occupant: Callable[[str], UpstreamRecord | None] = lambda address: None,
+        is_registry_down: Callable[[], bool] = lambda: False,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
+        self.is_registry_down = is_registry_down
         self.probe = probe
         self.find = find
         self.occupant = occupant
@@ -223,17 +239,23 @@
     def is_quarantined(self, fingerprint: int) -> bool:
         """Return whether a request must not be sent now.
 
-        It is suspected of too many crashes, and no trial is due. An upstream that is
-        still being checked counts as crashed.
+        It is suspected of too many crashes, and no trial is due. An upstream that may
+        have crashed counts as crashed.
         """
         unchecked = sum(
-            watched.is_checked and fingerprint in watched.suspects()
+            self.may_have_crashed(watched) and fingerprint in watched.suspects()
             for watched in self.watched.values()
         )
         if self.count(fingerprint) + unchecked < MAX_CRASHES:
             return False
         return bool(unchecked) or not self.may_try(fingerprint)
 
+    def may_have_crashed(self, watched: Watched) -> bool:
+        """Return whether it is unknown if an upstream that lost an answer runs."""
+        if watched.is_checked:
+            return True
+        return watched.is_unconfirmed and self.is_registry_down()
+
     def may_try(self, fingerprint: int) -> bool:
         """Return whether a quarantined request may be sent once, as a trial.
 
@@ -270,6 +292,9 @@
         self.answered[fingerprint] = self.clock()
         if len(self.answered) > MAX_ANSWERED:
             del self.answered[next(iter(self.answered))]
+        for watched in self.watched.values():
+            if watched.is_unconfirmed:
+                watched.on_answered_elsewhere(fingerprint, sent_at)
         suspect = self.suspected.get(fingerprint)
         if suspect is None or sent_at < suspect.crashed_at:
             return
@@ -316,18 +341,25 @@
 
     def on_registry_change(self) -> None:
         """Look for crashes among the upstreams whose records have changed."""
+        is_read = not self.is_registry_down()
         for watched in list(self.watched.values()):
             self.drop_idle(watched)
             self.look_for_replacement(watched)
-            listed = self.find(watched.record.instance)
-            start = listed.started_ms if listed else None
-            if start == watched.listed_start or not watched.suspects():
-                continue
-            watched.listed_start = start
-            if start is None:
-                self.start_check(watched)
-            elif start > watched.record.started_ms:
-                self.suspect(watched, same_crash_s=UNANSWERED_RETENTION_S)
+            self.look_for_restart(watched)
+            if is_read:
+                watched.is_unconfirmed = False
+
+    def look_for_restart(self, watched: Watched) -> None:
+        """Look for a later start of an upstream, or for its absence."""
+        listed = self.find(watched.record.instance)
+        start = listed.started_ms if listed else None
+        if start == watched.listed_start or not watched.suspects():
+            return
+        watched.listed_start = start
+        if start is None:
+            self.start_check(watched)
+        elif start > watched.record.started_ms:
+            self.suspect(watched, same_crash_s=UNANSWERED_RETENTION_S)
 
     def look_for_replacement(self, watched: Watched) -> None:
         """Look for a later upstream at the address of a watched one."""
@@ -356,7 +388,8 @@
 
     def drop_idle(self, watched: Watched) -> None:
         """Forget old requests, and the upstream if there are no others."""
-        watched.drop_ended_before(self.clock() - UNANSWERED_RETENTION_S)
+        if not watched.is_unconfirmed:
+            watched.drop_ended_before(self.clock() - UNANSWERED_RETENTION_S)
         is_recent = self.clock() - watched.crashed_at < UNANSWERED_RETENTION_S
         if not (watched.suspects() or watched.is_checked or is_recent):
             self.watched.pop(_incarnation(watched.record), None)
@@ -386,8 +419,9 @@
         )
         if down:
             self.suspect(watched, same_crash_s=SAME_CRASH_S)
-        else:
-            self.look_for_replacement(watched)
+            return
+        watched.is_unconfirmed = self.is_registry_down()
+        self.look_for_replacement(watched)
 
     def suspect(self, watched: Watched, *, same_crash_s: float) -> None:
         """Suspect the requests at an upstream of its crash.
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_watch.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_watch.py
@@ -48,6 +48,7 @@
     Attributes:
         on_changes: Called with the changed rows of upstreams.
         return_after_s: Grace period of missing upstreams, in seconds.
+        unreadable: Tables of which the latest read failed.
     """
 
     name = "fleet"
@@ -68,8 +69,13 @@
         self.return_after_s = settings.return_after_s
         self.fleet = fleet
         self.store = store
+        self.unreadable: set[str] = set()
         self.log = events.get_logger("direct.store")
 
+    def is_registry_down(self) -> bool:
+        """Return whether the upstreams can't be read at present."""
+        return UPSTREAMS in self.unreadable
+
     async def start(self, kernel: Kernel) -> None:
         """Start to watch both tables."""
         self.tasks = [
@@ -107,6 +113,7 @@
                 if rows.era != era:
                     era = rows.era
                     grace_until = time.monotonic() + self.return_after_s
+                self.unreadable.discard(table)
                 if is_down:
                     is_down = False
                     grace_until = time.monotonic() + self.return_after_s
@@ -127,6 +134,7 @@
                 if not is_down:
                     self.log.event(_events.STORE_LOST, table=table, error=str(error))
                 is_down = True
+                self.unreadable.add(table)
                 await asyncio.sleep(backoff.delay_s())
 
     async def next_rows(
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -71,6 +71,7 @@
         position=members.position,
     )
     exchange = EntryExchange(settings, store, members)
+    crashes.is_registry_down = watcher.is_registry_down
     watcher.on_changes = exchange.broadcast
     kernel.register(watcher)
     kernel.register(exchange)
--- a/packages/skylarkdoord/tests/direct/test_crashes.py
+++ b/packages/skylarkdoord/tests/direct/test_crashes.py
@@ -450,3 +450,46 @@
         crashes.on_unanswered(record, 7)
         crashes.on_replaced(record)
         assert crashes.count(7) == 1
+
+
+class TestUnconfirmed:
+    """Lost answers while the registry can't tell whether the upstream has restarted."""
+
+    @pytest.fixture
+    def crashes(self, clock):
+        """Return crashes whose registry is down and whose probe finds all running."""
+        crashes = make_crashes(down=False)
+        crashes.clock = clock
+        crashes.is_registry_down = lambda: True
+        return crashes
+
+    @staticmethod
+    async def lose_answers(crashes):
+        """Lose the answers of three upstreams to one request."""
+        for number in range(MAX_CRASHES):
+            await lose_answer(crashes, f"i-{number}", 7)
+
+    # Guards against upstreams that are back at once under their ids while the store is
+    # away.
+    async def test_quarantine(self, crashes, clock):
+        """Upstreams that may have crashed count until the registry tells."""
+        await self.lose_answers(crashes)
+        clock.now += UNANSWERED_RETENTION_S + 1
+        assert crashes.is_quarantined(7)
+        crashes.is_registry_down = lambda: False
+        assert not crashes.is_quarantined(7)
+
+    async def test_restarted(self, crashes, clock):
+        """If the registry then lists later starts, they are crashes."""
+        await self.lose_answers(crashes)
+        clock.now += UNANSWERED_RETENTION_S + 1
+        crashes.is_registry_down = lambda: False
+        crashes.find = lambda instance: make_record(instance, started_ms=9)
+        crashes.on_registry_change()
+        assert crashes.count(7) == MAX_CRASHES
+
+    async def test_answered(self, crashes):
+        """A later answer of another upstream speaks for the request."""
+        await self.lose_answers(crashes)
+        answer(crashes, 7, times=1)
+        assert not crashes.is_quarantined(7)
