Decode and log the limits that upstreams name

The adapter decodes the header into requests a second; entries log each change. No decision changes.

--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -306,3 +306,15 @@
     logging.WARNING,
     "A response of the store states no era or an earlier one.",
 )
+UPSTREAM_LIMIT_CHANGED = define(
+    721,
+    "upstream_limit_changed",
+    logging.WARNING,
+    "An upstream named, changed or ended a limit on its requests.",
+)
+UPSTREAM_LIMIT_REJECTED = define(
+    722,
+    "upstream_limit_rejected",
+    logging.WARNING,
+    "An upstream named a limit that can't be read.",
+)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_adapter.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_adapter.py
@@ -158,6 +158,9 @@
             address.
         is_signed: Whether the response has the upstream's signature.
         is_closing: Whether the upstream closes the connection after the response.
+        limit_per_s: Requests a second that the upstream takes from all entries
+            together; None if it names no limit.
+        has_malformed_limit: Whether it names a limit that can't be read.
     """
 
     request_id: str
@@ -165,6 +168,8 @@
     is_other_incarnation: bool
     is_signed: bool
     is_closing: bool
+    limit_per_s: float | None = None
+    has_malformed_limit: bool = False
 
 
 class EngineLoad(NamedTuple):
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_call.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_call.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 
 import aiohttp
 from yarl import URL
@@ -95,10 +96,16 @@
 
     Args:
         adapter: Translates the platform's protocols.
+        on_head: Called with the head of each answer that is the upstream's own.
     """
 
-    def __init__(self, adapter: Adapter) -> None:
+    def __init__(
+        self,
+        adapter: Adapter,
+        on_head: Callable[[UpstreamRecord, UpstreamHead], None] = lambda _, head: None,
+    ) -> None:
         self.adapter = adapter
+        self.on_head = on_head
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
                 limit=0,
@@ -156,9 +163,14 @@
             ValueError,
         ) as error:
             raise UpstreamSilentError(repr(error)) from None
-        return self.validate(admitted, response)
+        return self.validate(admitted, upstream, response)
 
-    def validate(self, admitted: Admitted, response: aiohttp.ClientResponse) -> Answer:
+    def validate(
+        self,
+        admitted: Admitted,
+        upstream: UpstreamRecord,
+        response: aiohttp.ClientResponse,
+    ) -> Answer:
         """Return the answer if it is signed by the upstream and is for the request.
 
         Raises:
@@ -170,6 +182,8 @@
         if head.request_id and head.request_id != admitted.request.request_id:
             response.close()
             raise UpstreamSilentError("the answer belongs to another request")
+        if not head.is_other_incarnation:
+            self.on_head(upstream, head)
         if head.is_not_run or head.is_other_incarnation:
             response.close()
             code = "moved" if head.is_other_incarnation else "full"
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_metrics.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_metrics.py
@@ -43,6 +43,11 @@
     "Repeats that the retry budget allowed or refused.",
     ["service", "allowed"],
 )
+UPSTREAM_LIMITS = Counter(
+    "skylarkdoor_direct_upstream_limits_total",
+    "Limits of upstreams that came into force or ended, by kind of change.",
+    ["change"],
+)
 RUNNING = Gauge(
     "skylarkdoor_direct_running",
     "Requests of this entry that are running at upstreams.",
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -17,6 +17,7 @@
 from skylarkdoord.direct._scheduler import Scheduler
 from skylarkdoord.direct._settings import DirectSettings
 from skylarkdoord.direct._suspect_records import SuspectRecords
+from skylarkdoord.direct._upstream_limits import UpstreamLimits
 from skylarkdoord.direct._upstreams import Upstreams
 from skylarkdoord.direct._watch import FleetWatcher
 from skylarkdoord.direct.process import Apply
@@ -38,6 +39,7 @@
     quota.is_history_complete = settings.first_start
     crashes = Crashes(find=fleet.find, occupant=fleet.occupant)
     fleet.on_upstreams.append(crashes.on_registry_change)
+    limits = UpstreamLimits(settings.instance)
     members = Members(settings.instance, fleet, quota, crashes)
     crashes.is_trial_owner = members.owns
     quota.silent_entries = members.silent_entries
@@ -51,7 +53,7 @@
     scheduler.guard_link_of = guards.link_of
     dependencies = ForwarderDependencies(
         adapter=adapter,
-        client=UpstreamClient(adapter),
+        client=UpstreamClient(adapter, limits.on_head),
         scheduler=scheduler,
         upstreams=upstreams,
         retry_limiter=RetryLimiter(
--- a/tests/adapter/test_headers.py
+++ b/tests/adapter/test_headers.py
@@ -25,3 +25,26 @@
     def test_passed_on(self):
         """The caller's estimate is passed on to the server."""
         assert ("Length-Hint", "120") in read(("Length-Hint", "120")).headers
+
+
+class TestUpstreamLimit:
+    """`Server-Limit`."""
+
+    @pytest.mark.parametrize(
+        ("value", "limit"), [("1", 1.0), ("0.5", 0.5), ("0", 0.0), ("1e9", 1e9)]
+    )
+    def test_value(self, value, limit):
+        """A limit is decoded as requests a second."""
+        head = adapter.read_head(200, {"Server-Limit": value})
+        assert (head.limit_per_s, head.has_malformed_limit) == (limit, False)
+
+    @pytest.mark.parametrize("value", ["", "-1", "inf", "nan", "many", "1;2", "²"])
+    def test_malformed(self, value):
+        """A malformed limit is told from an absent one."""
+        head = adapter.read_head(200, {"Server-Limit": value})
+        assert (head.limit_per_s, head.has_malformed_limit) == (None, True)
+
+    def test_absent(self):
+        """An answer without the header names no limit."""
+        head = adapter.read_head(200, {})
+        assert (head.limit_per_s, head.has_malformed_limit) == (None, False)
