Keep the limits that upstreams name, over all entries

What callers and operators saw: an upstream in need named 1 request a second and got 23 in 4 s (LIMIT; 11 are allowed). Requests that others could have run waited in its queue.

Cause: nothing read the limit. Its class is a capacity that changes while a process runs, and that entries take from the registry alone: the slots of a record.

Change: a limit is state of an incarnation. No window admits more than its rate and one request for each entry, so few entries divide one limit. Limited upstreams without a token are no candidates; others run the request at once. Limits that rise or end rise over 5 s.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
@@ -60,6 +60,7 @@
         self.instance = ""
         self.has_sent_totals = False
         self.suspicions_sent = 0
+        self.limits_sent = 0
 
     def opening_messages(self) -> list[pb.EntryNews]:
         return []
@@ -74,6 +75,9 @@
         report = self.exchange.members.crashes.report(self.suspicions_sent)
         update.suspects.extend(report.suspects)
         self.suspicions_sent = report.revision
+        limits = self.exchange.members.limits.report(self.limits_sent)
+        update.limits.extend(limits.limits)
+        self.limits_sent = limits.change
         for message in messages:
             update.rows.extend(message.rows)
         return update
@@ -95,6 +99,7 @@
         self.exchange.outboxes.discard(self.outbox())
         self.has_sent_totals = False
         self.suspicions_sent = 0
+        self.limits_sent = 0
         if self.instance:
             self.exchange.members.on_stream_end(self.instance, is_silent=is_silent)
             self.exchange.on_stream_lost(self)
@@ -136,6 +141,7 @@
         self.row_lost = asyncio.Event()
         self.server = Server([self])
         members.quota.on_unreported = self.unreported.set
+        members.limits.on_change = self.unreported.set
         self.log = events.get_logger("direct.exchange")
 
     async def start(self, kernel: Kernel) -> None:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
@@ -14,6 +14,7 @@
 from skylarkdoord.direct._fleet import CONFIG, UPSTREAMS, Fleet
 from skylarkdoord.direct._model import MS_PER_S
 from skylarkdoord.direct._quota import Quota
+from skylarkdoord.direct._upstream_limits import UpstreamLimits
 
 UPDATE_INTERVAL_S = 0.2
 # With more other entries than this, the interval grows in proportion to their number,
@@ -66,6 +67,7 @@
         fleet: Receives the rows that other entries send.
         quota: Is charged with the units that other entries use.
         crashes: Receives the crash suspicions of other entries.
+        limits: Receives the limits of upstreams of which other entries know.
         incarnation: Random number that identifies this run of the entry.
 
     Attributes:
@@ -80,12 +82,14 @@
         fleet: Fleet,
         quota: Quota,
         crashes: Crashes,
+        limits: UpstreamLimits | None = None,
         *,
         incarnation: int = 0,
     ) -> None:
         self.instance = instance
         self.incarnation = incarnation or random.randrange(1, MAX_INCARNATION)
         self.crashes = crashes
+        self.limits = limits or UpstreamLimits(instance)
         self.fleet = fleet
         self.quota = quota
         self.by_name: dict[str, Member] = {}
@@ -132,6 +136,30 @@
         ]
         return rendezvous(str(fingerprint), [*live, self.instance]) == [self.instance]
 
+    def limit_share(self, upstream: str, most: int) -> float:
+        """Return this entry's part of an upstream's limit, from 0 to 1.
+
+        The limit is divided among a few entries, as each may send one request at once.
+        An entry that can't be reached keeps its part for `SILENT_RETENTION_S`.
+
+        Args:
+            upstream: Name of the upstream instance.
+            most: Most entries that divide the limit.
+        """
+        now = time.monotonic()
+        others = []
+        for name, member in self.by_name.items():
+            retention_s = (
+                LIVE_TIMEOUT_S if member.has_closed_stream else SILENT_RETENTION_S
+            )
+            if now - member.last_update_at < retention_s:
+                others.append(name)
+        sharing = rendezvous(upstream, [*others, self.instance], count=most)
+        if self.instance not in sharing:
+            return 0.0
+        listed = self.listed if now - self.started < SILENT_RETENTION_S else 0
+        return 1.0 / max(len(sharing), min(most, 1 + listed))
+
     def update_interval_s(self) -> float:
         """Return the interval between updates to the other entries, in seconds."""
         return UPDATE_INTERVAL_S * max(1.0, len(self.by_name) / FULL_RATE_ENTRIES)
@@ -166,6 +194,7 @@
                 self.quota.charge(customer, units - before)
                 member.used[customer] = units
         self.crashes.merge(update.suspects)
+        self.limits.merge(update.limits, update.instance)
         member.config_at = StoreVersion(update.config_era, update.config_version)
         member.upstreams_at = StoreVersion(
             update.upstreams_era, update.upstreams_version
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
@@ -21,6 +21,7 @@
 from skylarkdoord.direct._lengths import AnswerLengths
 from skylarkdoord.direct._metrics import RUNNING, WAITING
 from skylarkdoord.direct._model import MS_PER_S, Admitted, Precedence, UpstreamRecord
+from skylarkdoord.direct._upstream_limits import UpstreamLimits
 from skylarkdoord.direct._upstreams import Upstream, Upstreams
 from skylarkdoord.direct._waiting import QueueState, Slot, SlotGrant, Waiter
 from skylarkdoord.direct.exceptions import NoFreeSlotError
@@ -62,11 +63,14 @@
         instance: Name of this entry.
         data_centre: Data centre of this entry.
         live_entries: Returns how many entries share the upstreams.
+        limits: Limits on requests that upstreams named.
 
     Attributes:
         guard_link_of: Returns the stream to an upstream's guard; None without a guard.
         waiters: Requests that wait for a slot, by their names on streams to guards.
         queues: Heap of waiting requests, by service.
+        rechecks: Services whose waiting requests are looked at again once a limit of
+            an upstream has room.
     """
 
     def __init__(
@@ -76,11 +80,14 @@
         data_centre: str,
         instance: str = "",
         live_entries: Callable[[], int] = lambda: 1,
+        limits: UpstreamLimits | None = None,
     ) -> None:
         self.upstreams = upstreams
         self.data_centre = data_centre
         self.instance = instance
         self.live_entries = live_entries
+        self.limits = limits or UpstreamLimits(instance)
+        self.rechecks: set[str] = set()
         self.guard_link_of: Callable[[UpstreamRecord], GuardLink | None] = lambda _: (
             None
         )
@@ -153,6 +160,7 @@
         WAITING.labels(admitted.service).inc()
         self.assign_slots(admitted.service)
         self.offer_to_best(waiter)
+        self.recheck_limits(admitted.service)
         state = self.queue_state(admitted.service)
         if not waiter.slot.done() and state.would_time_out(waiter, waiter.since):
             self.dequeue(waiter)
@@ -211,6 +219,7 @@
         for guard in waiter.offered_to:
             if guard is not granting:
                 guard.withdraw(waiter.name)
+                self.limits.refund(guard.record)
         if waiter.slot.cancelled():
             queue = self.queues.get(waiter.admitted.service, [])
             if waiter in queue:
@@ -271,6 +280,7 @@
     def offer(self, waiter: Waiter, guard: GuardLink) -> None:
         """Offer a request to one guard."""
         waiter.offered_to.append(guard)
+        self.limits.reserve(guard.record)
         guard.offer(waiter.name, waiter.precedence)
 
     def guards(self, waiter: Waiter) -> list[GuardLink]:
@@ -298,6 +308,7 @@
         for waiter in self.waiters.values():
             if guard in waiter.offered_to:
                 waiter.offered_to.remove(guard)
+                self.limits.refund(guard.record)
         self.assign_slots(guard.record.service)
 
     def on_guard_connected(self, guard: GuardLink) -> None:
@@ -364,6 +375,7 @@
                     break
                 continue
             self.occupy(upstream)
+            self.limits.reserve(upstream.record)
             waiter.slot.set_result(SlotGrant(upstream))
         for waiter in skipped:
             heapq.heappush(queue, waiter)
@@ -371,13 +383,59 @@
     def candidates(self, waiter: Waiter) -> list[Upstream]:
         """Return the upstreams that may take a request.
 
-        Excluded upstreams are only returned if the service has no others.
+        Excluded upstreams are only returned if the service has no others, and paused
+        ones only if there are no others, also among those that are at their limits.
         """
         listed = self.upstreams.of_service(waiter.admitted.service)
+        unlimited = [
+            upstream for upstream in listed if self.limits.has_room(upstream.record)
+        ]
         others = [
-            upstream for upstream in listed if upstream.instance not in waiter.excluded
+            upstream
+            for upstream in unlimited
+            if upstream.instance not in waiter.excluded
+        ]
+        usable = self.upstreams.unpaused(others or unlimited)
+        if len(unlimited) == len(listed):
+            return usable
+        now = self.upstreams.clock()
+        return [upstream for upstream in usable if not upstream.is_paused(now)]
+
+    def recheck_limits(self, service: str) -> None:
+        """Look at the waiting requests of a service again once a limit has room."""
+        if service in self.rechecks or not self.queue_state(service).waiting:
+            return
+        delay_s = self.limits.recheck_s(self.upstreams.fleet.upstreams(service))
+        if delay_s is None:
+            return
+        self.rechecks.add(service)
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_s, self.on_limits_due, service)
+
+    def on_limits_due(self, service: str) -> None:
+        """Let waiting requests use the upstreams whose limits have room."""
+        self.rechecks.discard(service)
+        self.assign_slots(service)
+        for waiter in sorted(self.queue_state(service).waiting.values()):
+            if not waiter.slot.done() and not self.offer_to_limited(waiter):
+                break
+        self.recheck_limits(service)
+
+    def offer_to_limited(self, waiter: Waiter) -> bool:
+        """Offer a request to the guard of a limited upstream that has room.
+
+        Returns:
+            Whether such an upstream may be left for further requests.
+        """
+        guards = [
+            guard
+            for guard in self.guards(waiter)
+            if self.limits.is_room_limited(guard.record)
         ]
-        return self.upstreams.unpaused(others or listed)
+        others = [guard for guard in guards if guard not in waiter.offered_to]
+        if others:
+            self.offer(waiter, others[0])
+        return bool(guards)
 
     def choose_unguarded(self, waiter: Waiter) -> Upstream | None:
         """Return the best upstream that has no guard but has a free slot.
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -39,8 +39,10 @@
     quota.is_history_complete = settings.first_start
     crashes = Crashes(find=fleet.find, occupant=fleet.occupant)
     fleet.on_upstreams.append(crashes.on_registry_change)
-    limits = UpstreamLimits(settings.instance)
-    members = Members(settings.instance, fleet, quota, crashes)
+    limits = UpstreamLimits(settings.instance, find=fleet.find)
+    fleet.on_upstreams.append(limits.drop_removed)
+    members = Members(settings.instance, fleet, quota, crashes, limits)
+    limits.share_of = members.limit_share
     crashes.is_trial_owner = members.owns
     quota.silent_entries = members.silent_entries
     scheduler = Scheduler(
@@ -48,6 +50,7 @@
         data_centre=settings.data_centre,
         instance=settings.instance,
         live_entries=members.live_count,
+        limits=limits,
     )
     guards = Guards(settings, fleet, scheduler)
     scheduler.guard_link_of = guards.link_of
--- a/packages/skylarkdoord/tests/direct/test_scheduler.py
+++ b/packages/skylarkdoord/tests/direct/test_scheduler.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from skylarkdoord.direct._adapter import UpstreamHead
 from skylarkdoord.direct._scheduler import Scheduler
 from skylarkdoord.direct._upstreams import Upstreams
 from skylarkdoord.direct.exceptions import NoFreeSlotError
@@ -361,3 +362,66 @@
             upstreams.on_timeout(silent, "timeout", since=silent.answered_at)
         assert not silent.is_paused(silent.answered_at)
         assert scheduler.cost(silent, 0) > scheduler.cost(healthy[0], 7)
+
+
+class TestNamedLimits:
+    """Upstreams that named limits on their requests."""
+
+    @pytest.fixture
+    def scheduler(self):
+        """Return a scheduler over a limited upstream and another one."""
+        self.limited = make_record("i-1", slots=8)
+        self.free = make_record("i-2", slots=8)
+        scheduler = make_scheduler(self.limited, self.free)
+        self.name_limit(scheduler, self.limited, 5.0)
+        return scheduler
+
+    @staticmethod
+    def name_limit(scheduler, record, limit):
+        """Let an upstream name a limit."""
+        head = UpstreamHead("r1", False, False, True, False, limit)
+        scheduler.limits.on_head(record, head)
+
+    # Guards against requests that are held for an upstream's next token although
+    # another one could run them.
+    async def test_others_at_once(self, scheduler):
+        """Requests go to the other upstream without delay."""
+        slots = await fill(scheduler, 6)
+        assert {slot.upstream.instance for slot in slots} == {"i-2"}
+
+    # Guards against an upstream in need that gets nothing at all.
+    async def test_waits_for_room(self, scheduler):
+        """If all upstreams are limited, requests wait for their limits."""
+        self.name_limit(scheduler, self.free, 5.0)
+        slots = await fill(scheduler, 2)
+        assert all(slot.waited_s > 0.0 for slot in slots)
+
+    async def test_refused(self, scheduler):
+        """A request for which no limit has room in time is refused as not run."""
+        for record in (self.limited, self.free):
+            self.name_limit(scheduler, record, 0.0)
+        route = make_route(target_latency_s=0.2)
+        with pytest.raises(NoFreeSlotError) as refusal:
+            await scheduler.acquire(make_admitted(route=route))
+        assert refusal.value.retry_after_s > 0.0
+        assert not scheduler.waiters
+
+    # Guards against a paused upstream that is used in place of one at its limit.
+    async def test_paused(self, scheduler):
+        """A paused upstream is not used while a limited one will have room."""
+        scheduler.upstreams.on_failure(scheduler.upstreams.get(self.free), "lost")
+        slot = await scheduler.acquire(make_admitted())
+        assert slot.upstream.instance == "i-1"
+
+    async def test_guard(self, scheduler):
+        """An offer to a guard takes up room until it is withdrawn."""
+        scheduler.upstreams.fleet.records.remove(self.free)
+        guard = StubGuard(self.limited)
+        scheduler.guard_link_of = lambda record: guard
+        first = asyncio.create_task(scheduler.acquire(make_admitted()))
+        while not guard.offered:
+            await asyncio.sleep(0.01)
+        assert not scheduler.limits.has_room(self.limited)
+        first.cancel()
+        await asyncio.gather(first, return_exceptions=True)
+        assert scheduler.limits.has_room(self.limited)
--- a/tests/adapter/test_named_limits.py
+++ b/tests/adapter/test_named_limits.py
@@ -95,3 +95,33 @@
                 caller.entry = own
         assert limited.most_in_window() <= allowed(limit)
         assert statuses.count(200) == len(statuses)
+
+    # Guards against an upstream in need that gets nothing at all, or a service that is
+    # refused although its upstreams would take some.
+    async def test_all_limited(self, start, store):
+        """If all upstreams are limited, at least half of what they take arrives."""
+        limit = 5
+        async with LimitedServer(limit) as one, LimitedServer(limit) as two:
+            async with start([ROUTE], [one, two]) as caller:
+                own = caller.entry
+                async with more_entries(store, 1, 2) as entries:
+                    statuses = await send_requests(caller, [own, *entries])
+                caller.entry = own
+        for server in (one, two):
+            assert server.most_in_window() <= allowed(limit)
+            assert len(server.arrivals) >= 0.5 * limit * RUN_S
+        assert statuses.count(200) == len(one.arrivals) + len(two.arrivals)
+        assert set(statuses) == {200, 503}
+
+    # Guards against a jump when the upstream has just recovered.
+    async def test_ended(self, start):
+        """Once it names no limit, the upstream gets more and more requests again."""
+        async with LimitedServer(2) as server:
+            async with start([ROUTE], [server]) as caller:
+                await send_requests(caller, [caller.entry], seconds=2.0)
+                server.limit = None
+                ended = time.monotonic()
+                await send_requests(caller, [caller.entry], seconds=7.0)
+        since = [at - ended for at in server.arrivals if at > ended]
+        assert sum(at <= 1.0 for at in since) <= 8
+        assert sum(at > 6.0 for at in since) >= 40
