Hear of the end of an unknown limit without a failure

What callers saw, in the soak: 500 for every request at an entry that had restarted, or the entry ended by itself.

Cause: an entry that starts anew is told of limits that have ended since. Such a limit was taken for one that rises to infinity, and its infinite rate can't be converted to a number of entries (OverflowError).

Change: a limit that rises from infinity is over at once. Each decision takes the time once, so that a limit can't end within it.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_upstream_limits.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_upstream_limits.py
@@ -92,7 +92,7 @@
         self.target = max(target, MIN_RATE)
 
     def rate(self, now: float) -> float:
-        """Return the present rate, in requests a second."""
+        """Return the present rate, in requests a second; infinite if there is none."""
         if self.is_over(now):
             return math.inf
         doublings = (now - self.ramp_at) / DOUBLING_S
@@ -101,8 +101,10 @@
         return min(self.target, self.ramp_start * 2**doublings)
 
     def is_over(self, now: float) -> bool:
-        """Return whether no limit is in force any more."""
-        return math.isinf(self.target) and now - self.ramp_at > RAMP_S
+        """Return whether no limit is in force, or none any more."""
+        if not math.isinf(self.target):
+            return False
+        return math.isinf(self.ramp_start) or now - self.ramp_at > RAMP_S
 
     def refill(self, share: float, now: float) -> None:
         """Add the tokens of the time since the latest refill.
@@ -243,10 +245,17 @@
             source=source,
         )
 
-    def in_force(self, record: UpstreamRecord) -> UpstreamLimit | None:
-        """Return the limit of an upstream; None if none is in force."""
+    def in_force(
+        self, record: UpstreamRecord, now: float | None = None
+    ) -> UpstreamLimit | None:
+        """Return the limit of an upstream; None if none is in force.
+
+        Args:
+            record: The upstream.
+            now: Monotonic time, in seconds; None for the present.
+        """
         limit = self.limits.get(_incarnation(record))
-        if limit is None or limit.limiter.is_over(self.clock()):
+        if limit is None or limit.limiter.is_over(now or self.clock()):
             return None
         return limit
 
@@ -256,14 +265,15 @@
 
     def wait_s(self, record: UpstreamRecord) -> float:
         """Return the time until a request may be sent to an upstream, in seconds."""
-        limit = self.in_force(record)
+        now = self.clock()
+        limit = self.in_force(record, now)
         if limit is None:
             return 0.0
-        return limit.limiter.wait_s(self.share(record, limit), self.clock())
+        return limit.limiter.wait_s(self.share(record, limit, now), now)
 
-    def share(self, record: UpstreamRecord, limit: UpstreamLimit) -> float:
-        """Return this entry's part of a limit, from 0 to 1."""
-        rate = limit.limiter.rate(self.clock())
+    def share(self, record: UpstreamRecord, limit: UpstreamLimit, now: float) -> float:
+        """Return this entry's part of a limit in force, from 0 to 1."""
+        rate = limit.limiter.rate(now)
         return self.share_of(record.instance, MIN_SHARING_ENTRIES + int(rate))
 
     def reserve(self, record: UpstreamRecord) -> None:
@@ -276,9 +286,10 @@
 
     def add_tokens(self, record: UpstreamRecord, tokens: float) -> None:
         """Bring the tokens of an upstream with a limit up to date, and add some."""
-        limit = self.in_force(record)
+        now = self.clock()
+        limit = self.in_force(record, now)
         if limit is not None:
-            limit.limiter.refill(self.share(record, limit), self.clock())
+            limit.limiter.refill(self.share(record, limit, now), now)
             limit.limiter.tokens += tokens
 
     def is_room_limited(self, record: UpstreamRecord) -> bool:
--- a/packages/skylarkdoord/tests/direct/test_upstream_limits.py
+++ b/packages/skylarkdoord/tests/direct/test_upstream_limits.py
@@ -236,6 +236,16 @@
         self.tell(other, one)
         assert math.isinf(one.in_force(RECORD).named.per_second)
 
+    # Guards against an entry that hears of a limit only after its end, and fails.
+    def test_ended_before(self, entries):
+        """The end of a limit that an entry did not know limits nothing."""
+        one, other = entries
+        one.on_head(RECORD, make_head(1.0))
+        one.on_head(RECORD, make_head())
+        self.tell(one, other)
+        assert other.in_force(RECORD) is None
+        assert other.has_room(RECORD)
+
     # Guards against messages that arrive twice or out of order.
     def test_outdated(self, entries):
         """An earlier limit does not replace a later one."""
