Soak: servers in need, and a request that crashes servers later

Servers name limits of 0.5 to 8 requests a second in turn, and each window of 4 s is checked from 3 s after the naming, whatever happens to the entries. The poison request is answered for up to 5 s before it crashes servers, and crashed servers may be back after 0.05 s.

--- a/tests/soak/_environment.py
+++ b/tests/soak/_environment.py
@@ -23,6 +23,12 @@
 MAX_CRASHES = 3
 KNOWN_WITHIN_S = 3.0
 MAX_LATE_CRASHES = 3
+# Time after which a named limit binds, the windows in which it is checked, and what is
+# accepted in each, as a multiple of the limit and a number of requests.
+LIMIT_KNOWN_S = 3.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_TOLERANCE = 1.5
+LIMIT_SLACK = 5
 # The time by which a tick exceeds this counts as a stall of the machine.
 MAX_TICK_S = 0.2
 
@@ -85,6 +91,7 @@
         outcomes: Number of calls by status or type of error.
         crashes: Times at which the poison request crashed a server.
         not_run: Requests that were reported as not run.
+        is_poisonous: Whether the poison request crashes servers yet.
         broken: Violated guarantees, each as a message.
         clock: Clock for the time limits that are checked.
     """
@@ -94,6 +101,7 @@
         self.runs = Counter()
         self.outcomes = Counter()
         self.crashes = []
+        self.is_poisonous = False
         self.not_run = set()
         self.broken = []
 
@@ -131,6 +139,9 @@
         self.sequence = 0
         self.is_down = False
         self.drained_at = None
+        self.limit = None
+        self.named_at = 0.0
+        self.arrivals = []
         self.running = 0
         self.server = Server(self.handle)
 
@@ -148,11 +159,40 @@
         finally:
             self.running -= 1
 
+    def name_limit(self, limit):
+        """Name a limit in all answers from now on; None for none."""
+        self.limit = limit
+        self.named_at = self.observations.clock.now
+        self.arrivals.clear()
+
+    def head(self, request, *fields):
+        """Return the head of a response, with the limit if there is one."""
+        if self.limit is not None:
+            fields = (*fields, f"Server-Limit: {self.limit}")
+        return signed(request, *fields)
+
+    def check_limit(self):
+        """Count a request, and check those of the last seconds against the limit."""
+        now = self.observations.clock.now
+        if self.limit is None or now < self.named_at + LIMIT_KNOWN_S:
+            return
+        self.arrivals.append(now)
+        recent = sum(at > now - LIMIT_WINDOW_S for at in self.arrivals)
+        allowed = LIMIT_TOLERANCE * LIMIT_WINDOW_S * self.limit + LIMIT_SLACK
+        if recent > allowed:
+            self.observations.broken.append(
+                f"{recent} requests in {LIMIT_WINDOW_S} s at a limit of {self.limit}"
+            )
+
     async def run(self, request, writer):
         """Run one request."""
         (call,) = request.header("Attempt-Id")
+        self.check_limit()
         if request.target == POISON_TARGET:
-            self.crash(self)
+            if self.observations.is_poisonous:
+                self.crash(self)
+                return
+            await self.answer(request, writer, call)
             return
         kind = KINDS_BY_NAME[request.target.split("/")[1]]
         if (
@@ -171,15 +211,19 @@
             await self.stream(request, writer)
             return
         await asyncio.sleep(self.rng.uniform(0.0, 0.1))
+        await self.answer(request, writer, call)
+
+    async def answer(self, request, writer, call):
+        """Send a complete response."""
         body = f"answer to {call}".encode()
-        writer.write(signed(request, f"Content-Length: {len(body)}") + body)
+        writer.write(self.head(request, f"Content-Length: {len(body)}") + body)
         await writer.drain()
 
     async def stream(self, request, writer):
         """Send the events after the last one that the caller has received."""
         last = int((request.header("Last-Event-Id") or ["0"])[0])
         fields = ("Content-Type: text/event-stream", "Transfer-Encoding: chunked")
-        writer.write(signed(request, *fields))
+        writer.write(self.head(request, *fields))
         for number in range(last + 1, EVENTS + 1):
             writer.write(chunk(event(number)))
             await writer.drain()
--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -31,6 +31,8 @@
 RETIRED = "retired"
 # Copies of the store that it may come back from.
 COPIES = 3
+# Limits in requests a second that servers in need name.
+LIMITS = (0.5, 1.0, 3.0, 8.0)
 # Versions that it gives out again after that.
 LOST_VERSIONS = 1000
 
@@ -62,6 +64,7 @@
     def __init__(self, seed, folder):
         self.rng = new_rng(seed, "faults")
         self.crash_rng = new_rng(seed, "crashes")
+        self.need_rng = new_rng(seed, "needs")
         self.drill_rng = new_rng(seed, "drills")
         self.copies = collections.deque(maxlen=COPIES)
         self.config_version = 1
@@ -133,7 +136,8 @@
         """Close a server's connections, and accept new ones after a while."""
         proxy = self.proxies[self.backends.index(backend)]
         await proxy.stop()
-        await asyncio.sleep(self.crash_rng.uniform(1.0, 2.0))
+        down_s = self.crash_rng.choice((0.05, self.crash_rng.uniform(1.0, 2.0)))
+        await asyncio.sleep(down_s)
         backend.born += 1
         await proxy.start(proxy.port)
         backend.is_down = False
@@ -294,9 +298,24 @@
             await asyncio.sleep(self.drill_rng.uniform(0.0, 1.5))
             await self.write_again()
 
-    async def end_drill(self, drills):
-        """Wait for the cancelled drills, and leave the store in order."""
-        await asyncio.gather(drills, return_exceptions=True)
+    async def name_limits(self):
+        """Let servers be in need, one at a time, and recover."""
+        await asyncio.sleep(self.need_rng.uniform(0.0, 5.0))
+        self.observations.is_poisonous = True
+        while True:
+            backend = self.need_rng.choice(self.backends)
+            limit = self.need_rng.choice(LIMITS)
+            self.record(f"{backend.server.address} names the limit {limit}")
+            backend.name_limit(limit)
+            await asyncio.sleep(self.need_rng.uniform(5.0, 10.0))
+            backend.name_limit(None)
+            await asyncio.sleep(self.need_rng.uniform(0.0, 3.0))
+
+    async def end_faults(self, *tasks):
+        """Wait for cancelled tasks, and leave servers and store in order."""
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for backend in self.backends:
+            backend.name_limit(None)
         self.store.status = 200
         await self.write_again()
 
@@ -338,9 +357,11 @@
             await asyncio.sleep(START_S / 5)
             async with callers.running(CALLERS):
                 drills = asyncio.create_task(self.drill_store())
+                needs = asyncio.create_task(self.name_limits())
                 await self.inject_faults(seconds)
                 drills.cancel()
-                await self.end_drill(drills)
+                needs.cancel()
+                await self.end_faults(needs, drills)
                 faults_ended_at = self.observations.clock.now
                 await asyncio.sleep(RECOVERY_S)
                 if self.observations.clock.now - callers.served_at > 1.0:
