Split the state of crashes from their detection, name incarnations once

The pair of instance and start stood in four modules; it is UpstreamRecord.incarnation. Behaviour and assertions unchanged.

--- /dev/null
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_crash_state.py
@@ -0,0 +1,104 @@
+"""The state of upstreams that may crash, and of requests that are suspected of it."""
+
+import math
+from collections import Counter
+from dataclasses import dataclass, field
+
+from skylarkdoord.direct._model import UpstreamRecord
+
+# A request suspected of this many crashes is quarantined.
+MAX_CRASHES = 3
+# Crashes at shorter intervals may have one cause outside the request, and be noticed
+# one after the other. A trial follows the latest crash by at least this.
+SETTLE_S = 3.0
+# Trials of one quarantined request that may crash an upstream.
+MAX_TRIALS = 2
+# Ratio of the pause before each further trial to that before the former one.
+TRIAL_PAUSE_GROWTH = 10.0
+
+
+@dataclass
+class Watched:
+    """An incarnation of an upstream, with the requests to suspect if it crashed.
+
+    Attributes:
+        record: Its record in the registry.
+        in_flight: Fingerprints of the requests in flight, counted.
+        unanswered: Monotonic time at which a request ended without an answer, by
+            fingerprint, in seconds; oldest first.
+        crashes: Number of crashes under this record.
+        crashed_at: Monotonic time of the latest crash, in seconds.
+        is_replaced: Whether another upstream has its address.
+        listed_start: Start of the instance that the registry listed when it was last
+            examined, as `UpstreamRecord.started_ms`; None if none was listed.
+        is_checked: Whether a check is pending.
+        is_unconfirmed: Whether a check found it running, but could not ask the registry
+            whether it has restarted.
+    """
+
+    record: UpstreamRecord
+    listed_start: int | None
+    in_flight: Counter[int] = field(default_factory=Counter)
+    unanswered: dict[int, float] = field(default_factory=dict)
+    crashes: int = 0
+    crashed_at: float = -math.inf
+    is_checked: bool = False
+    is_unconfirmed: bool = False
+    is_replaced: bool = False
+
+    def suspects(self) -> set[int]:
+        """Return the fingerprints to suspect if the upstream crashed."""
+        return {*self.in_flight, *self.unanswered}
+
+    def on_answered_elsewhere(self, fingerprint: int, sent_at: float) -> None:
+        """Forget a request that another upstream answered afterwards.
+
+        Args:
+            fingerprint: The request.
+            sent_at: Monotonic time at which it was sent there, in seconds.
+        """
+        if self.unanswered.get(fingerprint, math.inf) <= sent_at:
+            del self.unanswered[fingerprint]
+
+    def drop_ended_before(self, since: float) -> None:
+        """Forget the requests that ended before a monotonic time, in seconds."""
+        while self.unanswered:
+            oldest = next(iter(self.unanswered))
+            if self.unanswered[oldest] >= since:
+                return
+            del self.unanswered[oldest]
+
+
+@dataclass
+class Suspect:
+    """What this entry learned about a suspected request since the latest crash.
+
+    Attributes:
+        crashes: Number of crashes of which the request is suspected.
+        crashed_at: Monotonic time at which the latest one became known, in seconds.
+        answers: Answers to attempts that were sent since.
+        failed_trials: Crashes while it was quarantined.
+    """
+
+    crashes: int = 0
+    crashed_at: float = -math.inf
+    answers: int = 0
+    failed_trials: int = 0
+
+    def set_crashes(self, crashes: int, now: float) -> None:
+        """Record the number of crashes that is known at a time, in seconds."""
+        if crashes <= self.crashes:
+            self.crashes = crashes
+            return
+        is_settled = now - self.crashed_at >= SETTLE_S
+        if self.crashes >= MAX_CRASHES and is_settled:
+            self.failed_trials += 1
+        self.crashes = crashes
+        self.crashed_at = now
+        self.answers = 0
+
+    def is_trial_due(self, now: float) -> bool:
+        """Return whether a trial is allowed, if the request is quarantined."""
+        pause_s = SETTLE_S * TRIAL_PAUSE_GROWTH**self.failed_trials
+        is_due = now - self.crashed_at >= pause_s
+        return is_due and self.failed_trials < MAX_TRIALS
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_crashes.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_crashes.py
@@ -10,9 +10,7 @@
 import asyncio
 import math
 import time
-from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable
-from dataclasses import dataclass, field
 from typing import NamedTuple
 
 from skylarkdoor import events
@@ -26,10 +24,13 @@
 )
 from skylarkdoor.wire import pb
 from skylarkdoord import _events
-from skylarkdoord.direct._model import Admitted, UpstreamRecord
+from skylarkdoord.direct._crash_state import (
+    MAX_CRASHES,
+    Suspect,
+    Watched,
+)
+from skylarkdoord.direct._model import Admitted, Incarnation, UpstreamRecord
 
-# A request suspected of this many crashes is quarantined.
-MAX_CRASHES = 3
 # Delay of the probe after a lost answer. A crashed upstream refuses connections for
 # longer than this.
 PROBE_DELAY_S = 0.15
@@ -46,22 +47,12 @@
 # Answers since the latest crash that clear a request. One answer says little if only
 # some of the upstreams crash, as while a release is rolled out.
 CLEARING_ANSWERS = 5
-# Crashes at shorter intervals may have one cause outside the request, and be noticed
-# one after the other. A trial follows the latest crash by at least this.
-SETTLE_S = 3.0
-# Trials of one quarantined request that may crash an upstream.
-MAX_TRIALS = 2
-# Ratio of the pause before each further trial to that before the former one.
-TRIAL_PAUSE_GROWTH = 10.0
 # Requests whose latest answer is remembered, and for how long.
 MAX_ANSWERED = 10_000
 ANSWERED_RETENTION_S = 600.0
 # Limits the size of an update sent to other entries.
 MAX_REPORTED_SUSPECTS = 100
 
-# Instance of an upstream and Unix time of its start in milliseconds.
-Incarnation = tuple[str, int]
-
 
 def fingerprint_of(admitted: Admitted) -> int:
     """Return the fingerprint of a request, which its repeats share.
@@ -97,93 +88,6 @@
     revision: int
 
 
-@dataclass
-class Watched:
-    """An incarnation of an upstream, with the requests to suspect if it crashed.
-
-    Attributes:
-        record: Its record in the registry.
-        in_flight: Fingerprints of the requests in flight, counted.
-        unanswered: Monotonic time at which a request ended without an answer, by
-            fingerprint, in seconds; oldest first.
-        crashes: Number of crashes under this record.
-        crashed_at: Monotonic time of the latest crash, in seconds.
-        is_replaced: Whether another upstream has its address.
-        listed_start: Start of the instance that the registry listed when it was last
-            examined, as `UpstreamRecord.started_ms`; None if none was listed.
-        is_checked: Whether a check is pending.
-        is_unconfirmed: Whether a check found it running, but could not ask the registry
-            whether it has restarted.
-    """
-
-    record: UpstreamRecord
-    listed_start: int | None
-    in_flight: Counter[int] = field(default_factory=Counter)
-    unanswered: dict[int, float] = field(default_factory=dict)
-    crashes: int = 0
-    crashed_at: float = -math.inf
-    is_checked: bool = False
-    is_unconfirmed: bool = False
-    is_replaced: bool = False
-
-    def suspects(self) -> set[int]:
-        """Return the fingerprints to suspect if the upstream crashed."""
-        return {*self.in_flight, *self.unanswered}
-
-    def on_answered_elsewhere(self, fingerprint: int, sent_at: float) -> None:
-        """Forget a request that another upstream answered afterwards.
-
-        Args:
-            fingerprint: The request.
-            sent_at: Monotonic time at which it was sent there, in seconds.
-        """
-        if self.unanswered.get(fingerprint, math.inf) <= sent_at:
-            del self.unanswered[fingerprint]
-
-    def drop_ended_before(self, since: float) -> None:
-        """Forget the requests that ended before a monotonic time, in seconds."""
-        while self.unanswered:
-            oldest = next(iter(self.unanswered))
-            if self.unanswered[oldest] >= since:
-                return
-            del self.unanswered[oldest]
-
-
-@dataclass
-class Suspect:
-    """What this entry learned about a suspected request since the latest crash.
-
-    Attributes:
-        crashes: Number of crashes of which the request is suspected.
-        crashed_at: Monotonic time at which the latest one became known, in seconds.
-        answers: Answers to attempts that were sent since.
-        failed_trials: Crashes while it was quarantined.
-    """
-
-    crashes: int = 0
-    crashed_at: float = -math.inf
-    answers: int = 0
-    failed_trials: int = 0
-
-    def set_crashes(self, crashes: int, now: float) -> None:
-        """Record the number of crashes that is known at a time, in seconds."""
-        if crashes <= self.crashes:
-            self.crashes = crashes
-            return
-        is_settled = now - self.crashed_at >= SETTLE_S
-        if self.crashes >= MAX_CRASHES and is_settled:
-            self.failed_trials += 1
-        self.crashes = crashes
-        self.crashed_at = now
-        self.answers = 0
-
-    def is_trial_due(self, now: float) -> bool:
-        """Return whether a trial is allowed, if the request is quarantined."""
-        pause_s = SETTLE_S * TRIAL_PAUSE_GROWTH**self.failed_trials
-        is_due = now - self.crashed_at >= pause_s
-        return is_due and self.failed_trials < MAX_TRIALS
-
-
 class Crashes:
     """Tracks which requests were in flight at upstreams that crashed.
 
@@ -318,7 +222,7 @@
 
     def remove_in_flight(self, record: UpstreamRecord, fingerprint: int) -> None:
         """Record that a request is no longer in flight at an upstream."""
-        watched = self.watched.get(_incarnation(record))
+        watched = self.watched.get(record.incarnation)
         if watched is None:
             return
         watched.in_flight[fingerprint] -= 1
@@ -372,7 +276,7 @@
 
     def on_replaced(self, record: UpstreamRecord) -> None:
         """Record that another upstream has the address of one, which is down then."""
-        watched = self.watched.get(_incarnation(record))
+        watched = self.watched.get(record.incarnation)
         if watched is None or watched.is_replaced or not watched.suspects():
             return
         watched.is_replaced = True
@@ -380,7 +284,7 @@
 
     def watch(self, record: UpstreamRecord) -> Watched:
         """Return the state of an incarnation; add it if it is new."""
-        incarnation = _incarnation(record)
+        incarnation = record.incarnation
         watched = self.watched.get(incarnation)
         if watched is None:
             watched = self.watched[incarnation] = Watched(record, record.started_ms)
@@ -392,7 +296,7 @@
             watched.drop_ended_before(self.clock() - UNANSWERED_RETENTION_S)
         is_recent = self.clock() - watched.crashed_at < UNANSWERED_RETENTION_S
         if not (watched.suspects() or watched.is_checked or is_recent):
-            self.watched.pop(_incarnation(watched.record), None)
+            self.watched.pop(watched.record.incarnation, None)
 
     def start_check(self, watched: Watched) -> None:
         """Start a check of an upstream unless one is pending."""
@@ -496,7 +400,3 @@
         for suspect in suspects:
             self.suspicions.merge_message(suspect)
             self.update_suspect(suspect.fingerprint)
-
-
-def _incarnation(record: UpstreamRecord) -> Incarnation:
-    return record.instance, record.started_ms
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guards.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guards.py
@@ -11,7 +11,7 @@
 from skylarkdoord import _events
 from skylarkdoord.direct._fleet import Fleet
 from skylarkdoord.direct._link import Link
-from skylarkdoord.direct._model import Precedence, UpstreamRecord
+from skylarkdoord.direct._model import Incarnation, Precedence, UpstreamRecord
 from skylarkdoord.direct._settings import DirectSettings
 
 
@@ -170,7 +170,7 @@
         self.settings = settings
         self.fleet = fleet
         self.listener = listener
-        self.links: dict[tuple[str, int], GuardLink] = {}
+        self.links: dict[Incarnation, GuardLink] = {}
         self.spawn: Callable[..., asyncio.Task[None]] | None = None
 
     async def start(self, kernel: Kernel) -> None:
@@ -196,7 +196,7 @@
         guard, and it is treated as having one. If all entries sent requests to a new
         engine without its guard meanwhile, the engine would start with a long queue.
         """
-        link = self.links.get((record.instance, record.started_ms))
+        link = self.links.get(record.incarnation)
         if link is None or not (link.is_connected or link.is_opening):
             return None
         return link
@@ -206,7 +206,7 @@
         if self.fleet.routing is None or self.spawn is None:
             return
         desired = {
-            (record.instance, record.started_ms): record
+            record.incarnation: record
             for service in self.fleet.routing.config.services.values()
             if service.is_engine
             for record in self.fleet.upstreams(service.name)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_model.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_model.py
@@ -9,6 +9,9 @@
 
 MS_PER_S = 1000.0
 
+# Instance of an upstream and Unix time of its start in milliseconds.
+Incarnation = tuple[str, int]
+
 
 class RepeatPolicy(enum.Enum):
     """Whether the requests of a route may run more than once."""
@@ -150,6 +153,11 @@
     is_draining: bool = False
     started_ms: int = 0
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """Identity of this run of the instance."""
+        return self.instance, self.started_ms
+
 
 class Precedence(NamedTuple):
     """Priority of a request among those waiting for a slot; lower is served first.
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_upstream_limits.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_upstream_limits.py
@@ -16,7 +16,7 @@
 from skylarkdoord import _events
 from skylarkdoord.direct._adapter import UpstreamHead
 from skylarkdoord.direct._metrics import UPSTREAM_LIMITS
-from skylarkdoord.direct._model import UpstreamRecord
+from skylarkdoord.direct._model import Incarnation, UpstreamRecord
 
 # Lowest rate in requests a second. An upstream that takes nothing at all still gets a
 # request now and then, whose answer tells whether the limit has ended.
@@ -35,9 +35,6 @@
 MIN_WAIT_S = 0.02
 MAX_WAIT_S = 1.0
 
-# Instance of an upstream and Unix time of its start in milliseconds.
-Incarnation = tuple[str, int]
-
 
 class NamedLimit(NamedTuple):
     """A limit as an upstream named it.
@@ -204,19 +201,19 @@
             return
         if head.limit_per_s is None and not head.is_signed:
             return
-        known = self.limits.get(_incarnation(record), UpstreamLimit()).named
+        known = self.limits.get(record.incarnation, UpstreamLimit()).named
         per_second = math.inf if head.limit_per_s is None else head.limit_per_s
         if per_second == known.per_second:
             return
         named = NamedLimit(per_second, known.revision + 1)
-        self.change(_incarnation(record), named, source=self.instance)
+        self.change(record.incarnation, named, source=self.instance)
         self.on_change()
 
     def reject(self, record: UpstreamRecord) -> None:
         """Log a malformed limit, once for each incarnation."""
-        if _incarnation(record) in self.malformed:
+        if record.incarnation in self.malformed:
             return
-        self.malformed.add(_incarnation(record))
+        self.malformed.add(record.incarnation)
         self.log.event(_events.UPSTREAM_LIMIT_REJECTED, upstream=record.instance)
 
     def change(self, key: Incarnation, named: NamedLimit, *, source: str) -> None:
@@ -254,7 +251,7 @@
             record: The upstream.
             now: Monotonic time, in seconds; None for the present.
         """
-        limit = self.limits.get(_incarnation(record))
+        limit = self.limits.get(record.incarnation)
         if limit is None or limit.limiter.is_over(now or self.clock()):
             return None
         return limit
@@ -348,10 +345,6 @@
                 self.change(key, named, source=source)
 
 
-def _incarnation(record: UpstreamRecord) -> Incarnation:
-    return record.instance, record.started_ms
-
-
 def _kind_of_change(former: NamedLimit, named: NamedLimit) -> str:
     if math.isinf(named.per_second):
         return "ended"
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_upstreams.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_upstreams.py
@@ -11,7 +11,7 @@
 from skylarkdoor import events
 from skylarkdoord import _events
 from skylarkdoord.direct._fleet import Fleet
-from skylarkdoord.direct._model import UpstreamRecord
+from skylarkdoord.direct._model import Incarnation, UpstreamRecord
 
 # Limits of the pause after a failure.
 INITIAL_PAUSE_S = 0.4
@@ -91,7 +91,7 @@
     ) -> None:
         self.fleet = fleet
         self.clock = clock
-        self.tracked: dict[tuple[str, int], Upstream] = {}
+        self.tracked: dict[Incarnation, Upstream] = {}
         self.first_byte_averages_s: dict[str, float] = {}
         self.average_failure_share: dict[str, float] = {}
         self.log = events.get_logger("direct.upstreams")
@@ -103,7 +103,7 @@
 
     def get(self, record: UpstreamRecord) -> Upstream:
         """Return the upstream of a record, with its record brought up to date."""
-        key = (record.instance, record.started_ms)
+        key = record.incarnation
         upstream = self.tracked.get(key)
         if upstream is None:
             upstream = self.tracked[key] = Upstream(record)
--- a/packages/skylarkdoord/tests/direct/test_crashes.py
+++ b/packages/skylarkdoord/tests/direct/test_crashes.py
@@ -5,15 +5,17 @@
 import pytest
 
 from skylarkdoord.direct import _crashes
+from skylarkdoord.direct._crash_state import (
+    MAX_CRASHES,
+    MAX_TRIALS,
+    SETTLE_S,
+    TRIAL_PAUSE_GROWTH,
+)
 from skylarkdoord.direct._crashes import (
     CLEARING_ANSWERS,
     MAX_ANSWERED,
-    MAX_CRASHES,
-    MAX_TRIALS,
     MAX_UNANSWERED,
     SAME_CRASH_S,
-    SETTLE_S,
-    TRIAL_PAUSE_GROWTH,
     UNANSWERED_RETENTION_S,
     Crashes,
     fingerprint_of,
--- a/packages/skylarkdoord/tests/direct/test_suspect_records.py
+++ b/packages/skylarkdoord/tests/direct/test_suspect_records.py
@@ -8,7 +8,8 @@
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.suspicion import Suspicion, crash_id
 from skylarkdoord.direct import Row, Rows, _suspect_records
-from skylarkdoord.direct._crashes import CLEARING_ANSWERS, MAX_CRASHES, Crashes
+from skylarkdoord.direct._crash_state import MAX_CRASHES
+from skylarkdoord.direct._crashes import CLEARING_ANSWERS, Crashes
 from skylarkdoord.direct._suspect_records import (
     MAX_RECORDED,
     SUSPECTS,
--- a/tests/adapter/test_repeated_crashes.py
+++ b/tests/adapter/test_repeated_crashes.py
@@ -7,7 +7,7 @@
 import pytest
 
 from skylarkdoor_bench.testing import free_port
-from skylarkdoord.direct._crashes import MAX_CRASHES
+from skylarkdoord.direct._crash_state import MAX_CRASHES
 
 from ._standins import (
     LOOPBACK,
