Move the choice of an upstream out of the scheduler

_scheduler.py had 475 lines, on the queue, the offers to guards, the slots and the cost of upstreams. UpstreamChoice has the latter two; behaviour and assertions unchanged.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
@@ -7,36 +7,24 @@
 """
 
 import asyncio
-import hashlib
 import heapq
 import itertools
-import math
 import random
 import time
 from collections.abc import Callable
 
 from skylarkdoor import events
 from skylarkdoord import _events
+from skylarkdoord.direct._choice import UpstreamChoice
 from skylarkdoord.direct._guards import GuardLink
 from skylarkdoord.direct._lengths import AnswerLengths
 from skylarkdoord.direct._metrics import RUNNING, WAITING
-from skylarkdoord.direct._model import MS_PER_S, Admitted, Precedence, UpstreamRecord
+from skylarkdoord.direct._model import MS_PER_S, Admitted, Precedence
 from skylarkdoord.direct._upstream_limits import UpstreamLimits
 from skylarkdoord.direct._upstreams import Upstream, Upstreams
 from skylarkdoord.direct._waiting import QueueState, Slot, SlotGrant, Waiter
 from skylarkdoord.direct.exceptions import NoFreeSlotError
 
-# Ratio of the slots that all entries together may use to the upstream's slots. Above
-# 1, as callers do not spread evenly over the entries.
-OVERCOMMIT_RATIO = 1.5
-# Lower limit of an entry's slots at all upstreams of a service without guards.
-MIN_TOTAL_SLOTS = 4
-# Cost of an upstream in another data centre. A cost of 1 is the difference between a
-# fully used upstream and an idle one.
-REMOTE_COST = 0.05
-# Cost of an upstream that answers every request with an error, in the same unit.
-FAILURE_COST = 10.0
-HASH_BYTES = 8
 MIN_QUEUE_TIMEOUT_S = 0.05
 # Queue timeout of a request that can't meet its latency target, as a share of the time
 # until its deadline.
@@ -66,7 +54,7 @@
         limits: Limits on requests that upstreams named.
 
     Attributes:
-        guard_link_of: Returns the stream to an upstream's guard; None without a guard.
+        choice: Chooses the upstreams.
         waiters: Requests that wait for a slot, by their names on streams to guards.
         queues: Heap of waiting requests, by service.
         rechecks: Services whose waiting requests are looked at again once a limit of
@@ -83,14 +71,15 @@
         limits: UpstreamLimits | None = None,
     ) -> None:
         self.upstreams = upstreams
-        self.data_centre = data_centre
-        self.instance = instance
-        self.live_entries = live_entries
         self.limits = limits or UpstreamLimits(instance)
-        self.rechecks: set[str] = set()
-        self.guard_link_of: Callable[[UpstreamRecord], GuardLink | None] = lambda _: (
-            None
+        self.choice = UpstreamChoice(
+            upstreams,
+            self.limits,
+            instance=instance,
+            data_centre=data_centre,
+            live_entries=live_entries,
         )
+        self.rechecks: set[str] = set()
         self.waiters: dict[str, Waiter] = {}
         self.queues: dict[str, list[Waiter]] = {}
         self.queue_states: dict[str, QueueState] = {}
@@ -99,24 +88,6 @@
         self.log = events.get_logger("direct.scheduler")
         upstreams.fleet.on_upstreams.append(self.assign_all_slots)
 
-    def slot_limit(self, upstream: Upstream) -> int:
-        """Return how many requests of this entry may run at an upstream at once.
-
-        If an entry's share is below one slot, the entry has a single slot at some of
-        the upstreams and none at the others. One slot per entry at every upstream
-        would overload all of them.
-        """
-        share = upstream.record.slots / max(1, self.live_entries()) * OVERCOMMIT_RATIO
-        if share >= 1.0:
-            return math.ceil(share)
-        return int(self.hash_fraction(upstream) < share)
-
-    def hash_fraction(self, upstream: Upstream) -> float:
-        """Return a hash of this entry and an upstream, scaled to the range 0 to 1."""
-        name = f"{self.instance} {upstream.instance}".encode()
-        digest = hashlib.blake2b(name, digest_size=HASH_BYTES).digest()
-        return int.from_bytes(digest) / 256**HASH_BYTES
-
     def slack_s(self, admitted: Admitted, now: float) -> float:
         """Return how long a request can wait within its latency target, in seconds."""
         first_byte_s = self.upstreams.average_first_byte_s(admitted.service)
@@ -286,10 +257,11 @@
     def guards(self, waiter: Waiter) -> list[GuardLink]:
         """Return the connected guards of the candidate upstreams, the best first."""
         ranked = []
-        for upstream in self.candidates(waiter):
-            guard = self.guard_link_of(upstream.record)
+        candidates = self.choice.candidates(waiter.admitted.service, waiter.excluded)
+        for upstream in candidates:
+            guard = self.choice.guard_link_of(upstream.record)
             if guard is not None and guard.is_connected:
-                ranked.append((self.cost(upstream, guard.running), guard))
+                ranked.append((self.choice.cost(upstream, guard.running), guard))
         ranked.sort(key=lambda pair: pair[0])
         return [guard for _, guard in ranked]
 
@@ -368,7 +340,7 @@
             waiter = heapq.heappop(queue)
             if waiter.slot.done():
                 continue
-            upstream = self.choose_unguarded(waiter)
+            upstream = self.choice.unguarded(waiter.admitted.service, waiter.excluded)
             if upstream is None:
                 skipped.append(waiter)
                 if not waiter.excluded:
@@ -380,27 +352,6 @@
         for waiter in skipped:
             heapq.heappush(queue, waiter)
 
-    def candidates(self, waiter: Waiter) -> list[Upstream]:
-        """Return the upstreams that may take a request.
-
-        Excluded upstreams are only returned if the service has no others, and paused
-        ones only if there are no others, also among those that are at their limits.
-        """
-        listed = self.upstreams.of_service(waiter.admitted.service)
-        unlimited = [
-            upstream for upstream in listed if self.limits.has_room(upstream.record)
-        ]
-        others = [
-            upstream
-            for upstream in unlimited
-            if upstream.instance not in waiter.excluded
-        ]
-        usable = self.upstreams.unpaused(others or unlimited)
-        if len(unlimited) == len(listed):
-            return usable
-        now = self.upstreams.clock()
-        return [upstream for upstream in usable if not upstream.is_paused(now)]
-
     def recheck_limits(self, service: str) -> None:
         """Look at the waiting requests of a service again once a limit has room."""
         if service in self.rechecks or not self.queue_state(service).waiting:
@@ -436,40 +387,3 @@
         if others:
             self.offer(waiter, others[0])
         return bool(guards)
-
-    def choose_unguarded(self, waiter: Waiter) -> Upstream | None:
-        """Return the best upstream that has no guard but has a free slot.
-
-        If no candidate has a guard and this entry's slots total less than
-        `MIN_TOTAL_SLOTS`, it may use one slot at each upstream. Otherwise its requests
-        would queue while upstreams are idle.
-        """
-        candidates = self.candidates(waiter)
-        unguarded = [
-            upstream
-            for upstream in candidates
-            if self.guard_link_of(upstream.record) is None
-        ]
-        slot_limits = [self.slot_limit(upstream) for upstream in unguarded]
-        is_short = sum(slot_limits) < MIN_TOTAL_SLOTS and len(unguarded) == len(
-            candidates
-        )
-        min_slots = 1 if is_short else 0
-        free = [
-            upstream
-            for upstream, slot_limit in zip(unguarded, slot_limits, strict=True)
-            if upstream.running < max(min_slots, slot_limit)
-        ]
-        return min(
-            free,
-            key=lambda upstream: self.cost(upstream, upstream.running),
-            default=None,
-        )
-
-    def cost(self, upstream: Upstream, running: int) -> float:
-        """Return the cost of choosing an upstream; lower is better."""
-        busy = (running + 1) / max(1, upstream.record.slots)
-        remote = upstream.record.data_centre != self.data_centre
-        failures = FAILURE_COST * self.upstreams.excess_failures(upstream)
-        distance = REMOTE_COST if remote else 0.0
-        return upstream.latency_ratio * (1.0 + busy) + failures + distance
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -53,7 +53,7 @@
         limits=limits,
     )
     guards = Guards(settings, fleet, scheduler)
-    scheduler.guard_link_of = guards.link_of
+    scheduler.choice.guard_link_of = guards.link_of
     dependencies = ForwarderDependencies(
         adapter=adapter,
         client=UpstreamClient(adapter, limits.on_head),
--- a/packages/skylarkdoord/tests/direct/test_scheduler.py
+++ b/packages/skylarkdoord/tests/direct/test_scheduler.py
@@ -76,7 +76,7 @@
         """The entries share an upstream's slots, with overcommitment."""
         record = make_record(slots=8)
         scheduler = make_scheduler(record, entries=4)
-        assert scheduler.slot_limit(scheduler.upstreams.get(record)) == 3
+        assert scheduler.choice.slot_limit(scheduler.upstreams.get(record)) == 3
 
     async def test_at_least_one_slot(self):
         """Each of many entries may use exactly one slot of a single upstream."""
@@ -106,7 +106,7 @@
         for number in range(29):
             scheduler = make_scheduler(*records, entries=29, instance=f"edge-{number}")
             for upstream in scheduler.upstreams.of_service(SERVICE):
-                totals[upstream.instance] += scheduler.slot_limit(upstream)
+                totals[upstream.instance] += scheduler.choice.slot_limit(upstream)
         assert sum(totals.values()) <= 27 * 8 * 1.7
         assert max(totals.values()) <= 20
         assert min(totals.values()) >= 4
@@ -116,12 +116,12 @@
         record = make_record("i-1")
         scheduler = make_scheduler(record)
         opening = StubGuard(record, is_connected=False)
-        scheduler.guard_link_of = lambda _: opening
+        scheduler.choice.guard_link_of = lambda _: opening
         waiting = asyncio.create_task(scheduler.acquire(make_admitted()))
         await asyncio.sleep(0)
         assert not waiting.done()
         assert opening.offered == []
-        scheduler.guard_link_of = lambda _: None
+        scheduler.choice.guard_link_of = lambda _: None
         scheduler.on_guard_lost(opening)
         assert (await waiting).upstream.instance == "i-1"
 
@@ -361,7 +361,7 @@
                 upstreams.on_success(upstream)
             upstreams.on_timeout(silent, "timeout", since=silent.answered_at)
         assert not silent.is_paused(silent.answered_at)
-        assert scheduler.cost(silent, 0) > scheduler.cost(healthy[0], 7)
+        assert scheduler.choice.cost(silent, 0) > scheduler.choice.cost(healthy[0], 7)
 
 
 class TestNamedLimits:
@@ -417,7 +417,7 @@
         """An offer to a guard takes up room until it is withdrawn."""
         scheduler.upstreams.fleet.records.remove(self.free)
         guard = StubGuard(self.limited)
-        scheduler.guard_link_of = lambda record: guard
+        scheduler.choice.guard_link_of = lambda record: guard
         first = asyncio.create_task(scheduler.acquire(make_admitted()))
         while not guard.offered:
             await asyncio.sleep(0.01)
--- a/packages/skylarkdoord/tests/direct/test_streams.py
+++ b/packages/skylarkdoord/tests/direct/test_streams.py
@@ -301,7 +301,7 @@
         self.scheduler = Scheduler(Upstreams(self.fleet), data_centre="north")
         settings = make_settings(instance, guard_port)
         self.guards = Guards(settings, self.fleet, self.scheduler)
-        self.scheduler.guard_link_of = self.guards.link_of
+        self.scheduler.choice.guard_link_of = self.guards.link_of
 
     async def start(self):
         """Add one upstream and wait for the connection to its guard."""
