Keep what others send out of error texts and logs

What callers saw: an upstream that sends no HTTP, or more after a complete answer, made the entry answer 502 with some 120 KB of that upstream's bytes in the message.

Cause: errors of HTTP clients quote what they could not parse, and their text was passed on whole.

--- a/packages/skylarkdoor/src/skylarkdoor/_single_send.py
+++ b/packages/skylarkdoor/src/skylarkdoor/_single_send.py
@@ -4,6 +4,7 @@
 from aiohttp import ClientHandlerType, ClientRequest, ClientResponse
 
 from skylarkdoor.exceptions import ResponseLostError
+from skylarkdoor.failures import reason
 
 
 async def send_once(
@@ -23,4 +24,4 @@
     except aiohttp.ClientConnectorError:
         raise
     except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-        raise ResponseLostError(repr(error)) from error
+        raise ResponseLostError(reason(error)) from error
--- a/packages/skylarkdoor/src/skylarkdoor/clients/_table.py
+++ b/packages/skylarkdoor/src/skylarkdoor/clients/_table.py
@@ -25,6 +25,7 @@
     TableTimeout,
     TableUnavailable,
 )
+from skylarkdoor.failures import reason
 
 TABLE_TIMEOUT_S = 2.0
 _PAGE_ROWS = 500
@@ -135,7 +136,9 @@
             except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError) as error:
                 failure = error
                 if is_write:
-                    raise TableTimeout(f"no response to a write: {error!r}") from error
+                    raise TableTimeout(
+                        f"no response to a write: {reason(error)}"
+                    ) from error
         raise TableUnavailable(
             f"no endpoint responded without an error: {failure!r}"
         ) from failure
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_call.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_call.py
@@ -12,6 +12,7 @@
 from yarl import URL
 
 from skylarkdoor.exceptions import ResponseLostError
+from skylarkdoor.failures import reason
 from skylarkdoor.single_send import send_once
 from skylarkdoord.direct._adapter import Adapter, UpstreamHead
 from skylarkdoord.direct._model import Admitted, UpstreamRecord
@@ -58,7 +59,7 @@
         try:
             chunk = await self.response.content.readany()
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise AnswerTruncatedError(repr(error)) from None
+            raise AnswerTruncatedError(reason(error)) from None
         if not chunk:
             self.check_clean_close()
         return chunk
@@ -73,7 +74,7 @@
             return
         error = self.protocol.exception()
         if isinstance(error, aiohttp.ClientOSError):
-            raise AnswerTruncatedError(repr(error))
+            raise AnswerTruncatedError(reason(error))
 
     async def read_body(self) -> bytes:
         """Return the complete body.
@@ -152,7 +153,7 @@
                 )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise UpstreamNotRunError(
-                "unreachable", repr(error), reached=False
+                "unreachable", reason(error), reached=False
             ) from None
         except TimeoutError:
             raise
@@ -162,7 +163,7 @@
             OSError,
             ValueError,
         ) as error:
-            raise UpstreamSilentError(repr(error)) from None
+            raise UpstreamSilentError(reason(error)) from None
         return self.validate(admitted, upstream, response)
 
     def validate(
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_engine_reports.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_engine_reports.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from skylarkdoor import events
+from skylarkdoor.failures import reason
 from skylarkdoor.kernel import Kernel
 from skylarkdoord import _events
 from skylarkdoord.direct._adapter import Adapter, EngineLoad
@@ -75,7 +76,7 @@
         try:
             load = self.adapter.decode_load(await asyncio.to_thread(self.fetch))
         except (http.client.HTTPException, OSError, RowError) as error:
-            self.set_answering(is_answering=False, error=repr(error))
+            self.set_answering(is_answering=False, error=reason(error))
             # The address may be wrong if it has never answered; a refused connection
             # is then no sign that the engine is down.
             is_refused = isinstance(error, ConnectionRefusedError)
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_relay.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_relay.py
@@ -9,6 +9,7 @@
 from prometheus_client import Counter
 
 from skylarkdoor import events
+from skylarkdoor.failures import reason
 from skylarkdoord import _events
 from skylarkdoord.common import _headers as headers
 from skylarkdoord.entry._delivery import Delivery
@@ -102,7 +103,7 @@
             self.log.event(
                 _events.ANSWER_CUT,
                 request_id=self.request.request_id,
-                error=repr(error),
+                error=reason(error),
             )
             # Learns whether the request crashed its upstream before the caller
             # can retry it.
--- a/packages/skylarkdoord/src/skylarkdoord/planner/_engine.py
+++ b/packages/skylarkdoord/src/skylarkdoord/planner/_engine.py
@@ -5,6 +5,7 @@
 import aiohttp
 import msgspec
 
+from skylarkdoor.failures import reason
 from skylarkdoord.planner.exceptions import EngineUnavailableError, FencedError
 
 READ_TIMEOUT_S = 1.0
@@ -60,7 +61,7 @@
                 answer.raise_for_status()
                 read = msgspec.json.decode(await answer.read(), type=_StateResponse)
         except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError) as error:
-            raise EngineUnavailableError(repr(error)) from None
+            raise EngineUnavailableError(reason(error)) from None
         return EngineState(frozenset(read.models), frozenset(read.adapters), read.role)
 
     async def send(self, order: Order, *, fence: int) -> None:
@@ -85,7 +86,7 @@
                     raise FencedError(await answer.text())
                 answer.raise_for_status()
         except (aiohttp.ClientError, TimeoutError) as error:
-            raise EngineUnavailableError(repr(error)) from None
+            raise EngineUnavailableError(reason(error)) from None
 
 
 def missing_orders(state: EngineState, desired: EngineState) -> list[Order]:
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_dispatch.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_dispatch.py
@@ -7,6 +7,7 @@
 
 from skylarkdoor import events, tracing
 from skylarkdoor.exceptions import InvariantBrokenError
+from skylarkdoor.failures import reason
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import ProcessSettings
 from skylarkdoord import _events
@@ -114,7 +115,7 @@
             except Exception as error:
                 # The call may have been sent to the upstream.
                 self.log.event(
-                    _events.DISPATCH_FAILED, request_id=request_id, error=repr(error)
+                    _events.DISPATCH_FAILED, request_id=request_id, error=reason(error)
                 )
                 self.scheduler.tombstone(request_id)
                 return self.unknown_outcome(call, error)
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_upstream.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_upstream.py
@@ -8,6 +8,7 @@
 
 from skylarkdoor import tracing
 from skylarkdoor.exceptions import ResponseLostError
+from skylarkdoor.failures import reason
 from skylarkdoor.single_send import send_once
 from skylarkdoord.common import _headers as headers
 from skylarkdoord.exceptions import (
@@ -75,7 +76,7 @@
                     "upstream_down", "no connection to the upstream"
                 ) from error
             except (aiohttp.ClientError, ResponseLostError, TimeoutError) as error:
-                raise UpstreamCutError(repr(error)) from error
+                raise UpstreamCutError(reason(error)) from error
 
     async def is_up(self) -> bool:
         """Return whether the upstream answers a health request.
--- /dev/null
+++ b/tests/adapter/test_endless_answers.py
@@ -0,0 +1,106 @@
+"""Tests of servers whose answers are malformed or never end."""
+
+import contextlib
+
+import pytest
+
+from ._standins import Server, chunk, route, signed
+
+# Bytes that no text of the entry contains.
+NOISE = b"q7Z" * 20_000
+MIB = 1024 * 1024
+# Most bytes that a server may get rid of: those that the entry accepts, and those in
+# the buffers of the sockets.
+MOST_SENT = 16 * MIB
+STREAM = route(routeType="streaming", streamResume=True, maxAttempts=2)
+
+
+class EndlessServer(Server):
+    """A server that sends without end until its connection is closed.
+
+    Args:
+        begin: Returns the bytes that it sends first to a request.
+        noise: Bytes that it repeats after them.
+    """
+
+    def __init__(self, begin, noise):
+        super().__init__(self.send)
+        self.begin = begin
+        self.noise = noise
+        self.sent = 0
+
+    async def send(self, request, writer):
+        """Send until the connection is closed."""
+        writer.write(self.begin(request))
+        with contextlib.suppress(ConnectionError):
+            while True:
+                writer.write(self.noise)
+                self.sent += len(self.noise)
+                await writer.drain()
+
+
+def nothing(request):
+    """Return no bytes."""
+    return b""
+
+
+def complete(request):
+    """Return a complete answer."""
+    return signed(request, "Content-Length: 2") + b"ok"
+
+
+def chunked(request):
+    """Return the head of a chunked answer."""
+    return signed(request, "Transfer-Encoding: chunked")
+
+
+def until_close(request):
+    """Return the head of an answer that ends with its connection."""
+    return signed(request)
+
+
+def within_chunk_line(request):
+    """Return the head of an answer and the beginning of a chunk's line."""
+    return chunked(request) + b"5;"
+
+
+def event_stream(request):
+    """Return the head of a stream and the beginning of an event."""
+    fields = ("Content-Type: text/event-stream", "Transfer-Encoding: chunked")
+    return signed(request, *fields) + chunk(b"id: 1\ndata: ")
+
+
+CASES = {
+    "no HTTP": (nothing, NOISE),
+    "after an answer": (complete, NOISE),
+    "chunked body": (chunked, chunk(NOISE)),
+    "body until close": (until_close, NOISE),
+    "line of a chunk": (within_chunk_line, NOISE),
+    "interim responses": (nothing, b"HTTP/1.1 100 Continue\r\n\r\n" * 2000),
+    "one event": (event_stream, chunk(NOISE)),
+}
+
+
+@pytest.fixture(params=CASES)
+def endless(request):
+    """Return a server that sends without end, in one of several ways."""
+    return EndlessServer(*CASES[request.param])
+
+
+def route_for(server):
+    """Return a route whose answers the server sends."""
+    return STREAM if server.begin is event_stream else route()
+
+
+class TestEndlessAnswers:
+    """A server that sends bytes without end."""
+
+    # Guards against an upstream's bytes in the texts and logs of the entry.
+    async def test_texts(self, start, endless, caplog):
+        """The caller gets a short error in the entry's own words."""
+        async with endless, start([route_for(endless)], [endless]) as caller:
+            status, _, body = await caller.get()
+        assert status in (502, 504)
+        assert len(body) < 500
+        assert NOISE[:9] not in body
+        assert NOISE[:9].decode() not in caplog.text
