--- a/tests/adapter/test_endless_answers.py
+++ b/tests/adapter/test_endless_answers.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ._standins import Server, chunk, route, signed
+from ._standins import Server, chunk, reply, route, signed, stream
 
 # Bytes that no text of the entry contains.
 NOISE = b"q7Z" * 20_000
@@ -104,3 +104,27 @@
         assert len(body) < 500
         assert NOISE[:9] not in body
         assert NOISE[:9].decode() not in caplog.text
+
+    # Guards against an answer that fills an entry's memory, or holds its time.
+    async def test_bytes(self, start, endless):
+        """The connection is closed after a bounded number of bytes."""
+        async with endless, start([route_for(endless)], [endless]) as caller:
+            status, _, _ = await caller.get()
+        assert status == 502
+        assert endless.sent <= MOST_SENT
+
+    # Guards against a caller that waits for its time limit although another server
+    # could answer.
+    async def test_retry(self, start, endless):
+        """A request that may be repeated is answered by another server."""
+        answer = reply() if endless.begin is not event_stream else stream((1, 2))
+        async with endless, Server(answer) as other:
+            async with start([route_for(endless)], [endless, other]) as caller:
+                dependencies = caller.entry.kernel.services["callers"].dependencies
+                for number in range(4):
+                    status, _, body = await caller.get(f"/desk/{number}")
+                    assert status == 200
+                    assert NOISE[:9] not in body
+                tracked = dependencies.upstreams.tracked.values()
+        assert endless.requests
+        assert any(upstream.failures for upstream in tracked)
