Bound the events of streams

What callers saw: an upstream whose event has no end held a stream until its time limit, while the entry kept all of it in memory.

Cause: an event is relayed once it is complete, and its bytes were kept at any length.

Evidence: test_bytes[one event]: 504 at the time limit before, 502 after 1 MiB now; a stream that may be resumed goes on at another upstream.

Change: an event has at most 1 MiB (setting). A stream beyond that counts as cut.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_call.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_call.py
@@ -165,7 +165,8 @@
         bounds: AnswerBounds | None = None,
     ) -> None:
         self.adapter = adapter
-        self.buffer = AnswerBuffer(bounds or AnswerBounds())
+        self.bounds = bounds or AnswerBounds()
+        self.buffer = AnswerBuffer(self.bounds)
         self.on_head = on_head
         self.session = aiohttp.ClientSession(
             connector=BoundedConnector(
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
@@ -341,7 +341,7 @@
         Raises:
             AnswerTruncatedError: The stream ended before it was complete.
         """
-        splitter = EventSplitter()
+        splitter = EventSplitter(self.dependencies.client.bounds.max_event_bytes)
         while chunk := await answer.read_chunk():
             for event in splitter.feed(chunk):
                 first_byte_timeout.reschedule(self.admitted.deadline)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_settings.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_settings.py
@@ -68,10 +68,12 @@
         max_body_bytes: Largest body of an answer that is no stream, in bytes.
         max_buffered_bytes: Most bytes of such bodies that are received at the same
             time, over all requests.
+        max_event_bytes: Largest event of a stream, in bytes.
     """
 
     max_body_bytes: Bytes = 8 * 1024 * 1024
     max_buffered_bytes: Bytes = 32 * 1024 * 1024
+    max_event_bytes: Bytes = 1024 * 1024
 
 
 class DirectSettings(NamedTuple):
