--- a/tests/adapter/test_endless_answers.py
+++ b/tests/adapter/test_endless_answers.py
@@ -9,8 +9,8 @@
 # Bytes that no text of the entry contains.
 NOISE = b"q7Z" * 20_000
 MIB = 1024 * 1024
-# Most bytes that a server may get rid of in an answer: those that the entry accepts, and
-# those in the buffers of the sockets.
+# Most bytes that a server may get rid of in an answer: those that the entry accepts,
+# and those in the buffers of the sockets.
 MOST_SENT = 16 * MIB
 STREAM = route(routeType="streaming", streamResume=True, maxAttempts=2)
 
