Close callers' connections on which bytes arrive that are no request

What was seen: a caller that sends the line of a chunk without end got rid of 870 MB in 4 s, which kept the entry's processor busy; nothing closed its connection.

Cause: as for answers, the HTTP parser takes in such lines at any length.

Change: the bound of connections to upstreams also holds for those of callers.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_call.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_call.py
@@ -15,10 +15,7 @@
 from skylarkdoor.failures import reason
 from skylarkdoor.single_send import send_once
 from skylarkdoord.direct._adapter import Adapter, UpstreamHead
-from skylarkdoord.direct._bounded_connection import (
-    BoundedConnector,
-    BoundedResponseHandler,
-)
+from skylarkdoord.direct._bounded_connection import BoundedConnector, on_read
 from skylarkdoord.direct._model import Admitted, UpstreamRecord
 from skylarkdoord.direct._settings import AnswerBounds
 from skylarkdoord.direct._sockets import open_socket
@@ -89,7 +86,7 @@
         self.status = response.status
         connection = response.connection
         self.protocol = connection.protocol if connection else None
-        self.on_read()
+        on_read(self.protocol)
         length = response.headers.get("Content-Length")
         chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
         self.is_close_delimited = length is None and not chunked
@@ -104,16 +101,11 @@
             chunk = await self.response.content.readany()
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise AnswerTruncatedError(reason(error)) from None
-        self.on_read()
+        on_read(self.protocol)
         if not chunk:
             self.check_clean_close()
         return chunk
 
-    def on_read(self) -> None:
-        """Allow as many bytes again to arrive before the next part of the answer."""
-        if isinstance(self.protocol, BoundedResponseHandler):
-            self.protocol.unread_bytes = 0
-
     def check_clean_close(self) -> None:
         """Check that no reset truncated a body delimited by the connection's end.
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
@@ -13,6 +13,7 @@
 from skylarkdoor.kernel import Kernel
 from skylarkdoord import _events
 from skylarkdoord.direct._adapter import RawHead
+from skylarkdoord.direct._bounded_connection import BoundedServer, on_read
 from skylarkdoord.direct._first_attempts import FirstAttempts
 from skylarkdoord.direct._fleet import Fleet
 from skylarkdoord.direct._forward import Forwarder, ForwarderDependencies
@@ -105,7 +106,7 @@
 
     async def listen(self, address: str, handler: object) -> web.ServerRunner:
         """Serve HTTP on an address and return the runner."""
-        server = web.Server(
+        server = BoundedServer(
             handler,  # type: ignore[arg-type]
             handler_cancellation=True,
             access_log=None,
@@ -219,7 +220,9 @@
         max_bytes = self.fleet.table.config.max_body_bytes
         chunks: list[bytes] = []
         size = 0
+        on_read(raw.protocol)
         while chunk := await raw.content.readany():
+            on_read(raw.protocol)
             size += len(chunk)
             if size > max_bytes:
                 raise BadCallError(413, f"expected a body of at most {max_bytes} bytes")
