--- a/tests/adapter/test_endless_answers.py
+++ b/tests/adapter/test_endless_answers.py
@@ -4,6 +4,9 @@
 
 import pytest
 
+from skylarkdoor_platform._store import PlatformStore
+from skylarkdoord.direct.exceptions import StoreError
+
 from ._standins import Server, chunk, reply, route, signed, stream
 
 # Bytes that no text of the entry contains.
@@ -128,3 +131,22 @@
                 tracked = dependencies.upstreams.tracked.values()
         assert endless.requests
         assert any(upstream.failures for upstream in tracked)
+
+
+class TestEndlessStore:
+    """A store that sends bytes without end."""
+
+    # Guards against a response of the store that fills an entry's memory.
+    @pytest.mark.parametrize(
+        ("fields", "noise"),
+        [(b"", NOISE), (b"Transfer-Encoding: chunked\r\n", chunk(NOISE))],
+    )
+    async def test_bytes(self, fields, noise):
+        """The call fails after a bounded number of bytes."""
+        head = b"HTTP/1.1 200 OK\r\n" + fields + b"\r\n"
+        async with EndlessServer(lambda request: head, noise) as endless:
+            client = PlatformStore(endless.address)
+            with pytest.raises(StoreError, match="too large"):
+                await client.read("config")
+            await client.close()
+        assert MIB < endless.sent <= MOST_SENT
