Test answers of random fragments

Any bytes, cut at any places: each request is answered, with success only by a signed answer, and nothing fails.

--- a/tests/adapter/test_endless_answers.py
+++ b/tests/adapter/test_endless_answers.py
@@ -1,7 +1,10 @@
 """Tests of servers whose answers are malformed or never end."""
 
+import asyncio
 import contextlib
+import random
 
+import aiohttp
 import pytest
 
 from skylarkdoor_platform._store import PlatformStore
@@ -133,6 +136,69 @@
         assert any(upstream.failures for upstream in tracked)
 
 
+FRAGMENTS = (
+    b"HTTP/1.1 200 OK\r\n",
+    b"HTTP/1.1 100 Continue\r\n\r\n",
+    b"Attempt-Id: a1\r\n",
+    b"Attempt-Id: other\r\n",
+    b"Server-Signature: 3e1b.07\r\n",
+    b"Content-Length: 2\r\n",
+    b"Content-Length: 99999999999999999999\r\n",
+    b"Transfer-Encoding: chunked\r\n",
+    b"Server-Limit: 1e400\r\n",
+    b"\r\n",
+    b"ok",
+    b"2\r\nok\r\n",
+    b"ffffffffffffffff\r\n",
+    b"0\r\n\r\n",
+    b"\x00\xff" * 7,
+    b"id: 1\ndata: x\n\n",
+)
+
+
+class FragmentServer(Server):
+    """A server that sends fragments of answers, cut at random places.
+
+    Args:
+        rng: Source of the fragments and places.
+    """
+
+    def __init__(self, rng):
+        super().__init__(self.send)
+        self.rng = rng
+
+    async def send(self, request, writer):
+        """Send an answer and close the connection."""
+        data = b"".join(self.rng.choices(FRAGMENTS, k=self.rng.randrange(12)))
+        if self.rng.random() < 0.5:
+            data = signed(request, "Content-Length: 2") + data
+        while data:
+            size = self.rng.randint(1, len(data))
+            writer.write(data[:size])
+            await writer.drain()
+            await asyncio.sleep(0)
+            data = data[size:]
+
+
+class TestFragments:
+    """A server whose answers consist of random fragments."""
+
+    # Guards against bytes that make the entry fail, or pass for an answer.
+    @pytest.mark.parametrize("seed", range(4))
+    @pytest.mark.parametrize("type_", ["idempotent", "streaming"])
+    async def test_any_bytes(self, start, seed, type_, caplog):
+        """Each request is answered, and with success only by a signed answer."""
+        once = route(routeType=type_, maxAttempts=1)
+        async with FragmentServer(random.Random(seed)) as server:
+            async with start([once], [server]) as caller:
+                for number in range(100):
+                    with contextlib.suppress(aiohttp.ClientPayloadError):
+                        status, headers, _ = await caller.get(f"/desk/{number}")
+                        assert status in (200, 502)
+                        assert status == 502 or "Server-Signature" in headers
+        assert "Traceback" not in caplog.text
+
+
 class TestEndlessStore:
     """A store that sends bytes without end."""
 
