Count trials that an entry hears of only afterwards

Cause: an entry counts a failed trial when a crash becomes known well after the one before. One that was paused or cut off hears of several at once, takes them for a single wave, and makes trials of its own once the request is its to try.

Evidence: test_told_at_once fails before.

Change: the ids of crashes have their times, from which the trials are counted as well; the higher count is used.

--- a/packages/skylarkdoor/src/skylarkdoor/_suspicion.py
+++ b/packages/skylarkdoor/src/skylarkdoor/_suspicion.py
@@ -45,8 +45,13 @@
 
 def is_fresh(crash: str) -> bool:
     """Return whether a crash is recent enough to count."""
+    return _time_of(crash) > time.time() - RETENTION_S
+
+
+def _time_of(crash: str) -> int:
+    """Return the Unix time in a crash's id, in seconds; 0 if it is malformed."""
     at, _, _ = crash.partition(SEPARATOR)
-    return at.isdigit() and int(at) > time.time() - RETENTION_S
+    return int(at) if at.isdecimal() else 0
 
 
 @dataclass
@@ -71,6 +76,16 @@
         """Ids of the crashes that still count against the request."""
         return {crash for crash in self.crashes - self.cleared if is_fresh(crash)}
 
+    def crash_times(self) -> list[int]:
+        """Return the Unix time of each crash that counts, in seconds, in order.
+
+        A crash that several processes observed counts once, at the earliest time.
+        """
+        times: dict[str, int] = {}
+        for crash in sorted(self.open, key=_time_of):
+            times.setdefault(crashed_incarnation(crash), _time_of(crash))
+        return list(times.values())
+
     @property
     def is_suspect(self) -> bool:
         """Whether the request may run only while no other request does."""
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_crash_state.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_crash_state.py
@@ -3,6 +3,7 @@
 import math
 from collections import Counter
 from dataclasses import dataclass, field
+from itertools import pairwise
 
 from skylarkdoord.direct._model import UpstreamRecord
 
@@ -69,6 +70,16 @@
             del self.unanswered[oldest]
 
 
+def count_failed_trials(times: list[int]) -> int:
+    """Return how many trials crashed an upstream.
+
+    Args:
+        times: Unix time of each crash, in seconds, in order.
+    """
+    late = times[MAX_CRASHES - 1 :]
+    return sum(later - earlier >= SETTLE_S for earlier, later in pairwise(late))
+
+
 @dataclass
 class Suspect:
     """What this entry learned about a suspected request since the latest crash.
@@ -85,8 +96,16 @@
     answers: int = 0
     failed_trials: int = 0
 
-    def set_crashes(self, crashes: int, now: float) -> None:
-        """Record the number of crashes that is known at a time, in seconds."""
+    def set_crashes(self, times: list[int], now: float) -> None:
+        """Record the crashes that are known.
+
+        Args:
+            times: Unix time of each crash, in seconds, in order.
+            now: Monotonic time, in seconds.
+        """
+        # This entry may hear of earlier trials only afterwards, and all at once.
+        self.failed_trials = max(self.failed_trials, count_failed_trials(times))
+        crashes = len(times)
         if crashes <= self.crashes:
             self.crashes = crashes
             return
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_crashes.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_crashes.py
@@ -20,7 +20,6 @@
     Suspicion,
     Suspicions,
     crash_id,
-    crashed_incarnation,
 )
 from skylarkdoor.wire import pb
 from skylarkdoord import _events
@@ -181,8 +180,7 @@
 
         Entries observe a crash at different times; it counts once.
         """
-        crashes = self.suspicions.get(fingerprint).open
-        return len({crashed_incarnation(crash) for crash in crashes})
+        return len(self.suspicions.get(fingerprint).crash_times())
 
     def on_answered(self, fingerprint: int, sent_at: float) -> None:
         """Clear a request of its crashes once upstreams have answered it since.
@@ -369,12 +367,12 @@
 
     def update_suspect(self, fingerprint: int) -> None:
         """Bring the state of a request up to date with its suspicions."""
-        crashes = self.count(fingerprint)
-        if not crashes:
+        times = self.suspicions.get(fingerprint).crash_times()
+        if not times:
             self.suspected.pop(fingerprint, None)
             return
         suspect = self.suspected.setdefault(fingerprint, Suspect())
-        suspect.set_crashes(crashes, self.clock())
+        suspect.set_crashes(times, self.clock())
         if len(self.suspected) > MAX_SUSPICIONS:
             del self.suspected[next(iter(self.suspected))]
 
--- a/packages/skylarkdoord/tests/direct/test_crashes.py
+++ b/packages/skylarkdoord/tests/direct/test_crashes.py
@@ -1,9 +1,11 @@
 """Tests of the detection of requests that crash upstreams."""
 
 import asyncio
+import time
 
 import pytest
 
+from skylarkdoor.wire import pb
 from skylarkdoord.direct import _crashes
 from skylarkdoord.direct._crash_state import (
     MAX_CRASHES,
@@ -379,6 +381,21 @@
         clock.now += SETTLE_S
         assert crashes.is_quarantined(7)
 
+    # Guards against an entry that repeats the trials of another one, of which it heard
+    # only afterwards.
+    async def test_told_at_once(self, clock):
+        """Trials of which an entry hears together with the first crashes count."""
+        crashes = make_crashes(down=True)
+        crashes.clock = clock
+        answer(crashes, 7)
+        began = int(time.time()) - 100
+        times = [began, began, began + 1]
+        times += [began + 10 * (number + 1) for number in range(MAX_TRIALS)]
+        ids = [f"{at}/i-{number}/1/1" for number, at in enumerate(times)]
+        crashes.merge([pb.Suspect(fingerprint=7, crash_ids=ids)])
+        clock.now += SETTLE_S * TRIAL_PAUSE_GROWTH**MAX_TRIALS
+        assert crashes.is_quarantined(7)
+
     # Guards against crashes that are noticed one after the other and count as trials.
     async def test_noticed_late(self, crashes, clock):
         """Crashes that become known shortly after each other are no trials."""
