--- a/packages/skylarkdoord/src/skylarkdoord/direct/_bounded_connection.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_bounded_connection.py
@@ -3,6 +3,7 @@
 Both HTTP parsers accept lines between chunks, and others, at any length.
 """
 
+import asyncio
 import functools
 from typing import Any
 
@@ -17,24 +18,40 @@
 MAX_UNREAD_BYTES = 512 * 1024
 
 
-class BoundedResponseHandler(ResponseHandler):
-    """An HTTP connection that is aborted after too many bytes without an answer.
+class ByteBound:
+    """Aborts a connection after too many bytes of which none are read.
 
     Attributes:
-        unread_bytes: Bytes that arrived since a part of an answer was read.
+        transport: The connection; None if it is closed.
+        unread_bytes: Bytes that arrived since a part of a body was read.
     """
 
+    transport: asyncio.Transport | None
     unread_bytes = 0
 
     def data_received(self, data: bytes) -> None:
         """Pass received bytes on, unless there are too many."""
         self.unread_bytes += len(data)
         if self.unread_bytes <= MAX_UNREAD_BYTES:
-            super().data_received(data)
+            super().data_received(data)  # type: ignore[misc]
         elif self.transport is not None:
             self.transport.abort()
 
 
+class BoundedResponseHandler(ByteBound, ResponseHandler):  # type: ignore[misc]
+    """A connection to an upstream."""
+
+
+class BoundedRequestHandler(ByteBound, RequestHandler):  # type: ignore[misc]
+    """A caller's connection."""
+
+
+def on_read(connection: object) -> None:
+    """Allow as many bytes again to arrive before the next part of a body is read."""
+    if isinstance(connection, ByteBound):
+        connection.unread_bytes = 0
+
+
 class BoundedConnector(aiohttp.TCPConnector):
     """A connector of bounded connections."""
 
@@ -45,30 +62,6 @@
         self._factory = factory
 
 
-class BoundedRequestHandler(RequestHandler):
-    """A caller's connection that is aborted after too many bytes without a request.
-
-    Attributes:
-        unread_bytes: Bytes that arrived since a part of a request was read.
-    """
-
-    unread_bytes = 0
-
-    def data_received(self, data: bytes) -> None:
-        """Pass received bytes on, unless there are too many."""
-        self.unread_bytes += len(data)
-        if self.unread_bytes <= MAX_UNREAD_BYTES:
-            super().data_received(data)
-        elif self.transport is not None:
-            self.transport.abort()
-
-
-def on_read(connection: object) -> None:
-    """Allow as many bytes again to arrive before the next part of a body is read."""
-    if isinstance(connection, (BoundedResponseHandler, BoundedRequestHandler)):
-        connection.unread_bytes = 0
-
-
 class BoundedServer(web.Server):
     """An HTTP server of bounded connections."""
 
