--- a/packages/skylarkdoord/tests/direct/test_members.py
+++ b/packages/skylarkdoord/tests/direct/test_members.py
@@ -5,7 +5,11 @@
 from skylarkdoor.wire import pb
 from skylarkdoord.direct._crashes import Crashes
 from skylarkdoord.direct._fleet import Fleet
-from skylarkdoord.direct._members import Members
+from skylarkdoord.direct._members import (
+    LIVE_TIMEOUT_S,
+    SILENT_RETENTION_S,
+    Members,
+)
 from skylarkdoord.direct._quota import Quota
 from skylarkdoord.direct._settings import QuotaBounds
 
@@ -89,3 +93,43 @@
                     members.receive(pb.EntryNews(instance=name, incarnation=1))
         for fingerprint in range(50):
             assert sum(members.owns(fingerprint) for members in entries) == 1
+
+
+class TestLimitShare:
+    """`Members.limit_share`."""
+
+    @pytest.fixture
+    def members(self):
+        """Return an entry that heard of three others."""
+        members = Members("a", Fleet(None), Quota(QuotaBounds()), Crashes())
+        for name in ("b", "c", "d"):
+            members.receive(pb.EntryNews(instance=name, incarnation=1))
+        return members
+
+    def test_divided(self, members):
+        """Entries divide a limit equally, or a few of them if there are many."""
+        assert members.limit_share("i-1", 4) == 1 / 4
+        shares = {members.limit_share(f"i-{number}", 2) for number in range(50)}
+        assert shares == {0.0, 1 / 2}
+
+    # Guards against entries that each take the whole limit once they are cut off.
+    def test_silent(self, members):
+        """Entries that can't be reached keep their parts for a while."""
+        for other in members.by_name.values():
+            other.last_update_at -= SILENT_RETENTION_S / 2
+        assert members.limit_share("i-1", 4) == 1 / 4
+        for other in members.by_name.values():
+            other.last_update_at -= SILENT_RETENTION_S
+        assert members.limit_share("i-1", 4) == 1.0
+
+    def test_left(self, members):
+        """An entry that closed its stream soon leaves its part to the others."""
+        members.on_stream_end("b", is_silent=False)
+        members.by_name["b"].last_update_at -= LIVE_TIMEOUT_S + 0.1
+        assert members.limit_share("i-1", 4) == 1 / 3
+
+    def test_listed(self, members):
+        """After the start, entries that the store lists have parts as well."""
+        members.by_name.clear()
+        members.listed = 3
+        assert members.limit_share("i-1", 4) == 1 / 4
--- a/tests/soak/_daemon.py
+++ b/tests/soak/_daemon.py
@@ -7,11 +7,37 @@
 import sys
 from pathlib import Path
 
+from skylarkdoor_bench.testing import free_port
+
+LOOPBACK = "127.0.0.1"
 STOP_TIMEOUT_S = 8.0
 INTERPRETER_TIMEOUT_S = 10.0
 POLL_S = 0.005
 
 
+def entry_settings(instance, store, *, guard_port):
+    """Return the settings of an entry.
+
+    Args:
+        instance: Its name.
+        store: Address at which it reaches the store.
+        guard_port: Port of the guards.
+    """
+    return {
+        "instance": instance,
+        "data_centre": "north",
+        "adapter": "skylarkdoor_platform",
+        "store": store,
+        "listen": {
+            name: f"{LOOPBACK}:{free_port()}"
+            for name in ("peers", "metrics", "callers", "ready")
+        },
+        "guard_port": guard_port,
+        "first_start": True,
+        "shutdown_timeout_s": 7.0,
+    }
+
+
 class Daemon:
     """One process of `skylarkdoord`.
 
--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -16,7 +16,7 @@
 from skylarkdoor_bench.testing import free_port
 from tests.adapter._standins import HOST, LOOPBACK, Store, config, route, server_row
 
-from ._daemon import Daemon
+from ._daemon import Daemon, entry_settings
 from ._environment import KINDS, Backend, Callers, Observations, new_rng
 from ._proxy import Fault, Proxy
 
@@ -184,23 +184,8 @@
 
     def entry(self, number, guard_port, store):
         """Return an entry, which reaches the store through a proxy."""
-        callers = f"{LOOPBACK}:{free_port()}"
-        self.urls.append(f"http://{callers}")
-        settings = {
-            "instance": f"entry-{number}",
-            "data_centre": "north",
-            "adapter": "skylarkdoor_platform",
-            "store": store,
-            "listen": {
-                "peers": f"{LOOPBACK}:{free_port()}",
-                "metrics": f"{LOOPBACK}:{free_port()}",
-                "callers": callers,
-                "ready": f"{LOOPBACK}:{free_port()}",
-            },
-            "guard_port": guard_port,
-            "first_start": True,
-            "shutdown_timeout_s": 7.0,
-        }
+        settings = entry_settings(f"entry-{number}", store, guard_port=guard_port)
+        self.urls.append(f"http://{settings['listen']['callers']}")
         return Daemon("direct-entry", settings, self.folder)
 
     def record(self, text):
