--- a/tests/soak/_proxy.py
+++ b/tests/soak/_proxy.py
@@ -98,7 +98,9 @@
         finally:
             forward.cancel()
             backward.cancel()
-            await asyncio.gather(forward, backward, return_exceptions=True)
+            # The run may end while this waits.
+            with contextlib.suppress(asyncio.CancelledError):
+                await asyncio.gather(forward, backward, return_exceptions=True)
             self.writers -= ends
             self.tasks.discard(task)
             writer.close()
