Don't register an entry again while it stops

Cause: after a new era of the store an entry writes its row again within a second. Its exchange did not end that task when it stopped, so the row came back after its removal, or the task met the closed client of the store.

Evidence: test_stopping fails before: the row is there again.

Change: the exchange ends its tasks before it removes the row.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
@@ -149,11 +149,16 @@
         self.kernel = kernel
         host, _, port = self.settings.listen.peers.rpartition(":")
         await self.server.start(host, int(port))
-        kernel.spawn(self.stay_registered(), name="entries.join")
-        kernel.spawn(self.send_updates(), name="entries.announce")
+        self.tasks = [
+            kernel.spawn(self.stay_registered(), name="entries.join"),
+            kernel.spawn(self.send_updates(), name="entries.announce"),
+        ]
 
     async def stop(self) -> None:
-        """Remove this entry's row and close the listener."""
+        """Stop the tasks, remove this entry's row and close the listener."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
         try:
             await self.store.remove(MEMBERS, self.settings.instance)
         except StoreError as error:
--- a/tests/adapter/test_store_era.py
+++ b/tests/adapter/test_store_era.py
@@ -6,6 +6,7 @@
 import pytest
 
 from skylarkdoor_platform._store import PlatformStore
+from skylarkdoord.direct import _exchange
 from skylarkdoord.direct.exceptions import StoreError
 
 from ._standins import Entry, Server, config, reply, route, server_row
@@ -228,6 +229,19 @@
             await store.come_back(older)
             await caller.entry.until(lambda: "edge-1" in store.tables.get(table, {}))
 
+    # Guards against an entry that registers again while it stops, and then fails with
+    # its store's client closed.
+    async def test_stopping(self, start, store, monkeypatch):
+        """An entry that stops does not write its row again."""
+        monkeypatch.setattr(_exchange.random, "uniform", lambda low, high: 0.1)
+        async with Server(reply()) as server, start([route()], [server]) as caller:
+            exchange = caller.entry.kernel.services["entries"]
+            await caller.entry.until(lambda: store.tables.get(MEMBERS, {}))
+            exchange.on_new_era()
+            await exchange.stop()
+            await asyncio.sleep(0.3)
+            assert store.tables[MEMBERS]["edge-1"][0] is None
+
     async def test_twice(self, start, store):
         """The store may come back twice in a row, while it fails in between."""
         async with Server(reply()) as server, start([route()], [server]) as caller:
