Use a paused upstream rather than wait for a limit

Cause: with one upstream at its limit and the other paused, requests waited for the limit, and were looked at again only when it had room, not when the pause ended.

Evidence: test_paused, rewritten: the request waits 0.2 s for the limited upstream before, and is sent to the paused one at once now.

Change: the special case is gone. A paused upstream is the last resort again, as it is when all are paused.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_choice.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_choice.py
@@ -75,8 +75,8 @@
     def candidates(self, service: str, excluded: frozenset[str]) -> list[Upstream]:
         """Return the upstreams of a service that may take a request.
 
-        Excluded instances are only returned if the service has no others, and paused
-        ones only if there are no others, also among those that are at their limits.
+        Excluded instances are only returned if the service has no others within their
+        limits, and a paused one only if there are no others.
         """
         listed = self.upstreams.of_service(service)
         unlimited = [
@@ -85,11 +85,7 @@
         others = [
             upstream for upstream in unlimited if upstream.instance not in excluded
         ]
-        usable = self.upstreams.unpaused(others or unlimited)
-        if len(unlimited) == len(listed):
-            return usable
-        now = self.upstreams.clock()
-        return [upstream for upstream in usable if not upstream.is_paused(now)]
+        return self.upstreams.unpaused(others or unlimited)
 
     def unguarded(self, service: str, excluded: frozenset[str]) -> Upstream | None:
         """Return the best upstream that has no guard but has a free slot.
