Soak: count a named limit from its first answer, for each incarnation

The trace: the server was given its limit 40 ms before it crashed, so that no answer told any entry; it started again under its id at +3.2 s and got ten requests within 0.2 s, before its first answer. All entries knew the limit 0.1 s later and sent 3 in the next 4 s. The check now counts from there; window, multiple and slack are unchanged.

--- a/tests/soak/_environment.py
+++ b/tests/soak/_environment.py
@@ -140,7 +140,7 @@
         self.is_down = False
         self.drained_at = None
         self.limit = None
-        self.named_at = 0.0
+        self.named_at = None
         self.arrivals = []
         self.running = 0
         self.server = Server(self.handle)
@@ -160,21 +160,26 @@
             self.running -= 1
 
     def name_limit(self, limit):
-        """Name a limit in all answers from now on; None for none."""
+        """Name a limit in all answers from now on; None for none.
+
+        It binds the entries from the first such answer of this incarnation.
+        """
         self.limit = limit
-        self.named_at = self.observations.clock.now
+        self.named_at = None
         self.arrivals.clear()
 
     def head(self, request, *fields):
         """Return the head of a response, with the limit if there is one."""
         if self.limit is not None:
+            if self.named_at is None:
+                self.named_at = self.observations.clock.now
             fields = (*fields, f"Server-Limit: {self.limit}")
         return signed(request, *fields)
 
     def check_limit(self):
         """Count a request, and check those of the last seconds against the limit."""
         now = self.observations.clock.now
-        if self.limit is None or now < self.named_at + LIMIT_KNOWN_S:
+        if self.named_at is None or now < self.named_at + LIMIT_KNOWN_S:
             return
         self.arrivals.append(now)
         recent = sum(at > now - LIMIT_WINDOW_S for at in self.arrivals)
--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -139,6 +139,7 @@
         down_s = self.crash_rng.choice((0.05, self.crash_rng.uniform(1.0, 2.0)))
         await asyncio.sleep(down_s)
         backend.born += 1
+        backend.name_limit(backend.limit)
         await proxy.start(proxy.port)
         backend.is_down = False
         await self.publish(backend)
