Try quarantined requests only if their crashes came at once

Cause: every request that upstreams had answered before got two trials, also one that had crashed them one after the other, and two entries made one each. The trials are for requests that happened to be in flight when one cause took several upstreams at once.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_crash_state.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_crash_state.py
@@ -12,10 +12,6 @@
 # Crashes at shorter intervals may have one cause outside the request, and be noticed
 # one after the other. A trial follows the latest crash by at least this.
 SETTLE_S = 3.0
-# Trials of one quarantined request that may crash an upstream.
-MAX_TRIALS = 2
-# Ratio of the pause before each further trial to that before the former one.
-TRIAL_PAUSE_GROWTH = 10.0
 
 
 @dataclass
@@ -70,14 +66,13 @@
             del self.unanswered[oldest]
 
 
-def count_failed_trials(times: list[int]) -> int:
-    """Return how many trials crashed an upstream.
+def are_apart(times: list[int]) -> bool:
+    """Return whether crashes have several causes, or one in the request.
 
     Args:
         times: Unix time of each crash, in seconds, in order.
     """
-    late = times[MAX_CRASHES - 1 :]
-    return sum(later - earlier >= SETTLE_S for earlier, later in pairwise(late))
+    return any(later - earlier >= SETTLE_S for earlier, later in pairwise(times))
 
 
 @dataclass
@@ -88,13 +83,14 @@
         crashes: Number of crashes of which the request is suspected.
         crashed_at: Monotonic time at which the latest one became known, in seconds.
         answers: Answers to attempts that were sent since.
-        failed_trials: Crashes while it was quarantined.
+        is_single_event: Whether all crashes became known within `SETTLE_S` of each
+            other, so that one cause outside the request may explain them.
     """
 
     crashes: int = 0
     crashed_at: float = -math.inf
     answers: int = 0
-    failed_trials: int = 0
+    is_single_event: bool = True
 
     def set_crashes(self, times: list[int], now: float) -> None:
         """Record the crashes that are known.
@@ -103,21 +99,18 @@
             times: Unix time of each crash, in seconds, in order.
             now: Monotonic time, in seconds.
         """
-        # This entry may hear of earlier trials only afterwards, and all at once.
-        self.failed_trials = max(self.failed_trials, count_failed_trials(times))
         crashes = len(times)
         if crashes <= self.crashes:
             self.crashes = crashes
             return
-        is_settled = now - self.crashed_at >= SETTLE_S
-        if self.crashes >= MAX_CRASHES and is_settled:
-            self.failed_trials += 1
+        is_settled = self.crashes > 0 and now - self.crashed_at >= SETTLE_S
+        # This entry may hear of crashes only afterwards, and all at once.
+        if is_settled or are_apart(times):
+            self.is_single_event = False
         self.crashes = crashes
         self.crashed_at = now
         self.answers = 0
 
     def is_trial_due(self, now: float) -> bool:
         """Return whether a trial is allowed, if the request is quarantined."""
-        pause_s = SETTLE_S * TRIAL_PAUSE_GROWTH**self.failed_trials
-        is_due = now - self.crashed_at >= pause_s
-        return is_due and self.failed_trials < MAX_TRIALS
+        return self.is_single_event and now - self.crashed_at >= SETTLE_S
--- a/packages/skylarkdoord/tests/direct/test_crashes.py
+++ b/packages/skylarkdoord/tests/direct/test_crashes.py
@@ -9,11 +9,10 @@
 from skylarkdoord.direct import _crashes
 from skylarkdoord.direct._crash_state import (
     MAX_CRASHES,
-    MAX_TRIALS,
     SETTLE_S,
-    TRIAL_PAUSE_GROWTH,
 )
 from skylarkdoord.direct._crashes import (
+    ANSWERED_RETENTION_S,
     CLEARING_ANSWERS,
     MAX_ANSWERED,
     MAX_UNANSWERED,
@@ -356,14 +355,23 @@
         assert crashes.count(7) == 0
 
     async def test_crashes_again(self, crashes, clock):
-        """The trials end after a number of crashes, with longer pauses between."""
-        for number in range(MAX_TRIALS):
-            clock.now += SETTLE_S * TRIAL_PAUSE_GROWTH**number - 0.1
-            assert crashes.is_quarantined(7)
-            clock.now += 0.1
-            assert not crashes.is_quarantined(7)
-            await lose_answer(crashes, f"i-trial-{number}", 7)
-        clock.now += SETTLE_S * TRIAL_PAUSE_GROWTH**MAX_TRIALS
+        """A trial that crashes an upstream is the last."""
+        clock.now += SETTLE_S
+        assert not crashes.is_quarantined(7)
+        await lose_answer(crashes, "i-trial", 7)
+        clock.now += ANSWERED_RETENTION_S / 2
+        assert crashes.is_quarantined(7)
+
+    # Guards against trials of a request that crashes upstreams one after the other.
+    async def test_apart(self, clock):
+        """Crashes at different times are no chance: there is no trial."""
+        crashes = make_crashes(down=True)
+        crashes.clock = clock
+        answer(crashes, 7)
+        for number in range(MAX_CRASHES):
+            clock.now += SETTLE_S
+            await lose_answer(crashes, f"i-{number}", 7)
+        clock.now += SETTLE_S
         assert crashes.is_quarantined(7)
 
     async def test_other_entry(self, crashes, clock):
@@ -389,17 +397,16 @@
         crashes.clock = clock
         answer(crashes, 7)
         began = int(time.time()) - 100
-        times = [began, began, began + 1]
-        times += [began + 10 * (number + 1) for number in range(MAX_TRIALS)]
+        times = [began, began, began + 1, began + 10]
         ids = [f"{at}/i-{number}/1/1" for number, at in enumerate(times)]
         crashes.merge([pb.Suspect(fingerprint=7, crash_ids=ids)])
-        clock.now += SETTLE_S * TRIAL_PAUSE_GROWTH**MAX_TRIALS
+        clock.now += SETTLE_S
         assert crashes.is_quarantined(7)
 
     # Guards against crashes that are noticed one after the other and count as trials.
     async def test_noticed_late(self, crashes, clock):
         """Crashes that become known shortly after each other are no trials."""
-        for number in range(MAX_TRIALS + 1):
+        for number in range(2):
             clock.now += SETTLE_S - 0.1
             await lose_answer(crashes, f"i-late-{number}", 7)
         clock.now += SETTLE_S
