Keep the limit of an upstream that starts again

Cause: limits belonged to a start of an upstream. One in need that restarted at once named its limit to entries that still held its former record; 3 s later the registry listed the new start, for which they knew no limit, and ten requests followed at once.

Change: a limit belongs to the upstream. After a restart it stays until the first answer without one. It errs on the side of the upstream in need; the rise over 5 s follows.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_upstream_limits.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_upstream_limits.py
@@ -1,8 +1,9 @@
 """Limits on requests that upstreams in need name in their answers.
 
-A limit belongs to one incarnation of an upstream, and counts the requests of all
-entries together. It is in force until an answer names none, or the upstream restarts
-or leaves. Entries tell each other of the limits and divide each among themselves.
+A limit counts the requests of all entries together. It is in force until an answer
+names none, or the upstream leaves. One that starts again has named nothing yet; it
+keeps its limit until its first answer. Entries tell each other of the limits and divide
+each among themselves.
 """
 
 import math
@@ -16,7 +17,7 @@
 from skylarkdoord import _events
 from skylarkdoord.direct._adapter import UpstreamHead
 from skylarkdoord.direct._metrics import UPSTREAM_LIMITS
-from skylarkdoord.direct._model import Incarnation, UpstreamRecord
+from skylarkdoord.direct._model import UpstreamRecord
 
 # Lowest rate in requests a second. An upstream that takes nothing at all still gets a
 # request now and then, whose answer tells whether the limit has ended.
@@ -128,7 +129,7 @@
 
 @dataclass
 class UpstreamLimit:
-    """The limit of one incarnation of an upstream.
+    """The limit of one upstream.
 
     Attributes:
         named: The limit as the upstream named it.
@@ -167,8 +168,8 @@
     Attributes:
         share_of: Returns this entry's part of the limit of an upstream, from 0 to 1,
             if at most a number of entries divide it.
-        limits: Limits by incarnation of the upstream.
-        malformed: Incarnations that named a malformed limit.
+        limits: Limits by name of the upstream instance.
+        malformed: Upstreams that named a malformed limit.
         changes: Number of changes so far.
         on_change: Called after this entry saw a change that others have to know.
     """
@@ -184,8 +185,8 @@
         self.find = find
         self.clock = clock
         self.share_of: Callable[[str, int], float] = lambda upstream, most: 1.0
-        self.limits: dict[Incarnation, UpstreamLimit] = {}
-        self.malformed: set[Incarnation] = set()
+        self.limits: dict[str, UpstreamLimit] = {}
+        self.malformed: set[str] = set()
         self.changes = 0
         self.on_change: Callable[[], None] = lambda: None
         self.log = events.get_logger("direct.upstream_limits")
@@ -201,30 +202,30 @@
             return
         if head.limit_per_s is None and not head.is_signed:
             return
-        known = self.limits.get(record.incarnation, UpstreamLimit()).named
+        known = self.limits.get(record.instance, UpstreamLimit()).named
         per_second = math.inf if head.limit_per_s is None else head.limit_per_s
         if per_second == known.per_second:
             return
         named = NamedLimit(per_second, known.revision + 1)
-        self.change(record.incarnation, named, source=self.instance)
+        self.change(record.instance, named, source=self.instance)
         self.on_change()
 
     def reject(self, record: UpstreamRecord) -> None:
-        """Log a malformed limit, once for each incarnation."""
-        if record.incarnation in self.malformed:
+        """Log a malformed limit, once for each upstream."""
+        if record.instance in self.malformed:
             return
-        self.malformed.add(record.incarnation)
+        self.malformed.add(record.instance)
         self.log.event(_events.UPSTREAM_LIMIT_REJECTED, upstream=record.instance)
 
-    def change(self, key: Incarnation, named: NamedLimit, *, source: str) -> None:
+    def change(self, upstream: str, named: NamedLimit, *, source: str) -> None:
         """Put a limit in force, or end it.
 
         Args:
-            key: The upstream.
+            upstream: Name of the upstream instance.
             named: The limit.
             source: Name of the entry that saw it, for logs.
         """
-        limit = self.limits.setdefault(key, UpstreamLimit())
+        limit = self.limits.setdefault(upstream, UpstreamLimit())
         former, limit.named = limit.named, named
         now = self.clock()
         if math.isinf(former.per_second) and limit.limiter.is_over(now):
@@ -236,7 +237,7 @@
         UPSTREAM_LIMITS.labels(kind).inc()
         self.log.event(
             _events.UPSTREAM_LIMIT_CHANGED,
-            upstream=key[0],
+            upstream=upstream,
             per_second=None if math.isinf(named.per_second) else named.per_second,
             change=kind,
             source=source,
@@ -251,7 +252,7 @@
             record: The upstream.
             now: Monotonic time, in seconds; None for the present.
         """
-        limit = self.limits.get(record.incarnation)
+        limit = self.limits.get(record.instance)
         if limit is None or limit.limiter.is_over(now or self.clock()):
             return None
         return limit
@@ -305,26 +306,24 @@
         return min(MAX_WAIT_S, max(MIN_WAIT_S, wait_s))
 
     def drop_removed(self) -> None:
-        """Drop the limits of upstreams that have restarted or left."""
-        for (instance, started_ms), limit in list(self.limits.items()):
-            listed = self.find(instance)
-            if listed is not None and listed.started_ms == started_ms:
+        """Drop the limits of upstreams that have left."""
+        for instance, limit in list(self.limits.items()):
+            if self.find(instance) is not None:
                 limit.was_listed = True
-            elif limit.was_listed or (listed and listed.started_ms > started_ms):
-                del self.limits[instance, started_ms]
-                self.malformed.discard((instance, started_ms))
+            elif limit.was_listed:
+                del self.limits[instance]
+                self.malformed.discard(instance)
 
     def report(self, since: int = 0) -> LimitReport:
         """Return the limits that changed after a change, for another entry."""
         changed = [
             pb.UpstreamLimit(
                 instance=instance,
-                started_ms=started_ms,
                 per_second=limit.named.per_second,
                 ended=math.isinf(limit.named.per_second),
                 revision=limit.named.revision,
             )
-            for (instance, started_ms), limit in self.limits.items()
+            for instance, limit in self.limits.items()
             if limit.change > since
         ]
         return LimitReport(changed, self.changes)
@@ -337,12 +336,11 @@
             source: Name of that entry, for logs.
         """
         for message in limits:
-            key = message.instance, message.started_ms
             per_second = math.inf if message.ended else message.per_second
             named = NamedLimit(per_second, message.revision)
-            known = self.limits.get(key, UpstreamLimit()).named
+            known = self.limits.get(message.instance, UpstreamLimit()).named
             if known.is_before(named):
-                self.change(key, named, source=source)
+                self.change(message.instance, named, source=source)
 
 
 def _kind_of_change(former: NamedLimit, named: NamedLimit) -> str:
