Name the shared parts of prompts in the logs of crashes

The line of a crash (709) told the fingerprint of each request in flight, and nothing that unlike requests have in common. It now names the first ten parts of the prompt that others may share; so a search for the part of several crashes needs no record of the requests.

The adapter hands over parts as a typed value. A malformed part used to hide all others, and one with a digit such as a superscript two failed the request; it is left out now (TestPromptParts, which failed before).

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_crash_state.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_crash_state.py
@@ -6,6 +6,7 @@
 from itertools import pairwise
 
 from skylarkdoord.direct._model import UpstreamRecord
+from skylarkdoord.direct._suspect_keys import SharedPart
 
 # A request suspected of this many crashes is quarantined.
 MAX_CRASHES = 3
@@ -23,6 +24,7 @@
         in_flight: Fingerprints of the requests in flight, counted.
         unanswered: Monotonic time at which a request ended without an answer, by
             fingerprint, in seconds; oldest first.
+        parts: Parts of the prompts of these requests, by fingerprint of the request.
         crashes: Number of crashes under this record.
         crashed_at: Monotonic time of the latest crash, in seconds.
         is_replaced: Whether another upstream has its address.
@@ -37,6 +39,7 @@
     listed_start: int | None
     in_flight: Counter[int] = field(default_factory=Counter)
     unanswered: dict[int, float] = field(default_factory=dict)
+    parts: dict[int, tuple[SharedPart, ...]] = field(default_factory=dict)
     crashes: int = 0
     crashed_at: float = -math.inf
     is_checked: bool = False
@@ -47,6 +50,26 @@
         """Return the fingerprints to suspect if the upstream crashed."""
         return {*self.in_flight, *self.unanswered}
 
+    def add_parts(self, fingerprint: int, parts: tuple[SharedPart, ...]) -> None:
+        """Remember the parts of a request's prompt."""
+        if parts:
+            self.parts[fingerprint] = parts
+
+    def drop_parts(self, fingerprint: int) -> None:
+        """Forget the parts of a request that is no suspect any more."""
+        if fingerprint not in self.in_flight and fingerprint not in self.unanswered:
+            self.parts.pop(fingerprint, None)
+
+    def forget_unanswered(self, fingerprint: int) -> None:
+        """Forget a request that ended without an answer."""
+        del self.unanswered[fingerprint]
+        self.drop_parts(fingerprint)
+
+    def forget_all_unanswered(self) -> None:
+        """Forget all requests that ended without an answer."""
+        for fingerprint in list(self.unanswered):
+            self.forget_unanswered(fingerprint)
+
     def on_answered_elsewhere(self, fingerprint: int, sent_at: float) -> None:
         """Forget a request that another upstream answered afterwards.
 
@@ -55,7 +78,7 @@
             sent_at: Monotonic time at which it was sent there, in seconds.
         """
         if self.unanswered.get(fingerprint, math.inf) <= sent_at:
-            del self.unanswered[fingerprint]
+            self.forget_unanswered(fingerprint)
 
     def drop_ended_before(self, since: float) -> None:
         """Forget the requests that ended before a monotonic time, in seconds."""
@@ -63,7 +86,7 @@
             oldest = next(iter(self.unanswered))
             if self.unanswered[oldest] >= since:
                 return
-            del self.unanswered[oldest]
+            self.forget_unanswered(oldest)
 
 
 def are_apart(times: list[int]) -> bool:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_crashes.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_crashes.py
@@ -14,7 +14,6 @@
 from typing import NamedTuple
 
 from skylarkdoor import events
-from skylarkdoor.hashing import fingerprint
 from skylarkdoor.suspicion import (
     MAX_SUSPICIONS,
     Suspicion,
@@ -28,7 +27,8 @@
     Suspect,
     Watched,
 )
-from skylarkdoord.direct._model import Admitted, Incarnation, UpstreamRecord
+from skylarkdoord.direct._model import Incarnation, UpstreamRecord
+from skylarkdoord.direct._suspect_keys import SharedPart
 
 # Delay of the probe after a lost answer. A crashed upstream refuses connections for
 # longer than this.
@@ -49,20 +49,12 @@
 # Requests whose latest answer is remembered, and for how long.
 MAX_ANSWERED = 10_000
 ANSWERED_RETENTION_S = 600.0
+# Parts of a prompt that one log line names.
+MAX_LOGGED_PARTS = 10
 # Limits the size of an update sent to other entries.
 MAX_REPORTED_SUSPECTS = 100
 
 
-def fingerprint_of(admitted: Admitted) -> int:
-    """Return the fingerprint of a request, which its repeats share.
-
-    It covers the customer, method, target and body.
-    """
-    request = admitted.request
-    call = f"{request.method} {request.target}".encode() + b"\0" + request.body
-    return fingerprint(admitted.customer.name if admitted.customer else "", call)
-
-
 async def is_down(record: UpstreamRecord) -> bool:
     """Return whether an upstream does not accept connections."""
     host, _, port = record.address.rpartition(":")
@@ -214,9 +206,16 @@
             crashes=len(crashes),
         )
 
-    def add_in_flight(self, record: UpstreamRecord, fingerprint: int) -> None:
-        """Record that a request is sent to an upstream."""
-        self.watch(record).in_flight[fingerprint] += 1
+    def add_in_flight(
+        self,
+        record: UpstreamRecord,
+        fingerprint: int,
+        parts: tuple[SharedPart, ...] = (),
+    ) -> None:
+        """Record that a request with these parts is sent to an upstream."""
+        watched = self.watch(record)
+        watched.in_flight[fingerprint] += 1
+        watched.add_parts(fingerprint, parts)
 
     def remove_in_flight(self, record: UpstreamRecord, fingerprint: int) -> None:
         """Record that a request is no longer in flight at an upstream."""
@@ -226,19 +225,31 @@
         watched.in_flight[fingerprint] -= 1
         if watched.in_flight[fingerprint] <= 0:
             del watched.in_flight[fingerprint]
+            watched.drop_parts(fingerprint)
         self.drop_idle(watched)
 
-    def on_unanswered(self, record: UpstreamRecord, fingerprint: int) -> None:
+    def on_unanswered(
+        self,
+        record: UpstreamRecord,
+        fingerprint: int,
+        parts: tuple[SharedPart, ...] = (),
+    ) -> None:
         """Record that a request ended without an answer for an unknown reason."""
         watched = self.watch(record)
         watched.unanswered.pop(fingerprint, None)
         watched.unanswered[fingerprint] = self.clock()
+        watched.add_parts(fingerprint, parts)
         if len(watched.unanswered) > MAX_UNANSWERED:
-            del watched.unanswered[next(iter(watched.unanswered))]
+            watched.forget_unanswered(next(iter(watched.unanswered)))
 
-    def on_answer_lost(self, record: UpstreamRecord, fingerprint: int) -> None:
+    def on_answer_lost(
+        self,
+        record: UpstreamRecord,
+        fingerprint: int,
+        parts: tuple[SharedPart, ...] = (),
+    ) -> None:
         """Start a check whether an upstream that lost an answer has crashed."""
-        self.on_unanswered(record, fingerprint)
+        self.on_unanswered(record, fingerprint, parts)
         self.start_check(self.watch(record))
 
     def on_registry_change(self) -> None:
@@ -348,8 +359,11 @@
                 upstream=record.instance,
                 crashes=self.count(suspect),
                 answered=self.was_answered(suspect),
+                parts=[part.name for part in watched.parts.get(suspect, ())][
+                    :MAX_LOGGED_PARTS
+                ],
             )
-        watched.unanswered.clear()
+        watched.forget_all_unanswered()
 
     def was_answered(self, fingerprint: int) -> bool:
         """Return whether an upstream answered a request lately."""
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
@@ -15,13 +15,14 @@
 from skylarkdoord import _events
 from skylarkdoord.direct._adapter import Adapter
 from skylarkdoord.direct._call import Answer, UpstreamClient
-from skylarkdoord.direct._crashes import Crashes, fingerprint_of
+from skylarkdoord.direct._crashes import Crashes
 from skylarkdoord.direct._metrics import CALLS, FIRST_EVENT, QUEUE_TIME, REPEATS
 from skylarkdoord.direct._model import MS_PER_S, Admitted
 from skylarkdoord.direct._quota import Quota
 from skylarkdoord.direct._relay import CallerStream, EventSplitter
 from skylarkdoord.direct._retry_limiter import RetryLimiter
 from skylarkdoord.direct._scheduler import Scheduler
+from skylarkdoord.direct._suspect_keys import fingerprint_of, shared_parts
 from skylarkdoord.direct._upstreams import Upstreams
 from skylarkdoord.direct._waiting import Slot
 from skylarkdoord.direct.exceptions import (
@@ -84,6 +85,7 @@
         sends: Attempts sent to an upstream.
         tried_instances: Upstreams that the request was sent to.
         fingerprint: Identifies the request and its repeats.
+        parts: Parts of its prompt that other requests may share.
     """
 
     def __init__(
@@ -103,6 +105,7 @@
         self.sends = 0
         self.tried_instances: set[str] = set()
         self.fingerprint = fingerprint_of(admitted)
+        self.parts = shared_parts(admitted)
         self.log = events.get_logger("direct.forward")
 
     async def serve(self) -> web.StreamResponse:
@@ -154,7 +157,7 @@
             except TimeoutError:
                 self.log_step(slot, "timeout", began)
                 self.dependencies.crashes.on_unanswered(
-                    slot.upstream.record, self.fingerprint
+                    slot.upstream.record, self.fingerprint, self.parts
                 )
                 if not self.stream.has_begun:
                     self.dependencies.upstreams.on_timeout(
@@ -209,7 +212,9 @@
         self.tried_instances.add(upstream.instance)
         began = time.monotonic()
         self.log_step(slot, "sent", began)
-        self.dependencies.crashes.add_in_flight(upstream.record, self.fingerprint)
+        self.dependencies.crashes.add_in_flight(
+            upstream.record, self.fingerprint, self.parts
+        )
         try:
             response = await self.exchange(slot, self.first_byte_deadline())
         except asyncio.CancelledError:
@@ -291,7 +296,9 @@
         The wait must exceed four times the service's average time to the first byte.
         """
         self.log_step(slot, "left", time.monotonic() - waited_s)
-        self.dependencies.crashes.on_unanswered(slot.upstream.record, self.fingerprint)
+        self.dependencies.crashes.on_unanswered(
+            slot.upstream.record, self.fingerprint, self.parts
+        )
         average_s = self.dependencies.upstreams.average_first_byte_s(
             self.admitted.service
         )
@@ -382,7 +389,9 @@
         """Record that an upstream's answer was lost or incomplete."""
         self.runs += 1
         self.dependencies.upstreams.on_failure(slot.upstream, str(error))
-        self.dependencies.crashes.on_answer_lost(slot.upstream.record, self.fingerprint)
+        self.dependencies.crashes.on_answer_lost(
+            slot.upstream.record, self.fingerprint, self.parts
+        )
         self.log_step(slot, "lost", time.monotonic(), error=str(error))
 
     def may_run_again(self) -> bool:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_model.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_model.py
@@ -173,6 +173,18 @@
     is_long: bool = False
 
 
+class PromptPart(NamedTuple):
+    """A part of a prompt, as the caller states it.
+
+    Attributes:
+        identity: Identity of the part; equal parts of several requests share it.
+        tokens: Number of its tokens.
+    """
+
+    identity: str
+    tokens: int
+
+
 class CallerRequest(NamedTuple):
     """A request as received from the caller.
 
@@ -191,7 +203,7 @@
         expected_tokens: Number of tokens that the caller expects in the answer; 0 if
             not stated.
         has_token_counts: Whether the caller stated the numbers of tokens.
-        prefix: Parts of the prompt, each with its id and number of tokens.
+        prefix: Parts of the prompt, in order.
         last_event_id: Id of the event after which a stream resumes; empty for a new
             stream.
         is_connection_reused: Whether the connection carried a request before this one.
@@ -210,7 +222,7 @@
     max_tokens: int = 0
     expected_tokens: int = 0
     has_token_counts: bool = False
-    prefix: tuple[tuple[str, int], ...] = ()
+    prefix: tuple[PromptPart, ...] = ()
     last_event_id: str = ""
     is_connection_reused: bool = False
 
--- a/packages/skylarkdoord/tests/direct/test_crashes.py
+++ b/packages/skylarkdoord/tests/direct/test_crashes.py
@@ -15,14 +15,15 @@
     ANSWERED_RETENTION_S,
     CLEARING_ANSWERS,
     MAX_ANSWERED,
+    MAX_LOGGED_PARTS,
     MAX_UNANSWERED,
     SAME_CRASH_S,
     UNANSWERED_RETENTION_S,
     Crashes,
-    fingerprint_of,
 )
+from skylarkdoord.direct._suspect_keys import SharedPart
 
-from ._make import Clock, make_admitted, make_customer, make_record, make_request
+from ._make import Clock, make_record
 
 
 @pytest.fixture(autouse=True)
@@ -57,28 +58,6 @@
         crashes.on_answered(fingerprint, crashes.clock())
 
 
-class TestFingerprint:
-    """`fingerprint_of`."""
-
-    def test_repeat(self):
-        """A repeat has the same fingerprint, whatever its request id."""
-        repeat = make_request(request_id="r2")
-        assert fingerprint_of(make_admitted(repeat)) == fingerprint_of(make_admitted())
-
-    @pytest.mark.parametrize(
-        "changes", [{"body": b"other"}, {"target": "/notes/2"}, {"method": "PUT"}]
-    )
-    def test_other(self, changes):
-        """Requests that differ in method, target or body have other fingerprints."""
-        other = make_request(**changes)
-        assert fingerprint_of(make_admitted(other)) != fingerprint_of(make_admitted())
-
-    def test_customer(self):
-        """Equal requests of different customers have different fingerprints."""
-        other = make_admitted(customer=make_customer())
-        assert fingerprint_of(other) != fingerprint_of(make_admitted())
-
-
 class TestCrashes:
     """`Crashes`."""
 
@@ -179,6 +158,29 @@
         last.merge(entries[1].report().suspects)
         assert last.is_quarantined(7)
 
+    async def test_parts_logged(self, caplog):
+        """The line of a crash names the parts of the prompt."""
+        crashes = make_crashes(down=True)
+        parts = tuple(SharedPart(number, f"part-{number}") for number in range(99))
+        crashes.on_answer_lost(make_record("i-1"), 7, parts)
+        await asyncio.gather(*crashes.checks)
+        (line,) = [
+            record.parts for record in caplog.records if hasattr(record, "parts")
+        ]
+        assert line == [f"part-{number}" for number in range(MAX_LOGGED_PARTS)]
+
+    # Guards against memory that grows with the requests that ever ended unanswered.
+    async def test_parts_dropped(self):
+        """The parts of a request are forgotten together with it."""
+        crashes = make_crashes(down=False)
+        record, parts = make_record("i-1"), (SharedPart(1, "part-1"),)
+        for fingerprint in range(2 * MAX_UNANSWERED):
+            crashes.add_in_flight(record, fingerprint, parts)
+            crashes.remove_in_flight(record, fingerprint)
+            crashes.on_unanswered(record, fingerprint, parts)
+        watched = crashes.watched[record.incarnation]
+        assert watched.parts.keys() == watched.unanswered.keys()
+
     async def test_probe(self):
         """An upstream is down exactly if it does not accept connections."""
         server = await asyncio.start_server(lambda r, w: w.close(), "127.0.0.1", 0)
--- a/tests/adapter/test_headers.py
+++ b/tests/adapter/test_headers.py
@@ -3,7 +3,7 @@
 import pytest
 
 from skylarkdoor_platform import adapter
-from skylarkdoord.direct import RawHead
+from skylarkdoord.direct import PromptPart, RawHead
 
 
 def read(*headers):
@@ -48,3 +48,14 @@
         """An answer without the header names no limit."""
         head = adapter.read_head(200, {})
         assert (head.limit_per_s, head.has_malformed_limit) == (None, False)
+
+
+class TestPromptParts:
+    """`Prefix-Hash`."""
+
+    # Guards against one malformed part that hides the others, or fails the request.
+    @pytest.mark.parametrize("malformed", ["", "x", "x:", ":5", "x:-1", "x:²"])
+    def test_malformed(self, malformed):
+        """Malformed parts are left out; the others stay."""
+        parts = read(("Prefix-Hash", f"a:1,{malformed}, b:2")).prefix
+        assert parts == (PromptPart("a", 1), PromptPart("b", 2))
