Quarantine parts of prompts that crash upstreams

Cause: evidence of crashes was kept by the fingerprint of a whole request. No two of these requests are alike, so that no count ever reached three. The class: evidence under a key that is narrower than what is guilty.

Change: one subsystem holds evidence against requests and against the parts that requests share, with the same records, messages and clearances. A part that no upstream answers is quarantined after four crashes, two of them explained by nothing else. One that was answered lately has 1.5 s for another answer first, and all four have to be unexplained. One answer that began after a crash was known clears a part of it. Crashes that a quarantined part explains do not count against requests, and one repeated request may explain those of its parts. One entry makes trials, one at a time: 20 s after the latest crash, or 1 s if the part was answered lately; each that crashes an upstream makes it eight times as long.

Why it works: only what is in every crash and in no answer reaches the bound; common parts are answered between crashes.

--- a/packages/skylarkdoor/src/skylarkdoor/_suspicion.py
+++ b/packages/skylarkdoor/src/skylarkdoor/_suspicion.py
@@ -1,15 +1,16 @@
-"""Records of requests that were running at an upstream when it crashed.
+"""Records of what was running at an upstream when it crashed.
 
-Such a request is a suspect: it may be a poison request, which crashes every upstream
-that runs it. Processes merge their records by set union, so updates may arrive
-repeatedly and in any order. The id of a crash contains the time of the crash.
+A request that was running is a suspect: it may be a poison request, which crashes every
+upstream that runs it. So is each part of its prompt that other requests share.
+Processes merge their records by set union, so updates may arrive repeatedly and in any
+order. The id of a crash contains the time of the crash.
 """
 
 import time
 from collections import OrderedDict
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
-from itertools import takewhile
+from itertools import islice, takewhile
 
 from skylarkdoor.wire import pb
 
@@ -17,8 +18,10 @@
 QUARANTINE_CRASHES = 2
 # Time after which a crash no longer counts against a request.
 RETENTION_S = 24 * 3600.0
-# Requests for which one process keeps records.
+# Requests and parts of prompts for which one process keeps records.
 MAX_SUSPICIONS = 10_000
+# Least recently updated records of which one with a single crash is removed first.
+MAX_SPARED = 100
 SEPARATOR = "/"
 
 
@@ -56,35 +59,42 @@
 
 @dataclass
 class Suspicion:
-    """The crashes that occurred while one request was running.
+    """The crashes that occurred while one request, or one part of prompts, was running.
 
     Attributes:
-        fingerprint: Hash of the request's customer, call and body.
+        fingerprint: Hash of the request's customer, call and body, or of the part.
         crashes: Ids of the crashes.
         cleared: Ids of the crashes that no longer count, because the request has
             since completed while it ran alone.
         revision: Number of the latest change within this process.
+        part: Name of the part; empty for a whole request.
     """
 
     fingerprint: int
     crashes: set[str] = field(default_factory=set)
     cleared: set[str] = field(default_factory=set)
     revision: int = 0
+    part: str = ""
 
     @property
     def open(self) -> set[str]:
         """Ids of the crashes that still count against the request."""
         return {crash for crash in self.crashes - self.cleared if is_fresh(crash)}
 
-    def crash_times(self) -> list[int]:
-        """Return the Unix time of each crash that counts, in seconds, in order.
+    def times_by_crash(self) -> dict[str, int]:
+        """Return the Unix time of each crash that counts, in seconds, oldest first.
 
-        A crash that several processes observed counts once, at the earliest time.
+        A crash that several processes observed counts once, at the earliest time. The
+        keys are what `crashed_incarnation` returns.
         """
         times: dict[str, int] = {}
         for crash in sorted(self.open, key=_time_of):
             times.setdefault(crashed_incarnation(crash), _time_of(crash))
-        return list(times.values())
+        return times
+
+    def crash_times(self) -> list[int]:
+        """Return the Unix time of each crash that counts, in seconds, in order."""
+        return list(self.times_by_crash().values())
 
     @property
     def is_suspect(self) -> bool:
@@ -108,13 +118,15 @@
             crashes=len(self.open),
             crash_ids=sorted(self.crashes),
             cleared_ids=sorted(self.cleared),
+            part=self.part,
         )
 
 
 class Suspicions:
     """The suspicions recorded by one process.
 
-    Above `MAX_SUSPICIONS`, the least recently updated ones are removed.
+    Above `MAX_SUSPICIONS`, the least recently updated ones are removed, first those of
+    a single crash.
 
     Attributes:
         by_fingerprint: Suspicions in the order of their latest changes.
@@ -138,8 +150,17 @@
         fingerprint: int,
         crashes: Iterable[str],
         cleared: Iterable[str] = (),
+        *,
+        part: str = "",
     ) -> bool:
-        """Add crashes and clearances of a request; return whether any is new."""
+        """Add crashes and clearances of a suspect; return whether any is new.
+
+        Args:
+            fingerprint: The suspect.
+            crashes: Ids of the crashes.
+            cleared: Ids of the crashes that no longer count.
+            part: Name of the part of prompts; empty for a whole request.
+        """
         recorded = self.get(fingerprint)
         new = set(crashes) - recorded.crashes, set(cleared) - recorded.cleared
         if not any(new):
@@ -148,12 +169,20 @@
         recorded.cleared |= new[1]
         self.revision += 1
         recorded.revision = self.revision
+        recorded.part = part or recorded.part
         self.by_fingerprint[fingerprint] = recorded
         self.by_fingerprint.move_to_end(fingerprint)
         while len(self.by_fingerprint) > MAX_SUSPICIONS:
-            self.by_fingerprint.popitem(last=False)
+            self.remove_oldest()
         return True
 
+    def remove_oldest(self) -> None:
+        """Remove the least recently updated suspicion, a repeated one last."""
+        oldest = list(islice(self.by_fingerprint.values(), MAX_SPARED))
+        single = (recorded for recorded in oldest if len(recorded.open) < 2)
+        removed = next(single, oldest[0])
+        del self.by_fingerprint[removed.fingerprint]
+
     def changed_since(self, revision: int) -> list[Suspicion]:
         """Return the suspicions that changed after a revision, oldest change first."""
         newest_first = reversed(self.by_fingerprint.values())
@@ -162,4 +191,9 @@
 
     def merge_message(self, message: pb.Suspect) -> bool:
         """Add the content of a peer's message; return whether any of it is new."""
-        return self.merge(message.fingerprint, message.crash_ids, message.cleared_ids)
+        return self.merge(
+            message.fingerprint,
+            message.crash_ids,
+            message.cleared_ids,
+            part=message.part,
+        )
--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -318,3 +318,15 @@
     logging.WARNING,
     "An upstream named a limit that can't be read.",
 )
+PART_QUARANTINED = define(
+    723,
+    "part_quarantined",
+    logging.ERROR,
+    "A part of prompts crashes upstreams; requests with it are refused.",
+)
+PART_RELEASED = define(
+    724,
+    "part_released",
+    logging.INFO,
+    "Requests with a part of prompts are sent again.",
+)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_crash_state.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_crash_state.py
@@ -50,6 +50,10 @@
         """Return the fingerprints to suspect if the upstream crashed."""
         return {*self.in_flight, *self.unanswered}
 
+    def suspected_parts(self) -> set[SharedPart]:
+        """Return the parts of prompts to suspect if the upstream crashed."""
+        return {part for parts in self.parts.values() for part in parts}
+
     def add_parts(self, fingerprint: int, parts: tuple[SharedPart, ...]) -> None:
         """Remember the parts of a request's prompt."""
         if parts:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_crashes.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_crashes.py
@@ -3,12 +3,12 @@
 A request that was in flight at an upstream when it crashed is suspected of that
 crash, until upstreams have answered it several times since. A request suspected of
 several crashes is quarantined: it is not sent any more, except for trials of one that
-was answered before.
+was answered before. The parts of its prompt that other requests share are suspected as
+well; crashes that a quarantined part explains do not count against requests.
 Entries share their suspicions with each other.
 """
 
 import asyncio
-import math
 import time
 from collections.abc import Awaitable, Callable, Iterable
 from typing import NamedTuple
@@ -22,11 +22,13 @@
 )
 from skylarkdoor.wire import pb
 from skylarkdoord import _events
+from skylarkdoord.direct._answered import Answered
 from skylarkdoord.direct._crash_state import (
     MAX_CRASHES,
     Suspect,
     Watched,
 )
+from skylarkdoord.direct._crashing_parts import CrashingParts
 from skylarkdoord.direct._model import Incarnation, UpstreamRecord
 from skylarkdoord.direct._suspect_keys import SharedPart
 
@@ -46,13 +48,10 @@
 # Answers since the latest crash that clear a request. One answer says little if only
 # some of the upstreams crash, as while a release is rolled out.
 CLEARING_ANSWERS = 5
-# Requests whose latest answer is remembered, and for how long.
-MAX_ANSWERED = 10_000
-ANSWERED_RETENTION_S = 600.0
 # Parts of a prompt that one log line names.
 MAX_LOGGED_PARTS = 10
 # Limits the size of an update sent to other entries.
-MAX_REPORTED_SUSPECTS = 100
+MAX_REPORTED_SUSPECTS = 400
 
 
 async def is_down(record: UpstreamRecord) -> bool:
@@ -101,10 +100,11 @@
             observed itself.
         suspected: State of each request that is suspected of a crash, by fingerprint.
         watched: Upstreams with requests in flight or without an answer.
+        parts: Parts of prompts that are suspected.
+        repeated: Requests suspected of `MAX_CRASHES` or more.
         is_trial_owner: Returns whether this entry, of all entries, makes the trials of
             a request.
-        answered: Monotonic time of the latest answer to a request, by fingerprint, in
-            seconds; oldest first.
+        answered: Requests that upstreams answered lately.
         checks: Tasks of the pending checks.
     """
 
@@ -127,7 +127,10 @@
         self.suspected: dict[int, Suspect] = {}
         self.watched: dict[Incarnation, Watched] = {}
         self.is_trial_owner: Callable[[int], bool] = lambda fingerprint: True
-        self.answered: dict[int, float] = {}
+        self.answered = Answered(lambda: self.clock())
+        self.parts = CrashingParts(self.suspicions, lambda: self.clock())
+        self.parts.is_in_flight = self.is_part_in_flight
+        self.repeated: set[int] = set()
         self.checks: set[asyncio.Task[None]] = set()
         self.log = events.get_logger("direct.crashes")
 
@@ -165,27 +168,47 @@
             fingerprint in watched.in_flight for watched in self.watched.values()
         )
         is_owner = self.is_trial_owner(fingerprint)
-        return is_owner and not is_running and self.was_answered(fingerprint)
+        return is_owner and not is_running and fingerprint in self.answered
+
+    def is_part_in_flight(self, fingerprint: int) -> bool:
+        """Return whether a request with a part is in flight, or its outcome unknown."""
+        return any(
+            part.fingerprint == fingerprint
+            for watched in self.watched.values()
+            for part in watched.suspected_parts()
+        )
 
     def count(self, fingerprint: int) -> int:
         """Return the number of crashes of which a request is suspected.
 
-        Entries observe a crash at different times; it counts once.
+        Entries observe a crash at different times; it counts once. Those that a
+        quarantined part explains do not count.
         """
-        return len(self.suspicions.get(fingerprint).crash_times())
+        return len(self.crashes_of(fingerprint) - self.parts.explained())
+
+    def crashes_of(self, fingerprint: int) -> frozenset[str]:
+        """Return the crashes during which a request was in flight."""
+        return frozenset(self.suspicions.get(fingerprint).times_by_crash())
 
-    def on_answered(self, fingerprint: int, sent_at: float) -> None:
+    def on_answered(
+        self,
+        fingerprint: int,
+        sent_at: float,
+        parts: Iterable[SharedPart] = (),
+        began_at: float | None = None,
+    ) -> None:
         """Clear a request of its crashes once upstreams have answered it since.
 
         Args:
             fingerprint: The request.
             sent_at: Monotonic time at which the answered attempt was sent, in seconds.
                 An attempt from before a crash says nothing about the crash.
+            parts: Parts of its prompt; one answer clears them.
+            began_at: Monotonic time at which the answer began, in seconds; None if it
+                is only known when the attempt was sent.
         """
-        self.answered.pop(fingerprint, None)
-        self.answered[fingerprint] = self.clock()
-        if len(self.answered) > MAX_ANSWERED:
-            del self.answered[next(iter(self.answered))]
+        self.answered.add(fingerprint)
+        self.clear_parts(parts, sent_at if began_at is None else began_at)
         for watched in self.watched.values():
             if watched.is_unconfirmed:
                 watched.on_answered_elsewhere(fingerprint, sent_at)
@@ -196,6 +219,17 @@
         if suspect.answers >= CLEARING_ANSWERS:
             self.clear(fingerprint)
 
+    def clear_parts(self, parts: Iterable[SharedPart], began_at: float) -> None:
+        """Let an answer speak for the parts of the request's prompt."""
+        cleared = False
+        for part in parts:
+            crashes = self.parts.on_answered(part, began_at)
+            if crashes:
+                cleared = True
+                self.observe(part.fingerprint, crashes, crashes, part=part.name)
+        if cleared:
+            self.review_parts()
+
     def clear(self, fingerprint: int) -> None:
         """Let no crash so far count against a request."""
         crashes = self.suspicions.get(fingerprint).open
@@ -358,42 +392,75 @@
                 fingerprint=f"{suspect:016x}",
                 upstream=record.instance,
                 crashes=self.count(suspect),
-                answered=self.was_answered(suspect),
+                answered=suspect in self.answered,
                 parts=[part.name for part in watched.parts.get(suspect, ())][
                     :MAX_LOGGED_PARTS
                 ],
             )
+        for part in watched.suspected_parts():
+            self.observe(part.fingerprint, [crash], part=part.name)
         watched.forget_all_unanswered()
+        self.review_parts()
 
-    def was_answered(self, fingerprint: int) -> bool:
-        """Return whether an upstream answered a request lately."""
-        answered_at = self.answered.get(fingerprint, -math.inf)
-        return self.clock() - answered_at < ANSWERED_RETENTION_S
+    def review_parts(self) -> None:
+        """Find the parts that are guilty, after suspicions have changed."""
+        self.parts.review(self.crashes_of(fingerprint) for fingerprint in self.repeated)
 
     def observe(
-        self, fingerprint: int, crashes: Iterable[str], cleared: Iterable[str] = ()
+        self,
+        fingerprint: int,
+        crashes: Iterable[str],
+        cleared: Iterable[str] = (),
+        *,
+        part: str = "",
     ) -> None:
-        """Add crashes and clearances of a request that this entry observed."""
-        crashes, cleared = list(crashes), list(cleared)
-        self.observed.merge(fingerprint, crashes, cleared)
-        self.suspicions.merge(fingerprint, crashes, cleared)
-        self.update_suspect(fingerprint)
+        """Add crashes and clearances that this entry observed.
 
-    def update_suspect(self, fingerprint: int) -> None:
+        Args:
+            fingerprint: The request or the part.
+            crashes: Ids of the crashes.
+            cleared: Ids of the crashes that no longer count.
+            part: Name of the part; empty for a request.
+        """
+        crashes, cleared = list(crashes), list(cleared)
+        self.observed.merge(fingerprint, crashes, cleared, part=part)
+        self.suspicions.merge(fingerprint, crashes, cleared, part=part)
+        self.update(fingerprint)
+
+    def update(self, fingerprint: int) -> None:
+        """Bring the state of a request or part up to date with its suspicions."""
+        if self.suspicions.get(fingerprint).part:
+            self.parts.update(fingerprint)
+        else:
+            self.update_request(fingerprint)
+
+    def update_request(self, fingerprint: int) -> None:
         """Bring the state of a request up to date with its suspicions."""
         times = self.suspicions.get(fingerprint).crash_times()
+        if len(times) < MAX_CRASHES:
+            self.repeated.discard(fingerprint)
+        else:
+            self.repeated.add(fingerprint)
         if not times:
             self.suspected.pop(fingerprint, None)
             return
         suspect = self.suspected.setdefault(fingerprint, Suspect())
         suspect.set_crashes(times, self.clock())
         if len(self.suspected) > MAX_SUSPICIONS:
-            del self.suspected[next(iter(self.suspected))]
+            oldest = next(iter(self.suspected))
+            del self.suspected[oldest]
+            self.repeated.discard(oldest)
 
     def restore(self, observed: Iterable[Suspicion]) -> None:
         """Add what a former incarnation of this entry observed."""
         for suspicion in observed:
-            self.observe(suspicion.fingerprint, suspicion.crashes, suspicion.cleared)
+            self.observe(
+                suspicion.fingerprint,
+                suspicion.crashes,
+                suspicion.cleared,
+                part=suspicion.part,
+            )
+        self.review_parts()
 
     def report(self, since: int = 0) -> SuspicionReport:
         """Return the suspicions that changed after a revision, for another entry.
@@ -409,6 +476,10 @@
 
     def merge(self, suspects: Iterable[pb.Suspect]) -> None:
         """Add the suspicions reported by another entry."""
+        is_changed = False
         for suspect in suspects:
-            self.suspicions.merge_message(suspect)
-            self.update_suspect(suspect.fingerprint)
+            if self.suspicions.merge_message(suspect):
+                self.update(suspect.fingerprint)
+                is_changed = True
+        if is_changed:
+            self.review_parts()
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
@@ -174,9 +174,14 @@
             NotRunError: The request is quarantined and has not run.
             OutcomeUnknownError: The request is quarantined and may have run.
         """
-        if not self.dependencies.crashes.is_quarantined(self.fingerprint):
+        crashes = self.dependencies.crashes
+        part = crashes.parts.find_quarantined(self.parts)
+        if part is not None:
+            message = f"a part of the prompt crashes upstreams: {part.name!r}"
+        elif crashes.is_quarantined(self.fingerprint):
+            message = "the request crashes upstreams"
+        else:
             return
-        message = "the request crashes upstreams"
         if self.runs:
             raise OutcomeUnknownError(message)
         raise NotRunError("quarantined", message)
@@ -224,11 +229,14 @@
             self.dependencies.crashes.remove_in_flight(
                 upstream.record, self.fingerprint
             )
+        first_byte_at = self.stream.began_at if self.stream.has_begun else began
         is_error = response.status >= MIN_SERVER_ERROR_STATUS
         self.dependencies.upstreams.on_answer(upstream, is_error=is_error)
         self.dependencies.upstreams.on_success(upstream)
         if not is_error:
-            self.dependencies.crashes.on_answered(self.fingerprint, began)
+            self.dependencies.crashes.on_answered(
+                self.fingerprint, began, self.parts, first_byte_at
+            )
         first_byte_s = 0.0
         if self.stream.has_begun:
             first_byte_s = self.stream.began_at - began
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_metrics.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_metrics.py
@@ -48,6 +48,10 @@
     "Limits of upstreams that came into force or ended, by kind of change.",
     ["change"],
 )
+QUARANTINED_PARTS = Gauge(
+    "skylarkdoor_direct_quarantined_parts",
+    "Parts of prompts of which no request is sent, as they crash upstreams.",
+)
 RUNNING = Gauge(
     "skylarkdoor_direct_running",
     "Requests of this entry that are running at upstreams.",
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_suspect_records.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_suspect_records.py
@@ -6,7 +6,7 @@
 
 import asyncio
 from collections.abc import Iterable
-from typing import TypedDict
+from typing import NotRequired, TypedDict
 
 import msgspec
 
@@ -34,19 +34,27 @@
 class _Suspect(TypedDict):
     crashes: list[str]
     cleared: list[str]
+    part: NotRequired[str]
 
 
 def encode(suspicions: Iterable[Suspicion]) -> bytes:
     """Return suspicions as the contents of a row."""
     record = {
-        f"{suspicion.fingerprint:016x}": _Suspect(
-            crashes=sorted(suspicion.crashes), cleared=sorted(suspicion.cleared)
-        )
+        f"{suspicion.fingerprint:016x}": _to_record(suspicion)
         for suspicion in suspicions
     }
     return msgspec.json.encode(record)
 
 
+def _to_record(suspicion: Suspicion) -> _Suspect:
+    record = _Suspect(
+        crashes=sorted(suspicion.crashes), cleared=sorted(suspicion.cleared)
+    )
+    if suspicion.part:
+        record["part"] = suspicion.part
+    return record
+
+
 def decode(data: bytes) -> list[Suspicion]:
     """Return the suspicions in the contents of a row.
 
@@ -55,7 +63,12 @@
     """
     record = msgspec.json.decode(data, type=dict[str, _Suspect])
     return [
-        Suspicion(int(name, 16), set(suspect["crashes"]), set(suspect["cleared"]))
+        Suspicion(
+            int(name, 16),
+            set(suspect["crashes"]),
+            set(suspect["cleared"]),
+            part=suspect.get("part", ""),
+        )
         for name, suspect in record.items()
     ]
 
--- a/packages/skylarkdoord/tests/direct/test_crashes.py
+++ b/packages/skylarkdoord/tests/direct/test_crashes.py
@@ -7,14 +7,13 @@
 
 from skylarkdoor.wire import pb
 from skylarkdoord.direct import _crashes
+from skylarkdoord.direct._answered import ANSWERED_RETENTION_S, MAX_ANSWERED
 from skylarkdoord.direct._crash_state import (
     MAX_CRASHES,
     SETTLE_S,
 )
 from skylarkdoord.direct._crashes import (
-    ANSWERED_RETENTION_S,
     CLEARING_ANSWERS,
-    MAX_ANSWERED,
     MAX_LOGGED_PARTS,
     MAX_UNANSWERED,
     SAME_CRASH_S,
@@ -143,8 +142,8 @@
         crashes = make_crashes(down=True)
         for fingerprint in range(MAX_ANSWERED + 1):
             answer(crashes, fingerprint, times=1)
-        assert not crashes.was_answered(0)
-        assert crashes.was_answered(MAX_ANSWERED)
+        assert 0 not in crashes.answered
+        assert MAX_ANSWERED in crashes.answered
 
     async def test_other_entries(self):
         """Crashes seen by different entries add up; repeated reports do not count."""
