--- a/packages/skylarkdoord/tests/direct/test_streams.py
+++ b/packages/skylarkdoord/tests/direct/test_streams.py
@@ -32,7 +32,7 @@
     make_settings,
 )
 
-SUSPECTS = 250
+SUSPECTS = 1000
 
 
 async def until(condition):
