Go on with a stream only at the version that began it

Callers saw: a stream that broke off at an upstream went on, within one answer, with events of another software version, which don't fit together.

Cause: a resumption took any upstream but those tried before. The class: a choice bound by what happened earlier in the request, made from the present state alone.

Change: the registry's record of an upstream has the version of its software. From the first event on, a request is bound to the version of the incarnation that sent it; only upstreams of that version are candidates, for guards, shares and limits alike. It waits while these are full, without blocking others; if none is left, the answer is broken off at once. Retries before the first event stay free to choose.

The simulation of crashing parts now has the same hashes in each process.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_choice.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_choice.py
@@ -72,13 +72,31 @@
         digest = hashlib.blake2b(name, digest_size=HASH_BYTES).digest()
         return int.from_bytes(digest) / 256**HASH_BYTES
 
-    def candidates(self, service: str, excluded: frozenset[str]) -> list[Upstream]:
+    def has_version(self, service: str, version: str | None) -> bool:
+        """Return whether a service has an upstream of a version; None for any."""
+        return any(
+            version in (None, upstream.record.version)
+            for upstream in self.upstreams.of_service(service)
+        )
+
+    def candidates(
+        self, service: str, excluded: frozenset[str], version: str | None = None
+    ) -> list[Upstream]:
         """Return the upstreams of a service that may take a request.
 
         Excluded instances are only returned if the service has no others within their
         limits, and a paused one only if there are no others.
+
+        Args:
+            service: The service.
+            excluded: Instances to avoid.
+            version: Version of the upstreams that may take it; None for any.
         """
-        listed = self.upstreams.of_service(service)
+        listed = [
+            upstream
+            for upstream in self.upstreams.of_service(service)
+            if version in (None, upstream.record.version)
+        ]
         unlimited = [
             upstream for upstream in listed if self.limits.has_room(upstream.record)
         ]
@@ -87,14 +105,16 @@
         ]
         return self.upstreams.unpaused(others or unlimited)
 
-    def unguarded(self, service: str, excluded: frozenset[str]) -> Upstream | None:
+    def unguarded(
+        self, service: str, excluded: frozenset[str], version: str | None = None
+    ) -> Upstream | None:
         """Return the best upstream that has no guard but has a free slot.
 
         If no candidate has a guard and this entry's slots total less than
         `MIN_TOTAL_SLOTS`, it may use one slot at each upstream. Otherwise its requests
         would queue while upstreams are idle.
         """
-        candidates = self.candidates(service, excluded)
+        candidates = self.candidates(service, excluded, version)
         unguarded = [
             upstream
             for upstream in candidates
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
@@ -17,7 +17,7 @@
 from skylarkdoord.direct._call import Answer, UpstreamClient
 from skylarkdoord.direct._crashes import Crashes
 from skylarkdoord.direct._metrics import CALLS, FIRST_EVENT, QUEUE_TIME, REPEATS
-from skylarkdoord.direct._model import MS_PER_S, Admitted
+from skylarkdoord.direct._model import MS_PER_S, Admitted, UpstreamRecord
 from skylarkdoord.direct._quota import Quota
 from skylarkdoord.direct._relay import CallerStream, EventSplitter
 from skylarkdoord.direct._retry_limiter import RetryLimiter
@@ -31,6 +31,7 @@
     UpstreamFailedError,
     UpstreamNotRunError,
     UpstreamSilentError,
+    VersionGoneError,
 )
 from skylarkdoord.exceptions import NotRunError, OutcomeUnknownError
 
@@ -84,6 +85,8 @@
         runs: Attempts that ran, or may have run, without a successful answer.
         sends: Attempts sent to an upstream.
         tried_instances: Upstreams that the request was sent to.
+        version: Version of the upstreams that may go on with the stream; None before
+            its first event.
         fingerprint: Identifies the request and its repeats.
         parts: Parts of its prompt that other requests may share.
     """
@@ -104,6 +107,7 @@
         self.runs = 0
         self.sends = 0
         self.tried_instances: set[str] = set()
+        self.version: str | None = None
         self.fingerprint = fingerprint_of(admitted)
         self.parts = shared_parts(admitted)
         self.log = events.get_logger("direct.forward")
@@ -190,6 +194,8 @@
         """Wait for a slot at an upstream.
 
         Raises:
+            VersionGoneError: No upstream can go on with the stream, and the request
+                has not run.
             NoFreeSlotError: No slot became free in time, and the request has not run.
             OutcomeUnknownError: No slot became free in time, and the request may have
                 run in an earlier attempt.
@@ -197,9 +203,11 @@
         began = time.monotonic()
         try:
             return await self.dependencies.scheduler.acquire(
-                self.admitted, excluded=frozenset(self.tried_instances)
+                self.admitted,
+                excluded=frozenset(self.tried_instances),
+                version=self.version,
             )
-        except NoFreeSlotError as error:
+        except (NoFreeSlotError, VersionGoneError) as error:
             if self.runs:
                 raise OutcomeUnknownError(str(error)) from None
             raise
@@ -290,7 +298,9 @@
                     self.admitted, slot.upstream.record, last_event_id=last_id
                 )
                 try:
-                    return await self.relay(answer, first_byte_timeout)
+                    return await self.relay(
+                        answer, slot.upstream.record, first_byte_timeout
+                    )
                 finally:
                     answer.close()
         except TimeoutError:
@@ -315,12 +325,16 @@
             self.dependencies.upstreams.on_timeout(slot.upstream, "silent", since=since)
 
     async def relay(
-        self, answer: Answer, first_byte_timeout: asyncio.Timeout
+        self,
+        answer: Answer,
+        upstream: UpstreamRecord,
+        first_byte_timeout: asyncio.Timeout,
     ) -> web.StreamResponse:
         """Relay an answer to the caller.
 
         Args:
             answer: The upstream's answer.
+            upstream: The upstream.
             first_byte_timeout: Timeout of the first byte; extended to the request's
                 deadline once the answer has begun.
 
@@ -331,7 +345,9 @@
         """
         headers = self.dependencies.adapter.caller_headers(answer.response.headers)
         if self.admitted.route.is_stream and answer.status == web.HTTPOk.status_code:
-            return await self.relay_stream(answer, headers, first_byte_timeout)
+            return await self.relay_stream(
+                answer, upstream, headers, first_byte_timeout
+            )
         first_byte_timeout.reschedule(self.admitted.deadline)
         body = await answer.read_body()
         if self.stream.has_begun:
@@ -348,6 +364,7 @@
     async def relay_stream(
         self,
         answer: Answer,
+        upstream: UpstreamRecord,
         headers: list[tuple[str, str]],
         first_byte_timeout: asyncio.Timeout,
     ) -> web.StreamResponse:
@@ -360,6 +377,7 @@
         while chunk := await answer.read_chunk():
             for event in splitter.feed(chunk):
                 first_byte_timeout.reschedule(self.admitted.deadline)
+                self.bind_version(upstream)
                 await self.stream.begin(answer.status, headers)
                 await self.stream.write(event)
         if splitter.incomplete:
@@ -367,6 +385,11 @@
         await self.stream.begin(answer.status, headers)
         return await self.stream.end()
 
+    def bind_version(self, upstream: UpstreamRecord) -> None:
+        """Let only upstreams of the same version go on with the stream from now on."""
+        if self.version is None:
+            self.version = upstream.version
+
     def on_not_run(self, slot: Slot, error: UpstreamNotRunError) -> None:
         """Record why an upstream did not run the request, and check for a retry.
 
@@ -453,6 +476,10 @@
         if slot is not None:
             fields |= {
                 "upstream": slot.upstream.instance,
+                "version": slot.upstream.record.version,
+                "last_event": self.stream.last_id
+                or admitted.request.last_event_id
+                or None,
                 "waited_ms": round(slot.waited_s * MS_PER_S),
                 "running": slot.upstream.running,
             }
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_model.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_model.py
@@ -143,6 +143,8 @@
         is_draining: Whether it is draining and accepts no new requests.
         started_ms: Unix time of its start in milliseconds; distinguishes two
             incarnations of one instance.
+        version: Version of the software that this incarnation runs; empty if the
+            registry states none. Not the version of a model's weights.
     """
 
     instance: str
@@ -152,6 +154,7 @@
     slots: int
     is_draining: bool = False
     started_ms: int = 0
+    version: str = ""
 
     @property
     def incarnation(self) -> Incarnation:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
@@ -23,7 +23,7 @@
 from skylarkdoord.direct._upstream_limits import UpstreamLimits
 from skylarkdoord.direct._upstreams import Upstream, Upstreams
 from skylarkdoord.direct._waiting import QueueState, Slot, SlotGrant, Waiter
-from skylarkdoord.direct.exceptions import NoFreeSlotError
+from skylarkdoord.direct.exceptions import NoFreeSlotError, VersionGoneError
 
 MIN_QUEUE_TIMEOUT_S = 0.05
 # Queue timeout of a request that can't meet its latency target, as a share of the time
@@ -111,19 +111,32 @@
         return min(remaining_s, max(MIN_QUEUE_TIMEOUT_S, timeout_s))
 
     async def acquire(
-        self, admitted: Admitted, *, excluded: frozenset[str] = frozenset()
+        self,
+        admitted: Admitted,
+        *,
+        excluded: frozenset[str] = frozenset(),
+        version: str | None = None,
     ) -> Slot:
         """Wait for a slot.
 
         Args:
             admitted: The request.
             excluded: Instances to avoid if the service has others.
+            version: Version of the upstreams that may take it; None for any.
 
         Raises:
+            VersionGoneError: No upstream of the version is left.
             NoFreeSlotError: No slot was free within the request's queue timeout, or the
                 service is overloaded.
         """
+        if version is not None and not self.choice.has_version(
+            admitted.service, version
+        ):
+            raise VersionGoneError(
+                "version_gone", f"no upstream of version {version!r} is left"
+            )
         waiter = self.new_waiter(admitted, excluded)
+        waiter.version = version
         queue = self.queues.setdefault(admitted.service, [])
         heapq.heappush(queue, waiter)
         self.waiters[waiter.name] = waiter
@@ -257,7 +270,9 @@
     def guards(self, waiter: Waiter) -> list[GuardLink]:
         """Return the connected guards of the candidate upstreams, the best first."""
         ranked = []
-        candidates = self.choice.candidates(waiter.admitted.service, waiter.excluded)
+        candidates = self.choice.candidates(
+            waiter.admitted.service, waiter.excluded, waiter.version
+        )
         for upstream in candidates:
             guard = self.choice.guard_link_of(upstream.record)
             if guard is not None and guard.is_connected:
@@ -340,10 +355,12 @@
             waiter = heapq.heappop(queue)
             if waiter.slot.done():
                 continue
-            upstream = self.choice.unguarded(waiter.admitted.service, waiter.excluded)
+            upstream = self.choice.unguarded(
+                waiter.admitted.service, waiter.excluded, waiter.version
+            )
             if upstream is None:
                 skipped.append(waiter)
-                if not waiter.excluded:
+                if not waiter.excluded and waiter.version is None:
                     break
                 continue
             self.occupy(upstream)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_waiting.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_waiting.py
@@ -43,6 +43,7 @@
         queue_timeout_s: Longest time in the queue, in seconds.
         slot: Future of the grant; cancelled if the request stops waiting without one.
         is_long: Whether its answer is long for its tier.
+        version: Version of the upstreams that may take it; None for any.
         offered_to: Guards to which the request is offered.
     """
 
@@ -54,6 +55,7 @@
     queue_timeout_s: float = field(compare=False)
     slot: "asyncio.Future[SlotGrant]" = field(compare=False)
     is_long: bool = field(default=False, compare=False)
+    version: str | None = field(default=None, compare=False)
     offered_to: list[GuardLink] = field(default_factory=list, compare=False)
 
     @property
--- a/packages/skylarkdoord/src/skylarkdoord/direct/exceptions.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/exceptions.py
@@ -23,6 +23,7 @@
     "UpstreamFailedError",
     "UpstreamNotRunError",
     "UpstreamSilentError",
+    "VersionGoneError",
 ]
 
 
@@ -78,6 +79,10 @@
     """No upstream had a free slot for the request in time."""
 
 
+class VersionGoneError(NotRunError):
+    """No upstream is left of the version that began the request's stream."""
+
+
 class UpstreamNotRunError(NotRunError):
     """The request is known not to have run at the upstream.
 
--- a/packages/skylarkdoord/tests/direct/_crash_simulation.py
+++ b/packages/skylarkdoord/tests/direct/_crash_simulation.py
@@ -5,6 +5,7 @@
 import random
 from typing import NamedTuple
 
+from skylarkdoor.hashing import fingerprint
 from skylarkdoord.direct._crashes import SAME_CRASH_S, Crashes
 from skylarkdoord.direct._suspect_keys import SharedPart
 
@@ -24,7 +25,7 @@
 
 def make_part(name):
     """Return a part of a prompt."""
-    return SharedPart(hash(name) & (2**63 - 1), name)
+    return SharedPart(fingerprint("part", name.encode()), name)
 
 
 class Sent(NamedTuple):
--- a/packages/skylarkdoord/tests/direct/test_scheduler.py
+++ b/packages/skylarkdoord/tests/direct/test_scheduler.py
@@ -9,7 +9,7 @@
 from skylarkdoord.direct._adapter import UpstreamHead
 from skylarkdoord.direct._scheduler import Scheduler
 from skylarkdoord.direct._upstreams import Upstreams
-from skylarkdoord.direct.exceptions import NoFreeSlotError
+from skylarkdoord.direct.exceptions import NoFreeSlotError, VersionGoneError
 
 from ._make import SERVICE, make_admitted, make_record, make_request, make_route
 
@@ -428,3 +428,40 @@
         first.cancel()
         await asyncio.gather(first, return_exceptions=True)
         assert scheduler.limits.has_room(self.limited)
+
+
+class TestVersions:
+    """Requests that only upstreams of one version may take."""
+
+    @pytest.fixture
+    def scheduler(self):
+        """Return a scheduler over an upstream of each of two versions."""
+        return make_scheduler(
+            make_record("old", slots=2, version="v1"),
+            make_record("new", slots=8, version="v2"),
+        )
+
+    async def test_waits(self, scheduler):
+        """It waits while only the other version has room, and blocks no other."""
+        held = []
+        while scheduler.choice.unguarded(SERVICE, frozenset(), "v1"):
+            held.append(await scheduler.acquire(make_admitted(), version="v1"))
+        waiting = asyncio.create_task(scheduler.acquire(make_admitted(), version="v1"))
+        await asyncio.sleep(0)
+        behind = await scheduler.acquire(make_admitted())
+        assert behind.upstream.instance == "new"
+        assert not waiting.done()
+        scheduler.release(held[0])
+        assert (await waiting).upstream.instance == "old"
+
+    async def test_excluded(self, scheduler):
+        """The only upstream of the version is used again rather than another one."""
+        slot = await scheduler.acquire(
+            make_admitted(), excluded=frozenset({"old"}), version="v1"
+        )
+        assert slot.upstream.instance == "old"
+
+    async def test_gone(self, scheduler):
+        """If no upstream of the version is left, the request is refused at once."""
+        with pytest.raises(VersionGoneError):
+            await scheduler.acquire(make_admitted(), version="v0")
--- a/tests/adapter/test_records.py
+++ b/tests/adapter/test_records.py
@@ -37,6 +37,15 @@
         assert record.started_ms == 1700000000000
         assert record.is_draining
 
+    @pytest.mark.parametrize(
+        ("sent", "version"),
+        [("v1.2", "v1.2"), (3, "3"), (1.2, "1.2"), (None, ""), ([], ""), ({}, "")],
+        ids=str,
+    )
+    def test_version(self, sent, version):
+        """A record without a version, or with one of another type, stays in use."""
+        assert decode(version=sent).version == version
+
     @pytest.mark.parametrize(
         "changes",
         [
