Send callers that take streams up again to the version that began them

Callers saw: one that came back after a broken connection got the rest of its stream from another software version.

Cause: nothing read the attempt that such a caller names, and no entry knew at which version a stream of another had begun.

Change: with its first event, the version of a resumable stream is kept for a minute by the entry and by two others, chosen by rendezvous hashing. A caller that comes back is bound to it. If the entry doesn't know the stream, but only one version of the service was listed within the route's timeout, it is that one; otherwise the others are asked, for 0.3 s at most. What nobody knows, or what began at two versions, is refused as not run at once, never guessed; so is a stream of which no upstream of the version is left. The decision is logged (725).

Ruled out: telling all entries of each stream (29 messages a stream on the grown sites, where two do); asking only (an entry that is gone can't answer).

--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -324,6 +324,12 @@
     logging.ERROR,
     "A part of prompts crashes upstreams; requests with it are refused.",
 )
+STREAM_VERSION_FOUND = define(
+    725,
+    "stream_version_found",
+    logging.INFO,
+    "A caller takes a stream up again; its version was looked up.",
+)
 PART_RELEASED = define(
     724,
     "part_released",
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
@@ -12,6 +12,7 @@
 
 from skylarkdoor import events
 from skylarkdoor.backoff import Backoff
+from skylarkdoor.hashing import rendezvous
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.wire import (
     CONNECTION_LOST_ERRORS,
@@ -34,6 +35,8 @@
 MIN_UPDATE_INTERVAL_S = 0.05
 # Entries that broadcast changed rows of upstreams at once; two, so that one may fail.
 BROADCASTING_ENTRIES = 2
+# Other entries that keep the version of a stream; two, so that one may fail as well.
+ENTRIES_KEEPING_A_STREAM = 2
 # Time over which entries write their rows again after the store lost them.
 REWRITE_SPREAD_S = 1.0
 
@@ -80,6 +83,8 @@
         self.limits_sent = limits.change
         for message in messages:
             update.rows.extend(message.rows)
+            update.streams.extend(message.streams)
+            update.streams_wanted.extend(message.streams_wanted)
         return update
 
     def receive(self, batch: pb.EntryNews) -> None:
@@ -91,6 +96,9 @@
         if batch.HasField("wanted"):
             rows = self.exchange.members.newer_rows(batch.wanted)
             self.outbox().put(pb.EntryNews(rows=rows))
+        streams = self.exchange.members.streams.answer(batch.streams_wanted)
+        if streams:
+            self.outbox().put(pb.EntryNews(streams=streams))
 
     def on_open(self) -> None:
         self.exchange.outboxes.add(self.outbox())
@@ -121,6 +129,7 @@
         links: Tasks of the outbound streams, by name of the other entry.
         inbound: Addresses of the entries that opened a stream, by name.
         outboxes: Queues of outgoing messages of the open streams.
+        peers: Open streams by name of the other entry.
         unreported: Set when use has to be reported at once.
         row_lost: Set when the store may have lost this entry's row.
     """
@@ -137,11 +146,14 @@
         self.links: dict[str, asyncio.Task[None]] = {}
         self.inbound: dict[str, str] = {}
         self.outboxes: set[Outbox[pb.EntryNews]] = set()
+        self.peers: dict[str, _EntryStream] = {}
         self.unreported = asyncio.Event()
         self.row_lost = asyncio.Event()
         self.server = Server([self])
         members.quota.on_unreported = self.unreported.set
         members.limits.on_change = self.unreported.set
+        members.streams.share = self.share_stream
+        members.streams.ask = self.ask_for_stream
         self.log = events.get_logger("direct.exchange")
 
     async def start(self, kernel: Kernel) -> None:
@@ -220,6 +232,7 @@
             address: Address of the other entry as `host:port`.
         """
         instance = stream.instance
+        self.peers[instance] = stream
         self.log.event(_events.PEER_CONNECTED, peer=instance)
         if stream.is_outbound:
             return
@@ -229,6 +242,8 @@
 
     def on_stream_lost(self, stream: _EntryStream) -> None:
         """Replace an inbound stream that ended by an outbound one."""
+        if self.peers.get(stream.instance) is stream:
+            del self.peers[stream.instance]
         if stream.is_outbound:
             return
         address = self.inbound.pop(stream.instance, "")
@@ -262,6 +277,19 @@
         for outbox in self.outboxes:
             outbox.put(update)
 
+    def share_stream(self, stream: pb.BegunStream) -> None:
+        """Send a stream that began to the entries that keep it as well."""
+        names = rendezvous(
+            stream.request_id, self.peers, count=ENTRIES_KEEPING_A_STREAM
+        )
+        for name in names:
+            self.peers[name].outbox().put(pb.EntryNews(streams=[stream]))
+
+    def ask_for_stream(self, stream: pb.BegunStream) -> None:
+        """Ask all other entries for the version of a stream."""
+        for outbox in self.outboxes:
+            outbox.put(pb.EntryNews(streams_wanted=[stream]))
+
     def update_gauges(self) -> None:
         """Set the gauges of live entries and of the units used by customers."""
         ENTRIES.set(self.members.live_count())
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
@@ -22,6 +22,7 @@
 from skylarkdoord.direct._relay import CallerStream, EventSplitter
 from skylarkdoord.direct._retry_limiter import RetryLimiter
 from skylarkdoord.direct._scheduler import Scheduler
+from skylarkdoord.direct._stream_versions import StreamVersions
 from skylarkdoord.direct._suspect_keys import fingerprint_of, shared_parts
 from skylarkdoord.direct._upstreams import Upstreams
 from skylarkdoord.direct._waiting import Slot
@@ -59,6 +60,7 @@
         retry_limiter: Limits retries.
         quota: Enforces the customers' rate limits.
         crashes: Detects requests that crash upstreams.
+        streams: Versions of the software that began resumable streams.
     """
 
     adapter: Adapter
@@ -68,6 +70,7 @@
     retry_limiter: RetryLimiter
     quota: Quota
     crashes: Crashes
+    streams: StreamVersions
 
 
 class Forwarder:
@@ -139,6 +142,8 @@
         self.dependencies.retry_limiter.count_request(self.admitted.service)
         self.check_quarantine()
         self.dependencies.quota.check(self.admitted)
+        if self.admitted.route.is_resumable and self.admitted.request.last_event_id:
+            self.version = await self.dependencies.streams.find(self.admitted)
         while True:
             slot = await self.acquire_slot()
             began = time.monotonic()
@@ -389,6 +394,8 @@
         """Let only upstreams of the same version go on with the stream from now on."""
         if self.version is None:
             self.version = upstream.version
+        if self.admitted.route.is_resumable and not self.stream.has_begun:
+            self.dependencies.streams.on_begun(self.admitted, upstream.version)
 
     def on_not_run(self, slot: Slot, error: UpstreamNotRunError) -> None:
         """Record why an upstream did not run the request, and check for a retry.
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
@@ -14,6 +14,7 @@
 from skylarkdoord.direct._fleet import CONFIG, UPSTREAMS, Fleet
 from skylarkdoord.direct._model import MS_PER_S
 from skylarkdoord.direct._quota import Quota
+from skylarkdoord.direct._stream_versions import StreamVersions
 from skylarkdoord.direct._upstream_limits import UpstreamLimits
 
 UPDATE_INTERVAL_S = 0.2
@@ -68,6 +69,7 @@
         quota: Is charged with the units that other entries use.
         crashes: Receives the crash suspicions of other entries.
         limits: Receives the limits of upstreams of which other entries know.
+        streams: Receives the versions of streams that other entries know.
         incarnation: Random number that identifies this run of the entry.
 
     Attributes:
@@ -83,6 +85,7 @@
         quota: Quota,
         crashes: Crashes,
         limits: UpstreamLimits | None = None,
+        streams: StreamVersions | None = None,
         *,
         incarnation: int = 0,
     ) -> None:
@@ -90,6 +93,7 @@
         self.incarnation = incarnation or random.randrange(1, MAX_INCARNATION)
         self.crashes = crashes
         self.limits = limits or UpstreamLimits(instance)
+        self.streams = streams or StreamVersions(fleet)
         self.fleet = fleet
         self.quota = quota
         self.by_name: dict[str, Member] = {}
@@ -195,6 +199,7 @@
                 member.used[customer] = units
         self.crashes.merge(update.suspects)
         self.limits.merge(update.limits, update.instance)
+        self.streams.merge(update.streams)
         member.config_at = StoreVersion(update.config_era, update.config_version)
         member.upstreams_at = StoreVersion(
             update.upstreams_era, update.upstreams_version
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_model.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_model.py
@@ -209,6 +209,8 @@
         prefix: Parts of the prompt, in order.
         last_event_id: Id of the event after which a stream resumes; empty for a new
             stream.
+        resumes: Id of the attempt that brought the first event of that stream; empty
+            if not stated.
         is_connection_reused: Whether the connection carried a request before this one.
     """
 
@@ -227,6 +229,7 @@
     has_token_counts: bool = False
     prefix: tuple[PromptPart, ...] = ()
     last_event_id: str = ""
+    resumes: str = ""
     is_connection_reused: bool = False
 
     @property
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -16,6 +16,7 @@
 from skylarkdoord.direct._retry_limiter import RetryLimiter
 from skylarkdoord.direct._scheduler import Scheduler
 from skylarkdoord.direct._settings import DirectSettings
+from skylarkdoord.direct._stream_versions import StreamVersions
 from skylarkdoord.direct._suspect_records import SuspectRecords
 from skylarkdoord.direct._upstream_limits import UpstreamLimits
 from skylarkdoord.direct._upstreams import Upstreams
@@ -41,7 +42,8 @@
     fleet.on_upstreams.append(crashes.on_registry_change)
     limits = UpstreamLimits(settings.instance, find=fleet.find)
     fleet.on_upstreams.append(limits.drop_removed)
-    members = Members(settings.instance, fleet, quota, crashes, limits)
+    streams = StreamVersions(fleet)
+    members = Members(settings.instance, fleet, quota, crashes, limits, streams)
     limits.share_of = members.limit_share
     crashes.is_trial_owner = members.owns
     crashes.parts.is_trial_owner = members.owns
@@ -67,6 +69,7 @@
         ),
         quota=quota,
         crashes=crashes,
+        streams=streams,
     )
     kernel.register(MetricsServer(settings))
     watcher = FleetWatcher(
--- a/packages/skylarkdoord/src/skylarkdoord/direct/exceptions.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/exceptions.py
@@ -24,6 +24,7 @@
     "UpstreamNotRunError",
     "UpstreamSilentError",
     "VersionGoneError",
+    "VersionUnknownError",
 ]
 
 
@@ -83,6 +84,10 @@
     """No upstream is left of the version that began the request's stream."""
 
 
+class VersionUnknownError(NotRunError):
+    """The version that began the stream is unknown, so that it can't be resumed."""
+
+
 class UpstreamNotRunError(NotRunError):
     """The request is known not to have run at the upstream.
 
