Send nothing to an upstream that states that it leaves

Cause: nothing read Server-Leaving, and the registry may list the upstream as ready for longer.

Change: what an incarnation states of itself is part of its state at the entry, ends with it, and counts if the answer is the upstream's own. One that leaves is no candidate, and a grant of its guard that comes later is returned. If all upstreams of a service leave, requests are refused at once as not run.

Not done: entries don't tell each other; the rule holds for each machine by itself.

--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -330,6 +330,12 @@
     logging.INFO,
     "A caller takes a stream up again; its version was looked up.",
 )
+UPSTREAM_LEAVING = define(
+    726,
+    "upstream_leaving",
+    logging.INFO,
+    "An upstream states in an answer that it leaves; it gets no more requests.",
+)
 PART_RELEASED = define(
     724,
     "part_released",
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_adapter.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_adapter.py
@@ -161,6 +161,7 @@
         limit_per_s: Requests a second that the upstream takes from all entries
             together; None if it names no limit.
         has_malformed_limit: Whether it names a limit that can't be read.
+        is_leaving: Whether the upstream states that it leaves.
     """
 
     request_id: str
@@ -170,6 +171,12 @@
     is_closing: bool
     limit_per_s: float | None = None
     has_malformed_limit: bool = False
+    is_leaving: bool = False
+
+    @property
+    def is_own(self) -> bool:
+        """Whether the upstream itself wrote it, so that its statements count."""
+        return self.is_signed or self.is_not_run
 
 
 class EngineLoad(NamedTuple):
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_call.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_call.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import aiohttp
 from yarl import URL
@@ -146,14 +146,15 @@
 
     Args:
         adapter: Translates the platform's protocols.
-        on_head: Called with the head of each answer that is the upstream's own.
+        on_head: Called in order with the head of each answer by the upstream that was
+            called, and not by another one at its address.
         bounds: Bounds on the sizes of answers.
     """
 
     def __init__(
         self,
         adapter: Adapter,
-        on_head: Callable[[UpstreamRecord, UpstreamHead], None] = lambda _, head: None,
+        on_head: Sequence[Callable[[UpstreamRecord, UpstreamHead], None]] = (),
         bounds: AnswerBounds | None = None,
     ) -> None:
         self.adapter = adapter
@@ -237,7 +238,8 @@
             response.close()
             raise UpstreamSilentError("the answer belongs to another request")
         if not head.is_other_incarnation:
-            self.on_head(upstream, head)
+            for listener in self.on_head:
+                listener(upstream, head)
         if head.is_not_run or head.is_other_incarnation:
             response.close()
             code = "moved" if head.is_other_incarnation else "full"
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
@@ -36,6 +36,8 @@
 # not observe longer ones.
 RETRY_DELAY_SHARE = 1 / 3
 MAX_RETRY_DELAY_S = 3.0
+# Retry delay while all upstreams of a service leave.
+NONE_ACCEPTING_RETRY_AFTER_S = 0.5
 # Time after which a request is offered to further guards. The best guard usually grants
 # a slot within one round trip.
 FANOUT_DELAY_S = 0.008
@@ -135,6 +137,12 @@
             raise VersionGoneError(
                 "version_gone", f"no upstream of version {version!r} is left"
             )
+        if self.upstreams.has_none_accepting(admitted.service):
+            raise NoFreeSlotError(
+                "unavailable",
+                "no upstream accepts requests",
+                retry_after_s=NONE_ACCEPTING_RETRY_AFTER_S,
+            )
         waiter = self.new_waiter(admitted, excluded)
         waiter.version = version
         queue = self.queues.setdefault(admitted.service, [])
@@ -287,9 +295,19 @@
             guard.withdraw(request)
             return
         upstream = self.upstreams.get(guard.record)
+        if not self.upstreams.accepts(upstream):
+            self.return_grant(guard, waiter)
+            return
         self.occupy(upstream)
         waiter.slot.set_result(SlotGrant(upstream, guard))
 
+    def return_grant(self, guard: GuardLink, waiter: Waiter) -> None:
+        """Return a grant that came after its upstream stopped accepting requests."""
+        guard.withdraw(waiter.name)
+        waiter.offered_to.remove(guard)
+        self.limits.refund(guard.record)
+        self.offer_to_others(waiter)
+
     def on_guard_lost(self, guard: GuardLink) -> None:
         """Use the upstream without its guard from now on."""
         for waiter in self.waiters.values():
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_upstreams.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_upstreams.py
@@ -10,6 +10,7 @@
 
 from skylarkdoor import events
 from skylarkdoord import _events
+from skylarkdoord.direct._adapter import UpstreamHead
 from skylarkdoord.direct._fleet import Fleet
 from skylarkdoord.direct._model import Incarnation, UpstreamRecord
 
@@ -50,6 +51,7 @@
         moved: Record whose address turned out to belong to another incarnation or
             upstream; None if there is none. The upstream is paused until its record
             changes.
+        is_leaving: Whether it stated in an answer that it leaves.
     """
 
     record: UpstreamRecord
@@ -61,6 +63,7 @@
     latency_ratio: float = 1.0
     answered_at: float = 0.0
     moved: UpstreamRecord | None = None
+    is_leaving: bool = False
 
     @property
     def instance(self) -> str:
@@ -99,8 +102,32 @@
 
     def of_service(self, service: str) -> list[Upstream]:
         """Return the upstreams of a service that accept new requests."""
+        return [upstream for upstream in self.listed(service) if self.accepts(upstream)]
+
+    def listed(self, service: str) -> list[Upstream]:
+        """Return the upstreams of a service that the registry lists as ready."""
         return [self.get(record) for record in self.fleet.upstreams(service)]
 
+    def accepts(self, upstream: Upstream) -> bool:
+        """Return whether an upstream has stated nothing against new requests."""
+        return not upstream.is_leaving
+
+    def has_none_accepting(self, service: str) -> bool:
+        """Return whether a service has upstreams, but none accepts new requests."""
+        listed = self.listed(service)
+        return bool(listed) and not any(map(self.accepts, listed))
+
+    def on_head(self, record: UpstreamRecord, head: UpstreamHead) -> None:
+        """Take over what an upstream states about itself in an answer."""
+        upstream = self.get(record)
+        if head.is_leaving and head.is_own and not upstream.is_leaving:
+            upstream.is_leaving = True
+            self.log.event(
+                _events.UPSTREAM_LEAVING,
+                upstream=upstream.instance,
+                started_ms=record.started_ms,
+            )
+
     def get(self, record: UpstreamRecord) -> Upstream:
         """Return the upstream of a record, with its record brought up to date."""
         key = record.incarnation
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -59,7 +59,9 @@
     scheduler.choice.guard_link_of = guards.link_of
     dependencies = ForwarderDependencies(
         adapter=adapter,
-        client=UpstreamClient(adapter, limits.on_head, settings.answers),
+        client=UpstreamClient(
+            adapter, (limits.on_head, upstreams.on_head), settings.answers
+        ),
         scheduler=scheduler,
         upstreams=upstreams,
         retry_limiter=RetryLimiter(
