Tell the version of a lost stream only from twice the route's timeout

Cause: a stream may be taken up again more than the route's timeout after it began. If no entry knew it any more, and only one version had been listed since, that one was taken for its version.

Evidence: the state machine began a stream at v2, rolled to v1, waited 6.5 s in steps (the route's timeout is 6 s) and got v1. Its model dropped streams after a single long wait only; it drops each by its age now, twice the timeout.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_stream_versions.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_stream_versions.py
@@ -19,6 +19,9 @@
 # Time within which a caller may take a stream up again, and the most streams kept.
 RETENTION_S = 60.0
 MAX_STREAMS = 50_000
+# Time within which the registry tells the version of a stream that no entry knows, in
+# timeouts of its route: it may have been taken up again before.
+HORIZON_TIMEOUTS = 2.0
 # Longest wait for another entry that knows a stream.
 ASK_TIMEOUT_S = 0.3
 
@@ -175,7 +178,8 @@
         """Return the version of a stream, None if it is unknown, and its source."""
         if key in self.begun:
             return self.begun[key].version, "own"
-        only = self.history.only_version(admitted.service, admitted.route.timeout_s)
+        horizon_s = HORIZON_TIMEOUTS * admitted.route.timeout_s
+        only = self.history.only_version(admitted.service, horizon_s)
         if only is not None:
             return only, "registry"
         if not key.request_id:
--- a/packages/skylarkdoord/tests/direct/test_stream_versions.py
+++ b/packages/skylarkdoord/tests/direct/test_stream_versions.py
@@ -9,6 +9,7 @@
 from skylarkdoor.hashing import rendezvous
 from skylarkdoord.direct import _stream_versions
 from skylarkdoord.direct._stream_versions import (
+    HORIZON_TIMEOUTS,
     MAX_STREAMS,
     RETENTION_S,
     StreamVersions,
@@ -24,8 +25,11 @@
     make_customer,
     make_record,
     make_request,
+    make_route,
 )
 
+HORIZON_S = HORIZON_TIMEOUTS * make_route().timeout_s
+
 
 class StubCache:
     """The cached row of an upstream."""
@@ -143,7 +147,7 @@
         """The only version of a long time is the one that began a stream."""
         fleet.set("v2")
         assert await found(streams, attempt("b", resumes="lost")) is None
-        clock.now += 10.0
+        clock.now += HORIZON_S + 1.0
         assert await found(streams, attempt("b", resumes="lost")) == "v2"
         assert await found(streams, attempt("b")) == "v2"
 
@@ -155,7 +159,7 @@
     async def test_none(self, streams, fleet, clock):
         """Without upstreams, nothing is known."""
         fleet.set()
-        clock.now += 10.0
+        clock.now += HORIZON_S + 1.0
         assert await found(streams, attempt("b", resumes="lost")) is None
 
 
@@ -195,6 +199,7 @@
         self.clock = Clock()
         self.fleet = StubFleet("v1", "v2")
         self.begun = {}
+        self.begun_at = {}
         self.count = 0
         self.entries = {}
         for name in self.ENTRIES:
@@ -230,6 +235,7 @@
             request_id = f"a{self.count}"
             self.entries[name].on_begun(attempt(request_id), version)
             self.begun[request_id] = version
+            self.begun_at[request_id] = self.clock.now
 
     @rule(name=st.sampled_from(ENTRIES))
     def restart(self, name):
@@ -245,8 +251,9 @@
     def wait(self, time_s):
         """Time passes, and with it the streams that callers may take up again."""
         self.clock.now += time_s
-        if time_s > make_admitted().route.timeout_s:
-            self.begun.clear()
+        for request_id, at in self.begun_at.items():
+            if self.clock.now - at > HORIZON_S:
+                self.begun.pop(request_id, None)
 
     @rule(name=st.sampled_from(ENTRIES), data=st.data())
     def resume(self, name, data):
@@ -261,12 +268,13 @@
         if version is not None:
             self.entries[name].on_begun(again, version)
             self.begun[again.request.request_id] = version
+            self.begun_at[again.request.request_id] = self.clock.now
 
     @rule(name=st.sampled_from(ENTRIES))
     def resume_unknown(self, name):
         """A caller names an attempt that never was."""
         version = asyncio.run(found(self.entries[name], attempt("x", resumes="never")))
-        only = self.entries[name].history.only_version(SERVICE, 6.0)
+        only = self.entries[name].history.only_version(SERVICE, HORIZON_S)
         assert version == only
 
     @invariant()
