Send nothing to an upstream for as long as it states

Change: the time is part of what an incarnation stated of itself, beside its leaving. Until it has passed, the upstream is no candidate, a later grant of its guard is returned, and waiting requests are given to it afterwards. If no upstream of a service accepts requests, one is refused at once with the shortest time left. A malformed, negative or infinite time changes nothing.

Not done: entries don't tell each other; the rule holds for each machine by itself.

--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -336,6 +336,12 @@
     logging.INFO,
     "An upstream states in an answer that it leaves; it gets no more requests.",
 )
+UPSTREAM_WANTS_NONE = define(
+    727,
+    "upstream_wants_none",
+    logging.WARNING,
+    "An upstream states in an answer that it wants no requests for a time.",
+)
 PART_RELEASED = define(
     724,
     "part_released",
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_adapter.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_adapter.py
@@ -162,6 +162,7 @@
             together; None if it names no limit.
         has_malformed_limit: Whether it names a limit that can't be read.
         is_leaving: Whether the upstream states that it leaves.
+        pause_s: Time for which it wants no request, in seconds; None if it states none.
     """
 
     request_id: str
@@ -172,6 +173,7 @@
     limit_per_s: float | None = None
     has_malformed_limit: bool = False
     is_leaving: bool = False
+    pause_s: float | None = None
 
     @property
     def is_own(self) -> bool:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
@@ -36,8 +36,6 @@
 # not observe longer ones.
 RETRY_DELAY_SHARE = 1 / 3
 MAX_RETRY_DELAY_S = 3.0
-# Retry delay while all upstreams of a service leave.
-NONE_ACCEPTING_RETRY_AFTER_S = 0.5
 # Time after which a request is offered to further guards. The best guard usually grants
 # a slot within one round trip.
 FANOUT_DELAY_S = 0.008
@@ -89,6 +87,7 @@
         self.numbers = itertools.count()
         self.log = events.get_logger("direct.scheduler")
         upstreams.fleet.on_upstreams.append(self.assign_all_slots)
+        upstreams.on_accepting = self.on_accepting
 
     def slack_s(self, admitted: Admitted, now: float) -> float:
         """Return how long a request can wait within its latency target, in seconds."""
@@ -137,11 +136,12 @@
             raise VersionGoneError(
                 "version_gone", f"no upstream of version {version!r} is left"
             )
-        if self.upstreams.has_none_accepting(admitted.service):
+        none_accepting_s = self.upstreams.none_accepting_s(admitted.service)
+        if none_accepting_s is not None:
             raise NoFreeSlotError(
                 "unavailable",
                 "no upstream accepts requests",
-                retry_after_s=NONE_ACCEPTING_RETRY_AFTER_S,
+                retry_after_s=none_accepting_s,
             )
         waiter = self.new_waiter(admitted, excluded)
         waiter.version = version
@@ -322,6 +322,12 @@
             if waiter.admitted.service == guard.record.service:
                 self.offer_to_others(waiter)
 
+    def on_accepting(self, service: str) -> None:
+        """Let waiting requests use an upstream that wants requests again."""
+        self.assign_slots(service)
+        for waiter in sorted(self.queue_state(service).waiting.values()):
+            self.offer_to_others(waiter)
+
     def queue_state(self, service: str) -> QueueState:
         """Return the queue state of a service."""
         return self.queue_states.setdefault(service, QueueState())
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_upstreams.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_upstreams.py
@@ -4,6 +4,7 @@
 time that doubles with each further failure.
 """
 
+import asyncio
 import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -29,6 +30,8 @@
 # Bounds on each sample of `Upstream.latency_ratio`.
 MIN_LATENCY_RATIO = 0.3
 MAX_LATENCY_RATIO = 4.0
+# Time until a service whose upstreams all leave may have others, for callers.
+ALL_LEAVING_S = 0.5
 # Average time to the first byte of a service before the first sample.
 DEFAULT_FIRST_BYTE_S = 0.15
 
@@ -52,6 +55,8 @@
             upstream; None if there is none. The upstream is paused until its record
             changes.
         is_leaving: Whether it stated in an answer that it leaves.
+        wants_none_until: Monotonic time until which it stated that it wants no request,
+            in seconds.
     """
 
     record: UpstreamRecord
@@ -64,6 +69,7 @@
     answered_at: float = 0.0
     moved: UpstreamRecord | None = None
     is_leaving: bool = False
+    wants_none_until: float = 0.0
 
     @property
     def instance(self) -> str:
@@ -87,6 +93,7 @@
         first_byte_averages_s: Average time to the first byte of each service, in
             seconds.
         average_failure_share: Average share of failed answers of each service.
+        on_accepting: Called with a service one of whose upstreams wants requests again.
     """
 
     def __init__(
@@ -97,6 +104,7 @@
         self.tracked: dict[Incarnation, Upstream] = {}
         self.first_byte_averages_s: dict[str, float] = {}
         self.average_failure_share: dict[str, float] = {}
+        self.on_accepting: Callable[[str], None] = lambda service: None
         self.log = events.get_logger("direct.upstreams")
         fleet.on_upstreams.append(self.drop_removed)
 
@@ -110,17 +118,31 @@
 
     def accepts(self, upstream: Upstream) -> bool:
         """Return whether an upstream has stated nothing against new requests."""
-        return not upstream.is_leaving
+        return not upstream.is_leaving and self.clock() >= upstream.wants_none_until
 
-    def has_none_accepting(self, service: str) -> bool:
-        """Return whether a service has upstreams, but none accepts new requests."""
+    def none_accepting_s(self, service: str) -> float | None:
+        """Return the time until an upstream of a service accepts requests, in seconds.
+
+        Returns None if one accepts them now, or if none is listed.
+        """
         listed = self.listed(service)
-        return bool(listed) and not any(map(self.accepts, listed))
+        if not listed or any(map(self.accepts, listed)):
+            return None
+        waits_s = [
+            upstream.wants_none_until - self.clock()
+            for upstream in listed
+            if not upstream.is_leaving
+        ]
+        return min(waits_s, default=ALL_LEAVING_S)
 
     def on_head(self, record: UpstreamRecord, head: UpstreamHead) -> None:
         """Take over what an upstream states about itself in an answer."""
+        if not head.is_own:
+            return
         upstream = self.get(record)
-        if head.is_leaving and head.is_own and not upstream.is_leaving:
+        if head.pause_s:
+            self.pause_as_stated(upstream, head.pause_s)
+        if head.is_leaving and not upstream.is_leaving:
             upstream.is_leaving = True
             self.log.event(
                 _events.UPSTREAM_LEAVING,
@@ -128,6 +150,18 @@
                 started_ms=record.started_ms,
             )
 
+    def pause_as_stated(self, upstream: Upstream, pause_s: float) -> None:
+        """Send an upstream nothing for as long as it states."""
+        until = self.clock() + pause_s
+        if until <= upstream.wants_none_until:
+            return
+        upstream.wants_none_until = until
+        self.log.event(
+            _events.UPSTREAM_WANTS_NONE, upstream=upstream.instance, pause_s=pause_s
+        )
+        loop = asyncio.get_running_loop()
+        loop.call_later(pause_s, self.on_accepting, upstream.record.service)
+
     def get(self, record: UpstreamRecord) -> Upstream:
         """Return the upstream of a record, with its record brought up to date."""
         key = record.incarnation
