--- a/packages/skylarkdoord/src/skylarkdoord/direct/_crashing_parts.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_crashing_parts.py
@@ -128,6 +128,7 @@
     Attributes:
         known_at: Monotonic time at which each crash of a suspected part became known,
             in seconds, by fingerprint and crash.
+        repeated: Parts suspected of `MAX_PART_CRASHES` or more.
         quarantined: Parts that must not be sent, by fingerprint.
         answered: Parts that upstreams answered lately.
         is_trial_owner: Returns whether this entry, of all entries, makes the trials of
@@ -139,6 +140,7 @@
         self.suspicions = suspicions
         self.clock = clock
         self.known_at: dict[int, dict[str, float]] = {}
+        self.repeated: set[int] = set()
         self.quarantined: dict[int, Quarantine] = {}
         self.answered = Answered(clock)
         self.is_trial_owner: Callable[[int], bool] = lambda fingerprint: True
@@ -167,6 +169,10 @@
     def update(self, fingerprint: int) -> None:
         """Bring the state of a part up to date with its suspicions."""
         crashes = self.suspicions.get(fingerprint).times_by_crash()
+        if len(crashes) < MAX_PART_CRASHES:
+            self.repeated.discard(fingerprint)
+        else:
+            self.repeated.add(fingerprint)
         if not crashes:
             self.known_at.pop(fingerprint, None)
             return
@@ -177,7 +183,9 @@
         }
         if len(self.known_at) > MAX_SUSPICIONS:
             others = (part for part in self.known_at if part not in self.quarantined)
-            self.known_at.pop(next(others, fingerprint))
+            dropped = next(others, fingerprint)
+            self.known_at.pop(dropped)
+            self.repeated.discard(dropped)
 
     def on_answered(self, part: SharedPart, began_at: float) -> set[str]:
         """Record an answer to a request with a part; return the crashes that it clears.
@@ -212,18 +220,23 @@
             else:
                 quarantine.update(crashes, now)
         suspects = [
-            PartEvidence(
-                fingerprint,
-                crashes=frozenset(known_at),
-                was_answered=fingerprint in self.answered,
-                age_s=now - min(known_at.values()),
-            )
-            for fingerprint, known_at in self.known_at.items()
-            if len(known_at) >= MAX_PART_CRASHES and fingerprint not in self.quarantined
+            self.evidence(fingerprint, now)
+            for fingerprint in self.repeated
+            if fingerprint not in self.quarantined
         ]
         for culprit in find_culprits(suspects, self.explained(), requests):
             self.quarantine(culprit)
 
+    def evidence(self, fingerprint: int, now: float) -> PartEvidence:
+        """Return what speaks against a part at a monotonic time, in seconds."""
+        known_at = self.known_at[fingerprint]
+        return PartEvidence(
+            fingerprint,
+            crashes=frozenset(known_at),
+            was_answered=fingerprint in self.answered,
+            age_s=now - min(known_at.values()),
+        )
+
     def explained(self) -> frozenset[str]:
         """Return the crashes of the quarantined parts."""
         crashes = (quarantine.crashes for quarantine in self.quarantined.values())
