Let a stream wait while the upstreams of its version want nothing

Cause: an upstream that wants no requests for a time counted as gone, so that a stream bound to its version was broken off, with a reason that was not true.

Change: only one that leaves, or that the registry doesn't list as ready, counts as gone. Before: TestVersions.test_wants_none failed.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_choice.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_choice.py
@@ -73,10 +73,17 @@
         return int.from_bytes(digest) / 256**HASH_BYTES
 
     def has_version(self, service: str, version: str | None) -> bool:
-        """Return whether a service has an upstream of a version; None for any."""
+        """Return whether a service has an upstream of a version that stays.
+
+        One that wants no requests for a time counts; one that leaves does not.
+
+        Args:
+            service: The service.
+            version: The version; None for any.
+        """
         return any(
-            version in (None, upstream.record.version)
-            for upstream in self.upstreams.of_service(service)
+            version in (None, upstream.record.version) and not upstream.is_leaving
+            for upstream in self.upstreams.listed(service)
         )
 
     def candidates(
