Test the end of a limit against the requests that were sent

The test's own caller, which sends one each 20 ms, falls behind on a busy machine.

The check is now as strict in proportion (0.8 of the requests sent arrive within the second), and stricter otherwise: all of them are answered with 200.

--- a/tests/adapter/test_named_limits.py
+++ b/tests/adapter/test_named_limits.py
@@ -15,6 +15,8 @@
 TOLD_S = 0.5
 WINDOW_S = 4.0
 ROUTE = route(maxAttempts=2)
+# Requests that arrive at once where there is no limit.
+MIN_SERVED_SHARE = 0.8
 
 
 class LimitedServer(Server):
@@ -122,7 +124,11 @@
                 await send_requests(caller, [caller.entry], seconds=2.0)
                 server.limit = None
                 ended = time.monotonic()
-                await send_requests(caller, [caller.entry], seconds=7.0)
+                await send_requests(caller, [caller.entry], seconds=6.0)
+                over = time.monotonic()
+                statuses = await send_requests(caller, [caller.entry], seconds=1.0)
         since = [at - ended for at in server.arrivals if at > ended]
         assert sum(at <= 1.0 for at in since) <= 8
-        assert sum(at > 6.0 for at in since) >= 40
+        assert set(statuses) == {200}
+        in_time = sum(0.0 < at - over <= 1.0 for at in server.arrivals)
+        assert in_time >= MIN_SERVED_SHARE * len(statuses)
