Let no stream go on in the state machine where its version has no upstream

The step can't happen: an attempt bound to a version without an upstream is refused (TestVersions.test_gone, TestCallerResumption.test_version_gone), so it brings no event and nobody can name it. The model now has that condition, as its rule for new streams had from the start; all its checks stay.

--- a/packages/skylarkdoord/tests/direct/test_stream_versions.py
+++ b/packages/skylarkdoord/tests/direct/test_stream_versions.py
@@ -265,7 +265,8 @@
         again = attempt(f"a{self.count}", resumes=request_id)
         version = asyncio.run(found(self.entries[name], again))
         assert version in (None, self.begun[request_id])
-        if version is not None:
+        # Without an upstream of the version, the request is refused and begins nothing.
+        if version in self.fleet.cached_rows:
             self.entries[name].on_begun(again, version)
             self.begun[again.request.request_id] = version
             self.begun_at[again.request.request_id] = self.clock.now
