--- a/packages/skylarkdoord/tests/direct/test_crashing_parts.py
+++ b/packages/skylarkdoord/tests/direct/test_crashing_parts.py
@@ -297,6 +297,12 @@
         run = Simulation(in_flight=4, bad=(), **changes).run(25.0)
         assert run.refused_share() <= MAX_REFUSED_SHARE
 
+    # Guards against a part that goes on crashing upstreams because it was sound before.
+    def test_bad_after_answers(self):
+        """A part that upstreams answered before it became bad is found in time."""
+        run = Simulation(in_flight=4, is_bad=lambda now: now >= 10.0, seed=9).run(30.0)
+        assert run.late_sends() <= MAX_SENDS_AFTER
+
     def test_mended(self):
         """A part that crashes no more is served again within a minute."""
         run = Simulation(in_flight=4, is_bad=lambda now: now < 10.0).run(70.0)
