Keep the state of suspected requests beside that of suspected parts

What is known of a suspected request, its clearing answers and its trials have a module of their own, as the parts have; so has the probe of an address. Behaviour and assertions are unchanged.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_crashes.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_crashes.py
@@ -15,27 +15,22 @@
 
 from skylarkdoor import events
 from skylarkdoor.suspicion import (
-    MAX_SUSPICIONS,
     Suspicion,
     Suspicions,
     crash_id,
 )
 from skylarkdoor.wire import pb
 from skylarkdoord import _events
-from skylarkdoord.direct._answered import Answered
-from skylarkdoord.direct._crash_state import (
-    MAX_CRASHES,
-    Suspect,
-    Watched,
-)
+from skylarkdoord.direct._crash_state import MAX_CRASHES, Watched
 from skylarkdoord.direct._crashing_parts import CrashingParts
+from skylarkdoord.direct._crashing_requests import CrashingRequests
 from skylarkdoord.direct._model import Incarnation, UpstreamRecord
+from skylarkdoord.direct._probe import is_down
 from skylarkdoord.direct._suspect_keys import SharedPart
 
 # Delay of the probe after a lost answer. A crashed upstream refuses connections for
 # longer than this.
 PROBE_DELAY_S = 0.15
-CONNECT_TIMEOUT_S = 0.5
 # Time for which a request that ended without an answer is suspected of a crash that
 # becomes known later. The registry drops a crashed upstream some seconds after its
 # last heartbeat.
@@ -45,27 +40,12 @@
 # Two crashes under one record are at least this far apart, as an upstream takes
 # seconds to start again.
 SAME_CRASH_S = 2.0
-# Answers since the latest crash that clear a request. One answer says little if only
-# some of the upstreams crash, as while a release is rolled out.
-CLEARING_ANSWERS = 5
 # Parts of a prompt that one log line names.
 MAX_LOGGED_PARTS = 10
 # Limits the size of an update sent to other entries.
 MAX_REPORTED_SUSPECTS = 400
 
 
-async def is_down(record: UpstreamRecord) -> bool:
-    """Return whether an upstream does not accept connections."""
-    host, _, port = record.address.rpartition(":")
-    try:
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            _, writer = await asyncio.open_connection(host, int(port))
-    except OSError:
-        return True
-    writer.close()
-    return False
-
-
 class SuspicionReport(NamedTuple):
     """Suspicions to be sent to another entry.
 
@@ -98,13 +78,9 @@
         suspicions: Crashes of which each request is suspected.
         observed: Those of the suspicions, and of their clearances, that this entry
             observed itself.
-        suspected: State of each request that is suspected of a crash, by fingerprint.
         watched: Upstreams with requests in flight or without an answer.
+        requests: Requests that are suspected.
         parts: Parts of prompts that are suspected.
-        repeated: Requests suspected of `MAX_CRASHES` or more.
-        is_trial_owner: Returns whether this entry, of all entries, makes the trials of
-            a request.
-        answered: Requests that upstreams answered lately.
         checks: Tasks of the pending checks.
     """
 
@@ -124,13 +100,11 @@
         self.clock = clock
         self.suspicions = Suspicions()
         self.observed = Suspicions()
-        self.suspected: dict[int, Suspect] = {}
         self.watched: dict[Incarnation, Watched] = {}
-        self.is_trial_owner: Callable[[int], bool] = lambda fingerprint: True
-        self.answered = Answered(lambda: self.clock())
+        self.requests = CrashingRequests(self.suspicions, lambda: self.clock())
+        self.requests.is_in_flight = self.is_in_flight
         self.parts = CrashingParts(self.suspicions, lambda: self.clock())
         self.parts.is_in_flight = self.is_part_in_flight
-        self.repeated: set[int] = set()
         self.checks: set[asyncio.Task[None]] = set()
         self.log = events.get_logger("direct.crashes")
 
@@ -146,7 +120,7 @@
         )
         if self.count(fingerprint) + unchecked < MAX_CRASHES:
             return False
-        return bool(unchecked) or not self.may_try(fingerprint)
+        return bool(unchecked) or not self.requests.may_try(fingerprint)
 
     def may_have_crashed(self, watched: Watched) -> bool:
         """Return whether it is unknown if an upstream that lost an answer runs."""
@@ -154,21 +128,11 @@
             return True
         return watched.is_unconfirmed and self.is_registry_down()
 
-    def may_try(self, fingerprint: int) -> bool:
-        """Return whether a quarantined request may be sent once, as a trial.
-
-        Upstreams answered it lately, so that it may have been in flight by chance when
-        they crashed. One entry sends one copy at a time, which crashes one upstream at
-        most.
-        """
-        suspect = self.suspected.get(fingerprint)
-        if suspect is None or not suspect.is_trial_due(self.clock()):
-            return False
-        is_running = any(
+    def is_in_flight(self, fingerprint: int) -> bool:
+        """Return whether a request is in flight."""
+        return any(
             fingerprint in watched.in_flight for watched in self.watched.values()
         )
-        is_owner = self.is_trial_owner(fingerprint)
-        return is_owner and not is_running and fingerprint in self.answered
 
     def is_part_in_flight(self, fingerprint: int) -> bool:
         """Return whether a request with a part is in flight, or its outcome unknown."""
@@ -184,11 +148,8 @@
         Entries observe a crash at different times; it counts once. Those that a
         quarantined part explains do not count.
         """
-        return len(self.crashes_of(fingerprint) - self.parts.explained())
-
-    def crashes_of(self, fingerprint: int) -> frozenset[str]:
-        """Return the crashes during which a request was in flight."""
-        return frozenset(self.suspicions.get(fingerprint).times_by_crash())
+        crashes = self.requests.crashes_of(fingerprint)
+        return len(crashes - self.parts.explained())
 
     def on_answered(
         self,
@@ -207,17 +168,13 @@
             began_at: Monotonic time at which the answer began, in seconds; None if it
                 is only known when the attempt was sent.
         """
-        self.answered.add(fingerprint)
         self.clear_parts(parts, sent_at if began_at is None else began_at)
         for watched in self.watched.values():
             if watched.is_unconfirmed:
                 watched.on_answered_elsewhere(fingerprint, sent_at)
-        suspect = self.suspected.get(fingerprint)
-        if suspect is None or sent_at < suspect.crashed_at:
-            return
-        suspect.answers += 1
-        if suspect.answers >= CLEARING_ANSWERS:
-            self.clear(fingerprint)
+        cleared = self.requests.on_answered(fingerprint, sent_at)
+        if cleared:
+            self.clear(fingerprint, cleared)
 
     def clear_parts(self, parts: Iterable[SharedPart], began_at: float) -> None:
         """Let an answer speak for the parts of the request's prompt."""
@@ -230,9 +187,8 @@
         if cleared:
             self.review_parts()
 
-    def clear(self, fingerprint: int) -> None:
-        """Let no crash so far count against a request."""
-        crashes = self.suspicions.get(fingerprint).open
+    def clear(self, fingerprint: int, crashes: set[str]) -> None:
+        """Let crashes no longer count against a request."""
         self.observe(fingerprint, crashes, crashes)
         self.log.event(
             _events.REQUEST_CLEARED,
@@ -392,7 +348,7 @@
                 fingerprint=f"{suspect:016x}",
                 upstream=record.instance,
                 crashes=self.count(suspect),
-                answered=suspect in self.answered,
+                answered=suspect in self.requests.answered,
                 parts=[part.name for part in watched.parts.get(suspect, ())][
                     :MAX_LOGGED_PARTS
                 ],
@@ -404,7 +360,7 @@
 
     def review_parts(self) -> None:
         """Find the parts that are guilty, after suspicions have changed."""
-        self.parts.review(self.crashes_of(fingerprint) for fingerprint in self.repeated)
+        self.parts.review(self.requests.culprits())
 
     def observe(
         self,
@@ -432,24 +388,7 @@
         if self.suspicions.get(fingerprint).part:
             self.parts.update(fingerprint)
         else:
-            self.update_request(fingerprint)
-
-    def update_request(self, fingerprint: int) -> None:
-        """Bring the state of a request up to date with its suspicions."""
-        times = self.suspicions.get(fingerprint).crash_times()
-        if len(times) < MAX_CRASHES:
-            self.repeated.discard(fingerprint)
-        else:
-            self.repeated.add(fingerprint)
-        if not times:
-            self.suspected.pop(fingerprint, None)
-            return
-        suspect = self.suspected.setdefault(fingerprint, Suspect())
-        suspect.set_crashes(times, self.clock())
-        if len(self.suspected) > MAX_SUSPICIONS:
-            oldest = next(iter(self.suspected))
-            del self.suspected[oldest]
-            self.repeated.discard(oldest)
+            self.requests.update(fingerprint)
 
     def restore(self, observed: Iterable[Suspicion]) -> None:
         """Add what a former incarnation of this entry observed."""
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -45,7 +45,7 @@
     streams = StreamVersions(fleet)
     members = Members(settings.instance, fleet, quota, crashes, limits, streams)
     limits.share_of = members.limit_share
-    crashes.is_trial_owner = members.owns
+    crashes.requests.is_trial_owner = members.owns
     crashes.parts.is_trial_owner = members.owns
     quota.silent_entries = members.silent_entries
     scheduler = Scheduler(
--- a/packages/skylarkdoord/tests/direct/test_crashes.py
+++ b/packages/skylarkdoord/tests/direct/test_crashes.py
@@ -13,13 +13,14 @@
     SETTLE_S,
 )
 from skylarkdoord.direct._crashes import (
-    CLEARING_ANSWERS,
     MAX_LOGGED_PARTS,
     MAX_UNANSWERED,
     SAME_CRASH_S,
     UNANSWERED_RETENTION_S,
     Crashes,
 )
+from skylarkdoord.direct._crashing_requests import CLEARING_ANSWERS
+from skylarkdoord.direct._probe import is_down
 from skylarkdoord.direct._suspect_keys import SharedPart
 
 from ._make import Clock, make_record
@@ -142,8 +143,8 @@
         crashes = make_crashes(down=True)
         for fingerprint in range(MAX_ANSWERED + 1):
             answer(crashes, fingerprint, times=1)
-        assert 0 not in crashes.answered
-        assert MAX_ANSWERED in crashes.answered
+        assert 0 not in crashes.requests.answered
+        assert MAX_ANSWERED in crashes.requests.answered
 
     async def test_other_entries(self):
         """Crashes seen by different entries add up; repeated reports do not count."""
@@ -185,10 +186,10 @@
         server = await asyncio.start_server(lambda r, w: w.close(), "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
         record = make_record(address=f"127.0.0.1:{port}")
-        assert not await _crashes.is_down(record)
+        assert not await is_down(record)
         server.close()
         await server.wait_closed()
-        assert await _crashes.is_down(record)
+        assert await is_down(record)
 
 
 @pytest.fixture
@@ -377,7 +378,7 @@
 
     async def test_other_entry(self, crashes, clock):
         """Only one entry makes the trials of a request."""
-        crashes.is_trial_owner = lambda fingerprint: False
+        crashes.requests.is_trial_owner = lambda fingerprint: False
         clock.now += SETTLE_S
         assert crashes.is_quarantined(7)
 
--- a/packages/skylarkdoord/tests/direct/test_suspect_records.py
+++ b/packages/skylarkdoord/tests/direct/test_suspect_records.py
@@ -9,7 +9,8 @@
 from skylarkdoor.suspicion import Suspicion, crash_id
 from skylarkdoord.direct import Row, Rows, _suspect_records
 from skylarkdoord.direct._crash_state import MAX_CRASHES
-from skylarkdoord.direct._crashes import CLEARING_ANSWERS, Crashes
+from skylarkdoord.direct._crashes import Crashes
+from skylarkdoord.direct._crashing_requests import CLEARING_ANSWERS
 from skylarkdoord.direct._suspect_records import (
     MAX_RECORDED,
     SUSPECTS,
