--- a/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
@@ -6,20 +6,21 @@
 
 import asyncio
 import time
+from functools import partial
 from typing import NamedTuple
 
 from aiohttp import web
-from multidict import CIMultiDict
 
 from skylarkdoor import events
 from skylarkdoord import _events
 from skylarkdoord.direct._adapter import Adapter
-from skylarkdoord.direct._call import Answer, UpstreamClient
+from skylarkdoord.direct._answer_relay import MIN_SERVER_ERROR_STATUS, AnswerRelay
+from skylarkdoord.direct._call import UpstreamClient
 from skylarkdoord.direct._crashes import Crashes
 from skylarkdoord.direct._metrics import CALLS, FIRST_EVENT, QUEUE_TIME, REPEATS
 from skylarkdoord.direct._model import MS_PER_S, Admitted, UpstreamRecord
 from skylarkdoord.direct._quota import Quota
-from skylarkdoord.direct._relay import CallerStream, EventSplitter
+from skylarkdoord.direct._relay import CallerStream
 from skylarkdoord.direct._retry_limiter import RetryLimiter
 from skylarkdoord.direct._scheduler import Scheduler
 from skylarkdoord.direct._stream_versions import StreamVersions
@@ -36,7 +37,6 @@
 )
 from skylarkdoord.exceptions import NotRunError, OutcomeUnknownError
 
-MIN_SERVER_ERROR_STATUS = 500
 UNAVAILABLE_RETRY_AFTER_S = 0.5
 # Limits how often one request is sent, including attempts that did not run it.
 MAX_SENDS = 4
@@ -85,6 +85,7 @@
 
     Attributes:
         stream: The caller's side of a streamed answer.
+        relay: Relays the answers of upstreams.
         runs: Attempts that ran, or may have run, without a successful answer.
         sends: Attempts sent to an upstream.
         tried_instances: Upstreams that the request was sent to.
@@ -105,8 +106,14 @@
         self.dependencies = dependencies
         self.admitted = admitted
         self.raw = raw
-        self.is_draining = is_draining
         self.stream = CallerStream(raw, is_draining=is_draining)
+        self.relay = AnswerRelay(
+            dependencies.adapter,
+            admitted,
+            self.stream,
+            max_event_bytes=dependencies.client.bounds.max_event_bytes,
+            is_draining=is_draining,
+        )
         self.runs = 0
         self.sends = 0
         self.tried_instances: set[str] = set()
@@ -303,8 +310,10 @@
                     self.admitted, slot.upstream.record, last_event_id=last_id
                 )
                 try:
-                    return await self.relay(
-                        answer, slot.upstream.record, first_byte_timeout
+                    return await self.relay.relay(
+                        answer,
+                        first_byte_timeout,
+                        partial(self.bind_version, slot.upstream.record),
                     )
                 finally:
                     answer.close()
@@ -329,67 +338,6 @@
             since = time.monotonic() - waited_s
             self.dependencies.upstreams.on_timeout(slot.upstream, "silent", since=since)
 
-    async def relay(
-        self,
-        answer: Answer,
-        upstream: UpstreamRecord,
-        first_byte_timeout: asyncio.Timeout,
-    ) -> web.StreamResponse:
-        """Relay an answer to the caller.
-
-        Args:
-            answer: The upstream's answer.
-            upstream: The upstream.
-            first_byte_timeout: Timeout of the first byte; extended to the request's
-                deadline once the answer has begun.
-
-        Raises:
-            AnswerTruncatedError: The answer ended before it was complete.
-            UpstreamFailedError: The answer is a server error, and the request may run
-                again.
-        """
-        headers = self.dependencies.adapter.caller_headers(answer.response.headers)
-        if self.admitted.route.is_stream and answer.status == web.HTTPOk.status_code:
-            return await self.relay_stream(
-                answer, upstream, headers, first_byte_timeout
-            )
-        first_byte_timeout.reschedule(self.admitted.deadline)
-        body = await answer.read_body()
-        if self.stream.has_begun:
-            raise AnswerTruncatedError(f"status {answer.status} when resuming a stream")
-        response = web.Response(
-            status=answer.status, headers=CIMultiDict(headers), body=body
-        )
-        if self.is_draining:
-            response.force_close()
-        if answer.status >= MIN_SERVER_ERROR_STATUS and self.admitted.route.may_repeat:
-            raise UpstreamFailedError(response)
-        return response
-
-    async def relay_stream(
-        self,
-        answer: Answer,
-        upstream: UpstreamRecord,
-        headers: list[tuple[str, str]],
-        first_byte_timeout: asyncio.Timeout,
-    ) -> web.StreamResponse:
-        """Relay each event once it is complete.
-
-        Raises:
-            AnswerTruncatedError: The stream ended before it was complete.
-        """
-        splitter = EventSplitter(self.dependencies.client.bounds.max_event_bytes)
-        while chunk := await answer.read_chunk():
-            for event in splitter.feed(chunk):
-                first_byte_timeout.reschedule(self.admitted.deadline)
-                self.bind_version(upstream)
-                await self.stream.begin(answer.status, headers)
-                await self.stream.write(event)
-        if splitter.incomplete:
-            raise AnswerTruncatedError("the stream ended within an event")
-        await self.stream.begin(answer.status, headers)
-        return await self.stream.end()
-
     def bind_version(self, upstream: UpstreamRecord) -> None:
         """Let only upstreams of the same version go on with the stream from now on."""
         if self.version is None:
