Admit hardly anything after a restart without a record of limits

Now only the overshoot that is never granted otherwise is admitted until a window has passed. So that an idle customer isn't refused for that, a record is also written every half window while a customer is limited; a recent record without a customer shows that it used little.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_limit_records.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_limit_records.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+import math
 import time
 from collections.abc import Callable, Mapping
 from typing import NamedTuple
@@ -30,6 +31,10 @@
 # A new record is due once a customer has used more than this share of its limit since
 # the last one.
 MAX_UNRECORDED_SHARE = 0.08
+# A record is also due after this share of a window. A recent record without a customer
+# shows that the customer used little; no record says nothing, as the store may have
+# been away.
+MAX_RECORD_AGE_SHARE = 0.5
 # Customers that used a smaller share of their limit are not recorded.
 MIN_RECORDED_SHARE = 0.1
 # Most customers in one record, which has to fit into a row; those with the highest
@@ -95,6 +100,7 @@
         self.clock = clock
         self.started = clock()
         self.has_written = False
+        self.written_at = -math.inf
         # The store's clock minus this machine's, in seconds.
         self.clock_offset_s = 0.0
         self.recorded: dict[str, float] = {}
@@ -178,13 +184,26 @@
         self.recorded = {}
 
     def is_due(self) -> bool:
-        """Return whether a customer's unrecorded use exceeds its allowed share."""
+        """Return whether the record is old or lacks a customer's recent use."""
+        if self.clock() - self.written_at >= self.max_record_age_s():
+            return self.has_limited_customers()
         return any(
             self.quota.accounts[name].used_since_start - self.recorded.get(name, 0.0)
             > MAX_UNRECORDED_SHARE * limit
             for name, limit in self.limits().items()
         )
 
+    def max_record_age_s(self) -> float:
+        """Return the time after which a record is written again, in seconds."""
+        return MAX_RECORD_AGE_SHARE * self.quota.bounds.window_s
+
+    def has_limited_customers(self) -> bool:
+        """Return whether the configuration limits a customer."""
+        routing = self.members.fleet.routing
+        return routing is not None and any(
+            customer.rate for customer in routing.config.customers
+        )
+
     def limits(self) -> dict[str, float]:
         """Return the limits of the limited customers that have used units, by name."""
         routing = self.members.fleet.routing
@@ -210,6 +229,7 @@
             self.calls.on_failure(error)
             return
         self.has_written = True
+        self.written_at = self.clock()
         self.recorded = used_since_start
         self.on_store_answer(clock_s)
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_quota.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_quota.py
@@ -5,9 +5,9 @@
 unreported use.
 
 An entry that starts takes over the totals of the others. If all entries restart, they
-take over the store's record of the last window; without a record the limit grows from
-a small share to the whole in the course of a window. While an entry is silent, the
-others leave it an equal share of each limit.
+take over the store's record of the last window. Without a record the whole limit may
+have been used just before the start, so hardly anything is admitted until a window has
+passed. While an entry is silent, the others leave it an equal share of each limit.
 """
 
 import time
@@ -28,10 +28,8 @@
 # From this share of a limit on, the unreported use of all entries together has to fit
 # into the overshoot that is not granted.
 NEAR_LIMIT_SHARE = 0.8
-# Share of a limit that is available right after a start without a record.
-COLD_START_SHARE = 0.03
-# The same with the store's record of the window; the rest covers use after the record
-# was written.
+# Share of a limit that is available right after a start with the store's record of the
+# window; the rest covers use after the record was written.
 RESTORED_SHARE = 0.8
 # Uses within this time are merged into one.
 BIN_S = 0.1
@@ -161,9 +159,10 @@
         silent, entries = self.silent_entries()
         share = 1 - silent / max(1, entries)
         if not self.covers_window():
+            if not self.is_restored:
+                return share * (1 - USABLE_OVERSHOOT_SHARE) * overshoot
             age_s = self.clock() - self.started
-            start_share = RESTORED_SHARE if self.is_restored else COLD_START_SHARE
-            share *= max(start_share, age_s / self.bounds.window_s)
+            share *= max(RESTORED_SHARE, age_s / self.bounds.window_s)
         return share * (nominal + USABLE_OVERSHOOT_SHARE * overshoot)
 
     def covers_window(self) -> bool:
--- a/packages/skylarkdoord/tests/direct/test_limit_records.py
+++ b/packages/skylarkdoord/tests/direct/test_limit_records.py
@@ -148,12 +148,46 @@
         assert len(sent) == len(after) == 80
 
     async def test_store_unavailable(self, clock, store):
-        """Without a record the limit grows in the course of a window."""
+        """Without a record hardly anything is admitted until a window has passed."""
         store.is_down = True
         entry = Incarnation(clock, store)
         entry.records.calls.on_failure(StoreError("down"))
         sent = await entry.serve(4.0)
-        assert len(sent) * 10 <= 800 * 0.6
+        assert len(sent) * 10 <= 800 * 0.02
+
+    # Guards against a limit used up while the store was away, unknown after the restart.
+    async def test_surge_unrecorded(self, clock, store, settled):
+        """A surge during an outage of the store counts after a power loss."""
+        store.is_down = True
+        sent = await settled.serve(1.0)
+        clock.now += 1.1
+        store.is_down = False
+        restarted = Incarnation(clock, store)
+        await restarted.records.restore()
+        sent += await restarted.serve(8.0)
+        assert most_in_window(sent) <= ALLOWED
+
+    # Guards against the same after a record that shows no use.
+    async def test_surge_after_record(self, clock, store, settled):
+        """A surge during an outage counts although a record precedes the outage."""
+        await settled.serve(1.0, pause_steps=10_000)
+        store.is_down = True
+        sent = await settled.serve(1.0)
+        clock.now += 1.1
+        store.is_down = False
+        restarted = Incarnation(clock, store)
+        await restarted.records.restore()
+        sent += await restarted.serve(8.0)
+        assert most_in_window(sent) <= ALLOWED
+
+    async def test_idle_before(self, clock, store, settled):
+        """A customer that was idle before a power loss has most of its limit after."""
+        await settled.serve(8.0, pause_steps=10_000)
+        clock.now += 1.1
+        restarted = Incarnation(clock, store)
+        await restarted.records.restore()
+        sent = await restarted.serve(1.0)
+        assert len(sent) * 10 >= 800 * 0.8
 
 
 class TestLimitRecords:
--- a/packages/skylarkdoord/tests/direct/test_quota.py
+++ b/packages/skylarkdoord/tests/direct/test_quota.py
@@ -5,7 +5,11 @@
 
 import pytest
 
-from skylarkdoord.direct._quota import USABLE_OVERSHOOT_SHARE, Quota
+from skylarkdoord.direct._quota import (
+    RESTORED_SHARE,
+    USABLE_OVERSHOOT_SHARE,
+    Quota,
+)
 from skylarkdoord.direct._settings import QuotaBounds
 from skylarkdoord.direct.exceptions import QuotaError
 
@@ -185,11 +189,22 @@
         assert use_all(quota) == int(LIMIT // 100)
 
     def test_no_history_received(self, clock):
-        """An entry that receives incomplete totals starts with a part of the limit."""
+        """An entry with incomplete totals has the limit only after a window."""
         quota = Quota(QuotaBounds(window_s=8.0, overshoot=0.1), clock=clock)
         quota.merge_totals({}, covers_window=False)
         clock.now += 4.0
-        assert use_all(quota) == int(LIMIT / 2 // 100)
+        assert use_all(quota) == 0
+        clock.now += 4.0
+        assert use_all(quota) == int(LIMIT // 100)
+
+    @pytest.mark.parametrize(("age_s", "share"), [(0.0, RESTORED_SHARE), (7.2, 0.9)])
+    def test_record_without_use(self, clock, age_s, share):
+        """An entry with a recent record starts with most of the limit."""
+        quota = Quota(QuotaBounds(window_s=8.0, overshoot=0.1), clock=clock)
+        quota.merge_totals({}, covers_window=False)
+        quota.restore({}, age_s=1.0)
+        clock.now += age_s
+        assert use_all(quota) == int(share * LIMIT // 100)
 
 
 class TestRecord:
