--- a/packages/skylarkdoord/tests/direct/test_limit_records.py
+++ b/packages/skylarkdoord/tests/direct/test_limit_records.py
@@ -155,7 +155,7 @@
         sent = await entry.serve(4.0)
         assert len(sent) * 10 <= 800 * 0.02
 
-    # Guards against a limit used up while the store was away, unknown after the restart.
+    # Guards against a limit used up while the store was away, unknown after a restart.
     async def test_surge_unrecorded(self, clock, store, settled):
         """A surge during an outage of the store counts after a power loss."""
         store.is_down = True
