Answer requests that arrive just before a planned stop closes the listeners

Callers saw, under load: requests that had just been accepted were cut off without an answer in a planned stop. Cause: the listener was closed with connections in its accept queue, and idle connections were closed while their next request was in the socket or in the parser, before its handler ran. Now the event loop first runs the passes that lie between acceptance and handler, before the listeners and before the idle connections are closed. test_just_received failed in both cases before (20 of 20 cut).

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
@@ -34,6 +34,9 @@
 STARTING_RETRY_AFTER_S = 0.5
 # The load balancer stops sending callers after two failed checks, a second apart.
 DRAIN_NOTICE_S = 2.5
+# Passes of the event loop from the acceptance of a connection until the handler of its
+# request runs.
+ARRIVAL_PASSES = 8
 # Part of the shutdown timeout kept for closing once running requests are aborted.
 SHUTDOWN_MARGIN_S = 1.0
 
@@ -135,8 +138,10 @@
             _events.DRAIN_STARTED, reason="shutdown", running=len(self.busy_connections)
         )
         await asyncio.sleep(self.drain_notice_s)
+        await self.receive_arrived()
         for site in list(self.callers.sites):
             await site.stop()
+        await self.receive_arrived()
         self.close_idle()
         remaining_s = self.shutdown_timeout_s - SHUTDOWN_MARGIN_S
         remaining_s -= time.monotonic() - began
@@ -152,6 +157,11 @@
             await runner.cleanup()
         await self.dependencies.client.close()
 
+    async def receive_arrived(self) -> None:
+        """Let the handlers of all requests start that have arrived by now."""
+        for _ in range(ARRIVAL_PASSES):
+            await asyncio.sleep(0)
+
     def close_idle(self) -> None:
         """Close the idle connections; busy ones are closed after their answer."""
         assert self.callers.server is not None
--- a/tests/adapter/test_shutdown.py
+++ b/tests/adapter/test_shutdown.py
@@ -1,10 +1,37 @@
 """Tests of an entry's shutdown."""
 
 import asyncio
+import socket
 
-from ._standins import Server, event, reply, route, stream
+import pytest
+
+from ._standins import HOST, Server, event, reply, route, stream
 
 STREAM = route(routeType="streaming", maxAttempts=1)
+REQUEST = (
+    f"GET /desk/1 HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: a1\r\n"
+    "Deadline-Ms: 3000\r\n\r\n"
+).encode()
+
+
+def connect(caller):
+    """Return a socket that is connected, whether or not the entry accepted it."""
+    host, _, port = caller.entry.url.rpartition("/")[2].partition(":")
+    connection = socket.create_connection((host, int(port)), timeout=3.0)
+    connection.setblocking(False)
+    return connection
+
+
+async def receive(connection):
+    """Return what arrives on a connection until it is closed."""
+    received = b""
+    with connection:
+        async with asyncio.timeout(5):
+            while True:
+                chunk = await asyncio.get_running_loop().sock_recv(connection, 4096)
+                if not chunk:
+                    return received
+                received += chunk
 
 
 class TestShutdown:
@@ -56,6 +83,23 @@
                 writer.close()
                 await stopping
 
+    # Guards against requests that are cut off in a planned stop under load, when the
+    # process has received them but has not begun to handle them.
+    @pytest.mark.parametrize("are_accepted", [False, True])
+    async def test_just_received(self, start, are_accepted):
+        """Requests that arrive just before the listeners close are answered."""
+        async with Server(reply()) as server:
+            async with start([route()], [server]) as caller:
+                connections = [connect(caller) for _ in range(20)]
+                if are_accepted:
+                    await asyncio.sleep(0.1)
+                stopping = self.stop(caller, notice_s=0.0)
+                for connection in connections:
+                    connection.sendall(REQUEST)
+                answers = await asyncio.gather(*map(receive, connections))
+                await stopping
+        assert [answer[:15] for answer in answers] == [b"HTTP/1.1 200 OK"] * 20
+
     async def test_not_ready(self, start):
         """The readiness check fails at once, while callers are still served."""
         async with Server(reply()) as server:
