Let leases and shares of limits lapse while the machine is suspended

Cause: the planner's lease, the ownership of an engine and the silence of other entries were timed by time.monotonic, which stands still in suspend: a machine that woke after some seconds acted on a lease that another process had taken over, and used its whole knowledge of the others as if it were fresh. They are timed by CLOCK_BOOTTIME now (skylarkdoor.clock, moved from the limits' records). Ruled out: grants of guards, whose worst effect is a request more in an engine's queue.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_limit_records.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_limit_records.py
@@ -8,7 +8,6 @@
 import asyncio
 import json
 import math
-import time
 from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
@@ -16,6 +15,7 @@
 
 from skylarkdoor import events
 from skylarkdoor.backoff import Backoff
+from skylarkdoor.clock import boot_time_s
 from skylarkdoor.kernel import Kernel
 from skylarkdoord import _events
 from skylarkdoord.direct._adapter import Row, Rows, Store
@@ -67,11 +67,6 @@
         return cls(at_s, used)
 
 
-def boot_time_s() -> float:
-    """Return monotonic time that includes time in suspend, in seconds."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class LimitRecords:
     """Restores the records at the start and writes one if this entry is the first.
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
@@ -4,9 +4,10 @@
 """
 
 import random
-import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from skylarkdoor.clock import boot_time_s
 from skylarkdoor.hashing import rendezvous
 from skylarkdoor.wire import pb
 from skylarkdoord.direct._adapter import Row, StoreVersion
@@ -71,6 +72,7 @@
         limits: Receives the limits of upstreams of which other entries know.
         streams: Receives the versions of streams that other entries know.
         incarnation: Random number that identifies this run of the entry.
+        clock: Returns monotonic time that includes time in suspend, in seconds.
 
     Attributes:
         by_name: The other entries that sent an update.
@@ -88,7 +90,9 @@
         streams: StreamVersions | None = None,
         *,
         incarnation: int = 0,
+        clock: Callable[[], float] = boot_time_s,
     ) -> None:
+        self.clock = clock
         self.instance = instance
         self.incarnation = incarnation or random.randrange(1, MAX_INCARNATION)
         self.crashes = crashes
@@ -97,12 +101,12 @@
         self.fleet = fleet
         self.quota = quota
         self.by_name: dict[str, Member] = {}
-        self.started = time.monotonic()
+        self.started = self.clock()
         self.listed = 0
 
     def live_count(self) -> int:
         """Return how many entries share the upstreams, including this one."""
-        since = time.monotonic() - LIVE_TIMEOUT_S
+        since = self.clock() - LIVE_TIMEOUT_S
         return 1 + sum(
             member.last_update_at > since for member in self.by_name.values()
         )
@@ -114,7 +118,7 @@
         `SILENT_RETENTION_S` after its last update or, if it was listed but never
         reached, after the start of this entry.
         """
-        since = time.monotonic() - SILENT_RETENTION_S
+        since = self.clock() - SILENT_RETENTION_S
         heard = sum(member.last_update_at > since for member in self.by_name.values())
         listed = self.listed if self.started > since else 0
         return 1 + max(heard, listed)
@@ -124,7 +128,7 @@
 
         It decides which entries do the work that only a few of them need to do.
         """
-        since = time.monotonic() - LIVE_TIMEOUT_S
+        since = self.clock() - LIVE_TIMEOUT_S
         return sum(
             member.last_update_at > since and name < self.instance
             for name, member in self.by_name.items()
@@ -132,7 +136,7 @@
 
     def owns(self, fingerprint: int) -> bool:
         """Return whether this entry, of the live ones, is responsible for a request."""
-        since = time.monotonic() - LIVE_TIMEOUT_S
+        since = self.clock() - LIVE_TIMEOUT_S
         live = [
             name
             for name, member in self.by_name.items()
@@ -150,7 +154,7 @@
             upstream: Name of the upstream instance.
             most: Most entries that divide the limit.
         """
-        now = time.monotonic()
+        now = self.clock()
         others = []
         for name, member in self.by_name.items():
             retention_s = (
@@ -170,7 +174,7 @@
 
     def silent_entries(self) -> tuple[int, int]:
         """Return how many entries may be partitioned, and how many there are in all."""
-        now = time.monotonic()
+        now = self.clock()
         timeout_s = MISSED_UPDATES * self.update_interval_s()
         present = [
             member
@@ -183,14 +187,14 @@
 
     def age_ms(self) -> int:
         """Return the time since this entry's start, in milliseconds."""
-        return int((time.monotonic() - self.started) * MS_PER_S)
+        return int((self.clock() - self.started) * MS_PER_S)
 
     def receive(self, update: pb.EntryNews) -> None:
         """Apply an update of another entry; rows are applied separately."""
         member = self.by_name.get(update.instance)
         if member is None or member.incarnation != update.incarnation:
             member = self.add(update)
-        member.last_update_at = time.monotonic()
+        member.last_update_at = self.clock()
         member.has_closed_stream = False
         for customer, units in update.used.items():
             before = member.used.get(customer, 0.0)
@@ -247,7 +251,7 @@
             member.config_at > self.fleet.config_at
             or member.upstreams_at > self.fleet.upstreams_at
         )
-        now = time.monotonic()
+        now = self.clock()
         if not newer:
             member.behind_since = 0.0
         elif not member.behind_since:
--- a/packages/skylarkdoord/src/skylarkdoord/planner/_lease.py
+++ b/packages/skylarkdoord/src/skylarkdoord/planner/_lease.py
@@ -13,6 +13,7 @@
     TableTimeout,
     Txn,
 )
+from skylarkdoor.clock import boot_time_s
 from skylarkdoord.planner._rows import (
     LeaseRow,
     decode_lease,
@@ -67,10 +68,12 @@
         table: The platform's table.
         pool: The pool's name.
         holder: Name of this process, unique to its incarnation.
-        clock: Returns monotonic time in seconds.
+        clock: Returns monotonic time that includes time in suspend, in seconds.
     """
 
-    def __init__(self, table: Table, pool: str, holder: str, clock: Clock) -> None:
+    def __init__(
+        self, table: Table, pool: str, holder: str, clock: Clock = boot_time_s
+    ) -> None:
         self.table = table
         self.key = lease_key(pool)
         self.holder = holder
--- a/packages/skylarkdoord/src/skylarkdoord/planner/_planner.py
+++ b/packages/skylarkdoord/src/skylarkdoord/planner/_planner.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Callable
 from typing import Any
 
 from skylarkdoor import events, invariants
 from skylarkdoor.clients import PlatformError, Put
+from skylarkdoor.clock import boot_time_s
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import FLEET_PATH, Pool, ProcessSettings
 from skylarkdoord import _events
@@ -74,11 +74,11 @@
         """Start the planner's task."""
         self.settings_service = kernel.find("settings", SettingsService)
         self.table = kernel.find("platform", Platform).table
-        self.lease = Lease(self.table, self.pool_name, self.holder, time.monotonic)
+        self.lease = Lease(self.table, self.pool_name, self.holder)
         self.engine = EngineClient(self.url)
         key = owner_key(self.pool_name, self.instance)
-        ownership = Ownership(self.table, key, self.holder, time.monotonic)
-        self.reconciler = Reconciler(self.engine, ownership, time.monotonic)
+        ownership = Ownership(self.table, key, self.holder, boot_time_s)
+        self.reconciler = Reconciler(self.engine, ownership, boot_time_s)
         kernel.find("internal", InternalServer).add_status("planner", self.status)
         self.task = kernel.spawn(self.run(), name="planner")
 
@@ -130,7 +130,7 @@
                 incarnation of this sidecar owns the engine.
             PlannerRowError: A row cannot be decoded.
         """
-        read_at = time.monotonic()
+        read_at = boot_time_s()
         listed = await self.table.list(pool_prefix(self.pool_name))
         rows = pool_rows(listed, self.pool_name)
         self.lease.observe(rows.lease, read_at)
--- a/packages/skylarkdoord/tests/direct/test_members.py
+++ b/packages/skylarkdoord/tests/direct/test_members.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from skylarkdoor.clock import boot_time_s
 from skylarkdoor.wire import pb
 from skylarkdoord.direct._crashes import Crashes
 from skylarkdoord.direct._fleet import Fleet
@@ -13,7 +14,7 @@
 from skylarkdoord.direct._quota import Quota
 from skylarkdoord.direct._settings import QuotaBounds
 
-from ._make import make_admitted, make_customer, make_request
+from ._make import Clock, make_admitted, make_customer, make_request
 
 CUSTOMER = make_customer()
 BASE = 300.0
@@ -133,3 +134,26 @@
         members.by_name.clear()
         members.listed = 3
         assert members.limit_share("i-1", 4) == 1 / 4
+
+
+class TestSuspend:
+    """An entry whose machine was suspended for some seconds."""
+
+    # Guards against an entry that goes on with its share of a limit after it lapsed.
+    def test_others_are_silent(self):
+        """What it knew of the other entries before counts as old."""
+        clock = Clock()
+        members = Members(
+            "a", Fleet(None), Quota(QuotaBounds()), Crashes(), clock=clock
+        )
+        for name in ("b", "c", "d"):
+            members.receive(pb.EntryNews(instance=name, incarnation=1))
+        assert members.silent_entries() == (0, 4)
+        clock.now += 5.0
+        assert members.silent_entries() == (3, 4)
+        assert members.live_count() == 1
+
+    def test_clock(self):
+        """Its clock counts the time in suspend."""
+        members = Members("a", Fleet(None), Quota(QuotaBounds()), Crashes())
+        assert members.clock is boot_time_s
--- a/packages/skylarkdoord/tests/direct/test_retry_limiter.py
+++ b/packages/skylarkdoord/tests/direct/test_retry_limiter.py
@@ -1,6 +1,5 @@
 """Tests of the retry budget that all entries share."""
 
-import time
 
 import pytest
 
@@ -106,5 +105,5 @@
         members = make_members("a")
         members.receive(pb.EntryNews(instance="b", incarnation=1))
         assert members.sharing_count() == 2
-        members.by_name["b"].last_update_at = time.monotonic() - SILENT_RETENTION_S
+        members.by_name["b"].last_update_at = members.clock() - SILENT_RETENTION_S
         assert members.sharing_count() == 1
--- a/packages/skylarkdoord/tests/planner/test_lease.py
+++ b/packages/skylarkdoord/tests/planner/test_lease.py
@@ -9,6 +9,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from skylarkdoor.clients import PlatformError, Put
+from skylarkdoor.clock import boot_time_s
 from skylarkdoord.planner._lease import LEASE_MARGIN_S, LEASE_S, Lease
 from skylarkdoord.planner._rows import decode_lease, lease_key
 from skylarkdoord.planner.exceptions import SupersededError
@@ -78,6 +79,15 @@
         assert lease.epoch == 2
 
 
+class TestSuspend:
+    """A holder whose machine was suspended for some seconds."""
+
+    # Guards against a planner that acts on a lease which lapsed while it was suspended.
+    def test_clock(self):
+        """Its lease lapses by a clock that counts the time in suspend."""
+        assert Lease(FakeTable(), POOL, "a").clock is boot_time_s
+
+
 class LeaseMachine(RuleBasedStateMachine):
     """Three candidates that are paused between steps and meet table faults."""
 
