Grant a surplus slot at engines of four to six slots as well

Cause: the surplus of 0.15 of an engine's slots was rounded down, which left none at four slots, the size of the large fleet's engines: each slot was idle from the end of a request until the next one had been granted it and had connected. It is rounded to the nearest now; seven slots and more keep what they had up to nine.

test_no_slot_is_idle failed with 4 and 5 slots before.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guard_queue.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guard_queue.py
@@ -11,9 +11,10 @@
 
 # Stream of the entry, and the request's name on it.
 RequestKey = tuple[str, str]
-# Share of an engine's slots by which grants may exceed them while requests wait. A
-# surplus request waits inside the engine and starts as soon as another ends. Without
-# it, the slot is idle until the next request is granted the slot and has connected.
+# Share of an engine's slots by which grants may exceed them while requests wait, rounded
+# to whole slots. A surplus request waits inside the engine and starts as soon as another
+# ends. Without it, the slot is idle until the next request is granted the slot and has
+# connected.
 OVERCOMMIT_SHARE = 0.15
 
 
@@ -137,7 +138,7 @@
 
     def grant_free_slots(self) -> None:
         """Grant free slots in order of precedence."""
-        limit = self.slots + int(OVERCOMMIT_SHARE * self.slots)
+        limit = self.slots + round(OVERCOMMIT_SHARE * self.slots)
         while self.is_open and self.queue and self.occupied < limit:
             offered = heapq.heappop(self.queue)
             if offered.is_withdrawn:
--- a/packages/skylarkdoord/tests/direct/test_overload.py
+++ b/packages/skylarkdoord/tests/direct/test_overload.py
@@ -42,14 +42,16 @@
 
 
 class Engine:
-    """An engine that runs `SLOTS` requests at a time and queues further ones.
+    """An engine that runs a number of requests at a time and queues further ones.
 
     Args:
         schedule: Called with the time until a request ends, in seconds, and its name.
+        slots: Requests that it runs at a time.
     """
 
-    def __init__(self, schedule):
+    def __init__(self, schedule, slots=SLOTS):
         self.schedule = schedule
+        self.slots = slots
         self.running = 0
         self.queued = deque()
 
@@ -65,7 +67,7 @@
 
     def start_queued(self):
         """Start queued requests while slots are free."""
-        while self.queued and self.running < SLOTS:
+        while self.queued and self.running < self.slots:
             name, hold_s = self.queued.popleft()
             self.running += 1
             self.schedule(hold_s, name)
@@ -254,7 +256,10 @@
     HOLD_S = 0.15
     REQUESTS = 1000
 
-    def test_no_slot_is_idle(self):
+    # Guards against the same at engines with few slots, whose surplus of 0.6 slots was
+    # rounded down to none.
+    @pytest.mark.parametrize("slots", [4, 5, 8])
+    def test_no_slot_is_idle(self, slots):
         """The engine's slots are in use for at least 98% of the time."""
         events = []
         order = itertools.count()
@@ -263,12 +268,12 @@
         def after(delay_s, kind):
             heapq.heappush(events, (now + delay_s, next(order), kind))
 
-        engine = Engine(lambda hold_s, name: after(hold_s, f"end {name}"))
+        engine = Engine(lambda hold_s, name: after(hold_s, f"end {name}"), slots)
         queue = SlotQueue(
             lambda _, name: after(self.GRANT_DELAY_S, f"arrive {name}"),
             clock=lambda: now,
         )
-        queue.resize(SLOTS)
+        queue.resize(slots)
         for number in range(self.REQUESTS):
             queue.offer("s", str(number), Precedence(0))
         while events:
@@ -281,4 +286,4 @@
                 after(self.REPORT_DELAY_S, f"reported {name}")
             else:
                 queue.withdraw("s", name)
-        assert 0.98 * SLOTS * now <= self.REQUESTS * self.HOLD_S
+        assert 0.98 * slots * now <= self.REQUESTS * self.HOLD_S
