Let the store's calls of all entries together not grow with their number

An entry that was turned away tried again every 0.5 s, and those that hear of changes from others asked again 1.2 s after each change, whatever their number. Both delays grow with the entries now, to 2 s and 3 s; below 13 and 31 entries nothing changes, and an entry that has no configuration yet keeps the short delay.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_watch.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_watch.py
@@ -28,11 +28,18 @@
 PAUSE_PER_ENTRY_S = 0.02
 MAX_PAUSE_S = 0.4
 # Pause after a change of upstreams at the entries beyond `CLOSE_WATCHERS`, which
-# receive changes from the other entries.
-NOTIFIED_PAUSE_S = 1.2
+# receive changes from the other entries. It grows with the live entries, so that their
+# calls together do not.
+MIN_NOTIFIED_PAUSE_S = 1.2
+MAX_NOTIFIED_PAUSE_S = 3.0
+NOTIFIED_PAUSE_PER_ENTRY_S = 0.04
 # Shorter wait after a failure, to detect the store's recovery early.
 WATCH_WAIT_AFTER_FAILURE_S = 1.0
-MAX_RETRY_DELAY_S = 0.5
+# Longest delay of a retry. It grows with the live entries as well, from which an entry
+# receives rows that it can't read itself.
+MIN_MAX_RETRY_DELAY_S = 0.5
+MAX_RETRY_DELAY_S = 2.0
+RETRY_DELAY_PER_ENTRY_S = 0.04
 
 
 class FleetWatcher:
@@ -99,7 +106,7 @@
 
     async def watch(self, table: str) -> None:
         """Watch one table until cancelled."""
-        backoff = Backoff(max_s=MAX_RETRY_DELAY_S)
+        backoff = Backoff(max_s=self.max_retry_delay_s())
         read_at: StoreVersion | None = None
         era = 0
         is_down = False
@@ -135,6 +142,7 @@
                     self.log.event(_events.STORE_LOST, table=table, error=str(error))
                 is_down = True
                 self.unreadable.add(table)
+                backoff.max_s = self.max_retry_delay_s()
                 await asyncio.sleep(backoff.delay_s())
 
     async def next_rows(
@@ -180,9 +188,17 @@
     def pause_s(self, table: str) -> float:
         """Return the pause before the next watch call after a change, in seconds."""
         if table == UPSTREAMS and self.position() >= CLOSE_WATCHERS:
-            return NOTIFIED_PAUSE_S
+            pause_s = NOTIFIED_PAUSE_PER_ENTRY_S * self.live_entries()
+            return min(MAX_NOTIFIED_PAUSE_S, max(MIN_NOTIFIED_PAUSE_S, pause_s))
         return min(MAX_PAUSE_S, PAUSE_PER_ENTRY_S * self.live_entries())
 
+    def max_retry_delay_s(self) -> float:
+        """Return the longest delay before a failed call is repeated, in seconds."""
+        if self.fleet.routing is None:
+            return MIN_MAX_RETRY_DELAY_S
+        delay_s = RETRY_DELAY_PER_ENTRY_S * self.live_entries()
+        return min(MAX_RETRY_DELAY_S, max(MIN_MAX_RETRY_DELAY_S, delay_s))
+
     def wait_s(self, is_down: bool) -> float:
         """Return how long the store may hold a call without changes, in seconds.
 
--- a/packages/skylarkdoord/tests/direct/test_fleet.py
+++ b/packages/skylarkdoord/tests/direct/test_fleet.py
@@ -281,6 +281,32 @@
         )
         assert watcher.pause_s(table) == pause_s
 
+    @pytest.mark.parametrize(
+        ("entries", "pause_s", "delay_s"),
+        [(4, 1.2, 0.5), (29, 1.2, 1.16), (68, 2.72, 2.0), (3500, 3.0, 2.0)],
+    )
+    def test_many_entries(self, fleet, entries, pause_s, delay_s):
+        """The calls of all entries together hardly grow with their number.
+
+        With 68 entries, each change of an upstream cost 53 calls a second, and a store
+        that turned a third of them away received 90 calls a second from these.
+        """
+        fleet.apply_config(Row("config", 4, b"12"), source="store")
+        watcher = FleetWatcher(
+            Settings(),
+            fleet,
+            StubStore(),
+            live_entries=lambda: entries,
+            position=lambda: 4,
+        )
+        assert watcher.pause_s(UPSTREAMS) == pytest.approx(pause_s)
+        assert watcher.max_retry_delay_s() == pytest.approx(delay_s)
+
+    def test_first_read(self, fleet):
+        """An entry that knows no configuration yet keeps trying at short intervals."""
+        watcher = FleetWatcher(Settings(), fleet, StubStore(), live_entries=lambda: 68)
+        assert watcher.max_retry_delay_s() == 0.5
+
     async def test_configuration(self, fleet):
         """Rows of the other table are applied as configurations."""
         config = Rows((Row("config", 4, b"12"),), 4)
--- a/packages/skylarkdoord/tests/direct/test_retry_limiter.py
+++ b/packages/skylarkdoord/tests/direct/test_retry_limiter.py
@@ -1,6 +1,5 @@
 """Tests of the retry budget that all entries share."""
 
-
 import pytest
 
 from skylarkdoor.wire import pb
