--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guard_queue.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guard_queue.py
@@ -11,10 +11,10 @@
 
 # Stream of the entry, and the request's name on it.
 RequestKey = tuple[str, str]
-# Share of an engine's slots by which grants may exceed them while requests wait, rounded
-# to whole slots. A surplus request waits inside the engine and starts as soon as another
-# ends. Without it, the slot is idle until the next request is granted the slot and has
-# connected.
+# Share of an engine's slots by which grants may exceed them while requests wait,
+# rounded to whole slots. A surplus request waits inside the engine and starts as soon
+# as another ends. Without it, the slot is idle until the next request is granted the
+# slot and has connected.
 OVERCOMMIT_SHARE = 0.15
 
 
