--- a/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
@@ -16,7 +16,6 @@
 from skylarkdoord.direct._adapter import Adapter
 from skylarkdoord.direct._answer_relay import MIN_SERVER_ERROR_STATUS, AnswerRelay
 from skylarkdoord.direct._call import UpstreamClient
-from skylarkdoord.direct._crashes import Crashes
 from skylarkdoord.direct._metrics import CALLS, FIRST_EVENT, QUEUE_TIME, REPEATS
 from skylarkdoord.direct._model import MS_PER_S, Admitted, UpstreamRecord
 from skylarkdoord.direct._quota import Quota
@@ -24,9 +23,9 @@
 from skylarkdoord.direct._retry_limiter import RetryLimiter
 from skylarkdoord.direct._scheduler import Scheduler
 from skylarkdoord.direct._stream_versions import StreamVersions
-from skylarkdoord.direct._suspect_keys import fingerprint_of, shared_parts
 from skylarkdoord.direct._upstreams import Upstreams
 from skylarkdoord.direct._waiting import Slot
+from skylarkdoord.direct.evidence import Crashes, fingerprint_of, shared_parts
 from skylarkdoord.direct.exceptions import (
     AnswerTruncatedError,
     NoFreeSlotError,
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
@@ -11,12 +11,12 @@
 from skylarkdoor.hashing import rendezvous
 from skylarkdoor.wire import pb
 from skylarkdoord.direct._adapter import Row, StoreVersion
-from skylarkdoord.direct._crashes import Crashes
 from skylarkdoord.direct._fleet import CONFIG, UPSTREAMS, Fleet
 from skylarkdoord.direct._model import MS_PER_S
 from skylarkdoord.direct._quota import Quota
 from skylarkdoord.direct._stream_versions import StreamVersions
 from skylarkdoord.direct._upstream_limits import UpstreamLimits
+from skylarkdoord.direct.evidence import Crashes
 
 UPDATE_INTERVAL_S = 0.2
 # With more other entries than this, the interval grows in proportion to their number,
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -4,7 +4,6 @@
 from skylarkdoord.direct._adapter import load_adapter
 from skylarkdoord.direct._call import UpstreamClient
 from skylarkdoord.direct._callers import CallerServer
-from skylarkdoord.direct._crashes import Crashes
 from skylarkdoord.direct._exchange import EntryExchange
 from skylarkdoord.direct._fleet import Fleet
 from skylarkdoord.direct._forward import ForwarderDependencies
@@ -17,10 +16,10 @@
 from skylarkdoord.direct._scheduler import Scheduler
 from skylarkdoord.direct._settings import DirectSettings
 from skylarkdoord.direct._stream_versions import StreamVersions
-from skylarkdoord.direct._suspect_records import SuspectRecords
 from skylarkdoord.direct._upstream_limits import UpstreamLimits
 from skylarkdoord.direct._upstreams import Upstreams
 from skylarkdoord.direct._watch import FleetWatcher
+from skylarkdoord.direct.evidence import Crashes, SuspectRecords
 from skylarkdoord.direct.process import Apply
 
 __all__ = ["build"]
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_crash_state.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/evidence/_crash_state.py
@@ -6,7 +6,7 @@
 from itertools import pairwise
 
 from skylarkdoord.direct._model import UpstreamRecord
-from skylarkdoord.direct._suspect_keys import SharedPart
+from skylarkdoord.direct.evidence._suspect_keys import SharedPart
 
 # A request suspected of this many crashes is quarantined.
 MAX_CRASHES = 3
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_crashes.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/evidence/_crashes.py
@@ -21,12 +21,12 @@
 )
 from skylarkdoor.wire import pb
 from skylarkdoord import _events
-from skylarkdoord.direct._crash_state import MAX_CRASHES, Watched
-from skylarkdoord.direct._crashing_parts import CrashingParts
-from skylarkdoord.direct._crashing_requests import CrashingRequests
 from skylarkdoord.direct._model import Incarnation, UpstreamRecord
 from skylarkdoord.direct._probe import is_down
-from skylarkdoord.direct._suspect_keys import SharedPart
+from skylarkdoord.direct.evidence._crash_state import MAX_CRASHES, Watched
+from skylarkdoord.direct.evidence._crashing_parts import CrashingParts
+from skylarkdoord.direct.evidence._crashing_requests import CrashingRequests
+from skylarkdoord.direct.evidence._suspect_keys import SharedPart
 
 # Delay of the probe after a lost answer. A crashed upstream refuses connections for
 # longer than this.
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_crashing_parts.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/evidence/_crashing_parts.py
@@ -12,9 +12,9 @@
 from skylarkdoor import events
 from skylarkdoor.suspicion import MAX_SUSPICIONS, Suspicions, crashed_incarnation
 from skylarkdoord import _events
-from skylarkdoord.direct._answered import Answered
 from skylarkdoord.direct._metrics import QUARANTINED_PARTS
-from skylarkdoord.direct._suspect_keys import SharedPart
+from skylarkdoord.direct.evidence._answered import Answered
+from skylarkdoord.direct.evidence._suspect_keys import SharedPart
 
 # Crashes since the latest answer after which a part is quarantined.
 MAX_PART_CRASHES = 4
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_crashing_requests.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/evidence/_crashing_requests.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable, Iterator
 
 from skylarkdoor.suspicion import MAX_SUSPICIONS, Suspicions
-from skylarkdoord.direct._answered import Answered
-from skylarkdoord.direct._crash_state import MAX_CRASHES, Suspect
+from skylarkdoord.direct.evidence._answered import Answered
+from skylarkdoord.direct.evidence._crash_state import MAX_CRASHES, Suspect
 
 # Answers since the latest crash that clear a request. One answer says little if only
 # some of the upstreams crash, as while a release is rolled out.
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_suspect_records.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/evidence/_suspect_records.py
@@ -16,8 +16,8 @@
 from skylarkdoor.suspicion import Suspicion
 from skylarkdoord import _events
 from skylarkdoord.direct._adapter import Row, Rows, Store, StoreVersion
-from skylarkdoord.direct._crashes import Crashes
 from skylarkdoord.direct._store_calls import StoreCalls
+from skylarkdoord.direct.evidence._crashes import Crashes
 from skylarkdoord.direct.exceptions import HistoryLostError, StoreError
 
 SUSPECTS = "suspects"
--- a/packages/skylarkdoord/tests/direct/_crash_simulation.py
+++ b/packages/skylarkdoord/tests/direct/_crash_simulation.py
@@ -6,8 +6,8 @@
 from typing import NamedTuple
 
 from skylarkdoor.hashing import fingerprint
-from skylarkdoord.direct._crashes import SAME_CRASH_S, Crashes
-from skylarkdoord.direct._suspect_keys import SharedPart
+from skylarkdoord.direct.evidence._crashes import SAME_CRASH_S, Crashes
+from skylarkdoord.direct.evidence._suspect_keys import SharedPart
 
 from ._make import Clock, make_record
 
--- a/packages/skylarkdoord/tests/direct/test_crashes.py
+++ b/packages/skylarkdoord/tests/direct/test_crashes.py
@@ -6,22 +6,22 @@
 import pytest
 
 from skylarkdoor.wire import pb
-from skylarkdoord.direct import _crashes
-from skylarkdoord.direct._answered import ANSWERED_RETENTION_S, MAX_ANSWERED
-from skylarkdoord.direct._crash_state import (
+from skylarkdoord.direct._probe import is_down
+from skylarkdoord.direct.evidence import _crashes
+from skylarkdoord.direct.evidence._answered import ANSWERED_RETENTION_S, MAX_ANSWERED
+from skylarkdoord.direct.evidence._crash_state import (
     MAX_CRASHES,
     SETTLE_S,
 )
-from skylarkdoord.direct._crashes import (
+from skylarkdoord.direct.evidence._crashes import (
     MAX_LOGGED_PARTS,
     MAX_UNANSWERED,
     SAME_CRASH_S,
     UNANSWERED_RETENTION_S,
     Crashes,
 )
-from skylarkdoord.direct._crashing_requests import CLEARING_ANSWERS
-from skylarkdoord.direct._probe import is_down
-from skylarkdoord.direct._suspect_keys import SharedPart
+from skylarkdoord.direct.evidence._crashing_requests import CLEARING_ANSWERS
+from skylarkdoord.direct.evidence._suspect_keys import SharedPart
 
 from ._make import Clock, make_record
 
--- a/packages/skylarkdoord/tests/direct/test_crashing_parts.py
+++ b/packages/skylarkdoord/tests/direct/test_crashing_parts.py
@@ -5,10 +5,10 @@
 import pytest
 
 from skylarkdoor.suspicion import MAX_SUSPICIONS, Suspicion
-from skylarkdoord.direct import _crashes
-from skylarkdoord.direct._crash_state import MAX_CRASHES
-from skylarkdoord.direct._crashes import MAX_REPORTED_SUSPECTS, Crashes
-from skylarkdoord.direct._crashing_parts import (
+from skylarkdoord.direct.evidence import _crashes
+from skylarkdoord.direct.evidence._crash_state import MAX_CRASHES
+from skylarkdoord.direct.evidence._crashes import MAX_REPORTED_SUSPECTS, Crashes
+from skylarkdoord.direct.evidence._crashing_parts import (
     ANSWER_TIME_S,
     ANSWERED_TRIAL_S,
     MAX_PART_CRASHES,
@@ -17,8 +17,8 @@
     PartEvidence,
     find_culprits,
 )
-from skylarkdoord.direct._suspect_keys import SharedPart
-from skylarkdoord.direct._suspect_records import decode, encode
+from skylarkdoord.direct.evidence._suspect_keys import SharedPart
+from skylarkdoord.direct.evidence._suspect_records import decode, encode
 
 from ._crash_simulation import Simulation
 from ._make import Clock, make_record
--- a/packages/skylarkdoord/tests/direct/test_members.py
+++ b/packages/skylarkdoord/tests/direct/test_members.py
@@ -4,7 +4,6 @@
 
 from skylarkdoor.clock import boot_time_s
 from skylarkdoor.wire import pb
-from skylarkdoord.direct._crashes import Crashes
 from skylarkdoord.direct._fleet import Fleet
 from skylarkdoord.direct._members import (
     LIVE_TIMEOUT_S,
@@ -13,6 +12,7 @@
 )
 from skylarkdoord.direct._quota import Quota
 from skylarkdoord.direct._settings import QuotaBounds
+from skylarkdoord.direct.evidence import Crashes
 
 from ._make import Clock, make_admitted, make_customer, make_request
 
--- a/packages/skylarkdoord/tests/direct/test_retry_limiter.py
+++ b/packages/skylarkdoord/tests/direct/test_retry_limiter.py
@@ -3,12 +3,12 @@
 import pytest
 
 from skylarkdoor.wire import pb
-from skylarkdoord.direct._crashes import Crashes
 from skylarkdoord.direct._fleet import Fleet
 from skylarkdoord.direct._members import SILENT_RETENTION_S, Members
 from skylarkdoord.direct._quota import Quota
 from skylarkdoord.direct._retry_limiter import USABLE_BUDGET_SHARE, RetryLimiter
 from skylarkdoord.direct._settings import QuotaBounds, RetryBudget
+from skylarkdoord.direct.evidence import Crashes
 
 from ._make import SERVICE, Clock
 
--- a/packages/skylarkdoord/tests/direct/test_store_history.py
+++ b/packages/skylarkdoord/tests/direct/test_store_history.py
@@ -9,11 +9,11 @@
 
 from skylarkdoor.wire import pb
 from skylarkdoord.direct import FleetConfig, Row, Rows, Service, UpstreamAge
-from skylarkdoord.direct._crashes import Crashes
 from skylarkdoord.direct._fleet import CONFIG_KEY, Fleet
 from skylarkdoord.direct._members import Members
 from skylarkdoord.direct._quota import Quota
 from skylarkdoord.direct._settings import QuotaBounds
+from skylarkdoord.direct.evidence import Crashes
 
 from ._make import SERVICE, make_record, make_route
 
--- a/packages/skylarkdoord/tests/direct/test_streams.py
+++ b/packages/skylarkdoord/tests/direct/test_streams.py
@@ -10,7 +10,6 @@
 from skylarkdoor.suspicion import crash_id
 from skylarkdoor_bench.testing import free_port
 from skylarkdoord.direct import FleetConfig, Row, Rows, Service, StoreVersion
-from skylarkdoord.direct._crashes import Crashes
 from skylarkdoord.direct._exchange import EntryExchange
 from skylarkdoord.direct._fleet import Fleet
 from skylarkdoord.direct._guard import Guard
@@ -20,6 +19,7 @@
 from skylarkdoord.direct._scheduler import Scheduler
 from skylarkdoord.direct._settings import QuotaBounds
 from skylarkdoord.direct._upstreams import Upstreams
+from skylarkdoord.direct.evidence import Crashes
 from skylarkdoord.direct.exceptions import StoreError
 
 from ._make import (
--- a/packages/skylarkdoord/tests/direct/test_suspect_keys.py
+++ b/packages/skylarkdoord/tests/direct/test_suspect_keys.py
@@ -3,7 +3,7 @@
 import pytest
 
 from skylarkdoord.direct import PromptPart
-from skylarkdoord.direct._suspect_keys import (
+from skylarkdoord.direct.evidence._suspect_keys import (
     MAX_NAME_LENGTH,
     MAX_SHARED_PARTS,
     fingerprint_of,
--- a/packages/skylarkdoord/tests/direct/test_suspect_records.py
+++ b/packages/skylarkdoord/tests/direct/test_suspect_records.py
@@ -7,11 +7,12 @@
 
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.suspicion import Suspicion, crash_id
-from skylarkdoord.direct import Row, Rows, _suspect_records
-from skylarkdoord.direct._crash_state import MAX_CRASHES
-from skylarkdoord.direct._crashes import Crashes
-from skylarkdoord.direct._crashing_requests import CLEARING_ANSWERS
-from skylarkdoord.direct._suspect_records import (
+from skylarkdoord.direct import Row, Rows
+from skylarkdoord.direct.evidence import _suspect_records
+from skylarkdoord.direct.evidence._crash_state import MAX_CRASHES
+from skylarkdoord.direct.evidence._crashes import Crashes
+from skylarkdoord.direct.evidence._crashing_requests import CLEARING_ANSWERS
+from skylarkdoord.direct.evidence._suspect_records import (
     MAX_RECORDED,
     SUSPECTS,
     SuspectRecords,
--- a/tests/adapter/test_repeated_crashes.py
+++ b/tests/adapter/test_repeated_crashes.py
@@ -6,7 +6,7 @@
 import aiohttp
 import pytest
 
-from skylarkdoord.direct._crash_state import MAX_CRASHES
+from skylarkdoord.direct.evidence._crash_state import MAX_CRASHES
 
 from ._restarting import RestartingServer
 from ._standins import Entry, route, stream
--- a/tests/adapter/test_retries.py
+++ b/tests/adapter/test_retries.py
@@ -8,7 +8,7 @@
 
 from skylarkdoor.suspicion import crash_id
 from skylarkdoor_bench.testing import free_port
-from skylarkdoord.direct._suspect_keys import fingerprint_of
+from skylarkdoord.direct.evidence import fingerprint_of
 
 from ._standins import LOOPBACK, Server, reply, reset, route, server_row
 
