Send fewer heartbeats in a large fleet

Heartbeats went at a fixed interval over each pair of an entry and a guard, 6,500 a second over 68 entries and 48 guards, and twice as often as needed between entries, where a heartbeat came between each two updates.

Now the interval to guards grows with the entries beyond 24, up to 3 s, and that between entries follows their updates. The silence timeout follows, by the longest interval seen and at its maximum after a start, as a peer may see more entries. Below 25 entries nothing changes but that time after a start. An entry counts as live for two updates.

Ruled out: a longer interval for all sizes, since streams that go silent without a reset would cost small fleets seconds of their engines.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
@@ -27,6 +27,7 @@
 from skylarkdoord.direct._link import Link, run_stream
 from skylarkdoord.direct._members import Members, to_wire
 from skylarkdoord.direct._metrics import ENTRIES, LIMIT_USED
+from skylarkdoord.direct._pace import Pace, entry_heartbeat_s
 from skylarkdoord.direct._settings import DirectSettings
 from skylarkdoord.direct.exceptions import StoreError
 
@@ -149,6 +150,7 @@
         self.peers: dict[str, _EntryStream] = {}
         self.unreported = asyncio.Event()
         self.row_lost = asyncio.Event()
+        self.pace = Pace(lambda: entry_heartbeat_s(members.update_interval_s()))
         self.server = Server([self])
         members.quota.on_unreported = self.unreported.set
         members.limits.on_change = self.unreported.set
@@ -218,7 +220,9 @@
         if instance in self.links or instance in self.inbound:
             return
         stream = _EntryStream(self, lambda: link.outbox, is_outbound=True)
-        link = Link(address, EntriesStub, "Exchange", stream, peer=instance)
+        link = Link(
+            address, EntriesStub, "Exchange", stream, peer=instance, pace=self.pace
+        )
         self.links[instance] = self.kernel.spawn(link.run(), name=f"entries.{instance}")
 
     def on_stream(self, stream: _EntryStream, address: str) -> None:
@@ -342,7 +346,7 @@
         handler = _EntryStream(self, lambda: outbox, is_outbound=False)
         is_silent = False
         try:
-            await run_stream(stream, handler, outbox)
+            await run_stream(stream, handler, outbox, self.pace)
         except CONNECTION_LOST_ERRORS as error:
             is_silent = isinstance(error, TimeoutError)
             self.log.event(_events.PEER_LOST, peer=handler.instance, error=repr(error))
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
@@ -22,6 +22,7 @@
 )
 from skylarkdoord.direct._model import Precedence
 from skylarkdoord.direct._occupancy import SETTLE_S, Occupancy, Sample
+from skylarkdoord.direct._pace import Pace, guard_heartbeat_s
 from skylarkdoord.direct._settings import DirectSettings
 
 REPORT_INTERVAL_S = 0.1
@@ -82,6 +83,7 @@
         self.occupancy = Occupancy()
         self.outboxes: dict[str, Outbox[pb.SidecarMessage]] = {}
         self.stream_numbers = itertools.count()
+        self.pace = Pace(lambda: guard_heartbeat_s(len(self.outboxes)))
         self.server = Server([self])
         self.log = events.get_logger("direct.guard")
 
@@ -113,7 +115,7 @@
         self.outboxes[handler.key] = outbox
         outbox.put(self.load())
         try:
-            await run_stream(stream, handler, outbox)
+            await run_stream(stream, handler, outbox, self.pace)
         except CONNECTION_LOST_ERRORS as error:
             self.log.event(_events.PEER_LOST, peer=handler.entry, error=repr(error))
         finally:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guards.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guards.py
@@ -12,6 +12,7 @@
 from skylarkdoord.direct._fleet import Fleet
 from skylarkdoord.direct._link import Link
 from skylarkdoord.direct._model import Incarnation, Precedence, UpstreamRecord
+from skylarkdoord.direct._pace import Pace, guard_heartbeat_s
 from skylarkdoord.direct._settings import DirectSettings
 
 
@@ -38,6 +39,7 @@
         settings: Settings of this process.
         record: The upstream.
         listener: Receives the guard's grants.
+        pace: Intervals of the heartbeats.
 
     Attributes:
         is_opening: Whether the first connection attempt is still under way, so that it
@@ -53,6 +55,7 @@
         settings: DirectSettings,
         record: UpstreamRecord,
         listener: GrantListener,
+        pace: Pace,
     ) -> None:
         self.settings = settings
         self.record = record
@@ -65,7 +68,9 @@
         self.log = events.get_logger("direct.guards")
         host = record.address.rpartition(":")[0]
         address = f"{host}:{settings.guard_port}"
-        self.link = Link(address, PeerStub, "Connect", self, peer=record.instance)
+        self.link = Link(
+            address, PeerStub, "Connect", self, peer=record.instance, pace=pace
+        )
         self.task: asyncio.Task[None] | None = None
 
     @property
@@ -159,14 +164,21 @@
         settings: Settings of this process.
         fleet: Lists the upstreams.
         listener: Receives the grants of all guards.
+        entries: Returns how many entries have streams to the guards.
     """
 
     name = "guards"
     requires: tuple[str, ...] = ("fleet",)
 
     def __init__(
-        self, settings: DirectSettings, fleet: Fleet, listener: GrantListener
+        self,
+        settings: DirectSettings,
+        fleet: Fleet,
+        listener: GrantListener,
+        *,
+        entries: Callable[[], int] = lambda: 1,
     ) -> None:
+        self.pace = Pace(lambda: guard_heartbeat_s(entries()))
         self.settings = settings
         self.fleet = fleet
         self.listener = listener
@@ -223,7 +235,7 @@
     def open(self, record: UpstreamRecord) -> GuardLink:
         """Open the stream to an upstream's guard."""
         assert self.spawn is not None
-        link = GuardLink(self.settings, record, self.listener)
+        link = GuardLink(self.settings, record, self.listener, self.pace)
         link.task = self.spawn(link.link.run(), name=f"guards.{record.instance}")
         return link
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_link.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_link.py
@@ -9,12 +9,9 @@
 from skylarkdoor.backoff import Backoff
 from skylarkdoor.wire import CONNECTION_LOST_ERRORS, Outbox, translate_closed_connection
 from skylarkdoord import _events
+from skylarkdoord.direct._pace import Pace
 
 CONNECT_TIMEOUT_S = 0.7
-# A message is sent at least this often.
-HEARTBEAT_S = 1.0
-# A stream without a message from the peer for this long has timed out.
-SILENCE_TIMEOUT_S = 2.6
 MAX_RETRY_DELAY_S = 1.0
 
 
@@ -41,38 +38,46 @@
         """
 
 
-async def run_stream(stream: Any, handler: StreamHandler, outbox: Outbox[Any]) -> None:
+async def run_stream(
+    stream: Any,
+    handler: StreamHandler,
+    outbox: Outbox[Any],
+    pace: Pace,
+) -> None:
     """Send and receive on an open stream until it ends.
 
     Args:
         stream: The open stream.
         handler: Builds and handles the messages.
         outbox: Queue of outgoing messages.
+        pace: Intervals of the heartbeats.
 
     Raises:
         GRPCError, StreamTerminatedError, OSError: The connection was lost.
-        TimeoutError: The peer sent nothing for `SILENCE_TIMEOUT_S`.
+        TimeoutError: The peer sent nothing for the silence timeout.
         OutboxFullError: The peer reads messages too slowly.
     """
     try:
         async with asyncio.TaskGroup() as group:
-            group.create_task(_write(stream, handler, outbox))
+            group.create_task(_write(stream, handler, outbox, pace))
             group.create_task(outbox.wait_for_overflow())
-            await _read(stream, handler)
+            await _read(stream, handler, pace)
     except ExceptionGroup as errors:
         raise errors.exceptions[0] from None
 
 
-async def _write(stream: Any, handler: StreamHandler, outbox: Outbox[Any]) -> None:
+async def _write(
+    stream: Any, handler: StreamHandler, outbox: Outbox[Any], pace: Pace
+) -> None:
     while True:
-        messages = await outbox.take_pending(timeout_s=HEARTBEAT_S)
+        messages = await outbox.take_pending(timeout_s=pace.heartbeat_s())
         await stream.send_message(handler.batch(messages))
 
 
-async def _read(stream: Any, handler: StreamHandler) -> None:
+async def _read(stream: Any, handler: StreamHandler, pace: Pace) -> None:
     is_open = False
     while True:
-        async with asyncio.timeout(SILENCE_TIMEOUT_S):
+        async with asyncio.timeout(pace.silence_timeout_s()):
             batch = await stream.recv_message()
         if batch is None:
             raise ConnectionResetError("the peer ended the stream")
@@ -91,11 +96,20 @@
         method: Name of the stub's method that opens the stream.
         handler: Builds and handles the messages.
         peer: Name of the peer in logs.
+        pace: Intervals of the heartbeats.
     """
 
     def __init__(
-        self, address: str, stub: Any, method: str, handler: StreamHandler, *, peer: str
+        self,
+        address: str,
+        stub: Any,
+        method: str,
+        handler: StreamHandler,
+        *,
+        peer: str,
+        pace: Pace,
     ) -> None:
+        self.pace = pace
         self.address = address
         self.stub = stub
         self.method = method
@@ -132,7 +146,7 @@
                     opening.reschedule(None)
                     self.is_open = True
                     backoff.reset()
-                    await run_stream(stream, self.handler, self.outbox)
+                    await run_stream(stream, self.handler, self.outbox, self.pace)
         finally:
             channel.close()
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
@@ -13,6 +13,7 @@
 from skylarkdoord.direct._adapter import Row, StoreVersion
 from skylarkdoord.direct._fleet import CONFIG, UPSTREAMS, Fleet
 from skylarkdoord.direct._model import MS_PER_S
+from skylarkdoord.direct._pace import MAX_HEARTBEAT_S
 from skylarkdoord.direct._quota import Quota
 from skylarkdoord.direct._stream_versions import StreamVersions
 from skylarkdoord.direct._upstream_limits import UpstreamLimits
@@ -22,8 +23,10 @@
 # With more other entries than this, the interval grows in proportion to their number,
 # which bounds the updates that each entry receives.
 FULL_RATE_ENTRIES = 8
-# An entry that sent no update for this long gets no share of the upstreams.
+# An entry that sent no update for this long, or for this many intervals if that is
+# longer, gets no share of the upstreams.
 LIVE_TIMEOUT_S = 2.0
+LIVE_INTERVALS = 2.0
 # Update intervals without an update after which an entry may be partitioned.
 MISSED_UPDATES = 3.5
 # An entry that stopped sending updates is assumed to go on using its share of the
@@ -106,7 +109,7 @@
 
     def live_count(self) -> int:
         """Return how many entries share the upstreams, including this one."""
-        since = self.clock() - LIVE_TIMEOUT_S
+        since = self.clock() - self.live_timeout_s()
         return 1 + sum(
             member.last_update_at > since for member in self.by_name.values()
         )
@@ -128,7 +131,7 @@
 
         It decides which entries do the work that only a few of them need to do.
         """
-        since = self.clock() - LIVE_TIMEOUT_S
+        since = self.clock() - self.live_timeout_s()
         return sum(
             member.last_update_at > since and name < self.instance
             for name, member in self.by_name.items()
@@ -136,7 +139,7 @@
 
     def owns(self, fingerprint: int) -> bool:
         """Return whether this entry, of the live ones, is responsible for a request."""
-        since = self.clock() - LIVE_TIMEOUT_S
+        since = self.clock() - self.live_timeout_s()
         live = [
             name
             for name, member in self.by_name.items()
@@ -158,7 +161,9 @@
         others = []
         for name, member in self.by_name.items():
             retention_s = (
-                LIVE_TIMEOUT_S if member.has_closed_stream else SILENT_RETENTION_S
+                self.live_timeout_s()
+                if member.has_closed_stream
+                else SILENT_RETENTION_S
             )
             if now - member.last_update_at < retention_s:
                 others.append(name)
@@ -168,6 +173,11 @@
         listed = self.listed if now - self.started < SILENT_RETENTION_S else 0
         return 1.0 / max(len(sharing), min(most, 1 + listed))
 
+    def live_timeout_s(self) -> float:
+        """Return the time without an update until an entry gets no share."""
+        interval_s = min(MAX_HEARTBEAT_S, self.update_interval_s())
+        return max(LIVE_TIMEOUT_S, LIVE_INTERVALS * interval_s)
+
     def update_interval_s(self) -> float:
         """Return the interval between updates to the other entries, in seconds."""
         return UPDATE_INTERVAL_S * max(1.0, len(self.by_name) / FULL_RATE_ENTRIES)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -54,7 +54,7 @@
         live_entries=members.live_count,
         limits=limits,
     )
-    guards = Guards(settings, fleet, scheduler)
+    guards = Guards(settings, fleet, scheduler, entries=members.sharing_count)
     scheduler.choice.guard_link_of = guards.link_of
     dependencies = ForwarderDependencies(
         adapter=adapter,
