--- a/packages/skylarkdoord/src/skylarkdoord/direct/_pace.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_pace.py
@@ -7,10 +7,10 @@
 import time
 from collections.abc import Callable
 
-# Interval of heartbeats to guards with up to `FULL_RATE_ENTRIES` entries.
+# Interval of heartbeats to guards with up to `SHORTEST_INTERVAL_ENTRIES` entries.
 HEARTBEAT_S = 1.0
 # With more entries than this, the interval grows in proportion to their number.
-FULL_RATE_ENTRIES = 24
+SHORTEST_INTERVAL_ENTRIES = 24
 MAX_HEARTBEAT_S = 3.0
 # Interval between entries, in intervals of their updates, which serve as heartbeats.
 HEARTBEAT_UPDATES = 1.25
@@ -25,7 +25,7 @@
     Args:
         entries: Number of entries with streams to the guards.
     """
-    interval_s = HEARTBEAT_S * entries / FULL_RATE_ENTRIES
+    interval_s = HEARTBEAT_S * entries / SHORTEST_INTERVAL_ENTRIES
     return min(MAX_HEARTBEAT_S, max(HEARTBEAT_S, interval_s))
 
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_watch.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_watch.py
@@ -35,9 +35,9 @@
 NOTIFIED_PAUSE_PER_ENTRY_S = 0.04
 # Shorter wait after a failure, to detect the store's recovery early.
 WATCH_WAIT_AFTER_FAILURE_S = 1.0
-# Longest delay of a retry. It grows with the live entries as well, from which an entry
-# receives rows that it can't read itself.
-MIN_MAX_RETRY_DELAY_S = 0.5
+# Longest delay of a retry with few entries. It grows with the live entries as well, up
+# to `MAX_RETRY_DELAY_S`, as they send an entry the rows that it can't read itself.
+FEW_ENTRIES_RETRY_DELAY_S = 0.5
 MAX_RETRY_DELAY_S = 2.0
 RETRY_DELAY_PER_ENTRY_S = 0.04
 
@@ -195,9 +195,9 @@
     def max_retry_delay_s(self) -> float:
         """Return the longest delay before a failed call is repeated, in seconds."""
         if self.fleet.routing is None:
-            return MIN_MAX_RETRY_DELAY_S
+            return FEW_ENTRIES_RETRY_DELAY_S
         delay_s = RETRY_DELAY_PER_ENTRY_S * self.live_entries()
-        return min(MAX_RETRY_DELAY_S, max(MIN_MAX_RETRY_DELAY_S, delay_s))
+        return min(MAX_RETRY_DELAY_S, max(FEW_ENTRIES_RETRY_DELAY_S, delay_s))
 
     def wait_s(self, is_down: bool) -> float:
         """Return how long the store may hold a call without changes, in seconds.
--- a/packages/skylarkdoord/tests/direct/test_limit_records.py
+++ b/packages/skylarkdoord/tests/direct/test_limit_records.py
@@ -155,29 +155,27 @@
         sent = await entry.serve(4.0)
         assert len(sent) * 10 <= 800 * 0.02
 
-    # Guards against a limit used up while the store was away, unknown after a restart.
-    async def test_surge_unrecorded(self, clock, store, settled):
-        """A surge during an outage of the store counts after a power loss."""
+    async def surge_in_outage(self, clock, store, settled):
+        """Return the times of a surge while the store is down, and after a restart."""
         store.is_down = True
         sent = await settled.serve(1.0)
         clock.now += 1.1
         store.is_down = False
         restarted = Incarnation(clock, store)
         await restarted.records.restore()
-        sent += await restarted.serve(8.0)
+        return sent + await restarted.serve(8.0)
+
+    # Guards against a limit used up while the store was away, unknown after a restart.
+    async def test_surge_unrecorded(self, clock, store, settled):
+        """A surge during an outage of the store counts after a power loss."""
+        sent = await self.surge_in_outage(clock, store, settled)
         assert most_in_window(sent) <= ALLOWED
 
     # Guards against the same after a record that shows no use.
     async def test_surge_after_record(self, clock, store, settled):
         """A surge during an outage counts although a record precedes the outage."""
         await settled.serve(1.0, pause_steps=10_000)
-        store.is_down = True
-        sent = await settled.serve(1.0)
-        clock.now += 1.1
-        store.is_down = False
-        restarted = Incarnation(clock, store)
-        await restarted.records.restore()
-        sent += await restarted.serve(8.0)
+        sent = await self.surge_in_outage(clock, store, settled)
         assert most_in_window(sent) <= ALLOWED
 
     async def test_idle_before(self, clock, store, settled):
