Try an old record of limits again twice a window, not ten times a second

Cause: made a record due by the time of the last successful write, so that an entry called a store that was away every 0.1 s although no customer used anything. The time of the last try counts now. test_idle_outage: 80 calls in 8 s before, 3 at most after. Found by reading the change.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_limit_records.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_limit_records.py
@@ -95,7 +95,7 @@
         self.clock = clock
         self.started = clock()
         self.has_written = False
-        self.written_at = -math.inf
+        self.tried_at = -math.inf
         # The store's clock minus this machine's, in seconds.
         self.clock_offset_s = 0.0
         self.recorded: dict[str, float] = {}
@@ -180,7 +180,7 @@
 
     def is_due(self) -> bool:
         """Return whether the record is old or lacks a customer's recent use."""
-        if self.clock() - self.written_at >= self.max_record_age_s():
+        if self.clock() - self.tried_at >= self.max_record_age_s():
             return self.has_limited_customers()
         return any(
             self.quota.accounts[name].used_since_start - self.recorded.get(name, 0.0)
@@ -212,6 +212,7 @@
 
     async def write(self) -> None:
         """Write the units that customers used within the window."""
+        self.tried_at = self.clock()
         limits = self.limits()
         totals = self.quota.totals()
         used_since_start = {
@@ -224,7 +225,6 @@
             self.calls.on_failure(error)
             return
         self.has_written = True
-        self.written_at = self.clock()
         self.recorded = used_since_start
         self.on_store_answer(clock_s)
 
--- a/packages/skylarkdoord/tests/direct/test_limit_records.py
+++ b/packages/skylarkdoord/tests/direct/test_limit_records.py
@@ -29,6 +29,7 @@
         self.clock = clock
         self.rows = {}
         self.puts = 0
+        self.tries = 0
         self.is_down = False
 
     async def read(self, table):
@@ -41,6 +42,7 @@
 
     async def put(self, table, key, data):
         """Write a row."""
+        self.tries += 1
         if self.is_down:
             raise StoreError("down")
         self.puts += 1
@@ -253,6 +255,13 @@
         assert restarted.quota.totals() == {}
         assert store.rows == {}
 
+    # Guards against a call every 0.1 s for as long as the store is away.
+    async def test_idle_outage(self, store, settled):
+        """Without use, a store that is down is tried again twice a window."""
+        store.is_down = True
+        await settled.serve(8.0, pause_steps=10_000)
+        assert 1 <= store.tries <= 3
+
     async def test_store_down(self, store, settled):
         """A record that could not be written is written once the store is available."""
         store.is_down = True
