Join streams at the version that began them only, also after a full restart

Cause: an entry older than two timeouts of the route took the version of an unknown stream from the registry, although the stream may have begun before the entry started. The history counted from the constructor, and dropped streams were looked up in the registry as well. A repeated Resumes counted as its first value, and attempts without an id shared one record.

Change: the registry tells a version only if the entry's history is complete since the first start of the deployment and has one version; entries hand the history to those that join. Guards keep the latest 20,000 records.

--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -330,6 +330,12 @@
     logging.INFO,
     "A caller takes a stream up again; its version was looked up.",
 )
+VERSION_HISTORY_TAKEN = define(
+    728,
+    "version_history_taken",
+    logging.INFO,
+    "An entry took over which versions services have had.",
+)
 UPSTREAM_LEAVING = define(
     726,
     "upstream_leaving",
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
@@ -38,6 +38,8 @@
 BROADCASTING_ENTRIES = 2
 # Other entries that keep the version of a stream; two, so that one may fail as well.
 ENTRIES_KEEPING_A_STREAM = 2
+# Number of the change of the history that an entry was told, before any.
+NO_HISTORY_SENT = -1
 # Time over which entries write their rows again after the store lost them.
 REWRITE_SPREAD_S = 1.0
 
@@ -48,7 +50,7 @@
     Args:
         exchange: The exchange that the stream belongs to.
         outbox: Returns the queue of outgoing messages.
-        is_outbound: Whether this entry opened the stream.
+        peer: Name of the other entry if this one opened the stream.
     """
 
     def __init__(
@@ -56,15 +58,17 @@
         exchange: "EntryExchange",
         outbox: Callable[[], Outbox[pb.EntryNews]],
         *,
-        is_outbound: bool,
+        peer: str = "",
     ) -> None:
         self.exchange = exchange
         self.outbox = outbox
-        self.is_outbound = is_outbound
+        self.peer = peer
+        self.is_outbound = bool(peer)
         self.instance = ""
         self.has_sent_totals = False
         self.suspicions_sent = 0
         self.limits_sent = 0
+        self.history_sent = NO_HISTORY_SENT
 
     def opening_messages(self) -> list[pb.EntryNews]:
         return []
@@ -82,6 +86,9 @@
         limits = self.exchange.members.limits.report(self.limits_sent)
         update.limits.extend(limits.limits)
         self.limits_sent = limits.change
+        history = self.exchange.members.streams.history
+        update.MergeFrom(history.report(self.history_sent))
+        self.history_sent = history.change
         for message in messages:
             update.rows.extend(message.rows)
             update.streams.extend(message.streams)
@@ -100,15 +107,21 @@
         streams = self.exchange.members.streams.answer(batch.streams_wanted)
         if streams:
             self.outbox().put(pb.EntryNews(streams=streams))
+        self.exchange.opening.discard(self.peer)
 
     def on_open(self) -> None:
         self.exchange.outboxes.add(self.outbox())
+        wanted = self.exchange.members.streams.wanted()
+        if wanted:
+            self.outbox().put(pb.EntryNews(streams_wanted=wanted))
 
     def on_lost(self, *, is_silent: bool) -> None:
         self.exchange.outboxes.discard(self.outbox())
         self.has_sent_totals = False
         self.suspicions_sent = 0
         self.limits_sent = 0
+        self.history_sent = NO_HISTORY_SENT
+        self.exchange.opening.discard(self.peer)
         if self.instance:
             self.exchange.members.on_stream_end(self.instance, is_silent=is_silent)
             self.exchange.on_stream_lost(self)
@@ -127,6 +140,8 @@
         members: Receives the updates of the other entries.
 
     Attributes:
+        has_joined: Whether the rows of the other entries have been read.
+        opening: Entries to which a first stream is being opened.
         links: Tasks of the outbound streams, by name of the other entry.
         inbound: Addresses of the entries that opened a stream, by name.
         outboxes: Queues of outgoing messages of the open streams.
@@ -144,6 +159,8 @@
         self.settings = settings
         self.store = store
         self.members = members
+        self.has_joined = False
+        self.opening: set[str] = set()
         self.links: dict[str, asyncio.Task[None]] = {}
         self.inbound: dict[str, str] = {}
         self.outboxes: set[Outbox[pb.EntryNews]] = set()
@@ -155,7 +172,9 @@
         members.quota.on_unreported = self.unreported.set
         members.limits.on_change = self.unreported.set
         members.streams.share = self.share_stream
-        members.streams.ask = self.ask_for_stream
+        members.streams.ask.append(self.ask_for_stream)
+        members.streams.is_opening.append(self.is_opening)
+        members.streams.history.on_change = self.unreported.set
         self.log = events.get_logger("direct.exchange")
 
     async def start(self, kernel: Kernel) -> None:
@@ -208,6 +227,7 @@
         for row in rows.rows:
             if row.data is not None:
                 self.connect(row.key, row.data.decode("ascii", "replace"))
+        self.has_joined = True
 
     def on_new_era(self) -> None:
         """Write this entry's row again, as the store may have lost it."""
@@ -219,7 +239,8 @@
             return
         if instance in self.links or instance in self.inbound:
             return
-        stream = _EntryStream(self, lambda: link.outbox, is_outbound=True)
+        stream = _EntryStream(self, lambda: link.outbox, peer=instance)
+        self.opening.add(instance)
         link = Link(
             address, EntriesStub, "Exchange", stream, peer=instance, pace=self.pace
         )
@@ -243,6 +264,7 @@
         self.inbound[instance] = address
         if instance < self.settings.instance and instance in self.links:
             self.links.pop(instance).cancel()
+            self.opening.discard(instance)
 
     def on_stream_lost(self, stream: _EntryStream) -> None:
         """Replace an inbound stream that ended by an outbound one."""
@@ -294,6 +316,14 @@
         for outbox in self.outboxes:
             outbox.put(pb.EntryNews(streams_wanted=[stream]))
 
+    def is_opening(self, service: str) -> bool:
+        """Return whether streams to other entries are being opened.
+
+        Args:
+            service: Not used, as entries know the streams of all services.
+        """
+        return not self.has_joined or bool(self.opening)
+
     def update_gauges(self) -> None:
         """Set the gauges of live entries and of the units used by customers."""
         ENTRIES.set(self.members.live_count())
@@ -343,7 +373,7 @@
     ) -> None:
         """Serve a stream that another entry opened until it ends."""
         outbox: Outbox[pb.EntryNews] = Outbox()
-        handler = _EntryStream(self, lambda: outbox, is_outbound=False)
+        handler = _EntryStream(self, lambda: outbox)
         is_silent = False
         try:
             await run_stream(stream, handler, outbox, self.pace)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_fleet.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_fleet.py
@@ -70,6 +70,7 @@
         config_row: Row of the configuration in force; None if none was received.
         routing: Routing table of that configuration; None if none was received.
         cached_rows: Newest row of each upstream, by key; removed ones are kept.
+        is_read: Whether the whole table of upstreams has been read.
         latest_at: Upstream that started last at each address, also if it was removed.
         upstreams_at: Latest point in the store's history up to which rows were applied.
         missing: Upstreams in their grace period, by key.
@@ -82,6 +83,7 @@
         self.config_row: Row | None = None
         self.routing: RoutingTable | None = None
         self.cached_rows: dict[str, CachedRow] = {}
+        self.is_read = False
         self.latest_at: dict[str, UpstreamRecord] = {}
         self.upstreams_at = StoreVersion()
         self.missing: dict[str, MissingUpstream] = {}
@@ -268,6 +270,7 @@
                 self.mark_missing(key, rows.read_at, grace_until)
             else:
                 self.remove(key, rows.read_at)
+        self.is_read = True
         self.notify()
 
     def mark_missing(self, key: str, absent_at: StoreVersion, until: float) -> None:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
@@ -342,7 +342,9 @@
         if self.version is None:
             self.version = upstream.version
         if self.admitted.route.is_resumable and not self.stream.has_begun:
-            self.dependencies.streams.on_begun(self.admitted, upstream.version)
+            self.dependencies.streams.on_begun(
+                self.admitted, upstream.version, upstream.instance
+            )
 
     def on_not_run(self, slot: Slot, error: UpstreamNotRunError) -> None:
         """Record why an upstream did not run the request, and check for a retry.
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
@@ -18,12 +18,14 @@
 from skylarkdoord.direct._metrics import (
     GUARD_OCCUPIED_SLOTS,
     GUARD_SLOTS,
+    GUARD_STREAMS,
     GUARD_WAITING,
 )
 from skylarkdoord.direct._model import Precedence
 from skylarkdoord.direct._occupancy import SETTLE_S, Occupancy, Sample
 from skylarkdoord.direct._pace import Pace, guard_heartbeat_s
 from skylarkdoord.direct._settings import DirectSettings
+from skylarkdoord.direct._stream_records import StreamRecords
 
 REPORT_INTERVAL_S = 0.1
 # Largest number of entries that receive a report within that interval. With more
@@ -37,6 +39,9 @@
 # Time for which requests of a disconnected entry keep their slots, as they may still
 # run.
 ORPHAN_TIMEOUT_S = 2.0
+# Streams of which a guard keeps the version. They have no age limit, as nothing bounds
+# the time after which a caller comes back.
+MAX_STREAMS = 20_000
 
 
 class _EntryStream:
@@ -81,6 +86,7 @@
         self.settings = settings
         self.queue = SlotQueue(self.send_grant)
         self.occupancy = Occupancy()
+        self.streams = StreamRecords(MAX_STREAMS)
         self.outboxes: dict[str, Outbox[pb.SidecarMessage]] = {}
         self.stream_numbers = itertools.count()
         self.pace = Pace(lambda: guard_heartbeat_s(len(self.outboxes)))
@@ -142,6 +148,17 @@
                 self.queue.withdraw(stream.key, message.withdraw.request_id)
             case "listed":
                 self.queue.resize(message.listed.slots)
+            case "begun":
+                self.streams.merge([message.begun])
+            case "streams_wanted":
+                self.answer(message.streams_wanted, stream)
+
+    def answer(self, wanted: pb.StreamsWanted, stream: _EntryStream) -> None:
+        """Tell an entry the versions of streams for which it asks."""
+        known = self.streams.answer(wanted.streams)
+        if known:
+            streams = pb.BegunStreams(streams=known)
+            stream.outbox.put(pb.SidecarMessage(streams=streams))
 
     def send_grant(self, stream: str, request: str) -> None:
         """Send an entry the grant of a slot to its request."""
@@ -205,6 +222,7 @@
             GUARD_SLOTS.set(counts.slots)
             GUARD_OCCUPIED_SLOTS.set(counts.running)
             GUARD_WAITING.set(counts.waiting)
+            GUARD_STREAMS.set(len(self.streams.begun))
             is_minor = (
                 counts.is_full == reported.is_full and interval % MINOR_CHANGE_INTERVALS
             )
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guards.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guards.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 from skylarkdoor import events
@@ -42,6 +42,8 @@
         pace: Intervals of the heartbeats.
 
     Attributes:
+        on_streams: Called with the streams that the guard knows.
+        on_connected: Called when the guard is connected.
         is_opening: Whether the first connection attempt is still under way, so that it
             is unknown whether the upstream has a guard.
         is_connected: Whether the guard is connected.
@@ -60,6 +62,10 @@
         self.settings = settings
         self.record = record
         self.listener = listener
+        self.on_streams: Callable[[Iterable[pb.BegunStream]], None] = lambda streams: (
+            None
+        )
+        self.on_connected: Callable[[GuardLink], None] = lambda link: None
         self.is_opening = True
         self.is_connected = False
         self.load = pb.LoadReport()
@@ -133,6 +139,8 @@
                     self.load = message.load
                     self.load_at = time.monotonic()
                     self.offers_since_report = 0
+                case "streams":
+                    self.on_streams(message.streams.streams)
                 case "leaving":
                     self.disconnect()
 
@@ -142,6 +150,7 @@
         self.is_connected = True
         self.log.event(_events.PEER_CONNECTED, peer=self.record.instance)
         self.listener.on_guard_connected(self)
+        self.on_connected(self)
 
     def on_lost(self, *, is_silent: bool) -> None:
         """Handle the loss of the stream."""
@@ -165,6 +174,12 @@
         fleet: Lists the upstreams.
         listener: Receives the grants of all guards.
         entries: Returns how many entries have streams to the guards.
+
+    Attributes:
+        links: The streams, by incarnation of the upstream.
+        by_service: The same by service and name of the upstream.
+        on_streams: Called with the streams that a guard knows.
+        on_connected: Called when a guard is connected.
     """
 
     name = "guards"
@@ -183,6 +198,11 @@
         self.fleet = fleet
         self.listener = listener
         self.links: dict[Incarnation, GuardLink] = {}
+        self.by_service: dict[str, dict[str, GuardLink]] = {}
+        self.on_streams: Callable[[Iterable[pb.BegunStream]], None] = lambda streams: (
+            None
+        )
+        self.on_connected: Callable[[GuardLink], None] = lambda link: None
         self.spawn: Callable[..., asyncio.Task[None]] | None = None
 
     async def start(self, kernel: Kernel) -> None:
@@ -231,11 +251,17 @@
                 self.links[key].update(record)
             else:
                 self.links[key] = self.open(record)
+        self.by_service = {}
+        for link in self.links.values():
+            of_service = self.by_service.setdefault(link.record.service, {})
+            of_service[link.record.instance] = link
 
     def open(self, record: UpstreamRecord) -> GuardLink:
         """Open the stream to an upstream's guard."""
         assert self.spawn is not None
         link = GuardLink(self.settings, record, self.listener, self.pace)
+        link.on_streams = self.on_streams
+        link.on_connected = self.on_connected
         link.task = self.spawn(link.link.run(), name=f"guards.{record.instance}")
         return link
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
@@ -195,6 +195,19 @@
         silent = sum(now - member.last_update_at > timeout_s for member in present)
         return silent, 1 + len(present)
 
+    def learns_versions(self, *, is_registry_down: bool) -> bool:
+        """Return whether this entry learns of new versions of upstreams at present.
+
+        Either the registry or another entry has to tell them, and no entry may use a
+        version without being heard.
+
+        Args:
+            is_registry_down: Whether this entry can't read the registry.
+        """
+        if self.silent_entries()[0]:
+            return False
+        return not is_registry_down or not self.by_name or self.live_count() > 1
+
     def age_ms(self) -> int:
         """Return the time since this entry's start, in milliseconds."""
         return int((self.clock() - self.started) * MS_PER_S)
@@ -213,6 +226,9 @@
                 member.used[customer] = units
         self.crashes.merge(update.suspects)
         self.limits.merge(update.limits, update.instance)
+        self.streams.history.merge(
+            update.history, update.instance, is_complete=update.history_complete
+        )
         self.streams.merge(update.streams)
         member.config_at = StoreVersion(update.config_era, update.config_version)
         member.upstreams_at = StoreVersion(
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_metrics.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_metrics.py
@@ -77,12 +77,24 @@
     "Calls of the store, by table and result.",
     ["table", "result"],
 )
+HISTORY_COMPLETE = Gauge(
+    "skylarkdoor_direct_version_history_complete",
+    "Whether the versions of all services since the first start are known.",
+)
+STREAMS_RESUMED = Counter(
+    "skylarkdoor_direct_streams_resumed_total",
+    "Streams that callers took up again, by what told the version.",
+    ["source"],
+)
 ENTRIES = Gauge("skylarkdoor_direct_entries", "Live entries, including this one.")
 GUARD_SLOTS = Gauge("skylarkdoor_guard_places", "Slots of the guarded upstream.")
 GUARD_OCCUPIED_SLOTS = Gauge(
     "skylarkdoor_guard_held_places", "Slots occupied by requests."
 )
 GUARD_WAITING = Gauge("skylarkdoor_guard_waiting", "Requests that wait at the guard.")
+GUARD_STREAMS = Gauge(
+    "skylarkdoor_guard_streams", "Streams of which the guard keeps the version."
+)
 
 
 class MetricsServer:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_model.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_model.py
@@ -210,7 +210,7 @@
         last_event_id: Id of the event after which a stream resumes; empty for a new
             stream.
         resumes: Id of the attempt that brought the first event of that stream; empty
-            if not stated.
+            if not stated, or stated several times.
         is_connection_reused: Whether the connection carried a request before this one.
     """
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_stream_versions.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_stream_versions.py
@@ -1,7 +1,9 @@
-"""Versions of the software that began resumable streams.
+"""Finds the version of the software that began a resumable stream.
 
 What two versions write doesn't fit together, so a caller that takes a stream up again
 has to be sent to the version that began it, by whichever entry it reaches.
+
+Load that it answers: callers that come back after entries were killed, one or all.
 """
 
 import asyncio
@@ -13,94 +15,40 @@
 from skylarkdoor.wire import pb
 from skylarkdoord import _events
 from skylarkdoord.direct._fleet import Fleet
+from skylarkdoord.direct._metrics import STREAMS_RESUMED
 from skylarkdoord.direct._model import Admitted
+from skylarkdoord.direct._stream_records import (
+    StreamKey,
+    StreamRecords,
+    key_of,
+    to_wire,
+)
+from skylarkdoord.direct._version_history import VersionHistory
 from skylarkdoord.direct.exceptions import VersionUnknownError
 
-# Time within which a caller may take a stream up again, and the most streams kept.
+# Bounds on the streams that an entry keeps; later, others are asked.
 RETENTION_S = 60.0
 MAX_STREAMS = 50_000
-# Time within which the registry tells the version of a stream that no entry knows, in
-# timeouts of its route: it may have been taken up again before.
-HORIZON_TIMEOUTS = 2.0
-# Longest wait for another entry that knows a stream.
+# Longest wait for an entry or a guard that knows a stream, from when all are asked.
 ASK_TIMEOUT_S = 0.3
+# Time after the first answer in which another one may contradict it: a round trip
+# between data centres.
+CONTRADICTION_TIMEOUT_S = 0.1
+# Longest wait for streams to entries and guards that are being opened.
+OPENING_TIMEOUT_S = 1.0
+OPENING_POLL_S = 0.02
 
 
-class StreamKey(NamedTuple):
-    """Identifies a stream.
-
-    Attributes:
-        customer: Name of the customer; empty if there is none.
-        service: Name of the service that runs it.
-        request_id: Id of the attempt that brought its first event.
-    """
-
-    customer: str
-    service: str
-    request_id: str
-
-
-class BegunStream(NamedTuple):
-    """The version that began a stream.
+class FoundVersion(NamedTuple):
+    """Result of a look-up.
 
     Attributes:
-        version: The version; None if several attempts with this id began at several.
-        begun_at: Monotonic time at which this entry learned of it, in seconds.
+        version: The version; None if it is unknown.
+        source: What told it, for logs.
     """
 
     version: str | None
-    begun_at: float
-
-
-class VersionHistory:
-    """Which versions of each service the registry listed, and until when.
-
-    Args:
-        fleet: Lists the upstreams.
-        clock: Returns the monotonic time, in seconds.
-
-    Attributes:
-        started_at: Monotonic time since which the history is complete, in seconds.
-        listed: Services with each of their versions that is listed, draining or not.
-        left_at: Monotonic time at which a service's version was listed last, in
-            seconds.
-    """
-
-    def __init__(self, fleet: Fleet, clock: Callable[[], float]) -> None:
-        self.fleet = fleet
-        self.clock = clock
-        self.started_at = clock()
-        self.listed: set[tuple[str, str]] = set()
-        self.left_at: dict[tuple[str, str], float] = {}
-        fleet.on_upstreams.append(self.update)
-
-    def update(self) -> None:
-        """Take over the versions that are listed now."""
-        now = self.clock()
-        records = (cached.record for cached in self.fleet.cached_rows.values())
-        listed = {
-            (record.service, record.version) for record in records if record is not None
-        }
-        for left in self.listed - listed:
-            self.left_at[left] = now
-        self.listed = listed
-        self.left_at = {
-            left: at for left, at in self.left_at.items() if now - at < RETENTION_S
-        }
-
-    def only_version(self, service: str, horizon_s: float) -> str | None:
-        """Return the only version of a service within the last `horizon_s` seconds.
-
-        Returns None if there were several, or if it can't be told.
-        """
-        since = self.clock() - horizon_s
-        if self.started_at > since:
-            return None
-        recent = {left for left, at in self.left_at.items() if at >= since}
-        versions = {
-            version for name, version in self.listed | recent if name == service
-        }
-        return versions.pop() if len(versions) == 1 else None
+    source: str
 
 
 class StreamVersions:
@@ -108,132 +56,170 @@
 
     Args:
         fleet: Lists the upstreams.
+        is_first_start: Whether the whole deployment starts for the first time.
         clock: Returns the monotonic time, in seconds.
 
     Attributes:
-        history: Versions that the registry listed.
-        begun: Streams that began, oldest first.
-        asked: Futures of the versions for which other entries were asked.
+        history: Versions that services have had.
+        records: Streams that began.
+        asked: Look-ups under way, by stream; set at the first answer.
         share: Sends a stream that began to the entries that keep it as well.
-        ask: Asks the other entries for a stream.
+        share_with_guards: Sends it to the guards that keep it, with the name of the
+            upstream at which it began.
+        ask: Functions that ask others for a stream.
+        is_opening: Functions that return whether streams to others that may know the
+            streams of a service are being opened.
     """
 
     def __init__(
-        self, fleet: Fleet, *, clock: Callable[[], float] = time.monotonic
+        self,
+        fleet: Fleet,
+        *,
+        is_first_start: bool = False,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        self.clock = clock
-        self.history = VersionHistory(fleet, clock)
-        self.begun: dict[StreamKey, BegunStream] = {}
-        self.asked: dict[StreamKey, asyncio.Future[str | None]] = {}
+        self.fleet = fleet
+        self.history = VersionHistory(fleet, is_first_start=is_first_start)
+        self.records = StreamRecords(MAX_STREAMS, retention_s=RETENTION_S, clock=clock)
+        self.asked: dict[StreamKey, asyncio.Event] = {}
         self.share: Callable[[pb.BegunStream], None] = lambda stream: None
-        self.ask: Callable[[pb.BegunStream], None] = lambda stream: None
+        self.share_with_guards: Callable[[pb.BegunStream, str], None] = (
+            lambda stream, upstream: None
+        )
+        self.ask: list[Callable[[pb.BegunStream], None]] = []
+        self.is_opening: list[Callable[[str], bool]] = [
+            lambda service: not fleet.is_read
+        ]
         self.log = events.get_logger("direct.stream_versions")
 
-    def on_begun(self, admitted: Admitted, version: str) -> None:
-        """Record that a stream began at a version, or went on at it."""
+    def on_begun(self, admitted: Admitted, version: str, upstream: str = "") -> None:
+        """Record that a stream began at a version, or went on at it.
+
+        Args:
+            admitted: The request.
+            version: The version.
+            upstream: Name of the upstream instance.
+        """
         key = key_of(admitted, admitted.request.request_id)
-        self.remember(key, version)
-        self.share(to_wire(key, self.begun[key].version))
-
-    def remember(self, key: StreamKey, version: str | None) -> None:
-        """Record the version of a stream; one that began at two has none."""
-        now = self.clock()
-        former = self.begun.pop(key, None)
-        if former is not None and former.version != version:
-            version = None
-        self.begun[key] = BegunStream(version, now)
-        while self.is_oldest_dropped(now):
-            del self.begun[next(iter(self.begun))]
-
-    def is_oldest_dropped(self, now: float) -> bool:
-        """Return whether the oldest stream is too old, or one too many."""
-        oldest = next(iter(self.begun.values()))
-        return len(self.begun) > MAX_STREAMS or now - oldest.begun_at > RETENTION_S
+        if not key.request_id:
+            return
+        self.records.remember(key, version)
+        stream = to_wire(key, self.records.begun[key].version)
+        self.share(stream)
+        self.share_with_guards(stream, upstream)
 
     async def find(self, admitted: Admitted) -> str:
         """Return the version of the stream that a request takes up again.
 
         Raises:
-            VersionUnknownError: Neither this entry nor another one knows it.
+            VersionUnknownError: The version is unknown.
         """
         request = admitted.request
-        key = key_of(admitted, request.resumes)
-        version, source = await self.look_up(admitted, key)
+        found = await self.look_up(admitted, key_of(admitted, request.resumes))
+        source = found.source if found.version is not None else "none"
+        STREAMS_RESUMED.labels(source).inc()
         self.log.event(
             _events.STREAM_VERSION_FOUND,
             request_id=request.request_id,
             resumes=request.resumes,
-            version=version,
-            source=source,
+            version=found.version,
+            source=found.source,
         )
-        if version is None:
+        if found.version is None:
             raise VersionUnknownError(
                 "version_unknown", "the version that began the stream is unknown"
             )
-        return version
-
-    async def look_up(
-        self, admitted: Admitted, key: StreamKey
-    ) -> tuple[str | None, str]:
-        """Return the version of a stream, None if it is unknown, and its source."""
-        if key in self.begun:
-            return self.begun[key].version, "own"
-        horizon_s = HORIZON_TIMEOUTS * admitted.route.timeout_s
-        only = self.history.only_version(admitted.service, horizon_s)
+        return found.version
+
+    async def look_up(self, admitted: Admitted, key: StreamKey) -> FoundVersion:
+        """Return the version of a stream, and what told it."""
+        known = self.records.begun.get(key)
+        if known is not None:
+            return FoundVersion(known.version, "own")
+        opening_s = min(OPENING_TIMEOUT_S, max(0.0, admitted.remaining_s()))
+        if key.request_id:
+            # Without other versions, nobody has to be asked.
+            if not self.is_any_opening(key.service):
+                only = self.history.only_version(key.service)
+                if only is not None:
+                    return FoundVersion(only, "registry")
+            version = await self.ask_others(key, opening_s)
+            if key in self.records.begun:
+                return FoundVersion(version, "others")
+        else:
+            await self.wait_until_open(key.service, opening_s)
+        only = self.history.only_version(key.service)
         if only is not None:
-            return only, "registry"
-        if not key.request_id:
-            return None, "unnamed"
-        return await self.ask_others(key), "entries"
-
-    async def ask_others(self, key: StreamKey) -> str | None:
-        """Return the version that another entry knows; None if none does."""
-        future = self.asked.get(key)
-        if future is None:
-            future = asyncio.get_running_loop().create_future()
-            self.asked[key] = future
-            self.ask(to_wire(key, None))
+            return FoundVersion(only, "registry")
+        return FoundVersion(None, "others" if key.request_id else "unnamed")
+
+    def is_any_opening(self, service: str) -> bool:
+        """Return whether others may know more once streams to them are open."""
+        return any(is_opening(service) for is_opening in self.is_opening)
+
+    async def wait_until_open(self, service: str, timeout_s: float) -> None:
+        """Wait until all streams to others are open, or can't be opened."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + timeout_s
+        while self.is_any_opening(service) and loop.time() < until:
+            await asyncio.sleep(OPENING_POLL_S)
+
+    async def ask_others(self, key: StreamKey, opening_s: float) -> str | None:
+        """Return the version that others know; None if none does or two differ.
+
+        Args:
+            key: The stream.
+            opening_s: Longest wait for streams to others that are being opened.
+        """
+        answered = self.asked.get(key)
+        if answered is None:
+            answered = self.asked[key] = asyncio.Event()
+            self.ask_all(key)
         try:
-            async with asyncio.timeout(ASK_TIMEOUT_S):
-                return await asyncio.shield(future)
-        except TimeoutError:
-            return None
+            await self.wait_for_answers(key.service, answered, opening_s)
         finally:
-            if self.asked.get(key) is future:
+            if self.asked.get(key) is answered:
                 del self.asked[key]
+        known = self.records.begun.get(key)
+        return known.version if known else None
 
-    def merge(self, streams: Iterable[pb.BegunStream]) -> None:
-        """Take over streams that another entry knows."""
-        for stream in streams:
-            key = StreamKey(stream.customer, stream.service, stream.request_id)
-            self.remember(key, None if stream.ambiguous else stream.version)
-            future = self.asked.pop(key, None)
-            if future is not None and not future.done():
-                future.set_result(self.begun[key].version)
-
-    def answer(self, wanted: Iterable[pb.BegunStream]) -> list[pb.BegunStream]:
-        """Return those of the streams for which another entry asks that are known."""
-        keys = (
-            StreamKey(stream.customer, stream.service, stream.request_id)
-            for stream in wanted
-        )
-        return [
-            to_wire(key, self.begun[key].version) for key in keys if key in self.begun
-        ]
+    async def wait_for_answers(
+        self, service: str, answered: asyncio.Event, opening_s: float
+    ) -> None:
+        """Wait for the first answer, and then for others that contradict it."""
+        try:
+            async with asyncio.timeout(opening_s + ASK_TIMEOUT_S) as timeout:
+                opening = asyncio.create_task(self.wait_until_open(service, opening_s))
+                first = asyncio.create_task(answered.wait())
+                try:
+                    await asyncio.wait(
+                        {opening, first}, return_when=asyncio.FIRST_COMPLETED
+                    )
+                    now = asyncio.get_running_loop().time()
+                    timeout.reschedule(now + ASK_TIMEOUT_S)
+                    await first
+                    await asyncio.sleep(min(CONTRADICTION_TIMEOUT_S, ASK_TIMEOUT_S))
+                finally:
+                    opening.cancel()
+                    first.cancel()
+        except TimeoutError:
+            pass
 
+    def ask_all(self, key: StreamKey) -> None:
+        """Ask all others that are connected."""
+        for ask in self.ask:
+            ask(to_wire(key, None))
 
-def key_of(admitted: Admitted, request_id: str) -> StreamKey:
-    """Return the key of a stream that an attempt of the same customer began."""
-    customer = admitted.customer.name if admitted.customer else ""
-    return StreamKey(customer, admitted.service, request_id)
+    def wanted(self) -> list[pb.BegunStream]:
+        """Return the streams that are looked up, for others that connect meanwhile."""
+        return [to_wire(key, None) for key in self.asked]
 
+    def merge(self, streams: Iterable[pb.BegunStream]) -> None:
+        """Take over streams that others know."""
+        for key in self.records.merge(streams):
+            if key in self.asked:
+                self.asked[key].set()
 
-def to_wire(key: StreamKey, version: str | None) -> pb.BegunStream:
-    """Return a stream as a message between entries."""
-    return pb.BegunStream(
-        customer=key.customer,
-        service=key.service,
-        request_id=key.request_id,
-        version=version or "",
-        ambiguous=version is None,
-    )
+    def answer(self, wanted: Iterable[pb.BegunStream]) -> list[pb.BegunStream]:
+        """Return those of the streams for which another entry asks that are known."""
+        return self.records.answer(wanted)
--- /dev/null
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_version_history.py
@@ -0,0 +1,119 @@
+"""The versions that each service has had since the deployment's first start.
+
+Load that it answers: all entries restart while a service changes its version, or just
+after. What the registry lists then tells nothing about the streams that began before.
+"""
+
+from collections.abc import Callable, Iterable
+
+from skylarkdoor import events
+from skylarkdoor.wire import pb
+from skylarkdoord import _events
+from skylarkdoord.direct._fleet import Fleet
+from skylarkdoord.direct._metrics import HISTORY_COMPLETE
+
+
+class VersionHistory:
+    """Which versions of each service the registry has listed, at any entry.
+
+    The history is complete if this is the first start of the deployment, or if it was
+    taken over from an entry whose history is complete, and if this entry has read the
+    whole registry since its start. It ends once all entries have stopped.
+
+    Args:
+        fleet: Lists the upstreams.
+        is_first_start: Whether the whole deployment starts for the first time.
+
+    Attributes:
+        covers_past: Whether what happened before this entry's start is known.
+        versions: The only version of each service; None for a service with several.
+        change: Number of changes of the history.
+        is_current: Returns whether this entry learns of new versions at present.
+        on_change: Called after a change.
+    """
+
+    def __init__(self, fleet: Fleet, *, is_first_start: bool = False) -> None:
+        self.fleet = fleet
+        self.covers_past = is_first_start
+        self.versions: dict[str, str | None] = {}
+        self.change = 0
+        self.was_complete = False
+        self.is_current: Callable[[], bool] = lambda: True
+        self.on_change: Callable[[], None] = lambda: None
+        self.log = events.get_logger("direct.version_history")
+        fleet.on_upstreams.append(self.update)
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether no version since the deployment's first start is missing."""
+        return self.covers_past and self.fleet.is_read
+
+    def update(self) -> None:
+        """Add the versions that are listed now."""
+        before = dict(self.versions)
+        for cached in self.fleet.cached_rows.values():
+            if cached.record is not None:
+                self.add(cached.record.service, cached.record.version)
+        self.notify(before)
+
+    def add(self, service: str, version: str | None) -> None:
+        """Add a version of a service; None if it had several."""
+        if self.versions.setdefault(service, version) != version:
+            self.versions[service] = None
+
+    def notify(self, before: dict[str, str | None]) -> None:
+        """Count a change of the versions, or that the history has become complete."""
+        if self.versions == before and self.is_complete == self.was_complete:
+            return
+        self.was_complete = self.is_complete
+        HISTORY_COMPLETE.set(self.is_complete)
+        self.change += 1
+        self.on_change()
+
+    def only_version(self, service: str) -> str | None:
+        """Return the only version that a service has had since the first start.
+
+        Returns None if there were several, or if it can't be told.
+        """
+        if not self.is_complete or not self.is_current():
+            return None
+        return self.versions.get(service)
+
+    def report(self, since: int) -> pb.EntryNews:
+        """Return the history for another entry, empty if it has not changed.
+
+        Args:
+            since: Number of the change that the entry was told last; -1 for none.
+        """
+        if since == self.change:
+            return pb.EntryNews()
+        history = [
+            pb.ServiceVersions(service=service, several=True)
+            if version is None
+            else pb.ServiceVersions(service=service, versions=[version])
+            for service, version in self.versions.items()
+        ]
+        return pb.EntryNews(history=history, history_complete=self.is_complete)
+
+    def merge(
+        self, history: Iterable[pb.ServiceVersions], source: str, *, is_complete: bool
+    ) -> None:
+        """Add the history of another entry.
+
+        Args:
+            history: Versions of each service.
+            source: Name of the other entry, for logs.
+            is_complete: Whether its history is complete.
+        """
+        before = dict(self.versions)
+        for service in history:
+            for version in service.versions:
+                self.add(service.service, version)
+            if service.several:
+                self.add(service.service, None)
+        if is_complete and not self.covers_past:
+            self.covers_past = True
+            self.log.event(
+                _events.VERSION_HISTORY_TAKEN, peer=source, services=len(self.versions)
+            )
+        self.notify(before)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -7,6 +7,7 @@
 from skylarkdoord.direct._exchange import EntryExchange
 from skylarkdoord.direct._fleet import Fleet
 from skylarkdoord.direct._forward import ForwarderDependencies
+from skylarkdoord.direct._guarded_streams import GuardedStreams
 from skylarkdoord.direct._guards import Guards
 from skylarkdoord.direct._limit_records import LimitRecords
 from skylarkdoord.direct._members import Members
@@ -41,7 +42,7 @@
     fleet.on_upstreams.append(crashes.on_registry_change)
     limits = UpstreamLimits(settings.instance, find=fleet.find)
     fleet.on_upstreams.append(limits.drop_removed)
-    streams = StreamVersions(fleet)
+    streams = StreamVersions(fleet, is_first_start=settings.first_start)
     members = Members(settings.instance, fleet, quota, crashes, limits, streams)
     limits.share_of = members.limit_share
     crashes.requests.is_trial_owner = members.owns
@@ -56,6 +57,7 @@
     )
     guards = Guards(settings, fleet, scheduler, entries=members.sharing_count)
     scheduler.choice.guard_link_of = guards.link_of
+    GuardedStreams(guards, streams)
     dependencies = ForwarderDependencies(
         adapter=adapter,
         client=UpstreamClient(
@@ -82,6 +84,9 @@
     )
     exchange = EntryExchange(settings, store, members)
     crashes.is_registry_down = watcher.is_registry_down
+    streams.history.is_current = lambda: members.learns_versions(
+        is_registry_down=watcher.is_registry_down()
+    )
     watcher.on_changes = exchange.broadcast
     kernel.register(watcher)
     kernel.register(exchange)
--- a/packages/skylarkdoord/tests/direct/test_streams.py
+++ b/packages/skylarkdoord/tests/direct/test_streams.py
@@ -13,14 +13,16 @@
 from skylarkdoord.direct._exchange import EntryExchange
 from skylarkdoord.direct._fleet import Fleet
 from skylarkdoord.direct._guard import Guard
+from skylarkdoord.direct._guarded_streams import GuardedStreams
 from skylarkdoord.direct._guards import Guards
 from skylarkdoord.direct._members import Members
 from skylarkdoord.direct._quota import Quota
 from skylarkdoord.direct._scheduler import Scheduler
 from skylarkdoord.direct._settings import QuotaBounds
+from skylarkdoord.direct._stream_versions import StreamVersions
 from skylarkdoord.direct._upstreams import Upstreams
 from skylarkdoord.direct.evidence import Crashes
-from skylarkdoord.direct.exceptions import StoreError
+from skylarkdoord.direct.exceptions import StoreError, VersionUnknownError
 
 from ._make import (
     LOOPBACK,
@@ -28,6 +30,7 @@
     make_admitted,
     make_customer,
     make_record,
+    make_request,
     make_route,
     make_settings,
 )
@@ -248,6 +251,30 @@
         entries.store.is_down = False
         await until(lambda: a.members.live_count() == b.members.live_count() == 2)
 
+    async def test_versions(self, entries):
+        """An entry that joins gets the history, and later changes at once."""
+        (a,) = await entries("a")
+        a.members.streams.history.covers_past = True
+        a.fleet.apply_snapshot(Rows((Row("i-1", 5, b'"x:1"'),), 5))
+        (b,) = await entries("b")
+        b.fleet.apply_snapshot(Rows((Row("i-1", 5, b'"x:1"'),), 5))
+        history = b.members.streams.history
+        await until(lambda: history.only_version(SERVICE) == "")
+        a.members.streams.history.add(SERVICE, "v2")
+        a.members.streams.history.notify({})
+        await until(lambda: history.only_version(SERVICE) is None)
+
+    async def test_streams(self, entries):
+        """An entry that starts asks the others for a stream, as it connects to them."""
+        (a,) = await entries("a")
+        began = make_admitted(make_request(request_id="first"))
+        a.members.streams.on_begun(began, "v1")
+        (b,) = await entries("b")
+        b.fleet.is_read = True
+        again = make_admitted(make_request(request_id="again", resumes="first"))
+        assert await b.members.streams.find(again) == "v1"
+        assert not b.exchange.opening
+
     async def test_closed(self, entries):
         """An entry that closed its stream does not count as partitioned."""
         a, b = await entries("a", "b")
@@ -375,6 +402,48 @@
         await entry.stop()
 
 
+class TestGuardedStreams:
+    """Streams that guards keep."""
+
+    @staticmethod
+    def keep(entry):
+        """Let the guards of an entry keep its streams; return the streams."""
+        streams = StreamVersions(entry.fleet)
+        GuardedStreams(entry.guards, streams)
+        return streams
+
+    async def test_all_entries_lost(self, guard):
+        """A guard tells the version of a stream to an entry that starts."""
+        former = EntryWithGuard("a", port_of(guard))
+        streams = self.keep(former)
+        await former.start()
+        began = make_admitted(make_request(request_id="first"))
+        streams.on_begun(began, "v1", "i-1")
+        await until(lambda: guard.streams.begun)
+        await former.stop()
+        entry = EntryWithGuard("b", port_of(guard))
+        streams = self.keep(entry)
+        again = make_admitted(make_request(request_id="again", resumes="first"))
+        # The look-up begins before the stream to the guard is open.
+        finding = asyncio.create_task(streams.find(again))
+        await asyncio.sleep(0.05)
+        entry.fleet.is_read = True
+        await entry.start()
+        assert await finding == "v1"
+        await entry.stop()
+
+    async def test_unknown(self, guard):
+        """A guard says nothing of streams that it doesn't know."""
+        entry = EntryWithGuard("a", port_of(guard))
+        streams = self.keep(entry)
+        entry.fleet.is_read = True
+        await entry.start()
+        again = make_admitted(make_request(request_id="again", resumes="first"))
+        with pytest.raises(VersionUnknownError):
+            await streams.find(again)
+        await entry.stop()
+
+
 class TestGuard:
     """A guard with the schedulers of entries."""
 
--- a/tests/test_responses.py
+++ b/tests/test_responses.py
@@ -145,6 +145,23 @@
         assert STREAM_END not in received
 
 
+class TestResumption:
+    """Callers that ask to go on with a stream."""
+
+    # Guards against a stream joined from two versions of the engine's software: the
+    # product's interface resumes no stream, so there is nothing to join.
+    async def test_begun_anew(self, cluster: Cluster) -> None:
+        """The whole stream is sent, from its first event on."""
+        request = completion_request("seeds of kale", stream=True)
+        whole = await read(cluster, request)
+        resume = {"Last-Event-ID": "3", "Resumes": "first"}
+        request["headers"] |= resume
+        again = await read(cluster, request)
+        assert len(texts(whole)) > 1
+        assert texts(again) == texts(whole)
+        assert again.rstrip().endswith(STREAM_END)
+
+
 class TestCallerDisconnects:
     """The caller closes its connection before the response is complete."""
 
@@ -238,3 +255,13 @@
     """Send a request and return the body of the complete response."""
     async with cluster.session.post(completions_url(cluster), **request) as response:
         return await response.read()
+
+
+def texts(stream: bytes) -> list[str]:
+    """Return the texts of a stream's events, without its end."""
+    data = [
+        line.removeprefix(b"data: ")
+        for line in stream.splitlines()
+        if line.startswith(b"data: {")
+    ]
+    return [json.loads(event)["choices"][0]["text"] for event in data]
