--- a/packages/skylarkdoord/src/skylarkdoord/direct/_settings.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_settings.py
@@ -88,7 +88,7 @@
         guard_port: Port on which guards listen, on the hosts of their upstreams.
         upstream: Address of the upstream beside the process; guards only.
         first_start: Whether the whole deployment starts for the first time, so that
-            no customer has used units before.
+            no customer has used units and no upstream has run another version before.
         retry_budget: Limit on repeated calls of upstreams.
         quota: Window and tolerances of customers' limits.
         answers: Bounds on the sizes of upstreams' answers.
