--- a/packages/skylarkdoord/src/skylarkdoord/direct/_version_history.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_version_history.py
@@ -28,6 +28,7 @@
         covers_past: Whether what happened before this entry's start is known.
         versions: The only version of each service; None for a service with several.
         change: Number of changes of the history.
+        changed_at: Number of the latest change of each service.
         is_current: Returns whether this entry learns of new versions at present.
         on_change: Called after a change.
     """
@@ -37,6 +38,7 @@
         self.covers_past = is_first_start
         self.versions: dict[str, str | None] = {}
         self.change = 0
+        self.changed_at: dict[str, int] = {}
         self.was_complete = False
         self.is_current: Callable[[], bool] = lambda: True
         self.on_change: Callable[[], None] = lambda: None
@@ -68,6 +70,9 @@
         self.was_complete = self.is_complete
         HISTORY_COMPLETE.set(self.is_complete)
         self.change += 1
+        for service, version in self.versions.items():
+            if service not in before or before[service] != version:
+                self.changed_at[service] = self.change
         self.on_change()
 
     def only_version(self, service: str) -> str | None:
@@ -80,7 +85,7 @@
         return self.versions.get(service)
 
     def report(self, since: int) -> pb.EntryNews:
-        """Return the history for another entry, empty if it has not changed.
+        """Return what another entry has not been told of the history.
 
         Args:
             since: Number of the change that the entry was told last; -1 for none.
@@ -92,6 +97,7 @@
             if version is None
             else pb.ServiceVersions(service=service, versions=[version])
             for service, version in self.versions.items()
+            if self.changed_at[service] > since
         ]
         return pb.EntryNews(history=history, history_complete=self.is_complete)
 
--- a/packages/skylarkdoord/tests/direct/test_stream_versions.py
+++ b/packages/skylarkdoord/tests/direct/test_stream_versions.py
@@ -7,6 +7,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from skylarkdoor.hashing import rendezvous
+from skylarkdoor.wire import pb
 from skylarkdoord.direct import _stream_versions
 from skylarkdoord.direct._guard import MAX_STREAMS as MAX_GUARDED_STREAMS
 from skylarkdoord.direct._guarded_streams import (
@@ -277,12 +278,19 @@
         """A change is reported once, and again to others."""
         fleet = StubFleet("v1")
         history = make_streams(fleet, clock, is_first_start=True).history
+        history.merge(
+            [pb.ServiceVersions(service="other", versions=["v1"])],
+            "e2",
+            is_complete=False,
+        )
         sent = history.change
         assert not history.report(sent).history
         fleet.set("v1", "v2")
         (service,) = history.report(sent).history
+        assert service.service == SERVICE
         assert service.several
         assert not history.report(history.change).history
+        assert len(history.report(-1).history) == 2
 
 
 class TestAsk:
