Share slots between customers by their weights

A guard served the requests of a tier by age, so that one customer with three times the capacity took nearly all slots, and entries refused everyone because its requests timed out.

With shares.customers, guards and entries serve customers of one precedence by start-time fair queueing, charged by slot time (FairOrder). An entry refuses a request at once only if requests of its own customer timed out or the customer has had its share (CustomerShares), and if more of them wait than are likely to get their turn. The decision whose turn it is moves from the sidecar to common (FairTurns); the sidecar uses it too. Queues are sorted lists now, so that a withdrawn offer is removed at once.

The stub of a guard in test_scheduler.py takes the demand of an offer; no check changed.

--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -354,3 +354,21 @@
     logging.WARNING,
     "A tier is served too rarely; some of its requests are promoted.",
 )
+CUSTOMER_HELD = define(
+    741,
+    "customer_held",
+    logging.INFO,
+    "A customer got fewer slots than it asked for.",
+)
+CUSTOMER_RELEASED = define(
+    742,
+    "customer_released",
+    logging.INFO,
+    "A customer gets the slots that it asks for again.",
+)
+WEIGHT_REJECTED = define(
+    743,
+    "weight_rejected",
+    logging.WARNING,
+    "An offer states a weight that can't be used.",
+)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
@@ -13,6 +13,7 @@
 from skylarkdoor.wire import CONNECTION_LOST_ERRORS, Outbox, PeerBase, pb
 from skylarkdoord import _events
 from skylarkdoord.direct._engine_reports import Report
+from skylarkdoord.direct._fair_order import FairOrder, is_weight
 from skylarkdoord.direct._guard_queue import SlotQueue
 from skylarkdoord.direct._link import run_stream
 from skylarkdoord.direct._metrics import (
@@ -23,6 +24,7 @@
 from skylarkdoord.direct._model import Precedence
 from skylarkdoord.direct._occupancy import SETTLE_S, Occupancy, Sample
 from skylarkdoord.direct._pace import Pace, guard_heartbeat_s
+from skylarkdoord.direct._queue_order import ArrivalOrder, Demand
 from skylarkdoord.direct._settings import DirectSettings
 
 REPORT_INTERVAL_S = 0.1
@@ -49,6 +51,7 @@
         self.key = key
         self.outbox = outbox
         self.entry = ""
+        self.is_weight_rejected = False
 
     def opening_messages(self) -> list[pb.SidecarMessage]:
         return []
@@ -79,7 +82,10 @@
 
     def __init__(self, settings: DirectSettings) -> None:
         self.settings = settings
-        self.queue = SlotQueue(self.send_grant)
+        is_fair = settings.shares is not None and settings.shares.customers
+        self.queue = SlotQueue(
+            self.send_grant, order=FairOrder() if is_fair else ArrivalOrder()
+        )
         self.occupancy = Occupancy()
         self.outboxes: dict[str, Outbox[pb.SidecarMessage]] = {}
         self.stream_numbers = itertools.count()
@@ -137,12 +143,32 @@
             case "offer":
                 offer = message.offer
                 precedence = Precedence(offer.tier, offer.late, offer.long)
-                self.queue.offer(stream.key, offer.request_id, precedence)
+                demand = self.demand(offer, stream)
+                self.queue.offer(stream.key, offer.request_id, precedence, demand)
             case "withdraw":
                 self.queue.withdraw(stream.key, message.withdraw.request_id)
             case "listed":
                 self.queue.resize(message.listed.slots)
 
+    def demand(self, offer: pb.Offer, stream: _EntryStream) -> Demand:
+        """Return an offer's demand; a weight that can't be used counts as not stated.
+
+        Such a weight is logged once for each stream.
+        """
+        weight = offer.weight
+        if weight and not is_weight(weight):
+            if not stream.is_weight_rejected:
+                self.log.event(
+                    _events.WEIGHT_REJECTED,
+                    peer=stream.entry,
+                    customer=offer.customer,
+                    weight=repr(weight),
+                    expected="a finite number above 0",
+                )
+            stream.is_weight_rejected = True
+            weight = 0.0
+        return Demand(offer.customer, weight, offer.prompt_tokens, offer.max_tokens)
+
     def send_grant(self, stream: str, request: str) -> None:
         """Send an entry the grant of a slot to its request."""
         outbox = self.outboxes.get(stream)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guard_queue.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guard_queue.py
@@ -1,13 +1,18 @@
 """The queue of a guard, which grants an upstream's slots in order of precedence."""
 
-import heapq
 import itertools
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import NamedTuple
 
 from skylarkdoord.direct._model import Precedence
+from skylarkdoord.direct._queue_order import (
+    NO_DEMAND,
+    ArrivalOrder,
+    Demand,
+    QueueOrder,
+)
 
 # Stream of the entry, and the request's name on it.
 RequestKey = tuple[str, str]
@@ -37,14 +42,21 @@
         return self.running >= self.slots
 
 
-@dataclass(order=True)
+@dataclass(eq=False)
 class QueuedOffer:
-    """A waiting request; sorts in queue order."""
+    """A request that waits for a slot or holds one.
+
+    Attributes:
+        precedence: Its precedence, which comes first.
+        number: Sequence number of its arrival.
+        key: Its stream and its name on it.
+        demand: Whose request it is, and what it takes of the engine.
+    """
 
     precedence: Precedence
     number: int
-    key: RequestKey = field(compare=False)
-    is_withdrawn: bool = field(default=False, compare=False)
+    key: RequestKey
+    demand: Demand = NO_DEMAND
 
 
 class SlotQueue:
@@ -53,11 +65,13 @@
     Args:
         grant: Called with the stream and the name of a request that is granted a slot.
         clock: Returns the monotonic time in seconds.
+        order: Order of the waiting requests; by default precedence, then arrival.
 
     Attributes:
         is_open: Whether slots are granted.
         correction: Number of slots in use minus the number granted.
         granted: Monotonic time of each grant, in seconds, by request.
+        holders: Requests that hold slots.
     """
 
     def __init__(
@@ -65,6 +79,7 @@
         grant: Callable[[str, str], None],
         *,
         clock: Callable[[], float] = time.monotonic,
+        order: QueueOrder[QueuedOffer] | None = None,
     ) -> None:
         self.grant = grant
         self.clock = clock
@@ -72,8 +87,9 @@
         self.is_open = True
         self.correction = 0
         self.waiting: dict[RequestKey, QueuedOffer] = {}
-        self.queue: list[QueuedOffer] = []
+        self.order = order or ArrivalOrder()
         self.granted: dict[RequestKey, float] = {}
+        self.holders: dict[RequestKey, QueuedOffer] = {}
         self.numbers = itertools.count()
 
     def counts(self) -> QueueCounts:
@@ -110,14 +126,20 @@
         self.slots = slots
         self.grant_free_slots()
 
-    def offer(self, stream: str, request: str, precedence: Precedence) -> None:
+    def offer(
+        self,
+        stream: str,
+        request: str,
+        precedence: Precedence,
+        demand: Demand = NO_DEMAND,
+    ) -> None:
         """Queue a request for a slot, unless it is queued or granted already."""
         key = (stream, request)
         if key in self.waiting or key in self.granted:
             return
-        offered = QueuedOffer(precedence, next(self.numbers), key)
+        offered = QueuedOffer(precedence, next(self.numbers), key, demand)
         self.waiting[key] = offered
-        heapq.heappush(self.queue, offered)
+        self.order.add(offered)
         self.grant_free_slots()
 
     def withdraw(self, stream: str, request: str) -> None:
@@ -125,24 +147,25 @@
         key = (stream, request)
         offered = self.waiting.pop(key, None)
         if offered is not None:
-            offered.is_withdrawn = True
+            self.order.remove(offered)
         elif key in self.granted:
             del self.granted[key]
+            self.order.end(self.holders.pop(key).number)
             self.grant_free_slots()
 
     def drop_waiting(self, stream: str) -> list[str]:
         """Remove a stream's waiting requests and return those that hold slots."""
         for key in [key for key in self.waiting if key[0] == stream]:
-            self.waiting.pop(key).is_withdrawn = True
+            self.order.remove(self.waiting.pop(key))
         return [request for holder, request in self.granted if holder == stream]
 
     def grant_free_slots(self) -> None:
         """Grant free slots in order of precedence."""
         limit = self.slots + round(OVERCOMMIT_SHARE * self.slots)
-        while self.is_open and self.queue and self.occupied < limit:
-            offered = heapq.heappop(self.queue)
-            if offered.is_withdrawn:
-                continue
+        while self.is_open and self.waiting and self.occupied < limit:
+            offered = next(self.order.in_order())
+            self.order.take(offered)
             del self.waiting[offered.key]
             self.granted[offered.key] = self.clock()
+            self.holders[offered.key] = offered
             self.grant(*offered.key)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guards.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guards.py
@@ -13,6 +13,7 @@
 from skylarkdoord.direct._link import Link
 from skylarkdoord.direct._model import Incarnation, Precedence, UpstreamRecord
 from skylarkdoord.direct._pace import Pace, guard_heartbeat_s
+from skylarkdoord.direct._queue_order import NO_DEMAND, Demand
 from skylarkdoord.direct._settings import DirectSettings
 
 
@@ -83,13 +84,19 @@
         """Estimated number of requests that run at the upstream."""
         return self.load.running + self.offers_since_report
 
-    def offer(self, request: str, precedence: Precedence) -> None:
+    def offer(
+        self, request: str, precedence: Precedence, demand: Demand = NO_DEMAND
+    ) -> None:
         """Offer a request, to be granted a slot."""
         offer = pb.Offer(
             request_id=request,
             tier=precedence.tier,
             late=precedence.is_late,
             long=precedence.is_long,
+            customer=demand.customer,
+            weight=demand.weight,
+            prompt_tokens=demand.prompt_tokens,
+            max_tokens=demand.max_tokens,
         )
         self.offers_since_report += 1
         self.link.outbox.put(pb.EntryMessage(offer=offer))
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_metrics.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_metrics.py
@@ -60,6 +60,11 @@
 WAITING = Gauge(
     "skylarkdoor_direct_waiting", "Requests that wait for a slot.", ["service"]
 )
+HELD_CUSTOMERS = Gauge(
+    "skylarkdoor_direct_held_customers",
+    "Customers that got fewer slots than they asked for within 5 s.",
+    ["service", "tier"],
+)
 PROMOTED = Counter(
     "skylarkdoor_direct_promoted_total",
     "Requests of a starved tier that were queued as ones of the most important tier.",
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import heapq
 import itertools
 import random
 import time
@@ -16,15 +15,25 @@
 from skylarkdoor import events
 from skylarkdoord import _events
 from skylarkdoord.direct._choice import UpstreamChoice
+from skylarkdoord.direct._customer_shares import CustomerShares
+from skylarkdoord.direct._fair_order import FairOrder
 from skylarkdoord.direct._guards import GuardLink
+from skylarkdoord.direct._held_log import HeldLog
 from skylarkdoord.direct._lengths import AnswerLengths
 from skylarkdoord.direct._metrics import RUNNING, WAITING
-from skylarkdoord.direct._model import MS_PER_S, Admitted, Precedence
+from skylarkdoord.direct._model import MS_PER_S, Admitted, FleetConfig, Precedence
 from skylarkdoord.direct._promotions import Promotions
+from skylarkdoord.direct._queue_order import (
+    NO_DEMAND,
+    ArrivalOrder,
+    Demand,
+    QueueOrder,
+)
 from skylarkdoord.direct._settings import ShareSettings
 from skylarkdoord.direct._upstream_limits import UpstreamLimits
 from skylarkdoord.direct._upstreams import Upstream, Upstreams
 from skylarkdoord.direct._waiting import QueueState, Slot, SlotGrant, Waiter
+from skylarkdoord.direct._weights import CustomerWeights
 from skylarkdoord.direct.exceptions import NoFreeSlotError, VersionGoneError
 
 MIN_QUEUE_TIMEOUT_S = 0.05
@@ -60,7 +69,7 @@
     Attributes:
         choice: Chooses the upstreams.
         waiters: Requests that wait for a slot, by their names on streams to guards.
-        queues: Heap of waiting requests, by service.
+        queues: Waiting requests in the order in which they get slots, by service.
         rechecks: Services whose waiting requests are looked at again once a limit of
             an upstream has room.
     """
@@ -86,9 +95,11 @@
         )
         self.rechecks: set[str] = set()
         self.waiters: dict[str, Waiter] = {}
-        self.queues: dict[str, list[Waiter]] = {}
+        self.queues: dict[str, QueueOrder[Waiter]] = {}
         self.queue_states: dict[str, QueueState] = {}
         self.lengths = AnswerLengths()
+        self.shares = shares
+        self.weights = CustomerWeights(self.config)
         self.promotions = Promotions(shares.min_tier_ratio) if shares else None
         self.numbers = itertools.count()
         self.log = events.get_logger("direct.scheduler")
@@ -151,8 +162,7 @@
             )
         waiter = self.new_waiter(admitted, excluded)
         waiter.version = version
-        queue = self.queues.setdefault(admitted.service, [])
-        heapq.heappush(queue, waiter)
+        self.queue(admitted.service).add(waiter)
         self.waiters[waiter.name] = waiter
         self.queue_state(admitted.service).add(waiter)
         WAITING.labels(admitted.service).inc()
@@ -204,8 +214,29 @@
             slot=asyncio.get_running_loop().create_future(),
             is_long=is_long,
             is_promoted=precedence.tier != own.tier,
+            demand=self.demand(admitted),
         )
 
+    def demand(self, admitted: Admitted) -> Demand:
+        """Return what a request takes of an engine, and on whose account."""
+        if self.shares is None:
+            return NO_DEMAND
+        request, customer = admitted.request, admitted.customer
+        demand = Demand(
+            prompt_tokens=request.prompt_tokens, max_tokens=request.max_tokens
+        )
+        if not self.shares.customers:
+            return demand
+        return demand._replace(
+            customer=customer.name if customer else "",
+            weight=self.weights.weight(customer),
+        )
+
+    def config(self) -> FleetConfig | None:
+        """Return the configuration in force."""
+        routing = self.upstreams.fleet.routing
+        return routing.config if routing else None
+
     def slot_of(self, waiter: Waiter) -> Slot:
         """Return the slot that was granted to a request."""
         grant = waiter.slot.result()
@@ -226,10 +257,7 @@
                 guard.withdraw(waiter.name)
                 self.limits.refund(guard.record)
         if waiter.slot.cancelled():
-            queue = self.queues.get(waiter.admitted.service, [])
-            if waiter in queue:
-                queue.remove(waiter)
-                heapq.heapify(queue)
+            self.queue(waiter.admitted.service).remove(waiter)
 
     def offer_to_best(self, waiter: Waiter) -> None:
         """Offer a request to the best guard with free slots.
@@ -286,7 +314,7 @@
         """Offer a request to one guard."""
         waiter.offered_to.append(guard)
         self.limits.reserve(guard.record)
-        guard.offer(waiter.name, waiter.precedence)
+        guard.offer(waiter.name, waiter.precedence, waiter.demand)
 
     def guards(self, waiter: Waiter) -> list[GuardLink]:
         """Return the connected guards of the candidate upstreams, the best first."""
@@ -312,6 +340,7 @@
             self.return_grant(guard, waiter)
             return
         self.occupy(upstream)
+        self.queue(waiter.admitted.service).remove(waiter)
         waiter.slot.set_result(SlotGrant(upstream, guard))
 
     def return_grant(self, guard: GuardLink, waiter: Waiter) -> None:
@@ -343,7 +372,24 @@
 
     def queue_state(self, service: str) -> QueueState:
         """Return the queue state of a service."""
-        return self.queue_states.setdefault(service, QueueState())
+        state = self.queue_states.get(service)
+        if state is None:
+            state = self.queue_states[service] = QueueState(self.new_shares(service))
+        return state
+
+    def new_shares(self, service: str) -> Callable[[int], CustomerShares] | None:
+        """Return what creates the shares of the customers of a service's tier."""
+        if self.shares is None or not self.shares.customers:
+            return None
+        return lambda tier: CustomerShares(on_held=HeldLog(service, tier).on_interval)
+
+    def queue(self, service: str) -> QueueOrder[Waiter]:
+        """Return the waiting requests of a service in the order of slots."""
+        queue = self.queues.get(service)
+        if queue is None:
+            is_fair = self.shares is not None and self.shares.customers
+            queue = self.queues[service] = FairOrder() if is_fair else ArrivalOrder()
+        return queue
 
     def overload_error(self, waiter: Waiter, reason: str) -> NoFreeSlotError:
         """Return the error that refuses a request, with a retry delay.
@@ -370,12 +416,15 @@
 
     def release(self, slot: Slot) -> None:
         """Free a slot and let a waiting request use it."""
+        service = slot.upstream.record.service
         slot.upstream.running -= 1
-        RUNNING.labels(slot.upstream.record.service).dec()
+        RUNNING.labels(service).dec()
+        self.queue_state(service).on_released(int(slot.request))
         if slot.guard is not None:
             slot.guard.withdraw(slot.request)
         else:
-            self.assign_slots(slot.upstream.record.service)
+            self.queue(service).end(int(slot.request))
+            self.assign_slots(service)
 
     def assign_all_slots(self) -> None:
         """Assign the free slots of every service."""
@@ -384,27 +433,24 @@
 
     def assign_slots(self, service: str) -> None:
         """Assign the free slots of unguarded upstreams in queue order."""
-        queue = self.queues.get(service)
-        if not queue:
-            return
-        skipped: list[Waiter] = []
-        while queue:
-            waiter = heapq.heappop(queue)
-            if waiter.slot.done():
-                continue
-            upstream = self.choice.unguarded(
-                waiter.admitted.service, waiter.excluded, waiter.version
-            )
-            if upstream is None:
-                skipped.append(waiter)
-                if not waiter.excluded and waiter.version is None:
-                    break
-                continue
+        while (found := self.next_assignable(service)) is not None:
+            waiter, upstream = found
+            self.queue(service).take(waiter)
             self.occupy(upstream)
             self.limits.reserve(upstream.record)
             waiter.slot.set_result(SlotGrant(upstream))
-        for waiter in skipped:
-            heapq.heappush(queue, waiter)
+
+    def next_assignable(self, service: str) -> tuple[Waiter, Upstream] | None:
+        """Return the first request that an unguarded upstream can run, and that one."""
+        for waiter in self.queue(service).in_order():
+            if waiter.slot.done():
+                continue
+            upstream = self.choice.unguarded(service, waiter.excluded, waiter.version)
+            if upstream is not None:
+                return waiter, upstream
+            if not waiter.excluded and waiter.version is None:
+                return None
+        return None
 
     def recheck_limits(self, service: str) -> None:
         """Look at the waiting requests of a service again once a limit has room."""
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_waiting.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_waiting.py
@@ -1,17 +1,24 @@
 """Requests that wait for an upstream slot, and the overload state of their queue."""
 
 import asyncio
+from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from skylarkdoord.direct._customer_shares import CustomerShares
 from skylarkdoord.direct._guards import GuardLink
 from skylarkdoord.direct._model import Admitted, Precedence
+from skylarkdoord.direct._queue_order import NO_DEMAND, Demand
 from skylarkdoord.direct._upstreams import Upstream
 
 # Time after a queue timeout during which a queue counts as overloaded.
 OVERLOAD_WINDOW_S = 0.4
 # During overload, a new request is refused if this many others are ahead of it.
 OVERLOAD_MIN_AHEAD = 1
+# With shares of customers, a customer may have this share of the requests waiting that
+# get slots, at the customer's present rate, within the queue timeout.
+MAX_AHEAD_SHARE = 0.5
 
 
 class Slot(NamedTuple):
@@ -47,6 +54,7 @@
         offered_to: Guards to which the request is offered.
         is_promoted: Whether it is queued as a request of the most important tier, as
             its own is starved.
+        demand: Whose request it is, and what it takes of an engine.
     """
 
     precedence: Precedence
@@ -60,6 +68,7 @@
     version: str | None = field(default=None, compare=False)
     offered_to: list[GuardLink] = field(default_factory=list, compare=False)
     is_promoted: bool = field(default=False, compare=False)
+    demand: Demand = field(default=NO_DEMAND, compare=False)
 
     @property
     def name(self) -> str:
@@ -92,33 +101,82 @@
 class QueueState:
     """Waiting requests of one service and its recent queue timeouts.
 
+    Args:
+        new_shares: Returns new shares of the customers of a tier; None if requests are
+            refused without regard to customers.
+
     Attributes:
         waiting: Waiting requests, by number.
         timed_out_at: Monotonic time of the latest queue timeout, in seconds, by
             precedence of the request.
+        own_timed_out_at: The same by customer and precedence, the latest last.
+        shares: Shares of the customers, by tier.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, new_shares: Callable[[int], CustomerShares] | None = None
+    ) -> None:
+        self.new_shares = new_shares
+        self.shares: dict[int, CustomerShares] = {}
+        self.own_timed_out_at: OrderedDict[tuple[str, Precedence], float] = (
+            OrderedDict()
+        )
         self.waiting: dict[int, Waiter] = {}
         self.timed_out_at: dict[Precedence, float] = {}
 
     def add(self, waiter: Waiter) -> None:
         """Add a waiting request."""
         self.waiting[waiter.number] = waiter
+        shares = self.shares_of(waiter)
+        if shares is not None:
+            shares.on_wait(waiter.demand.customer, waiter.demand.weight)
 
     def remove(self, waiter: Waiter) -> bool:
         """Remove a request and return whether it was waiting."""
-        return self.waiting.pop(waiter.number, None) is not None
+        if self.waiting.pop(waiter.number, None) is None:
+            return False
+        shares = self.shares_of(waiter)
+        if shares is not None:
+            customer, weight = waiter.demand.customer, waiter.demand.weight
+            if waiter.is_granted:
+                shares.on_granted(waiter.number, customer, weight)
+            else:
+                shares.on_refused(customer, weight)
+        return True
+
+    def shares_of(self, waiter: Waiter) -> CustomerShares | None:
+        """Return the shares of the customers of a request's tier."""
+        if self.new_shares is None:
+            return None
+        if waiter.rank not in self.shares:
+            self.shares[waiter.rank] = self.new_shares(waiter.rank)
+        return self.shares[waiter.rank]
+
+    def on_released(self, number: int) -> None:
+        """Record that the request of this number has returned its slot."""
+        for shares in self.shares.values():
+            shares.on_released(number)
 
     def record_timeout(self, waiter: Waiter, now: float) -> None:
         """Record the queue timeout of a request."""
         self.timed_out_at[waiter.precedence] = now
+        if self.new_shares is None:
+            return
+        key = (waiter.demand.customer, waiter.precedence)
+        self.own_timed_out_at[key] = now
+        self.own_timed_out_at.move_to_end(key)
+        while next(iter(self.own_timed_out_at.values())) <= now - OVERLOAD_WINDOW_S:
+            self.own_timed_out_at.popitem(last=False)
 
     def would_time_out(self, waiter: Waiter, now: float) -> bool:
         """Return whether a request would likely reach its queue timeout.
 
         This is assumed if a request of the same or a higher precedence timed out
-        recently and other requests still wait ahead of this one.
+        recently and other requests still wait ahead of this one. With shares of
+        customers, the requests that timed out have to be of the same customer, or the
+        customer has to have had its share. As many requests of a customer may wait as
+        are likely to get their turn in time. If fewer did, a customer with callers at
+        one entry would lose turns to one with callers at all entries.
         """
         since = now - OVERLOAD_WINDOW_S
         if not any(
@@ -126,8 +184,34 @@
             for other, at in self.timed_out_at.items()
         ):
             return False
-        return self.ahead(waiter) >= OVERLOAD_MIN_AHEAD
+        shares = self.shares_of(waiter)
+        if shares is None:
+            return self.ahead(waiter) >= OVERLOAD_MIN_AHEAD
+        customer = waiter.demand.customer
+        if not shares.has_had_share(customer) and not any(
+            name == customer and other <= waiter.precedence and at > since
+            for (name, other), at in self.own_timed_out_at.items()
+        ):
+            return False
+        soon = shares.granted_per_s(customer) * waiter.queue_timeout_s
+        min_ahead = max(OVERLOAD_MIN_AHEAD, MAX_AHEAD_SHARE * soon)
+        return self.ahead_in_turn(waiter) >= min_ahead
 
     def ahead(self, waiter: Waiter) -> int:
         """Return how many waiting requests are served before this one."""
         return sum(other < waiter for other in self.waiting.values())
+
+    def ahead_in_turn(self, waiter: Waiter) -> int:
+        """Return how many of the requests ahead are not of other customers.
+
+        Requests of the same precedence of other customers do not keep a request from
+        its customer's turn.
+        """
+        return sum(
+            other < waiter
+            and (
+                other.precedence < waiter.precedence
+                or other.demand.customer == waiter.demand.customer
+            )
+            for other in self.waiting.values()
+        )
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_fairness.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_fairness.py
@@ -2,9 +2,8 @@
 
 from typing import NamedTuple
 
-from sortedcontainers import SortedKeyList
-
 from skylarkdoor.wire import pb
+from skylarkdoord.common._fair_turns import FairTurns, Lane
 
 MAX_CUSTOMERS = 1024
 
@@ -43,25 +42,6 @@
     return waiting.deadline_at - waiting.saved_prefill_s, waiting.order
 
 
-class CustomerQueue:
-    """One customer's offers in order of deadline, and its virtual time.
-
-    Args:
-        name: Team and name of the customer.
-        virtual_s: Initial virtual time: work served divided by the customer's
-            weight, in seconds.
-    """
-
-    def __init__(self, name: tuple[str, str], virtual_s: float) -> None:
-        self.name = name
-        self.virtual_s = virtual_s
-        self.waiting: SortedKeyList = SortedKeyList(key=_deadline_key)
-
-
-def _virtual_time_key(customer: CustomerQueue) -> tuple[float, tuple[str, str]]:
-    return customer.virtual_s, customer.name
-
-
 class TierQueue:
     """The offers of one tier.
 
@@ -71,30 +51,25 @@
     """
 
     def __init__(self) -> None:
-        self.customers: dict[tuple[str, str], CustomerQueue] = {}
-        self.active: SortedKeyList = SortedKeyList(key=_virtual_time_key)
+        self.turns = FairTurns(_deadline_key, limit=MAX_CUSTOMERS)
+        self.lanes: dict[str, Lane] = {}
         self.arrivals: dict[str, WaitingOffer] = {}
         self.copies: dict[str, WaitingOffer] = {}
-        self.virtual_s = 0.0
 
     def __len__(self) -> int:
         return len(self.arrivals)
 
     def add(self, waiting: WaitingOffer) -> None:
         """Add an offer."""
-        customer = self._get_customer(waiting.customer)
-        if not customer.waiting:
-            # A customer gains no credit for the time in which it had no offers.
-            customer.virtual_s = max(customer.virtual_s, self.virtual_s)
-            self.active.add(customer)
-        customer.waiting.add(waiting)
-        self.arrivals[waiting.offer.request_id] = waiting
+        request = waiting.offer.request_id
+        self.lanes[request] = self.turns.add(waiting.customer, waiting)
+        self.arrivals[request] = waiting
         if waiting.offer.is_copy:
-            self.copies[waiting.offer.request_id] = waiting
+            self.copies[request] = waiting
 
     def first(self) -> WaitingOffer:
         """Return the next offer to be granted."""
-        waiting: WaitingOffer = self.active[0].waiting[0]
+        waiting: WaitingOffer = self.turns.waiting[0].waiting[0]
         return waiting
 
     def newest(self) -> WaitingOffer:
@@ -110,47 +85,21 @@
 
     def remove(self, waiting: WaitingOffer) -> None:
         """Remove an offer without charging its customer."""
-        customer = self.customers[waiting.customer]
-        customer.waiting.remove(waiting)
-        if not customer.waiting:
-            self.active.remove(customer)
-        del self.arrivals[waiting.offer.request_id]
-        self.copies.pop(waiting.offer.request_id, None)
+        request = waiting.offer.request_id
+        self.turns.remove(self.lanes.pop(request), waiting)
+        del self.arrivals[request]
+        self.copies.pop(request, None)
 
     def charge(self, waiting: WaitingOffer) -> None:
-        """Charge the work of a granted offer to its customer."""
-        self._advance(waiting, waiting.work_s / _weight(waiting))
+        """Charge the work of a granted offer, which still waits, to its customer."""
+        lane = self.lanes[waiting.offer.request_id]
+        self.turns.charge(lane, waiting.work_s / _weight(waiting))
 
     def refund(self, waiting: WaitingOffer) -> None:
         """Cancel the charge for a grant that was not used."""
-        if waiting.customer in self.customers:
-            self._advance(waiting, -waiting.work_s / _weight(waiting))
-
-    def _advance(self, waiting: WaitingOffer, virtual_s: float) -> None:
-        customer = self._get_customer(waiting.customer)
-        if customer.waiting:
-            self.active.remove(customer)
-        if virtual_s > 0:
-            self.virtual_s = max(self.virtual_s, customer.virtual_s)
-        customer.virtual_s += virtual_s
-        if customer.waiting:
-            self.active.add(customer)
-
-    def _get_customer(self, name: tuple[str, str]) -> CustomerQueue:
-        customer = self.customers.get(name)
-        if customer is None:
-            if len(self.customers) >= MAX_CUSTOMERS:
-                self._remove_idle()
-            customer = CustomerQueue(name, self.virtual_s)
-            self.customers[name] = customer
-        return customer
-
-    def _remove_idle(self) -> None:
-        self.customers = {
-            name: customer
-            for name, customer in self.customers.items()
-            if customer.waiting
-        }
+        lane = self.turns.lanes.get(waiting.customer)
+        if lane is not None:
+            self.turns.correct(lane, -waiting.work_s / _weight(waiting))
 
 
 def _weight(waiting: WaitingOffer) -> float:
--- a/packages/skylarkdoord/tests/direct/_share_simulation.py
+++ b/packages/skylarkdoord/tests/direct/_share_simulation.py
@@ -5,14 +5,19 @@
 import random
 from typing import NamedTuple
 
+from skylarkdoord.direct._customer_shares import CustomerShares
+from skylarkdoord.direct._fair_order import FairOrder
 from skylarkdoord.direct._guard_queue import SlotQueue
 from skylarkdoord.direct._model import Precedence
+from skylarkdoord.direct._queue_order import ArrivalOrder, Demand
 from skylarkdoord.direct._tier_shares import TierShares
 from skylarkdoord.direct._waiting import QueueState, Waiter
 
 # Time that a message takes between an entry and a guard.
 DELAY_S = 0.002
 MAX_OFFERS = 6
+# Time after which a refused caller repeats its request.
+REPEAT_DELAY_S = 0.01
 
 
 class Arrival(NamedTuple):
@@ -25,6 +30,10 @@
         entry: Number of the entry that it reaches.
         timeout_s: Longest time that it waits, in seconds.
         is_long: Whether it is queued after the others of its tier.
+        customer: Its customer.
+        weight: The customer's weight.
+        repeats: Number of times that its caller repeats it if it is refused.
+        repeat_of: Number of the first request that it repeats; None if it is the first.
     """
 
     at: float
@@ -33,6 +42,24 @@
     entry: int = 0
     timeout_s: float = 0.4
     is_long: bool = False
+    customer: str = ""
+    weight: float = 1.0
+    repeats: int = 0
+    repeat_of: int | None = None
+
+
+class StubSlot:
+    """Stands in for the future of a grant."""
+
+    is_granted = False
+
+    def done(self):
+        """Return whether a slot was granted."""
+        return self.is_granted
+
+    def cancelled(self):
+        """Return that the request did not stop waiting by itself."""
+        return False
 
 
 class Simulation:
@@ -43,6 +70,7 @@
         guards: Number of guards.
         slots: Slots of each engine.
         min_tier_ratio: As in the settings; None for strict tiers.
+        is_fair: Whether customers share slots by their weights.
 
     Attributes:
         now: Simulated time, in seconds.
@@ -52,19 +80,23 @@
         waited_s: Waiting time of each of these, in seconds.
     """
 
-    def __init__(self, *, entries=1, guards=1, slots=8, min_tier_ratio=None):
+    def __init__(
+        self, *, entries=1, guards=1, slots=8, min_tier_ratio=None, is_fair=False
+    ):
         self.now = 0.0
         self.clock = lambda: self.now
         self.events = []
         self.order = itertools.count()
         self.rng = random.Random(5)
         self.slots = slots
+        self.is_fair = is_fair
         self.slowdown = 1.0
         self.guards = {}
         for number in range(guards):
             self.add_guard(number)
         self.min_tier_ratio = min_tier_ratio
-        self.states = [QueueState() for _ in range(entries)]
+        new_shares = self.new_shares if is_fair else None
+        self.states = [QueueState(new_shares) for _ in range(entries)]
         self.tiers = [self.new_tiers() for _ in range(entries)]
         self.lost_entries = set()
         self.arrivals = []
@@ -79,15 +111,26 @@
             return None
         return TierShares(self.min_tier_ratio, clock=lambda: self.clock())
 
+    def new_shares(self, tier):
+        """Return the shares of customers at a new entry."""
+        return CustomerShares(clock=lambda: self.clock())
+
     def add_guard(self, number):
         """Add a guard, or replace it by a new one."""
         queue = SlotQueue(
             lambda stream, name: self.after(DELAY_S, self.on_grant, number, name),
             clock=lambda: self.clock(),
+            order=self.new_order(),
         )
         queue.resize(self.slots)
         self.guards[number] = queue
 
+    def new_order(self):
+        """Return the order of a new guard's queue."""
+        if self.is_fair:
+            return FairOrder(clock=lambda: self.clock())
+        return ArrivalOrder()
+
     def after(self, delay_s, call, *args):
         """Call a function after a delay."""
         heapq.heappush(self.events, (self.now + delay_s, next(self.order), call, args))
@@ -119,13 +162,14 @@
             excluded=frozenset(),
             since=self.now,
             queue_timeout_s=arrival.timeout_s,
-            slot=None,
+            slot=StubSlot(),
             is_promoted=precedence.tier != own.tier,
+            demand=self.demand(number),
         )
         state = self.states[arrival.entry]
         state.add(waiter)
         self.waiting[number] = waiter
-        if state.would_time_out(waiter, self.now):
+        if state.would_time_out(waiter, self.clock()):
             self.end_wait(number, is_served=False)
             return
         guards = self.rng.sample(sorted(self.guards), len(self.guards))[:MAX_OFFERS]
@@ -138,7 +182,14 @@
         """Queue an offer at a guard."""
         if guard in self.guards:
             stream = f"entry-{self.arrivals[number].entry}"
-            self.guards[guard].offer(stream, str(number), self.precedence(number))
+            self.guards[guard].offer(
+                stream, str(number), self.precedence(number), self.demand(number)
+            )
+
+    def demand(self, number):
+        """Return the demand that an offer states."""
+        arrival = self.arrivals[number]
+        return Demand(arrival.customer, arrival.weight)
 
     def precedence(self, number):
         """Return the precedence that an offer states."""
@@ -153,7 +204,8 @@
             self.after(DELAY_S, self.on_withdraw, guard, number)
             return
         self.waited_s[number] = self.now - arrival.at
-        self.served.add(number)
+        first = arrival.repeat_of
+        self.served.add(number if first is None else first)
         self.end_wait(number, is_served=True)
         for other in self.offered_to[number]:
             if other != guard:
@@ -162,7 +214,9 @@
 
     def on_end(self, guard, number):
         """Return the slot of a request that has ended."""
-        if self.arrivals[number].entry not in self.lost_entries:
+        entry = self.arrivals[number].entry
+        if entry not in self.lost_entries:
+            self.states[entry].on_released(number)
             self.on_withdraw(guard, number)
 
     def on_withdraw(self, guard, number):
@@ -176,7 +230,7 @@
         if number not in self.waiting:
             return
         waiter = self.waiting[number]
-        self.states[self.arrivals[number].entry].record_timeout(waiter, self.now)
+        self.states[self.arrivals[number].entry].record_timeout(waiter, self.clock())
         self.end_wait(number, is_served=False)
         for guard in self.offered_to[number]:
             self.after(DELAY_S, self.on_withdraw, guard, number)
@@ -185,13 +239,29 @@
         """Remove a request from its entry's queue."""
         waiter = self.waiting.pop(number)
         arrival = self.arrivals[number]
+        waiter.slot.is_granted = is_served
         self.states[arrival.entry].remove(waiter)
+        if not is_served and arrival.repeats:
+            self.repeat(number)
         tiers = self.tiers[arrival.entry]
         if tiers is not None:
             tiers.record(
                 arrival.tier, is_served=is_served, is_promoted=waiter.is_promoted
             )
 
+    def repeat(self, number):
+        """Let the caller of a refused request repeat it."""
+        arrival = self.arrivals[number]
+        first = number if arrival.repeat_of is None else arrival.repeat_of
+        self.arrivals.append(
+            arrival._replace(
+                at=self.now + REPEAT_DELAY_S,
+                repeats=arrival.repeats - 1,
+                repeat_of=first,
+            )
+        )
+        self.after(REPEAT_DELAY_S, self.on_arrival, len(self.arrivals) - 1)
+
     def lose_entry(self, entry):
         """Stop an entry; guards free its slots after the time for orphans."""
         self.lost_entries.add(entry)
@@ -207,7 +277,11 @@
 
     def share(self, chosen):
         """Return the served share of the chosen arrivals."""
-        numbers = [n for n, arrival in enumerate(self.arrivals) if chosen(arrival)]
+        numbers = [
+            number
+            for number, arrival in enumerate(self.arrivals)
+            if arrival.repeat_of is None and chosen(arrival)
+        ]
         return len(self.served.intersection(numbers)) / len(numbers)
 
 
--- a/packages/skylarkdoord/tests/direct/test_scheduler.py
+++ b/packages/skylarkdoord/tests/direct/test_scheduler.py
@@ -51,7 +51,7 @@
         self.load_at = time.monotonic()
         self.offered = []
 
-    def offer(self, request, precedence):
+    def offer(self, request, precedence, demand):
         """Record an offer."""
         self.offered.append(request)
 
