Keep the requests at an engine within its memory for tokens

With the settings section shares, a guard reserves prompt and longest answer of each request that holds a slot, and grants none that does not fit, unless the engine is idle. Free slots that can't be used for lack of memory are not reported to entries.

--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -372,3 +372,15 @@
     logging.WARNING,
     "An offer states a weight that can't be used.",
 )
+MEMORY_FULL = define(
+    744,
+    "memory_full",
+    logging.INFO,
+    "Requests wait for the engine's memory although slots are free.",
+)
+MEMORY_FREE = define(
+    745,
+    "memory_free",
+    logging.INFO,
+    "Requests no longer wait for the engine's memory.",
+)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
@@ -14,10 +14,12 @@
 from skylarkdoord import _events
 from skylarkdoord.direct._engine_reports import Report
 from skylarkdoord.direct._fair_order import FairOrder, is_weight
-from skylarkdoord.direct._guard_queue import SlotQueue
+from skylarkdoord.direct._guard_queue import QueueCounts, SlotQueue
 from skylarkdoord.direct._link import run_stream
 from skylarkdoord.direct._metrics import (
+    GUARD_MEMORY_TOKENS,
     GUARD_OCCUPIED_SLOTS,
+    GUARD_RESERVED_TOKENS,
     GUARD_SLOTS,
     GUARD_WAITING,
 )
@@ -26,6 +28,7 @@
 from skylarkdoord.direct._pace import Pace, guard_heartbeat_s
 from skylarkdoord.direct._queue_order import ArrivalOrder, Demand
 from skylarkdoord.direct._settings import DirectSettings
+from skylarkdoord.direct._token_memory import TokenMemory
 
 REPORT_INTERVAL_S = 0.1
 # Largest number of entries that receive a report within that interval. With more
@@ -84,8 +87,11 @@
         self.settings = settings
         is_fair = settings.shares is not None and settings.shares.customers
         self.queue = SlotQueue(
-            self.send_grant, order=FairOrder() if is_fair else ArrivalOrder()
+            self.send_grant,
+            order=FairOrder() if is_fair else ArrivalOrder(),
+            memory=TokenMemory() if settings.shares is not None else None,
         )
+        self.is_memory_full = False
         self.occupancy = Occupancy()
         self.outboxes: dict[str, Outbox[pb.SidecarMessage]] = {}
         self.stream_numbers = itertools.count()
@@ -187,6 +193,7 @@
         if load is None:
             self.occupancy.clear()
         else:
+            self.queue.set_memory(load.cache_size)
             granted = len(self.queue.granted)
             settled = self.queue.settled(SETTLE_S)
             in_engine = load.running + load.waiting
@@ -208,11 +215,33 @@
         report = pb.LoadReport(
             running=counts.running,
             limit=counts.slots,
-            room=max(0, counts.slots - counts.running),
+            room=0 if counts.is_full else counts.slots - counts.running,
             waiting_by_tier=[counts.waiting],
         )
         return pb.SidecarMessage(load=report)
 
+    def observe_memory(self, counts: QueueCounts) -> None:
+        """Show whether requests wait for the engine's memory although slots are free.
+
+        Each change is logged.
+        """
+        memory = self.queue.memory
+        if memory is None:
+            return
+        GUARD_RESERVED_TOKENS.set(memory.reserved)
+        GUARD_MEMORY_TOKENS.set(memory.size)
+        if counts.is_memory_full == self.is_memory_full:
+            return
+        self.is_memory_full = counts.is_memory_full
+        self.log.event(
+            _events.MEMORY_FULL if self.is_memory_full else _events.MEMORY_FREE,
+            reserved_tokens=round(memory.reserved),
+            size_tokens=memory.size,
+            running=counts.running,
+            slots=counts.slots,
+            waiting=counts.waiting,
+        )
+
     async def report_loads(self) -> None:
         """Report the load to all entries whenever it has changed.
 
@@ -231,6 +260,7 @@
             GUARD_SLOTS.set(counts.slots)
             GUARD_OCCUPIED_SLOTS.set(counts.running)
             GUARD_WAITING.set(counts.waiting)
+            self.observe_memory(counts)
             is_minor = (
                 counts.is_full == reported.is_full and interval % MINOR_CHANGE_INTERVALS
             )
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guard_queue.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guard_queue.py
@@ -13,6 +13,7 @@
     Demand,
     QueueOrder,
 )
+from skylarkdoord.direct._token_memory import TokenMemory
 
 # Stream of the entry, and the request's name on it.
 RequestKey = tuple[str, str]
@@ -30,16 +31,18 @@
         running: Number of slots in use.
         slots: Number of slots in total; 0 while none are granted.
         waiting: Number of waiting requests.
+        is_memory_full: Whether the next request has to wait for the engine's memory.
     """
 
     running: int
     slots: int
     waiting: int
+    is_memory_full: bool = False
 
     @property
     def is_full(self) -> bool:
-        """Whether no slot is free."""
-        return self.running >= self.slots
+        """Whether no slot is free, or none can be used."""
+        return self.is_memory_full or self.running >= self.slots
 
 
 @dataclass(eq=False)
@@ -51,12 +54,14 @@
         number: Sequence number of its arrival.
         key: Its stream and its name on it.
         demand: Whose request it is, and what it takes of the engine.
+        reserved: Tokens of the engine's memory that are reserved for it.
     """
 
     precedence: Precedence
     number: int
     key: RequestKey
     demand: Demand = NO_DEMAND
+    reserved: float = 0.0
 
 
 class SlotQueue:
@@ -66,12 +71,14 @@
         grant: Called with the stream and the name of a request that is granted a slot.
         clock: Returns the monotonic time in seconds.
         order: Order of the waiting requests; by default precedence, then arrival.
+        memory: The engine's memory for tokens; None if it is not counted.
 
     Attributes:
         is_open: Whether slots are granted.
         correction: Number of slots in use minus the number granted.
         granted: Monotonic time of each grant, in seconds, by request.
         holders: Requests that hold slots.
+        is_memory_full: Whether the next request has to wait for the engine's memory.
     """
 
     def __init__(
@@ -80,6 +87,7 @@
         *,
         clock: Callable[[], float] = time.monotonic,
         order: QueueOrder[QueuedOffer] | None = None,
+        memory: TokenMemory | None = None,
     ) -> None:
         self.grant = grant
         self.clock = clock
@@ -88,6 +96,8 @@
         self.correction = 0
         self.waiting: dict[RequestKey, QueuedOffer] = {}
         self.order = order or ArrivalOrder()
+        self.memory = memory
+        self.is_memory_full = False
         self.granted: dict[RequestKey, float] = {}
         self.holders: dict[RequestKey, QueuedOffer] = {}
         self.numbers = itertools.count()
@@ -95,7 +105,7 @@
     def counts(self) -> QueueCounts:
         """Return the occupancy of the upstream and its queue."""
         slots = self.slots if self.is_open else 0
-        return QueueCounts(self.occupied, slots, len(self.waiting))
+        return QueueCounts(self.occupied, slots, len(self.waiting), self.is_memory_full)
 
     @property
     def occupied(self) -> int:
@@ -121,6 +131,12 @@
         self.correction = correction
         self.grant_free_slots()
 
+    def set_memory(self, size: int) -> None:
+        """Set the engine's memory, in tokens; 0 if unknown."""
+        if self.memory is not None and size != self.memory.size:
+            self.memory.size = size
+            self.grant_free_slots()
+
     def resize(self, slots: int) -> None:
         """Set the number of slots."""
         self.slots = slots
@@ -139,6 +155,8 @@
             return
         offered = QueuedOffer(precedence, next(self.numbers), key, demand)
         self.waiting[key] = offered
+        if self.memory is not None:
+            self.memory.on_offer(demand.tokens)
         self.order.add(offered)
         self.grant_free_slots()
 
@@ -148,24 +166,55 @@
         offered = self.waiting.pop(key, None)
         if offered is not None:
             self.order.remove(offered)
+            # It may have kept others waiting for the engine's memory.
+            if self.is_memory_full:
+                self.grant_free_slots()
         elif key in self.granted:
             del self.granted[key]
-            self.order.end(self.holders.pop(key).number)
+            holder = self.holders.pop(key)
+            self.order.end(holder.number)
+            if self.memory is not None:
+                self.memory.reserved -= holder.reserved
             self.grant_free_slots()
 
     def drop_waiting(self, stream: str) -> list[str]:
         """Remove a stream's waiting requests and return those that hold slots."""
         for key in [key for key in self.waiting if key[0] == stream]:
             self.order.remove(self.waiting.pop(key))
+        if self.is_memory_full:
+            self.grant_free_slots()
         return [request for holder, request in self.granted if holder == stream]
 
     def grant_free_slots(self) -> None:
-        """Grant free slots in order of precedence."""
+        """Grant free slots in order, as far as the engine's memory allows.
+
+        A request that does not fit keeps those behind it waiting, as it would never
+        get its turn beside a flow of smaller ones.
+        """
+        self.is_memory_full = False
         limit = self.slots + round(OVERCOMMIT_SHARE * self.slots)
         while self.is_open and self.waiting and self.occupied < limit:
             offered = next(self.order.in_order())
+            self.is_memory_full = not self.reserve(offered)
+            if self.is_memory_full:
+                break
             self.order.take(offered)
             del self.waiting[offered.key]
             self.granted[offered.key] = self.clock()
             self.holders[offered.key] = offered
             self.grant(*offered.key)
+
+    def reserve(self, offered: QueuedOffer) -> bool:
+        """Reserve the engine's memory for a request and return whether there is room.
+
+        An idle engine takes any request.
+        """
+        if self.memory is None:
+            return True
+        tokens = offered.demand.tokens
+        ungranted = max(0, self.correction)
+        if self.occupied and not self.memory.has_room(tokens, ungranted=ungranted):
+            return False
+        offered.reserved = self.memory.needed(tokens)
+        self.memory.reserved += offered.reserved
+        return True
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_metrics.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_metrics.py
@@ -92,6 +92,14 @@
 GUARD_OCCUPIED_SLOTS = Gauge(
     "skylarkdoor_guard_held_places", "Slots occupied by requests."
 )
+GUARD_RESERVED_TOKENS = Gauge(
+    "skylarkdoor_guard_reserved_tokens",
+    "Tokens of the engine's memory that are reserved for requests with slots.",
+)
+GUARD_MEMORY_TOKENS = Gauge(
+    "skylarkdoor_guard_memory_tokens",
+    "Tokens that the engine holds; 0 if unknown.",
+)
 GUARD_WAITING = Gauge("skylarkdoor_guard_waiting", "Requests that wait at the guard.")
 
 
--- a/packages/skylarkdoord/tests/direct/_share_simulation.py
+++ b/packages/skylarkdoord/tests/direct/_share_simulation.py
@@ -11,6 +11,7 @@
 from skylarkdoord.direct._model import Precedence
 from skylarkdoord.direct._queue_order import ArrivalOrder, Demand
 from skylarkdoord.direct._tier_shares import TierShares
+from skylarkdoord.direct._token_memory import TokenMemory
 from skylarkdoord.direct._waiting import QueueState, Waiter
 
 # Time that a message takes between an entry and a guard.
@@ -32,6 +33,7 @@
         is_long: Whether it is queued after the others of its tier.
         customer: Its customer.
         weight: The customer's weight.
+        tokens: Tokens of its prompt and longest answer.
         repeats: Number of times that its caller repeats it if it is refused.
         repeat_of: Number of the first request that it repeats; None if it is the first.
     """
@@ -44,6 +46,7 @@
     is_long: bool = False
     customer: str = ""
     weight: float = 1.0
+    tokens: int = 0
     repeats: int = 0
     repeat_of: int | None = None
 
@@ -71,17 +74,26 @@
         slots: Slots of each engine.
         min_tier_ratio: As in the settings; None for strict tiers.
         is_fair: Whether customers share slots by their weights.
+        memory: Tokens that guards reserve at most; None if they don't count them.
 
     Attributes:
         now: Simulated time, in seconds.
         clock: Returns the time that entries and guards see.
         slowdown: Factor by which requests that start now run longer.
         served: Numbers of the requests that got a slot.
+        peak_tokens: Most tokens that were at one engine at the same time.
         waited_s: Waiting time of each of these, in seconds.
     """
 
     def __init__(
-        self, *, entries=1, guards=1, slots=8, min_tier_ratio=None, is_fair=False
+        self,
+        *,
+        entries=1,
+        guards=1,
+        slots=8,
+        min_tier_ratio=None,
+        is_fair=False,
+        memory=None,
     ):
         self.now = 0.0
         self.clock = lambda: self.now
@@ -90,6 +102,9 @@
         self.rng = random.Random(5)
         self.slots = slots
         self.is_fair = is_fair
+        self.memory = memory
+        self.engine_tokens = dict.fromkeys(range(guards), 0)
+        self.peak_tokens = 0
         self.slowdown = 1.0
         self.guards = {}
         for number in range(guards):
@@ -121,7 +136,9 @@
             lambda stream, name: self.after(DELAY_S, self.on_grant, number, name),
             clock=lambda: self.clock(),
             order=self.new_order(),
+            memory=None if self.memory is None else TokenMemory(),
         )
+        queue.set_memory(self.memory or 0)
         queue.resize(self.slots)
         self.guards[number] = queue
 
@@ -189,7 +206,7 @@
     def demand(self, number):
         """Return the demand that an offer states."""
         arrival = self.arrivals[number]
-        return Demand(arrival.customer, arrival.weight)
+        return Demand(arrival.customer, arrival.weight, max_tokens=arrival.tokens)
 
     def precedence(self, number):
         """Return the precedence that an offer states."""
@@ -206,6 +223,8 @@
         self.waited_s[number] = self.now - arrival.at
         first = arrival.repeat_of
         self.served.add(number if first is None else first)
+        self.engine_tokens[guard] += arrival.tokens
+        self.peak_tokens = max(self.peak_tokens, self.engine_tokens[guard])
         self.end_wait(number, is_served=True)
         for other in self.offered_to[number]:
             if other != guard:
@@ -214,6 +233,7 @@
 
     def on_end(self, guard, number):
         """Return the slot of a request that has ended."""
+        self.engine_tokens[guard] -= self.arrivals[number].tokens
         entry = self.arrivals[number].entry
         if entry not in self.lost_entries:
             self.states[entry].on_released(number)
