--- a/packages/skylarkdoord/tests/direct/test_tier_shares.py
+++ b/packages/skylarkdoord/tests/direct/test_tier_shares.py
@@ -76,6 +76,19 @@
         )
         assert ratio(simulation, 2, 10.0) <= MIN_RATIO + 0.07
 
+    @pytest.mark.parametrize("seed", range(1, 4))
+    def test_many_entries(self, seed):
+        """The same if each entry sees 0.6 requests of the tier within the window."""
+        rng = random.Random(seed)
+        entries = 100
+        arrivals = load(rng, 0, 1.3 * CAPACITY) + load(rng, 2, 0.05 * CAPACITY)
+        arrivals = [a._replace(entry=rng.randrange(entries)) for a in arrivals]
+        simulation = Simulation(
+            entries=entries, guards=GUARDS, slots=SLOTS, min_tier_ratio=MIN_RATIO
+        )
+        simulate(arrivals, simulation=simulation)
+        assert ratio(simulation, 2) >= PROMISED_RATIO
+
     def test_starves_without(self):
         """Without the setting the lowest tier gets hardly anything."""
         rng = random.Random(1)
