--- a/packages/skylarkdoord/tests/direct/test_share_settings.py
+++ b/packages/skylarkdoord/tests/direct/test_share_settings.py
@@ -4,15 +4,19 @@
 import math
 import subprocess
 import sys
+from types import SimpleNamespace
 
 import pytest
 
 from skylarkdoor.exceptions import SettingsError
 from skylarkdoor.wire import pb
 from skylarkdoord.direct import FleetConfig
+from skylarkdoord.direct._customer_shares import HeldCustomer
 from skylarkdoord.direct._fair_order import FairOrder
 from skylarkdoord.direct._guard import Guard, _EntryStream
 from skylarkdoord.direct._guards import GuardLink
+from skylarkdoord.direct._held_log import HeldLog
+from skylarkdoord.direct._metrics import HELD_CUSTOMERS
 from skylarkdoord.direct._model import Precedence
 from skylarkdoord.direct._pace import Pace
 from skylarkdoord.direct._queue_order import NO_DEMAND, ArrivalOrder, Demand
@@ -141,6 +145,38 @@
         admitted = make_admitted(make_request(), customer=make_customer())
         assert scheduler.demand(admitted) == Demand("garden", 1.0, 80, 20)
 
+    async def test_starved_tier(self):
+        """A request of a starved tier is queued as one of the most important tier."""
+        scheduler = make_scheduler(ShareSettings())
+        shares = scheduler.promotions.shares("engines")
+        for _ in range(10):
+            shares.record(0, is_served=True, is_promoted=False)
+            shares.record(2, is_served=False, is_promoted=False)
+        for _ in range(3):
+            await scheduler.acquire(make_admitted(rank=0))
+        waiting = asyncio.create_task(scheduler.acquire(make_admitted(rank=2)))
+        await asyncio.sleep(0)
+        (waiter,) = scheduler.waiters.values()
+        assert waiter.precedence == Precedence(0)
+        assert shares.promoted[2] == 1
+        waiting.cancel()
+        await asyncio.gather(waiting, return_exceptions=True)
+        assert shares.promoted[2] == 0
+        assert shares.tiers[2].ended == 11
+
+    def test_held_customers(self):
+        """Operators see how many customers are held, and which ones."""
+        logged = []
+        log = HeldLog("engines", 1)
+        log.log = SimpleNamespace(event=lambda event, **fields: logged.append(fields))
+        held = {
+            name: HeldCustomer(name, 10, refused, 0.5, 0.0)
+            for refused, name in enumerate("abcdefghijkl", 1)
+        }
+        log.on_interval(held, {"z": held["a"]})
+        assert HELD_CUSTOMERS.labels("engines", "1")._value.get() == len(held)
+        assert [fields["customer"] for fields in logged] == [*"lkjihgfedc", "z"]
+
     async def test_only_tiers(self):
         """Without shares of customers, an entry states only the tokens."""
         scheduler = make_scheduler(ShareSettings())
