Requests larger than the engine's memory hold up no others

A caller could state any number of tokens: one larger than the engine's memory kept all others waiting until it gave up, and one beyond 32 bits could not be sent in an offer. Such requests are set aside until the engine is idle, and the numbers are bounded. An entry's count of served requests no longer depends on how often a request is removed from the queue.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guard_queue.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guard_queue.py
@@ -79,6 +79,9 @@
         granted: Monotonic time of each grant, in seconds, by request.
         holders: Requests that hold slots.
         is_memory_full: Whether the next request has to wait for the engine's memory.
+        oversized: Waiting requests that exceed the engine's memory by themselves. They
+            are granted only while the engine is idle and no others wait, as a caller
+            could otherwise hold up all others by stating many tokens.
     """
 
     def __init__(
@@ -98,6 +101,7 @@
         self.order = order or ArrivalOrder()
         self.memory = memory
         self.is_memory_full = False
+        self.oversized: dict[RequestKey, QueuedOffer] = {}
         self.granted: dict[RequestKey, float] = {}
         self.holders: dict[RequestKey, QueuedOffer] = {}
         self.numbers = itertools.count()
@@ -135,6 +139,9 @@
         """Set the engine's memory, in tokens; 0 if unknown."""
         if self.memory is not None and size != self.memory.size:
             self.memory.size = size
+            for offered in list(self.oversized.values()):
+                del self.oversized[offered.key]
+                self.enqueue(offered)
             self.grant_free_slots()
 
     def resize(self, slots: int) -> None:
@@ -157,15 +164,27 @@
         self.waiting[key] = offered
         if self.memory is not None:
             self.memory.on_offer(demand.tokens)
-        self.order.add(offered)
+        self.enqueue(offered)
         self.grant_free_slots()
 
+    def enqueue(self, offered: QueuedOffer) -> None:
+        """Let a request wait for its turn, or for an idle engine."""
+        if self.memory is not None and self.memory.is_exceeded(offered.demand.tokens):
+            self.oversized[offered.key] = offered
+        else:
+            self.order.add(offered)
+
+    def dequeue(self, offered: QueuedOffer) -> None:
+        """Remove a request that stops waiting without a slot."""
+        if self.oversized.pop(offered.key, None) is None:
+            self.order.remove(offered)
+
     def withdraw(self, stream: str, request: str) -> None:
         """Remove a waiting request, or free the slot that it holds."""
         key = (stream, request)
         offered = self.waiting.pop(key, None)
         if offered is not None:
-            self.order.remove(offered)
+            self.dequeue(offered)
             # It may have kept others waiting for the engine's memory.
             if self.is_memory_full:
                 self.grant_free_slots()
@@ -180,7 +199,7 @@
     def drop_waiting(self, stream: str) -> list[str]:
         """Remove a stream's waiting requests and return those that hold slots."""
         for key in [key for key in self.waiting if key[0] == stream]:
-            self.order.remove(self.waiting.pop(key))
+            self.dequeue(self.waiting.pop(key))
         if self.is_memory_full:
             self.grant_free_slots()
         return [request for holder, request in self.granted if holder == stream]
@@ -193,17 +212,27 @@
         """
         self.is_memory_full = False
         limit = self.slots + round(OVERCOMMIT_SHARE * self.slots)
-        while self.is_open and self.waiting and self.occupied < limit:
-            offered = next(self.order.in_order())
+        while self.is_open and self.occupied < limit:
+            offered = self.next_offer()
+            if offered is None:
+                break
             self.is_memory_full = not self.reserve(offered)
             if self.is_memory_full:
                 break
-            self.order.take(offered)
+            if self.oversized.pop(offered.key, None) is None:
+                self.order.take(offered)
             del self.waiting[offered.key]
             self.granted[offered.key] = self.clock()
             self.holders[offered.key] = offered
             self.grant(*offered.key)
 
+    def next_offer(self) -> QueuedOffer | None:
+        """Return the request that gets the next slot."""
+        offered = next(self.order.in_order(), None)
+        if offered is None and not self.occupied:
+            return next(iter(self.oversized.values()), None)
+        return offered
+
     def reserve(self, offered: QueuedOffer) -> bool:
         """Reserve the engine's memory for a request and return whether there is room.
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
@@ -52,6 +52,8 @@
 FANOUT_DELAY_S = 0.008
 # Largest number of guards to which a request is offered at the same time.
 MAX_OFFERS = 6
+# Largest number of tokens in an offer; callers may state any.
+MAX_TOKENS = 2**32 - 1
 
 
 class Scheduler:
@@ -223,7 +225,8 @@
             return NO_DEMAND
         request, customer = admitted.request, admitted.customer
         demand = Demand(
-            prompt_tokens=request.prompt_tokens, max_tokens=request.max_tokens
+            prompt_tokens=min(request.prompt_tokens, MAX_TOKENS),
+            max_tokens=min(request.max_tokens, MAX_TOKENS),
         )
         if not self.shares.customers:
             return demand
@@ -247,16 +250,17 @@
         """Remove a request from the queue and withdraw its offers."""
         waiter.slot.cancel()
         self.waiters.pop(waiter.name, None)
-        if self.promotions is not None:
-            self.promotions.on_end(waiter)
-        if self.queue_state(waiter.admitted.service).remove(waiter):
+        is_first_call = self.queue_state(waiter.admitted.service).remove(waiter)
+        if is_first_call:
             WAITING.labels(waiter.admitted.service).dec()
+            if self.promotions is not None:
+                self.promotions.on_end(waiter)
         granting = waiter.slot.result().guard if waiter.is_granted else None
         for guard in waiter.offered_to:
             if guard is not granting:
                 guard.withdraw(waiter.name)
                 self.limits.refund(guard.record)
-        if waiter.slot.cancelled():
+        if is_first_call and waiter.slot.cancelled():
             self.queue(waiter.admitted.service).remove(waiter)
 
     def offer_to_best(self, waiter: Waiter) -> None:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_token_memory.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_token_memory.py
@@ -33,6 +33,10 @@
         """Return how many tokens to reserve for a request that states this number."""
         return tokens or self.average
 
+    def is_exceeded(self, tokens: int) -> bool:
+        """Return whether a request exceeds the engine's memory by itself."""
+        return 0 < self.size < tokens
+
     def has_room(self, tokens: int, *, ungranted: int) -> bool:
         """Return whether a request fits beside those that hold slots.
 
--- a/packages/skylarkdoord/tests/direct/test_share_settings.py
+++ b/packages/skylarkdoord/tests/direct/test_share_settings.py
@@ -177,6 +177,16 @@
         assert HELD_CUSTOMERS.labels("engines", "1")._value.get() == len(held)
         assert [fields["customer"] for fields in logged] == [*"lkjihgfedc", "z"]
 
+    async def test_many_tokens(self):
+        """An offer can be sent whatever number of tokens a caller states."""
+        scheduler = make_scheduler(ShareSettings())
+        request = make_request(prompt_tokens=10**30, max_tokens=10**30)
+        demand = scheduler.demand(make_admitted(request))
+        offer = pb.Offer(
+            prompt_tokens=demand.prompt_tokens, max_tokens=demand.max_tokens
+        )
+        assert offer.prompt_tokens == offer.max_tokens == 2**32 - 1
+
     async def test_only_tiers(self):
         """Without shares of customers, an entry states only the tokens."""
         scheduler = make_scheduler(ShareSettings())
--- a/packages/skylarkdoord/tests/direct/test_token_memory.py
+++ b/packages/skylarkdoord/tests/direct/test_token_memory.py
@@ -106,6 +106,29 @@
         offer(queue, "b", 1)
         assert granted == ["a"]
 
+    def test_oversized(self, queue, granted):
+        """A request larger than the memory holds up no others while it waits."""
+        offer(queue, "a", 600)
+        offer(queue, "oversized", 5000)
+        offer(queue, "b", 300)
+        assert granted == ["a", "b"]
+        assert not queue.counts().is_full
+        queue.withdraw("s", "a")
+        queue.withdraw("s", "b")
+        assert granted == ["a", "b", "oversized"]
+        queue.withdraw("s", "oversized")
+        assert queue.memory.reserved == 0
+
+    def test_oversized_gives_up(self, queue, granted):
+        """A request larger than the memory may stop waiting, or fit a larger memory."""
+        offer(queue, "a", 600)
+        offer(queue, "b", 5000)
+        offer(queue, "c", 5000)
+        queue.withdraw("s", "b")
+        queue.set_memory(8000)
+        assert granted == ["a", "c"]
+        assert not queue.oversized
+
     def test_unknown_size(self, queue, granted):
         """Without a known memory there is no limit."""
         queue.set_memory(0)
