Review parts of prompts before a send once their time for an answer is over

Cause: parts were reviewed only at crashes and answers. While all upstreams were down there was neither, so several requests with a part that had crashed all of them reached the first upstreams that were back.

Such a review quarantines a part only if it explains all crashes of the suspects and two more than any other suspect, as common parts are suspects too when all upstreams crash for another reason. The first trial follows the latest crash.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/evidence/_crashes.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/evidence/_crashes.py
@@ -105,6 +105,7 @@
         self.requests.is_in_flight = self.is_in_flight
         self.parts = CrashingParts(self.suspicions, lambda: self.clock())
         self.parts.is_in_flight = self.is_part_in_flight
+        self.parts.request_culprits = self.requests.culprits
         self.checks: set[asyncio.Task[None]] = set()
         self.log = events.get_logger("direct.crashes")
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/evidence/_crashing_parts.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/evidence/_crashing_parts.py
@@ -5,24 +5,24 @@
 left alone.
 """
 
+import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from typing import NamedTuple
 
 from skylarkdoor import events
 from skylarkdoor.suspicion import MAX_SUSPICIONS, Suspicions, crashed_incarnation
 from skylarkdoord import _events
 from skylarkdoord.direct._metrics import QUARANTINED_PARTS
 from skylarkdoord.direct.evidence._answered import Answered
+from skylarkdoord.direct.evidence._part_evidence import (
+    ANSWER_TIME_S,
+    MAX_PART_CRASHES,
+    PartEvidence,
+    find_culprits,
+    find_leading,
+)
 from skylarkdoord.direct.evidence._suspect_keys import SharedPart
 
-# Crashes since the latest answer after which a part is quarantined.
-MAX_PART_CRASHES = 4
-# Those of them that nothing else explains, of a part that no upstream answered lately.
-MIN_UNEXPLAINED = 2
-# Time in which a part that was answered lately may be answered again before it is
-# quarantined.
-ANSWER_TIME_S = 1.5
 # Time from the latest crash to the first trial of a part, if it was answered shortly
 # before its quarantine or not, and the factor for each further trial.
 ANSWERED_TRIAL_S = 1.0
@@ -30,66 +30,6 @@
 TRIAL_BACKOFF = 8.0
 
 
-class PartEvidence(NamedTuple):
-    """What speaks against a part.
-
-    Attributes:
-        fingerprint: Fingerprint of the part.
-        crashes: Crashes of which it is suspected.
-        was_answered: Whether an upstream answered a request with it lately.
-        age_s: Time for which the first of the crashes has been known, in seconds.
-    """
-
-    fingerprint: int
-    crashes: frozenset[str]
-    was_answered: bool
-    age_s: float = 0.0
-
-    def is_culprit(self, unexplained: int) -> bool:
-        """Return whether it crashes upstreams.
-
-        Args:
-            unexplained: Number of its crashes that nothing else explains.
-        """
-        if len(self.crashes) < MAX_PART_CRASHES:
-            return False
-        if not self.was_answered:
-            return unexplained >= MIN_UNEXPLAINED
-        return unexplained >= MAX_PART_CRASHES and self.age_s >= ANSWER_TIME_S
-
-
-def find_culprits(
-    suspects: Iterable[PartEvidence],
-    explained: frozenset[str],
-    requests: Iterable[frozenset[str]] = (),
-) -> list[PartEvidence]:
-    """Return a small set of parts that explains the crashes of all suspects.
-
-    Args:
-        suspects: The parts.
-        explained: Crashes that are explained already.
-        requests: Crashes of each request that crashes upstreams by itself. One request
-            may explain the crashes of a part; if it takes several, the part does.
-    """
-    requests = [frozenset(), *requests]
-    ranked = sorted(
-        suspects,
-        key=lambda suspect: (
-            suspect.was_answered,
-            -len(suspect.crashes),
-            suspect.fingerprint,
-        ),
-    )
-    culprits = []
-    for suspect in ranked:
-        remaining = suspect.crashes - explained
-        unexplained = min(len(remaining - crashes) for crashes in requests)
-        if suspect.is_culprit(unexplained):
-            culprits.append(suspect)
-            explained |= suspect.crashes
-    return culprits
-
-
 @dataclass
 class Quarantine:
     """A part of which no request is sent, except for trials.
@@ -134,6 +74,10 @@
         is_trial_owner: Returns whether this entry, of all entries, makes the trials of
             a part.
         is_in_flight: Returns whether a request with a part is in flight.
+        request_culprits: Returns the crashes of each request that crashes upstreams by
+            itself.
+        review_at: Monotonic time at which a suspect's time for another answer ends, in
+            seconds; infinite if there is none.
     """
 
     def __init__(self, suspicions: Suspicions, clock: Callable[[], float]) -> None:
@@ -145,10 +89,14 @@
         self.answered = Answered(clock)
         self.is_trial_owner: Callable[[int], bool] = lambda fingerprint: True
         self.is_in_flight: Callable[[int], bool] = lambda fingerprint: False
+        self.request_culprits: Callable[[], Iterable[frozenset[str]]] = lambda: ()
+        self.review_at = math.inf
         self.log = events.get_logger("direct.crashing_parts")
 
     def find_quarantined(self, parts: Iterable[SharedPart]) -> SharedPart | None:
         """Return a part because of which a request must not be sent now, if any."""
+        if self.clock() >= self.review_at:
+            self.review_without_news()
         if not self.quarantined:
             return None
         for part in parts:
@@ -219,13 +167,46 @@
                 self.release(fingerprint)
             else:
                 quarantine.update(crashes, now)
-        suspects = [
+        suspects = self.suspects(now)
+        for culprit in find_culprits(suspects, self.explained(), requests):
+            self.quarantine(culprit)
+        self.plan_review(suspects, now)
+
+    def review_without_news(self) -> None:
+        """Quarantine a part whose time for another answer ended while none could come.
+
+        Crashes and answers cause reviews, but there are none while all upstreams are
+        down. The requests sent after that must not all be sent to those that are back.
+        """
+        now = self.clock()
+        suspects = self.suspects(now)
+        leading = find_leading(suspects, self.request_culprits())
+        if leading is not None and not self.quarantined:
+            self.quarantine(leading)
+        self.plan_review(suspects, now)
+
+    def plan_review(self, suspects: Iterable[PartEvidence], now: float) -> None:
+        """Set the time of the next review without news.
+
+        Args:
+            suspects: The parts that are suspected of several crashes.
+            now: Monotonic time, in seconds.
+        """
+        ages_s = [suspect.age_s for suspect in suspects]
+        pending = [age_s for age_s in ages_s if age_s < ANSWER_TIME_S]
+        self.review_at = now + ANSWER_TIME_S - max(pending, default=-math.inf)
+
+    def suspects(self, now: float) -> list[PartEvidence]:
+        """Return what speaks against the parts that are not quarantined yet.
+
+        Args:
+            now: Monotonic time, in seconds.
+        """
+        return [
             self.evidence(fingerprint, now)
             for fingerprint in self.repeated
             if fingerprint not in self.quarantined
         ]
-        for culprit in find_culprits(suspects, self.explained(), requests):
-            self.quarantine(culprit)
 
     def evidence(self, fingerprint: int, now: float) -> PartEvidence:
         """Return what speaks against a part at a monotonic time, in seconds."""
@@ -250,7 +231,7 @@
             name=self.suspicions.get(fingerprint).part,
             crashes=culprit.crashes,
             trial_delay_s=delay_s,
-            trial_at=self.clock() + delay_s,
+            trial_at=max(self.known_at[fingerprint].values()) + delay_s,
         )
         self.quarantined[fingerprint] = quarantine
         QUARANTINED_PARTS.set(len(self.quarantined))
--- a/packages/skylarkdoord/tests/direct/test_crashing_parts.py
+++ b/packages/skylarkdoord/tests/direct/test_crashing_parts.py
@@ -16,6 +16,7 @@
     UNANSWERED_TRIAL_S,
     PartEvidence,
     find_culprits,
+    find_leading,
 )
 from skylarkdoord.direct.evidence._suspect_keys import SharedPart
 from skylarkdoord.direct.evidence._suspect_records import decode, encode
@@ -138,6 +139,45 @@
         await crash(crashes, [99], SHARED)
         assert crashes.parts.find_quarantined([SHARED]) == SHARED
 
+    # Guards against requests with a bad part that all reach the first upstreams which
+    # are back, as no crash or answer causes a review while none is up.
+    async def test_all_down(self, crashes, clock):
+        """A part that leads the others is quarantined before the next send."""
+        answer(crashes, BAD, SHARED)
+        await crash(crashes, range(MAX_PART_CRASHES), BAD, SHARED)
+        await crash(crashes, [7, 8], BAD)
+        assert crashes.parts.find_quarantined([BAD]) is None
+        clock.now += ANSWERED_TRIAL_S / 2
+        assert crashes.parts.find_quarantined([BAD]) is None
+        crashes.parts.is_trial_owner = lambda fingerprint: False
+        clock.now += ANSWER_TIME_S
+        assert crashes.parts.find_quarantined([SHARED]) is None
+        assert crashes.parts.find_quarantined([BAD]) == BAD
+
+    # Guards against common parts that are refused after all upstreams crashed for
+    # another reason.
+    async def test_all_down_together(self, crashes, clock):
+        """Parts that share the crashes stay in service until an answer or a crash."""
+        crashes.parts.is_trial_owner = lambda fingerprint: False
+        answer(crashes, ITEM, SHARED)
+        await crash(crashes, range(2 * MAX_PART_CRASHES - 1), ITEM, SHARED)
+        await crash(crashes, [99], SHARED)
+        clock.now += ANSWER_TIME_S
+        assert crashes.parts.find_quarantined([ITEM, SHARED]) is None
+
+    def test_leading(self):
+        """A part leads if it explains all crashes, and clearly more than any other."""
+        whole = PartEvidence(1, frozenset("abcdef"), was_answered=True, age_s=9.0)
+        near = PartEvidence(2, frozenset("abcde"), was_answered=True, age_s=9.0)
+        far = PartEvidence(3, frozenset("abcd"), was_answered=True, age_s=9.0)
+        elsewhere = PartEvidence(4, frozenset("wxyz"), was_answered=True, age_s=9.0)
+        assert find_leading([]) is None
+        assert find_leading([far, whole]) == whole
+        assert find_leading([far, near, whole]) is None
+        assert find_leading([elsewhere, whole]) is None
+        assert find_leading([far, whole], [frozenset("abc")]) is None
+        assert find_leading([whole._replace(age_s=1.0)]) is None
+
     def test_second_part(self):
         """A second bad part is found, though the first explains most of its crashes."""
         first = PartEvidence(1, frozenset("abcde"), was_answered=False)
