Keep whole answers within the bound on held bytes

Cause: with the bound, 300 callers of answers of 1 MiB still took 373 MB: the HTTP server keeps the response of an idle connection until its next request. Without waiting, most of the answers were lost (502), as they exceeded the bound on answers halfway.

Where held bytes are bounded, whole answers of known length are received one after the other as there is room, count until they are written, and are then dropped.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_bounded_connection.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_bounded_connection.py
@@ -50,12 +50,14 @@
         written_bytes: Bytes of answers written to it so far.
         timeout_s: Timeout of the latest request's route, in seconds.
         is_streaming: Whether an answer is being written that may still grow.
+        is_writing_whole: Whether an answer that is no stream is being written.
         unsent_limit: Unsent bytes from which on writing waits; None for the default.
     """
 
     written_bytes = 0
     timeout_s = math.inf
     is_streaming = False
+    is_writing_whole = False
     unsent_limit: int | None = None
 
 
@@ -66,6 +68,12 @@
         connection.is_streaming = True
 
 
+def set_writing_whole(connection: object, *, is_writing: bool) -> None:
+    """Record whether an answer that is no stream is being written."""
+    if isinstance(connection, BoundedRequestHandler):
+        connection.is_writing_whole = is_writing
+
+
 def on_answer_complete(connection: object) -> None:
     """Let the end of an answer wait until the caller has read nearly all of it."""
     if not isinstance(connection, BoundedRequestHandler):
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_call.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_call.py
@@ -30,6 +30,8 @@
 # bounded, fewer are, as each caller that reads slowly leaves them unread.
 READ_BUFFER_BYTES = 64 * 1024
 SMALL_READ_BUFFER_BYTES = 16 * 1024
+# Interval at which a body that waits for its turn looks for room.
+TURN_INTERVAL_S = 0.02
 # Limits the status line and each header field of an upstream's answer.
 MAX_FIELD_BYTES = 16 * 1024
 # Headers that aiohttp would add and the caller's request may lack.
@@ -46,11 +48,38 @@
 
     Attributes:
         used: Bytes of all bodies.
+        reserved: Bytes of the bodies of known length whose turn has come.
+        has_room: Returns whether memory is left for a body of a length; None if held
+            bytes are not bounded, so that none waits for its turn.
     """
 
     def __init__(self, bounds: AnswerBounds) -> None:
         self.bounds = bounds
         self.used = 0
+        self.reserved = 0
+        self.has_room: Callable[[int], bool] | None = None
+        self.turn = asyncio.Lock()
+
+    async def reserve(self, length: int) -> None:
+        """Wait, in order, until a body of a known length may be received.
+
+        Until then its upstream waits. Otherwise many large bodies at the same time
+        would exceed the bound halfway, and all be lost.
+        """
+        if self.has_room is not None:
+            async with self.turn:
+                while self.is_full(length) or not self.has_room(length):
+                    await asyncio.sleep(TURN_INTERVAL_S)
+        self.reserved += length
+
+    def is_full(self, length: int) -> bool:
+        """Return whether a body has to wait for those that are being received."""
+        most = self.bounds.max_buffered_bytes
+        return bool(self.reserved) and self.reserved + length > most
+
+    def release(self, length: int) -> None:
+        """Let others be received after a body of a known length."""
+        self.reserved -= length
 
     def add(self, received: int, body: int) -> None:
         """Count received bytes.
@@ -131,6 +160,10 @@
         """
         chunks = []
         size = 0
+        length = min(
+            self.response.content_length or 0, self.buffer.bounds.max_body_bytes
+        )
+        await self.buffer.reserve(length)
         try:
             while chunk := await self.read_chunk():
                 chunks.append(chunk)
@@ -139,6 +172,7 @@
             return b"".join(chunks)
         finally:
             self.buffer.used -= size
+            self.buffer.release(length)
 
     def close(self) -> None:
         """Close the connection, whether or not the answer is complete."""
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_caller_bodies.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_caller_bodies.py
@@ -8,8 +8,9 @@
     on_answer_complete,
     on_read,
     on_written,
+    set_writing_whole,
 )
-from skylarkdoord.direct._held_bytes import BodyHold
+from skylarkdoord.direct._held_bytes import BodyHold, HeldBytes
 from skylarkdoord.direct.exceptions import BadCallError
 
 
@@ -76,15 +77,25 @@
         )
 
 
-async def write_whole(raw: web.BaseRequest, response: web.StreamResponse) -> None:
+async def write_whole(
+    raw: web.BaseRequest, response: web.StreamResponse, held: HeldBytes
+) -> None:
     """Write an answer that is no stream, until the caller has read nearly all of it.
 
     The HTTP server would write it later, when its bytes no longer count as held.
     """
     if response.prepared or not isinstance(response, web.Response):
         return
-    await response.prepare(raw)
-    body = response.body
-    on_written(raw.protocol, len(body) if isinstance(body, bytes) else 0)
-    on_answer_complete(raw.protocol)
-    await response.write_eof()
+    size = len(response.body) if isinstance(response.body, bytes) else 0
+    held.writing += size
+    set_writing_whole(raw.protocol, is_writing=True)
+    try:
+        await response.prepare(raw)
+        on_written(raw.protocol, size)
+        on_answer_complete(raw.protocol)
+        await response.write_eof()
+    finally:
+        # The HTTP server keeps the response until the connection's next request.
+        response.body = None
+        held.writing -= size
+        set_writing_whole(raw.protocol, is_writing=False)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_caller_connections.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_caller_connections.py
@@ -65,7 +65,11 @@
                 buffered = 0
             if transport.is_closing() and not buffered:
                 del self.transports[connection], self.unsent[connection]
-        self.held.unsent = sum(unsent.buffered for unsent in self.unsent.values())
+        self.held.unsent = sum(
+            unsent.buffered
+            for connection, unsent in self.unsent.items()
+            if not connection.is_writing_whole
+        )
         self.limit_unsent()
 
     def limit_unsent(self) -> None:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
@@ -105,6 +105,8 @@
         self.all_idle = asyncio.Event()
         self.held = HeldBytes(settings.memory.bound())
         self.held.receiving = lambda: dependencies.client.buffer.used
+        if self.held.max_bytes is not None:
+            dependencies.client.buffer.has_room = self.held.has_answer_room
         self.connections = CallerConnections(self.held)
         self.log = events.get_logger("direct.callers")
         self.runners: list[web.ServerRunner] = []
@@ -201,7 +203,7 @@
                 if self.is_draining:
                     response.force_close()
                 if self.held.max_bytes is not None:
-                    await write_whole(raw, response)
+                    await write_whole(raw, response, self.held)
         finally:
             self.busy_connections.discard(raw.protocol)
             if not self.busy_connections:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_held_bytes.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_held_bytes.py
@@ -39,7 +39,8 @@
     Attributes:
         bodies: Bytes reserved for bodies of requests.
         large_bodies: Those of them for bodies above `SMALL_BODY_BYTES`.
-        unsent: Bytes of answers that callers have not read.
+        unsent: Bytes of streams that callers have not read.
+        writing: Bytes of whole answers that are being written to callers.
         receiving: Returns the bytes of answers that are being received in whole.
     """
 
@@ -51,19 +52,29 @@
         self.bodies = 0
         self.large_bodies = 0
         self.unsent = 0
+        self.writing = 0
         self.receiving: Callable[[], int] = lambda: 0
         self.unready_at: float | None = None
 
     @property
     def used(self) -> int:
         """Bytes that are held now."""
-        return self.bodies + self.unsent + self.receiving()
+        return self.bodies + self.unsent + self.writing + self.receiving()
 
     @property
     def share(self) -> float:
         """Held share of the bound; 0 without a bound."""
         return self.used / self.max_bytes if self.max_bytes else 0.0
 
+    def has_answer_room(self, length: int) -> bool:
+        """Return whether a whole answer may be received.
+
+        One is received in any case while no other is held.
+        """
+        if self.max_bytes is None or not (self.writing or self.receiving()):
+            return True
+        return self.used + length <= self.max_bytes
+
     def has_room(self, more: int, *, is_large: bool, more_large: int) -> bool:
         """Return whether further bytes may be held for a body.
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_settings.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_settings.py
@@ -113,6 +113,15 @@
         free = self.process_mb * BYTES_PER_MB - REST_BYTES
         return max(MIN_HELD_BYTES, int(HELD_SHARE * free))
 
+    def answer_bounds(self, answers: AnswerBounds) -> AnswerBounds:
+        """Return the bounds on answers; bodies are received in half of the bound."""
+        bound = self.bound()
+        if bound is None:
+            return answers
+        most = max(bound // 2, answers.max_body_bytes)
+        most = min(most, answers.max_buffered_bytes)
+        return answers._replace(max_buffered_bytes=most)
+
 
 class DirectSettings(NamedTuple):
     """Contents of the settings file of an entry or a guard.
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -65,7 +65,7 @@
         client=UpstreamClient(
             adapter,
             (limits.on_head, upstreams.on_head),
-            settings.answers,
+            settings.memory.answer_bounds(settings.answers),
             read_buffer_bytes=READ_BUFFER_BYTES
             if settings.memory.bound() is None
             else SMALL_READ_BUFFER_BYTES,
--- a/packages/skylarkdoord/tests/direct/test_held_bytes.py
+++ b/packages/skylarkdoord/tests/direct/test_held_bytes.py
@@ -146,6 +146,16 @@
         with pytest.raises(MemoryFullError):
             reserve(held, 1)
 
+    # Guards against memory for whole answers that arrive together, and against an
+    # answer that never has room.
+    def test_whole_answers(self, held):
+        """A whole answer waits for room, but one is received in any case."""
+        held.bodies = held.max_bytes
+        assert held.has_answer_room(8 * MIB)
+        held.bodies, held.writing = 0, 40 * MIB
+        assert held.has_answer_room(3 * MIB)
+        assert not held.has_answer_room(4 * MIB)
+
     # Guards against a connection that is kept for a caller which never reads.
     def test_stalled(self):
         """A caller is stalled once it has read nothing for the timeout."""
--- a/tests/adapter/test_slow_callers.py
+++ b/tests/adapter/test_slow_callers.py
@@ -18,6 +18,7 @@
 TIMEOUT_S = 1.5
 STREAM = route(routeType="streaming", maxAttempts=1, timeoutMs=1500)
 PLAIN = route(timeoutMs=1500)
+LONG = route(timeoutMs=20_000)
 HEADERS = {"Host": HOST, "Attempt-Id": "a1", "Deadline-Ms": "20000"}
 RECEIVE_BUFFER_BYTES = 4096
 BIG = b"x" * (7 * MIB)
@@ -133,7 +134,7 @@
             reader, writer = await send(entry, {"Content-Length": "0"})
             reader._transport.pause_reading()
             began = time.monotonic()
-            await entry.until(lambda: held(entry).unsent > 0)
+            await entry.until(lambda: held(entry).used > 0)
             connections = entry.kernel.services["callers"].connections
             await entry.until(lambda: not connections.transports)
             assert TIMEOUT_S < time.monotonic() - began < 2 * TIMEOUT_S + 1.0
@@ -144,13 +145,24 @@
         """A caller that reads after a pause gets its whole answer."""
         async with Server(reply(BIG)) as server, start([PLAIN], server) as entry:
             reader, writer = await send(entry, {"Content-Length": "0"})
-            await entry.until(lambda: held(entry).unsent > 0)
+            await entry.until(lambda: held(entry).writing > 0)
             head = await reader.readuntil(b"\r\n\r\n")
             assert head.startswith(b"HTTP/1.1 200")
             assert await reader.readexactly(len(BIG)) == BIG
             writer.close()
             await entry.until(lambda: held(entry).used == 0)
 
+    # Guards against answers that are lost because many large ones arrive together.
+    async def test_at_once(self, start):
+        """Whole answers beyond the bound wait for each other."""
+        async with Server(reply(BIG)) as server, start([LONG], server) as entry:
+            server.slots = 8
+            answers = await asyncio.gather(*(get(entry) for _ in range(6)))
+            assert [(status, len(body)) for status, _, body in answers] == [
+                (200, len(BIG))
+            ] * 6
+            await entry.until(lambda: held(entry).used == 0)
+
     # Guards against an upstream that cuts off a stream because its caller reads slowly.
     async def test_stream_is_buffered(self, start):
         """While there is memory, the upstream is read though the caller does not."""
@@ -162,7 +174,7 @@
 
     async def test_readiness(self, start):
         """Readiness is withdrawn while too much is held."""
-        routes = [PLAIN | {"timeoutMs": 20_000}]
+        routes = [LONG]
         async with (
             Server(reply(BIG)) as server,
             start(routes, server, max_held_bytes=2 * MIB) as entry,
