--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -384,15 +384,33 @@
     logging.WARNING,
     "An offer states a weight that can't be used.",
 )
-MEMORY_FULL = define(
+ENGINE_MEMORY_FULL = define(
     744,
-    "memory_full",
+    "engine_memory_full",
     logging.INFO,
     "Requests wait for the engine's memory although slots are free.",
 )
-MEMORY_FREE = define(
+ENGINE_MEMORY_FREE = define(
     745,
-    "memory_free",
+    "engine_memory_free",
     logging.INFO,
     "Requests no longer wait for the engine's memory.",
 )
+MEMORY_FULL = define(
+    770,
+    "memory_full",
+    logging.WARNING,
+    "The entry holds too many bytes for callers and upstreams, and is not ready.",
+)
+MEMORY_FREED = define(
+    771,
+    "memory_freed",
+    logging.INFO,
+    "The entry holds few bytes again, and is ready.",
+)
+CALLER_STALLED = define(
+    772,
+    "caller_stalled",
+    logging.INFO,
+    "A caller read nothing for its route's timeout; its connection was closed.",
+)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_call.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_call.py
@@ -26,6 +26,12 @@
 )
 
 CONNECT_TIMEOUT_S = 0.5
+# Bytes of an answer that are received before they are read. Where the held bytes are
+# bounded, fewer are, as each caller that reads slowly leaves them unread.
+READ_BUFFER_BYTES = 64 * 1024
+SMALL_READ_BUFFER_BYTES = 16 * 1024
+# Interval at which a body that waits for its turn looks for room.
+TURN_INTERVAL_S = 0.02
 # Limits the status line and each header field of an upstream's answer.
 MAX_FIELD_BYTES = 16 * 1024
 # Headers that aiohttp would add and the caller's request may lack.
@@ -42,11 +48,38 @@
 
     Attributes:
         used: Bytes of all bodies.
+        reserved: Bytes of the bodies of known length whose turn has come.
+        has_room: Returns whether memory is left for a body of a length; None if held
+            bytes are not bounded, so that none waits for its turn.
     """
 
     def __init__(self, bounds: AnswerBounds) -> None:
         self.bounds = bounds
         self.used = 0
+        self.reserved = 0
+        self.has_room: Callable[[int], bool] | None = None
+        self.turn = asyncio.Lock()
+
+    async def reserve(self, length: int) -> None:
+        """Wait, in order, until a body of a known length may be received.
+
+        Until then its upstream waits. Otherwise many large bodies at the same time
+        would exceed the bound halfway, and all be lost.
+        """
+        if self.has_room is not None:
+            async with self.turn:
+                while self.is_full(length) or not self.has_room(length):
+                    await asyncio.sleep(TURN_INTERVAL_S)
+        self.reserved += length
+
+    def is_full(self, length: int) -> bool:
+        """Return whether a body has to wait for those that are being received."""
+        most = self.bounds.max_buffered_bytes
+        return bool(self.reserved) and self.reserved + length > most
+
+    def release(self, length: int) -> None:
+        """Let others be received after a body of a known length."""
+        self.reserved -= length
 
     def add(self, received: int, body: int) -> None:
         """Count received bytes.
@@ -127,6 +160,10 @@
         """
         chunks = []
         size = 0
+        length = min(
+            self.response.content_length or 0, self.buffer.bounds.max_body_bytes
+        )
+        await self.buffer.reserve(length)
         try:
             while chunk := await self.read_chunk():
                 chunks.append(chunk)
@@ -135,6 +172,7 @@
             return b"".join(chunks)
         finally:
             self.buffer.used -= size
+            self.buffer.release(length)
 
     def close(self) -> None:
         """Close the connection, whether or not the answer is complete."""
@@ -149,6 +187,8 @@
         on_head: Called in order with the head of each answer by the upstream that was
             called, and not by another one at its address.
         bounds: Bounds on the sizes of answers.
+        read_buffer_bytes: Bytes of an answer from which on no more are received until
+            some are read; up to twice as many are held.
     """
 
     def __init__(
@@ -156,6 +196,8 @@
         adapter: Adapter,
         on_head: Sequence[Callable[[UpstreamRecord, UpstreamHead], None]] = (),
         bounds: AnswerBounds | None = None,
+        *,
+        read_buffer_bytes: int = READ_BUFFER_BYTES,
     ) -> None:
         self.adapter = adapter
         self.bounds = bounds or AnswerBounds()
@@ -169,6 +211,7 @@
                 socket_factory=open_socket,
             ),
             auto_decompress=False,
+            read_bufsize=read_buffer_bytes,
             cookie_jar=aiohttp.DummyCookieJar(),
             skip_auto_headers=SKIPPED_AUTO_HEADERS,
             max_line_size=MAX_FIELD_BYTES,
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
@@ -259,7 +259,9 @@
             return
         self.is_memory_full = counts.is_memory_full
         self.log.event(
-            _events.MEMORY_FULL if self.is_memory_full else _events.MEMORY_FREE,
+            _events.ENGINE_MEMORY_FULL
+            if self.is_memory_full
+            else _events.ENGINE_MEMORY_FREE,
             reserved_tokens=round(memory.reserved),
             size_tokens=memory.size,
             running=counts.running,
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_metrics.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_metrics.py
@@ -57,6 +57,14 @@
     "Requests that were offered to another data centre, by data centre.",
     ["data_centre"],
 )
+HELD_BYTES = Gauge(
+    "skylarkdoor_direct_held_bytes",
+    "Bytes of request bodies and of unsent answers that this entry holds.",
+)
+MEMORY_REFUSALS = Counter(
+    "skylarkdoor_direct_memory_refusals_total",
+    "Requests refused because this entry holds too many bytes.",
+)
 RUNNING = Gauge(
     "skylarkdoor_direct_running",
     "Requests of this entry that are running at upstreams.",
