Signatures of the decisions on roll-outs

Decision gains the versions that get nothing, as a reverted or replaced version may still run beside the next one; Versions excludes several.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/rollouts/__init__.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/rollouts/__init__.py
@@ -1,5 +1,8 @@
 """Roll-outs of software versions: decisions, without a network."""
 
+from skylarkdoord.direct.rollouts._evidence import Evidence, Running, sum_reports
+from skylarkdoord.direct.rollouts._gate import RolloutGate
+from skylarkdoord.direct.rollouts._judgement import judge
 from skylarkdoord.direct.rollouts._model import (
     Capacity,
     Cell,
@@ -13,17 +16,25 @@
     Verdict,
     Versions,
 )
+from skylarkdoord.direct.rollouts._phases import first_decision, next_decision
 
 __all__ = [
     "Capacity",
     "Cell",
     "CellCounts",
     "Decision",
+    "Evidence",
     "Outcome",
     "Phase",
     "Report",
     "RolloutBounds",
+    "RolloutGate",
     "RolloutOrder",
+    "Running",
     "Verdict",
     "Versions",
+    "first_decision",
+    "judge",
+    "next_decision",
+    "sum_reports",
 ]
--- a/packages/skylarkdoord/src/skylarkdoord/direct/rollouts/_model.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/rollouts/_model.py
@@ -49,6 +49,8 @@
         term: Fencing number of the coordinator; a later coordinator has a higher one.
         step: Number of the decision within the term.
         reason: Why the phase was entered, for operators.
+        withheld: Versions of earlier orders that did not complete; they get nothing
+            until an order names them again.
     """
 
     order: RolloutOrder
@@ -58,6 +60,7 @@
     term: int = 0
     step: int = 0
     reason: str = ""
+    withheld: tuple[str, ...] = ()
 
     @property
     def precedence(self) -> tuple[StoreVersion, bool, int, int]:
@@ -150,17 +153,17 @@
 
     Attributes:
         only: The only version; None for any.
-        excluded: A version to avoid; None for none.
+        excluded: Versions to avoid.
         preferred: Upstream instances to use while one of them is ready; empty for any.
     """
 
     only: str | None = None
-    excluded: str | None = None
+    excluded: frozenset[str] = frozenset()
     preferred: frozenset[str] = frozenset()
 
     def allows(self, version: str) -> bool:
         """Return whether a request may be sent to upstreams of a version."""
-        return self.only in (None, version) and version != self.excluded
+        return self.only in (None, version) and version not in self.excluded
 
 
 class RolloutBounds(NamedTuple):
