--- a/packages/skylarkdoord/src/skylarkdoord/direct/rollouts/__init__.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/rollouts/__init__.py
@@ -16,7 +16,11 @@
     Verdict,
     Versions,
 )
-from skylarkdoord.direct.rollouts._phases import first_decision, next_decision
+from skylarkdoord.direct.rollouts._phases import (
+    first_decision,
+    next_decision,
+    withheld_after,
+)
 
 __all__ = [
     "Capacity",
@@ -37,4 +41,5 @@
     "judge",
     "next_decision",
     "sum_reports",
+    "withheld_after",
 ]
--- a/packages/skylarkdoord/src/skylarkdoord/direct/rollouts/_evidence.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/rollouts/_evidence.py
@@ -167,20 +167,34 @@
         return CellCounts(self.answers, self.failures, dict(self.durations))
 
 
-def sum_reports(order: RolloutOrder, reports: Iterable[Report]) -> Report:
-    """Return the sum of the reports on an order; those on other orders are left out."""
-    of_order = [report for report in reports if report.order == order]
+def sum_reports(
+    order: RolloutOrder, reports: Iterable[Report], gone: Iterable[Report] = ()
+) -> Report:
+    """Return the sum of the reports on an order; those on other orders are left out.
+
+    Args:
+        order: The order.
+        reports: Latest reports of the live entries. Give an empty report for a live
+            entry that sent none: it has not heard of any decision.
+        gone: Last reports of earlier incarnations and of entries that are not live.
+            What they ran has ended.
+    """
+    live = [report for report in reports if report.order == order]
+    former = [report for report in gone if report.order == order]
     cells: dict[Cell, CellCounts] = {}
-    for report in of_order:
+    for report in live + former:
         for cell, counts in report.cells.items():
             cells[cell] = _sum_counts(cells.get(cell, CellCounts()), counts)
+    term, step = min(((report.term, report.step) for report in live), default=(0, 0))
     return Report(
         order=order,
-        sent_old=sum(report.sent_old for report in of_order),
-        sent_new=sum(report.sent_new for report in of_order),
-        running_old=sum(report.running_old for report in of_order),
-        running_old_once=sum(report.running_old_once for report in of_order),
+        sent_old=sum(report.sent_old for report in live + former),
+        sent_new=sum(report.sent_new for report in live + former),
+        running_old=sum(report.running_old for report in live),
+        running_old_once=sum(report.running_old_once for report in live),
         cells=cells,
+        term=term,
+        step=step,
     )
 
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/rollouts/_model.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/rollouts/_model.py
@@ -106,6 +106,8 @@
         running_old: Requests that run at other versions now.
         running_old_once: Those of them that may run only once.
         cells: Answers by cell.
+        term: Term of the decision that the entry holds; in a sum the lowest of all.
+        step: Step of that decision within the term.
     """
 
     order: RolloutOrder
@@ -114,6 +116,8 @@
     running_old: int = 0
     running_old_once: int = 0
     cells: Mapping[Cell, CellCounts] = {}
+    term: int = 0
+    step: int = 0
 
 
 class Outcome(enum.Enum):
@@ -140,7 +144,7 @@
     """Slots of the upstreams that are ready.
 
     Attributes:
-        old_slots: Slots of the other versions.
+        old_slots: Slots of the other versions, without those that are withheld.
         new_slots: Slots of the new version.
     """
 
