Roll-outs: tests of rows, lease and orders; suspended coordinators

Cause: a coordinator that was suspended repeated its old decision to itself. Change: only a write to the store refreshes its decision after a suspension.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_rollout_coordinator.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_rollout_coordinator.py
@@ -5,8 +5,6 @@
 """
 
 import asyncio
-from collections.abc import Callable
-from typing import Protocol
 
 from skylarkdoor import events
 from skylarkdoord import _events
@@ -17,17 +15,15 @@
     ROLLOUTS,
     RolloutLease,
 )
-from skylarkdoord.direct._rollout_orders import RolloutOrders, is_same
+from skylarkdoord.direct._rollout_orders import is_same
 from skylarkdoord.direct._rollout_peers import RolloutPeers, Sender
 from skylarkdoord.direct._rollout_status import StatusWriter
+from skylarkdoord.direct._rollout_view import RolloutView
 from skylarkdoord.direct._store_calls import StoreCalls
 from skylarkdoord.direct.exceptions import StoreError
 from skylarkdoord.direct.rollouts import (
-    Capacity,
     Decision,
     Phase,
-    Report,
-    RolloutGate,
     RolloutOrder,
     first_decision,
     next_decision,
@@ -54,43 +50,6 @@
 SETTLING_S = 2.0
 
 
-class RolloutView(Protocol):
-    """What the coordinator needs of the service.
-
-    Attributes:
-        gate: Decisions in force and this entry's evidence.
-        orders: Latest order of each service.
-        heard_at: Monotonic time at which a decision on a service was last heard of, or
-            its order was read, in seconds.
-        sources: Entry that last sent the decision in force, by service.
-        decided_at: Monotonic time at which the decision in force was first heard of,
-            in seconds, by service.
-        clock: Returns the monotonic time, in seconds.
-    """
-
-    gate: RolloutGate
-    orders: RolloutOrders
-    heard_at: dict[str, float]
-    sources: dict[str, str]
-    decided_at: dict[str, float]
-    clock: Callable[[], float]
-
-    def is_served(self, service: str) -> bool:
-        """Return whether the configuration has a service."""
-
-    def decision(self, order: RolloutOrder) -> Decision | None:
-        """Return the coordinator's decision in force on an order; None without one."""
-
-    def take(self, decision: Decision) -> bool:
-        """Take over a decision; return whether it is news."""
-
-    def evidence(self, order: RolloutOrder) -> Report:
-        """Return the evidence of all entries on an order."""
-
-    def capacity(self, order: RolloutOrder, withheld: frozenset[str]) -> Capacity:
-        """Return the slots of a service's upstreams that are ready."""
-
-
 def holder_name(sender: Sender) -> str:
     """Return the name under which a run of an entry coordinates."""
     return f"{sender.instance}/{sender.incarnation}"
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_rollouts.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_rollouts.py
@@ -31,6 +31,9 @@
 TICK_S = 0.1
 # The reports of many entries are summed less often, so that it takes little of a core.
 EVIDENCE_INTERVAL_PER_ENTRY_S = 0.0005
+# Time without a look at evidence after which the process counts as suspended, in
+# seconds. It exceeds the interval of many entries.
+MAX_INTERRUPTION_S = 2.0
 # Time for which final decisions are repeated in updates, in seconds. Later updates
 # state them only at the beginning of a stream.
 FINAL_REPEAT_S = 10.0
@@ -134,9 +137,17 @@
             await asyncio.sleep(max(TICK_S, EVIDENCE_INTERVAL_PER_ENTRY_S * entries))
 
     def stay_in_touch(self, order: RolloutOrder) -> None:
-        """Repeat the decision to this entry's own gate while this entry coordinates."""
+        """Repeat the decision to this entry's own gate while this entry coordinates.
+
+        After a suspension of this process, others may have decided; then only a write
+        to the store shows that this entry still coordinates.
+        """
         decision = self.decision(order)
-        if decision is not None and self.coordinator.is_sender(order.service):
+        state = self.gate.rollouts.get(order.service)
+        if decision is None or state is None:
+            return
+        is_uninterrupted = self.clock() - state.heard_at < MAX_INTERRUPTION_S
+        if is_uninterrupted and self.coordinator.is_sender(order.service):
             self.gate.apply(decision, self.clock())
 
     def in_progress(self) -> Iterator[RolloutOrder]:
--- a/tests/adapter/_released.py
+++ b/tests/adapter/_released.py
@@ -32,12 +32,12 @@
 ONCE = route("booking", routeType="non_idempotent", maxAttempts=1)
 
 
-def good():
-    """Return a script that answers after a short time."""
+def good(answer_s=ANSWER_S):
+    """Return a script that answers after a short time, in seconds."""
     answer = reply()
 
     async def script(request, writer):
-        await asyncio.sleep(ANSWER_S)
+        await asyncio.sleep(answer_s)
         await answer(request, writer)
 
     return script
--- a/tests/adapter/test_rollouts.py
+++ b/tests/adapter/test_rollouts.py
@@ -1,11 +1,13 @@
 """Tests of roll-outs over real processes, some of which fail meanwhile."""
 
 import asyncio
+import signal
 import time
 
 import pytest
 
 from ._released import (
+    ANSWER_S,
     DURATION_S,
     EXPOSURE_FRACTION,
     EXPOSURE_TOLERANCE,
@@ -86,6 +88,14 @@
             await release.order()
             await check_reverted(release)
 
+    # Guards against a version whose answers are whole, but late.
+    async def test_slow(self, store, tmp_path):
+        """A version that takes several times as long is reverted."""
+        async with Release(store, tmp_path, good(5 * ANSWER_S)) as release:
+            await asyncio.sleep(0.5)
+            await release.order()
+            await check_reverted(release)
+
     # Guards against a version that stays shut out although it is ordered again.
     async def test_again(self, store, tmp_path):
         """A reverted version gets its trial again with the next order."""
@@ -238,3 +248,64 @@
             store.status = 200
             await check_reverted(release)
             assert not release.sent(release.new, bad_since + ROLLBACK_S)
+
+    # Guards against a frozen coordinator that holds a roll-out up, or that goes on with
+    # an old decision afterwards.
+    async def test_frozen_coordinator(self, store, tmp_path):
+        """The coordinator is suspended while a version goes bad."""
+        async with Release(store, tmp_path, good(), entries=3) as release:
+            await release.order()
+            await asyncio.sleep(1.0)
+            frozen = release.daemons[0].process
+            frozen.send_signal(signal.SIGSTOP)
+            url = release.urls.pop(0)
+            for server in release.new:
+                server.answer = failing()
+            await asyncio.sleep(4.0)
+            frozen.send_signal(signal.SIGCONT)
+            release.urls.append(url)
+            await check_reverted(release)
+
+
+class TestOlderCopy:
+    """The store comes back from an older copy."""
+
+    # Guards against an order that ends without a status, or twice.
+    @pytest.mark.parametrize("has_order", [True, False])
+    async def test_midway(self, store, tmp_path, has_order):
+        """A roll-out goes on, whether or not the copy has its order."""
+        store.era = 3
+        async with Release(store, tmp_path, good()) as release:
+            older = store.copy()
+            await release.order()
+            ordered = store.tables["op"][KEY]
+            if has_order:
+                older = store.copy()
+            await release.until_state("in_progress")
+            await asyncio.sleep(1.0)
+            await store.come_back(older)
+            if not has_order:
+                # Only lets the test find the status; the entries get no such row.
+                store.tables["op"].setdefault(KEY, ordered)
+            await check_completed(release)
+
+    # Guards against a version that returns with the copy.
+    async def test_after(self, store, tmp_path):
+        """What was decided is written again and stays in force."""
+        store.era = 3
+        async with Release(store, tmp_path, failing()) as release:
+            await release.order()
+            older = store.copy()
+            await check_reverted(release)
+            since = time.monotonic()
+            await store.come_back(older)
+            async with asyncio.timeout(5.0):
+                while release.status() is None:
+                    await asyncio.sleep(0.05)
+            assert release.status() == {"state": "reverted", "to": NEW}
+            await asyncio.sleep(1.0)
+            assert not release.sent(release.new, since)
+            await release.restart_all()
+            await asyncio.sleep(2.0)
+            assert not release.sent(release.new, since)
+            assert release.status() == {"state": "reverted", "to": NEW}
