Roll-outs: send decisions and evidence in time in larger fleets

Change: the coordinator repeats its decision every 0.8 s, the others report to it alone; whose turn it is to coordinate is a module of its own.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
@@ -279,6 +279,11 @@
             for outbox in self.outboxes:
                 outbox.wake()
 
+    def send_update(self, instance: str) -> None:
+        """Send an update to one entry at once, if a stream to it is open."""
+        if instance in self.peers:
+            self.peers[instance].outbox().wake()
+
     def broadcast(self, rows: Iterable[Row]) -> None:
         """Send changed rows of upstreams to the other entries at once.
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_rollout_coordinator.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_rollout_coordinator.py
@@ -18,6 +18,11 @@
 from skylarkdoord.direct._rollout_orders import is_same
 from skylarkdoord.direct._rollout_peers import RolloutPeers, Sender
 from skylarkdoord.direct._rollout_status import StatusWriter
+from skylarkdoord.direct._rollout_turns import (
+    STANDBY_INTERVAL_S,
+    RolloutTurns,
+    holder_name,
+)
 from skylarkdoord.direct._rollout_view import RolloutView
 from skylarkdoord.direct._store_calls import StoreCalls
 from skylarkdoord.direct.exceptions import StoreError
@@ -30,13 +35,6 @@
     withheld_after,
 )
 
-# Interval at which the first entry by name that does not coordinate reads the row, in
-# seconds. A coordinator that is cut off from the store, but not from the entries, is
-# found out by its lapsed lease.
-STANDBY_INTERVAL_S = 1.5
-# Time without a decision, for each live entry before it by name, after which an entry
-# reads the row; those before it may not have read the order.
-PATIENCE_PER_POSITION_S = 1.5
 # Interval of the calls that follow a failed one or one that found another coordinator,
 # in seconds.
 RETRY_INTERVAL_S = 0.4
@@ -45,14 +43,6 @@
 MAX_HEARING_S = 0.4
 # Time before the end of the duration at which it waits no longer, in seconds.
 MIN_STATUS_S = 0.2
-# Time since the start within which entries that are not heard of may be live, in
-# seconds.
-SETTLING_S = 2.0
-
-
-def holder_name(sender: Sender) -> str:
-    """Return the name under which a run of an entry coordinates."""
-    return f"{sender.instance}/{sender.incarnation}"
 
 
 class RolloutCoordinator:
@@ -78,8 +68,8 @@
         self.view = view
         self.peers = peers
         self.store = store
-        self.started = view.clock()
         members = peers.members
+        self.turns = RolloutTurns(view, peers)
         self.holder = holder_name(Sender(members.instance, members.incarnation))
         self.statuses = StatusWriter(adapter, store)
         self.leases: dict[str, RolloutLease] = {}
@@ -166,12 +156,9 @@
             return is_first and since_call_s >= RETRY_INTERVAL_S
         if self.is_sender(service):
             return not self.calls.is_failing or since_call_s >= RETRY_INTERVAL_S
-        if not self.is_next(service):
+        if not self.turns.is_next(service):
             return False
-        source = self.view.sources.get(service, "")
-        is_source_live = any(live.instance == source for live in self.peers.live())
-        silent_s = now - self.view.heard_at.get(service, 0.0)
-        if is_source_live and silent_s < STANDBY_INTERVAL_S:
+        if self.turns.is_coordinated(service):
             return since_call_s >= STANDBY_INTERVAL_S
         return since_call_s >= RETRY_INTERVAL_S
 
@@ -194,7 +181,7 @@
         if decision is not None and decision.phase.is_final:
             await self.verify(decision, lease)
             return
-        if not lease.is_held and not self.may_take_over(order, lease):
+        if not lease.is_held and not self.turns.may_take_over(lease, self.now_s()):
             return
         decided = self.decide(order, decision, lease)
         is_due = decided != decision or self.is_renewal_due(service)
@@ -234,28 +221,6 @@
                 )
             )
 
-    def may_take_over(self, order: RolloutOrder, lease: RolloutLease) -> bool:
-        """Return whether nobody else coordinates the service."""
-        if not self.is_next(order.service):
-            return False
-        record = lease.record
-        if record is None or record.decision.phase.is_final:
-            return True
-        if record.until_s <= self.now_s():
-            return True
-        if record.holder.rpartition("/")[0] == self.peers.members.instance:
-            return True
-        if self.view.clock() - self.started < SETTLING_S:
-            return False
-        return record.holder not in map(holder_name, self.peers.live())
-
-    def is_next(self, service: str) -> bool:
-        """Return whether this entry takes over if nobody else coordinates a service."""
-        source = self.view.sources.get(service, "")
-        silent_s = self.view.clock() - self.view.heard_at.get(service, 0.0)
-        position = self.peers.position(excluded=source)
-        return silent_s >= PATIENCE_PER_POSITION_S * position
-
     def decide(
         self, order: RolloutOrder, decision: Decision | None, lease: RolloutLease
     ) -> Decision:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_rollouts.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_rollouts.py
@@ -31,6 +31,12 @@
 TICK_S = 0.1
 # The reports of many entries are summed less often, so that it takes little of a core.
 EVIDENCE_INTERVAL_PER_ENTRY_S = 0.0005
+# Longest interval of the coordinator's decisions, in seconds. Entries on trial that hear
+# of none for 2 s send nothing to the new version.
+REPEAT_INTERVAL_S = 0.8
+# Interval at which an entry reports to the coordinator, for each entry, which bounds the
+# reports that the coordinator receives to 1,000 a second.
+REPORT_INTERVAL_PER_ENTRY_S = 0.001
 # Time without a look at evidence after which the process counts as suspended, in
 # seconds. It exceeds the interval of many entries.
 MAX_INTERRUPTION_S = 2.0
@@ -54,7 +60,8 @@
         gate: Limits what is sent to versions on trial.
         scheduler: Holds the waiting requests and lists the upstreams.
         retry_versions: Returns the versions for a service's requests that are no trial.
-        notify: Makes the other entries hear of a decision at once.
+        notify: Sends an update to all entries at once.
+        wake: Sends an update to one entry at once.
     """
 
     adapter: Adapter
@@ -63,6 +70,7 @@
     scheduler: Scheduler
     retry_versions: Callable[[str], Versions]
     notify: Callable[[], None]
+    wake: Callable[[str], None]
 
 
 class Rollouts:
@@ -94,6 +102,7 @@
         self.scheduler = dependencies.scheduler
         self.retry_versions = dependencies.retry_versions
         self.notify = dependencies.notify
+        self.wake = dependencies.wake
         self.clock = clock
         self.orders = RolloutOrders(dependencies.adapter)
         self.peers = RolloutPeers(members, self)
@@ -102,6 +111,7 @@
         )
         self.heard_at: dict[str, float] = {}
         self.sources: dict[str, str] = {}
+        self.repeated_at: dict[str, float] = {}
         self.decided_at: dict[str, float] = {}
         self.has_orders = asyncio.Event()
         self.log = events.get_logger("direct.rollouts")
@@ -133,6 +143,7 @@
             for order in list(self.in_progress()):
                 self.stay_in_touch(order)
                 self.check_evidence(order)
+                self.repeat(order)
             entries = len(self.peers.members.by_name)
             await asyncio.sleep(max(TICK_S, EVIDENCE_INTERVAL_PER_ENTRY_S * entries))
 
@@ -283,6 +294,28 @@
         """Return the evidence of all entries on an order."""
         return self.peers.sum(order, self.gate.report(order.service))
 
+    def repeat(self, order: RolloutOrder) -> None:
+        """Send updates sooner than usual where many entries make their interval long.
+
+        The coordinator repeats its decision to all, and the others send their evidence
+        to the coordinator alone.
+        """
+        members = self.peers.members
+        if members.update_interval_s() <= REPEAT_INTERVAL_S:
+            return
+        is_sender = self.coordinator.is_sender(order.service)
+        entries = len(members.by_name)
+        interval_s = max(REPEAT_INTERVAL_S, REPORT_INTERVAL_PER_ENTRY_S * entries)
+        if is_sender:
+            interval_s = REPEAT_INTERVAL_S
+        if self.clock() - self.repeated_at.get(order.service, 0.0) < interval_s:
+            return
+        self.repeated_at[order.service] = self.clock()
+        if is_sender:
+            self.notify()
+        elif order.service in self.sources:
+            self.wake(self.sources[order.service])
+
     def check_evidence(self, order: RolloutOrder) -> None:
         """Send nothing more to the new version if the evidence held here is bad."""
         decision = self.decision(order)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -108,6 +108,7 @@
                 scheduler=scheduler,
                 retry_versions=dependencies.rollouts.retry_versions,
                 notify=exchange.unreported.set,
+                wake=exchange.send_update,
             ),
             members,
         )
