--- a/packages/skylarkdoord/src/skylarkdoord/direct/_rollout_view.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_rollout_view.py
@@ -1,4 +1,4 @@
-"""What the coordinator of roll-outs needs of the service that it belongs to."""
+"""What the parts of roll-outs need of the service that they belong to."""
 
 from collections.abc import Callable
 from typing import Protocol
@@ -14,7 +14,7 @@
 
 
 class RolloutView(Protocol):
-    """What the coordinator needs of the service.
+    """Orders, decisions and evidence, as an entry holds them.
 
     Attributes:
         gate: Decisions in force and this entry's evidence.
@@ -48,3 +48,9 @@
 
     def capacity(self, order: RolloutOrder, withheld: frozenset[str]) -> Capacity:
         """Return the slots of a service's upstreams that are ready."""
+
+    def is_sender(self, service: str) -> bool:
+        """Return whether this entry coordinates a service."""
+
+    def change_versions(self, service: str) -> None:
+        """Let the waiting requests of a service use the versions that they may now."""
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_rollouts.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_rollouts.py
@@ -14,32 +14,22 @@
 from skylarkdoord.direct._rollout_coordinator import RolloutCoordinator
 from skylarkdoord.direct._rollout_orders import RolloutOrders, is_same
 from skylarkdoord.direct._rollout_peers import RolloutPeers
+from skylarkdoord.direct._rollout_watch import EvidenceWatch
 from skylarkdoord.direct._scheduler import Scheduler
 from skylarkdoord.direct.rollouts import (
     Capacity,
     Decision,
-    Outcome,
     Phase,
     Report,
     RolloutGate,
     RolloutOrder,
     Versions,
-    judge,
 )
 
 # Interval at which evidence is looked at and coordination is checked, in seconds.
 TICK_S = 0.1
 # The reports of many entries are summed less often, so that it takes little of a core.
 EVIDENCE_INTERVAL_PER_ENTRY_S = 0.0005
-# Longest interval of the coordinator's decisions, in seconds. Entries on trial that hear
-# of none for 2 s send nothing to the new version.
-REPEAT_INTERVAL_S = 0.8
-# Interval at which an entry reports to the coordinator, for each entry, which bounds the
-# reports that the coordinator receives to 1,000 a second.
-REPORT_INTERVAL_PER_ENTRY_S = 0.001
-# Time without a look at evidence after which the process counts as suspended, in
-# seconds. It exceeds the interval of many entries.
-MAX_INTERRUPTION_S = 2.0
 # Time for which final decisions are repeated in updates, in seconds. Later updates
 # state them only at the beginning of a stream.
 FINAL_REPEAT_S = 10.0
@@ -111,7 +101,6 @@
         )
         self.heard_at: dict[str, float] = {}
         self.sources: dict[str, str] = {}
-        self.repeated_at: dict[str, float] = {}
         self.decided_at: dict[str, float] = {}
         self.has_orders = asyncio.Event()
         self.log = events.get_logger("direct.rollouts")
@@ -138,29 +127,14 @@
 
     async def watch_evidence(self) -> None:
         """Look at the evidence on orders until cancelled."""
+        watch = EvidenceWatch(self, self.peers, notify=self.notify, wake=self.wake)
         while True:
             await self.has_orders.wait()
             for order in list(self.in_progress()):
-                self.stay_in_touch(order)
-                self.check_evidence(order)
-                self.repeat(order)
+                watch.look(order)
             entries = len(self.peers.members.by_name)
             await asyncio.sleep(max(TICK_S, EVIDENCE_INTERVAL_PER_ENTRY_S * entries))
 
-    def stay_in_touch(self, order: RolloutOrder) -> None:
-        """Repeat the decision to this entry's own gate while this entry coordinates.
-
-        After a suspension of this process, others may have decided; then only a write
-        to the store shows that this entry still coordinates.
-        """
-        decision = self.decision(order)
-        state = self.gate.rollouts.get(order.service)
-        if decision is None or state is None:
-            return
-        is_uninterrupted = self.clock() - state.heard_at < MAX_INTERRUPTION_S
-        if is_uninterrupted and self.coordinator.is_sender(order.service):
-            self.gate.apply(decision, self.clock())
-
     def in_progress(self) -> Iterator[RolloutOrder]:
         """Yield the orders whose roll-outs have not ended."""
         for service, order in self.orders.latest.items():
@@ -290,53 +264,14 @@
         """Return whether the decision on a service has not held for long."""
         return self.clock() - self.decided_at.get(service, 0.0) < FINAL_REPEAT_S
 
+    def is_sender(self, service: str) -> bool:
+        """Return whether this entry coordinates a service."""
+        return self.coordinator.is_sender(service)
+
     def evidence(self, order: RolloutOrder) -> Report:
         """Return the evidence of all entries on an order."""
         return self.peers.sum(order, self.gate.report(order.service))
 
-    def repeat(self, order: RolloutOrder) -> None:
-        """Send updates sooner than usual where many entries make their interval long.
-
-        The coordinator repeats its decision to all, and the others send their evidence
-        to the coordinator alone.
-        """
-        members = self.peers.members
-        if members.update_interval_s() <= REPEAT_INTERVAL_S:
-            return
-        is_sender = self.coordinator.is_sender(order.service)
-        entries = len(members.by_name)
-        interval_s = max(REPEAT_INTERVAL_S, REPORT_INTERVAL_PER_ENTRY_S * entries)
-        if is_sender:
-            interval_s = REPEAT_INTERVAL_S
-        if self.clock() - self.repeated_at.get(order.service, 0.0) < interval_s:
-            return
-        self.repeated_at[order.service] = self.clock()
-        if is_sender:
-            self.notify()
-        elif order.service in self.sources:
-            self.wake(self.sources[order.service])
-
-    def check_evidence(self, order: RolloutOrder) -> None:
-        """Send nothing more to the new version if the evidence held here is bad."""
-        decision = self.decision(order)
-        state = self.gate.rollouts.get(order.service)
-        if decision is None or state is None or state.stopped:
-            return
-        if not self.capacity(order, frozenset(decision.withheld)).old_slots:
-            return
-        verdict = judge(self.evidence(order))
-        if verdict.outcome is not Outcome.BAD:
-            return
-        self.gate.stop(order.service, verdict.reason)
-        self.log.event(
-            _events.ROLLOUT_STOPPED,
-            service=order.service,
-            version=order.version,
-            reason=verdict.reason,
-        )
-        self.change_versions(order.service)
-        self.notify()
-
     def capacity(self, order: RolloutOrder, withheld: frozenset[str]) -> Capacity:
         """Return the slots of a service's upstreams that are ready.
 
