--- a/packages/skylarkdoord/src/skylarkdoord/direct/rollouts/__init__.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/rollouts/__init__.py
@@ -2,6 +2,7 @@
 
 from skylarkdoord.direct.rollouts._evidence import Evidence, Running, sum_reports
 from skylarkdoord.direct.rollouts._gate import RolloutGate
+from skylarkdoord.direct.rollouts._history import EvidenceHistory
 from skylarkdoord.direct.rollouts._judgement import judge
 from skylarkdoord.direct.rollouts._model import (
     Capacity,
@@ -28,6 +29,7 @@
     "CellCounts",
     "Decision",
     "Evidence",
+    "EvidenceHistory",
     "Outcome",
     "Phase",
     "Report",
--- a/packages/skylarkdoord/src/skylarkdoord/direct/rollouts/_exposure.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/rollouts/_exposure.py
@@ -5,6 +5,7 @@
 """
 
 import math
+from collections import Counter
 from collections.abc import Collection
 
 import xxhash
@@ -22,10 +23,10 @@
 class Exposure:
     """What an entry may send to the new version of an order.
 
-    Each route collects its share of a request with each request, and each whole one
-    goes to the new version. A route begins with a part of a request that is drawn by a
-    hash, as the entry's bound does. So the sum over many entries with few requests each
-    follows the share, rather than one request for each entry and route.
+    Each request adds the share to a credit, and each whole request of it goes to the
+    new version. The credit and the bound begin with the same part of a request, drawn
+    by a hash. So the sum over many entries with few requests each follows the
+    share, rather than one request for each entry.
 
     Args:
         order: The order.
@@ -33,7 +34,11 @@
         instance: Name of the entry.
 
     Attributes:
-        credit: Part of a request that a route has collected.
+        offset: Part of a request with which the credit and the bound begin.
+        credit: Requests for the new version that the share has yielded.
+        taken: Requests that were given the new version.
+        seen_by_route: First attempts by route.
+        taken_by_route: Those of them that were given the new version.
         used: Requests that were given the new version, or sent to it without.
         most_entries: Most entries that were live since the order.
     """
@@ -44,7 +49,10 @@
         self.bounds = bounds
         self.name = f"{instance} {order.service} {order.version} {order.ordered_at}"
         self.offset = fraction_of(self.name)
-        self.credit: dict[str, float] = {}
+        self.credit = self.offset
+        self.taken = 0
+        self.seen_by_route: Counter[str] = Counter()
+        self.taken_by_route: Counter[str] = Counter()
         self.used = 0
         self.most_entries = 1
 
@@ -52,17 +60,33 @@
         self, route: str, share: float, evidence: Evidence, live_entries: int
     ) -> bool:
         """Return whether a first attempt gets the new version, and count it."""
-        credit = self.credit.get(route)
-        if credit is None:
-            credit = fraction_of(f"{self.name} {route}")
-        credit += share
-        is_taken = credit >= 1.0 and self.has_room(evidence, live_entries)
+        self.seen_by_route[route] += 1
+        # A credit that can't be used, as there is no room, is not saved up.
+        self.credit = min(self.credit + share, self.taken + 2.0)
+        is_taken = (
+            self.credit >= self.taken + 1 + self.delay()
+            and self.is_due(route)
+            and self.has_room(evidence, live_entries)
+        )
         if is_taken:
-            credit -= 1.0
+            self.taken += 1
+            self.taken_by_route[route] += 1
             self.used += 1
-        self.credit[route] = min(1.0, credit)
         return is_taken
 
+    def delay(self) -> float:
+        """Return by how much of a request the next one is delayed.
+
+        It varies, as requests that alternate between routes would otherwise give all of
+        the share to one of them.
+        """
+        return fraction_of(f"{self.name} {self.taken}") if self.taken else 0.0
+
+    def is_due(self, route: str) -> bool:
+        """Return whether a route is not ahead of its part by more than a request."""
+        part = self.seen_by_route[route] / self.seen_by_route.total()
+        return self.taken_by_route[route] <= part * self.taken + 1
+
     def has_room(self, evidence: Evidence, live_entries: int) -> bool:
         """Return whether another request may be sent to the new version.
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/rollouts/_gate.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/rollouts/_gate.py
@@ -98,7 +98,16 @@
         return True
 
     def stop(self, service: str, reason: str) -> None:
-        """Send nothing more to the version on trial, before any decision says so."""
+        """Send nothing to the version on trial, before any decision says so.
+
+        Call it after each verdict: "bad" stops, and any other lifts the stop. If a stop
+        stayed while the coordinator's evidence never was bad, this entry would keep a
+        good version from completing.
+
+        Args:
+            service: The service.
+            reason: Why the evidence that this entry holds is bad; empty if it isn't.
+        """
         rollout = self.rollouts.get(service)
         if rollout is not None:
             rollout.stopped = reason
--- a/packages/skylarkdoord/src/skylarkdoord/direct/rollouts/_judgement.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/rollouts/_judgement.py
@@ -5,6 +5,7 @@
 """
 
 import math
+from collections import Counter
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -22,161 +23,260 @@
 MIN_LATE_GOOD_ANSWERS = 5
 # Fewest answers of a version, of one route or of all, that are compared.
 MIN_ANSWERS = 8
-# Fewest failures that make a version bad.
-MIN_FAILURES = 5
 # Difference between the shares of failures that callers don't notice.
 MAX_FAILURE_EXCESS = 0.05
-# Share of failures that makes a version bad if there is no old one to compare it with.
-MAX_FAILURE_SHARE_ALONE = 0.5
-# Standard errors beyond which a difference is not chance.
-STANDARD_ERRORS = 3.0
+# Share of them that makes a version bad if there is no old one to compare it with.
+MAX_SPOILT_SHARE_ALONE = 0.5
+# Counts are whole numbers, which the normal distribution is not.
+CONTINUITY_CORRECTION = 0.5
 # Quantile of the old version's durations with which the new one's are compared.
 SLOW_QUANTILE = 0.9
-# Buckets above that of the quantile from which on an answer is slow. The third one
-# begins at 2.0 to 2.8 times the quantile, 2.4 times on average.
-SLOW_BUCKETS = 3
-# Share of slow answers that callers don't notice, as some upstreams slow down at times.
-MAX_SLOW_SHARE = 0.15
+# Buckets above that of the quantile from which on an answer is slow. The second one
+# begins at 1.4 to 2.0 times the quantile, the third one at 2.0 to 2.8 times.
+SLOW_BUCKETS = 2
+VERY_SLOW_BUCKETS = 3
+# Difference between the shares of slow answers that callers don't notice, as some
+# upstreams slow down at times.
+MAX_SLOW_EXCESS = 0.1
+# Share of very slow answers that callers don't notice, whatever the old version's.
+MAX_VERY_SLOW_SHARE = 0.15
 
 
-class Counts(NamedTuple):
-    """Answers of both versions, of one route or of all.
+class Threshold(NamedTuple):
+    """What it takes to hold answers against a version.
+
+    Attributes:
+        standard_errors: Standard errors beyond which a difference is not chance.
+        failures: Fewest failures.
+        slow: Fewest slow answers. An upstream that stalls once for 0.6 s delays 3 to 6.
+    """
+
+    standard_errors: float
+    failures: int
+    slow: int
+
+
+# Proof that a version is bad. Evidence is judged several times a second, and with 3.0
+# standard errors noise alone reverted 3 of 150 good versions.
+PROOF = Threshold(standard_errors=3.5, failures=5, slow=6)
+# Doubt by recent answers, which delays the call that a version is good. Without it, a
+# version that became bad just before the handover got more than its exposure.
+DOUBT = Threshold(standard_errors=2.0, failures=3, slow=3)
+
+
+class Tally(NamedTuple):
+    """Answers of one route at both versions, and those of them that are spoilt.
 
     Attributes:
-        name: What was counted.
         old: Answers of the old version.
-        old_failures: Failures among them.
+        old_spoilt: Those that failed, or that are slow.
         new: Answers of the new version.
-        new_failures: Failures among them.
-        new_timed: Answers of the new version that have an old one to compare with.
-        new_slow: Slow answers among them.
+        new_spoilt: Those that failed, or that are slow.
     """
 
-    name: str
-    old: int
-    old_failures: int
-    new: int
-    new_failures: int
-    new_timed: int
-    new_slow: int
+    old: int = 0
+    old_spoilt: int = 0
+    new: int = 0
+    new_spoilt: int = 0
+
+    def __add__(self, other: object) -> "Tally":
+        """Return the sum of two tallies."""
+        if not isinstance(other, Tally):
+            return NotImplemented
+        return Tally(*(map(sum, zip(self, other, strict=True))))
 
 
-def judge(report: Report, *, min_answers: int = MIN_GOOD_ANSWERS) -> Verdict:
+class RouteTallies(NamedTuple):
+    """What is compared on a route.
+
+    Attributes:
+        failures: Answers that failed.
+        slow: Answers that are slow.
+        very_slow: Answers that are very slow.
+    """
+
+    failures: Tally
+    slow: Tally
+    very_slow: Tally
+
+
+def judge(
+    report: Report,
+    recent: Report | None = None,
+    *,
+    min_answers: int = MIN_GOOD_ANSWERS,
+) -> Verdict:
     """Return whether the new version is good or bad, or that it can't be told yet.
 
     Args:
         report: Evidence on an order, summed over the entries.
+        recent: The recent part of it, of `EvidenceHistory`; None to judge all only.
         min_answers: Answers of the new version from which on it may be called good.
     """
-    routes = sorted({cell.route for cell in report.cells})
-    by_route = [_counts_of(report, f"route {route}", [route]) for route in routes]
-    service = _counts_of(report, "the service", routes)
-    for counts in [service, *by_route]:
-        reason = _reason_against(counts)
-        if reason:
-            return Verdict(Outcome.BAD, reason)
-    answers = f"{service.new} answers, {service.new_failures} failures"
-    if service.new >= min_answers:
+    reason = _reason_against_all(report, PROOF)
+    if not reason and recent is not None:
+        reason = _reason_against_recent(report, recent, PROOF)
+    if reason:
+        return Verdict(Outcome.BAD, reason)
+    if recent is not None:
+        doubt = _reason_against_recent(report, recent, DOUBT)
+        if doubt:
+            return Verdict(Outcome.UNDECIDED, f"in doubt: {doubt}")
+    total = _total(_failures_of(report, route) for route in _routes_of(report))
+    answers = f"{total.new} answers, {total.new_spoilt} failures"
+    if total.new >= min_answers:
         return Verdict(Outcome.GOOD, answers)
     return Verdict(Outcome.UNDECIDED, f"{answers}, of {min_answers} needed")
 
 
-def _reason_against(counts: Counts) -> str:
-    """Return why the new version is bad; empty if it isn't."""
-    if counts.new < MIN_ANSWERS:
+def _routes_of(report: Report) -> list[str]:
+    return sorted({cell.route for cell in report.cells})
+
+
+def _reason_against_all(report: Report, threshold: Threshold) -> str:
+    """Return why the new version is bad by a report; empty if it isn't."""
+    tallies = {route: _tallies_of(report, route) for route in _routes_of(report)}
+    subjects = {"the service": list(tallies.values())}
+    subjects |= {f"route {route}": [tally] for route, tally in tallies.items()}
+    reasons = (
+        _reason_against(name, routes, threshold) for name, routes in subjects.items()
+    )
+    return next((reason for reason in reasons if reason), "")
+
+
+def _reason_against_recent(report: Report, recent: Report, threshold: Threshold) -> str:
+    """Return why the new version is bad by its recent answers; empty if it isn't.
+
+    They are compared with the recent answers of the old version, as both may suffer at
+    times, and with all of those, as the recent ones are few.
+    """
+    reason = _reason_against_all(recent, threshold)
+    if not reason:
         return ""
-    if _has_more_failures(counts):
-        return (
-            f"{counts.new_failures} failures in {counts.new} answers of {counts.name},"
-            f" {counts.old_failures} in {counts.old} of the old version"
-        )
-    if _is_slow(counts):
-        return (
-            f"{counts.new_slow} of {counts.new_timed} answers of {counts.name} are"
-            " several times slower than the old version's"
-        )
+    new = {cell: counts for cell, counts in recent.cells.items() if cell.is_new}
+    old = {cell: counts for cell, counts in report.cells.items() if not cell.is_new}
+    return _reason_against_all(report._replace(cells=old | new), threshold) and reason
+
+
+def _reason_against(name: str, routes: list[RouteTallies], threshold: Threshold) -> str:
+    """Return why the new version is bad on some routes; empty if it isn't."""
+    failures = [route.failures for route in routes]
+    if _is_worse(failures, threshold.failures, MAX_FAILURE_EXCESS, threshold):
+        return f"failures of {name}: {_figures(failures)}"
+    slow = [route.slow for route in routes]
+    if _is_worse(slow, threshold.slow, MAX_SLOW_EXCESS, threshold):
+        return f"slow answers of {name}: {_figures(slow)}"
+    very_slow = [route.very_slow for route in routes]
+    if _is_above(_total(very_slow), MAX_VERY_SLOW_SHARE, threshold):
+        return f"very slow answers of {name}: {_figures(very_slow)}"
     return ""
 
 
-def _has_more_failures(counts: Counts) -> bool:
-    """Return whether the new version fails more often than the old one."""
-    if counts.new_failures < MIN_FAILURES:
+def _is_worse(
+    tallies: list[Tally], min_spoilt: int, max_excess: float, threshold: Threshold
+) -> bool:
+    """Return whether more answers of the new version are spoilt than of the old one.
+
+    Each route is compared with itself, so that it doesn't matter how many of the
+    answers of either version are of a route that fails more often anyway.
+    """
+    total = _total(tallies)
+    if total.new < MIN_ANSWERS or total.new_spoilt < min_spoilt:
         return False
-    new_share = counts.new_failures / counts.new
-    if counts.old < MIN_ANSWERS:
-        return new_share > MAX_FAILURE_SHARE_ALONE
-    excess = new_share - counts.old_failures / counts.old
-    pooled = (counts.new_failures + counts.old_failures) / (counts.new + counts.old)
-    error = math.sqrt(pooled * (1 - pooled) * (1 / counts.new + 1 / counts.old))
-    return excess > max(MAX_FAILURE_EXCESS, STANDARD_ERRORS * error)
-
-
-def _is_slow(counts: Counts) -> bool:
-    """Return whether too many answers of the new version are slow."""
-    if counts.new_timed < MIN_ANSWERS:
+    compared = [tally for tally in tallies if tally.old >= MIN_ANSWERS]
+    if not compared:
+        return total.new_spoilt > MAX_SPOILT_SHARE_ALONE * total.new
+    new = sum(tally.new for tally in compared)
+    if new < MIN_ANSWERS:
         return False
-    error = math.sqrt(MAX_SLOW_SHARE * (1 - MAX_SLOW_SHARE) / counts.new_timed)
-    limit = MAX_SLOW_SHARE + STANDARD_ERRORS * error
-    return counts.new_slow / counts.new_timed > limit
-
-
-def _counts_of(report: Report, name: str, routes: list[str]) -> Counts:
-    """Return the counts of some routes."""
-    cells = report.cells
-    old = [counts for cell, counts in cells.items() if _is_of(cell, routes, False)]
-    new = [counts for cell, counts in cells.items() if _is_of(cell, routes, True)]
-    timed = [_slow_answers(report, cell) for cell in cells if _is_of(cell, routes)]
-    return Counts(
-        name=name,
-        old=sum(counts.answers for counts in old),
-        old_failures=sum(counts.failures for counts in old),
-        new=sum(counts.answers for counts in new),
-        new_failures=sum(counts.failures for counts in new),
-        new_timed=sum(count for count, _ in timed),
-        new_slow=sum(slow for _, slow in timed),
+    excess = variance = 0.0
+    for tally in compared:
+        excess += tally.new_spoilt - tally.new * tally.old_spoilt / tally.old
+        share = (tally.new_spoilt + tally.old_spoilt) / (tally.new + tally.old)
+        variance += share * (1 - share) * tally.new * (1 + tally.new / tally.old)
+    chance = threshold.standard_errors * math.sqrt(variance) + CONTINUITY_CORRECTION
+    return excess > max(max_excess * new, chance)
+
+
+def _is_above(tally: Tally, max_share: float, threshold: Threshold) -> bool:
+    """Return whether more than a share of the new version's answers are spoilt."""
+    if tally.new < MIN_ANSWERS:
+        return False
+    error = math.sqrt(max_share * (1 - max_share) / tally.new)
+    return tally.new_spoilt / tally.new > max_share + threshold.standard_errors * error
+
+
+def _total(tallies: Iterable[Tally]) -> Tally:
+    return sum(tallies, Tally())
+
+
+def _figures(tallies: list[Tally]) -> str:
+    total = _total(tallies)
+    return (
+        f"{total.new_spoilt} of {total.new},"
+        f" {total.old_spoilt} of {total.old} of the old version"
     )
 
 
-def _is_of(cell: Cell, routes: list[str], is_new: bool = True) -> bool:
-    return cell.is_new == is_new and cell.route in routes
+def _tallies_of(report: Report, route: str) -> RouteTallies:
+    """Return what is compared on a route."""
+    slow = very_slow = Tally()
+    for old, new in _cells_of(report, route):
+        quantile = _quantile_bucket(old)
+        if quantile is None:
+            quantile = _route_quantile(report, route)
+        if quantile is not None:
+            slow += _slower(old, new, quantile + SLOW_BUCKETS)
+            very_slow += _slower(old, new, quantile + VERY_SLOW_BUCKETS)
+    return RouteTallies(_failures_of(report, route), slow, very_slow)
 
 
-def _slow_answers(report: Report, cell: Cell) -> tuple[int, int]:
-    """Return how many of a cell's answers have old ones to compare with, and are slow.
+def _failures_of(report: Report, route: str) -> Tally:
+    """Return the answers of a route and those that failed."""
+    return _total(
+        Tally(old.answers, old.failures, new.answers, new.failures)
+        for old, new in _cells_of(report, route)
+    )
 
-    Where the old version has too few answers in the cell, those of the route are taken.
-    """
-    durations = report.cells[cell].durations
-    same = report.cells.get(cell._replace(is_new=False), CellCounts())
-    quantile = _quantile_bucket([same])
-    if quantile is None:
-        quantile = _quantile_bucket(
-            counts
-            for other, counts in report.cells.items()
-            if other.route == cell.route and not other.is_new
+
+def _cells_of(report: Report, route: str) -> list[tuple[CellCounts, CellCounts]]:
+    """Return the counts of the old and the new version, by size of the prompts."""
+    return [
+        (
+            report.cells.get(Cell(route, is_large, False), CellCounts()),
+            report.cells.get(Cell(route, is_large, True), CellCounts()),
         )
-    if quantile is None:
-        return 0, 0
-    slow = sum(
-        count
-        for bucket, count in durations.items()
-        if bucket >= quantile + SLOW_BUCKETS
+        for is_large in (False, True)
+    ]
+
+
+def _slower(old: CellCounts, new: CellCounts, limit: int) -> Tally:
+    """Return how many answers are in a bucket or a higher one."""
+    return Tally(
+        sum(old.durations.values()),
+        sum(count for bucket, count in old.durations.items() if bucket >= limit),
+        sum(new.durations.values()),
+        sum(count for bucket, count in new.durations.items() if bucket >= limit),
     )
-    return sum(durations.values()), slow
 
 
-def _quantile_bucket(cells: Iterable[CellCounts]) -> int | None:
+def _route_quantile(report: Report, route: str) -> int | None:
+    """Return the bucket of the slow quantile of a route, for prompts of all sizes."""
+    durations: Counter[int] = Counter()
+    for cell, counts in report.cells.items():
+        if cell.route == route and not cell.is_new:
+            durations.update(counts.durations)
+    return _quantile_bucket(CellCounts(durations=durations))
+
+
+def _quantile_bucket(counts: CellCounts) -> int | None:
     """Return the bucket of the slow quantile; None if there are too few answers."""
-    durations: dict[int, int] = {}
-    for counts in cells:
-        for bucket, count in counts.durations.items():
-            durations[bucket] = durations.get(bucket, 0) + count
-    total = sum(durations.values())
+    total = sum(counts.durations.values())
     if total < MIN_ANSWERS:
         return None
     reached = 0
-    for bucket in sorted(durations):
-        reached += durations[bucket]
+    for bucket in sorted(counts.durations):
+        reached += counts.durations[bucket]
         if reached >= SLOW_QUANTILE * total:
-            return bucket
-    return None
+            break
+    return bucket
--- a/packages/skylarkdoord/src/skylarkdoord/direct/rollouts/_phases.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/rollouts/_phases.py
@@ -23,16 +23,21 @@
 # Share of the requests on trial. It leaves half of the usual exposure of 0.1 for
 # resumptions, the load trial and the time until a decision is heard of.
 TRIAL_SHARE = 0.05
-# Share in the load trial. On the quarter of the new upstreams it is the load that all
-# of them will have. The gate ends it when the exposure is used up.
-LOAD_TRIAL_SHARE = 0.25
+# Share in the load trial, relative to the exposure. On as large a part of the new
+# upstreams it is the load that all of them will have. The gate ends it when the
+# exposure is used up, after a tenth of the duration.
+LOAD_TRIAL_RATIO = 2.5
 # Larger shares of services with so little traffic that evidence would come too late.
 SPARSE_SHARES = (0.1, 0.25, 0.5)
+# Answers of the new version to aim at within half of the duration.
+SPARSE_ANSWERS = 30
 # Parts of the duration after which the phases may begin.
 SPARSE_FROM = 0.1
 HALF = 0.5
 LOAD_TRIAL_FROM = 0.55
 HANDOVER_FROM = 0.7
+# Until then the old upstreams are kept to return to, even if nothing runs on them.
+COMPLETED_FROM = 0.9
 # Slots of the new version, relative to the old ones', needed for more than the trial.
 MIN_CAPACITY_RATIO = 0.9
 # The same for the completion at the end of the duration, when a good version whose
@@ -109,6 +114,7 @@
     now_s: float,
     bounds: RolloutBounds,
     *,
+    recent: Report | None = None,
     is_store_reachable: bool = True,
 ) -> Decision:
     """Return the decision that follows; the same object if nothing changes.
@@ -119,19 +125,21 @@
         capacity: Slots of the service's upstreams, as for `first_decision`.
         now_s: Time by the store's clock, in seconds.
         bounds: Bounds that the deployment states.
+        recent: The recent part of the evidence, of `EvidenceHistory`.
         is_store_reachable: Whether the store answers; if not, the phase stays.
     """
     if decision.phase.is_final or not is_store_reachable:
         return decision
     elapsed_s = max(0.0, now_s - decision.started_s)
     if decision.phase is Phase.HANDOVER:
-        return _after_handover(decision, report, capacity, elapsed_s)
-    return _after_trial(decision, report, capacity, elapsed_s, bounds)
+        return _after_handover(decision, report, recent, capacity, elapsed_s)
+    return _after_trial(decision, report, recent, capacity, elapsed_s, bounds)
 
 
 def _after_trial(
     decision: Decision,
     report: Report,
+    recent: Report | None,
     capacity: Capacity,
     elapsed_s: float,
     bounds: RolloutBounds,
@@ -141,6 +149,7 @@
     is_half_over = elapsed_s >= HALF * duration_s
     verdict = judge(
         report,
+        recent,
         min_answers=MIN_LATE_GOOD_ANSWERS if is_half_over else MIN_GOOD_ANSWERS,
     )
     if verdict.outcome is Outcome.BAD:
@@ -155,28 +164,34 @@
         return _enter(decision, Phase.HANDOVER, 1.0, verdict.reason)
     share = min(decision.share, TRIAL_SHARE)
     if is_good and elapsed_s >= LOAD_TRIAL_FROM * duration_s:
-        share = LOAD_TRIAL_SHARE
+        share = min(1.0, LOAD_TRIAL_RATIO * bounds.exposure_fraction)
     elif elapsed_s >= SPARSE_FROM * duration_s:
         share = _sparse_share(report, elapsed_s, duration_s)
-    if share <= decision.share or bounds.exposure_fraction <= 0:
+    if share <= decision.share:
         return decision
     return _enter(decision, Phase.TRIAL, share, f"share {share}: {verdict.reason}")
 
 
 def _after_handover(
-    decision: Decision, report: Report, capacity: Capacity, elapsed_s: float
+    decision: Decision,
+    report: Report,
+    recent: Report | None,
+    capacity: Capacity,
+    elapsed_s: float,
 ) -> Decision:
     """Return the decision that follows the handover.
 
     It began on good evidence, which a restart of all entries may have lost, so that
     only bad evidence counts, and only if there is another version to return to.
     """
-    verdict = judge(report)
+    verdict = judge(report, recent)
     if verdict.outcome is Outcome.BAD and capacity.old_slots > 0:
         return _enter(decision, Phase.REVERTED, 0.0, verdict.reason)
     left_s = decision.order.duration_s - elapsed_s
     has_heard = (report.term, report.step) >= (decision.term, decision.step)
-    is_ended = report.running_old == 0 and has_heard
+    is_late = elapsed_s >= COMPLETED_FROM * decision.order.duration_s
+    is_alone = capacity.old_slots <= 0
+    is_ended = report.running_old == 0 and has_heard and (is_late or is_alone)
     if is_ended and has_capacity(capacity, MIN_CAPACITY_RATIO):
         return _enter(decision, Phase.COMPLETED, 1.0, "nothing runs on the old one")
     if left_s > END_MARGIN_S:
@@ -204,10 +219,10 @@
     """Return the smallest share that gives evidence enough within half the duration."""
     sent = report.sent_old + report.sent_new
     expected = sent * HALF * duration_s / elapsed_s
-    if expected * TRIAL_SHARE >= MIN_GOOD_ANSWERS:
+    if expected * TRIAL_SHARE >= SPARSE_ANSWERS:
         return TRIAL_SHARE
     for share in SPARSE_SHARES:
-        if expected * share >= MIN_GOOD_ANSWERS:
+        if expected * share >= SPARSE_ANSWERS:
             return share
     return SPARSE_SHARES[-1]
 
