Roll-outs: recent evidence counts by itself, and a stop can be lifted

Cause: the evidence package judges recent answers too, which the wiring did not pass. Change: the recent part of the evidence goes to the verdict and to the next decision.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_rollout_coordinator.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_rollout_coordinator.py
@@ -237,12 +237,14 @@
                 term,
                 previous,
             )
+        evidence = self.view.evidence(order)
         return next_decision(
             decision._replace(term=term),
-            self.view.evidence(order),
+            evidence,
             self.view.capacity(order, frozenset(decision.withheld)),
             self.now_s(),
             self.view.gate.bounds,
+            recent=self.view.recent(evidence),
             is_store_reachable=not self.calls.is_failing,
         )
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_rollout_view.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_rollout_view.py
@@ -46,6 +46,9 @@
     def evidence(self, order: RolloutOrder) -> Report:
         """Return the evidence of all entries on an order."""
 
+    def recent(self, evidence: Report) -> Report:
+        """Return the recent part of the evidence of all entries."""
+
     def capacity(self, order: RolloutOrder, withheld: frozenset[str]) -> Capacity:
         """Return the slots of a service's upstreams that are ready."""
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_rollout_watch.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_rollout_watch.py
@@ -91,22 +91,27 @@
             self.wake(self.view.sources[order.service])
 
     def check_evidence(self, order: RolloutOrder) -> None:
-        """Send nothing more to the new version if the evidence held here is bad."""
+        """Send nothing to the new version while the evidence held here is bad."""
         decision = self.view.decision(order)
         state = self.view.gate.rollouts.get(order.service)
-        if decision is None or state is None or state.stopped:
+        if decision is None or state is None:
             return
         if not self.view.capacity(order, frozenset(decision.withheld)).old_slots:
             return
-        verdict = judge(self.view.evidence(order))
-        if verdict.outcome is not Outcome.BAD:
+        evidence = self.view.evidence(order)
+        verdict = judge(evidence, self.view.recent(evidence))
+        reason = verdict.reason if verdict.outcome is Outcome.BAD else ""
+        was_stopped = bool(state.stopped)
+        self.view.gate.stop(order.service, reason)
+        if was_stopped == bool(reason):
+            return
+        self.view.change_versions(order.service)
+        if not reason:
             return
-        self.view.gate.stop(order.service, verdict.reason)
         self.log.event(
             _events.ROLLOUT_STOPPED,
             service=order.service,
             version=order.version,
-            reason=verdict.reason,
+            reason=reason,
         )
-        self.view.change_versions(order.service)
         self.notify()
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_rollouts.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_rollouts.py
@@ -19,6 +19,7 @@
 from skylarkdoord.direct.rollouts import (
     Capacity,
     Decision,
+    EvidenceHistory,
     Phase,
     Report,
     RolloutGate,
@@ -101,6 +102,7 @@
         )
         self.heard_at: dict[str, float] = {}
         self.sources: dict[str, str] = {}
+        self.histories: dict[str, EvidenceHistory] = {}
         self.decided_at: dict[str, float] = {}
         self.has_orders = asyncio.Event()
         self.log = events.get_logger("direct.rollouts")
@@ -272,6 +274,12 @@
         """Return the evidence of all entries on an order."""
         return self.peers.sum(order, self.gate.report(order.service))
 
+    def recent(self, evidence: Report) -> Report:
+        """Return the recent part of the evidence of all entries."""
+        service = evidence.order.service
+        history = self.histories.setdefault(service, EvidenceHistory())
+        return history.recent(evidence, self.clock())
+
     def capacity(self, order: RolloutOrder, withheld: frozenset[str]) -> Capacity:
         """Return the slots of a service's upstreams that are ready.
 
