Hand a roll-out over only when the exposure covers the rest of its duration

Cause: the handover began at 0.7 of the duration, so a version whose fault began then and was not found got 0.3 of all requests, three times the exposure. Change: it begins once the exposure covers all requests to the end, 1.6 s before the end at the latest; a trial uses half of the exposure. Ruled out: 0.8 and 1.2 s, in which once-only requests of a good version do not end.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/rollouts/_exposure.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/rollouts/_exposure.py
@@ -16,7 +16,7 @@
 
 # Parts of the deployment's bounds that a trial may use up. The rest is for requests
 # that are sent before a decision is heard of, for restarts and for the handover.
-FRACTION_USED = 0.8
+FRACTION_USED = 0.5
 TOLERANCE_USED = 0.4
 
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/rollouts/_phases.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/rollouts/_phases.py
@@ -36,6 +36,12 @@
 HALF = 0.5
 LOAD_TRIAL_FROM = 0.55
 HANDOVER_FROM = 0.7
+# Part of the exposure that the requests from the handover to the end may use up. If it
+# covers them, a version whose faults begin after that keeps within the exposure too.
+EXPOSURE_USED = 0.9
+# The handover begins at the latest this long before the end, in seconds, so that what
+# runs on the old version can end.
+MIN_HANDOVER_S = 1.6
 # Until then the old upstreams are kept to return to, even if nothing runs on them.
 COMPLETED_FROM = 0.9
 # Slots of the new version, relative to the old ones', needed for more than the trial.
@@ -160,7 +166,7 @@
     if not has_capacity(capacity, MIN_CAPACITY_RATIO):
         return decision
     is_good = verdict.outcome is Outcome.GOOD
-    if is_good and elapsed_s >= HANDOVER_FROM * duration_s:
+    if is_good and is_handover_due(report, elapsed_s, duration_s, bounds):
         return _enter(decision, Phase.HANDOVER, 1.0, verdict.reason)
     share = min(decision.share, TRIAL_SHARE)
     if is_good and elapsed_s >= LOAD_TRIAL_FROM * duration_s:
@@ -210,6 +216,28 @@
     )
 
 
+def is_handover_due(
+    report: Report, elapsed_s: float, duration_s: float, bounds: RolloutBounds
+) -> bool:
+    """Return whether the exposure covers all requests until the end of the duration.
+
+    Args:
+        report: Evidence on the order, summed over the entries.
+        elapsed_s: Time since the order, in seconds.
+        duration_s: Duration of the roll-out, in seconds.
+        bounds: Bounds that the deployment states.
+    """
+    if elapsed_s < HANDOVER_FROM * duration_s:
+        return False
+    left_s = duration_s - elapsed_s
+    if left_s <= MIN_HANDOVER_S:
+        return True
+    sent = report.sent_old + report.sent_new
+    per_s = sent / elapsed_s
+    allowed = bounds.exposure_fraction * per_s * duration_s + bounds.exposure_tolerance
+    return per_s * left_s <= EXPOSURE_USED * allowed - report.sent_new
+
+
 def has_capacity(capacity: Capacity, ratio: float) -> bool:
     """Return whether the new version has a ratio of the old one's slots."""
     return capacity.new_slots > 0 and capacity.new_slots >= ratio * capacity.old_slots
--- a/packages/skylarkdoord/tests/direct/test_rollout_loads.py
+++ b/packages/skylarkdoord/tests/direct/test_rollout_loads.py
@@ -100,6 +100,12 @@
         fault = Fault(failures=0.4)
         check_reverted(Simulation(fault=fault, per_s=20.0, seed=seed).run())
 
+    # Guards against completing a version about which too little is known.
+    def test_very_few_requests(self, seed):
+        """One that fails is reverted with 5 requests a second."""
+        fault = Fault(failures=0.3)
+        check_reverted(Simulation(fault=fault, per_s=5.0, seed=seed).run())
+
 
 @pytest.mark.parametrize("seed", SEEDS)
 class TestSlowness:
@@ -117,6 +123,12 @@
         fault = Fault(slow=0.5, from_s=5.0)
         check_reverted(Simulation(fault=fault, seed=seed).run())
 
+    # Guards against running requests that count as slow only when they end.
+    def test_before_handover(self, seed):
+        """One that is slow shortly before the handover is reverted."""
+        fault = Fault(slow=0.5, from_s=7.0)
+        check_reverted(Simulation(fault=fault, seed=seed).run())
+
     def test_under_load(self, seed):
         """One that is slow under load only is reverted."""
         fault = Fault(slow=1.0, min_load=0.4)
