Count records of limits as recent within a window again

Change: a record counts as recent within a window, as before. Renewal every 1.2 s and the separate second half of the window stay.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_limit_records.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_limit_records.py
@@ -30,11 +30,11 @@
 # A record is also renewed after this time, used or not: a record without a customer
 # shows that the customer used little, but only until the time of the record.
 RENEWAL_INTERVAL_S = 1.2
-# Longest time from a record to an entry's start for which the record shows what was
-# used before the start. It covers the time to a renewal, a check and a write, and a
-# restart within 1.5 s. After a longer time a renewal is missing, as if the store was
-# away: a customer may have used its whole limit since.
-MAX_UNRENEWED_S = 3.0
+# Share of a window within which a record counts as recent at an entry's start. One that
+# is older than `RENEWAL_INTERVAL_S` may hide use while the store was away. It counts all
+# the same: otherwise hardly anything would be admitted for a window after each power
+# loss of more than two seconds.
+MAX_UNRENEWED_SHARE = 1.0
 # While the store fails and no customer uses much, a write is tried again after this
 # share of a window.
 IDLE_RETRY_SHARE = 0.5
@@ -183,7 +183,8 @@
         Args:
             age_s: Age of the record, in seconds.
         """
-        return age_s - (self.clock() - self.started) <= MAX_UNRENEWED_S
+        unrenewed_s = age_s - (self.clock() - self.started)
+        return unrenewed_s <= MAX_UNRENEWED_SHARE * self.quota.bounds.window_s
 
     def apply(self, records: list[LimitRecord], clock_s: float) -> None:
         """Apply records; newest first, as a restored use precedes those before it.
