--- a/packages/skylarkdoord/src/skylarkdoord/direct/_limit_records.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_limit_records.py
@@ -31,9 +31,9 @@
 # shows that the customer used little, but only until the time of the record.
 RENEWAL_INTERVAL_S = 1.2
 # Share of a window within which a record counts as recent at an entry's start. One that
-# is older than `RENEWAL_INTERVAL_S` may hide use while the store was away. It counts all
-# the same: otherwise hardly anything would be admitted for a window after each power
-# loss of more than two seconds.
+# is older than `RENEWAL_INTERVAL_S` may hide use while the store was away. It counts,
+# as otherwise hardly anything would be admitted for a window after each power loss of
+# more than two seconds.
 MAX_UNRENEWED_SHARE = 1.0
 # While the store fails and no customer uses much, a write is tried again after this
 # share of a window.
