Queue small data centres together, as before

Change: fewer than four guards of a service make no data centre of their own; the cost of distance of upstreams without a guard is the former one.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_choice.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_choice.py
@@ -18,9 +18,6 @@
 # Cost of an upstream in another data centre. A cost of 1 is the difference between a
 # fully used upstream and an idle one.
 REMOTE_COST = 0.05
-# The same where leaving the data centre has a price of its own: an upstream elsewhere
-# is used while those at home have half of their slots more in use.
-PRICED_REMOTE_COST = 0.5
 # Cost of an upstream that answers every request with an error, in the same unit.
 FAILURE_COST = 10.0
 HASH_BYTES = 8
@@ -39,8 +36,6 @@
 
     Attributes:
         guard_link_of: Returns the stream to an upstream's guard; None without a guard.
-        is_home: Returns whether requests reach an upstream without a price for leaving
-            the data centre.
     """
 
     def __init__(
@@ -60,7 +55,6 @@
         self.guard_link_of: Callable[[UpstreamRecord], GuardLink | None] = lambda _: (
             None
         )
-        self.is_home: Callable[[UpstreamRecord], bool] = lambda _: True
 
     def slot_limit(self, upstream: Upstream) -> int:
         """Return how many requests of this entry may run at an upstream at once.
@@ -166,11 +160,6 @@
         """Return the cost of choosing an upstream; lower is better."""
         busy = (running + 1) / max(1, upstream.record.slots)
         failures = FAILURE_COST * self.upstreams.excess_failures(upstream)
-        distance = self.distance_cost(upstream.record)
+        is_remote = upstream.record.data_centre != self.data_centre
+        distance = REMOTE_COST if is_remote else 0.0
         return upstream.latency_ratio * (1.0 + busy) + failures + distance
-
-    def distance_cost(self, record: UpstreamRecord) -> float:
-        """Return the cost of the distance to an upstream."""
-        if record.data_centre == self.data_centre:
-            return 0.0
-        return REMOTE_COST if self.is_home(record) else PRICED_REMOTE_COST
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_data_centres.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_data_centres.py
@@ -21,6 +21,9 @@
 REMOTE_OFFER_RATIO = 2.0
 # A queue elsewhere is worth joining if it is shorter than this share of those at home.
 QUEUE_RATIO = 0.5
+# With fewer guards than this, a data centre is too small to queue by itself: its slots
+# become free too rarely, while others are free elsewhere.
+MIN_HOME_GUARDS = 4
 # Reports of remote guards that are older than this say nothing about free slots.
 MAX_REPORT_AGE_S = 5.0
 
@@ -88,6 +91,9 @@
         entries: Returns the number of entries that share the guards.
         clock: Returns monotonic time in seconds.
         draw: Returns a random number from 0 to 1.
+
+    Attributes:
+        min_home_guards: Fewest guards of a service with which a data centre is one.
     """
 
     def __init__(
@@ -104,6 +110,7 @@
         self.entries = entries
         self.clock = clock
         self.draw = draw
+        self.min_home_guards = MIN_HOME_GUARDS
 
     def is_home(self, record: UpstreamRecord) -> bool:
         """Return whether a request may be sent to an upstream without leaving.
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_offering.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_offering.py
@@ -59,10 +59,10 @@
         return [guard for _, guard in ranked]
 
     def home_guards(self, waiter: Waiter) -> list[GuardLink]:
-        """Return the guards in this data centre; all guards if it has none."""
+        """Return the guards in this data centre; all guards if it has few."""
         guards = self.guards(waiter)
         home = [guard for guard in guards if self.leaving.is_home(guard.record)]
-        return home or guards
+        return home if len(home) >= self.leaving.min_home_guards else guards
 
     def start(self, waiter: Waiter) -> None:
         """Offer a request that has just begun to wait.
@@ -143,10 +143,10 @@
             patience_s = self.leaving.patience_s(waiter.admitted.request)
             if waiter.slot.done() or now - waiter.since < patience_s:
                 continue
-            guards = self.guards(waiter)
-            if guard in waiter.offered_to or guard not in guards:
+            home = self.home_guards(waiter)
+            is_candidate = guard in self.guards(waiter) and guard not in home
+            if guard in waiter.offered_to or not is_candidate:
                 continue
-            home = [other for other in guards if self.leaving.is_home(other.record)]
             if not self.leaving.may_offer(guard, waiter.rank, home):
                 return
             self.leave(waiter, guard)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
@@ -102,7 +102,6 @@
         leaving = LeavePolicy(
             data_centre, leave_costs, entries=live_entries, clock=time.monotonic
         )
-        self.choice.is_home = leaving.is_home
         self.offering = Offering(self.choice, self.limits, leaving, self.ahead)
         self.serves_late = serves_late
         self.rechecks: set[str] = set()
--- a/packages/skylarkdoord/tests/direct/test_scheduler.py
+++ b/packages/skylarkdoord/tests/direct/test_scheduler.py
@@ -570,6 +570,7 @@
             make_record("i-other", data_centre="south"),
         ]
         scheduler = make_scheduler(*records, leave_costs=costs)
+        scheduler.offering.leaving.min_home_guards = 1
         guards = {record.instance: StubGuard(record) for record in records}
         guards["i-home"].room = home_room
         guards["i-other"].room = other_room
@@ -613,6 +614,18 @@
         assert other.offered
         waiting.cancel()
 
+    # Guards against slots that stay free elsewhere while a small data centre queues.
+    async def test_few_guards_at_home(self):
+        """With few guards at home, all are offered the request."""
+        scheduler, home, other = self.make(
+            LeaveCosts(10.0, 0.0), home_room=0, other_room=0
+        )
+        scheduler.offering.leaving.min_home_guards = 2
+        waiting = asyncio.create_task(scheduler.acquire(self.patient()))
+        await asyncio.sleep(0)
+        assert home.offered and other.offered
+        waiting.cancel()
+
     async def test_no_guard_at_home(self):
         """Without a guard at home it is offered elsewhere at once."""
         record = make_record("i-other", data_centre="south")
