--- a/packages/skylarkdoord/src/skylarkdoord/direct/_data_centres.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_data_centres.py
@@ -21,9 +21,9 @@
 REMOTE_OFFER_RATIO = 2.0
 # A queue elsewhere is worth joining if it is shorter than this share of those at home.
 QUEUE_RATIO = 0.5
-# With fewer guards than this, a data centre is too small to queue by itself: its slots
-# become free too rarely, while others are free elsewhere.
-MIN_HOME_GUARDS = 4
+# With fewer guards than a request is offered to, a data centre is too small to queue by
+# itself: its slots become free too rarely, while others are free elsewhere.
+MIN_HOME_GUARDS = 6
 # Reports of remote guards that are older than this say nothing about free slots.
 MAX_REPORT_AGE_S = 5.0
 
