--- a/packages/skylarkdoord/tests/direct/test_customer_shares.py
+++ b/packages/skylarkdoord/tests/direct/test_customer_shares.py
@@ -189,7 +189,7 @@
 class TestHotKey:
     """A hot key: customers' rates fall off steeply, the first asks for most."""
 
-    @pytest.mark.parametrize("seed", range(1, 4))
+    @pytest.mark.parametrize("seed", range(1, 5))
     def test_customers_below_their_share(self, seed):
         """Each customer that asks for up to 0.7 of its share is served.
 
--- a/packages/skylarkdoord/tests/direct/test_scheduler.py
+++ b/packages/skylarkdoord/tests/direct/test_scheduler.py
@@ -528,7 +528,7 @@
         route = make_route(target_latency_s=0.2)
         with pytest.raises(NoFreeSlotError):
             await scheduler.acquire(make_admitted(request, route))
-        assert time.monotonic() - now < 1.9
+        assert time.monotonic() - now < 1.8
 
     async def test_former_grant_returned(self):
         """A grant that was on its way when the request became late is returned."""
