Set up on machines where a library has no wheel

Cause: hdrhistogram 0.10.8 has no wheel for arm64. The second line of the recipe built it with --no-build-isolation, without its build requirements, so its metadata got version 0.0.0, which pip rejected against constraints.txt.

Change: tools/setup.sh installs constraints.txt, the complete list of libraries, with build isolation first; then only the project's own packages without it and with --no-deps; pip check fails if constraints.txt lacks one. Nothing goes by the kind of machine.

Ruled out: other libraries without a wheel. Of the 55 in constraints.txt, pip finds wheels of each for x86-64, and of all but hdrhistogram for arm64.

Not run: x86-64.

--- a/Makefile
+++ b/Makefile
@@ -1,24 +1,27 @@
-# Development targets. `make demo` and `make test` require only Python 3.11, pip
-# and make.
+# Development targets. `make demo` and `make test` require only Python 3.11, pip and
+# make, and on arm64 also a C compiler.
 
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
 PACKAGES := skylarkdoor skylarkdoord skylarkdoor-client skylarkdoor-standins skylarkdoor-bench
-EDITABLE := $(foreach package,$(PACKAGES),-e packages/$(package)) -e platform
+OWN := $(PACKAGES:%=packages/%) platform
 SEED ?= 1
 MINUTES ?= 5
 TEST_PROCESSES ?= 6
 
 .PHONY: setup lint test demo bench slopes soak proto
 
-$(VENV)/.ready: constraints.txt requirements-dev.txt $(foreach package,$(PACKAGES),packages/$(package)/pyproject.toml) platform/pyproject.toml
-	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install --quiet --constraint constraints.txt --requirement requirements-dev.txt
-	$(BIN)/pip install --quiet --constraint constraints.txt --no-build-isolation $(EDITABLE)
+# The stamp names the kind of machine and the version of Python, for example
+# linux-aarch64-3.11.6.
+KIND := $(shell $(PYTHON) -c 'import platform, sysconfig; print(sysconfig.get_platform(), platform.python_version(), sep="-")')
+READY := $(VENV)/.ready-$(KIND)
+
+$(READY): constraints.txt tools/setup.sh $(OWN:%=%/pyproject.toml)
+	tools/setup.sh $(PYTHON) $(VENV) $(OWN)
 	touch $@
 
-setup: $(VENV)/.ready
+setup: $(READY)
 
 lint: setup
 	$(BIN)/ruff format --check .
