Show sizes and lengths of requests that wait, are sent or refused

Change: request_step (708) and request_given_up (710) state the tokens of the prompt, the longest and the expected answer; skylarkdoor_direct_queue_ends_total counts why requests stopped waiting, by tier and length. No decision changes.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
@@ -320,6 +320,7 @@
             route=admitted.route.name,
             rank=admitted.rank,
             config_version=admitted.version,
+            **admitted.request.size_fields(),
         )
 
     def problem_response(
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
@@ -484,5 +484,6 @@
             rank=admitted.rank,
             took_ms=round((time.monotonic() - since) * MS_PER_S),
             config_version=admitted.version,
+            **admitted.request.size_fields(),
             **fields,
         )
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_metrics.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_metrics.py
@@ -27,6 +27,11 @@
     ["tier"],
     buckets=SECONDS,
 )
+QUEUE_ENDS = Counter(
+    "skylarkdoor_direct_queue_ends_total",
+    "Requests that stopped waiting for a slot, by tier, length of answer and outcome.",
+    ["tier", "length", "outcome"],
+)
 FIRST_EVENT = Histogram(
     "skylarkdoor_direct_first_event_seconds",
     "Time from the call of an upstream to the first event of its stream.",
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_model.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_model.py
@@ -237,6 +237,14 @@
         """Path without the query."""
         return self.target.partition("?")[0]
 
+    def size_fields(self) -> dict[str, int]:
+        """Return the stated numbers of tokens, as fields of a log line."""
+        return {
+            "prompt_tokens": self.prompt_tokens,
+            "max_tokens": self.max_tokens,
+            "expected_tokens": self.expected_tokens,
+        }
+
     def remaining_s(self) -> float:
         """Return the time until the caller stops waiting, in seconds."""
         return self.deadline - time.monotonic()
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
@@ -207,6 +207,7 @@
         state = self.queue_state(admitted.service)
         if not waiter.slot.done() and state.would_time_out(waiter, waiter.since):
             self.dequeue(waiter)
+            waiter.count_end("refused")
             raise self.overload_error(waiter, "the queue is overloaded")
         try:
             async with asyncio.timeout(waiter.queue_timeout_s):
@@ -214,6 +215,7 @@
         except TimeoutError:
             if not waiter.is_granted:
                 state.record_timeout(waiter, time.monotonic())
+                waiter.count_end("timeout")
                 raise self.overload_error(
                     waiter, "no slot was free within the queue timeout"
                 ) from None
@@ -221,9 +223,11 @@
             # The slot may have been granted just before the caller disconnected.
             if waiter.is_granted:
                 self.release(self.slot_of(waiter))
+            waiter.count_end("left")
             raise
         finally:
             self.dequeue(waiter)
+        waiter.count_end("granted")
         self.lengths.record_outcome(admitted, is_long=waiter.is_long, is_served=True)
         return self.slot_of(waiter)
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_waiting.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_waiting.py
@@ -8,6 +8,7 @@
 
 from skylarkdoord.direct._customer_shares import CustomerShares
 from skylarkdoord.direct._guards import GuardLink
+from skylarkdoord.direct._metrics import QUEUE_ENDS
 from skylarkdoord.direct._model import Admitted, Precedence
 from skylarkdoord.direct._queue_order import NO_DEMAND, Demand
 from skylarkdoord.direct._upstreams import Upstream
@@ -88,6 +89,11 @@
         """Whether the request was granted a slot."""
         return self.slot.done() and not self.slot.cancelled()
 
+    def count_end(self, outcome: str) -> None:
+        """Count in the metrics why the request stopped waiting."""
+        length = "long" if self.is_long else "short"
+        QUEUE_ENDS.labels(str(self.admitted.rank), length, outcome).inc()
+
 
 class SlotGrant(NamedTuple):
     """The grant of an upstream slot to a waiting request.
