Short and long answers take turns, by what waits at the guard

Cause: long answers were queued last, and refused first, while their served share was at least 0.8 of that of others. Each entry took both shares from moving averages of its own requests that began at 1.0 and forgot by number of outcomes. An entry of 29 sees a few requests of the tier a second, a third of them long, so in a burst the average of the long ones fell later than that of the others: they counted as served well while hardly any was. The more entries, the worse. The same for which answers are long: the first request set the average for the next fifty. Class: a bound kept by each process from evidence that only all of them together have.

Change: the length is no part of a request's precedence any more, but of its demand. An entry refuses short and long ones alike. A guard, and an entry for engines without one, gives long ones turns of their own (LengthOrder): each grant of a precedence owes them their part, by the share of long ones among what is offered there, so that the bound needs no outcomes and holds from the first grant on. With shares of customers, slots are charged by time, and lengths no longer matter.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
@@ -16,6 +16,7 @@
 from skylarkdoord.direct._engine_reports import Report
 from skylarkdoord.direct._fair_order import FairOrder, is_weight
 from skylarkdoord.direct._guard_queue import QueueCounts, SlotQueue
+from skylarkdoord.direct._length_order import LengthOrder
 from skylarkdoord.direct._link import run_stream
 from skylarkdoord.direct._metrics import (
     GUARD_MEMORY_TOKENS,
@@ -28,7 +29,7 @@
 from skylarkdoord.direct._model import Precedence
 from skylarkdoord.direct._occupancy import SETTLE_S, Occupancy, Sample
 from skylarkdoord.direct._pace import Pace, guard_heartbeat_s
-from skylarkdoord.direct._queue_order import ArrivalOrder, Demand
+from skylarkdoord.direct._queue_order import Demand
 from skylarkdoord.direct._settings import DirectSettings
 from skylarkdoord.direct._stream_records import StreamRecords
 from skylarkdoord.direct._token_memory import TokenMemory
@@ -94,7 +95,7 @@
         is_fair = settings.shares is not None and settings.shares.customers
         self.queue = SlotQueue(
             self.send_grant,
-            order=FairOrder() if is_fair else ArrivalOrder(),
+            order=FairOrder() if is_fair else LengthOrder(),
             memory=TokenMemory() if settings.shares is not None else None,
         )
         self.is_memory_full = False
@@ -155,7 +156,7 @@
                 self.log.event(_events.PEER_CONNECTED, peer=stream.entry)
             case "offer":
                 offer = message.offer
-                precedence = Precedence(offer.tier, offer.late, offer.long)
+                precedence = Precedence(offer.tier, offer.late)
                 demand = self.demand(offer, stream)
                 self.queue.offer(stream.key, offer.request_id, precedence, demand)
             case "withdraw":
@@ -191,7 +192,13 @@
                 )
             stream.is_weight_rejected = True
             weight = 0.0
-        return Demand(offer.customer, weight, offer.prompt_tokens, offer.max_tokens)
+        return Demand(
+            offer.customer,
+            weight,
+            offer.prompt_tokens,
+            offer.max_tokens,
+            is_long=offer.long,
+        )
 
     def send_grant(self, stream: str, request: str) -> None:
         """Send an entry the grant of a slot to its request."""
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guard_queue.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guard_queue.py
@@ -6,13 +6,9 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+from skylarkdoord.direct._length_order import LengthOrder
 from skylarkdoord.direct._model import Precedence
-from skylarkdoord.direct._queue_order import (
-    NO_DEMAND,
-    ArrivalOrder,
-    Demand,
-    QueueOrder,
-)
+from skylarkdoord.direct._queue_order import NO_DEMAND, Demand, QueueOrder
 from skylarkdoord.direct._token_memory import TokenMemory
 
 # Stream of the entry, and the request's name on it.
@@ -70,7 +66,7 @@
     Args:
         grant: Called with the stream and the name of a request that is granted a slot.
         clock: Returns the monotonic time in seconds.
-        order: Order of the waiting requests; by default precedence, then arrival.
+        order: Order of the waiting requests; by default `LengthOrder`.
         memory: The engine's memory for tokens; None if it is not counted.
 
     Attributes:
@@ -98,7 +94,7 @@
         self.is_open = True
         self.correction = 0
         self.waiting: dict[RequestKey, QueuedOffer] = {}
-        self.order = order or ArrivalOrder()
+        self.order = order or LengthOrder()
         self.memory = memory
         self.is_memory_full = False
         self.oversized: dict[RequestKey, QueuedOffer] = {}
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guards.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guards.py
@@ -105,7 +105,7 @@
             request_id=request,
             tier=precedence.tier,
             late=precedence.is_late,
-            long=precedence.is_long,
+            long=demand.is_long,
             customer=demand.customer,
             weight=demand.weight,
             prompt_tokens=demand.prompt_tokens,
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_offering.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_offering.py
@@ -183,7 +183,7 @@
             service=waiter.admitted.service,
             rank=waiter.rank,
             is_late=waiter.precedence.is_late,
-            is_long=waiter.precedence.is_long,
+            is_long=waiter.demand.is_long,
             patience_ms=round(waiter.queue_timeout_s * MS_PER_S),
             ahead=self.ahead(waiter),
             guards=len(waiter.offered_to),
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_promotions.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_promotions.py
@@ -40,10 +40,10 @@
             self.services[service] = shares
         return shares
 
-    def precedence(self, service: str, own: Precedence) -> Precedence:
+    def precedence(self, service: str, own: Precedence, *, is_long: bool) -> Precedence:
         """Return the precedence with which a new request of a service is queued."""
         shares = self.shares(service)
-        precedence = shares.promote(own)
+        precedence = shares.promote(own, is_long=is_long)
         if precedence.tier != own.tier:
             PROMOTED.labels(service, str(own.tier)).inc()
             self.log_starved(service, own.tier, shares)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_queue_order.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_queue_order.py
@@ -16,12 +16,14 @@
         weight: Weight of the customer; 0 if not stated.
         prompt_tokens: Number of tokens in the prompt; 0 if not stated.
         max_tokens: Maximum number of tokens in the answer; 0 if not stated.
+        is_long: Whether its answer is long for its tier.
     """
 
     customer: str = ""
     weight: float = 0.0
     prompt_tokens: int = 0
     max_tokens: int = 0
+    is_long: bool = False
 
     @property
     def tokens(self) -> int:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
@@ -1,9 +1,9 @@
 """Assigns upstream slots to waiting requests.
 
 Requests wait in one queue per service, ordered by tier, then by whether they can
-still meet the latency target, then short answers before long ones, then by age. Slots
-of an upstream with a guard are granted by the guard. Of an upstream without a guard,
-this entry uses its share of the slots.
+still meet the latency target, then by turns of short and long answers, then by age.
+Slots of an upstream with a guard are granted by the guard. Of an upstream without a
+guard, this entry uses its share of the slots.
 """
 
 import asyncio
@@ -19,17 +19,13 @@
 from skylarkdoord.direct._fair_order import FairOrder
 from skylarkdoord.direct._guards import GuardLink
 from skylarkdoord.direct._held_log import HeldLog
+from skylarkdoord.direct._length_order import LengthOrder
 from skylarkdoord.direct._lengths import AnswerLengths
 from skylarkdoord.direct._metrics import RUNNING, WAITING
 from skylarkdoord.direct._model import MS_PER_S, Admitted, FleetConfig, Precedence
 from skylarkdoord.direct._offering import Offering
 from skylarkdoord.direct._promotions import Promotions
-from skylarkdoord.direct._queue_order import (
-    NO_DEMAND,
-    ArrivalOrder,
-    Demand,
-    QueueOrder,
-)
+from skylarkdoord.direct._queue_order import NO_DEMAND, Demand, QueueOrder
 from skylarkdoord.direct._settings import ShareSettings
 from skylarkdoord.direct._upstream_limits import UpstreamLimits
 from skylarkdoord.direct._upstreams import Upstream, Upstreams
@@ -228,21 +224,19 @@
         finally:
             self.dequeue(waiter)
         waiter.count_end("granted")
-        self.lengths.record_outcome(admitted, is_long=waiter.is_long, is_served=True)
         return self.slot_of(waiter)
 
     def new_waiter(self, admitted: Admitted, excluded: frozenset[str]) -> Waiter:
         """Return the queue entry of a request that starts to wait now."""
         now = time.monotonic()
         is_long = self.lengths.is_long(admitted)
-        own = Precedence(
-            admitted.rank,
-            is_late=self.is_late(admitted, now),
-            is_long=self.lengths.is_queued_last(admitted, is_long=is_long),
-        )
+        own = Precedence(admitted.rank, is_late=self.is_late(admitted, now))
         precedence = own
         if self.promotions is not None:
-            precedence = self.promotions.precedence(admitted.service, own)
+            precedence = self.promotions.precedence(
+                admitted.service, own, is_long=is_long
+            )
+        is_promoted = precedence.tier != own.tier
         return Waiter(
             precedence=precedence,
             number=next(self.numbers),
@@ -251,9 +245,8 @@
             since=now,
             queue_timeout_s=self.queue_timeout_s(admitted, now),
             slot=asyncio.get_running_loop().create_future(),
-            is_long=is_long,
-            is_promoted=precedence.tier != own.tier,
-            demand=self.demand(admitted),
+            is_promoted=is_promoted,
+            demand=self.demand(admitted)._replace(is_long=is_long and not is_promoted),
         )
 
     def late_waiter(self, waiter: Waiter) -> Waiter:
@@ -274,7 +267,6 @@
             since=now,
             queue_timeout_s=timeout_s,
             slot=asyncio.get_running_loop().create_future(),
-            is_long=waiter.is_long,
             versions=waiter.versions,
             is_bound=waiter.is_bound,
             demand=waiter.demand,
@@ -404,7 +396,7 @@
         queue = self.queues.get(service)
         if queue is None:
             is_fair = self.shares is not None and self.shares.customers
-            queue = self.queues[service] = FairOrder() if is_fair else ArrivalOrder()
+            queue = self.queues[service] = FairOrder() if is_fair else LengthOrder()
         return queue
 
     def overload_error(self, waiter: Waiter, reason: str) -> NoFreeSlotError:
@@ -414,7 +406,6 @@
         ended by then.
         """
         admitted = waiter.admitted
-        self.lengths.record_outcome(admitted, is_long=waiter.is_long, is_served=False)
         state = self.queue_state(admitted.service)
         waited_ms = round((time.monotonic() - waiter.since) * MS_PER_S)
         message = (
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_tier_shares.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_tier_shares.py
@@ -82,19 +82,23 @@
         self.promoted: dict[int, int] = {}
         self.intervals: deque[Interval] = deque()
 
-    def promote(self, precedence: Precedence) -> Precedence:
+    def promote(self, precedence: Precedence, *, is_long: bool = False) -> Precedence:
         """Return the precedence with which a new request is offered.
 
         It is that of the most important tier if the request's own tier is starved and
         the request can still meet its target. A promoted request counts as waiting
         until `record` is called for it.
+
+        Args:
+            precedence: The request's own precedence.
+            is_long: Whether its answer is long for its tier.
         """
         self.drop_old()
         top = min(self.tiers, default=precedence.tier)
         if precedence.is_late or precedence.tier <= top:
             return precedence
         shortfall = self.shortfall(precedence.tier)
-        if shortfall <= 0 or (precedence.is_long and shortfall < LONG_SHORTFALL):
+        if shortfall <= 0 or (is_long and shortfall < LONG_SHORTFALL):
             return precedence
         self.promoted[precedence.tier] = self.promoted.get(precedence.tier, 0) + 1
         return Precedence(top)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_waiting.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_waiting.py
@@ -51,7 +51,6 @@
         since: Monotonic time at which it was queued, in seconds.
         queue_timeout_s: Longest time in the queue, in seconds.
         slot: Future of the grant; cancelled if the request stops waiting without one.
-        is_long: Whether its answer is long for its tier.
         versions: Versions of the upstreams that may take it.
         is_bound: Whether it goes on with a stream, so that its version stays.
         offered_to: Guards to which the request is offered.
@@ -67,7 +66,6 @@
     since: float = field(compare=False)
     queue_timeout_s: float = field(compare=False)
     slot: "asyncio.Future[SlotGrant]" = field(compare=False)
-    is_long: bool = field(default=False, compare=False)
     versions: Versions = field(default=Versions(), compare=False)
     is_bound: bool = field(default=False, compare=False)
     offered_to: list[GuardLink] = field(default_factory=list, compare=False)
@@ -91,7 +89,7 @@
 
     def count_end(self, outcome: str) -> None:
         """Count in the metrics why the request stopped waiting."""
-        length = "long" if self.is_long else "short"
+        length = "long" if self.demand.is_long else "short"
         QUEUE_ENDS.labels(str(self.admitted.rank), length, outcome).inc()
 
 
