Direct entries pass on nothing in a stream but events

A stream without an event, closed without a length, ended as complete too.

Class: the form of what is passed on was left to the server.

A stream delimited by its connection is complete only with an event.

Guards relay no answers.

--- a/packages/skylarkdoor/src/skylarkdoor/exceptions.py
+++ b/packages/skylarkdoor/src/skylarkdoor/exceptions.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "ArgumentError",
+    "EventStreamError",
     "InvariantBrokenError",
     "OutboxFullError",
     "ResponseLostError",
@@ -24,6 +25,10 @@
     """A function was called with an invalid argument."""
 
 
+class EventStreamError(SkylarkdoorError):
+    """A stream of server-sent events is malformed, or has too large an event."""
+
+
 class InvariantBrokenError(SkylarkdoorError):
     """A named invariant does not hold."""
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_answer_relay.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_answer_relay.py
@@ -6,10 +6,12 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
+from skylarkdoor.event_stream import EventSplitter
+from skylarkdoor.exceptions import EventStreamError
 from skylarkdoord.direct._adapter import Adapter
 from skylarkdoord.direct._call import Answer
 from skylarkdoord.direct._model import Admitted
-from skylarkdoord.direct._relay import CallerStream, EventSplitter
+from skylarkdoord.direct._relay import CallerStream
 from skylarkdoord.direct.exceptions import AnswerTruncatedError, UpstreamFailedError
 
 MIN_SERVER_ERROR_STATUS = 500
@@ -91,13 +93,20 @@
             AnswerTruncatedError: The stream ended before it was complete.
         """
         splitter = EventSplitter(self.max_event_bytes)
-        while chunk := await answer.read_chunk():
-            for event in splitter.feed(chunk):
-                first_byte_timeout.reschedule(self.admitted.deadline)
-                on_event()
-                await self.stream.begin(answer.status, headers)
-                await self.stream.write(event)
+        has_events = False
+        try:
+            while chunk := await answer.read_chunk():
+                for event in splitter.feed(chunk):
+                    has_events = True
+                    first_byte_timeout.reschedule(self.admitted.deadline)
+                    on_event()
+                    await self.stream.begin(answer.status, headers)
+                    await self.stream.write(event)
+        except EventStreamError as error:
+            raise AnswerTruncatedError(str(error)) from None
         if splitter.incomplete:
             raise AnswerTruncatedError("the stream ended within an event")
+        if answer.is_close_delimited and not has_events:
+            raise AnswerTruncatedError("the connection was closed before any event")
         await self.stream.begin(answer.status, headers)
         return await self.stream.end()
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_relay.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_relay.py
@@ -1,52 +1,12 @@
-"""Splits an upstream's stream into events and writes them to the caller."""
+"""Writes the events of a stream to the caller."""
 
-import sys
 import time
-from collections.abc import Iterator
 
 from aiohttp import HttpVersion11, web
 from multidict import CIMultiDict
 
+from skylarkdoor.event_stream import event_id
 from skylarkdoord.direct._bounded_connection import on_answer_complete, on_written
-from skylarkdoord.direct.exceptions import AnswerTruncatedError
-
-EVENT_END = b"\n\n"
-ID_FIELD = b"id:"
-
-
-class EventSplitter:
-    """Splits a stream's bytes into complete events.
-
-    Args:
-        max_event_bytes: Largest size of an event, in bytes.
-
-    Attributes:
-        incomplete: Received bytes of an event that is not yet complete.
-    """
-
-    def __init__(self, max_event_bytes: int = sys.maxsize) -> None:
-        self.max_event_bytes = max_event_bytes
-        self.incomplete = b""
-
-    def feed(self, chunk: bytes) -> Iterator[bytes]:
-        """Yield the events that the chunk completes, each with its blank line.
-
-        Raises:
-            AnswerTruncatedError: The stream has a larger event than allowed.
-        """
-        *events, self.incomplete = (self.incomplete + chunk).split(EVENT_END)
-        for event in events:
-            yield event + EVENT_END
-        if len(self.incomplete) > self.max_event_bytes:
-            raise AnswerTruncatedError("an event of the stream is too large")
-
-
-def event_id(event: bytes) -> str:
-    """Return an event's id; empty if it has none."""
-    for line in event.splitlines():
-        if line.startswith(ID_FIELD):
-            return line[len(ID_FIELD) :].strip().decode("ascii", "replace")
-    return ""
 
 
 class CallerStream:
