Entries believe a sidecar's refusal only if it names the request

If a refusal was written to one again while the next request ran, that request counted as not run: its caller was told so, and it was offered to another sidecar.

Cause: refusals and outcomes named no request; the check of the id came after them.

Change: sidecars name the request in refusals, outcomes and 410; entries compare the id first, log a mismatch (511) and ask the sidecar for the outcome, on another connection. An outcome for another request is not used. An entry beside sidecars of the former version reports an unknown outcome where it can't tell.

--- a/packages/skylarkdoord/src/skylarkdoord/entry/_dispatch.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_dispatch.py
@@ -4,7 +4,8 @@
 
 import aiohttp
 
-from skylarkdoor import invariants, tracing
+from skylarkdoor import events, invariants, tracing
+from skylarkdoord import _events
 from skylarkdoord.common import Suspicions, TlsService
 from skylarkdoord.common import _headers as headers
 from skylarkdoord.entry._delivery import Delivery, Outcome
@@ -44,6 +45,7 @@
     def __init__(self, tls: TlsService, suspects: SuspectRelay) -> None:
         self.tls = tls
         self.suspects = suspects
+        self.log = events.get_logger("entry.dispatch")
         timeout = aiohttp.ClientTimeout(total=None, connect=CONNECT_TIMEOUT_S)
         connector = aiohttp.TCPConnector(limit=0)
         self.session = aiohttp.ClientSession(
@@ -93,6 +95,11 @@
             outcome = await self.query_outcome("POST", request, accepted)
             raise self._error_after_loss(request, outcome) from None
         answer = delivery.answer
+        if not self._is_own(request, answer):
+            # An earlier answer written once more. This one may still follow.
+            delivery.abort()
+            outcome = await self.query_outcome("POST", request, accepted)
+            raise self._error_after_loss(request, outcome)
         if headers.NOT_RUN in answer.headers:
             raise await self._read_not_run(answer)
         self._check_request_id(request, answer)
@@ -132,6 +139,9 @@
                 async with self.session.request(
                     method, url, headers=request_headers, timeout=timeout, **tls
                 ) as answer:
+                    if not self._is_own(request, answer):
+                        answer.close()
+                        continue
                     if answer.status == GONE_STATUS:
                         return None
                     reply = await answer.json()
@@ -175,6 +185,21 @@
     def _suspicions(self, request: EntryRequest) -> Suspicions:
         return self.suspects.of_pool(request.pool_name)
 
+    def _is_own(self, request: EntryRequest, answer: aiohttp.ClientResponse) -> bool:
+        """Return whether an answer is for the request; log it if not.
+
+        Connections to a sidecar stay open, and an answer may be written to them twice.
+        """
+        answer_id = answer.headers.get(headers.REQUEST_ID)
+        if answer_id != request.request_id:
+            self.log.event(
+                _events.ANSWER_CROSSED,
+                request_id=request.request_id,
+                answer_id=answer_id,
+                status=answer.status,
+            )
+        return answer_id == request.request_id
+
     def _check_request_id(
         self, request: EntryRequest, answer: aiohttp.ClientResponse
     ) -> None:
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_answers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_answers.py
@@ -92,7 +92,7 @@
     return response
 
 
-def not_run(error: NotRunError) -> web.Response:
+def not_run(request_id: str, error: NotRunError) -> web.Response:
     """Return the response that reports that a request was not run."""
     document = {
         "code": error.code,
@@ -100,4 +100,5 @@
         "retry_after_s": error.retry_after_s,
         "final": isinstance(error, RefusedError),
     }
-    return web.json_response(document, status=503, headers={headers.NOT_RUN: "1"})
+    marks = {headers.NOT_RUN: "1", headers.REQUEST_ID: request_id}
+    return web.json_response(document, status=503, headers=marks)
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_dispatch.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_dispatch.py
@@ -79,16 +79,23 @@
 
     def _outcome(self, request: web.Request, phase: str) -> web.Response:
         crashes = self.poison.crash_ids(int(request.headers[headers.FINGERPRINT]))
-        return web.json_response({"phase": phase, "crashes": crashes})
+        return web.json_response(
+            {"phase": phase, "crashes": crashes}, headers=self._own_id(request)
+        )
 
     def _check_known(self, request: web.Request) -> None:
         """Respond 410 for another incarnation's requests and evicted records."""
         ledger = self.scheduler.ledger
         if request.headers.get(headers.INCARNATION) != str(ledger.incarnation):
-            raise web.HTTPGone
+            raise web.HTTPGone(headers=self._own_id(request))
         grant = int(request.headers[headers.GRANT])
         if ledger.may_be_evicted(request.match_info["id"], grant):
-            raise web.HTTPGone
+            raise web.HTTPGone(headers=self._own_id(request))
+
+    @staticmethod
+    def _own_id(request: web.Request) -> dict[str, str]:
+        """Return the header that binds a response to its request."""
+        return {headers.REQUEST_ID: request.match_info["id"]}
 
     async def post_dispatch(self, request: web.Request) -> web.StreamResponse:
         """Dispatch a granted request to the upstream and relay the response."""
@@ -100,14 +107,14 @@
             self.log.event(
                 _events.DISPATCH_REFUSED, request_id=request_id, error=str(error)
             )
-            return answers.not_run(NotRunError("grant_lapsed", str(error)))
+            return answers.not_run(request_id, NotRunError("grant_lapsed", str(error)))
         self.poison.suspicions.merge(call.fingerprint, call.crashes)
         with tracing.span("sidecar", call.context, request_id=request_id) as here:
             try:
                 return await self.run(request, call._replace(context=here))
             except NotRunError as error:
                 self.scheduler.tombstone(request_id)
-                return answers.not_run(error)
+                return answers.not_run(request_id, error)
             except (EntryGoneError, UpstreamCutError, OutcomeUnknownError) as error:
                 return self.unknown_outcome(call, error)
             except InvariantBrokenError:
