Entries send whole events of a stream only

If the upstream broke off within an event, the blank line before the entry's event for the error made its first part look whole; a head or text that the upstream wrote instead of events was passed on.

Cause and class: as in direct dispatch, the form of what is passed on was left to the upstream.

Change: the entry splits the stream, passes whole events on, and ends it as broken off at bytes that are no event. The event for the error stands by itself.

--- a/packages/skylarkdoord/src/skylarkdoord/entry/_relay.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_relay.py
@@ -9,6 +9,8 @@
 from prometheus_client import Counter
 
 from skylarkdoor import events
+from skylarkdoor.event_stream import EventSplitter, is_event
+from skylarkdoor.exceptions import EventStreamError
 from skylarkdoor.failures import reason
 from skylarkdoord import _events
 from skylarkdoord.common import _headers as headers
@@ -19,8 +21,10 @@
 EVENT_STREAM = "text/event-stream"
 EVENT_PREFIX = b"data:"
 FIRST_ERROR_STATUS = 400
+# Largest event of a stream, in bytes.
+MAX_EVENT_BYTES = 1024 * 1024
 TRUNCATION_EVENT = (
-    b'\n\ndata: {"error": {"code": "answer_cut", "type": "server_error", '
+    b'data: {"error": {"code": "answer_cut", "type": "server_error", '
     b'"message": "the answer was cut", "not_run": false}}\n\n'
 )
 
@@ -54,7 +58,6 @@
         self.answer = delivery.answer
         self.generated_tokens = 0
         self.is_complete = False
-        self.carried_bytes = b""
         self.log = events.get_logger("entry.relay")
 
     async def run(self) -> web.StreamResponse:
@@ -89,17 +92,15 @@
         )
 
     async def relay_stream(self) -> web.StreamResponse:
-        """Send events to the caller as they arrive, buffering one chunk at a time."""
+        """Send each event to the caller once it is complete."""
         response = web.StreamResponse(status=self.answer.status, headers=self.headers())
         await response.prepare(self.raw)
         try:
-            while chunk := await self.delivery.read_chunk():
-                self.count_events(chunk)
-                await response.write(chunk)
+            await self.copy_events(response)
         except aiohttp.ClientConnectionResetError:
             # The caller has disconnected, so no error can be sent.
             return response
-        except (aiohttp.ClientError, TimeoutError) as error:
+        except (aiohttp.ClientError, EventStreamError, TimeoutError) as error:
             self.log.event(
                 _events.ANSWER_CUT,
                 request_id=self.request.request_id,
@@ -116,11 +117,28 @@
         self.is_complete = True
         return response
 
-    def count_events(self, chunk: bytes) -> None:
-        """Count the events of a stream, each of which carries one token."""
-        seen = self.carried_bytes + chunk
-        self.generated_tokens += seen.count(EVENT_PREFIX)
-        self.carried_bytes = seen[-(len(EVENT_PREFIX) - 1) :]
+    async def copy_events(self, response: web.StreamResponse) -> None:
+        """Copy a stream of events to the caller until it ends.
+
+        Raises:
+            aiohttp.ClientError: The stream was broken off, or the caller has
+                disconnected.
+            EventStreamError: The stream has bytes that are no event.
+            TimeoutError: The sidecar is silent.
+        """
+        splitter = EventSplitter(MAX_EVENT_BYTES)
+        while chunk := await self.delivery.read_chunk():
+            for event in splitter.feed(chunk):
+                await self.write_event(response, event)
+        # The last event of a whole stream may lack its blank line.
+        if not is_event(splitter.incomplete):
+            raise EventStreamError("the stream ends with bytes that are no event")
+        await self.write_event(response, splitter.incomplete)
+
+    async def write_event(self, response: web.StreamResponse, event: bytes) -> None:
+        """Send an event, which carries one token, to the caller and count it."""
+        self.generated_tokens += event.count(EVENT_PREFIX)
+        await response.write(event)
 
     async def truncate(self, response: web.StreamResponse) -> None:
         """Close the caller's connection so that the answer is seen to be truncated."""
