Test that speeds reach entries, and that long offers follow them

Measured: over loopback, an entry learns a guard's speed from two complete answers and none that was not; of two guarded engines, a long answer is offered only to the faster.

--- a/packages/skylarkdoord/tests/direct/test_scheduler.py
+++ b/packages/skylarkdoord/tests/direct/test_scheduler.py
@@ -53,6 +53,7 @@
         self.record = record
         self.is_connected = is_connected
         self.room = self.running = 0
+        self.tokens_per_s = 0.0
         self.load_at = time.monotonic()
         self.offers_since_report = 0
         self.offered = []
@@ -440,6 +441,29 @@
         assert scheduler.limits.has_room(self.limited)
 
 
+class TestUnlikeEngines:
+    """Guarded engines of which one is too slow for long answers."""
+
+    @pytest.mark.parametrize(
+        ("tokens", "offered"), [(0, 2), (100, 2), (1000, 1), (100_000, 1)]
+    )
+    async def test_fast_enough(self, tokens, offered):
+        """A long answer is offered only to the faster engine."""
+        records = [make_record("i-fast"), make_record("i-slow")]
+        scheduler = make_scheduler(*records)
+        guards = {record.instance: StubGuard(record) for record in records}
+        guards["i-fast"].tokens_per_s = 250.0
+        guards["i-slow"].tokens_per_s = 80.0
+        scheduler.choice.guard_link_of = lambda record: guards[record.instance]
+        request = make_request(expected_tokens=tokens, max_tokens=200_000)
+        waiting = asyncio.create_task(scheduler.acquire(make_admitted(request)))
+        await asyncio.sleep(0)
+        assert guards["i-fast"].offered
+        assert sum(bool(guard.offered) for guard in guards.values()) == offered
+        waiting.cancel()
+        await asyncio.gather(waiting, return_exceptions=True)
+
+
 class TestVersions:
     """Requests that only upstreams of one version may take."""
 
--- a/packages/skylarkdoord/tests/direct/test_streams.py
+++ b/packages/skylarkdoord/tests/direct/test_streams.py
@@ -401,6 +401,20 @@
         assert slot.guard is not None
         await entry.stop()
 
+    async def test_speed(self, guard):
+        """A guard learns its engine's speed from complete answers; entries are told."""
+        entry = await EntryWithGuard("a", port_of(guard)).start()
+        request = make_request(expected_tokens=100, max_tokens=200)
+        for is_answered in (False, True, True):
+            slot = await entry.scheduler.acquire(make_admitted(request))
+            await asyncio.sleep(0.1)
+            entry.scheduler.release(slot, is_answered=is_answered)
+        (link,) = entry.links
+        await until(lambda: link.tokens_per_s)
+        assert guard.queue.speed.samples == 2
+        assert 100 < link.tokens_per_s <= 1000
+        await entry.stop()
+
 
 class TestGuardedStreams:
     """Streams that guards keep."""
