--- a/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import itertools
 import random
 import time
 from collections.abc import Callable
@@ -20,33 +19,22 @@
 from skylarkdoord.direct._guards import GuardLink
 from skylarkdoord.direct._held_log import HeldLog
 from skylarkdoord.direct._length_order import LengthOrder
-from skylarkdoord.direct._lengths import AnswerLengths
 from skylarkdoord.direct._metrics import RUNNING, WAITING
-from skylarkdoord.direct._model import MS_PER_S, Admitted, FleetConfig, Precedence
+from skylarkdoord.direct._model import MS_PER_S, Admitted
+from skylarkdoord.direct._new_waiters import NewWaiters
 from skylarkdoord.direct._offering import Offering
-from skylarkdoord.direct._promotions import Promotions
-from skylarkdoord.direct._queue_order import Demand, QueueOrder
+from skylarkdoord.direct._queue_order import QueueOrder
 from skylarkdoord.direct._settings import ShareSettings
 from skylarkdoord.direct._upstream_limits import UpstreamLimits
 from skylarkdoord.direct._upstreams import Upstream, Upstreams
 from skylarkdoord.direct._waiting import QueueState, Slot, SlotGrant, Waiter
-from skylarkdoord.direct._weights import CustomerWeights
 from skylarkdoord.direct.exceptions import NoFreeSlotError, VersionGoneError
 from skylarkdoord.direct.rollouts import Versions
 
-MIN_QUEUE_TIMEOUT_S = 0.05
-# Queue timeout of a request that can't meet its latency target, as a share of the time
-# until its deadline.
-LATE_QUEUE_TIMEOUT_SHARE = 0.35
-# Upper limit of that timeout. After it, a retry elsewhere or a refusal is better for
-# the caller.
-MAX_LATE_QUEUE_TIMEOUT_S = 2.5
 # Longest retry delay, as a share of the time until the request's deadline. Callers do
 # not observe longer ones.
 RETRY_DELAY_SHARE = 1 / 3
 MAX_RETRY_DELAY_S = 3.0
-# Largest number of tokens in an offer; callers may state any.
-MAX_TOKENS = 2**32 - 1
 
 
 class Scheduler:
@@ -68,6 +56,7 @@
     Attributes:
         choice: Chooses the upstreams.
         offering: Offers requests to guards.
+        new_waiters: Creates the queue entries of requests.
         waiters: Requests that wait for a slot, by their names on streams to guards.
         queues: Waiting requests in the order in which they get slots, by service.
         rechecks: Services whose waiting requests are looked at again once a limit of
@@ -104,42 +93,12 @@
         self.waiters: dict[str, Waiter] = {}
         self.queues: dict[str, QueueOrder[Waiter]] = {}
         self.queue_states: dict[str, QueueState] = {}
-        self.lengths = AnswerLengths()
         self.shares = shares
-        self.weights = CustomerWeights(self.config)
-        self.promotions = Promotions(shares.min_tier_ratio) if shares else None
-        self.numbers = itertools.count()
+        self.new_waiters = NewWaiters(upstreams, shares)
         self.log = events.get_logger("direct.scheduler")
         upstreams.fleet.on_upstreams.append(self.assign_all_slots)
         upstreams.on_accepting = self.on_accepting
 
-    def slack_s(self, admitted: Admitted, now: float) -> float:
-        """Return how long a request can wait within its latency target, in seconds."""
-        first_byte_s = self.upstreams.average_first_byte_s(admitted.service)
-        return admitted.first_byte_due - first_byte_s - now
-
-    def is_late(self, admitted: Admitted, now: float) -> bool:
-        """Return whether a request would miss its latency target even if sent now."""
-        return self.slack_s(admitted, now) <= 0.0
-
-    def queue_timeout_s(self, admitted: Admitted, now: float) -> float:
-        """Return how long a request may wait for a slot, in seconds.
-
-        A request that can meet its latency target waits until it no longer can.
-        """
-        if self.is_late(admitted, now):
-            return self.late_queue_timeout_s(admitted, now)
-        timeout_s = max(MIN_QUEUE_TIMEOUT_S, self.slack_s(admitted, now))
-        return min(admitted.deadline - now, timeout_s)
-
-    def late_queue_timeout_s(self, admitted: Admitted, now: float) -> float:
-        """Return how long a request that misses its target may wait, in seconds."""
-        remaining_s = admitted.deadline - now
-        timeout_s = min(
-            MAX_LATE_QUEUE_TIMEOUT_S, LATE_QUEUE_TIMEOUT_SHARE * remaining_s
-        )
-        return min(remaining_s, max(MIN_QUEUE_TIMEOUT_S, timeout_s))
-
     async def acquire(
         self,
         admitted: Admitted,
@@ -175,7 +134,7 @@
                 "no upstream accepts requests",
                 retry_after_s=none_accepting_s,
             )
-        waiter = self.new_waiter(admitted, excluded)
+        waiter = self.new_waiters.new(admitted, excluded)
         waiter.versions = versions if version is None else Versions(only=version)
         waiter.is_bound = version is not None
         try:
@@ -183,7 +142,7 @@
         except NoFreeSlotError:
             if waiter.precedence.is_late or not self.serves_late:
                 raise
-        return await self.wait(self.late_waiter(waiter))
+        return await self.wait(self.new_waiters.late(waiter))
 
     async def wait(self, waiter: Waiter) -> Slot:
         """Queue a request until it is granted a slot.
@@ -226,80 +185,10 @@
         waiter.count_end("granted")
         return self.slot_of(waiter)
 
-    def new_waiter(self, admitted: Admitted, excluded: frozenset[str]) -> Waiter:
-        """Return the queue entry of a request that starts to wait now."""
-        now = time.monotonic()
-        is_long = self.lengths.is_long(admitted)
-        own = Precedence(admitted.rank, is_late=self.is_late(admitted, now))
-        precedence = own
-        if self.promotions is not None:
-            precedence = self.promotions.precedence(
-                admitted.service, own, is_long=is_long
-            )
-        is_promoted = precedence.tier != own.tier
-        return Waiter(
-            precedence=precedence,
-            number=next(self.numbers),
-            admitted=admitted,
-            excluded=excluded,
-            since=now,
-            queue_timeout_s=self.queue_timeout_s(admitted, now),
-            slot=asyncio.get_running_loop().create_future(),
-            is_promoted=is_promoted,
-            demand=self.demand(admitted, is_long=is_long and not is_promoted),
-        )
-
-    def late_waiter(self, waiter: Waiter) -> Waiter:
-        """Return the queue entry of a request that goes on waiting past its target.
-
-        It has another name than the former one, so that a grant to that one that is
-        still on its way is returned.
-        """
-        now = time.monotonic()
-        timeout_s = self.late_queue_timeout_s(waiter.admitted, now)
-        return Waiter(
-            precedence=waiter.precedence._replace(
-                tier=waiter.admitted.rank, is_late=True
-            ),
-            number=next(self.numbers),
-            admitted=waiter.admitted,
-            excluded=waiter.excluded,
-            since=now,
-            queue_timeout_s=timeout_s,
-            slot=asyncio.get_running_loop().create_future(),
-            versions=waiter.versions,
-            is_bound=waiter.is_bound,
-            demand=waiter.demand,
-        )
-
     def ahead(self, waiter: Waiter) -> int:
         """Return how many waiting requests are served before one."""
         return self.queue_state(waiter.admitted.service).ahead(waiter)
 
-    def demand(self, admitted: Admitted, *, is_long: bool = False) -> Demand:
-        """Return what a request takes of an engine, and on whose account."""
-        request, customer = admitted.request, admitted.customer
-        demand = Demand(
-            is_long=is_long, expected_tokens=min(request.answer_tokens, MAX_TOKENS)
-        )
-        if self.shares is None:
-            return demand
-        demand = demand._replace(
-            prompt_tokens=min(request.prompt_tokens, MAX_TOKENS),
-            max_tokens=min(request.max_tokens, MAX_TOKENS),
-        )
-        if not self.shares.customers:
-            return demand
-        return demand._replace(
-            customer=customer.name if customer else "",
-            weight=self.weights.weight(customer),
-        )
-
-    def config(self) -> FleetConfig | None:
-        """Return the configuration in force."""
-        routing = self.upstreams.fleet.routing
-        return routing.config if routing else None
-
     def slot_of(self, waiter: Waiter) -> Slot:
         """Return the slot that was granted to a request."""
         grant = waiter.slot.result()
@@ -313,8 +202,7 @@
         is_first_call = self.queue_state(waiter.admitted.service).remove(waiter)
         if is_first_call:
             WAITING.labels(waiter.admitted.service).dec()
-            if self.promotions is not None:
-                self.promotions.on_end(waiter)
+            self.new_waiters.on_end(waiter)
         granting = waiter.slot.result().guard if waiter.is_granted else None
         for guard in waiter.offered_to:
             if guard is not granting:
--- a/packages/skylarkdoord/tests/direct/test_scheduler.py
+++ b/packages/skylarkdoord/tests/direct/test_scheduler.py
@@ -245,15 +245,17 @@
         scheduler.upstreams.first_byte_averages_s[SERVICE] = 0.5
         request = make_request()
         admitted = make_admitted(request, make_route(target_latency_s=0.5))
-        assert scheduler.is_late(admitted, request.received)
-        assert scheduler.queue_timeout_s(admitted, request.received) > 1.0
+        timeouts = scheduler.new_waiters.timeouts
+        assert timeouts.is_late(admitted, request.received)
+        assert timeouts.timeout_s(admitted, request.received) > 1.0
 
     async def test_late_timeout_is_limited(self, scheduler):
         """A late request has a short timeout, however far its deadline is."""
         received = time.monotonic() - 1.0
         request = make_request(received=received, deadline=received + 60.0)
         admitted = make_admitted(request, make_route(timeout_s=60.0))
-        assert scheduler.queue_timeout_s(admitted, time.monotonic()) <= 2.5
+        timeouts = scheduler.new_waiters.timeouts
+        assert timeouts.timeout_s(admitted, time.monotonic()) <= 2.5
 
     async def test_overload_of_lower_tier(self, scheduler):
         """Overload in a less important tier does not refuse a more important one."""
--- a/packages/skylarkdoord/tests/direct/test_share_settings.py
+++ b/packages/skylarkdoord/tests/direct/test_share_settings.py
@@ -97,8 +97,9 @@
     async def test_entry(self):
         """An entry states no demand and promotes nothing."""
         scheduler = make_scheduler(None)
-        assert scheduler.promotions is None
-        assert scheduler.demand(make_admitted(customer=make_customer())) == NO_DEMAND
+        assert scheduler.new_waiters.promotions is None
+        admitted = make_admitted(customer=make_customer())
+        assert scheduler.new_waiters.demand(admitted) == NO_DEMAND
         assert isinstance(scheduler.queue("engines"), LengthOrder)
         assert scheduler.queue_state("engines").new_shares is None
 
@@ -144,12 +145,12 @@
         """An entry states the customer, its weight and the tokens."""
         scheduler = make_scheduler(ShareSettings(customers=True))
         admitted = make_admitted(make_request(), customer=make_customer())
-        assert scheduler.demand(admitted) == Demand("garden", 1.0, 80, 20)
+        assert scheduler.new_waiters.demand(admitted) == Demand("garden", 1.0, 80, 20)
 
     async def test_starved_tier(self):
         """A request of a starved tier is queued as one of the most important tier."""
         scheduler = make_scheduler(ShareSettings())
-        shares = scheduler.promotions.shares("engines")
+        shares = scheduler.new_waiters.promotions.shares("engines")
         for _ in range(10):
             shares.record(0, is_served=True, is_promoted=False)
             shares.record(2, is_served=False, is_promoted=False)
@@ -182,7 +183,7 @@
         """An offer can be sent whatever number of tokens a caller states."""
         scheduler = make_scheduler(ShareSettings())
         request = make_request(prompt_tokens=10**30, max_tokens=10**30)
-        demand = scheduler.demand(make_admitted(request))
+        demand = scheduler.new_waiters.demand(make_admitted(request))
         offer = pb.Offer(
             prompt_tokens=demand.prompt_tokens, max_tokens=demand.max_tokens
         )
@@ -192,7 +193,7 @@
         """Without shares of customers, an entry states only the tokens."""
         scheduler = make_scheduler(ShareSettings())
         admitted = make_admitted(make_request(), customer=make_customer())
-        assert scheduler.demand(admitted) == Demand("", 0.0, 80, 20)
+        assert scheduler.new_waiters.demand(admitted) == Demand("", 0.0, 80, 20)
 
     async def test_own_queue(self):
         """Customers take turns at an upstream without a guard."""
