Show the speed of each guard's engine

An operator who sees that long answers wait while engines are free can tell which engines are too slow for them: skylarkdoor_guard_answer_tokens_per_second.

Measured: the tests of docs and of streams to guards pass; lint is clean.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
@@ -19,6 +19,7 @@
 from skylarkdoord.direct._length_order import LengthOrder
 from skylarkdoord.direct._link import run_stream
 from skylarkdoord.direct._metrics import (
+    GUARD_ANSWER_SPEED,
     GUARD_MEMORY_TOKENS,
     GUARD_OCCUPIED_SLOTS,
     GUARD_RESERVED_TOKENS,
@@ -299,6 +300,7 @@
             GUARD_SLOTS.set(counts.slots)
             GUARD_OCCUPIED_SLOTS.set(counts.running)
             GUARD_WAITING.set(counts.waiting)
+            GUARD_ANSWER_SPEED.set(self.queue.speed.tokens_per_s)
             GUARD_STREAMS.set(len(self.streams.begun))
             self.observe_memory(counts)
             is_minor = (
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_length_order.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_length_order.py
@@ -14,8 +14,8 @@
 from skylarkdoord.direct._model import Precedence
 from skylarkdoord.direct._queue_order import ArrivalOrder, ItemT
 
-# While both kinds wait, a long request is granted a slot this many times as often as a
-# short one.
+# While both kinds wait, long requests are granted slots this many times as often as
+# short ones, each in relation to the number that wait.
 GRANT_RATIO = 0.65
 # Smallest weight of the newest request in the moving average of the share of long ones.
 MIN_EWMA_WEIGHT = 0.02
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_metrics.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_metrics.py
@@ -137,6 +137,10 @@
     "skylarkdoor_guard_memory_tokens",
     "Tokens that the engine holds; 0 if unknown.",
 )
+GUARD_ANSWER_SPEED = Gauge(
+    "skylarkdoor_guard_answer_tokens_per_second",
+    "Tokens of one answer that the engine produces per second; 0 if unknown.",
+)
 GUARD_WAITING = Gauge("skylarkdoor_guard_waiting", "Requests that wait at the guard.")
 GUARD_STREAMS = Gauge(
     "skylarkdoor_guard_streams", "Streams of which the guard keeps the version."
