Watch a caller's connection until its answer is no longer held

Cause: the look at the connections aborted the stalled one and forgot it at once. The task that writes a whole answer learns of that some turns of the event loop later and gives its bytes up then. A look at the counts in between, which a busy machine makes likely, sees the bytes and no connection that holds them.

Change: a connection is watched until nothing of a whole answer is being written to it.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_caller_connections.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_caller_connections.py
@@ -63,7 +63,9 @@
                 )
                 transport.abort()
                 buffered = 0
-            if transport.is_closing() and not buffered:
+            # The task that writes a whole answer learns of an abort later.
+            is_sent = not buffered and not connection.is_writing_whole
+            if transport.is_closing() and is_sent:
                 del self.transports[connection], self.unsent[connection]
         self.held.unsent = sum(
             unsent.buffered
--- a/tests/adapter/test_slow_callers.py
+++ b/tests/adapter/test_slow_callers.py
@@ -141,6 +141,20 @@
             assert held(entry).used == 0
             writer.close()
 
+    # Guards against a connection that counts as ended while its answer is still held.
+    async def test_held_until_it_ends(self, start):
+        """Nothing of an answer is held once its connection is no longer watched."""
+        async with Server(reply(BIG)) as server, start([PLAIN], server) as entry:
+            reader, writer = await send(entry, {"Content-Length": "0"})
+            reader._transport.pause_reading()
+            await entry.until(lambda: held(entry).used > 0)
+            connections = entry.kernel.services["callers"].connections
+            async with asyncio.timeout(3 * TIMEOUT_S):
+                while connections.transports:
+                    await asyncio.sleep(0)
+            assert held(entry).used == 0
+            writer.close()
+
     async def test_read_late(self, start):
         """A caller that reads after a pause gets its whole answer."""
         async with Server(reply(BIG)) as server, start([PLAIN], server) as entry:
