--- a/packages/skylarkdoord/src/skylarkdoord/direct/_answer_speed.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_answer_speed.py
@@ -16,6 +16,7 @@
 MIN_SAMPLES = 2
 # An answer may be this many times as long as its caller expects.
 LENGTH_MARGIN = 1.5
+MIN_REMAINING_S = 0.001
 # If no engine is fast enough, those with this share of the highest speed are used.
 FASTEST_SHARE = 0.8
 
@@ -80,7 +81,7 @@
     """
     if not tokens:
         return list(engines)
-    needed = LENGTH_MARGIN * tokens / max(remaining_s, 1e-3)
+    needed = LENGTH_MARGIN * tokens / max(remaining_s, MIN_REMAINING_S)
     highest = max((engine.tokens_per_s for engine in engines), default=0.0)
     needed = min(needed, FASTEST_SHARE * highest)
     return [
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_length_order.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_length_order.py
@@ -12,13 +12,12 @@
 from typing import Generic
 
 from skylarkdoord.direct._model import Precedence
+from skylarkdoord.direct._moving_mean import MovingMean
 from skylarkdoord.direct._queue_order import ArrivalOrder, ItemT
 
 # While both kinds wait, long requests are granted slots this many times as often as
 # short ones, each in relation to the number that wait.
 GRANT_RATIO = 0.65
-# Smallest weight of the newest request in the moving average of the share of long ones.
-MIN_EWMA_WEIGHT = 0.02
 # A long request has its turn once the long ones are owed this many slots.
 TURN_SLOTS = 0.5
 # Slots that long requests are owed, or are ahead by, at most. What they did not ask for
@@ -30,14 +29,12 @@
     """Decides whether a long or a short request of one precedence goes next.
 
     Attributes:
-        long_share: Moving average of the share of long requests, from 0 to 1.
-        seen: Number of requests so far.
+        long_share: Share of long requests among those that began to wait, from 0 to 1.
         owed_slots: Slots that long requests are owed; negative if they are ahead.
     """
 
     def __init__(self) -> None:
-        self.long_share = 0.0
-        self.seen = 0
+        self.long_share = MovingMean()
         self.owed_slots = 0.0
 
     @property
@@ -47,14 +44,12 @@
 
     def on_request(self, *, is_long: bool) -> None:
         """Include a request in the share of long ones."""
-        self.seen += 1
-        weight = max(1.0 / self.seen, MIN_EWMA_WEIGHT)
-        self.long_share += weight * (is_long - self.long_share)
+        self.long_share.add(is_long)
 
     def on_grant(self, *, is_long: bool) -> None:
         """Record that a request was granted a slot."""
-        long = GRANT_RATIO * self.long_share
-        short = 1.0 - self.long_share
+        long = GRANT_RATIO * self.long_share.value
+        short = 1.0 - self.long_share.value
         due = long / (long + short)
         owed = self.owed_slots + due - is_long
         self.owed_slots = max(-MAX_OWED_SLOTS, min(MAX_OWED_SLOTS, owed))
@@ -105,7 +100,10 @@
 
     def turns_of(self, item: ItemT) -> LengthTurns:
         """Return the turns of an item's precedence."""
-        return self.turns.setdefault(item.precedence, LengthTurns())
+        turns = self.turns.get(item.precedence)
+        if turns is None:
+            turns = self.turns[item.precedence] = LengthTurns()
+        return turns
 
     def sort_key(self, item: ItemT) -> tuple[Precedence, bool]:
         """Return what decides between the first short and the first long request."""
