--- a/tools/setup.sh
+++ b/tools/setup.sh
@@ -13,7 +13,9 @@
 }
 
 explain() {
-    if ! command -v cc > /dev/null; then
+    if ! grep -q 'Failed building' "$1"; then
+        grep '^ERROR' "$1" | tail -n 1
+    elif ! command -v cc > /dev/null; then
         echo "no C compiler (cc), which libraries without a wheel for this machine need"
     elif [ ! -e "$("$python" -c 'import sysconfig; print(sysconfig.get_path("include"))')/Python.h" ]; then
         echo "no headers of Python (Python.h), which libraries without a wheel for this machine need"
