--- a/packages/skylarkdoord/tests/direct/test_tier_shares.py
+++ b/packages/skylarkdoord/tests/direct/test_tier_shares.py
@@ -93,7 +93,7 @@
         """Without the setting the lowest tier gets hardly anything."""
         rng = random.Random(1)
         simulation = simulate(
-            load(rng, 0, 1.5 * CAPACITY),
+            load(rng, 0, 1.3 * CAPACITY),
             load(rng, 2, 0.2 * CAPACITY),
             min_tier_ratio=None,
         )
