Refuse a request at once only for others of its own length

Cause: since lengths left the precedence, the queue timeout of a long request made an entry refuse short ones of its tier at once, and long ones counted as ahead of them, as customers of one precedence do not. Fewer of the first tier waited at the guards than could be served, and slots fell to the lowest tier. Class: two orders of one queue, one at the guard and another at the entry.

Change: as for customers, only requests of a higher precedence, or of the same one and length (Turn), say that a request would time out. With shares of customers, lengths take no turns, so that they are not told apart there.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_new_waiters.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_new_waiters.py
@@ -100,7 +100,9 @@
         )
         if not self.shares.customers:
             return demand
+        # Customers take turns instead of lengths.
         return demand._replace(
+            is_long=False,
             customer=customer.name if customer else "",
             weight=self.weights.weight(customer),
         )
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_waiting.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_waiting.py
@@ -77,6 +77,11 @@
         """The request's name on streams to guards."""
         return str(self.number)
 
+    @property
+    def turn(self) -> "Turn":
+        """Which requests it waits for."""
+        return Turn(self.precedence, self.demand.is_long)
+
     @property
     def rank(self) -> int:
         """Tier of the request; 0 is the most important."""
@@ -93,6 +98,22 @@
         QUEUE_ENDS.labels(str(self.admitted.rank), length, outcome).inc()
 
 
+class Turn(NamedTuple):
+    """Which requests wait for each other, rather than take turns.
+
+    Attributes:
+        precedence: Their precedence.
+        is_long: Whether their answers are long for their tier.
+    """
+
+    precedence: Precedence
+    is_long: bool
+
+    def delays(self, other: "Turn") -> bool:
+        """Return whether requests of this turn keep those of another one waiting."""
+        return self == other or self.precedence < other.precedence
+
+
 class SlotGrant(NamedTuple):
     """The grant of an upstream slot to a waiting request.
 
@@ -114,9 +135,9 @@
 
     Attributes:
         waiting: Waiting requests, by number.
-        timed_out_at: Monotonic time of the latest queue timeout, in seconds, by
-            precedence of the request.
-        own_timed_out_at: The same by customer and precedence, the latest last.
+        timed_out_at: Monotonic time of the latest queue timeout, in seconds, by turn
+            of the request.
+        own_timed_out_at: The same by customer and turn, the latest last.
         shares: Shares of the customers, by tier.
     """
 
@@ -125,11 +146,9 @@
     ) -> None:
         self.new_shares = new_shares
         self.shares: dict[int, CustomerShares] = {}
-        self.own_timed_out_at: OrderedDict[tuple[str, Precedence], float] = (
-            OrderedDict()
-        )
+        self.own_timed_out_at: OrderedDict[tuple[str, Turn], float] = OrderedDict()
         self.waiting: dict[int, Waiter] = {}
-        self.timed_out_at: dict[Precedence, float] = {}
+        self.timed_out_at: dict[Turn, float] = {}
 
     def add(self, waiter: Waiter) -> None:
         """Add a waiting request."""
@@ -166,10 +185,10 @@
 
     def record_timeout(self, waiter: Waiter, now: float) -> None:
         """Record the queue timeout of a request."""
-        self.timed_out_at[waiter.precedence] = now
+        self.timed_out_at[waiter.turn] = now
         if self.new_shares is None:
             return
-        key = (waiter.demand.customer, waiter.precedence)
+        key = (waiter.demand.customer, waiter.turn)
         self.own_timed_out_at[key] = now
         self.own_timed_out_at.move_to_end(key)
         while next(iter(self.own_timed_out_at.values())) <= now - OVERLOAD_WINDOW_S:
@@ -178,16 +197,17 @@
     def would_time_out(self, waiter: Waiter, now: float) -> bool:
         """Return whether a request would likely reach its queue timeout.
 
-        This is assumed if a request of the same or a higher precedence timed out
-        recently and other requests still wait ahead of this one. With shares of
-        customers, the requests that timed out have to be of the same customer, or the
-        customer has to have had its share. As many requests of a customer may wait as
-        are likely to get their turn in time. If fewer did, a customer with callers at
-        one entry would lose turns to one with callers at all entries.
+        This is assumed if a request of a higher precedence, or of the same one and the
+        same length, timed out recently and such requests still wait ahead of this one.
+        A long one that had to wait for its turn says nothing of short ones. With shares
+        of customers, the requests that timed out have to be of the same customer, or
+        the customer has to have had its share. As many requests of a customer may wait
+        as are likely to get their turn in time. If fewer did, a customer with callers
+        at one entry would lose turns to one with callers at all entries.
         """
         since = now - OVERLOAD_WINDOW_S
         if not any(
-            other <= waiter.precedence and at > since
+            other.delays(waiter.turn) and at > since
             for other, at in self.timed_out_at.items()
         ):
             return False
@@ -196,7 +216,7 @@
             return self.ahead(waiter) >= OVERLOAD_MIN_AHEAD
         customer = waiter.demand.customer
         if not shares.has_had_share(customer) and not any(
-            name == customer and other <= waiter.precedence and at > since
+            name == customer and other.delays(waiter.turn) and at > since
             for (name, other), at in self.own_timed_out_at.items()
         ):
             return False
@@ -205,8 +225,14 @@
         return self.ahead_in_turn(waiter) >= min_ahead
 
     def ahead(self, waiter: Waiter) -> int:
-        """Return how many waiting requests are served before this one."""
-        return sum(other < waiter for other in self.waiting.values())
+        """Return how many waiting requests are served before this one.
+
+        Those whose answers are of another length take turns with it and don't count.
+        """
+        return sum(
+            other < waiter and other.turn.delays(waiter.turn)
+            for other in self.waiting.values()
+        )
 
     def ahead_in_turn(self, waiter: Waiter) -> int:
         """Return how many of the requests ahead are not of other customers.
@@ -216,6 +242,7 @@
         """
         return sum(
             other < waiter
+            and other.turn.delays(waiter.turn)
             and (
                 other.precedence < waiter.precedence
                 or other.demand.customer == waiter.demand.customer
