--- a/packages/skylarkdoord/src/skylarkdoord/direct/_waiting.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_waiting.py
@@ -205,10 +205,10 @@
         as are likely to get their turn in time. If fewer did, a customer with callers
         at one entry would lose turns to one with callers at all entries.
         """
+        turn = waiter.turn
         since = now - OVERLOAD_WINDOW_S
         if not any(
-            other.delays(waiter.turn) and at > since
-            for other, at in self.timed_out_at.items()
+            other.delays(turn) and at > since for other, at in self.timed_out_at.items()
         ):
             return False
         shares = self.shares_of(waiter)
@@ -216,7 +216,7 @@
             return self.ahead(waiter) >= OVERLOAD_MIN_AHEAD
         customer = waiter.demand.customer
         if not shares.has_had_share(customer) and not any(
-            name == customer and other.delays(waiter.turn) and at > since
+            name == customer and other.delays(turn) and at > since
             for (name, other), at in self.own_timed_out_at.items()
         ):
             return False
@@ -229,8 +229,9 @@
 
         Those whose answers are of another length take turns with it and don't count.
         """
+        turn = waiter.turn
         return sum(
-            other < waiter and other.turn.delays(waiter.turn)
+            other < waiter and other.turn.delays(turn)
             for other in self.waiting.values()
         )
 
@@ -240,9 +241,10 @@
         Requests of the same precedence of other customers do not keep a request from
         its customer's turn.
         """
+        turn = waiter.turn
         return sum(
             other < waiter
-            and other.turn.delays(waiter.turn)
+            and other.turn.delays(turn)
             and (
                 other.precedence < waiter.precedence
                 or other.demand.customer == waiter.demand.customer
