--- /dev/null
+++ b/review/lib/platform_store.py
@@ -0,0 +1,136 @@
+"""The platform's store, as PROTOCOL.md describes it: tables with a change feed."""
+
+import asyncio
+import base64
+import json
+import time
+
+from aiohttp import web
+
+
+class Store:
+    """Tables in memory, with linearizable answers.
+
+    Attributes:
+        delay_s: Time of an answer, in seconds.
+        gate: Called with each request before it is handled; may raise or wait.
+    """
+
+    def __init__(self, host="127.0.0.1", record=lambda line: None):
+        self.host = host
+        self.tables = {}
+        self.version = 1
+        self.changed = asyncio.Condition()
+        self.delay_s = 0.004
+        self.record = record
+        self.started = time.monotonic()
+        self.gate = None
+        self.history_from = 0
+
+    async def start(self):
+        app = web.Application(client_max_size=4 * 1024 * 1024)
+        app.router.add_get("/rows-get", self.get)
+        app.router.add_get("/rows-feed", self.feed)
+        app.router.add_post("/rows-tx", self.commit)
+        self.runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, self.host, 0)
+        await site.start()
+        self.port = self.runner.addresses[0][1]
+        self.address = f"{self.host}:{self.port}"
+
+    async def stop(self):
+        await self.runner.cleanup()
+
+    async def put(self, table, key, value):
+        """Write a row as the operator or a server; None removes it."""
+        data = value if value is None or isinstance(value, bytes) else json.dumps(value).encode()
+        async with self.changed:
+            self.version += 1
+            self.tables.setdefault(table, {})[key] = (data, self.version)
+            self.changed.notify_all()
+        return self.version
+
+    def rows(self, table, since=-1):
+        rows = []
+        items = sorted(self.tables.get(table, {}).items())
+        if since >= 0:
+            items.sort(key=lambda item: item[1][1])
+        for key, (data, version) in items:
+            if version <= since or (data is None and since < 0):
+                continue
+            row = {"tableName": table, "part": "", "key": key, "rowVersion": version}
+            if data is None:
+                row["deleted"] = True
+            else:
+                row["data"] = base64.b64encode(data).decode()
+            rows.append(row)
+        return rows
+
+    def answer(self, rows, status=200):
+        now_ms = int((time.monotonic() - self.started) * 1000)
+        body = {"rows": rows, "hasMore": False, "rowVersion": self.version, "nowMs": now_ms}
+        return web.json_response(body, status=status)
+
+    async def enter(self, request):
+        if self.gate is not None:
+            answer = await self.gate(request)
+            if answer is not None:
+                return answer
+        await asyncio.sleep(self.delay_s)
+        return None
+
+    async def get(self, request):
+        refused = await self.enter(request)
+        if refused is not None:
+            return refused
+        rows = self.rows(request.query["tableName"])
+        source, to = request.query.get("source"), request.query.get("to")
+        rows = [r for r in rows if (not source or r["key"] >= source) and (not to or r["key"] < to)]
+        return self.answer(rows)
+
+    async def feed(self, request):
+        refused = await self.enter(request)
+        if refused is not None:
+            return refused
+        table, since = request.query["tableName"], int(request.query["sinceRevision"])
+        if since < self.history_from or since > self.version:
+            return web.json_response({}, status=410)
+        try:
+            async with asyncio.timeout(int(request.query.get("waitMs", "0")) / 1000):
+                async with self.changed:
+                    await self.changed.wait_for(lambda: self.rows(table, since))
+        except TimeoutError:
+            pass
+        return self.answer(self.rows(table, since))
+
+    async def commit(self, request):
+        refused = await self.enter(request)
+        if refused is not None:
+            return refused
+        body = await request.json()
+        for row in [*body.get("write", []), *body.get("remove", [])]:
+            if row["tableName"] in ("op", "servers"):
+                return web.json_response({}, status=403)
+        current, conflict = [], False
+        for expected in body.get("expect", []):
+            data, version = self.tables.get(expected["tableName"], {}).get(expected["key"], (None, 0))
+            if data is None:
+                version = 0
+            else:
+                current.append({
+                    "tableName": expected["tableName"], "part": "", "key": expected["key"],
+                    "rowVersion": version, "data": base64.b64encode(data).decode(),
+                })
+            conflict = conflict or version != expected["rowVersion"]
+        if conflict:
+            return self.answer(current, status=412)
+        async with self.changed:
+            self.version += 1
+            for row in body.get("write", []):
+                data = base64.b64decode(row["data"])
+                self.tables.setdefault(row["tableName"], {})[row["key"]] = (data, self.version)
+            for row in body.get("remove", []):
+                self.tables.setdefault(row["tableName"], {})[row["key"]] = (None, self.version)
+            self.changed.notify_all()
+        return self.answer([])
--- /dev/null
+++ b/review/lib/scene.py
@@ -0,0 +1,176 @@
+"""A small deployment on loopback, with a record of what was sent, answered and run."""
+
+import asyncio
+import contextlib
+import os
+import shutil
+import signal
+import sys
+import tempfile
+import time
+import traceback
+
+from deploy import Program, free_port, machine_fields
+from platform_store import Store
+from requesters import Channel
+
+HOST = "desk.example"
+LIMIT_S = 115
+BROKEN, HELD, NOT_RUN = 1, 0, 2
+
+
+class NotRunError(Exception):
+    """The case could not be run."""
+
+
+def route(name, service, kind="idempotent", **changes):
+    """Return a route of the operator's config."""
+    fields = {
+        "name": name, "hostname": HOST, "prefix": f"/{name}/", "routeType": kind,
+        "timeoutMs": 4000, "targetLatencyMs": 500, "priority": 1, "service": service,
+        "maxAttempts": 2, "anonymous": True,
+    }
+    return fields | changes
+
+
+def config(routes, services, version=3, **changes):
+    """Return the operator's config."""
+    fields = {
+        "version": version, "routes": routes, "services": services,
+        "limits": {"maxHeaderBytes": 65536, "maxBodyBytes": 4194304, "headerTimeoutMs": 5000, "idleTimeoutMs": 15000},
+        "tenants": [],
+    }
+    return fields | changes
+
+
+class Scene:
+    """The stand-ins and programs of one run.
+
+    Attributes:
+        trouble: Whether the disruption is played.
+    """
+
+    def __init__(self, folder, record_path):
+        self.trouble = os.environ.get("TROUBLE", "1") != "0"
+        self.folder = folder
+        self.file = open(record_path, "w")
+        self.began = time.monotonic()
+        self.store = Store(record=self.record)
+        self.servers = []
+        self.programs = []
+        self.ports = {"frontend": free_port(), "ready": free_port(), "internal": 0}
+        self.broken = []
+
+    def now(self):
+        return time.monotonic() - self.began
+
+    def record(self, line):
+        self.file.write(f"{self.now():8.3f} {line}\n")
+        self.file.flush()
+
+    def fail(self, line):
+        """Record that the rule is broken."""
+        self.broken.append(line)
+        self.record(f"BROKEN: {line}")
+
+    async def start_store(self):
+        await self.store.start()
+        self.record(f"the store listens on {self.store.address}")
+
+    async def add(self, server, port=0):
+        await server.start(port)
+        await server.register()
+        self.servers.append(server)
+        self.record(f"server {server.instance} of {server.service} listens on {server.address}")
+
+    def program(self, role, name, ip, store=None, **changes):
+        """Return a program on a machine of its own address."""
+        # Ports are the same on all machines.
+        if not self.ports["internal"]:
+            self.ports["internal"] = find_range()
+        machine = "edge" if role == "entry" else "side"
+        fields = machine_fields(name, machine, ip, store or self.store.address, self.ports, **changes)
+        program = Program(role, fields, self.folder, self.record)
+        # Two trials on one machine must not share the fixed metrics port of the template.
+        program.ip = ip
+        program.frontend = fields["listen"]["frontend"]
+        program.ready = fields["listen"]["ready"]
+        self.programs.append(program)
+        return program
+
+    async def until_ready(self, programs, timeout_s=25):
+        """Wait until the entries answer the platform's check with 200."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                for program in programs:
+                    while not await is_ready(program.ready):
+                        await asyncio.sleep(0.1)
+                    self.record(f"{program.name} is ready")
+        except TimeoutError:
+            raise NotRunError("the entries did not become ready") from None
+
+    async def close(self):
+        for program in self.programs:
+            await program.end()
+        for server in self.servers:
+            await server.stop()
+        await self.store.stop()
+        for program in self.programs:
+            if program.log_path.exists():
+                tail = program.log_path.read_text(errors="replace").splitlines()
+                wanted = [line for line in tail if '"event_name": "task_failed"' in line or line.startswith("ModuleNotFoundError")]
+                for line in wanted[:6]:
+                    self.file.write(f"         log of {program.name}: {line[:600]}\n")
+        self.file.flush()
+
+
+async def is_ready(address):
+    """Ask an entry whether it is ready, as the platform does."""
+    channel = Channel(address)
+    try:
+        await channel.open()
+        channel.writer.write(b"GET /readiness HTTP/1.1\r\nHost: ready\r\n\r\n")
+        async with asyncio.timeout(1):
+            return (await channel.read()).status == 200
+    except (OSError, TimeoutError):
+        return False
+    finally:
+        channel.close()
+
+
+def find_range():
+    """Return the first of 16 ports for communication between nodes."""
+    return free_port()
+
+
+async def _run(case, folder, record_path):
+    scene = Scene(folder, record_path)
+    scene.record("with the disruption" if scene.trouble else "without the disruption")
+    status = NOT_RUN
+    try:
+        async with asyncio.timeout(LIMIT_S):
+            await case(scene)
+        status = BROKEN if scene.broken else HELD
+    except NotRunError as error:
+        scene.record(f"NOT RUN: {error}")
+    except Exception:
+        scene.record("NOT RUN: " + traceback.format_exc())
+    finally:
+        await scene.close()
+        scene.record({BROKEN: "the rule was broken", HELD: "the rule held", NOT_RUN: "the case could not run"}[status])
+    return status
+
+
+def main(case, script):
+    """Run a case and exit with 1 if the rule was broken, 0 if it held, else 2."""
+    folder = tempfile.mkdtemp(prefix="review-")
+    record_path = os.path.join(os.path.dirname(os.path.abspath(script)), "record.txt")
+    try:
+        status = asyncio.run(_run(case, folder, record_path))
+    finally:
+        if os.environ.get("KEEP"):
+            print(folder)
+        else:
+            shutil.rmtree(folder, ignore_errors=True)
+    print(open(record_path).read()[-1500:])
+    sys.exit(status)
