--- a/review/lib/platform_store.py
+++ b/review/lib/platform_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import copy
 import json
 import time
 
@@ -13,7 +14,9 @@
 
     Attributes:
         delay_s: Time of an answer, in seconds.
-        gate: Called with each request before it is handled; may raise or wait.
+        gate: Called with each request before it is handled; may answer or wait.
+        era: Number of times that it came back from an older copy, plus 1.
+        is_away: Whether it answers 503.
     """
 
     def __init__(self, host="127.0.0.1", record=lambda line: None):
@@ -26,12 +29,15 @@
         self.started = time.monotonic()
         self.gate = None
         self.history_from = 0
+        self.era = 1
+        self.is_away = False
 
     async def start(self):
         app = web.Application(client_max_size=4 * 1024 * 1024)
         app.router.add_get("/rows-get", self.get)
         app.router.add_get("/rows-feed", self.feed)
         app.router.add_post("/rows-tx", self.commit)
+        app.on_response_prepare.append(self.add_era)
         self.runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
         await self.runner.setup()
         site = web.TCPSite(self.runner, self.host, 0)
@@ -42,6 +48,23 @@
     async def stop(self):
         await self.runner.cleanup()
 
+    async def add_era(self, request, response):
+        response.headers["Store-Era"] = str(self.era)
+
+    def copy(self):
+        """Return a copy, from which the store may come back later."""
+        return copy.deepcopy(self.tables), self.version
+
+    async def drill(self, older, away_s):
+        """Be away for a moment, and come back from an older copy."""
+        self.is_away = True
+        async with self.changed:
+            self.changed.notify_all()
+        await asyncio.sleep(away_s)
+        self.tables, self.version = copy.deepcopy(older[0]), older[1]
+        self.era += 1
+        self.is_away = False
+
     async def put(self, table, key, value):
         """Write a row as the operator or a server; None removes it."""
         data = value if value is None or isinstance(value, bytes) else json.dumps(value).encode()
@@ -73,6 +96,8 @@
         return web.json_response(body, status=status)
 
     async def enter(self, request):
+        if self.is_away:
+            return web.Response(status=503)
         if self.gate is not None:
             answer = await self.gate(request)
             if answer is not None:
@@ -94,14 +119,18 @@
         if refused is not None:
             return refused
         table, since = request.query["tableName"], int(request.query["sinceRevision"])
+        era = self.era
         if since < self.history_from or since > self.version:
             return web.json_response({}, status=410)
         try:
             async with asyncio.timeout(int(request.query.get("waitMs", "0")) / 1000):
                 async with self.changed:
-                    await self.changed.wait_for(lambda: self.rows(table, since))
+                    await self.changed.wait_for(lambda: self.is_away or self.rows(table, since))
         except TimeoutError:
             pass
+        if self.is_away or self.era != era:
+            # A call that was waiting does not outlive the drill.
+            return web.Response(status=503)
         return self.answer(self.rows(table, since))
 
     async def commit(self, request):
