--- a/review/lib/deploy.py
+++ b/review/lib/deploy.py
@@ -100,7 +100,9 @@
         self.log_path = Path(folder) / f"{self.name}.log"
         self.write_settings()
         self.process = None
+        # Times at which it ended by itself, which includes its end for too much memory.
         self.ends = []
+        self.is_stopped = False
         self.is_stopping = False
         self.watch = None
 
@@ -133,8 +135,12 @@
             status = await self.process.wait()
             if self.is_stopping:
                 return
-            self.ends.append(time.monotonic())
-            self.record(f"{self.name} has ended by itself with status {status}")
+            if self.is_stopped:
+                self.record(f"{self.name} has stopped with status {status}")
+                self.is_stopped = False
+            else:
+                self.ends.append(time.monotonic())
+                self.record(f"{self.name} has ended by itself with status {status}")
             await asyncio.sleep(RESTART_DELAY_S)
             self.fields["bootstrap"] = False
             self.write_settings()
@@ -144,10 +150,15 @@
         """Restart the process whenever it ends."""
         self.watch = asyncio.create_task(self.supervise())
 
-    def send(self, number):
-        """Send a signal to the process."""
-        self.record(f"{self.name} gets {signal.Signals(number).name}")
-        self.process.send_signal(number)
+    def stop(self):
+        """Ask the process to stop, with SIGTERM."""
+        self.record(f"{self.name} gets SIGTERM")
+        self.is_stopped = True
+        self.process.send_signal(signal.SIGTERM)
+
+    def kill_for_memory(self):
+        """Kill the process, as the platform does when it exceeds its memory."""
+        self.process.kill()
 
     async def end(self):
         """End the process for good."""
--- a/review/lib/scene.py
+++ b/review/lib/scene.py
@@ -1,10 +1,9 @@
 """A small deployment on loopback, with a record of what was sent, answered and run."""
 
 import asyncio
-import contextlib
 import os
+import random
 import shutil
-import signal
 import sys
 import tempfile
 import time
@@ -60,6 +59,16 @@
         self.programs = []
         self.ports = {"frontend": free_port(), "ready": free_port(), "internal": 0}
         self.broken = []
+        # The metrics port is the same on all machines, so each run has its own addresses.
+        self.net = f"127.{random.randint(1, 250)}.{random.randint(1, 250)}"
+
+    def edge(self, number):
+        """Return the address of an edge machine."""
+        return f"{self.net}.{number}"
+
+    def side(self, number):
+        """Return the address of the machine of a server."""
+        return f"{self.net}.{100 + number}"
 
     def now(self):
         return time.monotonic() - self.began
@@ -91,8 +100,6 @@
         machine = "edge" if role == "entry" else "side"
         fields = machine_fields(name, machine, ip, store or self.store.address, self.ports, **changes)
         program = Program(role, fields, self.folder, self.record)
-        # Two trials on one machine must not share the fixed metrics port of the template.
-        program.ip = ip
         program.frontend = fields["listen"]["frontend"]
         program.ready = fields["listen"]["ready"]
         self.programs.append(program)
@@ -138,6 +145,35 @@
         channel.close()
 
 
+class Balancer:
+    """Sends requesters to entries, as the platform does with the nodes of a zone.
+
+    A node that has not answered two checks in a row, a second apart, gets no new channels
+    until it answers again; if fewer than half of the nodes are left, all get some.
+    """
+
+    def __init__(self, entries):
+        self.entries = entries
+        self.misses = {entry.name: 0 for entry in entries}
+        self.turn = 0
+        self.task = asyncio.create_task(self.check())
+
+    async def check(self):
+        while True:
+            for entry in self.entries:
+                ready = await is_ready(entry.ready)
+                self.misses[entry.name] = 0 if ready else self.misses[entry.name] + 1
+            await asyncio.sleep(1.0)
+
+    def pick(self):
+        """Return the entry of a new channel."""
+        used = [entry for entry in self.entries if self.misses[entry.name] < 2]
+        if 2 * len(used) < len(self.entries):
+            used = self.entries
+        self.turn += 1
+        return used[self.turn % len(used)]
+
+
 def find_range():
     """Return the first of 16 ports for communication between nodes."""
     return free_port()
--- a/review/lib/servers.py
+++ b/review/lib/servers.py
@@ -78,18 +78,36 @@
         await self.write_row()
 
     async def beats(self):
+        """Write the entry about every `heartbeatMs`; it changes only with other fields."""
         while True:
             await asyncio.sleep(1.2)
-            await self.write_row()
+            self.sequence += 1
+            await self.write_again()
 
-    async def write_row(self):
-        self.sequence += 1
-        row = {
+    def entry(self):
+        """Return the fields of the entry."""
+        return {
             "service": self.service, "address": self.address, "zone": "agenskalns",
             "version": self.version, "slots": self.slots, "state": self.state,
             "coldRemainingMs": 0, "sequence": self.sequence, "born": self.born,
         }
-        await self.store.put("servers", self.instance, row)
+
+    async def write_row(self):
+        """Write the entry with its next number."""
+        self.sequence += 1
+        await self.store.put("servers", self.instance, self.entry())
+
+    async def write_again(self):
+        """Write the entry if the store has none, or another one but for the number."""
+        data, _ = self.store.tables.get("servers", {}).get(self.instance, (None, 0))
+        if data is not None:
+            try:
+                found = json.loads(data)
+            except ValueError:
+                found = None
+            if isinstance(found, dict) and found | {"sequence": 0} == self.entry() | {"sequence": 0}:
+                return
+        await self.store.put("servers", self.instance, self.entry())
 
     async def stop(self):
         if self.beat:
