--- a/review/lib/deploy.py
+++ b/review/lib/deploy.py
@@ -117,7 +117,11 @@
             str(self.path) if word == SETTINGS_PATH else word
             for word in self.spec["run"].split()
         ]
-        env = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
+        env = {
+            key: os.environ[key]
+            for key in ("PATH", "HOME", "LANG")
+            if key in os.environ
+        }
         env |= {
             "PYTHONPATH": str(ROOT / "target/deps"),
             "PYTHONDONTWRITEBYTECODE": "1",
@@ -198,7 +202,19 @@
     "deliverySlackMs": 120,
     "reuseWindowS": 5.7,
 }
-CONTRACTS = "base drain config cost retry recover engine stream tenants quota platform".split()
+CONTRACTS = [
+    "base",
+    "drain",
+    "config",
+    "cost",
+    "retry",
+    "recover",
+    "engine",
+    "stream",
+    "tenants",
+    "quota",
+    "platform",
+]
 
 
 def machine_fields(name, machine_class, ip, store, ports, *, app=None, **changes):
@@ -211,6 +227,7 @@
         store: Address of the platform's store.
         ports: Ports that are the same on all machines: `frontend`, `ready`, `internal`.
         app: Address of the server on a `side` machine.
+        **changes: Other fields.
     """
     fields = {
         "nodeName": name,
--- a/review/lib/platform_store.py
+++ b/review/lib/platform_store.py
@@ -33,6 +33,7 @@
         self.is_away = False
 
     async def start(self):
+        """Listen on a free port."""
         app = web.Application(client_max_size=4 * 1024 * 1024)
         app.router.add_get("/rows-get", self.get)
         app.router.add_get("/rows-feed", self.feed)
@@ -46,9 +47,11 @@
         self.address = f"{self.host}:{self.port}"
 
     async def stop(self):
+        """Close the listener."""
         await self.runner.cleanup()
 
     async def add_era(self, request, response):
+        """Add the era to an answer."""
         response.headers["Store-Era"] = str(self.era)
 
     def copy(self):
@@ -67,7 +70,11 @@
 
     async def put(self, table, key, value):
         """Write a row as the operator or a server; None removes it."""
-        data = value if value is None or isinstance(value, bytes) else json.dumps(value).encode()
+        data = (
+            value
+            if value is None or isinstance(value, bytes)
+            else json.dumps(value).encode()
+        )
         async with self.changed:
             self.version += 1
             self.tables.setdefault(table, {})[key] = (data, self.version)
@@ -75,6 +82,7 @@
         return self.version
 
     def rows(self, table, since=-1):
+        """Return the rows of a table, or those changed since a version."""
         rows = []
         items = sorted(self.tables.get(table, {}).items())
         if since >= 0:
@@ -91,11 +99,18 @@
         return rows
 
     def answer(self, rows, status=200):
+        """Return an answer with rows."""
         now_ms = int((time.monotonic() - self.started) * 1000)
-        body = {"rows": rows, "hasMore": False, "rowVersion": self.version, "nowMs": now_ms}
+        body = {
+            "rows": rows,
+            "hasMore": False,
+            "rowVersion": self.version,
+            "nowMs": now_ms,
+        }
         return web.json_response(body, status=status)
 
     async def enter(self, request):
+        """Return a refusal, or None once the call may be handled."""
         if self.is_away:
             return web.Response(status=503)
         if self.gate is not None:
@@ -106,15 +121,21 @@
         return None
 
     async def get(self, request):
+        """Serve a read."""
         refused = await self.enter(request)
         if refused is not None:
             return refused
         rows = self.rows(request.query["tableName"])
         source, to = request.query.get("source"), request.query.get("to")
-        rows = [r for r in rows if (not source or r["key"] >= source) and (not to or r["key"] < to)]
+        rows = [
+            r
+            for r in rows
+            if (not source or r["key"] >= source) and (not to or r["key"] < to)
+        ]
         return self.answer(rows)
 
     async def feed(self, request):
+        """Serve a call that waits for changes."""
         refused = await self.enter(request)
         if refused is not None:
             return refused
@@ -125,7 +146,9 @@
         try:
             async with asyncio.timeout(int(request.query.get("waitMs", "0")) / 1000):
                 async with self.changed:
-                    await self.changed.wait_for(lambda: self.is_away or self.rows(table, since))
+                    await self.changed.wait_for(
+                        lambda: self.is_away or self.rows(table, since)
+                    )
         except TimeoutError:
             pass
         if self.is_away or self.era != era:
@@ -134,6 +157,7 @@
         return self.answer(self.rows(table, since))
 
     async def commit(self, request):
+        """Write rows if all expected versions hold."""
         refused = await self.enter(request)
         if refused is not None:
             return refused
@@ -143,14 +167,21 @@
                 return web.json_response({}, status=403)
         current, conflict = [], False
         for expected in body.get("expect", []):
-            data, version = self.tables.get(expected["tableName"], {}).get(expected["key"], (None, 0))
+            data, version = self.tables.get(expected["tableName"], {}).get(
+                expected["key"], (None, 0)
+            )
             if data is None:
                 version = 0
             else:
-                current.append({
-                    "tableName": expected["tableName"], "part": "", "key": expected["key"],
-                    "rowVersion": version, "data": base64.b64encode(data).decode(),
-                })
+                current.append(
+                    {
+                        "tableName": expected["tableName"],
+                        "part": "",
+                        "key": expected["key"],
+                        "rowVersion": version,
+                        "data": base64.b64encode(data).decode(),
+                    }
+                )
             conflict = conflict or version != expected["rowVersion"]
         if conflict:
             return self.answer(current, status=412)
@@ -158,8 +189,14 @@
             self.version += 1
             for row in body.get("write", []):
                 data = base64.b64decode(row["data"])
-                self.tables.setdefault(row["tableName"], {})[row["key"]] = (data, self.version)
+                self.tables.setdefault(row["tableName"], {})[row["key"]] = (
+                    data,
+                    self.version,
+                )
             for row in body.get("remove", []):
-                self.tables.setdefault(row["tableName"], {})[row["key"]] = (None, self.version)
+                self.tables.setdefault(row["tableName"], {})[row["key"]] = (
+                    None,
+                    self.version,
+                )
             self.changed.notify_all()
         return self.answer([])
--- a/review/lib/scene.py
+++ b/review/lib/scene.py
@@ -8,11 +8,13 @@
 import tempfile
 import time
 import traceback
+from pathlib import Path
 
-from deploy import Program, free_port, machine_fields
 from platform_store import Store
 from requesters import Channel
 
+from deploy import Program, free_port, machine_fields
+
 HOST = "desk.example"
 LIMIT_S = 115
 BROKEN, HELD, NOT_RUN = 1, 0, 2
@@ -25,9 +27,16 @@
 def route(name, service, kind="idempotent", **changes):
     """Return a route of the operator's config."""
     fields = {
-        "name": name, "hostname": HOST, "prefix": f"/{name}/", "routeType": kind,
-        "timeoutMs": 4000, "targetLatencyMs": 500, "priority": 1, "service": service,
-        "maxAttempts": 2, "anonymous": True,
+        "name": name,
+        "hostname": HOST,
+        "prefix": f"/{name}/",
+        "routeType": kind,
+        "timeoutMs": 4000,
+        "targetLatencyMs": 500,
+        "priority": 1,
+        "service": service,
+        "maxAttempts": 2,
+        "anonymous": True,
     }
     return fields | changes
 
@@ -35,8 +44,15 @@
 def config(routes, services, version=3, **changes):
     """Return the operator's config."""
     fields = {
-        "version": version, "routes": routes, "services": services,
-        "limits": {"maxHeaderBytes": 65536, "maxBodyBytes": 4194304, "headerTimeoutMs": 5000, "idleTimeoutMs": 15000},
+        "version": version,
+        "routes": routes,
+        "services": services,
+        "limits": {
+            "maxHeaderBytes": 65536,
+            "maxBodyBytes": 4194304,
+            "headerTimeoutMs": 5000,
+            "idleTimeoutMs": 15000,
+        },
         "tenants": [],
     }
     return fields | changes
@@ -52,14 +68,14 @@
     def __init__(self, folder, record_path):
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.folder = folder
-        self.file = open(record_path, "w")
+        self.file = Path(record_path).open("w")  # noqa: SIM115
         self.began = time.monotonic()
         self.store = Store(record=self.record)
         self.servers = []
         self.programs = []
         self.ports = {"frontend": free_port(), "ready": free_port(), "internal": 0}
         self.broken = []
-        # The metrics port is the same on all machines, so each run has its own addresses.
+        # The metrics port is the same everywhere, so each run has its own addresses.
         self.net = f"127.{random.randint(1, 250)}.{random.randint(1, 250)}"
 
     def edge(self, number):
@@ -71,9 +87,11 @@
         return f"{self.net}.{100 + number}"
 
     def now(self):
+        """Return the time since the start of the run, in seconds."""
         return time.monotonic() - self.began
 
     def record(self, line):
+        """Write a line to the record."""
         self.file.write(f"{self.now():8.3f} {line}\n")
         self.file.flush()
 
@@ -83,14 +101,18 @@
         self.record(f"BROKEN: {line}")
 
     async def start_store(self):
+        """Start the store."""
         await self.store.start()
         self.record(f"the store listens on {self.store.address}")
 
     async def add(self, server, port=0):
+        """Start a server and write its entry."""
         await server.start(port)
         await server.register()
         self.servers.append(server)
-        self.record(f"server {server.instance} of {server.service} listens on {server.address}")
+        self.record(
+            f"server {server.instance} of {server.service} listens on {server.address}"
+        )
 
     def program(self, role, name, ip, store=None, **changes):
         """Return a program on a machine of its own address."""
@@ -98,7 +120,9 @@
         if not self.ports["internal"]:
             self.ports["internal"] = find_range()
         machine = "edge" if role == "entry" else "side"
-        fields = machine_fields(name, machine, ip, store or self.store.address, self.ports, **changes)
+        fields = machine_fields(
+            name, machine, ip, store or self.store.address, self.ports, **changes
+        )
         program = Program(role, fields, self.folder, self.record)
         program.frontend = fields["listen"]["frontend"]
         program.ready = fields["listen"]["ready"]
@@ -117,6 +141,7 @@
             raise NotRunError("the entries did not become ready") from None
 
     async def close(self):
+        """End all processes and stand-ins, and record why tasks failed."""
         for program in self.programs:
             await program.end()
         for server in self.servers:
@@ -125,7 +150,12 @@
         for program in self.programs:
             if program.log_path.exists():
                 tail = program.log_path.read_text(errors="replace").splitlines()
-                wanted = [line for line in tail if '"event_name": "task_failed"' in line or line.startswith("ModuleNotFoundError")]
+                wanted = [
+                    line
+                    for line in tail
+                    if '"event_name": "task_failed"' in line
+                    or line.startswith("ModuleNotFoundError")
+                ]
                 for line in wanted[:6]:
                     self.file.write(f"         log of {program.name}: {line[:600]}\n")
         self.file.flush()
@@ -148,8 +178,8 @@
 class Balancer:
     """Sends requesters to entries, as the platform does with the nodes of a zone.
 
-    A node that has not answered two checks in a row, a second apart, gets no new channels
-    until it answers again; if fewer than half of the nodes are left, all get some.
+    A node that has not answered two checks in a row, a second apart, gets no new
+    channels until it answers again. If fewer than half are left, all get some.
     """
 
     def __init__(self, entries):
@@ -159,6 +189,7 @@
         self.task = asyncio.create_task(self.check())
 
     async def check(self):
+        """Check all entries each second."""
         while True:
             for entry in self.entries:
                 ready = await is_ready(entry.ready)
@@ -193,7 +224,13 @@
         scene.record("NOT RUN: " + traceback.format_exc())
     finally:
         await scene.close()
-        scene.record({BROKEN: "the rule was broken", HELD: "the rule held", NOT_RUN: "the case could not run"}[status])
+        scene.record(
+            {
+                BROKEN: "the rule was broken",
+                HELD: "the rule held",
+                NOT_RUN: "the case could not run",
+            }[status]
+        )
     return status
 
 
@@ -208,5 +245,5 @@
             print(folder)
         else:
             shutil.rmtree(folder, ignore_errors=True)
-    print(open(record_path).read()[-1500:])
+    print(Path(record_path).read_text()[-1500:])
     sys.exit(status)
