--- a/review/lib/scene.py
+++ b/review/lib/scene.py
@@ -4,6 +4,7 @@
 import os
 import random
 import shutil
+import signal
 import sys
 import tempfile
 import time
@@ -212,6 +213,9 @@
 
 async def _run(case, folder, record_path):
     scene = Scene(folder, record_path)
+    # Whoever ends the run also ends the processes that it started.
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     scene.record("with the disruption" if scene.trouble else "without the disruption")
     status = NOT_RUN
     try:
@@ -238,8 +242,11 @@
     """Run a case and exit with 1 if the rule was broken, 0 if it held, else 2."""
     folder = tempfile.mkdtemp(prefix="review-")
     record_path = os.path.join(os.path.dirname(os.path.abspath(script)), "record.txt")
+    status = NOT_RUN
     try:
         status = asyncio.run(_run(case, folder, record_path))
+    except (Exception, asyncio.CancelledError):
+        traceback.print_exc()
     finally:
         if os.environ.get("KEEP"):
             print(folder)
