Count and log retries approved, waiting and sent, over all entries

- retry_sent (729), with the wait; retries_counted (730), a line for each second near retries with requests, approved, refused, sent and waiting, by service
- metrics retries_sent and retries_waiting
- python -m skylarkdoor_bench retries sums these lines over the logs of all entries

--- /dev/null
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_retries.py
@@ -0,0 +1,90 @@
+"""Sums the retries that entries logged, and finds the windows with most of them."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Iterator
+from datetime import datetime
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from skylarkdoor_bench._logs import read_records
+
+EVENT_NAME = "retries_counted"
+
+
+class Second(NamedTuple):
+    """Requests and retries of one service within a second, over all entries.
+
+    Attributes:
+        requests: Requests of callers.
+        approved: Retries that the entries' budgets allowed.
+        sent: Retries that were sent to an upstream.
+        waiting: Retries that were allowed and not sent yet, at the end.
+    """
+
+    requests: int = 0
+    approved: int = 0
+    sent: int = 0
+    waiting: int = 0
+
+    def plus(self, record: dict[str, Any]) -> "Second":
+        """Return the sums with one entry's log record added."""
+        return Second(*(value + int(record[name]) for name, value in self.named()))
+
+    def named(self) -> Iterable[tuple[str, int]]:
+        """Return the names of the counts with their values."""
+        return self._asdict().items()
+
+
+class Window(NamedTuple):
+    """The retries of one service within a window, over all entries.
+
+    Attributes:
+        service: The service.
+        began: Unix time of its begin, in seconds.
+        counts: Sums over the window; `waiting` is the most of its seconds.
+    """
+
+    service: str
+    began: int
+    counts: Second
+
+
+def sum_seconds(logs: Iterable[Path]) -> dict[str, dict[int, Second]]:
+    """Return the sums over all logs, by service and Unix time in whole seconds."""
+    sums: dict[str, dict[int, Second]] = defaultdict(dict)
+    for log in logs:
+        for record in read_records(log):
+            if record.get("event_name") != EVENT_NAME:
+                continue
+            second = int(datetime.fromisoformat(record["time"]).timestamp())
+            of_service = sums[record["service"]]
+            of_service[second] = of_service.get(second, Second()).plus(record)
+    return sums
+
+
+def worst_windows(logs: Iterable[Path], *, window_s: int) -> Iterator[Window]:
+    """Yield the window with most sent retries of each service.
+
+    Args:
+        logs: JSON logs of the entries.
+        window_s: Length of the window, in seconds.
+    """
+    for service, seconds in sorted(sum_seconds(logs).items()):
+        windows = (
+            Window(service, began, sum_window(seconds, began, window_s))
+            for began in seconds
+        )
+        yield max(windows, key=lambda window: window.counts.sent)
+
+
+def sum_window(seconds: dict[int, Second], began: int, window_s: int) -> Second:
+    """Return the sums over one window."""
+    within = [
+        seconds.get(second, Second()) for second in range(began, began + window_s)
+    ]
+    return Second(
+        requests=sum(second.requests for second in within),
+        approved=sum(second.approved for second in within),
+        sent=sum(second.sent for second in within),
+        waiting=max(second.waiting for second in within),
+    )
--- a/packages/skylarkdoor-bench/src/skylarkdoor_bench/cli.py
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/cli.py
@@ -14,6 +14,7 @@
 from skylarkdoor_bench._demo import DemoFailedError, run_demo
 from skylarkdoor_bench._processes import ProcessFailedError
 from skylarkdoor_bench._replay import ReplayFailedError, replay_files
+from skylarkdoor_bench._retries import worst_windows
 from skylarkdoor_bench._run import DEPLOYMENTS
 from skylarkdoor_bench._slope_series import SERIES
 from skylarkdoor_bench._slopes import measure_slopes
@@ -141,6 +142,25 @@
     sys.exit(run_tool(work))
 
 
+@main.command("retries")
+@click.argument(
+    "logs",
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+    nargs=-1,
+    required=True,
+)
+@click.option("--window-s", type=click.IntRange(min=1), default=10, show_default=True)
+def retries(logs: tuple[Path, ...], window_s: int) -> None:
+    """Show the window with most retries of each service, over all entries' LOGS."""
+    for window in worst_windows(logs, window_s=window_s):
+        counts = window.counts
+        click.echo(
+            f"{window.service}: {counts.sent} retries sent, {counts.approved} "
+            f"approved, {counts.waiting} waiting, {counts.requests} requests "
+            f"within {window_s} s from {window.began}"
+        )
+
+
 def run_tool(work: Coroutine[None, None, None]) -> int:
     """Run a tool and print its errors.
 
--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -354,6 +354,18 @@
     logging.INFO,
     "Requests with a part of prompts are sent again.",
 )
+RETRY_SENT = define(
+    729,
+    "retry_sent",
+    logging.INFO,
+    "A retry that the budget allowed is sent to an upstream.",
+)
+RETRIES_COUNTED = define(
+    730,
+    "retries_counted",
+    logging.INFO,
+    "Requests and retries of a service were counted for a second.",
+)
 REQUEST_MAY_LEAVE = define(
     739,
     "request_may_leave",
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
@@ -17,11 +17,11 @@
 from skylarkdoord.direct._answer_relay import MIN_SERVER_ERROR_STATUS, AnswerRelay
 from skylarkdoord.direct._call import UpstreamClient
 from skylarkdoord.direct._choice import ANY_VERSION
-from skylarkdoord.direct._metrics import CALLS, FIRST_EVENT, QUEUE_TIME, REPEATS
+from skylarkdoord.direct._metrics import CALLS, FIRST_EVENT, QUEUE_TIME
 from skylarkdoord.direct._model import MS_PER_S, Admitted, UpstreamRecord
 from skylarkdoord.direct._quota import Quota
 from skylarkdoord.direct._relay import CallerStream
-from skylarkdoord.direct._retry_limiter import RetryLimiter
+from skylarkdoord.direct._retry_limiter import Retry, RetryLimiter
 from skylarkdoord.direct._rollout_attempts import ObservedAttempt, RolloutAttempts
 from skylarkdoord.direct._scheduler import Scheduler
 from skylarkdoord.direct._stream_versions import StreamVersions
@@ -96,6 +96,7 @@
         tried_instances: Upstreams that the request was sent to.
         version: Version of the upstreams that may go on with the stream; None before
             its first event.
+        retry: The retry that the budget allowed last; None before the first.
         is_trial: Whether its first attempt tries out a new version.
         fingerprint: Identifies the request and its repeats.
         parts: Parts of its prompt that other requests may share.
@@ -124,6 +125,7 @@
         self.sends = 0
         self.tried_instances: set[str] = set()
         self.version: str | None = None
+        self.retry: Retry | None = None
         self.is_trial = False
         self.fingerprint = fingerprint_of(admitted)
         self.parts = shared_parts(admitted)
@@ -144,6 +146,9 @@
             if not self.stream.has_begun:
                 raise
             return self.abort(str(error) or "timeout")
+        finally:
+            if self.retry is not None:
+                self.retry.end()
 
     async def run(self) -> web.StreamResponse:
         """Send the request, with retries, until an answer may be returned.
@@ -264,6 +269,7 @@
         self.tried_instances.add(upstream.instance)
         began = time.monotonic()
         self.log_step(slot, "sent", began)
+        self.send_retry(slot)
         self.dependencies.crashes.add_in_flight(
             upstream.record, self.fingerprint, self.parts
         )
@@ -439,18 +445,31 @@
             return True
         service = self.admitted.service
         limiter = self.dependencies.retry_limiter
-        allowed = limiter.try_spend(service)
-        REPEATS.labels(service, str(allowed).lower()).inc()
+        self.retry = limiter.approve(service)
         self.log.event(
             _events.RETRY_DECIDED,
             request_id=self.admitted.request.request_id,
             service=service,
-            allowed=allowed,
+            allowed=self.retry is not None,
             spent=limiter.spent_retries(service),
             budget=round(limiter.allowed_retries(service), 1),
             entries=limiter.sharing_entries(),
         )
-        return allowed
+        return self.retry is not None
+
+    def send_retry(self, slot: Slot) -> None:
+        """Count the retry that the budget allowed for this attempt, if any, as sent."""
+        if self.retry is None or not self.retry.is_waiting:
+            return
+        self.retry.send()
+        self.log.event(
+            _events.RETRY_SENT,
+            request_id=self.admitted.request.request_id,
+            service=self.admitted.service,
+            upstream=slot.upstream.instance,
+            waited_ms=round(slot.waited_s * MS_PER_S),
+            waiting=self.retry.counts.waiting,
+        )
 
     def abort(self, reason: str) -> web.StreamResponse:
         """Abort a stream that has begun, so that it does not look complete."""
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_metrics.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_metrics.py
@@ -48,6 +48,16 @@
     "Repeats that the retry budget allowed or refused.",
     ["service", "allowed"],
 )
+RETRIES_SENT = Counter(
+    "skylarkdoor_direct_retries_sent_total",
+    "Retries that the budget allowed and that were sent to an upstream.",
+    ["service"],
+)
+RETRIES_WAITING = Gauge(
+    "skylarkdoor_direct_retries_waiting",
+    "Retries that the budget allowed and that wait for a slot.",
+    ["service"],
+)
 UPSTREAM_LIMITS = Counter(
     "skylarkdoor_direct_upstream_limits_total",
     "Limits of upstreams that came into force or ended, by kind of change.",
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_retry_limiter.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_retry_limiter.py
@@ -3,7 +3,9 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 
+from skylarkdoord.direct._metrics import REPEATS, RETRIES_SENT, RETRIES_WAITING
 from skylarkdoord.direct._settings import RetryBudget
 
 # Share of the budget that is used. The rest allows for requests that are counted late
@@ -11,6 +13,58 @@
 USABLE_BUDGET_SHARE = 0.8
 
 
+@dataclass
+class RetryCounts:
+    """Requests and retries of one service.
+
+    Attributes:
+        requests: Requests of callers.
+        approved: Retries that the budget allowed.
+        refused: Retries that it refused.
+        sent: Retries that were sent to an upstream.
+        waiting: Approved retries that are not sent yet.
+    """
+
+    requests: int = 0
+    approved: int = 0
+    refused: int = 0
+    sent: int = 0
+    waiting: int = 0
+
+
+class Retry:
+    """A retry that the budget allowed.
+
+    Args:
+        service: Service of the request.
+        counts: Counts of that service.
+
+    Attributes:
+        is_waiting: Whether it is not sent yet.
+    """
+
+    def __init__(self, service: str, counts: RetryCounts) -> None:
+        self.service = service
+        self.counts = counts
+        self.is_waiting = True
+        counts.approved += 1
+        counts.waiting += 1
+        RETRIES_WAITING.labels(service).inc()
+
+    def send(self) -> None:
+        """Count the retry as sent."""
+        self.end()
+        self.counts.sent += 1
+        RETRIES_SENT.labels(self.service).inc()
+
+    def end(self) -> None:
+        """Count the retry as waiting no longer."""
+        if self.is_waiting:
+            self.is_waiting = False
+            self.counts.waiting -= 1
+            RETRIES_WAITING.labels(self.service).dec()
+
+
 class RetryLimiter:
     """Allows retries in proportion to the requests within a sliding window.
 
@@ -28,6 +82,7 @@
         started: Monotonic time of the start, in seconds.
         requests: Monotonic times of the callers' requests, by service, in seconds.
         retries: Monotonic times of the retries, by service, in seconds.
+        counts: Requests and retries since the start, by service.
     """
 
     def __init__(
@@ -45,10 +100,12 @@
         self.started = clock()
         self.requests: dict[str, deque[float]] = {}
         self.retries: dict[str, deque[float]] = {}
+        self.counts: dict[str, RetryCounts] = {}
 
     def count_request(self, service: str) -> None:
         """Count a caller's request for a service."""
         self.within_window(self.requests, service).append(self.clock())
+        self.counts_of(service).requests += 1
 
     def allowed_retries(self, service: str) -> float:
         """Return the number of retries allowed within the current window."""
@@ -67,12 +124,19 @@
         """Return the number of retries within the current window."""
         return len(self.within_window(self.retries, service))
 
-    def try_spend(self, service: str) -> bool:
-        """Count a retry if one more is allowed; return whether it is."""
-        if self.spent_retries(service) + 1 > self.allowed_retries(service):
-            return False
+    def approve(self, service: str) -> Retry | None:
+        """Return a retry and count it; None if no more are allowed."""
+        is_allowed = self.spent_retries(service) + 1 <= self.allowed_retries(service)
+        REPEATS.labels(service, str(is_allowed).lower()).inc()
+        if not is_allowed:
+            self.counts_of(service).refused += 1
+            return None
         self.retries[service].append(self.clock())
-        return True
+        return Retry(service, self.counts_of(service))
+
+    def counts_of(self, service: str) -> RetryCounts:
+        """Return the counts of a service."""
+        return self.counts.setdefault(service, RetryCounts())
 
     def within_window(
         self, counted: dict[str, deque[float]], service: str
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -19,6 +19,7 @@
 from skylarkdoord.direct._metrics import MetricsServer
 from skylarkdoord.direct._quota import Quota
 from skylarkdoord.direct._retry_limiter import RetryLimiter
+from skylarkdoord.direct._retry_report import RetryReport
 from skylarkdoord.direct._rollout_attempts import RolloutAttempts
 from skylarkdoord.direct._rollouts import RolloutDependencies, Rollouts
 from skylarkdoord.direct._scheduler import Scheduler
@@ -102,6 +103,7 @@
         rollouts=RolloutAttempts(gate, upstreams),
     )
     kernel.register(MetricsServer(settings))
+    kernel.register(RetryReport(dependencies.retry_limiter))
     watcher = FleetWatcher(
         settings,
         fleet,
--- a/packages/skylarkdoord/tests/direct/_retry_simulation.py
+++ b/packages/skylarkdoord/tests/direct/_retry_simulation.py
@@ -141,7 +141,7 @@
             return 0
         spent = 0
         for entry in self.entries:
-            while not entry.is_ended and entry.limiter.try_spend(SERVICE):
+            while not entry.is_ended and entry.limiter.approve(SERVICE):
                 spent += 1
         return spent
 
--- a/packages/skylarkdoord/tests/direct/test_retry_limiter.py
+++ b/packages/skylarkdoord/tests/direct/test_retry_limiter.py
@@ -32,7 +32,7 @@
 def spend_all(limiter):
     """Spend retries until one is refused; return their number."""
     spent = 0
-    while limiter.try_spend(SERVICE):
+    while limiter.approve(SERVICE):
         spent += 1
     return spent
 
