Keep the retry budget by token buckets that no request fills twice

Cause: each entry allowed retries for the requests of its own last 10 s. When an entry ends, or the balancer stops choosing it, what it spent stays spent, and its callers earn a budget at other entries within the same window. Retries also counted when they were approved, and were sent up to 15 s later.

Change: a token bucket for each service and entry, filled by each request that the entry takes and by time, empty at a start, with a capacity for the requests of one window. What all buckets hold at the begin of a window is bounded by the requests before it, what is added by the requests within it, so the sum is bounded whatever callers do. A retry is charged when it is sent, and not at all if it is never sent or reaches no upstream; if the bucket has shrunk meanwhile, it is not sent.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
@@ -13,6 +13,7 @@
 
 from skylarkdoor import events
 from skylarkdoord import _events
+from skylarkdoord._retry_limiter import RetryLimiter
 from skylarkdoord.direct._adapter import Adapter
 from skylarkdoord.direct._answer_relay import MIN_SERVER_ERROR_STATUS, AnswerRelay
 from skylarkdoord.direct._call import UpstreamClient
@@ -21,7 +22,7 @@
 from skylarkdoord.direct._model import MS_PER_S, Admitted, UpstreamRecord
 from skylarkdoord.direct._quota import Quota
 from skylarkdoord.direct._relay import CallerStream
-from skylarkdoord.direct._retry_limiter import Retry, RetryLimiter
+from skylarkdoord.direct._request_retries import RequestRetries
 from skylarkdoord.direct._rollout_attempts import ObservedAttempt, RolloutAttempts
 from skylarkdoord.direct._scheduler import Scheduler
 from skylarkdoord.direct._stream_versions import StreamVersions
@@ -96,7 +97,7 @@
         tried_instances: Upstreams that the request was sent to.
         version: Version of the upstreams that may go on with the stream; None before
             its first event.
-        retry: The retry that the budget allowed last; None before the first.
+        retries: Asks the retry budget for its retries.
         is_trial: Whether its first attempt tries out a new version.
         fingerprint: Identifies the request and its repeats.
         parts: Parts of its prompt that other requests may share.
@@ -125,7 +126,7 @@
         self.sends = 0
         self.tried_instances: set[str] = set()
         self.version: str | None = None
-        self.retry: Retry | None = None
+        self.retries = RequestRetries(dependencies.retry_limiter, admitted)
         self.is_trial = False
         self.fingerprint = fingerprint_of(admitted)
         self.parts = shared_parts(admitted)
@@ -147,8 +148,7 @@
                 raise
             return self.abort(str(error) or "timeout")
         finally:
-            if self.retry is not None:
-                self.retry.end()
+            self.retries.end()
 
     async def run(self) -> web.StreamResponse:
         """Send the request, with retries, until an answer may be returned.
@@ -170,6 +170,7 @@
             try:
                 # The request may have been quarantined while it waited.
                 self.check_quarantine()
+                self.check_budget(slot)
                 response = await self.attempt(slot)
                 is_answered = response.status < MIN_ERROR_STATUS
                 return response
@@ -217,6 +218,22 @@
             raise OutcomeUnknownError(message)
         raise NotRunError("quarantined", message)
 
+    def check_budget(self, slot: Slot) -> None:
+        """Check that the attempt, if it is a retry, is still within the budget.
+
+        Raises:
+            NotRunError: It is not, and the request has not run.
+            OutcomeUnknownError: It is not, and the request may have run.
+        """
+        if self.retries.send(slot):
+            return
+        message = "the retry budget was used up while the request waited"
+        if self.runs:
+            raise OutcomeUnknownError(message)
+        raise NotRunError(
+            "unavailable", message, retry_after_s=UNAVAILABLE_RETRY_AFTER_S
+        )
+
     async def acquire_slot(self) -> Slot:
         """Wait for a slot at an upstream.
 
@@ -269,7 +286,6 @@
         self.tried_instances.add(upstream.instance)
         began = time.monotonic()
         self.log_step(slot, "sent", began)
-        self.send_retry(slot)
         self.dependencies.crashes.add_in_flight(
             upstream.record, self.fingerprint, self.parts
         )
@@ -408,7 +424,7 @@
         else:
             self.dependencies.upstreams.on_failure(slot.upstream, error.code)
         self.log_step(slot, error.code, time.monotonic())
-        if self.sends < MAX_SENDS and self.spend_retry_budget(reached=error.reached):
+        if self.sends < MAX_SENDS and self.retries.approve(reached=error.reached):
             return
         if self.runs:
             raise OutcomeUnknownError(str(error))
@@ -434,42 +450,7 @@
             return False
         if self.sends >= MAX_SENDS or self.admitted.remaining_s() <= 0:
             return False
-        return self.spend_retry_budget(reached=True)
-
-    def spend_retry_budget(self, *, reached: bool) -> bool:
-        """Return whether the budget allows a retry, and count it if so.
-
-        Nothing is counted if the previous attempt did not reach an upstream.
-        """
-        if not reached:
-            return True
-        service = self.admitted.service
-        limiter = self.dependencies.retry_limiter
-        self.retry = limiter.approve(service)
-        self.log.event(
-            _events.RETRY_DECIDED,
-            request_id=self.admitted.request.request_id,
-            service=service,
-            allowed=self.retry is not None,
-            spent=limiter.spent_retries(service),
-            budget=round(limiter.allowed_retries(service), 1),
-            entries=limiter.sharing_entries(),
-        )
-        return self.retry is not None
-
-    def send_retry(self, slot: Slot) -> None:
-        """Count the retry that the budget allowed for this attempt, if any, as sent."""
-        if self.retry is None or not self.retry.is_waiting:
-            return
-        self.retry.send()
-        self.log.event(
-            _events.RETRY_SENT,
-            request_id=self.admitted.request.request_id,
-            service=self.admitted.service,
-            upstream=slot.upstream.instance,
-            waited_ms=round(slot.waited_s * MS_PER_S),
-            waiting=self.retry.counts.waiting,
-        )
+        return self.retries.approve(reached=True)
 
     def abort(self, reason: str) -> web.StreamResponse:
         """Abort a stream that has begun, so that it does not look complete."""
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_retry_report.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_retry_report.py
@@ -7,7 +7,7 @@
 from skylarkdoor import events
 from skylarkdoor.kernel import Kernel
 from skylarkdoord import _events
-from skylarkdoord.direct._retry_limiter import RetryCounts, RetryLimiter
+from skylarkdoord._retry_limiter import RetryCounts, RetryLimiter
 
 REPORT_INTERVAL_S = 1.0
 
@@ -44,8 +44,8 @@
         """Log the counts each second until cancelled."""
         while True:
             await asyncio.sleep(REPORT_INTERVAL_S)
-            for service, counts in self.limiter.counts.items():
-                self.report(service, counts, time.monotonic())
+            for service, bucket in self.limiter.buckets.items():
+                self.report(service, bucket.counts, time.monotonic())
 
     def report(self, service: str, counts: RetryCounts, now: float) -> None:
         """Log the counts since the latest line if there were retries lately.
@@ -60,7 +60,7 @@
         retries = (counts.approved, counts.refused, counts.sent)
         if counts.waiting or retries != (before.approved, before.refused, before.sent):
             self.retried_at[service] = now
-        window_s = self.limiter.settings.window_s
+        window_s = self.limiter.budget.window_s
         retried_at = self.retried_at.get(service)
         if retried_at is None or now - retried_at >= window_s:
             return
@@ -72,5 +72,5 @@
             refused=counts.refused - before.refused,
             sent=counts.sent - before.sent,
             waiting=counts.waiting,
-            entries=self.limiter.sharing_entries(),
+            entries=self.limiter.shared_by,
         )
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_settings.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_settings.py
@@ -7,6 +7,7 @@
 
 from skylarkdoor.exceptions import SettingsError
 from skylarkdoor.settings import convert, read_document
+from skylarkdoord._retry_limiter import RetryBudget
 
 Address = Annotated[
     str, Meta(pattern=r"^[^\s:]+:\d{1,5}$", description="an address as host:port")
@@ -45,20 +46,6 @@
     ready: Address | None = None
 
 
-class RetryBudget(NamedTuple):
-    """Limit on repeated calls of upstreams for the same request, over all entries.
-
-    Attributes:
-        ratio: Repeats allowed per request.
-        slack: Further repeats allowed in each window.
-        window_s: Length of the window, in seconds.
-    """
-
-    ratio: Ratio = 0.2
-    slack: Units = 20.0
-    window_s: Seconds = 10.0
-
-
 class QuotaBounds(NamedTuple):
     """Window and tolerances of customers' limits.
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -1,6 +1,7 @@
 """Assembles the services of an entry that calls upstreams itself."""
 
 from skylarkdoor.kernel import Kernel
+from skylarkdoord._retry_limiter import RetryLimiter
 from skylarkdoord.direct._adapter import load_adapter
 from skylarkdoord.direct._call import (
     READ_BUFFER_BYTES,
@@ -18,7 +19,6 @@
 from skylarkdoord.direct._members import Members
 from skylarkdoord.direct._metrics import MetricsServer
 from skylarkdoord.direct._quota import Quota
-from skylarkdoord.direct._retry_limiter import RetryLimiter
 from skylarkdoord.direct._retry_report import RetryReport
 from skylarkdoord.direct._rollout_attempts import RolloutAttempts
 from skylarkdoord.direct._rollouts import RolloutDependencies, Rollouts
@@ -147,7 +147,7 @@
     kernel.register(callers)
 
     def apply(changed: DirectSettings) -> None:
-        dependencies.retry_limiter.settings = changed.retry_budget
+        dependencies.retry_limiter.budget = changed.retry_budget
         quota.bounds = changed.quota
         watcher.return_after_s = changed.return_after_s
         callers.shutdown_timeout_s = changed.shutdown_timeout_s
--- a/packages/skylarkdoord/tests/direct/_retry_simulation.py
+++ b/packages/skylarkdoord/tests/direct/_retry_simulation.py
@@ -4,8 +4,7 @@
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
-from skylarkdoord.direct._retry_limiter import RetryLimiter
-from skylarkdoord.direct._settings import RetryBudget
+from skylarkdoord._retry_limiter import Retry, RetryBudget, RetryLimiter
 
 from ._make import SERVICE, Clock
 
@@ -40,12 +39,14 @@
             the time in seconds.
         retries_from: Time from which each entry makes all retries that it may, in
             seconds.
+        slots_from: Time before which approved retries wait for a slot, in seconds.
         absences: When entries get no requests.
     """
 
     entries: int = 34
     requests_per_s: Callable[[float], float] = lambda at: 300.0
     retries_from: float = 12.0
+    slots_from: float = 0.0
     absences: tuple[Absence, ...] = ()
 
 
@@ -57,6 +58,7 @@
 
     Attributes:
         limiter: Limiter of the present incarnation.
+        waiting: Approved retries that wait for a slot.
         absent_until: Time until which it gets no requests, in seconds.
         is_ended: Whether it does not run meanwhile.
     """
@@ -65,18 +67,24 @@
         self.fleet = fleet
         self.absent_until = 0.0
         self.is_ended = False
-        self.start(is_first=True)
+        self.start()
 
-    def start(self, *, is_first: bool = False) -> None:
+    def start(self) -> None:
         """Start a new incarnation."""
         self.is_ended = False
+        self.waiting: list[Retry] = []
         self.limiter = RetryLimiter(
             self.fleet.budget,
             sharing_entries=lambda: self.fleet.load.entries,
-            is_first_start=is_first,
             clock=self.fleet.clock,
         )
 
+    def send_waiting(self) -> int:
+        """Send the retries that wait; return how many the budget still allows."""
+        sent = sum(retry.send() for retry in self.waiting)
+        self.waiting.clear()
+        return sent
+
 
 class RetryFleet:
     """Deals requests to entries and counts requests and retries in each step.
@@ -139,11 +147,15 @@
         """Make all retries that running entries may make; return their number."""
         if at < self.load.retries_from:
             return 0
-        spent = 0
+        sent = 0
         for entry in self.entries:
-            while not entry.is_ended and entry.limiter.approve(SERVICE):
-                spent += 1
-        return spent
+            if entry.is_ended:
+                continue
+            while (retry := entry.limiter.approve(SERVICE)) is not None:
+                entry.waiting.append(retry)
+            if at >= self.load.slots_from:
+                sent += entry.send_waiting()
+        return sent
 
     def windows(self) -> Iterator[tuple[int, float]]:
         """Yield the retries and the allowed retries of each window.
--- a/packages/skylarkdoord/tests/direct/test_process.py
+++ b/packages/skylarkdoord/tests/direct/test_process.py
@@ -122,5 +122,5 @@
         (callers,) = built
         assert callers.shutdown_timeout_s == 3.0
         assert callers.dependencies.quota.bounds.window_s == 4.0
-        assert callers.dependencies.retry_limiter.settings.ratio == 0.5
+        assert callers.dependencies.retry_limiter.budget.ratio == 0.5
         await callers.dependencies.client.close()
--- a/packages/skylarkdoord/tests/direct/test_retry_fleet.py
+++ b/packages/skylarkdoord/tests/direct/test_retry_fleet.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from skylarkdoord.direct._settings import RetryBudget
+from skylarkdoord._retry_limiter import RetryBudget
 
-from ._retry_simulation import Absence, Load, RetryFleet
+from ._retry_simulation import STEPS_PER_S, Absence, Load, RetryFleet
 
 BUDGET = RetryBudget(ratio=0.2, slack=104.0, window_s=10.0)
 SEEDS = range(1, 6)
@@ -53,3 +53,40 @@
     def test_traffic_falls(self):
         """Requests that fall to a fifth as the retries begin."""
         assert worst_window(requests_per_s=lambda at: 300.0 if at < 12 else 60.0) <= 1
+
+
+class TestWaitingRetries:
+    """Retries that are approved long before they are sent."""
+
+    # Guards against retries of two windows that arrive within one.
+    def test_slots_come_late(self):
+        """Retries that wait for 10 s are sent together with the next ones."""
+        assert worst_window(slots_from=22.0) <= 1
+
+    # Guards against retries that were approved for requests long past.
+    def test_slots_come_late_after_traffic_fell(self):
+        """Retries that wait while the traffic falls to a fifth."""
+        fallen = worst_window(
+            slots_from=32.0,
+            requests_per_s=lambda at: 300.0 if at < 12 else 60.0,
+        )
+        assert fallen <= 1
+
+
+class TestEffect:
+    """Retries that the budget allows when they are needed."""
+
+    def test_short_disruption(self):
+        """Half of a window's budget and more is allowed within a second."""
+        fleet = RetryFleet(Load(), BUDGET)
+        fleet.run()
+        first = round(12.0 * STEPS_PER_S)
+        budget = BUDGET.ratio * 300.0 * BUDGET.window_s + BUDGET.slack
+        assert sum(fleet.retries[first : first + STEPS_PER_S]) >= 0.45 * budget
+
+    def test_long_disruption(self):
+        """As many retries as the usable budget are allowed over 40 s."""
+        fleet = RetryFleet(Load(), BUDGET)
+        fleet.run()
+        earned = BUDGET.ratio * 300.0 * 40.0
+        assert sum(fleet.retries[-40 * STEPS_PER_S :]) >= 0.45 * earned
