Share the retry budget of the own interface among its entries

Each entry had a bucket of its own, full with 100 retries after each start, one for all pools, however many entries there were: the same class as in direct dispatch, a bound on a sum that each entry kept alone.

Entries now use the limiter of direct dispatch, by pool, with their part by the number of entries in the instance list.

--- a/packages/skylarkdoord/src/skylarkdoord/entry/_admission.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_admission.py
@@ -10,6 +10,8 @@
 from skylarkdoor import invariants
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import Customer, ProcessSettings
+from skylarkdoord._retry_limiter import RetryBudget, RetryLimiter
+from skylarkdoord.entry._directory import Directory
 from skylarkdoord.entry._request import EntryRequest
 from skylarkdoord.exceptions import RefusedError
 
@@ -19,9 +21,8 @@
 OVERLOADED_RETRY_AFTER_S = 1.0
 # Customers without active requests are evicted when this many are tracked.
 IDLE_EVICTION_THRESHOLD = 4096
-# Refill and capacity of the retry budget.
-RETRIES_PER_REQUEST = 0.2
-MAX_AVAILABLE_RETRIES = 100.0
+# Retries of all entries together, by pool.
+RETRY_BUDGET = RetryBudget(ratio=0.2, slack=100.0, window_s=10.0)
 
 LOWEST_FIRST = invariants.define(
     "lowest_first",
@@ -246,27 +247,6 @@
         WAITING_BYTES.set(self.bytes)
 
 
-class RetryBudget:
-    """Limits retries to a share of the requests, which prevents retry storms."""
-
-    def __init__(self) -> None:
-        self.available = MAX_AVAILABLE_RETRIES
-
-    def deposit(self) -> None:
-        """Credit the budget for one request."""
-        self.available = min(
-            MAX_AVAILABLE_RETRIES, self.available + RETRIES_PER_REQUEST
-        )
-
-    def spend(self) -> bool:
-        """Take one retry from the budget and return True, or False if it is empty."""
-        if self.available < 1:
-            RETRIES_REFUSED.inc()
-            return False
-        self.available -= 1
-        return True
-
-
 class Admission:
     """Provides an entry's customer limits, waiting queue and retry budget.
 
@@ -275,7 +255,7 @@
     """
 
     name = "admission"
-    requires: tuple[str, ...] = ()
+    requires: tuple[str, ...] = ("directory",)
 
     def __init__(self, settings: ProcessSettings) -> None:
         limits = settings.limits
@@ -283,10 +263,15 @@
         self.waiting = WaitingQueue(
             max_count=limits.max_waiting, max_bytes=limits.max_waiting_bytes
         )
-        self.retries = RetryBudget()
 
     async def start(self, kernel: Kernel) -> None:
-        """Do nothing: there are no background tasks."""
+        """Share the retry budget with the other entries in the directory."""
+        directory = kernel.find("directory", Directory)
+        # No upstream received the attempts before a retry, so those of a former
+        # incarnation leave nothing to wait for.
+        self.retries = RetryLimiter(
+            RETRY_BUDGET, sharing_entries=directory.entry_count, is_first_start=True
+        )
 
     async def stop(self) -> None:
         """Do nothing: there are no resources to release."""
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_directory.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_directory.py
@@ -42,6 +42,7 @@
         self.suspects = SuspectRelay(lambda: self.peers.values())
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.has_fetched = False
+        self.listed_entries = 1
         self.incarnation = time.time_ns()
         self.log = events.get_logger("entry.directory")
 
@@ -71,6 +72,10 @@
             if peer.record.pool == pool and peer.usable
         ]
 
+    def entry_count(self) -> int:
+        """Return how many entries the list contains, at least this one."""
+        return self.listed_entries
+
     def status(self) -> list[dict[str, Any]]:
         """Return the `/status` entry of each sidecar."""
         return [
@@ -103,6 +108,8 @@
         The stream to a sidecar whose address has changed is opened anew.
         """
         self.follow_own_record(records)
+        entries = sum(record.role == "entry" for record in records)
+        self.listed_entries = max(1, entries)
         desired = {record.instance: record for record in self.choose(records)}
         for instance in list(self.peers):
             known = self.peers[instance].record
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_router.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_router.py
@@ -3,8 +3,9 @@
 from skylarkdoor import tracing
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import ProcessSettings
+from skylarkdoord._retry_limiter import Retry
 from skylarkdoord.common import TlsService
-from skylarkdoord.entry._admission import Admission
+from skylarkdoord.entry._admission import RETRIES_REFUSED, Admission
 from skylarkdoord.entry._delivery import Delivery
 from skylarkdoord.entry._directory import Directory
 from skylarkdoord.entry._dispatch import Dispatcher
@@ -52,21 +53,25 @@
             OutcomeUnknownError: The request may have run, and its answer is lost.
         """
         self.check_quarantine(request)
+        self.admission.retries.count_request(request.pool_name)
         excluded: set[str] = set()
-        self.admission.retries.deposit()
+        retry: Retry | None = None
         for _ in range(MAX_ATTEMPTS):
-            accepted = await self.acquire(request, excluded)
+            accepted = await self.acquire_within_budget(request, excluded, retry)
             try:
                 return await self.dispatcher.send(request, accepted)
             except RefusedError:
                 raise
             except NotRunError:
                 excluded.add(accepted.peer.instance)
-                if not self.admission.retries.spend():
+                retry = self.admission.retries.approve(request.pool_name)
+                if retry is None:
                     break
-        raise RefusedError(
-            "unavailable", "no upstream accepted the request", retry_after_s=1
-        )
+        if retry is None:
+            RETRIES_REFUSED.inc()
+        else:
+            retry.end()
+        raise refusal()
 
     def check_quarantine(self, request: EntryRequest) -> None:
         """Check that a request is not quarantined for crashing upstreams.
@@ -78,6 +83,31 @@
         if suspicions.get(request.fingerprint).is_quarantined:
             raise RefusedError("quarantined", "the request crashes upstreams")
 
+    async def acquire_within_budget(
+        self, request: EntryRequest, excluded: set[str], retry: Retry | None
+    ) -> AcceptedGrant:
+        """Acquire a grant and count the retry that is sent with it.
+
+        Args:
+            request: The request.
+            excluded: Instances of the sidecars that did not run it.
+            retry: The retry that the budget allowed; None for the first attempt.
+
+        Raises:
+            RefusedError: No sidecar grants the request before its deadline, or the
+                budget was used up meanwhile.
+        """
+        try:
+            accepted = await self.acquire(request, excluded)
+            if retry is None or retry.send():
+                return accepted
+        finally:
+            if retry is not None:
+                retry.end()
+        accepted.peer.withdraw(request.request_id)
+        RETRIES_REFUSED.inc()
+        raise refusal()
+
     async def acquire(self, request: EntryRequest, excluded: set[str]) -> AcceptedGrant:
         """Acquire a grant from one of the reachable sidecars.
 
@@ -97,3 +127,10 @@
             offer_round = OfferRound(request, choice, find_reachable=find_reachable)
             with self.admission.waiting.join(request, offer_round.shed):
                 return await offer_round.acquire()
+
+
+def refusal() -> RefusedError:
+    """Return the error that refuses a request which no sidecar ran."""
+    return RefusedError(
+        "unavailable", "no upstream accepted the request", retry_after_s=1
+    )
--- a/packages/skylarkdoord/tests/entry/test_admission.py
+++ b/packages/skylarkdoord/tests/entry/test_admission.py
@@ -4,10 +4,10 @@
 
 import pytest
 
+from skylarkdoord._retry_limiter import RetryLimiter
 from skylarkdoord.entry._admission import (
-    MAX_AVAILABLE_RETRIES,
+    RETRY_BUDGET,
     CustomerLimits,
-    RetryBudget,
     TokenBucket,
     WaitingQueue,
 )
@@ -116,13 +116,26 @@
 
 
 class TestRetryBudget:
-    """Tests of `RetryBudget`."""
+    """The retry budget of all entries."""
 
+    # Guards against entries that each take the budget of all.
     def test_retry_storm(self):
-        """Once the initial budget is spent, five requests allow one retry."""
-        budget = RetryBudget()
-        spent = 0
-        for _ in range(1000):
-            budget.deposit()
-            spent += budget.spend()
-        assert spent <= MAX_AVAILABLE_RETRIES + 1000 / 5 + 1
+        """Five entries that retry whatever they may stay within the budget of all."""
+        now = 1000.0
+        limiters = [
+            RetryLimiter(
+                RETRY_BUDGET,
+                sharing_entries=lambda: 5,
+                is_first_start=True,
+                clock=lambda: now,
+            )
+            for _ in range(5)
+        ]
+        sent = 0
+        for _ in range(200):
+            now += RETRY_BUDGET.window_s / 200
+            for limiter in limiters:
+                limiter.count_request("notes")
+                retry = limiter.approve("notes")
+                sent += retry is not None and retry.send()
+        assert 0 < sent <= RETRY_BUDGET.ratio * 1000 + RETRY_BUDGET.slack
