Take a row for an upstream only if it is whole, and never end at one

Cause: each decoder caught what it had met so far. Too deep nesting raises RecursionError, numbers too large OverflowError or an error of protobuf, odd text and ports fail where a URL or a message is built from them: far from the row, in a task whose end ends the process. Fields that nothing uses were not read, so a row without them passed.

Change: untrusted_json reads all JSON that somebody else wrote and has one error for any fault; a record's limits (text that can be encoded, port, size) are checked where the row is decoded. The instance list of the own interface and the entries' own addresses get the same check, and the rows of settings, plans, claims and suspects the same reader. A row that names no upstream no longer decides which row is the latest of its key.

Hypothesis draws rows of any JSON and any bytes.

--- a/packages/skylarkdoor/src/skylarkdoor/clients/_instances.py
+++ b/packages/skylarkdoor/src/skylarkdoor/clients/_instances.py
@@ -1,9 +1,12 @@
 """Client of the instance list, which uses Prometheus HTTP service discovery."""
 
-from typing import NamedTuple
+from collections.abc import Sequence
+from typing import Any, NamedTuple
 
 import msgspec
 
+from skylarkdoor import untrusted_json
+from skylarkdoor.addresses import parse_address
 from skylarkdoor.clients._client import Client
 from skylarkdoor.clients._http import NoResponseError, request
 from skylarkdoor.clients.exceptions import ListUnavailable
@@ -78,18 +81,38 @@
 
 
 def _read(body: bytes) -> list[InstanceRecord]:
+    records = (_read_group(group) for group in _groups(body))
+    return [record for record in records if record is not None]
+
+
+def _groups(body: bytes) -> Sequence[Any]:
     try:
-        groups = msgspec.json.decode(body, type=list[msgspec.Raw])
-    except msgspec.MsgspecError as error:
+        return untrusted_json.decode(body, type_=list[msgspec.Raw])
+    except msgspec.MsgspecError:
+        # A record with text that can't be encoded must not hide the others. The
+        # slower reader passes over it.
+        pass
+    try:
+        groups = untrusted_json.loads(body)
+    except ValueError as error:
         raise ListUnavailable(f"malformed instance list: {error}") from error
-    records = (_read_group(group) for group in groups)
-    return [record for record in records if record is not None]
+    if not isinstance(groups, list):
+        raise ListUnavailable("malformed instance list: expected a list")
+    return groups
 
 
-def _read_group(body: msgspec.Raw) -> InstanceRecord | None:
+def _read_group(group: Any) -> InstanceRecord | None:
     # A malformed record must not hide changes of the other instances.
     try:
-        group = msgspec.json.decode(body, type=_TargetGroup)
-    except msgspec.MsgspecError:
+        if isinstance(group, msgspec.Raw):
+            read = untrusted_json.decode(group, type_=_TargetGroup)
+        else:
+            read = msgspec.convert(group, _TargetGroup)
+        record = InstanceRecord(*msgspec.structs.astuple(read.labels))
+        for address in filter(None, (record.http, record.rpc)):
+            parse_address(address)
+        for text in record:
+            text.encode()
+    except ValueError:
         return None
-    return InstanceRecord(*msgspec.structs.astuple(group.labels))
+    return record
--- a/packages/skylarkdoor/src/skylarkdoor/clients/_table.py
+++ b/packages/skylarkdoor/src/skylarkdoor/clients/_table.py
@@ -6,6 +6,7 @@
 import aiohttp
 import msgspec
 
+from skylarkdoor import untrusted_json
 from skylarkdoor.clients._client import Client
 from skylarkdoor.clients._gateway import (
     CommitResponse,
@@ -153,7 +154,7 @@
         ) as response:
             content = await response.read()
             if response.status == 200:
-                return msgspec.json.decode(content, type=response_type)
+                return untrusted_json.decode(content, type_=response_type)
             raise _response_error(response.status, content, is_write=is_write)
 
 
@@ -171,6 +172,6 @@
 
 def _error_message(content: bytes) -> str:
     try:
-        return msgspec.json.decode(content, type=ErrorResponse).message
+        return untrusted_json.decode(content, type_=ErrorResponse).message
     except msgspec.MsgspecError:
         return content[:200].decode(errors="replace")
--- a/packages/skylarkdoor/tests/clients/test_instances.py
+++ b/packages/skylarkdoor/tests/clients/test_instances.py
@@ -1,5 +1,7 @@
 """Tests of the instance list's client against the platform stand-in."""
 
+import json
+
 import pytest
 
 from skylarkdoor.clients import (
@@ -8,6 +10,7 @@
     ListUnavailable,
     ObjectStore,
 )
+from skylarkdoor.clients._instances import _read as read_list
 
 RECORD = InstanceRecord(
     instance="sidecar-1",
@@ -51,6 +54,31 @@
         found = await InstanceList(platform.session, [platform.url]).fetch()
         assert found == [RECORD]
 
+    # Guards against a record of another writer that ends the process that reads it.
+    @pytest.mark.parametrize(
+        "labels",
+        [
+            {"rpc": "127.0.0.1:65536"},
+            {"rpc": "127.0.0.1:0"},
+            {"http": "127.0.0.1"},
+            {"http": "a..b:80"},
+            {"instance": "\ud800"},
+            {"pool": ["p"] * 10},
+        ],
+        ids=str,
+    )
+    async def test_odd_record(self, platform, labels):
+        """A record whose instance can't be called does not hide the others."""
+        body = json.dumps(
+            [{"labels": RECORD._asdict() | labels}, {"labels": RECORD._asdict()}]
+        )
+        assert read_list(body.encode()) == [RECORD]
+
+    def test_nested_too_deeply(self):
+        """A record that nests too deeply is treated as an outage."""
+        with pytest.raises(ListUnavailable):
+            read_list(b'[{"labels": ' + b"[" * 100_000)
+
     async def test_malformed_list(self, platform):
         """A response that is not a list is treated as an outage."""
         instances = InstanceList(platform.session, [f"{platform.url}/objects"])
--- a/packages/skylarkdoord/src/skylarkdoord/admin/_service.py
+++ b/packages/skylarkdoord/src/skylarkdoord/admin/_service.py
@@ -7,7 +7,7 @@
 import msgspec
 from aiohttp import web
 
-from skylarkdoor import events
+from skylarkdoor import events, untrusted_json
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import ProcessSettings
 from skylarkdoord import _events
@@ -108,7 +108,7 @@
         operator = self.operator(request)
         path = self.path(request, operator)
         try:
-            body = msgspec.json.decode(await request.read(), type=_PutBody)
+            body = untrusted_json.decode(await request.read(), type_=_PutBody)
         except msgspec.MsgspecError as error:
             raise InvalidError([Problem(path.full, str(error))]) from None
         change = Change(
--- a/packages/skylarkdoord/src/skylarkdoord/common/_rows.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_rows.py
@@ -4,6 +4,7 @@
 from datetime import UTC, datetime
 from typing import Any, NamedTuple
 
+from skylarkdoor import untrusted_json
 from skylarkdoor.exceptions import SettingsError
 
 SETTINGS_PREFIX = "settings"
@@ -82,7 +83,7 @@
         SettingsError: The value is not a settings row.
     """
     try:
-        stored = json.loads(value)
+        stored = untrusted_json.loads(value)
         return SettingsRow(
             revision=int(stored["revision"]),
             operation=str(stored.get("operation", "")),
@@ -101,7 +102,7 @@
         SettingsError: The value is not a history row.
     """
     try:
-        stored = json.loads(value)
+        stored = untrusted_json.loads(value)
         return HistoryRow(**stored)._replace(changed=tuple(stored["changed"]))
     except (ValueError, KeyError, TypeError) as error:
         raise SettingsError(f"not a history row: {error!r}", path=subtree) from None
--- a/packages/skylarkdoord/src/skylarkdoord/common/_snapshot.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_snapshot.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from skylarkdoor import untrusted_json
 from skylarkdoord.common import _rows as rows
 
 KEY = "settings/snapshot.json"
@@ -44,7 +45,7 @@
 def decode(data: bytes) -> Snapshot:
     """Return the contents of a snapshot; malformed rows are left out."""
     try:
-        stored = dict(json.loads(data)["rows"])
+        stored = dict(untrusted_json.loads(data)["rows"])
     except (ValueError, KeyError, TypeError) as error:
         return Snapshot({}, {"": repr(error)})
     read, rejected = {}, {}
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
@@ -12,6 +12,7 @@
 from grpclib.server import Server, Stream
 
 from skylarkdoor import events
+from skylarkdoor.addresses import parse_address
 from skylarkdoor.backoff import Backoff
 from skylarkdoor.hashing import rendezvous
 from skylarkdoor.kernel import Kernel
@@ -257,6 +258,13 @@
             return
         if instance in self.links or instance in self.inbound:
             return
+        try:
+            parse_address(address)
+        except ValueError as error:
+            self.log.event(
+                _events.ROW_REJECTED, table=MEMBERS, key=instance, error=str(error)
+            )
+            return
         stream = _EntryStream(self, lambda: link.outbox, peer=instance)
         self.opening.add(instance)
         link = Link(
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_fleet.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_fleet.py
@@ -27,7 +27,7 @@
         row: The row.
         record: The upstream that the row describes; None if the row was removed
             or cannot be decoded.
-        latest: Newest row that was not removed; None if there was none.
+        latest: Newest row that described an upstream; None if there was none.
     """
 
     row: Row
@@ -178,7 +178,7 @@
         if previous is not None and self.is_outdated(row, previous):
             return
         record = self.decode(row)
-        latest = row if row.data is not None else previous and previous.latest
+        latest = row if record is not None else previous and previous.latest
         self.cached_rows[row.key] = CachedRow(row, record, latest)
         self.missing.pop(row.key, None)
         if record is not None:
@@ -214,7 +214,7 @@
             age = self.adapter.upstream_age(row.data)
             latest_age = self.adapter.upstream_age(latest)
         except RowError:
-            # `decode` reports a malformed row.
+            # `decode` reports a malformed row, which names no upstream.
             return False
         return age < latest_age if cached.is_lost else age <= latest_age
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_limit_record.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_limit_record.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-import msgspec
+from skylarkdoor import untrusted_json
 
 # Customers that used a smaller share of their limit are not recorded.
 MIN_RECORDED_SHARE = 0.1
@@ -43,8 +43,8 @@
         Raises:
             ValueError: The contents are malformed.
         """
-        fields = msgspec.json.decode(
-            data, type=dict[str, float | dict[str, float] | list[float]]
+        fields = untrusted_json.decode(
+            data, type_=dict[str, float | dict[str, float] | list[float]]
         )
         at_s, used = fields.get("at_s"), fields.get("used")
         if not isinstance(at_s, float) or not isinstance(used, dict):
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_rollout_lease.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_rollout_lease.py
@@ -8,6 +8,7 @@
 import math
 from typing import Any, NamedTuple
 
+from skylarkdoor import untrusted_json
 from skylarkdoord.direct._adapter import Row, Store, StoreVersion
 from skylarkdoord.direct._rollout_messages import phase_of, share_of
 from skylarkdoord.direct.exceptions import ConflictError, RowError, StoreError
@@ -67,7 +68,7 @@
             RowError: A field is missing or malformed.
         """
         try:
-            fields = json.loads(data)
+            fields = untrusted_json.loads(data)
             return cls._of(fields)
         except (ValueError, KeyError, TypeError, AttributeError) as error:
             raise RowError(f"expected the record of a roll-out: {error!r}") from None
--- a/packages/skylarkdoord/src/skylarkdoord/direct/evidence/_suspect_records.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/evidence/_suspect_records.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from skylarkdoor import events
+from skylarkdoor import events, untrusted_json
 from skylarkdoor.backoff import Backoff
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.suspicion import Suspicion
@@ -61,7 +61,7 @@
     Raises:
         ValueError: The contents are malformed.
     """
-    record = msgspec.json.decode(data, type=dict[str, _Suspect])
+    record = untrusted_json.decode(data, type_=dict[str, _Suspect])
     return [
         Suspicion(
             int(name, 16),
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_parse.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_parse.py
@@ -16,6 +16,8 @@
 
 DEADLINE_HEADER = "X-Request-Timeout"
 DEFAULT_MAX_TOKENS = 256
+# Largest number of tokens that an offer can state.
+MAX_TOKENS = 2**32 - 1
 MAX_KEY_LENGTH = 255
 
 
@@ -86,7 +88,7 @@
     """
     try:
         document = json.loads(body)
-    except ValueError:
+    except (ValueError, RecursionError):
         raise BadRequestError(400, "body_malformed", "expected a JSON body") from None
     if not isinstance(document, dict):
         raise BadRequestError(400, "body_malformed", "expected a JSON object")
@@ -97,6 +99,10 @@
     limit = DEFAULT_MAX_TOKENS if limit is None else limit
     if not isinstance(limit, int) or isinstance(limit, bool) or limit < 1:
         raise BadRequestError(400, "max_tokens_invalid", "expected max_tokens above 0")
+    if limit > MAX_TOKENS:
+        raise BadRequestError(
+            400, "max_tokens_invalid", f"expected max_tokens up to {MAX_TOKENS}"
+        )
     words = _prompt_text(document).split()
     return Prompt(model, bool(document.get("stream", False)), words, limit)
 
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_relay.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_relay.py
@@ -1,6 +1,5 @@
 """Relays an upstream's answer to the caller, buffered or as a stream."""
 
-import json
 import time
 
 import aiohttp
@@ -8,7 +7,7 @@
 from multidict import CIMultiDict
 from prometheus_client import Counter
 
-from skylarkdoor import events
+from skylarkdoor import events, untrusted_json
 from skylarkdoor.event_stream import EventSplitter, is_event
 from skylarkdoor.exceptions import EventStreamError
 from skylarkdoor.failures import reason
@@ -174,6 +173,6 @@
 
 def _completion_tokens(body: bytes) -> int:
     try:
-        return int(json.loads(body)["usage"]["completion_tokens"])
+        return int(untrusted_json.loads(body)["usage"]["completion_tokens"])
     except (ValueError, KeyError, TypeError):
         return 0
--- a/packages/skylarkdoord/src/skylarkdoord/planner/_engine.py
+++ b/packages/skylarkdoord/src/skylarkdoord/planner/_engine.py
@@ -5,6 +5,7 @@
 import aiohttp
 import msgspec
 
+from skylarkdoor import untrusted_json
 from skylarkdoor.failures import reason
 from skylarkdoord.planner.exceptions import EngineUnavailableError, FencedError
 
@@ -59,7 +60,7 @@
         try:
             async with self.session.get(f"{self.url}/state", timeout=timeout) as answer:
                 answer.raise_for_status()
-                read = msgspec.json.decode(await answer.read(), type=_StateResponse)
+                read = untrusted_json.decode(await answer.read(), type_=_StateResponse)
         except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError) as error:
             raise EngineUnavailableError(reason(error)) from None
         return EngineState(frozenset(read.models), frozenset(read.adapters), read.role)
--- a/packages/skylarkdoord/src/skylarkdoord/planner/_rows.py
+++ b/packages/skylarkdoord/src/skylarkdoord/planner/_rows.py
@@ -3,6 +3,7 @@
 import json
 from typing import Any, NamedTuple
 
+from skylarkdoor import untrusted_json
 from skylarkdoor.clients import Row, RowList
 from skylarkdoord.planner.exceptions import PlannerRowError
 
@@ -89,7 +90,7 @@
         PlannerRowError: The value is not a lease.
     """
     try:
-        return LeaseRow(**json.loads(value))
+        return LeaseRow(**untrusted_json.loads(value))
     except (ValueError, TypeError) as error:
         raise PlannerRowError(f"not a lease row: {error!r}") from None
 
@@ -107,7 +108,7 @@
         PlannerRowError: The value is not a plan.
     """
     try:
-        stored = json.loads(value)
+        stored = untrusted_json.loads(value)
         return PlanRow(
             epoch=int(stored["epoch"]),
             settings_revision=int(stored["settings_revision"]),
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_claim_rows.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_claim_rows.py
@@ -5,6 +5,7 @@
 import json
 from typing import NamedTuple
 
+from skylarkdoor import untrusted_json
 from skylarkdoord.exceptions import ClaimRowError
 
 PREFIX = "claims"
@@ -81,7 +82,7 @@
         ClaimRowError: The value is not a valid claim.
     """
     try:
-        document = json.loads(value)
+        document = untrusted_json.loads(value)
         document["state"] = ClaimState(document["state"])
         if document["answer"] is not None:
             document["answer"] = _read_answer(**document["answer"])
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_suspect_rows.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_suspect_rows.py
@@ -4,6 +4,7 @@
 import time
 from typing import NamedTuple
 
+from skylarkdoor import untrusted_json
 from skylarkdoor.clients import Absent, Condition, Put, RevisionIs, Row, Table, Txn
 from skylarkdoord.common import Suspicion
 from skylarkdoord.exceptions import SuspectRowError
@@ -60,7 +61,7 @@
         SuspectRowError: The value is not a valid suspect.
     """
     try:
-        document = json.loads(value)
+        document = untrusted_json.loads(value)
         trial = document["trial"]
         return SuspectRow(
             crashes=tuple(document["crashes"]),
--- a/tests/adapter/test_records.py
+++ b/tests/adapter/test_records.py
@@ -3,21 +3,44 @@
 import json
 
 import pytest
+from hypothesis import example, given
+from hypothesis import strategies as st
+from yarl import URL
 
+from skylarkdoor.wire import pb
 from skylarkdoor_platform import _headers, _records
 from skylarkdoord.direct import RawHead, RepeatPolicy
 from skylarkdoord.direct.exceptions import BadCallError, RowError
 
 from ._standins import config, route
 
+VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.integers(min_value=2**31)
+    | st.floats()
+    | st.text(st.characters())
+    | st.sampled_from(["ready", "10.0.0.1:80", "[::1]:80", "a:99999", "\ud800"]),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=5,
+)
+
 ROW = {
     "service": "desk",
     "address": "10.0.0.1:80",
     "zone": "north",
+    "version": "v1.2",
     "slots": 4,
     "state": "ready",
+    "coldRemainingMs": 0,
+    "sequence": 3,
     "born": 1700000000000,
 }
+# Whole rows with up to three other fields, so that some decode.
+FOREIGN_ROWS = st.dictionaries(st.sampled_from(sorted(ROW)), VALUES, max_size=3).map(
+    lambda changes: ROW | changes
+)
 
 
 def decode(**changes):
@@ -35,31 +58,45 @@
         assert record.instance == "i-1"
         assert record.data_centre == "north"
         assert record.started_ms == 1700000000000
+        assert record.version == "v1.2"
         assert record.is_draining
 
-    @pytest.mark.parametrize(
-        ("sent", "version"),
-        [("v1.2", "v1.2"), (3, "3"), (1.2, "1.2"), (None, ""), ([], ""), ({}, "")],
-        ids=str,
-    )
-    def test_version(self, sent, version):
-        """A record without a version, or with one of another type, stays in use."""
-        assert decode(version=sent).version == version
+    # Guards against a row of another writer that brings back a server that has left.
+    @pytest.mark.parametrize("missing", sorted(set(ROW) - {"born"}))
+    def test_missing(self, missing):
+        """A row that lacks any field but the time of the start names no server."""
+        with pytest.raises(RowError, match=missing):
+            decode(**{missing: None})
 
     @pytest.mark.parametrize(
         "changes",
         [
-            {"service": None},
             {"service": 7},
+            {"service": "\ud800"},
+            {"service": "s" * 1000},
             {"address": "nowhere"},
             {"address": "10.0.0.1:http"},
+            {"address": "10.0.0.1:0"},
+            {"address": "10.0.0.1:65536"},
+            {"address": "10.0.0.1:\u0664\u0662"},
+            {"address": "mün..chen:80"},
+            {"address": f"{'h' * 64}:80"},
+            {"address": "user@10.0.0.1:80"},
             {"zone": []},
+            {"version": 3},
+            {"version": []},
             {"slots": "4"},
             {"slots": -1},
             {"slots": True},
+            {"slots": 10**400},
+            {"slots": 2**32},
             {"state": "resting"},
-            {"state": None},
             {"born": 1.5},
+            {"born": 10**400},
+            {"sequence": "3"},
+            {"sequence": -1},
+            {"coldRemainingMs": "0"},
+            {"coldRemainingMs": 10**400},
         ],
         ids=str,
     )
@@ -68,11 +105,59 @@
         with pytest.raises(RowError, match=next(iter(changes))):
             decode(**changes)
 
-    @pytest.mark.parametrize("data", [b"", b"\xff\xfe", b"[]", b"{", b"null"], ids=repr)
+    # Guards against a row of another writer that ends the process that reads it.
+    @pytest.mark.parametrize(
+        "data",
+        [
+            b"",
+            b"\xff\xfe",
+            b"[]",
+            b"{",
+            b"null",
+            b"[" * 100_000,
+            b'{"a":' * 100_000,
+            b'{"slots": NaN}',
+            b'{"slots": -Infinity}',
+            b'{"slots": 1e999}',
+            b'{"slots": 4, "slots": 4}',
+            b'"' + b"x" * 1_000_000 + b'"',
+        ],
+        ids=lambda data: repr(data[:20]),
+    )
     def test_not_an_object(self, data):
         """Bytes that are not a JSON object raise an error."""
+        for decoder in (_records.decode_config, _records.decode_load):
+            with pytest.raises(RowError):
+                decoder(data)
         with pytest.raises(RowError):
             _records.decode_upstream("i-1", data)
+        with pytest.raises(RowError):
+            _records.decode_upstream_age(data)
+
+    @pytest.mark.parametrize("key", ["", "i 1", "i\n1", "\ud800", "î", "i" * 201])
+    def test_key(self, key):
+        """A key that can't be sent in a header names no server."""
+        with pytest.raises(RowError, match="key"):
+            _records.decode_upstream(key, json.dumps(ROW).encode())
+
+    # Guards against limits that are checked only where a record is used.
+    @given(
+        key=st.text() | st.just("i-1"),
+        data=st.binary() | FOREIGN_ROWS.map(lambda row: json.dumps(row).encode()),
+    )
+    @example("i-1", json.dumps(ROW).encode())
+    def test_any_row(self, key, data):
+        """Whatever decodes can be called, sent to other entries and logged."""
+        try:
+            record = _records.decode_upstream(key, data)
+        except RowError as error:
+            str(error).encode()
+            return
+        assert URL(f"http://{record.address}/", encoded=True).port
+        pb.ServiceVersions(service=record.service, versions=[record.version])
+        pb.Listed(leaving=record.is_draining, slots=record.slots)
+        pb.StoreRow(key=record.instance, data=data)
+        json.dumps(record).encode()
 
 
 class TestConfigRows:
