Return a grant for an offer that is void already

Cause: a guard that leaves says so, and its entries drop it from all offers, but for 50 ms its stream stays open and it goes on granting. If its upstream wants no requests at that moment, the entry returned the grant and dropped the guard a second time: ValueError in the task of the stream, which ends the process.

Change: a grant counts only for an offer that is still open on a connected guard.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
@@ -212,9 +212,17 @@
             self.queue(waiter.admitted.service).remove(waiter)
 
     def on_grant(self, guard: GuardLink, request: str) -> None:
-        """Use the first grant of a request and return any later one."""
+        """Use the first grant of a request and return any later one.
+
+        A guard that leaves may go on granting offers that are void already.
+        """
         waiter = self.waiters.get(request)
-        if waiter is None or waiter.slot.done():
+        if (
+            waiter is None
+            or waiter.slot.done()
+            or not guard.is_connected
+            or guard not in waiter.offered_to
+        ):
             guard.withdraw(request)
             return
         upstream = self.upstreams.get(guard.record)
