Start a background task anew when it fails

The class: any error in any background task ended the process.

Change: Kernel.supervise logs the error (106) and runs the task again, with a growing delay; a broken invariant still stops the process. All long-running tasks of entries, guards and sidecars use it, but for the claims of a sidecar, without which a request could be answered wrongly. A stream that fails is closed and opened anew, a row that any error keeps from being decoded is set aside.

--- a/packages/skylarkdoor/src/skylarkdoor/_events.py
+++ b/packages/skylarkdoor/src/skylarkdoor/_events.py
@@ -106,6 +106,9 @@
     103, "invariant_broken", logging.CRITICAL, "An invariant does not hold."
 )
 SPAN_ENDED = define(104, "span_ended", logging.INFO, "A traced operation ended.")
+TASK_RESTARTED = define(
+    106, "task_restarted", logging.ERROR, "A background task failed and starts anew."
+)
 LINES_DROPPED = define(
     105,
     "lines_dropped",
--- a/packages/skylarkdoor/src/skylarkdoor/_kernel.py
+++ b/packages/skylarkdoor/src/skylarkdoor/_kernel.py
@@ -1,11 +1,14 @@
 """Registry of services, started in dependency order and stopped in reverse."""
 
 import asyncio
-from collections.abc import Coroutine
+import time
+from collections.abc import Callable, Coroutine
 from typing import Any, Protocol, TypeVar
 
 from skylarkdoor import events
+from skylarkdoor.backoff import Backoff
 from skylarkdoor.exceptions import (
+    InvariantBrokenError,
     ServiceAbsentError,
     ServiceCycleError,
     ServiceExistsError,
@@ -13,6 +16,9 @@
 
 T = TypeVar("T")
 
+INITIAL_RESTART_DELAY_S = 0.1
+MAX_RESTART_DELAY_S = 5.0
+
 
 class Service(Protocol):
     """A component of a process, which other services look up by its name.
@@ -35,8 +41,9 @@
 class Kernel:
     """Manages a process's services and the background tasks that they run.
 
-    A task that fails ends the process in an orderly way: `run` stops every
-    service and raises all failures as one group.
+    A supervised task that fails is started anew. Any other task that fails ends the
+    process in an orderly way: `run` stops every service and raises all failures as one
+    group.
     """
 
     def __init__(self) -> None:
@@ -108,6 +115,35 @@
         task.add_done_callback(self._task_done)
         return task
 
+    def supervise(
+        self, run: Callable[[], Coroutine[Any, Any, None]], *, name: str
+    ) -> asyncio.Task[None]:
+        """Run a coroutine function as a task, and again after each failure.
+
+        A broken invariant stops the process all the same.
+
+        Args:
+            run: The coroutine function. It must be able to start anew at any point.
+            name: Name of the task.
+        """
+        return self.spawn(self._run_again(run, name), name=name)
+
+    async def _run_again(
+        self, run: Callable[[], Coroutine[Any, Any, None]], name: str
+    ) -> None:
+        backoff = Backoff(initial_s=INITIAL_RESTART_DELAY_S, max_s=MAX_RESTART_DELAY_S)
+        while True:
+            began = time.monotonic()
+            try:
+                return await run()
+            except InvariantBrokenError:
+                raise
+            except Exception as error:
+                self.log.event(events.TASK_RESTARTED, task=name, error=repr(error))
+            if time.monotonic() - began > MAX_RESTART_DELAY_S:
+                backoff.reset()
+            await asyncio.sleep(backoff.delay_s())
+
     def _task_done(self, task: asyncio.Task[Any]) -> None:
         self.tasks.discard(task)
         if task.cancelled() or task.exception() is None:
--- a/packages/skylarkdoor/tests/test_kernel.py
+++ b/packages/skylarkdoor/tests/test_kernel.py
@@ -5,6 +5,7 @@
 import pytest
 
 from skylarkdoor.exceptions import (
+    InvariantBrokenError,
     ServiceAbsentError,
     ServiceCycleError,
     ServiceExistsError,
@@ -94,6 +95,45 @@
         assert calls == ["start a", "stop a"]
         assert caught.group_contains(ValueError, match="broken")
 
+    # Guards against a message that can't be handled and ends the process.
+    async def test_supervised_task_starts_anew(self):
+        """A supervised task that fails runs again, and the process goes on."""
+        kernel = Kernel()
+        runs = asyncio.Queue()
+
+        async def fail():
+            runs.put_nowait("run")
+            raise ValueError("broken")
+
+        kernel.supervise(fail, name="fails")
+        async with asyncio.timeout(5):
+            assert [await runs.get() for _ in range(2)] == ["run", "run"]
+        assert not kernel.stopping.is_set()
+        await kernel.stop()
+
+    async def test_supervised_task_ends(self):
+        """A supervised task that ends without a failure is not run again."""
+        kernel = Kernel()
+        runs = []
+
+        async def end():
+            runs.append("run")
+
+        await kernel.supervise(end, name="ends")
+        assert runs == ["run"]
+
+    async def test_broken_invariant(self):
+        """An invariant that is broken in a supervised task stops the process."""
+        kernel = Kernel()
+
+        async def fail():
+            raise InvariantBrokenError("one_dispatch")
+
+        kernel.supervise(fail, name="fails")
+        with pytest.raises(ExceptionGroup) as caught:
+            await kernel.run()
+        assert caught.group_contains(InvariantBrokenError)
+
     async def test_cancelled_task_is_no_failure(self):
         """A task that is cancelled does not stop the process."""
         kernel = Kernel()
--- a/packages/skylarkdoord/src/skylarkdoord/common/_settings.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_settings.py
@@ -58,7 +58,7 @@
         internal.add_ready_check("settings", self.is_ready)
         internal.add_status("settings", self.revisions)
         self.poll = SettingsPoll(kernel.find("platform", Platform), self)
-        self.task = kernel.spawn(self.poll.run(), name="settings.poll")
+        self.task = kernel.supervise(self.poll.run, name="settings.poll")
 
     async def stop(self) -> None:
         """Stop polling while the platform's clients are still open; end all fetches."""
--- a/packages/skylarkdoord/src/skylarkdoord/common/_tls_service.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_tls_service.py
@@ -71,7 +71,7 @@
         """Load the files and start watching them for changes."""
         self.load()
         if self.stamps:
-            kernel.spawn(self.watch(), name="tls.watch")
+            kernel.supervise(self.watch, name="tls.watch")
 
     async def stop(self) -> None:
         """Do nothing; there are no resources to release."""
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
@@ -118,7 +118,7 @@
         self.callers = await self.listen(self.settings.listen.callers, self.handle)
         await self.listen(self.settings.listen.ready, self.handle_readiness)
         if self.held.max_bytes is not None:
-            kernel.spawn(self.connections.run(), name="callers.connections")
+            kernel.supervise(self.connections.run, name="callers.connections")
         self.log.event(_events.PROCESS_READY, address=self.settings.listen.callers)
 
     async def listen(self, address: str, handler: object) -> web.ServerRunner:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_engine_reports.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_engine_reports.py
@@ -59,7 +59,7 @@
 
     async def start(self, kernel: Kernel) -> None:
         """Start polling."""
-        kernel.spawn(self.watch(), name="engine_reports.watch")
+        kernel.supervise(self.watch, name="engine_reports.watch")
 
     async def stop(self) -> None:
         """Close the connection; the kernel ends the polling task."""
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
@@ -202,8 +202,8 @@
         host, _, port = self.settings.listen.peers.rpartition(":")
         await self.server.start(host, int(port))
         self.tasks = [
-            kernel.spawn(self.stay_registered(), name="entries.join"),
-            kernel.spawn(self.send_updates(), name="entries.announce"),
+            kernel.supervise(self.stay_registered, name="entries.join"),
+            kernel.supervise(self.send_updates, name="entries.announce"),
         ]
 
     async def stop(self) -> None:
@@ -270,7 +270,9 @@
         link = Link(
             address, EntriesStub, "Exchange", stream, peer=instance, pace=self.pace
         )
-        self.links[instance] = self.kernel.spawn(link.run(), name=f"entries.{instance}")
+        self.links[instance] = self.kernel.supervise(
+            link.run, name=f"entries.{instance}"
+        )
 
     def on_stream(self, stream: _EntryStream, address: str) -> None:
         """Register the stream of another entry after its first update.
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_fleet.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_fleet.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from skylarkdoor import events
+from skylarkdoor.failures import reason
 from skylarkdoord import _events
 from skylarkdoord.direct._adapter import Adapter, Row, Rows, StoreVersion
 from skylarkdoord.direct._metrics import CONFIG_VERSION
@@ -143,10 +144,8 @@
             return
         try:
             config = self.adapter.decode_config(row.data)
-        except RowError as error:
-            self.log.event(
-                _events.ROW_REJECTED, key=row.key, version=row.version, error=str(error)
-            )
+        except Exception as error:
+            self.log_rejected(row, error)
             return
         current = self.routing.config.version if self.routing else None
         if current is not None and config.version < current:
@@ -213,7 +212,7 @@
         try:
             age = self.adapter.upstream_age(row.data)
             latest_age = self.adapter.upstream_age(latest)
-        except RowError:
+        except Exception:
             # `decode` reports a malformed row, which names no upstream.
             return False
         return age < latest_age if cached.is_lost else age <= latest_age
@@ -224,12 +223,18 @@
             return None
         try:
             return self.adapter.decode_upstream(row.key, row.data)
-        except RowError as error:
-            self.log.event(
-                _events.ROW_REJECTED, key=row.key, version=row.version, error=str(error)
-            )
+        except Exception as error:
+            # Whatever is wrong with one row, the others hold.
+            self.log_rejected(row, error)
             return None
 
+    def log_rejected(self, row: Row, error: Exception) -> None:
+        """Log that a row can't be decoded."""
+        problem = str(error) if isinstance(error, RowError) else reason(error)
+        self.log.event(
+            _events.ROW_REJECTED, key=row.key, version=row.version, error=problem
+        )
+
     def apply_changes(
         self, rows: Rows, *, source: str, grace_until: float = 0.0
     ) -> None:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
@@ -112,7 +112,7 @@
         """Listen for entries."""
         host, _, port = self.settings.listen.peers.rpartition(":")
         await self.server.start(host, int(port))
-        kernel.spawn(self.report_loads(), name="guard.report")
+        kernel.supervise(self.report_loads, name="guard.report")
         self.log.event(_events.PROCESS_READY, address=self.settings.listen.peers)
 
     async def stop(self) -> None:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guards.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guards.py
@@ -229,11 +229,11 @@
             None
         )
         self.on_connected: Callable[[GuardLink], None] = lambda link: None
-        self.spawn: Callable[..., asyncio.Task[None]] | None = None
+        self.supervise: Callable[..., asyncio.Task[None]] | None = None
 
     async def start(self, kernel: Kernel) -> None:
         """Subscribe to changes of the fleet and open the streams."""
-        self.spawn = kernel.spawn
+        self.supervise = kernel.supervise
         # Must run before the scheduler's callback, which would otherwise treat a new
         # engine as one without a guard.
         self.fleet.on_upstreams.insert(0, self.refresh)
@@ -261,7 +261,7 @@
 
     def refresh(self) -> None:
         """Open streams for new engines and close those of removed engines."""
-        if self.fleet.routing is None or self.spawn is None:
+        if self.fleet.routing is None or self.supervise is None:
             return
         desired = {
             record.incarnation: record
@@ -284,11 +284,11 @@
 
     def open(self, record: UpstreamRecord) -> GuardLink:
         """Open the stream to an upstream's guard."""
-        assert self.spawn is not None
+        assert self.supervise is not None
         link = GuardLink(self.settings, record, self.listener, self.pace)
         link.on_streams = self.on_streams
         link.on_connected = self.on_connected
-        link.task = self.spawn(link.link.run(), name=f"guards.{record.instance}")
+        link.task = self.supervise(link.link.run, name=f"guards.{record.instance}")
         return link
 
     def close(self, link: GuardLink) -> None:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_limit_records.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_limit_records.py
@@ -114,7 +114,7 @@
 
     async def start(self, kernel: Kernel) -> None:
         """Start the task that reads and writes records."""
-        self.task = kernel.spawn(self.run(), name="limit_records")
+        self.task = kernel.supervise(self.run, name="limit_records")
 
     async def stop(self) -> None:
         """Remove this entry's record, as the remaining entries write their own."""
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_retry_report.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_retry_report.py
@@ -35,7 +35,7 @@
 
     async def start(self, kernel: Kernel) -> None:
         """Start to log."""
-        kernel.spawn(self.run(), name="retry_report")
+        kernel.supervise(self.run, name="retry_report")
 
     async def stop(self) -> None:
         """Do nothing; the kernel ends the task."""
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_rollouts.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_rollouts.py
@@ -110,8 +110,8 @@
     async def start(self, kernel: Kernel) -> None:
         """Start the tasks that coordinate and look at evidence."""
         self.tasks = [
-            kernel.spawn(self.coordinate(), name="rollouts.coordinate"),
-            kernel.spawn(self.watch_evidence(), name="rollouts.evidence"),
+            kernel.supervise(self.coordinate, name="rollouts.coordinate"),
+            kernel.supervise(self.watch_evidence, name="rollouts.evidence"),
         ]
 
     async def stop(self) -> None:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_watch.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_watch.py
@@ -4,6 +4,7 @@
 import random
 import time
 from collections.abc import Callable, Iterable
+from functools import partial
 
 from skylarkdoor import events
 from skylarkdoor.backoff import Backoff
@@ -89,9 +90,9 @@
     async def start(self, kernel: Kernel) -> None:
         """Start to watch both tables."""
         self.tasks = [
-            kernel.spawn(self.watch(CONFIG), name="fleet.config"),
-            kernel.spawn(self.watch(UPSTREAMS), name="fleet.upstreams"),
-            kernel.spawn(self.expire(), name="fleet.expire"),
+            kernel.supervise(partial(self.watch, CONFIG), name="fleet.config"),
+            kernel.supervise(partial(self.watch, UPSTREAMS), name="fleet.upstreams"),
+            kernel.supervise(self.expire, name="fleet.expire"),
         ]
 
     async def stop(self) -> None:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/evidence/_suspect_records.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/evidence/_suspect_records.py
@@ -101,8 +101,8 @@
     async def start(self, kernel: Kernel) -> None:
         """Start the tasks that read and write records."""
         self.tasks = [
-            kernel.spawn(self.watch(), name="suspect_records.watch"),
-            kernel.spawn(self.record(), name="suspect_records.record"),
+            kernel.supervise(self.watch, name="suspect_records.watch"),
+            kernel.supervise(self.record, name="suspect_records.record"),
         ]
 
     async def stop(self) -> None:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/process.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/process.py
@@ -44,7 +44,7 @@
 
     async def start(self, kernel: Kernel) -> None:
         """Start to poll the file for changes."""
-        kernel.spawn(self.watch(), name="settings_file.watch")
+        kernel.supervise(self.watch, name="settings_file.watch")
 
     async def stop(self) -> None:
         """Do nothing; the kernel ends the polling task."""
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_directory.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_directory.py
@@ -56,7 +56,7 @@
         internal = kernel.find("internal", InternalServer)
         internal.add_ready_check("directory", lambda: self.has_fetched)
         internal.add_status("sidecars", self.status)
-        self.poller = kernel.spawn(self.poll(), name="directory.poll")
+        self.poller = kernel.supervise(self.poll, name="directory.poll")
 
     async def stop(self) -> None:
         """Stop polling and close the streams."""
@@ -179,6 +179,6 @@
             record, hello, self.settings_service, self.tls.rpc_client, self.suspects
         )
         self.peers[record.instance] = peer
-        self.tasks[record.instance] = self.kernel.spawn(
-            peer.run(), name=f"peer {record.instance}"
+        self.tasks[record.instance] = self.kernel.supervise(
+            peer.run, name=f"peer {record.instance}"
         )
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_snapshot.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_snapshot.py
@@ -44,7 +44,7 @@
         """Start the update task."""
         self.objects = kernel.find("platform", Platform).objects
         self.settings = kernel.find("settings", SettingsService)
-        self.task = kernel.spawn(self.run(), name="snapshot")
+        self.task = kernel.supervise(self.run, name="snapshot")
 
     async def stop(self) -> None:
         """Stop the update task and write a pending update."""
--- a/packages/skylarkdoord/src/skylarkdoord/planner/_planner.py
+++ b/packages/skylarkdoord/src/skylarkdoord/planner/_planner.py
@@ -80,7 +80,7 @@
         ownership = Ownership(self.table, key, self.holder, boot_time_s)
         self.reconciler = Reconciler(self.engine, ownership, boot_time_s)
         kernel.find("internal", InternalServer).add_status("planner", self.status)
-        self.task = kernel.spawn(self.run(), name="planner")
+        self.task = kernel.supervise(self.run, name="planner")
 
     async def stop(self) -> None:
         """Stop the task; the lease is not released but expires."""
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_peers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_peers.py
@@ -102,7 +102,7 @@
         context = self.tls.rpc.listener_context if self.tls.rpc else None
         host, _, port = self.address.rpartition(":")
         await self.server.start(host, int(port), ssl=context)
-        self.task = kernel.spawn(self.watch_load(), name="peers.load")
+        self.task = kernel.supervise(self.watch_load, name="peers.load")
 
     async def stop(self) -> None:
         """Stop listening and close all streams."""
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_poison.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_poison.py
@@ -11,6 +11,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from contextlib import asynccontextmanager, contextmanager
 from dataclasses import dataclass
+from functools import partial
 
 from skylarkdoor import events
 from skylarkdoor.clients import PlatformError, TableTimeout
@@ -91,8 +92,8 @@
         self.incarnation = self.scheduler.ledger.incarnation
         self.holder = f"{self.settings.instance}/{self.incarnation}"
         self.rows = SuspectTable(kernel.find("platform", Platform).table)
-        kernel.spawn(self.read_rows(), name="poison.read")
-        kernel.spawn(self.write_rows(), name="poison.write")
+        kernel.supervise(self.read_rows, name="poison.read")
+        kernel.supervise(self.write_rows, name="poison.write")
 
     async def stop(self) -> None:
         """Do nothing: there are no resources to release."""
@@ -157,7 +158,9 @@
         if admission.crashes_before < self.crashes:
             return
         if self.probe_task is None:
-            self.probe_task = self.kernel.spawn(self._probe(probe), name="poison.probe")
+            self.probe_task = self.kernel.supervise(
+                partial(self._probe, probe), name="poison.probe"
+            )
         await asyncio.shield(self.probe_task)
 
     async def read_rows(self) -> None:
@@ -227,7 +230,9 @@
             self.running_trials[fingerprint] -= 1
             if admission.whole:
                 self._clear(fingerprint)
-            release = self.kernel.spawn(self._release(fingerprint), name="poison.end")
+            release = self.kernel.supervise(
+                partial(self._release, fingerprint), name="poison.end"
+            )
             # Wait for the release, because a refused request may be tried at another
             # sidecar at once.
             await asyncio.wait({release}, timeout=RELEASE_TIMEOUT_S)
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_scheduler.py
@@ -76,8 +76,8 @@
         self.drain_state.listeners.append(self.on_departure)
         internal.add_status("scheduler", self.status)
         watch = UpstreamWatch(self.upstream.url, self.set_upstream)
-        kernel.spawn(watch.run(), name="scheduler.health")
-        kernel.spawn(self.tick_forever(), name="scheduler.tick")
+        kernel.supervise(watch.run, name="scheduler.health")
+        kernel.supervise(self.tick_forever, name="scheduler.tick")
 
     async def stop(self) -> None:
         """Do nothing: `Drain` has already drained the scheduler."""
--- a/packages/skylarkdoord/tests/direct/test_fleet.py
+++ b/packages/skylarkdoord/tests/direct/test_fleet.py
@@ -29,6 +29,8 @@
         """Return an upstream in the state given by the row."""
         if data == b"spoilt":
             raise RowError("state: unknown value")
+        if data == b"nested":
+            raise RecursionError
         state = json.loads(data)
         return make_record(
             key, is_draining=state == "leaving", started_ms=1 if state == "again" else 0
@@ -112,9 +114,10 @@
         fleet.apply_changes(rows(4, a="ready"), source="test")
         assert ready(fleet) == []
 
-    def test_malformed(self, fleet):
+    @pytest.mark.parametrize("data", [b"spoilt", b"nested"])
+    def test_malformed(self, fleet, data):
         """A malformed row adds no upstream and does not affect the others."""
-        malformed = Row("b", 1, b"spoilt")
+        malformed = Row("b", 1, data)
         fleet.apply_snapshot(Rows((*rows(1, a="ready").rows, malformed), 1))
         assert ready(fleet) == ["a"]
 
