Answer every request before a planned stop of a direct entry ends

What callers saw: in a planned stop, requests that came late in the grace were taken and passed on, and cut with no answer at its end, among them ones that may not be repeated.

Cause: nothing compared a request's length with what was left, and at the timeout the HTTP server closed the connections of requests that ran, and of ones that only waited.

Change: Drain decides, by the times of answers of the route and the expected length, or by the time limit if none is known, whether a request can end in time. If not, it is refused at once as not run, with its connection closed, also before a retry and while it waits for a slot. What is left at the timeout gets an answer: 503 if it was not sent, 502 if it may have run; a stream that has begun ends visibly incomplete.

--- a/packages/skylarkdoor-bench/src/skylarkdoor_bench/_retries.py
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_retries.py
@@ -56,7 +56,7 @@
         for record in read_records(log):
             if record.get("event_name") != EVENT_NAME:
                 continue
-            second = int(datetime.fromisoformat(record["time"]).timestamp())
+            second = int(datetime.fromisoformat(record["timestamp"]).timestamp())
             of_service = sums[record["service"]]
             of_service[second] = of_service.get(second, Second()).plus(record)
     return sums
--- a/packages/skylarkdoor-bench/tests/test_retries.py
+++ b/packages/skylarkdoor-bench/tests/test_retries.py
@@ -14,7 +14,7 @@
     for second, service, counts in records:
         fields = dict(zip(Second._fields, counts, strict=True))
         fields |= {"event_name": "retries_counted", "service": service}
-        fields["time"] = f"2026-12-05T04:00:{second:02d}.5+00:00"
+        fields["timestamp"] = f"2026-12-05T04:00:{second:02d}.5+00:00"
         lines.append(json.dumps(fields))
     path.write_text("\n".join(["no JSON", *lines]))
     return path
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
@@ -21,7 +21,11 @@
 from skylarkdoord.direct._caller_connections import CallerConnections
 from skylarkdoord.direct._first_attempts import FirstAttempts
 from skylarkdoord.direct._fleet import Fleet
-from skylarkdoord.direct._forward import Forwarder, ForwarderDependencies
+from skylarkdoord.direct._forward import (
+    MIN_ERROR_STATUS,
+    Forwarder,
+    ForwarderDependencies,
+)
 from skylarkdoord.direct._held_bytes import BodyHold, HeldBytes
 from skylarkdoord.direct._metrics import DURATION, MEMORY_REFUSALS, REQUESTS
 from skylarkdoord.direct._model import Admitted, CallerRequest
@@ -44,6 +48,11 @@
 # Passes of the event loop from the acceptance of a connection until the handler of its
 # request runs.
 ARRIVAL_PASSES = 8
+# Interval at which waiting requests are looked at while the entry drains.
+DRAIN_CHECK_S = 0.1
+# Time for the answers of requests that are cut off.
+CUT_OFF_S = 0.3
+STOPPING = "the entry stops"
 # Part of the shutdown timeout kept for closing once running requests are aborted.
 SHUTDOWN_MARGIN_S = 1.0
 
@@ -65,6 +74,20 @@
     retry_after_s: float | None = None
 
 
+def timeout_problem(forwarder: Forwarder, *, is_cut: bool) -> Problem:
+    """Return the problem of a request that ran out of time without an answer.
+
+    Args:
+        forwarder: Forwarded the request.
+        is_cut: Whether it was cut off because the entry stops.
+    """
+    if not is_cut:
+        return Problem(504, "timeout", "the answer did not arrive before the deadline")
+    if forwarder.may_have_run:
+        return Problem(502, "outcome_unknown", STOPPING)
+    return Problem(503, "draining", STOPPING, retry_after_s=0.0)
+
+
 class CallerServer:
     """Serves callers over HTTP and drains on shutdown.
 
@@ -74,9 +97,10 @@
         dependencies: Components that forwarding depends on.
 
     Attributes:
-        is_draining: Whether the process is shutting down.
+        drain: Whether the process is shutting down, and what it can still serve.
         drain_notice_s: Time between failing the readiness check and closing the
             listeners for callers, in seconds.
+        running: Requests that are being forwarded, with what cuts them off.
         used_connections: Connections that have carried a request.
         busy_connections: Connections with a running request.
         all_idle: Set when the last running request ends.
@@ -95,8 +119,9 @@
         self.shutdown_timeout_s = settings.shutdown_timeout_s
         self.fleet = fleet
         self.dependencies = dependencies
-        self.is_draining = False
+        self.drain = dependencies.drain
         self.drain_notice_s = DRAIN_NOTICE_S
+        self.running: dict[Forwarder, asyncio.Timeout] = {}
         self.first_attempts = FirstAttempts()
         self.used_connections: weakref.WeakSet[asyncio.BaseTransport] = (
             weakref.WeakSet()
@@ -146,8 +171,7 @@
         before the listeners close. Running requests may finish within the shutdown
         timeout.
         """
-        began = time.monotonic()
-        self.is_draining = True
+        self.drain.start(self.shutdown_timeout_s - SHUTDOWN_MARGIN_S)
         self.log.event(
             _events.DRAIN_STARTED, reason="shutdown", running=len(self.busy_connections)
         )
@@ -157,19 +181,35 @@
             await site.stop()
         await self.receive_arrived()
         self.close_idle()
-        remaining_s = self.shutdown_timeout_s - SHUTDOWN_MARGIN_S
-        remaining_s -= time.monotonic() - began
+        while self.busy_connections and self.drain.remaining_s():
+            self.refuse_hopeless()
+            await self.wait_until_idle(min(DRAIN_CHECK_S, self.drain.remaining_s()))
+        if self.busy_connections:
+            self.log.event(_events.DRAIN_TIMED_OUT, running=len(self.busy_connections))
+            for cut in self.running.values():
+                cut.reschedule(asyncio.get_running_loop().time())
+            await self.wait_until_idle(CUT_OFF_S)
+        else:
+            self.log.event(_events.DRAIN_ENDED)
+        for runner in self.runners:
+            await runner.cleanup()
+        await self.dependencies.client.close()
+
+    def refuse_hopeless(self) -> None:
+        """Refuse the requests that wait for a slot and can't end in time any more."""
+        for forwarder, cut in self.running.items():
+            if not forwarder.sends and not forwarder.can_finish():
+                cut.reschedule(asyncio.get_running_loop().time())
+
+    async def wait_until_idle(self, timeout_s: float) -> None:
+        """Wait until no request is running, or for a time in seconds."""
         try:
-            async with asyncio.timeout(max(0.0, remaining_s)):
+            async with asyncio.timeout(timeout_s):
                 while self.busy_connections:
                     self.all_idle.clear()
                     await self.all_idle.wait()
-            self.log.event(_events.DRAIN_ENDED)
         except TimeoutError:
-            self.log.event(_events.DRAIN_TIMED_OUT, running=len(self.busy_connections))
-        for runner in self.runners:
-            await runner.cleanup()
-        await self.dependencies.client.close()
+            pass
 
     async def receive_arrived(self) -> None:
         """Let the handlers of all requests start that have arrived by now."""
@@ -190,7 +230,7 @@
         """Answer the load balancer's check whether this entry accepts callers."""
         if raw.path != self.dependencies.adapter.readiness_path:
             return web.Response(status=404)
-        is_ready = not self.is_draining and self.fleet.routing is not None
+        is_ready = not self.drain.is_draining and self.fleet.routing is not None
         is_ready = is_ready and self.held.is_ready()
         return web.Response(status=200 if is_ready else 503)
 
@@ -200,7 +240,7 @@
         try:
             with BodyHold(self.held) as hold:
                 response = await self.answer_request(raw, time.monotonic(), hold)
-                if self.is_draining:
+                if self.drain.is_draining:
                     response.force_close()
                 if self.held.max_bytes is not None:
                     await write_whole(raw, response, self.held)
@@ -285,12 +325,19 @@
     ) -> web.StreamResponse:
         """Forward a request and record its outcome in the metrics."""
         outcome = "left"
+        forwarder = Forwarder(
+            self.dependencies, admitted, raw, is_draining=self.drain.is_draining
+        )
+        cut = asyncio.timeout(None)
+        self.running[forwarder] = cut
         try:
-            forwarder = Forwarder(
-                self.dependencies, admitted, raw, is_draining=self.is_draining
-            )
-            response = await forwarder.serve()
+            async with cut:
+                response = await forwarder.serve()
             outcome = "answered"
+            if response.status < MIN_ERROR_STATUS:
+                took_s = time.monotonic() - admitted.request.received
+                tokens = admitted.request.answer_tokens
+                self.drain.on_answered(admitted.route.name, took_s, tokens)
             return response
         except QuotaError as error:
             outcome = "limited"
@@ -306,11 +353,12 @@
             outcome = "unknown"
             problem = Problem(502, "outcome_unknown", str(error))
         except TimeoutError:
-            outcome = "timeout"
-            problem = Problem(
-                504, "timeout", "the answer did not arrive before the deadline"
-            )
+            outcome = "cut" if cut.expired() else "timeout"
+            if forwarder.stream.has_begun:
+                return forwarder.abort(STOPPING)
+            problem = timeout_problem(forwarder, is_cut=cut.expired())
         finally:
+            del self.running[forwarder]
             tier = str(admitted.rank)
             REQUESTS.labels(tier, outcome).inc()
             DURATION.labels(tier).observe(time.monotonic() - admitted.request.received)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
@@ -13,6 +13,7 @@
 
 from skylarkdoor import events
 from skylarkdoord import _events
+from skylarkdoord._drain import Drain
 from skylarkdoord._retry_limiter import RetryLimiter
 from skylarkdoord.direct._adapter import Adapter
 from skylarkdoord.direct._answer_relay import MIN_SERVER_ERROR_STATUS, AnswerRelay
@@ -65,6 +66,7 @@
         quota: Enforces the customers' rate limits.
         crashes: Detects requests that crash upstreams.
         streams: Versions of the software that began resumable streams.
+        drain: Says, while the entry stops, which requests can still be served.
         rollouts: Says to which versions of the software requests are sent.
     """
 
@@ -76,6 +78,7 @@
     quota: Quota
     crashes: Crashes
     streams: StreamVersions
+    drain: Drain
     rollouts: RolloutAttempts = RolloutAttempts()
 
 
@@ -94,6 +97,7 @@
         relay: Relays the answers of upstreams.
         runs: Attempts that ran, or may have run, without a successful answer.
         sends: Attempts sent to an upstream.
+        is_sent: Whether the latest attempt was sent and may run.
         tried_instances: Upstreams that the request was sent to.
         version: Version of the upstreams that may go on with the stream; None before
             its first event.
@@ -124,6 +128,7 @@
         )
         self.runs = 0
         self.sends = 0
+        self.is_sent = False
         self.tried_instances: set[str] = set()
         self.version: str | None = None
         self.retries = RequestRetries(dependencies.retry_limiter, admitted)
@@ -159,6 +164,7 @@
             TimeoutError: The request timed out; it may have run.
         """
         self.dependencies.retry_limiter.count_request(self.admitted.service)
+        self.check_drain()
         self.check_quarantine()
         self.dependencies.quota.check(self.admitted)
         if self.admitted.route.is_resumable and self.admitted.request.last_event_id:
@@ -170,6 +176,7 @@
             try:
                 # The request may have been quarantined while it waited.
                 self.check_quarantine()
+                self.check_drain()
                 self.check_budget(slot)
                 response = await self.attempt(slot)
                 is_answered = response.status < MIN_ERROR_STATUS
@@ -218,6 +225,35 @@
             raise OutcomeUnknownError(message)
         raise NotRunError("quarantined", message)
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an upstream may have run the request."""
+        return bool(self.runs) or self.is_sent
+
+    def can_finish(self) -> bool:
+        """Return whether the request, if sent now, can end before the entry does."""
+        return self.dependencies.drain.can_finish(
+            self.admitted.route.name,
+            self.admitted.deadline,
+            self.admitted.request.answer_tokens,
+        )
+
+    def check_drain(self) -> None:
+        """Check that the request can end before the entry does.
+
+        A stream that has begun goes on, for as long as it can.
+
+        Raises:
+            NotRunError: It can't, and the request has not run.
+            OutcomeUnknownError: It can't, and the request may have run.
+        """
+        if self.can_finish() or self.stream.has_begun:
+            return
+        message = "the entry stops before the request can end"
+        if self.runs:
+            raise OutcomeUnknownError(message)
+        raise NotRunError("draining", message, retry_after_s=0.0)
+
     def check_budget(self, slot: Slot) -> None:
         """Check that the attempt, if it is a retry, is still within the budget.
 
@@ -283,6 +319,7 @@
         if not self.sends:
             self.dependencies.quota.use(self.admitted)
         self.sends += 1
+        self.is_sent = True
         self.tried_instances.add(upstream.instance)
         began = time.monotonic()
         self.log_step(slot, "sent", began)
@@ -416,6 +453,7 @@
             OutcomeUnknownError: No further attempt is allowed, and the request may
                 have run in an earlier one.
         """
+        self.is_sent = False
         if error.code == "full":
             self.dependencies.upstreams.on_full(slot.upstream)
         elif error.code == "moved":
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_length_order.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_length_order.py
@@ -11,8 +11,8 @@
 from collections.abc import Iterator
 from typing import Generic
 
+from skylarkdoord._moving_mean import MovingMean
 from skylarkdoord.direct._model import Precedence
-from skylarkdoord.direct._moving_mean import MovingMean
 from skylarkdoord.direct._queue_order import ArrivalOrder, ItemT
 
 # While both kinds wait, long requests are granted slots this many times as often as
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_lengths.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_lengths.py
@@ -6,8 +6,8 @@
 
 import math
 
+from skylarkdoord._moving_mean import MovingMean
 from skylarkdoord.direct._model import Admitted
-from skylarkdoord.direct._moving_mean import MovingMean
 
 # A request is long if its answer exceeds the average of its tier by this factor.
 LONG_RATIO = 2.0
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -1,6 +1,7 @@
 """Assembles the services of an entry that calls upstreams itself."""
 
 from skylarkdoor.kernel import Kernel
+from skylarkdoord._drain import Drain
 from skylarkdoord._retry_limiter import RetryLimiter
 from skylarkdoord.direct._adapter import load_adapter
 from skylarkdoord.direct._call import (
@@ -100,6 +101,7 @@
         quota=quota,
         crashes=crashes,
         streams=streams,
+        drain=Drain(),
         rollouts=RolloutAttempts(gate, upstreams),
     )
     kernel.register(MetricsServer(settings))
--- a/tests/adapter/test_shutdown.py
+++ b/tests/adapter/test_shutdown.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 
+import aiohttp
 import pytest
 
 from ._standins import HOST, Server, event, reply, route, stream
@@ -111,3 +112,98 @@
                     assert answer.status == 503
                 assert (await caller.get())[0] == 200
                 await stopping
+
+
+async def hang(request, writer):
+    """Never respond."""
+    await asyncio.sleep(60)
+
+
+class TestEndOfGrace:
+    """Requests that are still there when the shutdown timeout ends."""
+
+    def stop(self, caller, *, timeout_s=2.0, notice_s=0.3):
+        """Start to stop the entry."""
+        callers = caller.entry.kernel.services["callers"]
+        callers.drain_notice_s = notice_s
+        callers.shutdown_timeout_s = timeout_s
+        caller.entry.kernel.started.remove(callers)
+        return asyncio.create_task(callers.stop())
+
+    # Guards against a request that may run once and is cut off without an answer.
+    @pytest.mark.parametrize("kind", ["non_idempotent", "idempotent", "streaming"])
+    async def test_running(self, start, kind):
+        """A request whose server still works is told that its outcome is unknown."""
+        async with Server(hang) as server:
+            routes = [route(routeType=kind, timeoutMs=20_000, maxAttempts=1)]
+            async with start(routes, [server]) as caller:
+                limit = {"Deadline-Ms": "20000"}
+                task = asyncio.create_task(caller.get(method="POST", headers=limit))
+                await caller.entry.until(lambda: server.requests)
+                await self.stop(caller)
+                status, headers, body = await task
+        assert status == 502
+        assert headers["Connection"] == "close"
+        assert b"outcome_unknown" in body
+        assert len(server.requests) == 1
+
+    # Guards against a request that waits until the end and is closed without an answer.
+    async def test_waiting(self, start):
+        """A request that waits for a slot is refused as not run."""
+        async with Server(hang) as server:
+            server.slots = 1
+            routes = [route(routeType="non_idempotent", timeoutMs=20_000)]
+            async with start(routes, [server]) as caller:
+                limit = {"Deadline-Ms": "20000"}
+                tasks = [
+                    asyncio.create_task(caller.get(method="POST", headers=limit))
+                    for _ in range(8)
+                ]
+                await caller.entry.until(lambda: server.requests)
+                await self.stop(caller)
+                answers = await asyncio.gather(*tasks)
+        sent = [status for status, _, _ in answers if status == 502]
+        assert len(sent) == len(server.requests)
+        assert {status for status, _, _ in answers} == {502, 503}
+
+    # Guards against a request that is taken although it can't end in time.
+    async def test_late(self, start):
+        """A request that would take too long is refused at once and not sent."""
+        async with Server(hang) as server:
+            routes = [route(routeType="non_idempotent", timeoutMs=20_000)]
+            async with start(routes, [server]) as caller:
+                stopping = self.stop(caller, notice_s=1.0)
+                await asyncio.sleep(0.05)
+                limit = {"Deadline-Ms": "20000"}
+                async with asyncio.timeout(0.5):
+                    answer = await caller.get(method="POST", headers=limit)
+                await stopping
+        status, headers, body = answer
+        assert status == 503
+        assert headers["Connection"] == "close"
+        assert b"draining" in body
+        assert not server.requests
+
+    async def test_stream(self, start):
+        """A stream that has begun and can't end in time does not look complete."""
+        endless = stream(range(1, 1000), pause_s=0.1)
+        async with Server(endless) as server:
+            routes = [route(routeType="streaming", maxAttempts=1, timeoutMs=20_000)]
+            async with start(routes, [server]) as caller:
+                limit = {"Deadline-Ms": "20000"}
+                task = asyncio.create_task(caller.get(headers=limit))
+                await caller.entry.until(lambda: server.requests)
+                await self.stop(caller)
+                with pytest.raises(aiohttp.ClientError):
+                    await task
+
+    async def test_end(self, start):
+        """The entry has closed its connections when the shutdown timeout ends."""
+        async with Server(hang) as server:
+            async with start([route(timeoutMs=20_000)], [server]) as caller:
+                limit = {"Deadline-Ms": "20000"}
+                task = asyncio.create_task(caller.get(headers=limit))
+                await caller.entry.until(lambda: server.requests)
+                async with asyncio.timeout(2.0):
+                    await self.stop(caller)
+                assert (await task)[0] == 502
