Answer requests whose entry ends before their answer begins, in the own interface too

They are now told that the outcome is unknown, or that they did not run if their body was not sent or was returned, and a request that is not likely to end in time is refused at once.

Test: TestEndOfEntry; the resend through another entry gets the stored answer.

--- a/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
@@ -1,7 +1,9 @@
 """The HTTP server for callers."""
 
 import asyncio
+import time
 from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 from aiohttp import web
 from prometheus_client import Counter
@@ -10,6 +12,7 @@
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import ProcessSettings
 from skylarkdoord import _events
+from skylarkdoord._drain import Drain
 from skylarkdoord.common import DrainState, InternalServer, SettingsService, TlsService
 from skylarkdoord.common import _drain_state as drain_state
 from skylarkdoord.common._internal import finish_responses
@@ -26,6 +29,8 @@
 STARTING_RETRY_AFTER_S = 1.0
 # Time for load balancers to see /readyz fail before requests are refused.
 DRAIN_NOTICE_S = 1.0
+# Time for the answers of requests that are cut off.
+CUT_OFF_S = 0.5
 STATUS_BY_CODE = {
     "concurrency_limited": 429,
     "deadline": 504,
@@ -39,6 +44,7 @@
     "skylarkdoor_requests_total", "Requests answered.", ["tier", "outcome"]
 )
 
+T = TypeVar("T")
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
@@ -59,6 +65,8 @@
         self.active = 0
         self.idle = asyncio.Event()
         self.idle.set()
+        self.drain = Drain()
+        self.cuts: set[asyncio.Timeout] = set()
         self.log = events.get_logger("entry.callers")
         self.runner: web.AppRunner | None = None
 
@@ -103,18 +111,33 @@
     async def stop(self) -> None:
         """Refuse new requests, wait for active ones, then close the listener."""
         self.drain_state.start_drain(drain_state.SHUTDOWN)
+        notice_s = max(0.0, DRAIN_NOTICE_S - self.drain_state.age_s)
+        self.drain.start(notice_s + self.settings.limits.drain_timeout_s)
         # Load balancers need time to see /readyz fail before connections close.
-        await asyncio.sleep(max(0.0, DRAIN_NOTICE_S - self.drain_state.age_s))
+        await asyncio.sleep(notice_s)
         try:
-            async with asyncio.timeout(self.settings.limits.drain_timeout_s):
+            async with asyncio.timeout(self.drain.remaining_s()):
                 await self.idle.wait()
                 await finish_responses(self.runner)
             self.log.event(_events.DRAIN_ENDED)
         except TimeoutError:
             self.log.event(_events.DRAIN_TIMED_OUT, running=self.active)
+            await self.cut_off()
         if self.runner is not None:
             await self.runner.cleanup()
 
+    async def cut_off(self) -> None:
+        """Answer the requests whose answer has not begun, without waiting for it."""
+        for cut in self.cuts:
+            cut.reschedule(asyncio.get_running_loop().time())
+        try:
+            async with asyncio.timeout(CUT_OFF_S):
+                await self.idle.wait()
+                await finish_responses(self.runner)
+        except TimeoutError:
+            # Streams that have begun are left; closing the server cuts them.
+            pass
+
     def refuses_requests(self) -> bool:
         """Return whether the entry has been draining for at least `DRAIN_NOTICE_S`."""
         return self.drain_state.is_draining and self.drain_state.age_s >= DRAIN_NOTICE_S
@@ -212,11 +235,48 @@
         request = parse.build_request(raw, resolved, target, body)
         return await self.serve(raw, request)
 
+    def check_drain(self, request: EntryRequest) -> None:
+        """Check that a request is likely to end before the entry does.
+
+        Raises:
+            RefusedError: It is not.
+        """
+        if not self.drain.can_finish(
+            request.pool_name, request.deadline_at, request.max_tokens
+        ):
+            raise leaving_error()
+
+    async def until_cut_off(self, request: EntryRequest, work: Awaitable[T]) -> T:
+        """Wait for a step of a request whose answer has not begun.
+
+        Args:
+            request: The request.
+            work: The step.
+
+        Raises:
+            RefusedError: The entry ends, and the request was not run.
+            OutcomeUnknownError: The entry ends, and the request may have run.
+        """
+        cut = asyncio.timeout(None)
+        self.cuts.add(cut)
+        try:
+            async with cut:
+                return await work
+        except TimeoutError:
+            if not cut.expired():
+                raise
+            if request.is_sent:
+                raise OutcomeUnknownError("the entry stops") from None
+            raise leaving_error() from None
+        finally:
+            self.cuts.discard(cut)
+
     async def serve(
         self, raw: web.Request, request: EntryRequest
     ) -> web.StreamResponse:
         """Dispatch a request and relay its answer to the caller."""
         outcome = "refused"
+        began = time.monotonic()
         try:
             with (
                 self.admission.customers.admit(request),
@@ -225,15 +285,23 @@
                 ) as span_context,
             ):
                 request.context = span_context
-                delivery = await self.router.serve(request)
+                self.check_drain(request)
+                delivery = await self.until_cut_off(request, self.router.serve(request))
                 outcome = "cut"
                 relay = Relay(raw, request, delivery)
                 try:
-                    response = await relay.run()
+                    if relay.is_stream:
+                        response = await relay.run()
+                    else:
+                        response = await self.until_cut_off(request, relay.run())
                 finally:
                     delivery.close()
                 if relay.is_complete:
                     outcome = "answered"
+                    took_s = time.monotonic() - began
+                    self.drain.on_answered(
+                        request.pool_name, took_s, request.max_tokens
+                    )
                 return response
         except OutcomeUnknownError:
             outcome = "unknown"
@@ -244,3 +312,12 @@
         finally:
             tier = str(request.resolved.tier.rank)
             REQUESTS.labels(tier, outcome).inc()
+
+
+def leaving_error() -> RefusedError:
+    """Return the error that refuses a request while the entry stops."""
+    return RefusedError(
+        "leaving",
+        "this entry is shutting down",
+        retry_after_s=DRAINING_RETRY_AFTER_S,
+    )
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_dispatch.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_dispatch.py
@@ -63,12 +63,14 @@
             NotRunError: The sidecar did not dispatch the request to its upstream.
             OutcomeUnknownError: The request may have run, and its answer is lost.
         """
+        request.is_sent = True
         delivery = Delivery(
             accepted, lambda: self.query_outcome("GET", request, accepted)
         )
         try:
             return await self._send(request, delivery)
-        except BaseException:
+        except BaseException as error:
+            request.is_sent = not isinstance(error, NotRunError)
             delivery.close()
             raise
 
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_relay.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_relay.py
@@ -59,6 +59,11 @@
         self.is_complete = False
         self.log = events.get_logger("entry.relay")
 
+    @property
+    def is_stream(self) -> bool:
+        """Whether events are sent to the caller as they arrive."""
+        return self.answer.content_type == EVENT_STREAM
+
     async def run(self) -> web.StreamResponse:
         """Relay the complete answer, or close the caller's connection.
 
@@ -66,7 +71,7 @@
             OutcomeUnknownError: A buffered answer was truncated; nothing was sent to
                 the caller.
         """
-        if self.answer.content_type == EVENT_STREAM:
+        if self.is_stream:
             response = await self.relay_stream()
         else:
             response = await self.relay_buffered()
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_request.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_request.py
@@ -37,6 +37,7 @@
         deadline_at: Monotonic time by which the answer is due, in seconds.
         context: Trace context.
         dispatches: Number of times that it was dispatched to an upstream.
+        is_sent: Whether its body was sent to a sidecar that may run it.
     """
 
     request_id: str
@@ -58,6 +59,7 @@
     deadline_at: float = 0.0
     context: SpanContext = field(default_factory=SpanContext)
     dispatches: int = 0
+    is_sent: bool = False
 
     def remaining_s(self) -> float:
         """Return the time left until the deadline, in seconds."""
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from skylarkdoor.settings import Limits
 from skylarkdoor_bench import (
     Cluster,
     Deployment,
@@ -334,3 +335,25 @@
         slow_cluster.processes["entry-1"].resume()
         assert (await call).body == resent.body
         assert len(await executions(slow_cluster)) == 1
+
+
+class TestEndOfEntry:
+    """A request that still runs when the drain timeout of its entry ends."""
+
+    # Guards against a request that may run once and is cut off without an answer.
+    async def test_running(self, start_cluster: StartCluster) -> None:
+        """Its outcome is unknown, and a resend elsewhere gets the answer."""
+        cluster = await start_cluster(two_registries(latency_s=3.0))
+        process = cluster.processes["entry-1"]
+        await process.terminate()
+        await cluster.restart_at_new_addresses("entry-1", Limits(drain_timeout_s=0.2))
+        await cluster.wait_connected()
+        call = asyncio.create_task(hand_over(cluster, entry=0))
+        await wait_executions(cluster, 1)
+        process.send_sigterm()
+        first = await call
+        assert (first.status, first.error["code"]) == (502, "outcome_unknown")
+        assert not first.error["not_run"]
+        resent = await hand_over(cluster, entry=1)
+        assert resent.status == 200
+        assert len(await executions(cluster)) == 1
