Begin streams at a further version once no entry tells an older one from its history

Cause: an entry that knows one version of a service tells it for a stream of which nobody else knows, as long as it takes itself for up to date. It did so until other entries had been silent for 3.5 intervals, counted by the receipt of updates, and did not count entries whose streams had been closed. Other entries began streams at the new version at once. After standing still, an entry read old updates first and took them for recent.

Change: an entry that learns of a further version lets no request use it until all other entries have told that they know it, or until the right of the others to tell the only version has ended for certain. That right ends when any entry that may still run has not sent an update for 3.5 intervals, by the time of sending, estimated from the sender's age.

The own interface takes no stream up again, so it can't happen there.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
@@ -3,6 +3,7 @@
 A member is another entry of the deployment.
 """
 
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -46,6 +47,12 @@
         instance: Name of the entry.
         incarnation: Random number that the entry chose at its start.
         last_update_at: Monotonic time of its last update, in seconds.
+        sent_at: Monotonic time at which that update was sent, in seconds, estimated
+            by the fastest update of the entry so far.
+        fastest_s: Smallest difference between the time of receipt and the entry's age
+            in an update, in seconds.
+        versions: Versions of services that it has told, by service.
+        several: Services of which it has told that they had several versions.
         has_closed_stream: Whether its stream was closed rather than timed out.
         used: Units that it reported as used since its start, by customer.
         config_at: Point in the store's history of its configuration's row.
@@ -57,12 +64,40 @@
     instance: str
     incarnation: int = 0
     last_update_at: float = 0.0
+    sent_at: float = 0.0
+    fastest_s: float = math.inf
+    versions: dict[str, set[str]] = field(default_factory=dict)
+    several: set[str] = field(default_factory=set)
     has_closed_stream: bool = False
     used: dict[str, float] = field(default_factory=dict)
     config_at: StoreVersion = field(default_factory=StoreVersion)
     upstreams_at: StoreVersion = field(default_factory=StoreVersion)
     behind_since: float = 0.0
 
+    def on_update(self, update: pb.EntryNews, now: float) -> None:
+        """Record when an update was sent and which versions it tells.
+
+        An update may have waited in a buffer while this process was suspended.
+
+        Args:
+            update: The update.
+            now: Monotonic time of its receipt, in seconds.
+        """
+        self.last_update_at = self.sent_at = now
+        self.has_closed_stream = False
+        if update.age_ms:
+            difference_s = now - update.age_ms / MS_PER_S
+            self.fastest_s = min(self.fastest_s, difference_s)
+            self.sent_at = now - (difference_s - self.fastest_s)
+        for service in update.history:
+            self.versions.setdefault(service.service, set()).update(service.versions)
+            if service.several:
+                self.several.add(service.service)
+
+    def knows(self, service: str, version: str) -> bool:
+        """Return whether the entry knows a version, or that there are several."""
+        return service in self.several or version in self.versions.get(service, ())
+
 
 class Members:
     """The other entries, as their updates describe them.
@@ -199,15 +234,41 @@
         """Return whether this entry learns of new versions of upstreams at present.
 
         Either the registry or another entry has to tell them, and no entry may use a
-        version without being heard.
+        version without being heard. An entry whose stream was closed may still run.
 
         Args:
             is_registry_down: Whether this entry can't read the registry.
         """
-        if self.silent_entries()[0]:
+        since = self.clock() - self.version_timeout_s()
+        recent = self.recent()
+        if len(recent) < self.listed and self.is_young():
+            return False
+        if any(member.sent_at < since for member in recent):
             return False
         return not is_registry_down or not self.by_name or self.live_count() > 1
 
+    def version_timeout_s(self) -> float:
+        """Return the age of an entry's latest update up to which versions are known."""
+        return MISSED_UPDATES * self.update_interval_s()
+
+    def all_know(self, service: str, version: str) -> bool:
+        """Return whether all entries know a version of a service, as they have told."""
+        recent = self.recent()
+        if len(recent) < self.listed and self.is_young():
+            return False
+        return all(member.knows(service, version) for member in recent)
+
+    def recent(self) -> list[Member]:
+        """Return the entries that may still run, whether or not they can be reached."""
+        since = self.clock() - SILENT_RETENTION_S
+        return [
+            member for member in self.by_name.values() if member.last_update_at > since
+        ]
+
+    def is_young(self) -> bool:
+        """Return whether entries that were listed at the start may not be heard yet."""
+        return self.clock() - self.started < SILENT_RETENTION_S
+
     def age_ms(self) -> int:
         """Return the time since this entry's start, in milliseconds."""
         return int((self.clock() - self.started) * MS_PER_S)
@@ -217,8 +278,7 @@
         member = self.by_name.get(update.instance)
         if member is None or member.incarnation != update.incarnation:
             member = self.add(update)
-        member.last_update_at = self.clock()
-        member.has_closed_stream = False
+        member.on_update(update, self.clock())
         for customer, units in update.used.items():
             before = member.used.get(customer, 0.0)
             if units != before:
@@ -230,6 +290,7 @@
             update.history, update.instance, is_complete=update.history_complete
         )
         self.streams.merge(update.streams)
+        self.streams.history.check_pending()
         member.config_at = StoreVersion(update.config_era, update.config_version)
         member.upstreams_at = StoreVersion(
             update.upstreams_era, update.upstreams_version
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_version_history.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_version_history.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable
 
 from skylarkdoor import events
+from skylarkdoor.clock import boot_time_s
 from skylarkdoor.wire import pb
 from skylarkdoord import _events
 from skylarkdoord.direct._fleet import Fleet
@@ -31,10 +32,28 @@
         changed_at: Number of the latest change of each service.
         is_current: Returns whether this entry learns of new versions at present.
         on_change: Called after a change.
+        pending: Monotonic time at which this entry learned of a further version of a
+            service that others may not know yet, in seconds.
+        all_know: Returns whether all entries know a version of a service.
+        timeout_s: Returns the time after which an entry that does not know a version
+            tells no versions from its history any more, in seconds.
+        on_announced: Called with a service whose further version may be used.
     """
 
-    def __init__(self, fleet: Fleet, *, is_first_start: bool = False) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        *,
+        is_first_start: bool = False,
+        clock: Callable[[], float] = boot_time_s,
+    ) -> None:
         self.fleet = fleet
+        self.clock = clock
+        self.seen: set[tuple[str, str]] = set()
+        self.pending: dict[tuple[str, str], float] = {}
+        self.all_know: Callable[[str, str], bool] = lambda service, version: True
+        self.timeout_s: Callable[[], float] = lambda: 0.0
+        self.on_announced: Callable[[str], None] = lambda service: None
         self.covers_past = is_first_start
         self.versions: dict[str, str | None] = {}
         self.change = 0
@@ -60,9 +79,32 @@
 
     def add(self, service: str, version: str | None) -> None:
         """Add a version of a service; None if it had several."""
+        if version is not None and (service, version) not in self.seen:
+            self.seen.add((service, version))
+            if service in self.versions:
+                self.pending[service, version] = self.clock()
         if self.versions.setdefault(service, version) != version:
             self.versions[service] = None
 
+    def may_begin(self, service: str, version: str) -> bool:
+        """Return whether streams may begin at a version of a service.
+
+        They may once all entries know that the service has this version besides
+        others, or have lost the right to tell the only version from their history.
+        """
+        learned_at = self.pending.get((service, version))
+        if learned_at is None:
+            return True
+        waited_s = self.clock() - learned_at
+        return self.all_know(service, version) or waited_s >= self.timeout_s()
+
+    def check_pending(self) -> None:
+        """Let the versions be used that all others know by now."""
+        for service, version in list(self.pending):
+            if self.may_begin(service, version):
+                del self.pending[service, version]
+                self.on_announced(service)
+
     def notify(self, before: dict[str, str | None]) -> None:
         """Count a change of the versions, or that the history has become complete."""
         if self.versions == before and self.is_complete == self.was_complete:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_watch.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_watch.py
@@ -19,6 +19,7 @@
 # Longest wait of a watch call with up to `CLOSE_WATCHERS` entries; bounds how long a
 # dead connection stays undetected.
 WATCH_WAIT_S = 4.0
+TICK_S = 0.2
 # With more entries than this, the wait of each grows in proportion to their number, as
 # one entry that sees a change sends it to all. Only this many entries, the first by
 # name, watch upstreams with short pauses.
@@ -57,6 +58,7 @@
         on_changes: Called with the changed rows of upstreams.
         on_config_row: Called with each row of the configuration's table, and whether
             it was read with the whole table.
+        on_tick: Called in order a few times a second.
         return_after_s: Grace period of missing upstreams, in seconds.
         unreadable: Tables of which the latest read failed.
     """
@@ -77,6 +79,7 @@
         self.position = position
         self.on_changes: Callable[[Iterable[Row]], None] = lambda rows: None
         self.on_config_row: Callable[[Row, bool], None] = lambda row, is_snapshot: None
+        self.on_tick: list[Callable[[], None]] = [fleet.remove_expired]
         self.return_after_s = settings.return_after_s
         self.fleet = fleet
         self.store = store
@@ -103,10 +106,14 @@
         await self.store.close()
 
     async def expire(self) -> None:
-        """Remove upstreams whose grace period has ended, until cancelled."""
+        """Do what is due at a certain time, until cancelled.
+
+        It removes upstreams whose grace period has ended.
+        """
         while True:
-            await asyncio.sleep(0.2)
-            self.fleet.remove_expired()
+            await asyncio.sleep(TICK_S)
+            for callback in self.on_tick:
+                callback()
 
     async def watch(self, table: str) -> None:
         """Watch one table until cancelled."""
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -35,6 +35,9 @@
 
 __all__ = ["build"]
 
+# Other entries may know more entries, and notice later that one is silent.
+ANNOUNCEMENT_MARGIN = 1.5
+
 
 def leave_costs(settings: DirectSettings) -> LeaveCosts | None:
     """Return the costs of leaving the data centre; None if the settings state none."""
@@ -118,6 +121,13 @@
     streams.history.is_current = lambda: members.learns_versions(
         is_registry_down=watcher.is_registry_down()
     )
+    streams.history.all_know = members.all_know
+    streams.history.timeout_s = lambda: (
+        ANNOUNCEMENT_MARGIN * members.version_timeout_s()
+    )
+    streams.history.on_announced = scheduler.on_accepting
+    upstreams.may_begin = streams.history.may_begin
+    watcher.on_tick.append(streams.history.check_pending)
     watcher.on_changes = exchange.broadcast
     kernel.register(watcher)
     kernel.register(exchange)
