Go on with a stream only if its server can't have been another start

Cause: a stream was bound to the version of the record in the registry, which may be of a former start. Nothing compared it with what the registry listed afterwards.

Change: StreamBinding keeps the record of the upstream that wrote the latest event. If that upstream is listed with a later start and another version when the stream breaks off, or if no connection to it could be opened within the 3 s before, nobody goes on with the stream, neither this entry nor one to which the caller comes back.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
@@ -26,6 +26,7 @@
 from skylarkdoord.direct._request_retries import RequestRetries
 from skylarkdoord.direct._rollout_attempts import ObservedAttempt, RolloutAttempts
 from skylarkdoord.direct._scheduler import Scheduler
+from skylarkdoord.direct._stream_binding import StreamBinding
 from skylarkdoord.direct._stream_versions import StreamVersions
 from skylarkdoord.direct._upstreams import Upstreams
 from skylarkdoord.direct._waiting import Slot
@@ -99,8 +100,7 @@
         sends: Attempts sent to an upstream.
         is_sent: Whether the latest attempt was sent and may run.
         tried_instances: Upstreams that the request was sent to.
-        version: Version of the upstreams that may go on with the stream; None before
-            its first event.
+        binding: The version to which a stream is bound.
         retries: Asks the retry budget for its retries.
         is_trial: Whether its first attempt tries out a new version.
         fingerprint: Identifies the request and its repeats.
@@ -130,7 +130,9 @@
         self.sends = 0
         self.is_sent = False
         self.tried_instances: set[str] = set()
-        self.version: str | None = None
+        self.binding = StreamBinding(
+            admitted, dependencies.streams, dependencies.upstreams.fleet.find
+        )
         self.retries = RequestRetries(dependencies.retry_limiter, admitted)
         self.is_trial = False
         self.fingerprint = fingerprint_of(admitted)
@@ -168,7 +170,7 @@
         self.check_quarantine()
         self.dependencies.quota.check(self.admitted)
         if self.admitted.route.is_resumable and self.admitted.request.last_event_id:
-            self.version = await self.dependencies.streams.find(self.admitted)
+            self.binding.version = await self.dependencies.streams.find(self.admitted)
         while True:
             slot = await self.acquire_slot()
             began = time.monotonic()
@@ -282,19 +284,20 @@
         """
         began = time.monotonic()
         rollouts, scheduler = self.dependencies.rollouts, self.dependencies.scheduler
-        is_bound = self.version is not None
+        version = self.binding.version
+        is_bound = version is not None
         is_first = not self.sends
         try:
             while True:
-                if self.version is not None:
-                    rollouts.check_resumption(self.admitted, self.version)
+                if version is not None:
+                    rollouts.check_resumption(self.admitted, version)
                     versions = ANY_VERSION
                 else:
                     versions = rollouts.versions_for(self.admitted, is_first=is_first)
                 slot = await scheduler.acquire(
                     self.admitted,
                     excluded=frozenset(self.tried_instances),
-                    version=self.version,
+                    version=version,
                     versions=versions,
                 )
                 record = slot.upstream.record
@@ -434,16 +437,11 @@
     def on_event(self, upstream: UpstreamRecord, observed: ObservedAttempt) -> None:
         """Called before each event of a stream is passed on."""
         observed.on_stream_event()
-        self.bind_version(upstream)
-
-    def bind_version(self, upstream: UpstreamRecord) -> None:
-        """Let only upstreams of the same version go on with the stream from now on."""
-        if self.version is None:
-            self.version = upstream.version
-        if self.admitted.route.is_resumable and not self.stream.has_begun:
-            self.dependencies.streams.on_begun(
-                self.admitted, upstream.version, upstream.instance
-            )
+        self.binding.on_event(
+            upstream,
+            is_first=not self.stream.has_begun,
+            is_restarting=self.dependencies.upstreams.is_restarting(upstream),
+        )
 
     def on_not_run(self, slot: Slot, error: UpstreamNotRunError) -> None:
         """Record why an upstream did not run the request, and check for a retry.
@@ -460,7 +458,7 @@
             self.dependencies.upstreams.on_moved(slot.upstream)
             self.dependencies.crashes.on_replaced(slot.upstream.record)
         else:
-            self.dependencies.upstreams.on_failure(slot.upstream, error.code)
+            self.dependencies.upstreams.on_unreachable(slot.upstream, error.code)
         self.log_step(slot, error.code, time.monotonic())
         if self.sends < MAX_SENDS and self.retries.approve(reached=error.reached):
             return
@@ -484,6 +482,8 @@
     def may_run_again(self) -> bool:
         """Return whether the request may run again; if so, count the retry."""
         route = self.admitted.route
+        if not self.binding.may_go_on():
+            return False
         if not route.may_repeat or self.runs >= route.max_attempts:
             return False
         if self.sends >= MAX_SENDS or self.admitted.remaining_s() <= 0:
@@ -492,6 +492,8 @@
 
     def abort(self, reason: str) -> web.StreamResponse:
         """Abort a stream that has begun, so that it does not look complete."""
+        # Tells other entries, to which the caller may come back, if they may not go on.
+        self.binding.may_go_on()
         self.log.event(
             _events.ANSWER_CUT,
             request_id=self.admitted.request.request_id,
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_stream_versions.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_stream_versions.py
@@ -92,12 +92,14 @@
         ]
         self.log = events.get_logger("direct.stream_versions")
 
-    def on_begun(self, admitted: Admitted, version: str, upstream: str = "") -> None:
+    def on_begun(
+        self, admitted: Admitted, version: str | None, upstream: str = ""
+    ) -> None:
         """Record that a stream began at a version, or went on at it.
 
         Args:
             admitted: The request.
-            version: The version.
+            version: The version; None if it is uncertain, so that nobody may go on.
             upstream: Name of the upstream instance.
         """
         key = key_of(admitted, admitted.request.request_id)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_upstreams.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_upstreams.py
@@ -15,6 +15,8 @@
 from skylarkdoord.direct._fleet import Fleet
 from skylarkdoord.direct._model import Incarnation, UpstreamRecord
 
+# Longest time from a start of an upstream until the registry lists it.
+REGISTRY_LAG_S = 3.0
 # Limits of the pause after a failure.
 INITIAL_PAUSE_S = 0.4
 MAX_PAUSE_S = 3.0
@@ -57,6 +59,8 @@
         is_leaving: Whether it stated in an answer that it leaves.
         wants_none_until: Monotonic time until which it stated that it wants no request,
             in seconds.
+        unreachable_until: Monotonic time until which its record may be of a former
+            start, as no connection could be opened, in seconds.
     """
 
     record: UpstreamRecord
@@ -70,6 +74,7 @@
     moved: UpstreamRecord | None = None
     is_leaving: bool = False
     wants_none_until: float = 0.0
+    unreachable_until: float = 0.0
 
     @property
     def instance(self) -> str:
@@ -227,6 +232,18 @@
         until = self.clock() + pause_s
         upstream.paused_until = max(upstream.paused_until, until)
 
+    def on_unreachable(self, upstream: Upstream, reason: str) -> None:
+        """Pause an upstream to which no connection could be opened.
+
+        It may start again before the registry lists that start.
+        """
+        upstream.unreachable_until = self.clock() + REGISTRY_LAG_S
+        self.on_failure(upstream, reason)
+
+    def is_restarting(self, record: UpstreamRecord) -> bool:
+        """Return whether an upstream may have started again since its record."""
+        return self.clock() < self.get(record).unreachable_until
+
     def on_moved(self, upstream: Upstream) -> None:
         """Pause an upstream until its record changes, as another one has its address.
 
--- a/tests/adapter/test_stream_versions.py
+++ b/tests/adapter/test_stream_versions.py
@@ -239,3 +239,83 @@
             await entry.until(
                 lambda fleet=fleet: len(list(fleet.upstreams("desk"))) == servers
             )
+
+
+class TestOtherSoftware:
+    """A server that starts again under its name with software of another version."""
+
+    @contextlib.asynccontextmanager
+    async def broken_off(self, start, store, **relisted):
+        """Break a stream off after the registry has listed its server anew.
+
+        Another server of the version that was listed first joins before that. Yields
+        the caller, with the other server and the answer.
+
+        Args:
+            start: Runs an entry.
+            store: The store.
+            relisted: Changed fields of the server's row.
+        """
+        part = stream(range(1, CUT_AFTER + 1), is_cut=True)
+
+        async def script(request, writer):
+            fleet = caller.entry.kernel.services["fleet"].fleet
+            await store.put("servers", "i-1", server_row(other))
+            await store.put("servers", "i-0", server_row(first, **relisted))
+            await caller.entry.until(
+                lambda: (
+                    fleet.find("i-1")
+                    and fleet.find("i-0").started_ms == relisted.get("born", 1)
+                )
+            )
+            await part(request, writer)
+
+        async with (
+            Server(script) as first,
+            Server(stream(range(CUT_AFTER + 1, EVENTS + 1))) as other,
+            start([STREAM], [first]) as caller,
+        ):
+            caller.other = other
+            caller.answer = await read(caller, caller.entry, "first")
+            yield caller
+
+    # Guards against streams of two versions that look like one, as the list lags.
+    async def test_other_version(self, start, store):
+        """A stream is not gone on with if another start may have written it."""
+        async with self.broken_off(start, store, version="v2", born=2) as caller:
+            assert caller.answer == (200, list(range(1, CUT_AFTER + 1)))
+            assert not caller.other.requests
+
+    async def test_caller_comes_back(self, start, store):
+        """Nor is it for a caller that takes it up again."""
+        async with self.broken_off(start, store, version="v2", born=2) as caller:
+            resume = {"Last-Event-Id": str(CUT_AFTER), "Resumes": "first"}
+            status, ids = await read(caller, caller.entry, "second", **resume)
+            assert (status, ids) == (503, [])
+            assert not caller.other.requests
+
+    @pytest.mark.parametrize("relisted", [{}, {"born": 2}], ids=["same", "restarted"])
+    async def test_same_version(self, start, store, relisted):
+        """It is gone on with if its server is listed with the same version."""
+        async with self.broken_off(start, store, **relisted) as caller:
+            assert caller.answer == (200, list(range(1, EVENTS + 1)))
+
+    # Guards against the same while the list does not show the other start yet.
+    async def test_unreachable_before(self, start, store):
+        """A stream of a server that was down just before is not gone on with."""
+        part = stream(range(1, CUT_AFTER + 1), is_cut=True)
+        async with Server(part) as first, Server(stream(range(1, 9))) as other:
+            async with start([STREAM], [first]) as caller:
+                upstreams = caller.entry.kernel.services[
+                    "callers"
+                ].dependencies.upstreams
+                (upstream,) = upstreams.of_service("desk")
+                upstreams.on_unreachable(upstream, "unreachable")
+                answer = await read(caller, caller.entry, "first")
+                assert answer == (200, list(range(1, CUT_AFTER + 1)))
+                await store.put("servers", "i-1", server_row(other))
+                await caller.entry.until_serving(2)
+                resume = {"Last-Event-Id": str(CUT_AFTER), "Resumes": "first"}
+                status, _ = await read(caller, caller.entry, "second", **resume)
+                assert status == 503
+                assert not other.requests
