Keep an upstream that has left away, however often the store comes back

Cause: a removal of a later era than the upstream's row was taken for a loss of the store's. A removal that is written again after the first return looks the same, and let the old row in after the second.

Change: that an upstream was seen to leave, in the era in which it was listed, is kept with its key until a later start of it is listed.

Tests: TestLeftUpstream; the state machine of entries and the store reads changes, and with them removals, which it lacked.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_fleet.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_fleet.py
@@ -29,11 +29,13 @@
         record: The upstream that the row describes; None if the row was removed
             or cannot be decoded.
         latest: Newest row that described an upstream; None if there was none.
+        has_left: Whether that row was seen to be removed, in whichever era.
     """
 
     row: Row
     record: UpstreamRecord | None
     latest: Row | None = None
+    has_left: bool = False
 
     @property
     def is_lost(self) -> bool:
@@ -42,8 +44,19 @@
             self.row.data is None
             and self.latest is not None
             and self.row.era > self.latest.era
+            and not self.has_left
         )
 
+    def is_left_after(self, row: Row) -> bool:
+        """Return whether the upstream has left once a row without a record is applied.
+
+        A removal counts if it is of the era in which the upstream was listed. It is
+        written again in later eras, in which that can't be told from a loss.
+        """
+        if self.has_left or row.data is not None or self.latest is None:
+            return self.has_left
+        return row.era == self.latest.era
+
 
 class MissingUpstream(NamedTuple):
     """An upstream whose row was found missing at or shortly after a store outage's end.
@@ -178,7 +191,8 @@
             return
         record = self.decode(row)
         latest = row if record is not None else previous and previous.latest
-        self.cached_rows[row.key] = CachedRow(row, record, latest)
+        has_left = previous and record is None and previous.is_left_after(row)
+        self.cached_rows[row.key] = CachedRow(row, record, latest, bool(has_left))
         self.missing.pop(row.key, None)
         if record is not None:
             self.add_occupant(record)
--- a/packages/skylarkdoord/tests/direct/test_store_history.py
+++ b/packages/skylarkdoord/tests/direct/test_store_history.py
@@ -3,6 +3,7 @@
 import json
 import math
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -48,12 +49,29 @@
         self.era = 0
         self.version = 0
         self.rows = {}
+        self.removed = {}
+
+    def come_back(self, rows, version):
+        """Come back from a copy; what was removed since is not known."""
+        self.rows, self.version, self.removed = dict(rows), version, {}
+        self.era += 1
+
+    def changes(self, since, *keys):
+        """Return the rows with these keys that were written or removed since."""
+        rows = [
+            Row(key, version, None, self.era)
+            for key, version in self.removed.items()
+            if key in keys and key not in self.rows
+        ]
+        rows = [row for row in (*self.read(*keys).rows, *rows) if row.version > since]
+        return Rows(tuple(rows), self.version, era=self.era)
 
     def write(self, key, content):
         """Write a row; None removes it."""
         self.version += 1
         if content is None:
             self.rows.pop(key, None)
+            self.removed[key] = self.version
             return
         data = json.dumps(content).encode()
         self.rows[key] = (self.version, data)
@@ -75,6 +93,7 @@
         self.fleet = Fleet(StubAdapter())
         self.members = Members(name, self.fleet, Quota(QuotaBounds()), Crashes())
         self.era = 0
+        self.version = 0
         self.config_version = 0
         self.left_at = {}
 
@@ -93,9 +112,18 @@
         for row in store.read(CONFIG_KEY).rows:
             self.fleet.apply_config(row, source="store")
         grace_until = 0.0 if store.era == self.era else math.inf
-        self.era = store.era
+        self.era, self.version = store.era, store.version
         self.fleet.apply_snapshot(store.read(*UPSTREAMS), grace_until=grace_until)
 
+    def follow(self, store):
+        """Read what has changed; all of it after the store came back."""
+        if store.era != self.era:
+            self.read(store)
+            return
+        changes = store.changes(self.version, *UPSTREAMS)
+        self.version = store.version
+        self.fleet.apply_changes(changes, source="store")
+
     def receive(self, other):
         """Receive the rows that another entry has and this one lacks."""
         fleet = self.fleet
@@ -182,14 +210,18 @@
         """Let the store come back from a copy."""
         if self.copies:
             rows, version = data.draw(st.sampled_from(self.copies))
-            self.store.rows, self.store.version = dict(rows), version
-            self.store.era += 1
+            self.store.come_back(rows, version)
 
     @rule(name=st.sampled_from(ENTRIES))
     def read(self, name):
         """Let an entry read the store."""
         self.entries[name].read(self.store)
 
+    @rule(name=st.sampled_from(ENTRIES))
+    def follow(self, name):
+        """Let an entry read what has changed."""
+        self.entries[name].follow(self.store)
+
     @rule(name=st.sampled_from(ENTRIES))
     def exchange(self, name):
         """Let an entry receive rows from the other."""
@@ -218,5 +250,47 @@
             entry.check()
 
 
+class TestLeftUpstream:
+    """An upstream that left before the store came back from older copies."""
+
+    def listed_after(self, *steps):
+        """Return the upstreams that an entry lists after some steps of a machine."""
+        machine = StoreHistory()
+        for step in steps:
+            step(machine)
+            machine.follow("a")
+            machine.nothing_goes_back()
+        return machine.entries["a"].listed()
+
+    # Guards against an upstream that comes back with the second older copy.
+    @pytest.mark.parametrize("drills", [1, 2, 3])
+    def test_stays_away(self, drills):
+        """It stays away, however often its removal is lost and written again."""
+
+        def come_back(machine):
+            machine.store.come_back(*machine.copies[0])
+
+        steps = [lambda m: m.start_upstream("i-1"), StoreHistory.copy]
+        steps.append(lambda m: m.end_upstream("i-1"))
+        for _ in range(drills):
+            steps += [come_back, lambda m: m.end_upstream("i-1")]
+        assert self.listed_after(*steps, come_back) == {}
+
+    def test_starts_again(self):
+        """A later start of it is listed in any era."""
+
+        def come_back(machine):
+            machine.store.come_back(*machine.copies[0])
+
+        def start(machine):
+            machine.start_upstream("i-1")
+
+        def end(machine):
+            machine.end_upstream("i-1")
+
+        steps = (start, StoreHistory.copy, end, come_back, end, come_back, start)
+        assert self.listed_after(*steps) == {"i-1": UpstreamAge(2, 1)}
+
+
 StoreHistory.TestCase.settings = settings(max_examples=300, stateful_step_count=40)
 TestStoreHistory = StoreHistory.TestCase
