Send header values on byte by byte

A value beyond ASCII was decoded as Latin-1 and sent on as UTF-8 (seen in the review). It is decoded as UTF-8, in which the HTTP client writes it; a head that is no UTF-8 is refused with 400. Tests: TestOddHeads.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
@@ -283,10 +283,14 @@
         Raises:
             BadCallError: The request is malformed.
         """
-        headers = tuple(
-            (name.decode("latin-1"), value.decode("latin-1"))
-            for name, value in raw.raw_headers
-        )
+        # The HTTP client writes header values as UTF-8.
+        try:
+            headers = tuple(
+                (name.decode("ascii"), value.decode())
+                for name, value in raw.raw_headers
+            )
+        except UnicodeDecodeError:
+            raise BadCallError(400, "headers: expected UTF-8") from None
         head = RawHead(raw.method, raw.raw_path, headers)
         return self.dependencies.adapter.read_request(head, received)
 
--- a/tests/adapter/test_path.py
+++ b/tests/adapter/test_path.py
@@ -7,6 +7,7 @@
 from yarl import URL
 
 from ._standins import (
+    HOST,
     SIGNATURE,
     Server,
     event,
@@ -432,3 +433,27 @@
         for record in caplog.records
         if getattr(record, "request_id", "") == request_id
     ]
+
+
+class TestOddHeads:
+    """Heads with bytes beyond ASCII."""
+
+    # Guards against values that are decoded in one encoding and sent on in another.
+    async def test_unchanged(self, start):
+        """A header's value reaches the server byte by byte."""
+        async with Server(reply()) as server, start([route()], [server]) as caller:
+            assert (await caller.get(headers={"Model": "s\u0113klas"}))[0] == 200
+        (received,) = server.requests[0].header("Model")
+        assert received.encode("latin-1") == "s\u0113klas".encode()
+
+    async def test_no_utf_8(self, start):
+        """A head that can't be sent on unchanged is refused."""
+        async with Server(reply()) as server, start([route()], [server]) as caller:
+            host, _, port = caller.entry.url.rpartition("/")[2].partition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            lines = f"GET /desk/1 HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: a1\r\n"
+            writer.write(lines.encode() + b"Model: s\xe9klas\r\n\r\n")
+            async with asyncio.timeout(3):
+                assert (await reader.readline()).startswith(b"HTTP/1.1 400")
+            writer.close()
+        assert not server.requests
