--- a/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
@@ -154,17 +154,16 @@
         admitted = waiter.admitted
         self.queue(admitted.service).add(waiter)
         self.waiters[waiter.name] = waiter
-        self.queue_state(admitted.service).add(waiter)
-        WAITING.labels(admitted.service).inc()
-        self.assign_slots(admitted.service)
-        self.offering.start(waiter)
-        self.recheck_limits(admitted.service)
         state = self.queue_state(admitted.service)
-        if not waiter.slot.done() and state.would_time_out(waiter, waiter.since):
-            self.dequeue(waiter)
-            waiter.count_end("refused")
-            raise self.overload_error(waiter, "the queue is overloaded")
+        state.add(waiter)
+        WAITING.labels(admitted.service).inc()
         try:
+            self.assign_slots(admitted.service)
+            self.offering.start(waiter)
+            self.recheck_limits(admitted.service)
+            if not waiter.slot.done() and state.would_time_out(waiter, waiter.since):
+                waiter.count_end("refused")
+                raise self.overload_error(waiter, "the queue is overloaded")
             async with asyncio.timeout(waiter.queue_timeout_s):
                 await waiter.slot
         except TimeoutError:
--- a/tests/adapter/test_headers.py
+++ b/tests/adapter/test_headers.py
@@ -4,6 +4,7 @@
 
 from skylarkdoor_platform import adapter
 from skylarkdoord.direct import PromptPart, RawHead
+from skylarkdoord.direct.exceptions import BadCallError
 
 
 def read(*headers):
@@ -16,7 +17,9 @@
 
     @pytest.mark.parametrize(
         ("value", "tokens"),
-        [("120", 120), ("0", 0), ("", 0), ("-3", 0), ("1e3", 0), ("many", 0), ("²", 0)],
+        [("120", 120), ("0", 0), ("", 0), ("-3", 0), ("1e3", 0), ("many", 0), ("²", 0)]
+        + [("9" * digits, 0) for digits in (10, 11, 309, 5000)],
+        ids=lambda value: str(value)[:12],
     )
     def test_value(self, value, tokens):
         """A number of tokens is decoded; a malformed value counts as not stated."""
@@ -27,6 +30,23 @@
         assert ("Length-Hint", "120") in read(("Length-Hint", "120")).headers
 
 
+class TestTokens:
+    """`Token-Usage` and the parts of a prompt."""
+
+    # Guards against numbers that fail only once the request waits for a slot.
+    @pytest.mark.parametrize("digits", [10, 309, 5000])
+    def test_too_large(self, digits):
+        """Numbers that no offer can state are refused."""
+        for value in (f"{'9' * digits},1", f"1,{'9' * digits}"):
+            with pytest.raises(BadCallError, match="Token-Usage"):
+                read(("Token-Usage", value))
+
+    def test_large_part(self):
+        """A part of a prompt with such a number is left out."""
+        request = read(("Prefix-Hash", f"a:10,b:{'9' * 5000},c:20"))
+        assert request.prefix == (PromptPart("a", 10), PromptPart("c", 20))
+
+
 class TestUpstreamLimit:
     """`Server-Limit`."""
 
