Go on with no stream of a server that was found down, until it is listed anew

Change: what the check finds counts like a connection that can't be opened: for 3 s, or until the server is listed with another start, nobody goes on with streams that begin.

Test: test_crashed_before; without the change the stream is gone on with.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_upstreams.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_upstreams.py
@@ -233,13 +233,14 @@
         upstream.paused_until = max(upstream.paused_until, until)
 
     def on_unreachable(self, upstream: Upstream, reason: str) -> None:
-        """Pause an upstream to which no connection could be opened.
-
-        It may start again before the registry lists that start.
-        """
-        upstream.unreachable_until = self.clock() + REGISTRY_LAG_S
+        """Pause an upstream to which no connection could be opened."""
+        self.on_down(upstream.record)
         self.on_failure(upstream, reason)
 
+    def on_down(self, record: UpstreamRecord) -> None:
+        """Record that an upstream may start again before the registry lists it anew."""
+        self.get(record).unreachable_until = self.clock() + REGISTRY_LAG_S
+
     def is_restarting(self, record: UpstreamRecord) -> bool:
         """Return whether an upstream may have started again since its record."""
         return self.clock() < self.get(record).unreachable_until
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -64,6 +64,7 @@
     streams = StreamVersions(fleet, is_first_start=settings.first_start)
     members = Members(settings.instance, fleet, quota, crashes, limits, streams)
     limits.share_of = members.limit_share
+    crashes.on_down = upstreams.on_down
     crashes.requests.is_trial_owner = members.owns
     crashes.parts.is_trial_owner = members.owns
     quota.silent_entries = members.silent_entries
--- a/packages/skylarkdoord/src/skylarkdoord/direct/evidence/_crashes.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/evidence/_crashes.py
@@ -82,6 +82,7 @@
         requests: Requests that are suspected.
         parts: Parts of prompts that are suspected.
         checks: Tasks of the pending checks.
+        on_down: Called with an upstream that was found down after a lost answer.
     """
 
     def __init__(
@@ -107,6 +108,7 @@
         self.parts.is_in_flight = self.is_part_in_flight
         self.parts.request_culprits = self.requests.culprits
         self.checks: set[asyncio.Task[None]] = set()
+        self.on_down: Callable[[UpstreamRecord], None] = lambda record: None
         self.log = events.get_logger("direct.crashes")
 
     def is_quarantined(self, fingerprint: int) -> bool:
@@ -322,6 +324,7 @@
             requests=len(watched.suspects()),
         )
         if down:
+            self.on_down(watched.record)
             self.suspect(watched, same_crash_s=SAME_CRASH_S)
             return
         watched.is_unconfirmed = self.is_registry_down()
--- a/tests/adapter/test_stream_versions.py
+++ b/tests/adapter/test_stream_versions.py
@@ -7,7 +7,9 @@
 import pytest
 from multidict import CIMultiDict
 
-from ._standins import Entry, Server, route, server_row, stream
+from skylarkdoor_bench.testing import free_port
+
+from ._standins import LOOPBACK, Entry, Server, reset, route, server_row, stream
 
 EVENTS = 8
 CUT_AFTER = 3
@@ -319,3 +321,39 @@
                 status, _ = await read(caller, caller.entry, "second", **resume)
                 assert status == 503
                 assert not other.requests
+
+    # Guards against a start that the list never shows, as the server ends again.
+    async def test_crashed_before(self, start, store):
+        """Nor is a stream of a server that was found down after a lost answer."""
+        part = stream(range(1, CUT_AFTER + 1), is_cut=True)
+        port = free_port()
+
+        async def crash(request, writer):
+            listener.close()
+            reset(writer)
+
+        async with (
+            Server(stream(range(1, EVENTS + 1))) as other,
+            start([ONCE], []) as caller,
+        ):
+            first = Server(crash)
+            first.address = f"{LOOPBACK}:{port}"
+            listener = await asyncio.start_server(first.serve, LOOPBACK, port)
+            await store.put("servers", "i-0", server_row(first))
+            await caller.entry.until_serving(1)
+            dependencies = caller.entry.kernel.services["callers"].dependencies
+            await read(caller, caller.entry, "crashing")
+            await asyncio.gather(*dependencies.crashes.checks)
+
+            first.script = part
+            listener = await asyncio.start_server(first.serve, LOOPBACK, port)
+            await asyncio.sleep(0.5)
+            answer = await read(caller, caller.entry, "first")
+            listener.close()
+            await store.put("servers", "i-1", server_row(other))
+            await caller.entry.until_serving(2)
+            resume = {"Last-Event-Id": str(CUT_AFTER), "Resumes": "first"}
+            status, _ = await read(caller, caller.entry, "second", **resume)
+        assert answer == (200, list(range(1, CUT_AFTER + 1)))
+        assert status == 503
+        assert not other.requests
