--- a/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
@@ -4,7 +4,6 @@
 import json
 import time
 import weakref
-from typing import NamedTuple
 
 from aiohttp import web
 from multidict import CIMultiDict
@@ -29,6 +28,7 @@
 from skylarkdoord.direct._held_bytes import BodyHold, HeldBytes
 from skylarkdoord.direct._metrics import DURATION, MEMORY_REFUSALS, REQUESTS
 from skylarkdoord.direct._model import Admitted, CallerRequest
+from skylarkdoord.direct._problems import STOPPING, Problem, timeout_problem
 from skylarkdoord.direct._settings import DirectSettings
 from skylarkdoord.direct.exceptions import (
     BadCallError,
@@ -52,42 +52,10 @@
 DRAIN_CHECK_S = 0.1
 # Time for the answers of requests that are cut off.
 CUT_OFF_S = 0.3
-STOPPING = "the entry stops"
 # Part of the shutdown timeout kept for closing once running requests are aborted.
 SHUTDOWN_MARGIN_S = 1.0
 
 
-class Problem(NamedTuple):
-    """An error answer that this entry creates itself.
-
-    Attributes:
-        status: HTTP status.
-        code: Stable error code for programs.
-        message: Error message for people.
-        retry_after_s: Delay after which the caller may retry, in seconds; None sends
-            no `Retry-After`.
-    """
-
-    status: int
-    code: str
-    message: str
-    retry_after_s: float | None = None
-
-
-def timeout_problem(forwarder: Forwarder, *, is_cut: bool) -> Problem:
-    """Return the problem of a request that ran out of time without an answer.
-
-    Args:
-        forwarder: Forwarded the request.
-        is_cut: Whether it was cut off because the entry stops.
-    """
-    if not is_cut:
-        return Problem(504, "timeout", "the answer did not arrive before the deadline")
-    if forwarder.may_have_run:
-        return Problem(502, "outcome_unknown", STOPPING)
-    return Problem(503, "draining", STOPPING, retry_after_s=0.0)
-
-
 class CallerServer:
     """Serves callers over HTTP and drains on shutdown.
 
--- /dev/null
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_member.py
@@ -0,0 +1,68 @@
+"""Another entry of the deployment, as its updates describe it."""
+
+import math
+from dataclasses import dataclass, field
+
+from skylarkdoor.wire import pb
+from skylarkdoord.direct._adapter import StoreVersion
+from skylarkdoord.direct._model import MS_PER_S
+
+
+@dataclass
+class Member:
+    """Another entry, as its updates describe it.
+
+    Attributes:
+        instance: Name of the entry.
+        incarnation: Random number that the entry chose at its start.
+        last_update_at: Monotonic time of its last update, in seconds.
+        sent_at: Monotonic time at which that update was sent, in seconds, estimated
+            by the fastest update of the entry so far.
+        fastest_s: Smallest difference between the time of receipt and the entry's age
+            in an update, in seconds.
+        versions: Versions of services that it has told, by service.
+        several: Services of which it has told that they had several versions.
+        has_closed_stream: Whether its stream was closed rather than timed out.
+        used: Units that it reported as used since its start, by customer.
+        config_at: Point in the store's history of its configuration's row.
+        upstreams_at: Latest such point of its upstreams' rows.
+        behind_since: Monotonic time since which this process has older rows than
+            the entry, in seconds; 0 if it does not.
+    """
+
+    instance: str
+    incarnation: int = 0
+    last_update_at: float = 0.0
+    sent_at: float = 0.0
+    fastest_s: float = math.inf
+    versions: dict[str, set[str]] = field(default_factory=dict)
+    several: set[str] = field(default_factory=set)
+    has_closed_stream: bool = False
+    used: dict[str, float] = field(default_factory=dict)
+    config_at: StoreVersion = field(default_factory=StoreVersion)
+    upstreams_at: StoreVersion = field(default_factory=StoreVersion)
+    behind_since: float = 0.0
+
+    def on_update(self, update: pb.EntryNews, now: float) -> None:
+        """Record when an update was sent and which versions it tells.
+
+        An update may have waited in a buffer while this process was suspended.
+
+        Args:
+            update: The update.
+            now: Monotonic time of its receipt, in seconds.
+        """
+        self.last_update_at = self.sent_at = now
+        self.has_closed_stream = False
+        if update.age_ms:
+            difference_s = now - update.age_ms / MS_PER_S
+            self.fastest_s = min(self.fastest_s, difference_s)
+            self.sent_at = now - (difference_s - self.fastest_s)
+        for service in update.history:
+            self.versions.setdefault(service.service, set()).update(service.versions)
+            if service.several:
+                self.several.add(service.service)
+
+    def knows(self, service: str, version: str) -> bool:
+        """Return whether the entry knows a version, or that there are several."""
+        return service in self.several or version in self.versions.get(service, ())
