--- a/packages/skylarkdoord/src/skylarkdoord/direct/_choice.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_choice.py
@@ -97,7 +97,9 @@
         """Return the upstreams of a service that may take a request.
 
         Excluded instances are only returned if the service has no others within their
-        limits, and a paused one only if there are no others.
+        limits, and a paused one only if there are no others. For a request that goes on
+        with a stream, those that may have started again with another version are not
+        returned at all.
 
         Args:
             service: The service.
@@ -107,7 +109,7 @@
         listed = [
             upstream
             for upstream in self.upstreams.of_service(service)
-            if versions.allows(upstream.record.version)
+            if self.may_take(upstream, versions)
         ]
         preferred = [
             upstream for upstream in listed if upstream.instance in versions.preferred
@@ -122,6 +124,12 @@
         ]
         return self.upstreams.unpaused(others or unlimited)
 
+    def may_take(self, upstream: Upstream, versions: Versions) -> bool:
+        """Return whether an upstream has one of the versions, as far as is known."""
+        if versions.is_bound and self.upstreams.is_restarting(upstream.record):
+            return False
+        return versions.allows(upstream.record.version)
+
     def unguarded(
         self,
         service: str,
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
@@ -135,7 +135,9 @@
                 retry_after_s=none_accepting_s,
             )
         waiter = self.new_waiters.new(admitted, excluded)
-        waiter.versions = versions if version is None else Versions(only=version)
+        if version is not None:
+            versions = Versions(only=version, is_bound=True)
+        waiter.versions = versions
         waiter.is_bound = version is not None
         try:
             return await self.wait(waiter)
@@ -225,7 +227,7 @@
             guard.withdraw(request)
             return
         upstream = self.upstreams.get(guard.record)
-        is_allowed = waiter.versions.allows(upstream.record.version)
+        is_allowed = self.choice.may_take(upstream, waiter.versions)
         if not is_allowed or not self.upstreams.accepts(upstream):
             self.return_grant(guard, waiter)
             return
--- a/packages/skylarkdoord/src/skylarkdoord/direct/rollouts/_model.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/rollouts/_model.py
@@ -159,11 +159,14 @@
         only: The only version; None for any.
         excluded: Versions to avoid.
         preferred: Upstream instances to use while one of them is ready; empty for any.
+        is_bound: Whether the request goes on with a stream, which has to stay at the
+            version for certain.
     """
 
     only: str | None = None
     excluded: frozenset[str] = frozenset()
     preferred: frozenset[str] = frozenset()
+    is_bound: bool = False
 
     def allows(self, version: str) -> bool:
         """Return whether a request may be sent to upstreams of a version."""
--- a/packages/skylarkdoord/tests/direct/test_scheduler.py
+++ b/packages/skylarkdoord/tests/direct/test_scheduler.py
@@ -497,6 +497,16 @@
         )
         assert slot.upstream.instance == "old"
 
+    # Guards against a stream that its server goes on with after another start.
+    async def test_restarting(self, scheduler):
+        """An upstream that was down takes no stream until it is listed anew."""
+        old = next(scheduler.upstreams.listed(SERVICE))
+        scheduler.upstreams.on_down(old.record)
+        with pytest.raises(NoFreeSlotError):
+            await scheduler.acquire(make_admitted(), version=old.record.version)
+        slot = await scheduler.acquire(make_admitted(), versions=V1)
+        assert slot.upstream is old
+
     # Guards against streams that are broken off because their version pauses briefly.
     async def test_wants_none(self, scheduler):
         """It waits while the version's upstreams want nothing for a time."""
