--- a/packages/skylarkdoor-bench/src/skylarkdoor_bench/_retries.py
+++ b/packages/skylarkdoor-bench/src/skylarkdoor_bench/_retries.py
@@ -8,8 +8,6 @@
 
 from skylarkdoor_bench._logs import read_records
 
-EVENT_NAME = "retries_counted"
-
 
 class Second(NamedTuple):
     """Requests and retries of one service within a second, over all entries.
@@ -26,13 +24,9 @@
     sent: int = 0
     waiting: int = 0
 
-    def plus(self, record: dict[str, Any]) -> "Second":
-        """Return the sums with one entry's log record added."""
-        return Second(*(value + int(record[name]) for name, value in self.named()))
-
-    def named(self) -> Iterable[tuple[str, int]]:
-        """Return the names of the counts with their values."""
-        return self._asdict().items()
+    def plus(self, other: "Second") -> "Second":
+        """Return the sums of two."""
+        return Second(*(one + two for one, two in zip(self, other, strict=True)))
 
 
 class Window(NamedTuple):
@@ -54,14 +48,33 @@
     sums: dict[str, dict[int, Second]] = defaultdict(dict)
     for log in logs:
         for record in read_records(log):
-            if record.get("event_name") != EVENT_NAME:
+            counts = read_counts(record)
+            if counts is None:
                 continue
             second = int(datetime.fromisoformat(record["timestamp"]).timestamp())
             of_service = sums[record["service"]]
-            of_service[second] = of_service.get(second, Second()).plus(record)
+            of_service[second] = of_service.get(second, Second()).plus(counts)
     return sums
 
 
+def read_counts(record: dict[str, Any]) -> Second | None:
+    """Return what a log record adds to the counts of its second; None if nothing.
+
+    Each retry that is sent has a record of its own, as an entry that is killed does not
+    log the counts of its last second.
+    """
+    match record.get("event_name"):
+        case "retry_sent" if record.get("allowed", True):
+            return Second(sent=1)
+        case "retries_counted":
+            return Second(
+                requests=int(record["requests"]),
+                approved=int(record["approved"]),
+                waiting=int(record["waiting"]),
+            )
+    return None
+
+
 def worst_windows(logs: Iterable[Path], *, window_s: int) -> Iterator[Window]:
     """Yield the window with most sent retries of each service.
 
