--- a/packages/skylarkdoord/src/skylarkdoord/direct/_choice.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_choice.py
@@ -98,8 +98,8 @@
 
         Excluded instances are only returned if the service has no others within their
         limits, and a paused one only if there are no others. For a request that goes on
-        with a stream, those that may have started again with another version are not
-        returned at all.
+        with a stream, those that may have ended since they were listed are not returned
+        at all.
 
         Args:
             service: The service.
@@ -126,7 +126,7 @@
 
     def may_take(self, upstream: Upstream, versions: Versions) -> bool:
         """Return whether an upstream has one of the versions, as far as is known."""
-        if versions.is_bound and self.upstreams.is_restarting(upstream.record):
+        if versions.is_bound and self.upstreams.may_have_ended(upstream.record):
             return False
         return versions.allows(upstream.record.version)
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
@@ -473,7 +473,7 @@
     def on_answer_lost(self, slot: Slot, error: Exception) -> None:
         """Record that an upstream's answer was lost or incomplete."""
         self.runs += 1
-        self.dependencies.upstreams.on_failure(slot.upstream, str(error))
+        self.dependencies.upstreams.on_answer_lost(slot.upstream, str(error))
         self.dependencies.crashes.on_answer_lost(
             slot.upstream.record, self.fingerprint, self.parts
         )
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_upstreams.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_upstreams.py
@@ -61,6 +61,8 @@
             in seconds.
         unreachable_until: Monotonic time until which its record may be of a former
             start, as no connection could be opened, in seconds.
+        lost_until: Monotonic time until which it may have ended, as it lost an answer,
+            in seconds.
     """
 
     record: UpstreamRecord
@@ -75,6 +77,7 @@
     is_leaving: bool = False
     wants_none_until: float = 0.0
     unreachable_until: float = 0.0
+    lost_until: float = 0.0
 
     @property
     def instance(self) -> str:
@@ -241,6 +244,15 @@
         """Record that an upstream may start again before the registry lists it anew."""
         self.get(record).unreachable_until = self.clock() + REGISTRY_LAG_S
 
+    def on_answer_lost(self, upstream: Upstream, reason: str) -> None:
+        """Pause an upstream that may have ended, as it lost an answer."""
+        upstream.lost_until = self.clock() + REGISTRY_LAG_S
+        self.on_failure(upstream, reason)
+
+    def may_have_ended(self, record: UpstreamRecord) -> bool:
+        """Return whether another start may run under an upstream's record."""
+        return self.is_restarting(record) or self.clock() < self.get(record).lost_until
+
     def is_restarting(self, record: UpstreamRecord) -> bool:
         """Return whether an upstream may have started again since its record."""
         return self.clock() < self.get(record).unreachable_until
--- a/packages/skylarkdoord/tests/direct/test_scheduler.py
+++ b/packages/skylarkdoord/tests/direct/test_scheduler.py
@@ -498,10 +498,14 @@
         assert slot.upstream.instance == "old"
 
     # Guards against a stream that its server goes on with after another start.
-    async def test_restarting(self, scheduler):
-        """An upstream that was down takes no stream until it is listed anew."""
+    @pytest.mark.parametrize("is_down", [True, False], ids=["down", "lost"])
+    async def test_restarting(self, scheduler, is_down):
+        """An upstream that may have ended takes no stream until it is listed anew."""
         old = next(scheduler.upstreams.listed(SERVICE))
-        scheduler.upstreams.on_down(old.record)
+        if is_down:
+            scheduler.upstreams.on_down(old.record)
+        else:
+            scheduler.upstreams.on_answer_lost(old, "lost")
         with pytest.raises(NoFreeSlotError):
             await scheduler.acquire(make_admitted(), version=old.record.version)
         slot = await scheduler.acquire(make_admitted(), versions=V1)
