Cut a request off once, however often the stop looks at it

Found by reading: a request that is slow to end was cut off again at the next look, which a timeout that expires already refuses with RuntimeError, so that the stop failed and the other requests were closed without an answer. Test: TestCutOff.

--- a/packages/skylarkdoord/src/skylarkdoord/_drain.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_drain.py
@@ -1,7 +1,8 @@
 """Decides which requests an entry that stops can still serve."""
 
+import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from skylarkdoord._moving_mean import MovingMean
 
@@ -9,6 +10,14 @@
 TIME_MARGIN = 1.5
 
 
+def cut_off(cuts: Iterable[asyncio.Timeout]) -> None:
+    """Let timeouts expire now, but for those that have expired already."""
+    now = asyncio.get_running_loop().time()
+    for cut in cuts:
+        if not cut.expired():
+            cut.reschedule(now)
+
+
 class AnswerTimes:
     """Mean time and length of the answers of one kind of request.
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
@@ -11,6 +11,7 @@
 from skylarkdoor import events
 from skylarkdoor.kernel import Kernel
 from skylarkdoord import _events
+from skylarkdoord._drain import cut_off
 from skylarkdoord.direct._adapter import RawHead
 from skylarkdoord.direct._bounded_connection import (
     BoundedRequestHandler,
@@ -154,8 +155,7 @@
             await self.wait_until_idle(min(DRAIN_CHECK_S, self.drain.remaining_s()))
         if self.busy_connections:
             self.log.event(_events.DRAIN_TIMED_OUT, running=len(self.busy_connections))
-            for cut in self.running.values():
-                cut.reschedule(asyncio.get_running_loop().time())
+            cut_off(self.running.values())
             await self.wait_until_idle(CUT_OFF_S)
         else:
             self.log.event(_events.DRAIN_ENDED)
@@ -165,9 +165,11 @@
 
     def refuse_hopeless(self) -> None:
         """Refuse the requests that wait for a slot and can't end in time any more."""
-        for forwarder, cut in self.running.items():
-            if not forwarder.sends and not forwarder.can_finish():
-                cut.reschedule(asyncio.get_running_loop().time())
+        cut_off(
+            cut
+            for forwarder, cut in self.running.items()
+            if not forwarder.sends and not forwarder.can_finish()
+        )
 
     async def wait_until_idle(self, timeout_s: float) -> None:
         """Wait until no request is running, or for a time in seconds."""
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
@@ -12,7 +12,7 @@
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import ProcessSettings
 from skylarkdoord import _events
-from skylarkdoord._drain import Drain
+from skylarkdoord._drain import Drain, cut_off
 from skylarkdoord.common import DrainState, InternalServer, SettingsService, TlsService
 from skylarkdoord.common import _drain_state as drain_state
 from skylarkdoord.common._internal import finish_responses
@@ -128,8 +128,7 @@
 
     async def cut_off(self) -> None:
         """Answer the requests whose answer has not begun, without waiting for it."""
-        for cut in self.cuts:
-            cut.reschedule(asyncio.get_running_loop().time())
+        cut_off(self.cuts)
         try:
             async with asyncio.timeout(CUT_OFF_S):
                 await self.idle.wait()
--- a/packages/skylarkdoord/tests/test_drain_decisions.py
+++ b/packages/skylarkdoord/tests/test_drain_decisions.py
@@ -1,8 +1,10 @@
 """Decisions of an entry that stops on the requests that it can still serve."""
 
+import asyncio
+
 import pytest
 
-from skylarkdoord._drain import TIME_MARGIN, Drain
+from skylarkdoord._drain import TIME_MARGIN, Drain, cut_off
 
 DESK = "desk"
 
@@ -81,3 +83,29 @@
         clock.now += 2.0
         assert drain.remaining_s() == 0.0
         assert not can_finish(drain)
+
+
+class TestCutOff:
+    """`cut_off`."""
+
+    # Guards against a stop that fails, as a request takes time to end.
+    async def test_again(self):
+        """A request that is slow to end is cut off once, also if it is tried again."""
+        cut = asyncio.timeout(None)
+        ended = asyncio.Event()
+
+        async def slow():
+            async with cut:
+                try:
+                    await asyncio.sleep(60)
+                finally:
+                    await ended.wait()
+
+        task = asyncio.create_task(slow())
+        await asyncio.sleep(0)
+        for _ in range(3):
+            cut_off([cut])
+            await asyncio.sleep(0.01)
+        ended.set()
+        with pytest.raises(TimeoutError):
+            await task
