Let only new streams wait until a further version is announced

An entry that starts reads both versions at once and took one of them, by the order of keys, for a further one: no request could use it until the other entries had answered.

Change: only a request that begins a resumable stream leaves such a version out; streams that go on, and requests without one, use it at once.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_choice.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_choice.py
@@ -128,6 +128,8 @@
         """Return whether an upstream has one of the versions, as far as is known."""
         if versions.is_bound and self.upstreams.may_have_ended(upstream.record):
             return False
+        if versions.begins_stream and not self.upstreams.may_begin(upstream.record):
+            return False
         return versions.allows(upstream.record.version)
 
     def unguarded(
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
@@ -137,6 +137,8 @@
         waiter = self.new_waiters.new(admitted, excluded)
         if version is not None:
             versions = Versions(only=version, is_bound=True)
+        elif admitted.route.is_resumable:
+            versions = versions._replace(begins_stream=True)
         waiter.versions = versions
         waiter.is_bound = version is not None
         try:
@@ -275,7 +277,8 @@
         """
         for waiter in self.queue_state(service).waiting.values():
             if not waiter.is_bound:
-                waiter.versions = versions
+                begins_stream = waiter.versions.begins_stream
+                waiter.versions = versions._replace(begins_stream=begins_stream)
         self.on_accepting(service)
 
     def queue_state(self, service: str) -> QueueState:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_upstreams.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_upstreams.py
@@ -102,7 +102,7 @@
             seconds.
         average_failure_share: Average share of failed answers of each service.
         on_accepting: Called with a service one of whose upstreams wants requests again.
-        may_begin: Returns whether streams may begin at a version of a service.
+        may_begin: Returns whether streams may begin at an upstream's version.
     """
 
     def __init__(
@@ -114,7 +114,7 @@
         self.first_byte_averages_s: dict[str, float] = {}
         self.average_failure_share: dict[str, float] = {}
         self.on_accepting: Callable[[str], None] = lambda service: None
-        self.may_begin: Callable[[str, str], bool] = lambda service, version: True
+        self.may_begin: Callable[[UpstreamRecord], bool] = lambda record: True
         self.log = events.get_logger("direct.upstreams")
         fleet.on_upstreams.append(self.drop_removed)
 
@@ -127,23 +127,15 @@
         return map(self.get, self.fleet.upstreams(service))
 
     def accepts(self, upstream: Upstream) -> bool:
-        """Return whether an upstream may get new requests.
-
-        It may unless it stated otherwise, or its version is too new.
-        """
-        record = upstream.record
-        return self.wants(upstream) and self.may_begin(record.service, record.version)
-
-    def wants(self, upstream: Upstream) -> bool:
         """Return whether an upstream has stated nothing against new requests."""
         return not upstream.is_leaving and self.clock() >= upstream.wants_none_until
 
     def none_accepting_s(self, service: str) -> float | None:
-        """Return the time until an upstream of a service wants requests, in seconds.
+        """Return the time until an upstream of a service accepts requests, in seconds.
 
-        Returns None if one wants them now, or if none is listed.
+        Returns None if one accepts them now, or if none is listed.
         """
-        if any(map(self.wants, self.listed(service))):
+        if any(map(self.accepts, self.listed(service))):
             return None
         listed = list(self.listed(service))
         if not listed:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -127,7 +127,9 @@
         ANNOUNCEMENT_MARGIN * members.version_timeout_s()
     )
     streams.history.on_announced = scheduler.on_accepting
-    upstreams.may_begin = streams.history.may_begin
+    upstreams.may_begin = lambda record: streams.history.may_begin(
+        record.service, record.version
+    )
     watcher.on_tick.append(streams.history.check_pending)
     watcher.on_changes = exchange.broadcast
     kernel.register(watcher)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/rollouts/_model.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/rollouts/_model.py
@@ -161,12 +161,15 @@
         preferred: Upstream instances to use while one of them is ready; empty for any.
         is_bound: Whether the request goes on with a stream, which has to stay at the
             version for certain.
+        begins_stream: Whether the request may begin a stream that can be resumed, for
+            which versions that other entries may not know are left out.
     """
 
     only: str | None = None
     excluded: frozenset[str] = frozenset()
     preferred: frozenset[str] = frozenset()
     is_bound: bool = False
+    begins_stream: bool = False
 
     def allows(self, version: str) -> bool:
         """Return whether a request may be sent to upstreams of a version."""
--- a/packages/skylarkdoord/tests/direct/test_scheduler.py
+++ b/packages/skylarkdoord/tests/direct/test_scheduler.py
@@ -497,6 +497,19 @@
         )
         assert slot.upstream.instance == "old"
 
+    # Guards against a stream that begins at a version of which another entry knows
+    # nothing, and against other requests that wait for it.
+    async def test_unannounced(self, scheduler):
+        """Only requests that begin a stream leave a version out that others lack."""
+        scheduler.upstreams.may_begin = lambda record: record.version != "v1"
+        stream = make_admitted(route=make_route(is_resumable=True))
+        for _ in range(3):
+            slot = await scheduler.acquire(stream)
+            assert slot.upstream.record.version != "v1"
+        old = await scheduler.acquire(make_admitted(), versions=V1)
+        resumed = await scheduler.acquire(stream, version="v1")
+        assert {old.upstream.instance, resumed.upstream.instance} == {"old"}
+
     # Guards against a stream that its server goes on with after another start.
     @pytest.mark.parametrize("is_down", [True, False], ids=["down", "lost"])
     async def test_restarting(self, scheduler, is_down):
