--- a/packages/skylarkdoord/tests/direct/test_retry_fleet.py
+++ b/packages/skylarkdoord/tests/direct/test_retry_fleet.py
@@ -85,7 +85,7 @@
         assert sum(fleet.retries[first : first + STEPS_PER_S]) >= 0.45 * budget
 
     def test_long_disruption(self):
-        """As many retries as the usable budget are allowed over 40 s."""
+        """Nearly half of what the requests earn is allowed over 40 s as well."""
         fleet = RetryFleet(Load(), BUDGET)
         fleet.run()
         earned = BUDGET.ratio * 300.0 * 40.0
