End every task that was cancelled, also if it fails at the same moment

A daemon in that state outlasts its grace period and is killed with what it still had to answer.

Cause: `Kernel.supervise` starts a task anew after each failure, also one that fails because it is being stopped, and `Kernel.stop` waits for it without a limit. Streams to peers had the same fault before: a task group that is cancelled as one of its tasks fails raises the failure only (Python 3.11), so that `Link.run` and `SidecarPeer.run` took it for a lost connection and connected again, for ever. Class: a cancellation that is lost where failures are handled in a loop.

Change: a supervised task that fails after it was cancelled ends (event 107); `end_tasks` cancels again until all tasks have ended; one `run_duplex` in place of three copies of the task group, which raises the cancellation.

--- a/packages/skylarkdoor/src/skylarkdoor/_events.py
+++ b/packages/skylarkdoor/src/skylarkdoor/_events.py
@@ -109,6 +109,9 @@
 TASK_RESTARTED = define(
     106, "task_restarted", logging.ERROR, "A background task failed and starts anew."
 )
+TASK_ENDED = define(
+    107, "task_ended", logging.WARNING, "A background task failed as it was stopped."
+)
 LINES_DROPPED = define(
     105,
     "lines_dropped",
--- a/packages/skylarkdoor/src/skylarkdoor/_kernel.py
+++ b/packages/skylarkdoor/src/skylarkdoor/_kernel.py
@@ -13,6 +13,7 @@
     ServiceCycleError,
     ServiceExistsError,
 )
+from skylarkdoor.tasks import end_tasks, is_cancelled
 
 T = TypeVar("T")
 
@@ -120,7 +121,8 @@
     ) -> asyncio.Task[None]:
         """Run a coroutine function as a task, and again after each failure.
 
-        A broken invariant stops the process all the same.
+        A task that was cancelled does not run again. A broken invariant stops the
+        process all the same.
 
         Args:
             run: The coroutine function. It must be able to start anew at any point.
@@ -139,6 +141,9 @@
             except InvariantBrokenError:
                 raise
             except Exception as error:
+                if is_cancelled():
+                    self.log.event(events.TASK_ENDED, task=name, error=repr(error))
+                    return
                 self.log.event(events.TASK_RESTARTED, task=name, error=repr(error))
             if time.monotonic() - began > MAX_RESTART_DELAY_S:
                 backoff.reset()
@@ -177,10 +182,7 @@
                 await service.stop()
             except Exception as error:
                 self.failures.append(error)
-        tasks = list(self.tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await end_tasks(self.tasks)
         failures = [error for error in self.failures if isinstance(error, Exception)]
         if failures:
             raise ExceptionGroup("services or tasks failed", failures)
--- a/packages/skylarkdoor/src/skylarkdoor/wire/__init__.py
+++ b/packages/skylarkdoor/src/skylarkdoor/wire/__init__.py
@@ -6,6 +6,7 @@
     CONNECTION_LOST_ERRORS,
     translate_closed_connection,
 )
+from skylarkdoor.wire._duplex import run_duplex
 from skylarkdoor.wire._outbox import Outbox
 from skylarkdoor.wire.peer_grpc import EntriesBase, EntriesStub, PeerBase, PeerStub
 
@@ -18,5 +19,6 @@
     "PeerBase",
     "PeerStub",
     "pb",
+    "run_duplex",
     "translate_closed_connection",
 ]
--- a/packages/skylarkdoor/tests/test_kernel.py
+++ b/packages/skylarkdoor/tests/test_kernel.py
@@ -1,6 +1,7 @@
 """Tests of the micro-kernel."""
 
 import asyncio
+import contextlib
 
 import pytest
 
@@ -134,6 +135,45 @@
             await kernel.run()
         assert caught.group_contains(InvariantBrokenError)
 
+    # Guards against a process that never ends, as a task goes on after its end.
+    async def test_fails_when_cancelled(self):
+        """A supervised task that fails as it is cancelled is not run again."""
+        kernel = Kernel()
+        runs = asyncio.Queue()
+
+        async def fail():
+            runs.put_nowait("run")
+            try:
+                await asyncio.Event().wait()
+            finally:
+                raise ConnectionResetError
+
+        task = kernel.supervise(fail, name="fails")
+        await runs.get()
+        task.cancel()
+        async with asyncio.timeout(5):
+            await asyncio.wait({task})
+        assert runs.empty()
+        await kernel.stop()
+
+    # Guards against a process that never ends, as a task loses its cancellation.
+    async def test_loses_cancellation(self):
+        """A task that goes on after it was cancelled is cancelled again."""
+        kernel = Kernel()
+        waits = asyncio.Queue()
+
+        async def go_on():
+            for wait in range(2):
+                waits.put_nowait(wait)
+                with contextlib.suppress(asyncio.CancelledError):
+                    await asyncio.Event().wait()
+
+        kernel.spawn(go_on(), name="goes on")
+        await waits.get()
+        async with asyncio.timeout(20):
+            await kernel.stop()
+        assert not kernel.tasks
+
     async def test_cancelled_task_is_no_failure(self):
         """A task that is cancelled does not stop the process."""
         kernel = Kernel()
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
@@ -16,6 +16,7 @@
 from skylarkdoor.backoff import Backoff
 from skylarkdoor.hashing import rendezvous
 from skylarkdoor.kernel import Kernel
+from skylarkdoor.tasks import end_tasks
 from skylarkdoor.wire import (
     CONNECTION_LOST_ERRORS,
     EntriesBase,
@@ -208,9 +209,7 @@
 
     async def stop(self) -> None:
         """Stop the tasks, remove this entry's row and close the listener."""
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await end_tasks(self.tasks)
         try:
             await self.store.remove(MEMBERS, self.settings.instance)
         except StoreError as error:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_limit_records.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_limit_records.py
@@ -13,6 +13,7 @@
 from skylarkdoor.backoff import Backoff
 from skylarkdoor.clock import boot_time_s
 from skylarkdoor.kernel import Kernel
+from skylarkdoor.tasks import end_tasks
 from skylarkdoord import _events
 from skylarkdoord.direct._adapter import Row, Store
 from skylarkdoord.direct._limit_record import LimitRecord, most_used
@@ -118,8 +119,7 @@
 
     async def stop(self) -> None:
         """Remove this entry's record, as the remaining entries write their own."""
-        self.task.cancel()
-        await asyncio.gather(self.task, return_exceptions=True)
+        await end_tasks([self.task])
         if self.has_written:
             await self.remove(self.instance)
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_link.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_link.py
@@ -7,7 +7,12 @@
 
 from skylarkdoor import events
 from skylarkdoor.backoff import Backoff
-from skylarkdoor.wire import CONNECTION_LOST_ERRORS, Outbox, translate_closed_connection
+from skylarkdoor.wire import (
+    CONNECTION_LOST_ERRORS,
+    Outbox,
+    run_duplex,
+    translate_closed_connection,
+)
 from skylarkdoord import _events
 from skylarkdoord.direct._pace import Pace
 
@@ -57,13 +62,11 @@
         TimeoutError: The peer sent nothing for the silence timeout.
         OutboxFullError: The peer reads messages too slowly.
     """
-    try:
-        async with asyncio.TaskGroup() as group:
-            group.create_task(_write(stream, handler, outbox, pace))
-            group.create_task(outbox.wait_for_overflow())
-            await _read(stream, handler, pace)
-    except ExceptionGroup as errors:
-        raise errors.exceptions[0] from None
+    await run_duplex(
+        _read(stream, handler, pace),
+        _write(stream, handler, outbox, pace),
+        outbox,
+    )
 
 
 async def _write(
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_rollouts.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_rollouts.py
@@ -7,6 +7,7 @@
 from skylarkdoor import events
 from skylarkdoor.clock import boot_time_s
 from skylarkdoor.kernel import Kernel
+from skylarkdoor.tasks import end_tasks
 from skylarkdoord import _events
 from skylarkdoord.direct._adapter import Adapter, Row, Store
 from skylarkdoord.direct._members import Members
@@ -116,9 +117,7 @@
 
     async def stop(self) -> None:
         """Stop the tasks; another entry goes on with the coordination."""
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await end_tasks(self.tasks)
 
     async def coordinate(self) -> None:
         """Coordinate orders until cancelled."""
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_watch.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_watch.py
@@ -9,6 +9,7 @@
 from skylarkdoor import events
 from skylarkdoor.backoff import Backoff
 from skylarkdoor.kernel import Kernel
+from skylarkdoor.tasks import end_tasks
 from skylarkdoord import _events
 from skylarkdoord.direct._adapter import Row, Rows, Store, StoreVersion
 from skylarkdoord.direct._fleet import CONFIG, UPSTREAMS, Fleet
@@ -100,9 +101,7 @@
 
     async def stop(self) -> None:
         """Stop watching and close the store's connections."""
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await end_tasks(self.tasks)
         await self.store.close()
 
     async def expire(self) -> None:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/evidence/_suspect_records.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/evidence/_suspect_records.py
@@ -14,6 +14,7 @@
 from skylarkdoor.backoff import Backoff
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.suspicion import Suspicion
+from skylarkdoor.tasks import end_tasks
 from skylarkdoord import _events
 from skylarkdoord.direct._adapter import Row, Rows, Store, StoreVersion
 from skylarkdoord.direct._store_calls import StoreCalls
@@ -107,9 +108,7 @@
 
     async def stop(self) -> None:
         """Stop the tasks; the record stays for the other entries."""
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await end_tasks(self.tasks)
 
     async def watch(self) -> None:
         """Apply the records and their changes until cancelled."""
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_peer.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_peer.py
@@ -14,6 +14,7 @@
     Outbox,
     PeerStub,
     pb,
+    run_duplex,
     translate_closed_connection,
 )
 from skylarkdoord import _events
@@ -158,12 +159,9 @@
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
                     await stream.send_message(first)
                 self.send_listed()
-                async with asyncio.TaskGroup() as group:
-                    group.create_task(self.write(stream))
-                    group.create_task(self.outbox.wait_for_overflow())
-                    await self.read(stream, backoff)
-        except ExceptionGroup as errors:
-            raise errors.exceptions[0] from None
+                await run_duplex(
+                    self.read(stream, backoff), self.write(stream), self.outbox
+                )
         finally:
             channel.close()
 
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_peers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_peers.py
@@ -11,7 +11,7 @@
 from skylarkdoor import events
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import ProcessSettings
-from skylarkdoor.wire import CONNECTION_LOST_ERRORS, Outbox, PeerBase, pb
+from skylarkdoor.wire import CONNECTION_LOST_ERRORS, Outbox, PeerBase, pb, run_duplex
 from skylarkdoord import _events
 from skylarkdoord.common import DrainState, Exchange, SettingsService, TlsService
 from skylarkdoord.common._tls import dns_names
@@ -127,15 +127,11 @@
             return
         peer = self.open(hello)
         try:
-            async with asyncio.TaskGroup() as group:
-                group.create_task(self.write(stream, peer))
-                group.create_task(peer.outbox.wait_for_overflow())
-                await self.read(stream, peer)
-        except ExceptionGroup as errors:
-            lost, others = errors.split(CONNECTION_LOST_ERRORS)
-            if others is not None:
-                raise others from None
-            self.log.event(_events.PEER_LOST, peer=peer.instance, error=repr(lost))
+            await run_duplex(
+                self.read(stream, peer), self.write(stream, peer), peer.outbox
+            )
+        except CONNECTION_LOST_ERRORS as error:
+            self.log.event(_events.PEER_LOST, peer=peer.instance, error=repr(error))
         finally:
             self.close(peer)
 
