Let guards tell starts that the registry does not list yet

The guard beside the server reads its load, and with it its start, five times a second, and told nobody.

Class: a restart that only the list tells, although a process beside it sees it.

Change: `LoadReport.started_ms`; `GuardLink` compares it with the record (event 731); `Crashes.on_restarted` counts each start once, also if a probe found the crash before or the list tells it later; `Upstreams.is_restarting` holds until the record is replaced.

--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -366,6 +366,12 @@
     logging.INFO,
     "Requests and retries of a service were counted for a second.",
 )
+UPSTREAM_RESTARTED = define(
+    731,
+    "upstream_restarted",
+    logging.WARNING,
+    "A guard reports a later start of its upstream than the registry lists.",
+)
 REQUEST_MAY_LEAVE = define(
     739,
     "request_may_leave",
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_adapter.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_adapter.py
@@ -243,12 +243,14 @@
         waiting: Requests in the engine's queue.
         cache_used: Tokens in the KV cache that cannot be evicted.
         cache_size: Capacity of the KV cache, in tokens.
+        started_ms: Unix time of its start, in milliseconds; 0 if it states none.
     """
 
     running: int
     waiting: int
     cache_used: int
     cache_size: int
+    started_ms: int = 0
 
 
 class Adapter(Protocol):
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
@@ -101,6 +101,8 @@
         )
         self.is_memory_full = False
         self.occupancy = Occupancy()
+        # Unix time of the engine's latest start, in milliseconds; 0 if not stated.
+        self.started_ms = 0
         self.streams = StreamRecords(MAX_STREAMS)
         self.outboxes: dict[str, Outbox[pb.SidecarMessage]] = {}
         self.stream_numbers = itertools.count()
@@ -223,6 +225,7 @@
         if load is None:
             self.occupancy.clear()
         else:
+            self.on_start(load.started_ms)
             self.queue.set_memory(load.cache_size)
             granted = len(self.queue.granted)
             settled = self.queue.settled(SETTLE_S)
@@ -239,6 +242,18 @@
             )
         self.queue.set_correction(correction)
 
+    def on_start(self, started_ms: int) -> None:
+        """Tell the entries when the engine started, as the registry lags behind.
+
+        Args:
+            started_ms: Unix time of the start, in milliseconds; 0 if not stated.
+        """
+        if started_ms <= self.started_ms:
+            return
+        self.started_ms = started_ms
+        for outbox in self.outboxes.values():
+            outbox.put(self.load())
+
     def load(self) -> pb.SidecarMessage:
         """Return the load report for entries."""
         counts = self.queue.counts()
@@ -248,6 +263,7 @@
             room=0 if counts.is_full else counts.slots - counts.running,
             waiting_by_tier=self.waiting_by_tier(),
             decode_tokens_per_second=self.queue.speed.tokens_per_s,
+            started_ms=self.started_ms,
         )
         return pb.SidecarMessage(load=report)
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guards.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guards.py
@@ -16,6 +16,8 @@
 from skylarkdoord.direct._queue_order import NO_DEMAND, Demand
 from skylarkdoord.direct._settings import DirectSettings
 
+RestartListener = Callable[[UpstreamRecord, int], None]
+
 
 class GrantListener(Protocol):
     """Receives the grants of guards and changes of their connections."""
@@ -48,6 +50,9 @@
     Attributes:
         on_streams: Called with the streams that the guard knows.
         on_connected: Called when the guard is connected.
+        on_restarted: Called with the upstream and its start, as Unix time in
+            milliseconds, if its guard reports a later start than the registry.
+        reported_start: Latest such start that was reported; 0 if none.
         is_opening: Whether the first connection attempt is still under way, so that it
             is unknown whether the upstream has a guard.
         is_connected: Whether the guard is connected.
@@ -70,6 +75,8 @@
             None
         )
         self.on_connected: Callable[[GuardLink], None] = lambda link: None
+        self.on_restarted: RestartListener = lambda record, started_ms: None
+        self.reported_start = 0
         self.is_opening = True
         self.is_connected = False
         self.load = pb.LoadReport()
@@ -164,12 +171,28 @@
                     self.load = message.load
                     self.load_at = time.monotonic()
                     self.offers_since_report = 0
+                    self.look_for_restart()
                     self.listener.on_guard_load(self)
                 case "streams":
                     self.on_streams(message.streams.streams)
                 case "leaving":
                     self.disconnect()
 
+    def look_for_restart(self) -> None:
+        """Look whether the upstream has started again since it was listed."""
+        listed = self.record.started_ms
+        started_ms = self.load.started_ms
+        if not listed or started_ms <= max(listed, self.reported_start):
+            return
+        self.reported_start = started_ms
+        self.log.event(
+            _events.UPSTREAM_RESTARTED,
+            upstream=self.record.instance,
+            listed_ms=listed,
+            started_ms=started_ms,
+        )
+        self.on_restarted(self.record, started_ms)
+
     def on_open(self) -> None:
         """Mark the guard as connected and notify the listener."""
         self.is_opening = False
@@ -206,6 +229,8 @@
         by_service: The same by service and name of the upstream.
         on_streams: Called with the streams that a guard knows.
         on_connected: Called when a guard is connected.
+        on_restarted: Called with each upstream that has started again since it was
+            listed, and its start as Unix time in milliseconds.
     """
 
     name = "guards"
@@ -229,6 +254,7 @@
             None
         )
         self.on_connected: Callable[[GuardLink], None] = lambda link: None
+        self.on_restarted: list[RestartListener] = []
         self.supervise: Callable[..., asyncio.Task[None]] | None = None
 
     async def start(self, kernel: Kernel) -> None:
@@ -288,9 +314,15 @@
         link = GuardLink(self.settings, record, self.listener, self.pace)
         link.on_streams = self.on_streams
         link.on_connected = self.on_connected
+        link.on_restarted = self.tell_restarted
         link.task = self.supervise(link.link.run, name=f"guards.{record.instance}")
         return link
 
+    def tell_restarted(self, record: UpstreamRecord, started_ms: int) -> None:
+        """Tell all listeners that an upstream has started again; see `GuardLink`."""
+        for listener in self.on_restarted:
+            listener(record, started_ms)
+
     def close(self, link: GuardLink) -> None:
         """Close a stream; requests that already run continue."""
         if link.task is not None:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_upstreams.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_upstreams.py
@@ -63,6 +63,7 @@
             start, as no connection could be opened, in seconds.
         lost_until: Monotonic time until which it may have ended, as it lost an answer,
             in seconds.
+        has_restarted: Whether its guard saw a later start than the listed one.
     """
 
     record: UpstreamRecord
@@ -78,6 +79,7 @@
     wants_none_until: float = 0.0
     unreachable_until: float = 0.0
     lost_until: float = 0.0
+    has_restarted: bool = False
 
     @property
     def instance(self) -> str:
@@ -241,13 +243,23 @@
         upstream.lost_until = self.clock() + REGISTRY_LAG_S
         self.on_failure(upstream, reason)
 
+    def on_restarted(self, record: UpstreamRecord, started_ms: int) -> None:
+        """Record that an upstream runs under the record of a former start.
+
+        Args:
+            record: The record.
+            started_ms: Unix time of its present start, in milliseconds.
+        """
+        self.get(record).has_restarted = True
+
     def may_have_ended(self, record: UpstreamRecord) -> bool:
         """Return whether another start may run under an upstream's record."""
         return self.is_restarting(record) or self.clock() < self.get(record).lost_until
 
     def is_restarting(self, record: UpstreamRecord) -> bool:
         """Return whether an upstream may have started again since its record."""
-        return self.clock() < self.get(record).unreachable_until
+        upstream = self.get(record)
+        return upstream.has_restarted or self.clock() < upstream.unreachable_until
 
     def on_moved(self, upstream: Upstream) -> None:
         """Pause an upstream until its record changes, as another one has its address.
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -80,6 +80,7 @@
     )
     guards = Guards(settings, fleet, scheduler, entries=members.sharing_count)
     scheduler.choice.guard_link_of = guards.link_of
+    guards.on_restarted += [upstreams.on_restarted, crashes.on_restarted]
     GuardedStreams(guards, streams)
     gate = None
     if settings.rollouts is not None:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/evidence/_crash_state.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/evidence/_crash_state.py
@@ -27,6 +27,7 @@
         parts: Parts of the prompts of these requests, by fingerprint of the request.
         crashes: Number of crashes under this record.
         crashed_at: Monotonic time of the latest crash, in seconds.
+        restarts: Number of later starts that its guard reported.
         is_replaced: Whether another upstream has its address.
         listed_start: Start of the instance that the registry listed when it was last
             examined, as `UpstreamRecord.started_ms`; None if none was listed.
@@ -42,6 +43,7 @@
     parts: dict[int, tuple[SharedPart, ...]] = field(default_factory=dict)
     crashes: int = 0
     crashed_at: float = -math.inf
+    restarts: int = 0
     is_checked: bool = False
     is_unconfirmed: bool = False
     is_replaced: bool = False
--- a/packages/skylarkdoord/src/skylarkdoord/direct/evidence/_crashes.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/evidence/_crashes.py
@@ -267,6 +267,22 @@
         elif start > watched.record.started_ms:
             self.suspect(watched, same_crash_s=UNANSWERED_RETENTION_S)
 
+    def on_restarted(self, record: UpstreamRecord, started_ms: int) -> None:
+        """Record a start of an upstream that the registry does not list yet.
+
+        Args:
+            record: The upstream, as it is listed.
+            started_ms: Unix time of the start, in milliseconds.
+        """
+        watched = self.watch(record)
+        # The registry lists the same start later.
+        watched.listed_start = started_ms
+        watched.restarts += 1
+        if not watched.suspects():
+            return
+        is_known = watched.crashes >= watched.restarts
+        self.suspect(watched, same_crash_s=UNANSWERED_RETENTION_S if is_known else 0.0)
+
     def look_for_replacement(self, watched: Watched) -> None:
         """Look for a later upstream at the address of a watched one."""
         record = watched.record
--- a/packages/skylarkdoord/tests/direct/test_crashes.py
+++ b/packages/skylarkdoord/tests/direct/test_crashes.py
@@ -291,6 +291,39 @@
             clock.now += SAME_CRASH_S + 1
         assert crashes.count(7) == 1
 
+    # Guards against crashes of a server that is back at once, while the list lags.
+    async def test_told_by_guard(self, clock, registry):
+        """A start that a guard reports counts as one crash, also once it is listed."""
+        crashes = make_watching(clock, registry)
+        crashes.on_unanswered(registry["i-1"], 7)
+        crashes.on_restarted(registry["i-1"], 2)
+        assert crashes.count(7) == 1
+        crashes.on_unanswered(registry["i-1"], 8)
+        registry["i-1"] = make_record("i-1", started_ms=2)
+        crashes.on_registry_change()
+        assert crashes.count(7) == 1
+        assert crashes.count(8) == 0
+
+    async def test_told_several_starts(self, clock, registry):
+        """Each start that a guard reports is a crash of its own, however soon."""
+        crashes = make_watching(clock, registry)
+        for number in range(1, MAX_CRASHES + 1):
+            crashes.on_unanswered(registry["i-1"], 7)
+            clock.now += 0.4
+            crashes.on_restarted(registry["i-1"], 1 + number)
+        assert crashes.count(7) == MAX_CRASHES
+        assert crashes.is_quarantined(7)
+
+    async def test_found_down_before(self, clock, registry):
+        """A start that a guard reports is that of a crash that was found before."""
+        crashes = make_watching(clock, registry, down=True)
+        crashes.add_in_flight(registry["i-1"], 7)
+        crashes.on_answer_lost(registry["i-1"], 7)
+        await asyncio.gather(*crashes.checks)
+        clock.now += SAME_CRASH_S + 1
+        crashes.on_restarted(registry["i-1"], 2)
+        assert crashes.count(7) == 1
+
     async def test_absent(self, clock, registry):
         """An upstream that is no longer listed is probed once."""
         crashes = make_watching(clock, registry)
--- a/packages/skylarkdoord/tests/direct/test_scheduler.py
+++ b/packages/skylarkdoord/tests/direct/test_scheduler.py
@@ -511,14 +511,16 @@
         assert {old.upstream.instance, resumed.upstream.instance} == {"old"}
 
     # Guards against a stream that its server goes on with after another start.
-    @pytest.mark.parametrize("is_down", [True, False], ids=["down", "lost"])
-    async def test_restarting(self, scheduler, is_down):
+    @pytest.mark.parametrize("found", ["down", "lost", "restarted"])
+    async def test_restarting(self, scheduler, found):
         """An upstream that may have ended takes no stream until it is listed anew."""
         old = next(scheduler.upstreams.listed(SERVICE))
-        if is_down:
+        if found == "down":
             scheduler.upstreams.on_down(old.record)
-        else:
+        elif found == "lost":
             scheduler.upstreams.on_answer_lost(old, "lost")
+        else:
+            scheduler.upstreams.on_restarted(old.record, old.record.started_ms + 1)
         with pytest.raises(NoFreeSlotError):
             await scheduler.acquire(make_admitted(), version=old.record.version)
         slot = await scheduler.acquire(make_admitted(), versions=V1)
--- a/packages/skylarkdoord/tests/direct/test_streams.py
+++ b/packages/skylarkdoord/tests/direct/test_streams.py
@@ -10,6 +10,8 @@
 from skylarkdoor.suspicion import crash_id
 from skylarkdoor_bench.testing import free_port
 from skylarkdoord.direct import FleetConfig, Row, Rows, Service, StoreVersion
+from skylarkdoord.direct._adapter import EngineLoad
+from skylarkdoord.direct._engine_reports import Report
 from skylarkdoord.direct._exchange import EntryExchange
 from skylarkdoord.direct._fleet import Fleet
 from skylarkdoord.direct._guard import Guard
@@ -46,7 +48,13 @@
 
 
 class StubAdapter:
-    """Decodes rows of plain JSON."""
+    """Decodes rows of plain JSON.
+
+    Attributes:
+        started_ms: Start of all upstreams, as Unix time in milliseconds; 0 if none.
+    """
+
+    started_ms = 0
 
     def decode_config(self, data):
         """Return a configuration with one service of engines."""
@@ -55,7 +63,7 @@
 
     def decode_upstream(self, key, data):
         """Return an upstream at the address in the row."""
-        return make_record(key, address=json.loads(data))
+        return make_record(key, address=json.loads(data), started_ms=self.started_ms)
 
 
 class StubStore:
@@ -416,6 +424,55 @@
         await entry.stop()
 
 
+class TestRestarts:
+    """Starts of upstreams that the registry does not list yet."""
+
+    @pytest.fixture
+    async def entry(self, guard):
+        """Return an entry whose upstream is listed with a start, and its reports."""
+        entry = EntryWithGuard("a", port_of(guard))
+        entry.fleet.adapter.started_ms = 5
+        entry.reported = []
+        entry.guards.on_restarted.append(
+            lambda record, started_ms: entry.reported.append(
+                (record.instance, started_ms)
+            )
+        )
+        yield entry
+        await entry.stop()
+
+    @staticmethod
+    def report(guard, started_ms):
+        """Let the guard read a report of its engine."""
+        guard.on_report(Report(EngineLoad(0, 0, 0, 0, started_ms)))
+
+    # Guards against another start that runs under the listed one's record unnoticed.
+    async def test_restarted(self, guard, entry):
+        """An entry is told once of a later start than the listed one."""
+        await entry.start()
+        for started_ms in (5, 7, 7):
+            self.report(guard, started_ms)
+        await until(lambda: entry.reported)
+        guard.queue.resize(3)
+        await until(lambda: entry.links[0].load.limit == 3)
+        assert entry.reported == [("i-1", 7)]
+
+    async def test_entry_connects_later(self, guard, entry):
+        """An entry that connects after the start is told as well."""
+        self.report(guard, 7)
+        await entry.start()
+        await until(lambda: entry.reported == [("i-1", 7)])
+
+    @pytest.mark.parametrize("listed_ms", [0, 7, 8])
+    async def test_no_later_start(self, guard, entry, listed_ms):
+        """Nothing is told if the registry lists no start, the same or a later one."""
+        entry.fleet.adapter.started_ms = listed_ms
+        self.report(guard, 7)
+        await entry.start()
+        await until(lambda: entry.links[0].load.started_ms == 7)
+        assert not entry.reported
+
+
 class TestGuardedStreams:
     """Streams that guards keep."""
 
--- a/tests/adapter/test_records.py
+++ b/tests/adapter/test_records.py
@@ -160,6 +160,17 @@
         json.dumps(record).encode()
 
 
+class TestLoadReports:
+    """What a server says of its load."""
+
+    @pytest.mark.parametrize(("stated", "started_ms"), [({}, 0), ({"born": 7}, 7)])
+    def test_start(self, stated, started_ms):
+        """It states when it started, or nothing of it."""
+        report = {"running": 1, "waiting": 0} | stated
+        load = _records.decode_load(json.dumps(report).encode())
+        assert load.started_ms == started_ms
+
+
 class TestConfigRows:
     """`decode_config`."""
 
--- a/tests/soak/_environment.py
+++ b/tests/soak/_environment.py
@@ -148,7 +148,8 @@
     async def handle(self, request, writer):
         """Run one request, or report the load."""
         if request.target == REPORT_PATH:
-            load = to_json({"running": self.running, "waiting": 0})
+            fields = {"running": self.running, "waiting": 0, "born": self.born}
+            load = to_json(fields)
             head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(load)}\r\n\r\n"
             writer.write(head.encode() + load)
             await writer.drain()
