Tell a cancelled link from one that its library cancelled

Seen: three tests of the own interface failed on the code before (test_launcher.py test_restart, test_mutual_tls.py test_other_authority, test_replay.py sidecar_killed): an entry didn't connect again to a sidecar that was killed. Direct links had the same fault.

So a lost connection was taken for the end of the link, silently.

Change: `run_duplex` runs both sides as tasks of its own and waits for them, without a task group, so that its caller is cancelled only by somebody who wants its end. A supervised run is a task of its own for the same reason; one that is cancelled from within starts anew.

--- a/packages/skylarkdoor/src/skylarkdoor/_kernel.py
+++ b/packages/skylarkdoor/src/skylarkdoor/_kernel.py
@@ -13,7 +13,7 @@
     ServiceCycleError,
     ServiceExistsError,
 )
-from skylarkdoor.tasks import end_tasks, is_cancelled
+from skylarkdoor.tasks import end_tasks, failure
 
 T = TypeVar("T")
 
@@ -136,19 +136,35 @@
         backoff = Backoff(initial_s=INITIAL_RESTART_DELAY_S, max_s=MAX_RESTART_DELAY_S)
         while True:
             began = time.monotonic()
-            try:
-                return await run()
-            except InvariantBrokenError:
-                raise
-            except Exception as error:
-                if is_cancelled():
-                    self.log.event(events.TASK_ENDED, task=name, error=repr(error))
-                    return
-                self.log.event(events.TASK_RESTARTED, task=name, error=repr(error))
+            error = await self._run_once(run, name)
+            if error is None:
+                return
+            if isinstance(error, InvariantBrokenError):
+                raise error
+            self.log.event(events.TASK_RESTARTED, task=name, error=repr(error))
             if time.monotonic() - began > MAX_RESTART_DELAY_S:
                 backoff.reset()
             await asyncio.sleep(backoff.delay_s())
 
+    async def _run_once(
+        self, run: Callable[[], Coroutine[Any, Any, None]], name: str
+    ) -> BaseException | None:
+        """Return the failure of one run; None if it ended without one.
+
+        The run is a task of its own, so that a cancellation of the supervising task is
+        told from a failure, and from a cancellation within the run.
+        """
+        task = asyncio.create_task(run(), name=name)
+        try:
+            await asyncio.wait({task})
+        except asyncio.CancelledError:
+            await end_tasks([task])
+            error = failure(task)
+            if isinstance(error, Exception):
+                self.log.event(events.TASK_ENDED, task=name, error=repr(error))
+            raise
+        return failure(task)
+
     def _task_done(self, task: asyncio.Task[Any]) -> None:
         self.tasks.discard(task)
         if task.cancelled() or task.exception() is None:
--- a/packages/skylarkdoor/src/skylarkdoor/_tasks.py
+++ b/packages/skylarkdoor/src/skylarkdoor/_tasks.py
@@ -8,16 +8,6 @@
 CANCEL_INTERVAL_S = 2.0
 
 
-def is_cancelled() -> bool:
-    """Return whether somebody asked the current task to end.
-
-    A task group raises only the failures of its tasks if it is cancelled as one of them
-    fails, so that a loop which handles the failures would go on.
-    """
-    task = asyncio.current_task()
-    return task is not None and task.cancelling() > 0
-
-
 async def end_tasks(tasks: Iterable[asyncio.Task[Any]]) -> None:
     """Cancel tasks and wait until all of them have ended, however they end."""
     pending = set(tasks)
@@ -25,3 +15,10 @@
         for task in pending:
             task.cancel()
         _, pending = await asyncio.wait(pending, timeout=CANCEL_INTERVAL_S)
+
+
+def failure(task: asyncio.Task[Any]) -> BaseException | None:
+    """Return how a task that has ended failed or was cancelled; None if it did not."""
+    if task.cancelled():
+        return asyncio.CancelledError()
+    return task.exception()
--- a/packages/skylarkdoor/src/skylarkdoor/tasks.py
+++ b/packages/skylarkdoor/src/skylarkdoor/tasks.py
@@ -1,5 +1,5 @@
 """Cancellation of tasks."""
 
-from skylarkdoor._tasks import end_tasks, is_cancelled
+from skylarkdoor._tasks import end_tasks, failure
 
-__all__ = ["end_tasks", "is_cancelled"]
+__all__ = ["end_tasks", "failure"]
--- a/packages/skylarkdoor/src/skylarkdoor/wire/_duplex.py
+++ b/packages/skylarkdoor/src/skylarkdoor/wire/_duplex.py
@@ -4,7 +4,7 @@
 from collections.abc import Coroutine
 from typing import Any
 
-from skylarkdoor.tasks import is_cancelled
+from skylarkdoor.tasks import end_tasks, failure
 from skylarkdoor.wire._connection_errors import CONNECTION_LOST_ERRORS
 from skylarkdoor.wire._outbox import Outbox
 
@@ -14,11 +14,14 @@
     write: Coroutine[Any, Any, None],
     outbox: Outbox[Any],
 ) -> None:
-    """Read and write until either fails, or the peer reads messages too slowly.
+    """Read and write until either ends, or the peer reads messages too slowly.
+
+    A task group would not do: if it is cancelled as one of its tasks fails, it raises
+    the failure, and a loop that connects again would go on.
 
     Args:
-        read: Receives messages until it fails.
-        write: Sends the messages of the outbox until it fails.
+        read: Receives messages.
+        write: Sends the messages of the outbox.
         outbox: Queue of outgoing messages.
 
     Raises:
@@ -27,13 +30,15 @@
         OutboxFullError: The peer reads messages too slowly.
         Exception: A message could not be handled.
     """
+    tasks = [
+        asyncio.create_task(side) for side in (read, write, outbox.wait_for_overflow())
+    ]
     try:
-        async with asyncio.TaskGroup() as group:
-            group.create_task(write)
-            group.create_task(outbox.wait_for_overflow())
-            await read
-    except ExceptionGroup as errors:
-        if is_cancelled():
-            raise asyncio.CancelledError from errors
-        _, others = errors.split(CONNECTION_LOST_ERRORS)
-        raise (others or errors).exceptions[0] from None
+        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        await end_tasks(tasks)
+    errors = [error for error in map(failure, tasks) if isinstance(error, Exception)]
+    # A fault of the program is told before the loss of the connection.
+    errors.sort(key=lambda error: isinstance(error, CONNECTION_LOST_ERRORS))
+    if errors:
+        raise errors[0]
--- a/packages/skylarkdoor/tests/test_kernel.py
+++ b/packages/skylarkdoor/tests/test_kernel.py
@@ -112,6 +112,22 @@
         assert not kernel.stopping.is_set()
         await kernel.stop()
 
+    # Guards against a task that fails for good, as it cancelled itself before.
+    async def test_starts_anew_after_cancellation_within(self):
+        """A supervised task that was cancelled from within runs again."""
+        kernel = Kernel()
+        runs = asyncio.Queue()
+
+        async def fail():
+            runs.put_nowait("run")
+            asyncio.current_task().cancel()
+            await asyncio.sleep(0)
+
+        kernel.supervise(fail, name="fails")
+        async with asyncio.timeout(5):
+            assert [await runs.get() for _ in range(2)] == ["run", "run"]
+        await kernel.stop()
+
     async def test_supervised_task_ends(self):
         """A supervised task that ends without a failure is not run again."""
         kernel = Kernel()
--- a/packages/skylarkdoor/tests/wire/test_duplex.py
+++ b/packages/skylarkdoor/tests/wire/test_duplex.py
@@ -36,6 +36,22 @@
         with pytest.raises(OutboxFullError):
             await run_duplex(wait(), wait(), outbox)
 
+    # Guards against a link that ends for ever, as the reader's end is taken for its own.
+    async def test_reader_is_cancelled(self):
+        """A reader that cancels its own task and fails, as grpclib does, just fails."""
+
+        async def read():
+            asyncio.current_task().cancel()
+            try:
+                await wait()
+            except asyncio.CancelledError:
+                raise ConnectionResetError from None
+
+        for _ in range(2):
+            with pytest.raises(ConnectionResetError):
+                await run_duplex(read(), wait(), Outbox())
+        assert not asyncio.current_task().cancelling()
+
     async def test_both_fail(self):
         """A message that can't be handled is told before a lost connection."""
 
