--- a/packages/skylarkdoor/tests/wire/test_duplex.py
+++ b/packages/skylarkdoor/tests/wire/test_duplex.py
@@ -36,7 +36,7 @@
         with pytest.raises(OutboxFullError):
             await run_duplex(wait(), wait(), outbox)
 
-    # Guards against a link that ends for ever, as the reader's end is taken for its own.
+    # Guards against a link that ends for good when its connection is lost.
     async def test_reader_is_cancelled(self):
         """A reader that cancels its own task and fails, as grpclib does, just fails."""
 
