Go on with no stream that has events from after a start that a guard tells

Cause: whether another start may write a stream was asked only at its first event. A stream that begins in the 0.3 s until the guard's report arrives was bound to the listed version, and went on at it when the server ended again.

Change: every event that arrives after such a report marks the stream as uncertain, here and at the entries that keep it. A connection that could not be opened counts at the first event only, as before, since the former start may still run then.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
@@ -437,10 +437,12 @@
     def on_event(self, upstream: UpstreamRecord, observed: ObservedAttempt) -> None:
         """Called before each event of a stream is passed on."""
         observed.on_stream_event()
+        upstreams = self.dependencies.upstreams
         self.binding.on_event(
             upstream,
             is_first=not self.stream.has_begun,
-            is_restarting=self.dependencies.upstreams.is_restarting(upstream),
+            is_restarting=upstreams.is_restarting(upstream),
+            has_restarted=upstreams.get(upstream).has_restarted,
         )
 
     def on_not_run(self, slot: Slot, error: UpstreamNotRunError) -> None:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_stream_binding.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_stream_binding.py
@@ -38,7 +38,12 @@
         self.is_uncertain = False
 
     def on_event(
-        self, upstream: UpstreamRecord, *, is_first: bool, is_restarting: bool
+        self,
+        upstream: UpstreamRecord,
+        *,
+        is_first: bool,
+        is_restarting: bool,
+        has_restarted: bool,
     ) -> None:
         """Bind the stream to an upstream's version before an event is passed on.
 
@@ -47,13 +52,17 @@
             is_first: Whether the event is the first of the answer.
             is_restarting: Whether the upstream may have started again since its record
                 was written.
+            has_restarted: Whether it is known to have. Its former start writes no event
+                any more, so another one wrote this event.
         """
-        if self.writer is not upstream:
-            self.writer = upstream
-            self.is_uncertain = self.is_uncertain or is_restarting
+        was_uncertain = self.is_uncertain
+        if has_restarted or (is_restarting and self.writer is not upstream):
+            self.is_uncertain = True
+        self.writer = upstream
         if self.version is None:
             self.version = upstream.version
-        if self.admitted.route.is_resumable and is_first:
+        is_due = is_first or self.is_uncertain != was_uncertain
+        if self.admitted.route.is_resumable and is_due:
             version = None if self.is_uncertain else upstream.version
             self.streams.on_begun(self.admitted, version, upstream.instance)
 
--- a/tests/adapter/test_stream_versions.py
+++ b/tests/adapter/test_stream_versions.py
@@ -322,6 +322,27 @@
                 assert status == 503
                 assert not other.requests
 
+    # Guards against events of another start that a guard tells while they arrive.
+    @pytest.mark.parametrize("is_told", [True, False])
+    async def test_restart_told_midway(self, start, store, is_told):
+        """A stream with events from after such a start is not gone on with."""
+        part = stream(range(1, CUT_AFTER + 1), is_cut=True, pause_s=0.2)
+        rest = stream(range(1, EVENTS + 1))
+        async with Server(part) as first, Server(rest) as other:
+            async with start([STREAM], [first]) as caller:
+                dependencies = caller.entry.kernel.services["callers"].dependencies
+                (upstream,) = dependencies.upstreams.of_service("desk")
+                reading = asyncio.create_task(read(caller, caller.entry, "first"))
+                await caller.entry.until(lambda: first.requests)
+                await asyncio.sleep(0.1)
+                await store.put("servers", "i-1", server_row(other))
+                if is_told:
+                    dependencies.upstreams.on_restarted(upstream.record, 2)
+                status, ids = await reading
+        assert status == 200
+        last = CUT_AFTER if is_told else EVENTS
+        assert ids == list(range(1, last + 1))
+
     # Guards against a start that the list never shows, as the server ends again.
     async def test_crashed_before(self, start, store):
         """Nor is a stream of a server that was found down after a lost answer."""
