The stream to a guard is a module of its own

GuardLink and its Protocols move from _guards.py (339 lines) to _guard_link.py, unchanged; _guards.py keeps the 126 lines that decide which streams exist.

--- a/packages/skylarkdoor/src/skylarkdoor/_kernel.py
+++ b/packages/skylarkdoor/src/skylarkdoor/_kernel.py
@@ -121,8 +121,8 @@
     ) -> asyncio.Task[None]:
         """Run a coroutine function as a task, and again after each failure.
 
-        A task that was cancelled does not run again. A broken invariant stops the
-        process all the same.
+        It does not run again once the returned task was cancelled. A broken invariant
+        stops the process all the same.
 
         Args:
             run: The coroutine function. It must be able to start anew at any point.
@@ -151,8 +151,9 @@
     ) -> BaseException | None:
         """Return the failure of one run; None if it ended without one.
 
-        The run is a task of its own, so that a cancellation of the supervising task is
-        told from a failure, and from a cancellation within the run.
+        The run is a task of its own, so that a cancellation of the supervising task
+        differs from a failure of the run and from a cancellation within it, which
+        counts as a failure.
         """
         task = asyncio.create_task(run(), name=name)
         try:
--- a/packages/skylarkdoor/src/skylarkdoor/_tasks.py
+++ b/packages/skylarkdoor/src/skylarkdoor/_tasks.py
@@ -18,7 +18,10 @@
 
 
 def failure(task: asyncio.Task[Any]) -> BaseException | None:
-    """Return how a task that has ended failed or was cancelled; None if it did not."""
+    """Return the error with which a task has ended; None if it ended without one.
+
+    That of a cancelled task is a `CancelledError`.
+    """
     if task.cancelled():
         return asyncio.CancelledError()
     return task.exception()
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_choice.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_choice.py
@@ -4,7 +4,7 @@
 import math
 from collections.abc import Callable
 
-from skylarkdoord.direct._guards import GuardLink
+from skylarkdoord.direct._guard_link import GuardLink
 from skylarkdoord.direct._model import UpstreamRecord
 from skylarkdoord.direct._upstream_limits import UpstreamLimits
 from skylarkdoord.direct._upstreams import Upstream, Upstreams
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guarded_streams.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guarded_streams.py
@@ -4,7 +4,8 @@
 
 from skylarkdoor.hashing import rendezvous
 from skylarkdoor.wire import pb
-from skylarkdoord.direct._guards import GuardLink, Guards
+from skylarkdoord.direct._guard_link import GuardLink
+from skylarkdoord.direct._guards import Guards
 from skylarkdoord.direct._stream_versions import StreamVersions
 
 # Guards that keep a stream; two, so that one may be lost with its engine.
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_offering.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_offering.py
@@ -10,7 +10,7 @@
 from skylarkdoord.direct._answer_speed import fast_enough
 from skylarkdoord.direct._choice import UpstreamChoice
 from skylarkdoord.direct._data_centres import LeavePolicy
-from skylarkdoord.direct._guards import GuardLink
+from skylarkdoord.direct._guard_link import GuardLink
 from skylarkdoord.direct._metrics import LEFT
 from skylarkdoord.direct._model import MS_PER_S
 from skylarkdoord.direct._upstream_limits import UpstreamLimits
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
@@ -16,7 +16,7 @@
 from skylarkdoord.direct._customer_shares import CustomerShares
 from skylarkdoord.direct._data_centres import LeaveCosts, LeavePolicy
 from skylarkdoord.direct._fair_order import FairOrder
-from skylarkdoord.direct._guards import GuardLink
+from skylarkdoord.direct._guard_link import GuardLink
 from skylarkdoord.direct._held_log import HeldLog
 from skylarkdoord.direct._length_order import LengthOrder
 from skylarkdoord.direct._metrics import RUNNING, WAITING
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_waiting.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_waiting.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from skylarkdoord.direct._customer_shares import CustomerShares
-from skylarkdoord.direct._guards import GuardLink
+from skylarkdoord.direct._guard_link import GuardLink
 from skylarkdoord.direct._metrics import QUEUE_ENDS
 from skylarkdoord.direct._model import Admitted, Precedence
 from skylarkdoord.direct._queue_order import NO_DEMAND, Demand
--- a/packages/skylarkdoord/tests/direct/test_share_settings.py
+++ b/packages/skylarkdoord/tests/direct/test_share_settings.py
@@ -14,7 +14,7 @@
 from skylarkdoord.direct._customer_shares import HeldCustomer
 from skylarkdoord.direct._fair_order import FairOrder
 from skylarkdoord.direct._guard import Guard, _EntryStream
-from skylarkdoord.direct._guards import GuardLink
+from skylarkdoord.direct._guard_link import GuardLink
 from skylarkdoord.direct._held_log import HeldLog
 from skylarkdoord.direct._length_order import LengthOrder
 from skylarkdoord.direct._metrics import HELD_CUSTOMERS
