--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -262,11 +262,17 @@
         async with aiohttp.ClientSession() as session:
             for url in self.urls:
                 target = f"{url}/{RETIRED}/1"
-                async with session.get(target, headers=headers) as response:
-                    if response.status != web.HTTPNotFound.status_code:
-                        self.observations.broken.append(
-                            f"{url} still has the route {RETIRED}"
-                        )
+                try:
+                    async with session.get(target, headers=headers) as response:
+                        is_known = response.status != web.HTTPNotFound.status_code
+                except aiohttp.ClientConnectionError as error:
+                    # `check_processes` then tells whether the process has ended.
+                    self.observations.broken.append(f"{url} is not up: {error!r}")
+                    continue
+                if is_known:
+                    self.observations.broken.append(
+                        f"{url} still has the route {RETIRED}"
+                    )
 
     async def drill_store(self):
         """Let the store come back from older copies, again and again."""
@@ -391,8 +397,11 @@
     def check_processes(self):
         """Check that no process ended unexpectedly."""
         for daemon in self.daemons:
-            if daemon.process.returncode is not None:
-                self.observations.broken.append(f"{daemon.name} ended unexpectedly")
+            status = daemon.process.returncode
+            if status is not None:
+                self.observations.broken.append(
+                    f"{daemon.name} ended unexpectedly with status {status}"
+                )
 
     async def tear_down(self):
         """Stop everything that was started."""
