--- a/packages/skylarkdoord/tests/direct/test_scheduler.py
+++ b/packages/skylarkdoord/tests/direct/test_scheduler.py
@@ -424,6 +424,8 @@
     # although another upstream may well run them.
     async def test_paused(self, scheduler):
         """A paused upstream is used while the only other one is at its limit."""
+        # So low that it earns no request while the machine stalls.
+        self.name_limit(scheduler, self.limited, 0.01)
         scheduler.upstreams.on_failure(scheduler.upstreams.get(self.free), "lost")
         slot = await scheduler.acquire(make_admitted())
         assert slot.upstream.instance == "i-2"
