--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guard_link.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guard_link.py
@@ -14,6 +14,8 @@
 from skylarkdoord.direct._queue_order import NO_DEMAND, Demand
 from skylarkdoord.direct._settings import DirectSettings
 
+# Called with an upstream, as it is listed, and the Unix time of a later start of it, in
+# milliseconds.
 RestartListener = Callable[[UpstreamRecord, int], None]
 
 
@@ -48,8 +50,7 @@
     Attributes:
         on_streams: Called with the streams that the guard knows.
         on_connected: Called when the guard is connected.
-        on_restarted: Called with the upstream and its start, as Unix time in
-            milliseconds, if its guard reports a later start than the registry.
+        on_restarted: Called if its guard reports a later start than the registry.
         reported_start: Latest such start that was reported; 0 if none.
         is_opening: Whether the first connection attempt is still under way, so that it
             is unknown whether the upstream has a guard.
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guards.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guards.py
@@ -26,8 +26,8 @@
         by_service: The same by service and name of the upstream.
         on_streams: Called with the streams that a guard knows.
         on_connected: Called when a guard is connected.
-        on_restarted: Called with each upstream that has started again since it was
-            listed, and its start as Unix time in milliseconds.
+        on_restarted: Called for each upstream that has started again since it was
+            listed.
     """
 
     name = "guards"
@@ -116,7 +116,7 @@
         return link
 
     def tell_restarted(self, record: UpstreamRecord, started_ms: int) -> None:
-        """Tell all listeners that an upstream has started again; see `GuardLink`."""
+        """Tell all listeners that an upstream has started again."""
         for listener in self.on_restarted:
             listener(record, started_ms)
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_stream_binding.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_stream_binding.py
@@ -52,8 +52,8 @@
             is_first: Whether the event is the first of the answer.
             is_restarting: Whether the upstream may have started again since its record
                 was written.
-            has_restarted: Whether it is known to have. Its former start writes no event
-                any more, so another one wrote this event.
+            has_restarted: Whether it is known to have started again. Its former start
+                writes no event any more, so another one wrote this event.
         """
         was_uncertain = self.is_uncertain
         if has_restarted or (is_restarting and self.writer is not upstream):
