State machine of offers: time stands still

Traced: requests of the machine time out after 0.4 s of real time, so a stall of the test changes what the next rule may draw. Rules, invariants, examples and steps are unchanged.

--- a/packages/skylarkdoord/tests/direct/test_offer_states.py
+++ b/packages/skylarkdoord/tests/direct/test_offer_states.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from unittest import mock
 
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -22,9 +23,15 @@
 
 GUARDS = 2
 SLOTS = 2
+NOW_S = 1000.0
 guard_numbers = st.integers(0, GUARDS - 1)
 
 
+def stopped_clock():
+    """Return a context in which the monotonic clock stands still."""
+    return mock.patch("time.monotonic", return_value=NOW_S)
+
+
 class SlotGuard:
     """A guard that grants its slots when the test says so.
 
@@ -75,7 +82,10 @@
 
 
 class OfferStates(RuleBasedStateMachine):
-    """Requests come, get slots and leave; guards grant, leave and come back."""
+    """Requests come, get slots and leave; guards grant, leave and come back.
+
+    Time stands still, so that no queue timeout depends on the speed of the machine.
+    """
 
     def __init__(self):
         super().__init__()
@@ -100,9 +110,10 @@
     def start(self):
         """Start with connected guards and no requests."""
         records = [make_record(f"i-{n}", slots=SLOTS) for n in range(GUARDS)]
-        self.upstreams = Upstreams(StubFleet(records))
-        self.scheduler = Scheduler(self.upstreams, data_centre="north")
-        self.guards = [SlotGuard(record, self.scheduler) for record in records]
+        self.upstreams = Upstreams(StubFleet(records), clock=lambda: NOW_S)
+        with stopped_clock():
+            self.scheduler = Scheduler(self.upstreams, data_centre="north")
+            self.guards = [SlotGuard(record, self.scheduler) for record in records]
         links = {guard.record.instance: guard for guard in self.guards}
         self.scheduler.choice.guard_link_of = lambda record: (
             links[record.instance] if links[record.instance].is_connected else None
@@ -116,7 +127,8 @@
             for _ in range(5):
                 await asyncio.sleep(0)
 
-        self.loop.run_until_complete(settle())
+        with stopped_clock():
+            self.loop.run_until_complete(settle())
         for task in [task for task in self.requests if task.done()]:
             self.requests.remove(task)
             if not task.cancelled() and task.exception() is None:
@@ -126,7 +138,8 @@
     def arrive(self):
         """A request begins to wait."""
         self.numbers += 1
-        request = make_request(request_id=f"r{self.numbers}")
+        with stopped_clock():
+            request = make_request(request_id=f"r{self.numbers}")
         acquire = self.scheduler.acquire(make_admitted(request))
         self.requests.append(self.loop.create_task(acquire))
         self.run()
