Log and measure how far an entry's configuration lags behind

Updates between entries now state the operator's version and how long ago the store vouched for it. Each entry keeps the age of its own configuration from the store's answers and from these updates, logs when it falls behind (780) and has caught up (781), when nobody has vouched for its configuration for some time (782) and when somebody has again (783), and when its event loop stood still (786). Gauges: age, lag, newest version heard of, latest answer of the store by table, open streams to entries, lag of the event loop. No decision depends on them yet.

--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -462,3 +462,31 @@
     logging.ERROR,
     "The store states another end of a roll-out than was decided.",
 )
+
+CONFIG_BEHIND = define(
+    780,
+    "config_behind",
+    logging.WARNING,
+    "Another entry has a newer configuration than this one.",
+)
+CONFIG_CAUGHT_UP = define(
+    781,
+    "config_caught_up",
+    logging.INFO,
+    "The newest configuration of which this entry has heard is in force.",
+)
+CONFIG_STALE = define(
+    782,
+    "config_stale",
+    logging.WARNING,
+    "The store has not vouched for the configuration for some time.",
+)
+CONFIG_CONFIRMED = define(
+    783,
+    "config_confirmed",
+    logging.INFO,
+    "The store has vouched for the configuration again.",
+)
+LOOP_STALLED = define(
+    786, "loop_stalled", logging.WARNING, "The event loop did not run for some time."
+)
--- a/packages/skylarkdoord/src/skylarkdoord/_lifetime.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_lifetime.py
@@ -7,6 +7,7 @@
 from skylarkdoor import events
 from skylarkdoor.kernel import Kernel
 from skylarkdoord import _events
+from skylarkdoord._loop_monitor import LoopMonitor
 
 EXIT_OK = 0
 EXIT_FAILED = 1
@@ -36,6 +37,7 @@
 ) -> int:
     log = events.get_logger("process")
     kernel = Kernel()
+    kernel.register(LoopMonitor())
     build(kernel)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
@@ -29,7 +29,7 @@
 from skylarkdoord.direct._fleet import UPSTREAMS
 from skylarkdoord.direct._link import Link, run_stream
 from skylarkdoord.direct._members import Members, to_wire
-from skylarkdoord.direct._metrics import ENTRIES, LIMIT_USED
+from skylarkdoord.direct._metrics import ENTRIES, LIMIT_USED, PEER_STREAMS
 from skylarkdoord.direct._pace import Pace, entry_heartbeat_s
 from skylarkdoord.direct._settings import DirectSettings
 from skylarkdoord.direct.exceptions import StoreError
@@ -359,6 +359,7 @@
     def update_gauges(self) -> None:
         """Set the gauges of live entries and of the units used by customers."""
         ENTRIES.set(self.members.live_count())
+        PEER_STREAMS.set(len(self.outboxes))
         for customer, units in self.members.quota.totals().items():
             LIMIT_USED.labels(customer).set(units)
 
@@ -381,6 +382,7 @@
                 this entry is behind it.
         """
         fleet = self.members.fleet
+        age = self.members.age
         update = pb.EntryNews(
             instance=self.settings.instance,
             incarnation=self.members.incarnation,
@@ -392,6 +394,8 @@
             used=self.members.quota.report_used(),
             age_ms=self.members.age_ms(),
             knows_past=self.members.quota.covers_window(),
+            config_number=age.version,
+            config_age_ms=age.age_ms(),
         )
         if request_from and self.members.is_behind(request_from):
             update.wanted.config_since = fleet.config_at.number
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_fleet.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_fleet.py
@@ -83,6 +83,7 @@
     Attributes:
         config_row: Row of the configuration in force; None if none was received.
         routing: Routing table of that configuration; None if none was received.
+        has_rejected_config: Whether the latest newer row could not be decoded.
         cached_rows: Newest row of each upstream, by key; removed ones are kept.
         is_read: Whether the whole table of upstreams has been read.
         latest_at: Upstream that started last at each address, also if it was removed.
@@ -96,6 +97,7 @@
         self.adapter = adapter
         self.config_row: Row | None = None
         self.routing: RoutingTable | None = None
+        self.has_rejected_config = False
         self.cached_rows: dict[str, CachedRow] = {}
         self.is_read = False
         self.latest_at: dict[str, UpstreamRecord] = {}
@@ -158,8 +160,10 @@
         try:
             config = self.adapter.decode_config(row.data)
         except Exception as error:
+            self.has_rejected_config = True
             self.log_rejected(row, error)
             return
+        self.has_rejected_config = False
         current = self.routing.config.version if self.routing else None
         if current is not None and config.version < current:
             return
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
@@ -10,6 +10,7 @@
 from skylarkdoor.hashing import rendezvous
 from skylarkdoor.wire import pb
 from skylarkdoord.direct._adapter import Row, StoreVersion
+from skylarkdoord.direct._config_age import ConfigAge
 from skylarkdoord.direct._fleet import CONFIG, UPSTREAMS, Fleet
 from skylarkdoord.direct._member import Member
 from skylarkdoord.direct._model import MS_PER_S
@@ -48,6 +49,7 @@
         crashes: Receives the crash suspicions of other entries.
         limits: Receives the limits of upstreams of which other entries know.
         streams: Receives the versions of streams that other entries know.
+        age: Receives how recent the configurations of other entries are.
         incarnation: Random number that identifies this run of the entry.
         clock: Returns monotonic time that includes time in suspend, in seconds.
 
@@ -66,6 +68,7 @@
         limits: UpstreamLimits | None = None,
         streams: StreamVersions | None = None,
         *,
+        age: ConfigAge | None = None,
         incarnation: int = 0,
         clock: Callable[[], float] = boot_time_s,
     ) -> None:
@@ -75,6 +78,7 @@
         self.crashes = crashes
         self.limits = limits or UpstreamLimits(instance)
         self.streams = streams or StreamVersions(fleet)
+        self.age = age or ConfigAge(fleet, clock=clock)
         self.fleet = fleet
         self.quota = quota
         self.by_name: dict[str, Member] = {}
@@ -234,6 +238,14 @@
         member.upstreams_at = StoreVersion(
             update.upstreams_era, update.upstreams_version
         )
+        self.age.on_update(
+            update.config_number,
+            update.config_age_ms / MS_PER_S
+            if update.HasField("config_age_ms")
+            else None,
+            sent_at=member.sent_at,
+            source=update.instance,
+        )
 
     def add(self, update: pb.EntryNews) -> Member:
         """Add an entry, or replace it by its new incarnation.
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_metrics.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_metrics.py
@@ -120,11 +120,28 @@
 CONFIG_VERSION = Gauge(
     "skylarkdoor_direct_config_version", "Version of the configuration in force."
 )
+CONFIG_NEWEST_VERSION = Gauge(
+    "skylarkdoor_direct_config_newest_version",
+    "Newest version of the configuration of which the entry has heard.",
+)
+CONFIG_BEHIND = Gauge(
+    "skylarkdoor_direct_config_behind_seconds",
+    "Time for which the entry has known of a newer configuration than it has in force.",
+)
+CONFIG_AGE = Gauge(
+    "skylarkdoor_direct_config_age_seconds",
+    "Time since the store stated, to this or another entry, that it is the newest.",
+)
 STORE_CALLS = Counter(
     "skylarkdoor_direct_store_calls_total",
     "Calls of the store, by table and result.",
     ["table", "result"],
 )
+STORE_ANSWERED = Gauge(
+    "skylarkdoor_direct_store_answered_timestamp_seconds",
+    "Unix time of the store's latest answer to the watch of a table.",
+    ["table"],
+)
 HISTORY_COMPLETE = Gauge(
     "skylarkdoor_direct_version_history_complete",
     "Whether the versions of all services since the first start are known.",
@@ -135,6 +152,9 @@
     ["source"],
 )
 ENTRIES = Gauge("skylarkdoor_direct_entries", "Live entries, including this one.")
+PEER_STREAMS = Gauge(
+    "skylarkdoor_direct_peer_streams", "Open streams to other entries."
+)
 GUARD_SLOTS = Gauge("skylarkdoor_guard_places", "Slots of the guarded upstream.")
 GUARD_OCCUPIED_SLOTS = Gauge(
     "skylarkdoor_guard_held_places", "Slots occupied by requests."
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_watch.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_watch.py
@@ -12,8 +12,9 @@
 from skylarkdoor.tasks import end_tasks
 from skylarkdoord import _events
 from skylarkdoord.direct._adapter import Row, Rows, Store, StoreVersion
+from skylarkdoord.direct._config_age import ConfigAge
 from skylarkdoord.direct._fleet import CONFIG, UPSTREAMS, Fleet
-from skylarkdoord.direct._metrics import STORE_CALLS
+from skylarkdoord.direct._metrics import STORE_ANSWERED, STORE_CALLS
 from skylarkdoord.direct._settings import DirectSettings
 from skylarkdoord.direct.exceptions import HistoryLostError, StoreError
 
@@ -54,6 +55,7 @@
         store: The platform's store.
         live_entries: Returns how many entries watch the store.
         position: Returns how many live entries precede this one by name.
+        age: Tells how long ago the store vouched for the configuration in force.
 
     Attributes:
         on_changes: Called with the changed rows of upstreams.
@@ -75,12 +77,17 @@
         *,
         live_entries: Callable[[], int] = lambda: 1,
         position: Callable[[], int] = lambda: 0,
+        age: ConfigAge | None = None,
     ) -> None:
         self.live_entries = live_entries
         self.position = position
+        self.age = age or ConfigAge(fleet)
         self.on_changes: Callable[[Iterable[Row]], None] = lambda rows: None
         self.on_config_row: Callable[[Row, bool], None] = lambda row, is_snapshot: None
-        self.on_tick: list[Callable[[], None]] = [fleet.remove_expired]
+        self.on_tick: list[Callable[[], None]] = [
+            fleet.remove_expired,
+            self.age.check,
+        ]
         self.return_after_s = settings.return_after_s
         self.fleet = fleet
         self.store = store
@@ -140,6 +147,7 @@
                 )
                 read_at = rows.read_at
                 STORE_CALLS.labels(table, "ok").inc()
+                STORE_ANSWERED.labels(table).set_to_current_time()
                 backoff.reset()
                 if rows.rows:
                     await asyncio.sleep(self.pause_s(table))
@@ -190,6 +198,7 @@
             for row in rows.rows:
                 self.fleet.apply_config(row, source="store")
                 self.on_config_row(row, is_snapshot)
+            self.age.on_store_answer()
         elif is_snapshot:
             self.fleet.apply_snapshot(rows, grace_until=grace_until)
         else:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -10,6 +10,7 @@
     UpstreamClient,
 )
 from skylarkdoord.direct._callers import CallerServer
+from skylarkdoord.direct._config_age import ConfigAge
 from skylarkdoord.direct._data_centres import LeaveCosts
 from skylarkdoord.direct._exchange import EntryExchange
 from skylarkdoord.direct._fleet import Fleet
@@ -62,7 +63,11 @@
     limits = UpstreamLimits(settings.instance, find=fleet.find)
     fleet.on_upstreams.append(limits.drop_removed)
     streams = StreamVersions(fleet, is_first_start=settings.first_start)
-    members = Members(settings.instance, fleet, quota, crashes, limits, streams)
+    age = ConfigAge(fleet)
+    members = Members(
+        settings.instance, fleet, quota, crashes, limits, streams, age=age
+    )
+    age.update_interval_s = members.update_interval_s
     limits.share_of = members.limit_share
     crashes.on_down = upstreams.on_down
     crashes.requests.is_trial_owner = members.owns
@@ -117,6 +122,7 @@
         store,
         live_entries=members.live_count,
         position=members.position,
+        age=age,
     )
     exchange = EntryExchange(settings, store, members)
     crashes.is_registry_down = watcher.is_registry_down
