Give up a held watch call when nobody has news of the store

Cause: an entry learns of a change from its own watch call or from entries that have it. With 34 entries the store may hold a call for 9 to 15 s, and a connection on which the answer never comes is noticed 1.5 s after that. If the streams to entries that know more are lost at the same moment, or they know no more, the entry stays at the old version for that long after all is back. The class: a call without an answer taken for one without news. The watch of upstreams has the same fault, so a draining upstream could get requests as long.

Change: four entries, chosen by hashes of their names and so from all data centres, watch the configuration with calls of 2 s at most; all tell each other in their updates how long ago the store vouched for the version in force. An entry for which nobody has vouched for 3 s (more where updates come rarely) gives up the calls that it holds, of both tables, and asks again with short waits. Calls a second for the configuration, calculated: 34 entries 2.8 before, 5.0 now; 300 entries 25 and 27; 1,000 entries 83 and 86.

Ruled out: shorter calls for all (34 entries 21, 1,000 entries 625 a second); a second call beside the held one, which would cost every entry a call each 3 s.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
@@ -117,13 +117,25 @@
 
     def owns(self, fingerprint: int) -> bool:
         """Return whether this entry, of the live ones, is responsible for a request."""
+        return self.is_chosen(str(fingerprint), 1)
+
+    def is_chosen(self, task: str, count: int) -> bool:
+        """Return whether this entry is one of those that do a task for all.
+
+        They are chosen by hashes of their names, so they are of all data centres.
+
+        Args:
+            task: Name of the task.
+            count: Number of live entries that do it.
+        """
         since = self.clock() - self.live_timeout_s()
         live = [
             name
             for name, member in self.by_name.items()
             if member.last_update_at > since
         ]
-        return rendezvous(str(fingerprint), [*live, self.instance]) == [self.instance]
+        chosen = rendezvous(task, [*live, self.instance], count=count)
+        return self.instance in chosen
 
     def limit_share(self, upstream: str, most: int) -> float:
         """Return this entry's part of an upstream's limit, from 0 to 1.
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_watch.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_watch.py
@@ -3,8 +3,9 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Coroutine, Iterable
 from functools import partial
+from typing import Any
 
 from skylarkdoor import events
 from skylarkdoor.backoff import Backoff
@@ -12,20 +13,17 @@
 from skylarkdoor.tasks import end_tasks
 from skylarkdoord import _events
 from skylarkdoord.direct._adapter import Row, Rows, Store, StoreVersion
-from skylarkdoord.direct._config_age import ConfigAge
+from skylarkdoord.direct._config_age import CLOSE_WATCH_S, CLOSE_WATCHERS, ConfigAge
 from skylarkdoord.direct._fleet import CONFIG, UPSTREAMS, Fleet
 from skylarkdoord.direct._metrics import STORE_ANSWERED, STORE_CALLS
 from skylarkdoord.direct._settings import DirectSettings
 from skylarkdoord.direct.exceptions import HistoryLostError, StoreError
 
-# Longest wait of a watch call with up to `CLOSE_WATCHERS` entries; bounds how long a
-# dead connection stays undetected.
+# Longest wait of a watch call with up to `CLOSE_WATCHERS` entries.
 WATCH_WAIT_S = 4.0
 TICK_S = 0.2
 # With more entries than this, the wait of each grows in proportion to their number, as
-# one entry that sees a change sends it to all. Only this many entries, the first by
-# name, watch upstreams with short pauses.
-CLOSE_WATCHERS = 4
+# one entry that sees a change sends it to all.
 MAX_WATCH_WAIT_S = 15.0
 # Pause after a change, in proportion to the live entries, so that changes in quick
 # succession come in one response.
@@ -37,8 +35,9 @@
 MIN_NOTIFIED_PAUSE_S = 1.2
 MAX_NOTIFIED_PAUSE_S = 3.0
 NOTIFIED_PAUSE_PER_ENTRY_S = 0.04
-# Shorter wait after a failure, to detect the store's recovery early.
-WATCH_WAIT_AFTER_FAILURE_S = 1.0
+# Short wait after a failure, so that a response soon tells what has changed meanwhile.
+# Without a wait, a store that fails only held calls would be called without a pause.
+WATCH_WAIT_AFTER_FAILURE_S = 0.3
 # Longest delay of a retry with few entries. It grows with the live entries as well, up
 # to `MAX_RETRY_DELAY_S`, as they send an entry the rows that it can't read itself.
 FEW_ENTRIES_RETRY_DELAY_S = 0.5
@@ -56,6 +55,8 @@
         live_entries: Returns how many entries watch the store.
         position: Returns how many live entries precede this one by name.
         age: Tells how long ago the store vouched for the configuration in force.
+        is_close: Returns whether this entry is one of a number of live entries, which
+            watch the configuration closely.
 
     Attributes:
         on_changes: Called with the changed rows of upstreams.
@@ -78,10 +79,12 @@
         live_entries: Callable[[], int] = lambda: 1,
         position: Callable[[], int] = lambda: 0,
         age: ConfigAge | None = None,
+        is_close: Callable[[int], bool] = lambda count: True,
     ) -> None:
         self.live_entries = live_entries
         self.position = position
         self.age = age or ConfigAge(fleet)
+        self.is_close = is_close
         self.on_changes: Callable[[Iterable[Row]], None] = lambda rows: None
         self.on_config_row: Callable[[Row, bool], None] = lambda row, is_snapshot: None
         self.on_tick: list[Callable[[], None]] = [
@@ -179,8 +182,30 @@
         """
         if read_at is None:
             return await self.store.read(table)
-        wait_s = self.wait_s(is_down)
-        return await self.store.changes(table, read_at.number, wait_s=wait_s)
+        wait_s = self.wait_s(table, is_down=is_down)
+        call = self.store.changes(table, read_at.number, wait_s=wait_s)
+        return await self.abandon_when_stale(call)
+
+    async def abandon_when_stale(self, call: Coroutine[Any, Any, Rows]) -> Rows:
+        """Return the response to a call, unless it is held while news are missing.
+
+        A call whose connection no longer works looks like one that the store holds. The
+        difference matters once no other entry has heard of the store either.
+
+        Raises:
+            StoreError: The call failed, or was abandoned.
+        """
+        began = self.age.clock()
+        task = asyncio.create_task(call)
+        try:
+            while not task.done():
+                remaining_s = self.age.remaining_s(began)
+                if remaining_s <= 0.0:
+                    raise StoreError("no recent news of the store during a held call")
+                await asyncio.wait({task}, timeout=remaining_s)
+            return task.result()
+        finally:
+            await end_tasks([task])
 
     def apply(
         self, table: str, rows: Rows, *, is_snapshot: bool, grace_until: float
@@ -219,12 +244,20 @@
         delay_s = RETRY_DELAY_PER_ENTRY_S * self.live_entries()
         return min(MAX_RETRY_DELAY_S, max(FEW_ENTRIES_RETRY_DELAY_S, delay_s))
 
-    def wait_s(self, is_down: bool) -> float:
+    def wait_s(self, table: str, *, is_down: bool) -> float:
         """Return how long the store may hold a call without changes, in seconds.
 
         It is randomized, so that entries do not all call at the same time.
+
+        Args:
+            table: The table.
+            is_down: Whether the last call failed.
         """
         if is_down:
             return WATCH_WAIT_AFTER_FAILURE_S
-        scale = max(1.0, self.live_entries() / CLOSE_WATCHERS)
-        return min(MAX_WATCH_WAIT_S, WATCH_WAIT_S * scale) * random.uniform(0.6, 1.0)
+        if table == CONFIG and self.is_close(CLOSE_WATCHERS):
+            longest_s = CLOSE_WATCH_S
+        else:
+            scale = max(1.0, self.live_entries() / CLOSE_WATCHERS)
+            longest_s = min(MAX_WATCH_WAIT_S, WATCH_WAIT_S * scale)
+        return longest_s * random.uniform(0.6, 1.0)
--- a/packages/skylarkdoord/tests/direct/test_config_age.py
+++ b/packages/skylarkdoord/tests/direct/test_config_age.py
@@ -1,16 +1,28 @@
 """Tests of how an entry keeps its configuration recent without calling often."""
 
+import asyncio
 import math
 
 import pytest
 
-from skylarkdoord.direct import FleetConfig, Row, Service
+from skylarkdoor.wire import pb
+from skylarkdoord.direct import FleetConfig, Row, Rows, Service
 from skylarkdoord.direct import _config_age as config_age
 from skylarkdoord.direct._config_age import ConfigAge
-from skylarkdoord.direct._fleet import CONFIG_KEY, Fleet
+from skylarkdoord.direct._fleet import CONFIG, CONFIG_KEY, UPSTREAMS, Fleet
+from skylarkdoord.direct._members import Members
+from skylarkdoord.direct._quota import Quota
+from skylarkdoord.direct._settings import QuotaBounds
+from skylarkdoord.direct._watch import FleetWatcher
+from skylarkdoord.direct.evidence import Crashes
 
 from ._make import SERVICE, Clock, make_route
 
+# With this many entries, the store may hold a watch call for 9 to 15 s.
+ENTRIES = 34
+# Time after which an entry to which everything is back has to know what is in force.
+CONTACT_S = 4.0
+
 
 class StubAdapter:
     """Decodes the version of a configuration."""
@@ -21,6 +33,39 @@
         return FleetConfig(int(data), (make_route(),), services, ())
 
 
+class Settings:
+    """The one setting that the watcher reads."""
+
+    return_after_s = 60.0
+
+
+class HoldingStore:
+    """A store whose first watch call of each table is never answered.
+
+    Attributes:
+        calls: Number of watch calls.
+    """
+
+    def __init__(self):
+        self.calls = 0
+        self.held = set()
+
+    async def read(self, table):
+        """Return the first version."""
+        return Rows((Row(CONFIG_KEY, 1, b"1"),) if table == CONFIG else (), 1)
+
+    async def changes(self, table, since, *, wait_s):
+        """Hold the first call for ever; return the second version to others."""
+        self.calls += 1
+        if table not in self.held:
+            self.held.add(table)
+            await asyncio.Event().wait()
+        if since < 2:
+            return Rows((Row(CONFIG_KEY, 2, b"2"),) if table == CONFIG else (), 2)
+        await asyncio.sleep(wait_s)
+        return Rows((), 2)
+
+
 def make_fleet():
     """Return a fleet without a configuration."""
     return Fleet(StubAdapter())
@@ -31,6 +76,80 @@
     fleet.apply_config(Row(CONFIG_KEY, version, b"%d" % version), source="store")
 
 
+async def until(condition, timeout_s):
+    """Wait until a condition holds."""
+    async with asyncio.timeout(timeout_s):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+class TestHeldCall:
+    """`FleetWatcher.watch` while the store does not answer a call."""
+
+    # Guards against a replaced configuration that stays in force for as long as the
+    # store may hold a watch call, because its answer never comes.
+    @pytest.mark.parametrize("table", [CONFIG, UPSTREAMS])
+    async def test_never_answered(self, table):
+        """An entry that hears nothing from anybody asks the store again in time."""
+        fleet, store = make_fleet(), HoldingStore()
+        watcher = FleetWatcher(Settings(), fleet, store, live_entries=lambda: ENTRIES)
+        task = asyncio.create_task(watcher.watch(table))
+        await until(lambda: store.calls == 1, CONTACT_S)
+        await until(lambda: store.calls >= 2, CONTACT_S)
+        if table == CONFIG:
+            await until(lambda: fleet.table.config.version == 2, CONTACT_S)
+        task.cancel()
+
+    async def test_vouched_for(self, monkeypatch):
+        """The call goes on while another entry has recent answers of the store."""
+        monkeypatch.setattr(config_age, "MIN_STALE_AFTER_S", 0.2)
+        monkeypatch.setattr(config_age, "CLOSE_WATCH_S", 0.0)
+        fleet, store = make_fleet(), HoldingStore()
+        age = ConfigAge(fleet)
+        watcher = FleetWatcher(Settings(), fleet, store, age=age)
+        task = asyncio.create_task(watcher.watch(CONFIG))
+        await until(lambda: store.calls == 1, CONTACT_S)
+        for _ in range(20):
+            age.on_update(1, 0.0, sent_at=age.clock(), source="b")
+            await asyncio.sleep(0.02)
+        assert store.calls == 1
+        await until(lambda: store.calls >= 2, CONTACT_S)
+        task.cancel()
+
+
+class TestWait:
+    """`FleetWatcher.wait_s`."""
+
+    def test_close_watchers(self):
+        """Few entries watch the configuration closely, all others rarely call."""
+        for is_close, shortest_s, longest_s in ((True, 1.2, 2.0), (False, 9.0, 15.0)):
+            watcher = FleetWatcher(
+                Settings(),
+                make_fleet(),
+                HoldingStore(),
+                live_entries=lambda: ENTRIES,
+                is_close=lambda count, is_close=is_close: is_close,
+            )
+            waits = [watcher.wait_s(CONFIG, is_down=False) for _ in range(50)]
+            assert shortest_s <= min(waits) <= max(waits) <= longest_s
+            assert watcher.wait_s(UPSTREAMS, is_down=False) >= 9.0
+
+    @pytest.mark.parametrize("count", [3, 34, 300])
+    def test_as_many_as_needed(self, count):
+        """The entries agree on which of them watch closely."""
+        names = [f"entry-{number}" for number in range(count)]
+        entries = [
+            Members(name, make_fleet(), Quota(QuotaBounds()), Crashes())
+            for name in names
+        ]
+        for members in entries:
+            for name in names:
+                if name != members.instance:
+                    members.receive(pb.EntryNews(instance=name, incarnation=1))
+        chosen = sum(members.is_chosen(CONFIG, 4) for members in entries)
+        assert chosen == min(count, 4)
+
+
 class TestAge:
     """`ConfigAge`."""
 
