Read a table whose history is lost less and less often

Cause: only a failed call was followed by a delay; a lost history counted as progress. The delay now grows as after failures, from 0.05 s to the limit for the number of entries, until a call for changes succeeds.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_watch.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_watch.py
@@ -127,6 +127,7 @@
     async def watch(self, table: str) -> None:
         """Watch one table until cancelled."""
         backoff = Backoff(max_s=self.max_retry_delay_s())
+        history_backoff = Backoff(max_s=self.max_retry_delay_s())
         read_at: StoreVersion | None = None
         era = 0
         is_down = False
@@ -148,6 +149,8 @@
                 self.apply(
                     table, rows, is_snapshot=read_at is None, grace_until=grace_until
                 )
+                if read_at is not None:
+                    history_backoff.reset()
                 read_at = rows.read_at
                 STORE_CALLS.labels(table, "ok").inc()
                 STORE_ANSWERED.labels(table).set_to_current_time()
@@ -157,6 +160,8 @@
             except HistoryLostError:
                 read_at = None
                 STORE_CALLS.labels(table, "history_lost").inc()
+                history_backoff.max_s = self.max_retry_delay_s()
+                await asyncio.sleep(history_backoff.delay_s())
             except StoreError as error:
                 STORE_CALLS.labels(table, "failed").inc()
                 if not is_down:
--- a/packages/skylarkdoord/tests/direct/test_config_age.py
+++ b/packages/skylarkdoord/tests/direct/test_config_age.py
@@ -15,6 +15,7 @@
 from skylarkdoord.direct._settings import QuotaBounds
 from skylarkdoord.direct._watch import FleetWatcher
 from skylarkdoord.direct.evidence import Crashes
+from skylarkdoord.direct.exceptions import HistoryLostError
 
 from ._make import SERVICE, Clock, make_route
 
@@ -66,6 +67,15 @@
         return Rows((), 2)
 
 
+class ForgetfulStore(HoldingStore):
+    """A store that has no history for as long as the test lasts."""
+
+    async def changes(self, table, since, *, wait_s):
+        """Report that the history is lost."""
+        self.calls += 1
+        raise HistoryLostError("410")
+
+
 def make_fleet():
     """Return a fleet without a configuration."""
     return Fleet(StubAdapter())
@@ -116,6 +126,16 @@
         await until(lambda: store.calls >= 2, CONTACT_S)
         task.cancel()
 
+    # Guards against a store that is read without a pause while it has no history.
+    async def test_no_history(self):
+        """The whole table is read less and less often."""
+        store = ForgetfulStore()
+        watcher = FleetWatcher(Settings(), make_fleet(), store)
+        task = asyncio.create_task(watcher.watch(CONFIG))
+        await asyncio.sleep(1.0)
+        task.cancel()
+        assert 3 <= store.calls <= 8
+
 
 class TestWait:
     """`FleetWatcher.wait_s`."""
