Bound the age after which a configuration is stale in large fleets

The limit grew with the interval of updates, to 133 s with 3,500 entries, though entries send each other a message at least every 3 s. It is 6.5 s at most now, within the 14 s in which a change has to be in force everywhere. The last two cases of test_limit_grows: 87 s gave 132.5 s before.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_config_age.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_config_age.py
@@ -17,6 +17,7 @@
     CONFIG_NEWEST_VERSION,
 )
 from skylarkdoord.direct._model import MS_PER_S
+from skylarkdoord.direct._pace import MAX_HEARTBEAT_S
 
 # Entries whose watch calls for the configuration are short, so that there is always a
 # recent response of the store to pass on.
@@ -84,8 +85,9 @@
 
     def stale_after_s(self) -> float:
         """Return the age above which it may not be the newest, in seconds."""
-        interval_s = STALE_AFTER_INTERVALS * self.update_interval_s()
-        return max(MIN_STALE_AFTER_S, CLOSE_WATCH_S + interval_s)
+        interval_s = min(MAX_HEARTBEAT_S, self.update_interval_s())
+        grown_s = CLOSE_WATCH_S + STALE_AFTER_INTERVALS * interval_s
+        return max(MIN_STALE_AFTER_S, grown_s)
 
     def remaining_s(self, since: float) -> float:
         """Return the time until a call of the store has been held for too long.
--- a/packages/skylarkdoord/tests/direct/test_config_age.py
+++ b/packages/skylarkdoord/tests/direct/test_config_age.py
@@ -237,11 +237,13 @@
         put(fleet, 7)
         assert age.lag_s() == 0.0
 
-    def test_limit_grows(self, age):
+    @pytest.mark.parametrize(
+        ("interval_s", "limit_s"), [(0.2, 3.0), (0.85, 3.275), (3.0, 6.5), (87.0, 6.5)]
+    )
+    def test_limit_grows(self, age, interval_s, limit_s):
         """Where updates come rarely, a longer age is usual."""
-        assert age.stale_after_s() == config_age.MIN_STALE_AFTER_S
-        age.update_interval_s = lambda: 3.0
-        assert age.stale_after_s() == pytest.approx(6.5)
+        age.update_interval_s = lambda: interval_s
+        assert age.stale_after_s() == pytest.approx(limit_s)
 
     def test_logs(self, age, fleet, clock, monkeypatch):
         """There is a line when it falls behind or becomes stale, and one at the end."""
