Withdraw readiness from an entry that hears neither the store nor other entries

Readiness did not depend on how old an entry's knowledge is: an entry that is cut off went on to get new callers with a configuration that may have been replaced. It is not ready after 10 s without the store and without any entry, if there were others that did not close their streams. An outage of the store for all changes nothing, as entries hear each other; neither does a single entry.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_config_age.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_config_age.py
@@ -28,6 +28,8 @@
 # newest. With long intervals between updates, the limit grows with the interval.
 MIN_STALE_AFTER_S = 3.0
 STALE_AFTER_INTERVALS = 1.5
+# An entry that has heard neither the store nor another entry for this long is cut off.
+CUT_OFF_AFTER_S = 10.0
 # Shorter lags are usual, as entries learn of a change at different moments.
 MIN_LOGGED_LAG_S = 1.0
 
@@ -39,6 +41,7 @@
         fleet: Holds the configuration in force.
         update_interval_s: Returns the interval between updates of other entries, in
             seconds.
+        has_lost_entries: Returns whether other entries are silent and none is heard.
         clock: Returns monotonic time that includes time in suspend, in seconds.
 
     Attributes:
@@ -55,10 +58,12 @@
         fleet: Fleet,
         *,
         update_interval_s: Callable[[], float] = lambda: 0.0,
+        has_lost_entries: Callable[[], bool] = lambda: False,
         clock: Callable[[], float] = boot_time_s,
     ) -> None:
         self.fleet = fleet
         self.update_interval_s = update_interval_s
+        self.has_lost_entries = has_lost_entries
         self.clock = clock
         self.confirmed_at = -math.inf
         self.newest = 0
@@ -89,6 +94,13 @@
         grown_s = CLOSE_WATCH_S + STALE_AFTER_INTERVALS * interval_s
         return max(MIN_STALE_AFTER_S, grown_s)
 
+    def is_cut_off(self) -> bool:
+        """Return whether others may have a newer configuration and can't tell.
+
+        While the store is down for all, entries hear of each other.
+        """
+        return self.age_s() > CUT_OFF_AFTER_S and self.has_lost_entries()
+
     def remaining_s(self, since: float) -> float:
         """Return the time until a call of the store has been held for too long.
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
@@ -92,6 +92,13 @@
             member.last_update_at > since for member in self.by_name.values()
         )
 
+    def has_lost_all(self) -> bool:
+        """Return whether other entries are silent and none is heard of."""
+        is_silent = any(
+            not member.has_closed_stream for member in self.by_name.values()
+        )
+        return is_silent and self.live_count() == 1
+
     def sharing_count(self) -> int:
         """Return how many entries may use a budget for all, including this one.
 
