--- a/packages/skylarkdoord/src/skylarkdoord/direct/_watch.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_watch.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 from skylarkdoor import events
-from skylarkdoor.backoff import Backoff
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.tasks import end_tasks
 from skylarkdoord import _events
@@ -17,6 +16,7 @@
 from skylarkdoord.direct._fleet import CONFIG, UPSTREAMS, Fleet
 from skylarkdoord.direct._metrics import STORE_ANSWERED, STORE_CALLS
 from skylarkdoord.direct._settings import DirectSettings
+from skylarkdoord.direct._watch_progress import WatchProgress
 from skylarkdoord.direct.exceptions import HistoryLostError, StoreError
 
 # Longest wait of a watch call with up to `CLOSE_WATCHERS` entries.
@@ -126,50 +126,42 @@
 
     async def watch(self, table: str) -> None:
         """Watch one table until cancelled."""
-        backoff = Backoff(max_s=self.max_retry_delay_s())
-        history_backoff = Backoff(max_s=self.max_retry_delay_s())
-        read_at: StoreVersion | None = None
-        era = 0
-        is_down = False
-        grace_until = 0.0
+        progress = WatchProgress(self.max_retry_delay_s())
         while True:
             try:
-                rows = await self.next_rows(table, read_at, is_down=is_down)
-                if read_at is not None and rows.era != read_at.era:
-                    # Changes of another era do not continue what was read before.
-                    raise HistoryLostError(f"the store is in era {rows.era}")
-                if rows.era != era:
-                    era = rows.era
-                    grace_until = time.monotonic() + self.return_after_s
-                self.unreadable.discard(table)
-                if is_down:
-                    is_down = False
-                    grace_until = time.monotonic() + self.return_after_s
-                    self.log.event(_events.STORE_REGAINED, table=table)
-                self.apply(
-                    table, rows, is_snapshot=read_at is None, grace_until=grace_until
+                rows = await self.next_rows(
+                    table, progress.read_at, is_down=progress.is_down
                 )
-                if read_at is not None:
-                    history_backoff.reset()
-                read_at = rows.read_at
-                STORE_CALLS.labels(table, "ok").inc()
-                STORE_ANSWERED.labels(table).set_to_current_time()
-                backoff.reset()
+                progress.check_era(rows)
+                self.on_answer(table, progress, rows)
                 if rows.rows:
                     await asyncio.sleep(self.pause_s(table))
             except HistoryLostError:
-                read_at = None
                 STORE_CALLS.labels(table, "history_lost").inc()
-                history_backoff.max_s = self.max_retry_delay_s()
-                await asyncio.sleep(history_backoff.delay_s())
+                delay_s = progress.on_history_lost(self.max_retry_delay_s())
+                await asyncio.sleep(delay_s)
             except StoreError as error:
                 STORE_CALLS.labels(table, "failed").inc()
-                if not is_down:
+                if not progress.is_down:
                     self.log.event(_events.STORE_LOST, table=table, error=str(error))
-                is_down = True
                 self.unreadable.add(table)
-                backoff.max_s = self.max_retry_delay_s()
-                await asyncio.sleep(backoff.delay_s())
+                await asyncio.sleep(progress.on_failure(self.max_retry_delay_s()))
+
+    def on_answer(self, table: str, progress: WatchProgress, rows: Rows) -> None:
+        """Apply an answer of the store and record that it answered."""
+        self.unreadable.discard(table)
+        if progress.is_down:
+            self.log.event(_events.STORE_REGAINED, table=table)
+        progress.on_answer(rows, grace_until=time.monotonic() + self.return_after_s)
+        self.apply(
+            table,
+            rows,
+            is_snapshot=progress.read_at is None,
+            grace_until=progress.grace_until,
+        )
+        progress.on_applied(rows)
+        STORE_CALLS.labels(table, "ok").inc()
+        STORE_ANSWERED.labels(table).set_to_current_time()
 
     async def next_rows(
         self, table: str, read_at: StoreVersion | None, *, is_down: bool
