Order configurations by the operator's version

Callers saw entries that stayed at an older configuration while others had the newer one.

Cause: rows of the configuration were ordered by their place in the store's history, the era first. After the store came back from a copy, an entry that read version 4 there (era 1, row 90) counted as newer than one that held version 5 (era 0, row 100). It did not request version 5, was sent nothing had it asked, and would have ignored the row. The entry with version 5 requested version 4 with every update. Both lasted until the operator wrote again.

Change: the operator's version decides, in Fleet.apply_config, Members.is_behind, Members.newer_rows and RowsWanted. The place in the history only decides between rows of one version, whose contents now come into force if they differ; before, the row was replaced and the routing table kept. A row whose contents are in force, or were not put in force when they came last, is not decoded again. A row that can't be decoded is not requested again from entries that state it: with the old order, too, it was requested with every update.

Ruled out: ranking by number only. Two contents of one version, which an operator that comes back from a copy may write, would differ among entries for ever.

An entry of the former release states no version. It is still sent newer rows, but its own are requested only by entries that have no configuration.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
@@ -392,10 +392,12 @@
             used=self.members.quota.report_used(),
             age_ms=self.members.age_ms(),
             knows_past=self.members.quota.covers_window(),
+            config_number=fleet.config_version.number,
         )
         if request_from and self.members.is_behind(request_from):
             update.wanted.config_since = fleet.config_at.number
             update.wanted.config_era = fleet.config_at.era
+            update.wanted.config_number = fleet.config_version.number
             update.wanted.upstreams_since = fleet.upstreams_at.number
             update.wanted.upstreams_era = fleet.upstreams_at.era
         return update
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_fleet.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_fleet.py
@@ -1,6 +1,7 @@
 """Keeps the configuration in force and the rows of all upstreams."""
 
 import time
+from collections import deque
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
@@ -9,7 +10,7 @@
 from skylarkdoord import _events
 from skylarkdoord.direct._adapter import Adapter, Row, Rows, StoreVersion
 from skylarkdoord.direct._metrics import CONFIG_VERSION
-from skylarkdoord.direct._model import UpstreamRecord
+from skylarkdoord.direct._model import FleetConfig, UpstreamRecord
 from skylarkdoord.direct._table import RoutingTable
 from skylarkdoord.direct.exceptions import (
     FleetUnknownError,
@@ -19,6 +20,35 @@
 CONFIG = "config"
 UPSTREAMS = "upstreams"
 CONFIG_KEY = "config"
+# Rows of the configuration whose rejection is remembered.
+MAX_REJECTED_CONFIGS = 16
+
+
+class ConfigVersion(NamedTuple):
+    """Order of configurations; a newer one is greater.
+
+    The operator's number decides. A row that the store states later may be of an older
+    copy, so its place in the store's history only decides between rows of one number.
+
+    Attributes:
+        number: The operator's version; 0 if there is none.
+        changed_at: Point in the store's history at which the row was written.
+    """
+
+    number: int = 0
+    changed_at: StoreVersion = StoreVersion()
+
+
+class UnusedConfig(NamedTuple):
+    """Contents of a row of the configuration that is not in force.
+
+    Attributes:
+        data: The contents.
+        number: The operator's version; None if the contents can't be decoded.
+    """
+
+    data: bytes
+    number: int | None
 
 
 class CachedRow(NamedTuple):
@@ -83,6 +113,10 @@
     Attributes:
         config_row: Row of the configuration in force; None if none was received.
         routing: Routing table of that configuration; None if none was received.
+        unused_config: The latest configuration that was not put in force, kept so that
+            the same contents are decoded once; None if there was none.
+        rejected_configs: Points in the store's history of rows that can't be decoded,
+            received since a row of the configuration in force.
         cached_rows: Newest row of each upstream, by key; removed ones are kept.
         is_read: Whether the whole table of upstreams has been read.
         latest_at: Upstream that started last at each address, also if it was removed.
@@ -96,6 +130,8 @@
         self.adapter = adapter
         self.config_row: Row | None = None
         self.routing: RoutingTable | None = None
+        self.unused_config: UnusedConfig | None = None
+        self.rejected_configs: deque[StoreVersion] = deque(maxlen=MAX_REJECTED_CONFIGS)
         self.cached_rows: dict[str, CachedRow] = {}
         self.is_read = False
         self.latest_at: dict[str, UpstreamRecord] = {}
@@ -121,6 +157,12 @@
         """Point in the store's history at which the configuration was written."""
         return self.config_row.changed_at if self.config_row else StoreVersion()
 
+    @property
+    def config_version(self) -> ConfigVersion:
+        """Version of the configuration in force, to compare it with others."""
+        number = self.routing.config.version if self.routing else 0
+        return ConfigVersion(number, self.config_at)
+
     def upstreams(self, service: str) -> Iterator[UpstreamRecord]:
         """Yield the upstreams of a service that accept new requests."""
         for cached in self.cached_rows.values():
@@ -147,25 +189,68 @@
     def apply_config(self, row: Row, *, source: str) -> None:
         """Put a configuration in force unless the current one is as new or newer.
 
+        The operator's version decides, so that a store that comes back from an older
+        copy changes nothing.
+
         Args:
             row: The configuration's row.
             source: Origin of the row, for logs.
         """
-        if row.key != CONFIG_KEY or row.data is None:
-            return
-        if row.changed_at <= self.config_at:
+        if row.key != CONFIG_KEY or row.data is None or self.is_known_config(row):
             return
         try:
             config = self.adapter.decode_config(row.data)
         except Exception as error:
+            self.unused_config = UnusedConfig(row.data, None)
+            self.rejected_configs.append(row.changed_at)
             self.log_rejected(row, error)
             return
-        current = self.routing.config.version if self.routing else None
-        if current is not None and config.version < current:
+        if ConfigVersion(config.version, row.changed_at) <= self.config_version:
+            self.unused_config = UnusedConfig(row.data, config.version)
             return
+        self.set_config_row(row)
+        if self.routing is None or config != self.routing.config:
+            self.put_in_force(config, source)
+
+    def is_known_config(self, row: Row) -> bool:
+        """Return whether a row changes nothing, without decoding its contents.
+
+        A row that has the contents in force only changes when they were written last.
+        """
+        current, unused = self.config_row, self.unused_config
+        if current is not None and row.data == current.data:
+            if row.changed_at > current.changed_at:
+                self.set_config_row(row)
+            return True
+        if unused is not None and row.data == unused.data:
+            return self.is_unused(unused.number, row.changed_at)
+        # Within an era, rows are written in the order of the operator's versions.
+        return (
+            current is not None
+            and row.era == current.era
+            and row.version <= current.version
+        )
+
+    def is_unused(self, number: int | None, changed_at: StoreVersion) -> bool:
+        """Return whether contents that were not put in force stay unused.
+
+        Args:
+            number: The operator's version; None if the contents can't be decoded.
+            changed_at: Point in the store's history of a row with these contents.
+        """
+        if number is not None:
+            return ConfigVersion(number, changed_at) <= self.config_version
+        if changed_at not in self.rejected_configs:
+            self.rejected_configs.append(changed_at)
+        return True
+
+    def set_config_row(self, row: Row) -> None:
+        """Replace the row of the configuration in force."""
         self.config_row = row
-        if config.version == current:
-            return
+        self.rejected_configs.clear()
+
+    def put_in_force(self, config: FleetConfig, source: str) -> None:
+        """Replace the configuration in force and call the listeners."""
         self.routing = RoutingTable(config)
         CONFIG_VERSION.set(config.version)
         self.log.event(
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_member.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_member.py
@@ -5,6 +5,7 @@
 
 from skylarkdoor.wire import pb
 from skylarkdoord.direct._adapter import StoreVersion
+from skylarkdoord.direct._fleet import ConfigVersion
 from skylarkdoord.direct._model import MS_PER_S
 
 
@@ -24,8 +25,8 @@
         several: Services of which it has told that they had several versions.
         has_closed_stream: Whether its stream was closed rather than timed out.
         used: Units that it reported as used since its start, by customer.
-        config_at: Point in the store's history of its configuration's row.
-        upstreams_at: Latest such point of its upstreams' rows.
+        config: Version of its configuration.
+        upstreams_at: Latest point in the store's history of its upstreams' rows.
         behind_since: Monotonic time since which this process has older rows than
             the entry, in seconds; 0 if it does not.
     """
@@ -39,7 +40,7 @@
     several: set[str] = field(default_factory=set)
     has_closed_stream: bool = False
     used: dict[str, float] = field(default_factory=dict)
-    config_at: StoreVersion = field(default_factory=StoreVersion)
+    config: ConfigVersion = field(default_factory=ConfigVersion)
     upstreams_at: StoreVersion = field(default_factory=StoreVersion)
     behind_since: float = 0.0
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
@@ -10,7 +10,7 @@
 from skylarkdoor.hashing import rendezvous
 from skylarkdoor.wire import pb
 from skylarkdoord.direct._adapter import Row, StoreVersion
-from skylarkdoord.direct._fleet import CONFIG, UPSTREAMS, Fleet
+from skylarkdoord.direct._fleet import CONFIG, UPSTREAMS, ConfigVersion, Fleet
 from skylarkdoord.direct._member import Member
 from skylarkdoord.direct._model import MS_PER_S
 from skylarkdoord.direct._pace import MAX_HEARTBEAT_S
@@ -230,7 +230,10 @@
         )
         self.streams.merge(update.streams)
         self.streams.history.check_pending()
-        member.config_at = StoreVersion(update.config_era, update.config_version)
+        member.config = ConfigVersion(
+            update.config_number,
+            StoreVersion(update.config_era, update.config_version),
+        )
         member.upstreams_at = StoreVersion(
             update.upstreams_era, update.upstreams_version
         )
@@ -274,7 +277,7 @@
         if member is None:
             return False
         newer = (
-            member.config_at > self.fleet.config_at
+            self.lacks_config_of(member)
             or member.upstreams_at > self.fleet.upstreams_at
         )
         now = self.clock()
@@ -284,6 +287,16 @@
             member.behind_since = now
         return newer and now - member.behind_since >= LAG_TOLERANCE_S
 
+    def lacks_config_of(self, member: Member) -> bool:
+        """Return whether another entry has a newer configuration that this one takes.
+
+        One that this entry can't decode is not requested again.
+        """
+        return (
+            member.config > self.fleet.config_version
+            and member.config.changed_at not in self.fleet.rejected_configs
+        )
+
     def apply_rows(self, rows: list[pb.StoreRow], source: str) -> None:
         """Apply rows that another entry sent.
 
@@ -305,9 +318,12 @@
         """Return the rows that are newer than the versions in a request."""
         rows = []
         config = self.fleet.config_row
-        config_since = StoreVersion(requested.config_era, requested.config_since)
+        known = ConfigVersion(
+            requested.config_number,
+            StoreVersion(requested.config_era, requested.config_since),
+        )
         since = StoreVersion(requested.upstreams_era, requested.upstreams_since)
-        if config is not None and config.changed_at > config_since:
+        if config is not None and self.fleet.config_version > known:
             rows.append(to_wire(CONFIG, config))
         rows += [
             to_wire(UPSTREAMS, cached.row)
--- a/packages/skylarkdoord/tests/direct/test_members.py
+++ b/packages/skylarkdoord/tests/direct/test_members.py
@@ -4,8 +4,10 @@
 
 from skylarkdoor.clock import boot_time_s
 from skylarkdoor.wire import pb
+from skylarkdoord.direct import FleetConfig, Row
 from skylarkdoord.direct._fleet import Fleet
 from skylarkdoord.direct._members import (
+    LAG_TOLERANCE_S,
     LIVE_TIMEOUT_S,
     SILENT_RETENTION_S,
     Members,
@@ -13,6 +15,7 @@
 from skylarkdoord.direct._quota import Quota
 from skylarkdoord.direct._settings import QuotaBounds
 from skylarkdoord.direct.evidence import Crashes
+from skylarkdoord.direct.exceptions import RowError
 
 from ._make import Clock, make_admitted, make_customer, make_request
 
@@ -157,3 +160,84 @@
         """Its clock counts the time in suspend."""
         members = Members("a", Fleet(None), Quota(QuotaBounds()), Crashes())
         assert members.clock is boot_time_s
+
+
+class StubAdapter:
+    """Decodes configurations that consist of their version."""
+
+    def decode_config(self, data):
+        """Return an empty configuration."""
+        if data == b"spoilt":
+            raise RowError("version: expected a whole number")
+        return FleetConfig(int(data), (), {}, ())
+
+
+class TestConfig:
+    """Configurations of other entries, which may be of other eras of the store."""
+
+    @pytest.fixture
+    def clock(self):
+        """Return a clock that the test sets."""
+        return Clock()
+
+    @pytest.fixture
+    def members(self, clock):
+        """Return an entry that has version 4, read in the second era."""
+        fleet = Fleet(StubAdapter())
+        fleet.apply_config(Row("config", 90, b"4", 1), source="store")
+        return Members("y", fleet, Quota(QuotaBounds()), Crashes(), clock=clock)
+
+    @staticmethod
+    def is_behind(members, clock, number, changed_at):
+        """Return whether the entry still lacks a version after the tolerance."""
+        era, version = changed_at
+        update = pb.EntryNews(
+            instance="x",
+            incarnation=1,
+            config_number=number,
+            config_era=era,
+            config_version=version,
+        )
+        members.receive(update)
+        members.is_behind("x")
+        clock.now += 2 * LAG_TOLERANCE_S
+        return members.is_behind("x")
+
+    # Guards against an entry that stays at the version of an older copy of the store.
+    def test_order(self, members, clock):
+        """The operator's version decides, then the time at which it was written."""
+        assert self.is_behind(members, clock, 5, (0, 100))
+        assert self.is_behind(members, clock, 4, (1, 91))
+        assert not self.is_behind(members, clock, 4, (1, 90))
+        assert not self.is_behind(members, clock, 4, (0, 100))
+        assert not self.is_behind(members, clock, 3, (2, 7))
+
+    # Guards against an entry that sends no rows to one that has read an older copy.
+    def test_rows(self, members):
+        """An entry sends its configuration if it is newer by the operator's version."""
+
+        def sent(number, changed_at):
+            era, version = changed_at
+            requested = pb.RowsWanted(
+                config_number=number, config_era=era, config_since=version
+            )
+            return [row.data for row in members.newer_rows(requested)]
+
+        assert sent(3, (2, 7)) == [b"4"]
+        assert sent(4, (0, 100)) == [b"4"]
+        assert sent(4, (1, 90)) == []
+        assert sent(5, (0, 100)) == []
+
+    # Guards against requests for ever for contents that this entry can't decode.
+    def test_rejected(self, members, clock):
+        """A configuration that can't be decoded is not requested again."""
+        for changed_at in ((1, 95), (2, 7)):
+            assert self.is_behind(members, clock, 5, changed_at)
+            era, version = changed_at
+            row = pb.StoreRow(
+                table="config", key="config", version=version, era=era, data=b"spoilt"
+            )
+            members.apply_rows([row], "x")
+            assert not self.is_behind(members, clock, 5, changed_at)
+        assert not self.is_behind(members, clock, 5, (1, 95))
+        assert self.is_behind(members, clock, 6, (2, 9))
--- a/packages/skylarkdoord/tests/direct/test_store_history.py
+++ b/packages/skylarkdoord/tests/direct/test_store_history.py
@@ -130,6 +130,7 @@
         requested = pb.RowsWanted(
             config_since=fleet.config_at.number,
             config_era=fleet.config_at.era,
+            config_number=fleet.config_version.number,
             upstreams_since=fleet.upstreams_at.number,
             upstreams_era=fleet.upstreams_at.era,
         )
--- a/packages/skylarkdoord/tests/direct/test_streams.py
+++ b/packages/skylarkdoord/tests/direct/test_streams.py
@@ -249,6 +249,15 @@
         await until(lambda: not list(b.fleet.upstreams(SERVICE)))
         assert b.fleet.table.config.version == 6
 
+    # Guards against an older configuration that stays because its row's era is later.
+    async def test_older_copy(self, entries):
+        """An entry that reads a copy of the store gets the newer version of another."""
+        x, y = await entries("x", "y")
+        x.fleet.apply_config(Row("config", 100, b"5"), source="store")
+        y.fleet.apply_config(Row("config", 90, b"4", 1), source="store")
+        await until(lambda: y.fleet.table.config.version == 5)
+        assert x.fleet.table.config.version == 5
+
     async def test_store_down_at_start(self, entries):
         """An entry that starts during an outage of the store joins after it."""
         (a,) = await entries("a")
