Request a missed configuration as soon as another entry tells of it

Callers saw entries that served requests by a replaced configuration although the others had told them of a newer one.

Cause: whether an entry is behind another was asked only while it built an update for that one, and only the second such update, 0.3 s or more after the first, requested rows. With 34 entries an update is sent every 0.85 s, so a missed change took up to three intervals. The request went to every entry that was ahead, at the same moment, and each sent its whole configuration of tens of kilobytes.

Change: an update that states a newer configuration starts a timer of 0.3 s. When it expires, one entry of those with the newest version is asked, by an update of its own, and another one after 0.7 s without the configuration. An entry bounds what it sends: it answers no further request while the answers before take more than 0.5 s at 500 kB/s.

Rows of upstreams are requested as before, from each entry that is ahead and with the regular updates, but in the first update after 0.3 s rather than the second one. These requests name the receiver's own configuration, so it is not sent with them. An entry of the former release, which states no version of the operator's, gets the configuration by the row's place.

Ruled out: asking for rows of upstreams one entry at a time as well. Entries get these rows out of order, by broadcasts, so one that is ahead may lack a row that another one has.

Open: how soon an entry hears of a newer version still depends on the interval of the others' updates, which grows with their number.

Run red before the change: test_missed_change of test_streams, in which the entry that is behind sends no updates of its own (timed out after 20 s). Green now: tests/direct and tests/adapter/test_store_era.py.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
@@ -26,6 +26,7 @@
 )
 from skylarkdoord import _events
 from skylarkdoord.direct._adapter import Row, Store
+from skylarkdoord.direct._config_requests import ConfigRequests
 from skylarkdoord.direct._fleet import UPSTREAMS
 from skylarkdoord.direct._link import Link, run_stream
 from skylarkdoord.direct._members import Members, to_wire
@@ -78,6 +79,7 @@
         self.peer = peer
         self.is_outbound = bool(peer)
         self.instance = ""
+        self.wants_config = False
         self.has_sent_totals = False
         self.suspicions_sent = 0
         self.limits_sent = 0
@@ -87,7 +89,10 @@
         return []
 
     def batch(self, messages: list[pb.EntryNews]) -> pb.EntryNews:
-        update = self.exchange.build_update(request_from=self.instance)
+        update = self.exchange.build_update(
+            request_from=self.instance, wants_config=self.wants_config
+        )
+        self.wants_config = False
         is_first = not self.has_sent_totals
         if is_first:
             self.has_sent_totals = True
@@ -119,6 +124,7 @@
         for part in self.exchange.parts:
             part.receive(batch)
         self.exchange.members.apply_rows(list(batch.rows), batch.instance)
+        self.exchange.config_requests.on_update(batch.instance)
         if batch.HasField("wanted"):
             rows = self.exchange.members.newer_rows(batch.wanted)
             self.outbox().put(pb.EntryNews(rows=rows))
@@ -127,6 +133,10 @@
             self.outbox().put(pb.EntryNews(streams=streams))
         self.exchange.opening.discard(self.peer)
 
+    def request_config(self) -> None:
+        self.wants_config = True
+        self.outbox().wake()
+
     def on_open(self) -> None:
         self.exchange.outboxes.add(self.outbox())
         wanted = self.exchange.members.streams.wanted()
@@ -135,6 +145,7 @@
 
     def on_lost(self, *, is_silent: bool) -> None:
         self.exchange.outboxes.discard(self.outbox())
+        self.wants_config = False
         self.has_sent_totals = False
         self.suspicions_sent = 0
         self.limits_sent = 0
@@ -166,6 +177,7 @@
         peers: Open streams by name of the other entry.
         unreported: Set when use has to be reported at once.
         parts: Further parts of updates.
+        config_requests: Requests a newer configuration from the other entries.
         row_lost: Set when the store may have lost this entry's row.
     """
 
@@ -185,6 +197,9 @@
         self.outboxes: set[Outbox[pb.EntryNews]] = set()
         self.peers: dict[str, _EntryStream] = {}
         self.parts: list[UpdatePart] = []
+        self.config_requests = ConfigRequests(
+            members.fleet, members.by_name, self.peers
+        )
         self.unreported = asyncio.Event()
         self.row_lost = asyncio.Event()
         self.pace = Pace(lambda: entry_heartbeat_s(members.update_interval_s()))
@@ -210,6 +225,7 @@
     async def stop(self) -> None:
         """Stop the tasks, remove this entry's row and close the listener."""
         await end_tasks(self.tasks)
+        self.config_requests.stop()
         try:
             await self.store.remove(MEMBERS, self.settings.instance)
         except StoreError as error:
@@ -373,12 +389,15 @@
             pass
         self.unreported.clear()
 
-    def build_update(self, *, request_from: str = "") -> pb.EntryNews:
+    def build_update(
+        self, *, request_from: str = "", wants_config: bool = False
+    ) -> pb.EntryNews:
         """Return the update to send.
 
         Args:
-            request_from: Name of the receiving entry; its newer rows are requested if
-                this entry is behind it.
+            request_from: Name of the receiving entry; its newer rows of upstreams are
+                requested if this entry is behind it.
+            wants_config: Whether its configuration is requested as well.
         """
         fleet = self.members.fleet
         update = pb.EntryNews(
@@ -394,12 +413,9 @@
             knows_past=self.members.quota.covers_window(),
             config_number=fleet.config_version.number,
         )
-        if request_from and self.members.is_behind(request_from):
-            update.wanted.config_since = fleet.config_at.number
-            update.wanted.config_era = fleet.config_at.era
-            update.wanted.config_number = fleet.config_version.number
-            update.wanted.upstreams_since = fleet.upstreams_at.number
-            update.wanted.upstreams_era = fleet.upstreams_at.era
+        wanted = self.members.rows_wanted(request_from, wants_config=wants_config)
+        if wanted is not None:
+            update.wanted.CopyFrom(wanted)
         return update
 
     async def Exchange(  # noqa: N802
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_member.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_member.py
@@ -27,8 +27,8 @@
         used: Units that it reported as used since its start, by customer.
         config: Version of its configuration.
         upstreams_at: Latest point in the store's history of its upstreams' rows.
-        behind_since: Monotonic time since which this process has older rows than
-            the entry, in seconds; 0 if it does not.
+        behind_since: Monotonic time at which the entry last began to state newer rows
+            of upstreams than this process has, in seconds.
     """
 
     instance: str
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
@@ -10,6 +10,7 @@
 from skylarkdoor.hashing import rendezvous
 from skylarkdoor.wire import pb
 from skylarkdoord.direct._adapter import Row, StoreVersion
+from skylarkdoord.direct._config_requests import LAG_TOLERANCE_S, SendLimit
 from skylarkdoord.direct._fleet import CONFIG, UPSTREAMS, ConfigVersion, Fleet
 from skylarkdoord.direct._member import Member
 from skylarkdoord.direct._model import MS_PER_S
@@ -32,9 +33,6 @@
 # An entry that stopped sending updates is assumed to go on using its share of the
 # customers' limits for this long.
 SILENT_RETENTION_S = 30.0
-# Rows that another entry has had for longer than this were missed by this entry's
-# own watch of the store and are requested from that entry.
-LAG_TOLERANCE_S = 0.3
 MAX_INCARNATION = 2**63
 
 
@@ -77,6 +75,7 @@
         self.streams = streams or StreamVersions(fleet)
         self.fleet = fleet
         self.quota = quota
+        self.config_limit = SendLimit(clock)
         self.by_name: dict[str, Member] = {}
         self.started = self.clock()
         self.listed = 0
@@ -234,9 +233,12 @@
             update.config_number,
             StoreVersion(update.config_era, update.config_version),
         )
+        was_behind = member.upstreams_at > self.fleet.upstreams_at
         member.upstreams_at = StoreVersion(
             update.upstreams_era, update.upstreams_version
         )
+        if not was_behind:
+            member.behind_since = self.clock()
 
     def add(self, update: pb.EntryNews) -> Member:
         """Add an entry, or replace it by its new incarnation.
@@ -271,30 +273,32 @@
         if member is not None:
             member.has_closed_stream = not is_silent
 
-    def is_behind(self, instance: str) -> bool:
-        """Return whether another entry has had newer rows for longer than tolerated."""
-        member = self.by_name.get(instance)
-        if member is None:
+    def is_behind(self, member: Member) -> bool:
+        """Return whether another entry has had newer rows of upstreams for some time.
+
+        This entry's own watch of the store should have returned them.
+        """
+        if member.upstreams_at <= self.fleet.upstreams_at:
             return False
-        newer = (
-            self.lacks_config_of(member)
-            or member.upstreams_at > self.fleet.upstreams_at
-        )
-        now = self.clock()
-        if not newer:
-            member.behind_since = 0.0
-        elif not member.behind_since:
-            member.behind_since = now
-        return newer and now - member.behind_since >= LAG_TOLERANCE_S
+        return self.clock() - member.behind_since >= LAG_TOLERANCE_S
 
-    def lacks_config_of(self, member: Member) -> bool:
-        """Return whether another entry has a newer configuration that this one takes.
+    def rows_wanted(self, instance: str, *, wants_config: bool) -> pb.RowsWanted | None:
+        """Return the request for rows to send to another entry; None if there is none.
 
-        One that this entry can't decode is not requested again.
+        Args:
+            instance: Name of the other entry.
+            wants_config: Whether its configuration is requested, if it is newer.
         """
-        return (
-            member.config > self.fleet.config_version
-            and member.config.changed_at not in self.fleet.rejected_configs
+        member = self.by_name.get(instance)
+        if member is None or not (wants_config or self.is_behind(member)):
+            return None
+        config = self.fleet.config_version if wants_config else member.config
+        return pb.RowsWanted(
+            config_number=config.number,
+            config_since=config.changed_at.number,
+            config_era=config.changed_at.era,
+            upstreams_since=self.fleet.upstreams_at.number,
+            upstreams_era=self.fleet.upstreams_at.era,
         )
 
     def apply_rows(self, rows: list[pb.StoreRow], source: str) -> None:
@@ -317,13 +321,9 @@
     def newer_rows(self, requested: pb.RowsWanted) -> list[pb.StoreRow]:
         """Return the rows that are newer than the versions in a request."""
         rows = []
-        config = self.fleet.config_row
-        known = ConfigVersion(
-            requested.config_number,
-            StoreVersion(requested.config_era, requested.config_since),
-        )
+        config = self.requested_config(requested)
         since = StoreVersion(requested.upstreams_era, requested.upstreams_since)
-        if config is not None and self.fleet.config_version > known:
+        if config is not None:
             rows.append(to_wire(CONFIG, config))
         rows += [
             to_wire(UPSTREAMS, cached.row)
@@ -332,6 +332,24 @@
         ]
         return rows
 
+    def requested_config(self, requested: pb.RowsWanted) -> Row | None:
+        """Return the configuration's row if a request is to be answered with it.
+
+        An entry of a release that doesn't state the operator's version goes by the
+        row's place in the store's history.
+        """
+        row = self.fleet.config_row
+        if row is None or row.data is None:
+            return None
+        own = self.fleet.config_version
+        changed_at = StoreVersion(requested.config_era, requested.config_since)
+        number = requested.config_number
+        if not number and changed_at != StoreVersion():
+            number = own.number
+        if own <= ConfigVersion(number, changed_at):
+            return None
+        return row if self.config_limit.allows(len(row.data)) else None
+
 
 def to_wire(table: str, row: Row) -> pb.StoreRow:
     """Return a row as a message between entries."""
--- a/packages/skylarkdoord/tests/direct/test_streams.py
+++ b/packages/skylarkdoord/tests/direct/test_streams.py
@@ -18,6 +18,7 @@
 from skylarkdoord.direct._guarded_streams import GuardedStreams
 from skylarkdoord.direct._guards import Guards
 from skylarkdoord.direct._members import Members
+from skylarkdoord.direct._pace import HEARTBEAT_S
 from skylarkdoord.direct._quota import Quota
 from skylarkdoord.direct._scheduler import Scheduler
 from skylarkdoord.direct._settings import QuotaBounds
@@ -258,6 +259,21 @@
         await until(lambda: y.fleet.table.config.version == 5)
         assert x.fleet.table.config.version == 5
 
+    # Guards against a missed change that waits for updates of this entry's own.
+    async def test_missed_change(self, entries):
+        """An entry gets a change from another without sending updates meanwhile."""
+        x, y = await entries("x", "y")
+        await until(lambda: x.members.live_count() == y.members.live_count() == 2)
+        for entry in (x, y):
+            entry.members.update_interval_s = lambda: 3600.0
+            entry.exchange.pace.interval_s = lambda: 3600.0
+            entry.exchange.pace.silence_timeout_s = lambda: 3600.0
+        # Intervals that began before end.
+        await asyncio.sleep(1.5 * HEARTBEAT_S)
+        x.fleet.apply_config(Row("config", 5, b"12"), source="store")
+        x.exchange.send_update("y")
+        await until(lambda: y.fleet.config_at == (0, 5))
+
     async def test_store_down_at_start(self, entries):
         """An entry that starts during an outage of the store joins after it."""
         (a,) = await entries("a")
