--- a/packages/skylarkdoord/tests/direct/test_members.py
+++ b/packages/skylarkdoord/tests/direct/test_members.py
@@ -4,6 +4,7 @@
 
 from skylarkdoor.clock import boot_time_s
 from skylarkdoor.wire import pb
+from skylarkdoord.direct import FleetConfig, Row
 from skylarkdoord.direct._fleet import Fleet
 from skylarkdoord.direct._members import (
     LIVE_TIMEOUT_S,
@@ -197,3 +198,53 @@
         """Its clock counts the time in suspend."""
         members = Members("a", Fleet(None), Quota(QuotaBounds()), Crashes())
         assert members.clock is boot_time_s
+
+
+class StubAdapter:
+    """Decodes configurations that consist of their version."""
+
+    def decode_config(self, data):
+        """Return an empty configuration."""
+        return FleetConfig(int(data), (), {}, ())
+
+
+class TestConfig:
+    """Configurations of other entries, which may be of other eras of the store."""
+
+    @pytest.fixture
+    def members(self):
+        """Return an entry that has version 4, read in the second era."""
+        fleet = Fleet(StubAdapter())
+        fleet.apply_config(Row("config", 90, b"4", 1), source="store")
+        return Members("y", fleet, Quota(QuotaBounds()), Crashes())
+
+    # Guards against an entry that sends no rows to one that has read an older copy.
+    def test_rows(self, members):
+        """An entry sends its configuration if it is newer by the operator's version."""
+
+        def sent(number, changed_at):
+            era, version = changed_at
+            requested = pb.RowsWanted(
+                config_number=number, config_era=era, config_since=version
+            )
+            return [row.data for row in members.newer_rows(requested)]
+
+        assert sent(3, (2, 7)) == [b"4"]
+        assert sent(4, (0, 100)) == [b"4"]
+        assert sent(4, (1, 90)) == []
+        assert sent(5, (0, 100)) == []
+        # An entry of the former release states no version of the operator's.
+        assert sent(0, (1, 89)) == [b"4"]
+        assert sent(0, (1, 90)) == []
+
+    def test_unwanted(self, members):
+        """A request for rows of upstreams alone asks for no configuration."""
+        update = pb.EntryNews(instance="x", config_number=5, config_version=100)
+        update.upstreams_version = 7
+        members.receive(update)
+        assert members.rows_wanted("x", wants_config=False) is None
+        members.by_name["x"].behind_since -= 1.0
+        wanted = members.rows_wanted("x", wants_config=False)
+        assert (wanted.config_number, wanted.config_since) == (5, 100)
+        wanted = members.rows_wanted("x", wants_config=True)
+        assert (wanted.config_number, wanted.config_since) == (4, 90)
