--- a/packages/skylarkdoord/src/skylarkdoord/direct/_watch.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_watch.py
@@ -3,28 +3,27 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Coroutine, Iterable
 from functools import partial
+from typing import Any
 
 from skylarkdoor import events
-from skylarkdoor.backoff import Backoff
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.tasks import end_tasks
 from skylarkdoord import _events
 from skylarkdoord.direct._adapter import Row, Rows, Store, StoreVersion
+from skylarkdoord.direct._config_age import CLOSE_WATCH_S, CLOSE_WATCHERS, ConfigAge
 from skylarkdoord.direct._fleet import CONFIG, UPSTREAMS, Fleet
-from skylarkdoord.direct._metrics import STORE_CALLS
+from skylarkdoord.direct._metrics import STORE_ANSWERED, STORE_CALLS
 from skylarkdoord.direct._settings import DirectSettings
+from skylarkdoord.direct._watch_progress import WatchProgress
 from skylarkdoord.direct.exceptions import HistoryLostError, StoreError
 
-# Longest wait of a watch call with up to `CLOSE_WATCHERS` entries; bounds how long a
-# dead connection stays undetected.
+# Longest wait of a watch call with up to `CLOSE_WATCHERS` entries.
 WATCH_WAIT_S = 4.0
 TICK_S = 0.2
 # With more entries than this, the wait of each grows in proportion to their number, as
-# one entry that sees a change sends it to all. Only this many entries, the first by
-# name, watch upstreams with short pauses.
-CLOSE_WATCHERS = 4
+# one entry that sees a change sends it to all.
 MAX_WATCH_WAIT_S = 15.0
 # Pause after a change, in proportion to the live entries, so that changes in quick
 # succession come in one response.
@@ -36,8 +35,9 @@
 MIN_NOTIFIED_PAUSE_S = 1.2
 MAX_NOTIFIED_PAUSE_S = 3.0
 NOTIFIED_PAUSE_PER_ENTRY_S = 0.04
-# Shorter wait after a failure, to detect the store's recovery early.
-WATCH_WAIT_AFTER_FAILURE_S = 1.0
+# Short wait after a failure, so that a response soon tells what has changed meanwhile.
+# Without a wait, a store that fails only held calls would be called without a pause.
+WATCH_WAIT_AFTER_FAILURE_S = 0.3
 # Longest delay of a retry with few entries. It grows with the live entries as well, up
 # to `MAX_RETRY_DELAY_S`, as they send an entry the rows that it can't read itself.
 FEW_ENTRIES_RETRY_DELAY_S = 0.5
@@ -54,6 +54,9 @@
         store: The platform's store.
         live_entries: Returns how many entries watch the store.
         position: Returns how many live entries precede this one by name.
+        age: Tells how long ago the store vouched for the configuration in force.
+        is_close: Returns whether this entry is one of a number of live entries, which
+            watch the configuration closely.
 
     Attributes:
         on_changes: Called with the changed rows of upstreams.
@@ -75,12 +78,19 @@
         *,
         live_entries: Callable[[], int] = lambda: 1,
         position: Callable[[], int] = lambda: 0,
+        age: ConfigAge | None = None,
+        is_close: Callable[[int], bool] = lambda count: True,
     ) -> None:
         self.live_entries = live_entries
         self.position = position
+        self.age = age or ConfigAge(fleet)
+        self.is_close = is_close
         self.on_changes: Callable[[Iterable[Row]], None] = lambda rows: None
         self.on_config_row: Callable[[Row, bool], None] = lambda row, is_snapshot: None
-        self.on_tick: list[Callable[[], None]] = [fleet.remove_expired]
+        self.on_tick: list[Callable[[], None]] = [
+            fleet.remove_expired,
+            self.age.check,
+        ]
         self.return_after_s = settings.return_after_s
         self.fleet = fleet
         self.store = store
@@ -116,44 +126,42 @@
 
     async def watch(self, table: str) -> None:
         """Watch one table until cancelled."""
-        backoff = Backoff(max_s=self.max_retry_delay_s())
-        read_at: StoreVersion | None = None
-        era = 0
-        is_down = False
-        grace_until = 0.0
+        progress = WatchProgress(self.max_retry_delay_s())
         while True:
             try:
-                rows = await self.next_rows(table, read_at, is_down=is_down)
-                if read_at is not None and rows.era != read_at.era:
-                    # Changes of another era do not continue what was read before.
-                    raise HistoryLostError(f"the store is in era {rows.era}")
-                if rows.era != era:
-                    era = rows.era
-                    grace_until = time.monotonic() + self.return_after_s
-                self.unreadable.discard(table)
-                if is_down:
-                    is_down = False
-                    grace_until = time.monotonic() + self.return_after_s
-                    self.log.event(_events.STORE_REGAINED, table=table)
-                self.apply(
-                    table, rows, is_snapshot=read_at is None, grace_until=grace_until
+                rows = await self.next_rows(
+                    table, progress.read_at, is_down=progress.is_down
                 )
-                read_at = rows.read_at
-                STORE_CALLS.labels(table, "ok").inc()
-                backoff.reset()
+                progress.check_era(rows)
+                self.on_answer(table, progress, rows)
                 if rows.rows:
                     await asyncio.sleep(self.pause_s(table))
             except HistoryLostError:
-                read_at = None
                 STORE_CALLS.labels(table, "history_lost").inc()
+                delay_s = progress.on_history_lost(self.max_retry_delay_s())
+                await asyncio.sleep(delay_s)
             except StoreError as error:
                 STORE_CALLS.labels(table, "failed").inc()
-                if not is_down:
+                if not progress.is_down:
                     self.log.event(_events.STORE_LOST, table=table, error=str(error))
-                is_down = True
                 self.unreadable.add(table)
-                backoff.max_s = self.max_retry_delay_s()
-                await asyncio.sleep(backoff.delay_s())
+                await asyncio.sleep(progress.on_failure(self.max_retry_delay_s()))
+
+    def on_answer(self, table: str, progress: WatchProgress, rows: Rows) -> None:
+        """Apply an answer of the store and record that it answered."""
+        self.unreadable.discard(table)
+        if progress.is_down:
+            self.log.event(_events.STORE_REGAINED, table=table)
+        progress.on_answer(rows, grace_until=time.monotonic() + self.return_after_s)
+        self.apply(
+            table,
+            rows,
+            is_snapshot=progress.read_at is None,
+            grace_until=progress.grace_until,
+        )
+        progress.on_applied(rows)
+        STORE_CALLS.labels(table, "ok").inc()
+        STORE_ANSWERED.labels(table).set_to_current_time()
 
     async def next_rows(
         self, table: str, read_at: StoreVersion | None, *, is_down: bool
@@ -171,8 +179,30 @@
         """
         if read_at is None:
             return await self.store.read(table)
-        wait_s = self.wait_s(is_down)
-        return await self.store.changes(table, read_at.number, wait_s=wait_s)
+        wait_s = self.wait_s(table, is_down=is_down)
+        call = self.store.changes(table, read_at.number, wait_s=wait_s)
+        return await self.abandon_when_stale(call)
+
+    async def abandon_when_stale(self, call: Coroutine[Any, Any, Rows]) -> Rows:
+        """Return the response to a call, unless it is held while news are missing.
+
+        A call whose connection no longer works looks like one that the store holds. The
+        difference matters once no other entry has heard of the store either.
+
+        Raises:
+            StoreError: The call failed, or was abandoned.
+        """
+        began = self.age.clock()
+        task = asyncio.create_task(call)
+        try:
+            while not task.done():
+                remaining_s = self.age.remaining_s(began)
+                if remaining_s <= 0.0:
+                    raise StoreError("no recent news of the store during a held call")
+                await asyncio.wait({task}, timeout=remaining_s)
+            return task.result()
+        finally:
+            await end_tasks([task])
 
     def apply(
         self, table: str, rows: Rows, *, is_snapshot: bool, grace_until: float
@@ -190,6 +220,7 @@
             for row in rows.rows:
                 self.fleet.apply_config(row, source="store")
                 self.on_config_row(row, is_snapshot)
+            self.age.on_store_answer()
         elif is_snapshot:
             self.fleet.apply_snapshot(rows, grace_until=grace_until)
         else:
@@ -210,12 +241,20 @@
         delay_s = RETRY_DELAY_PER_ENTRY_S * self.live_entries()
         return min(MAX_RETRY_DELAY_S, max(FEW_ENTRIES_RETRY_DELAY_S, delay_s))
 
-    def wait_s(self, is_down: bool) -> float:
+    def wait_s(self, table: str, *, is_down: bool) -> float:
         """Return how long the store may hold a call without changes, in seconds.
 
         It is randomized, so that entries do not all call at the same time.
+
+        Args:
+            table: The table.
+            is_down: Whether the last call failed.
         """
         if is_down:
             return WATCH_WAIT_AFTER_FAILURE_S
-        scale = max(1.0, self.live_entries() / CLOSE_WATCHERS)
-        return min(MAX_WATCH_WAIT_S, WATCH_WAIT_S * scale) * random.uniform(0.6, 1.0)
+        if table == CONFIG and self.is_close(CLOSE_WATCHERS):
+            longest_s = CLOSE_WATCH_S
+        else:
+            scale = max(1.0, self.live_entries() / CLOSE_WATCHERS)
+            longest_s = min(MAX_WATCH_WAIT_S, WATCH_WAIT_S * scale)
+        return longest_s * random.uniform(0.6, 1.0)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -1,5 +1,7 @@
 """Assembles the services of an entry that calls upstreams itself."""
 
+from functools import partial
+
 from skylarkdoor.kernel import Kernel
 from skylarkdoord._drain import Drain
 from skylarkdoord._retry_limiter import RetryLimiter
@@ -10,9 +12,10 @@
     UpstreamClient,
 )
 from skylarkdoord.direct._callers import CallerServer
+from skylarkdoord.direct._config_age import ConfigAge
 from skylarkdoord.direct._data_centres import LeaveCosts
 from skylarkdoord.direct._exchange import EntryExchange
-from skylarkdoord.direct._fleet import Fleet
+from skylarkdoord.direct._fleet import CONFIG, Fleet
 from skylarkdoord.direct._forward import ForwarderDependencies
 from skylarkdoord.direct._guarded_streams import GuardedStreams
 from skylarkdoord.direct._guards import Guards
@@ -62,7 +65,12 @@
     limits = UpstreamLimits(settings.instance, find=fleet.find)
     fleet.on_upstreams.append(limits.drop_removed)
     streams = StreamVersions(fleet, is_first_start=settings.first_start)
-    members = Members(settings.instance, fleet, quota, crashes, limits, streams)
+    age = ConfigAge(fleet)
+    members = Members(
+        settings.instance, fleet, quota, crashes, limits, streams, age=age
+    )
+    age.update_interval_s = members.update_interval_s
+    age.has_lost_entries = members.has_lost_all
     limits.share_of = members.limit_share
     crashes.on_down = upstreams.on_down
     crashes.requests.is_trial_owner = members.owns
@@ -117,6 +125,8 @@
         store,
         live_entries=members.live_count,
         position=members.position,
+        age=age,
+        is_close=partial(members.is_chosen, CONFIG),
     )
     exchange = EntryExchange(settings, store, members)
     crashes.is_registry_down = watcher.is_registry_down
@@ -160,6 +170,7 @@
         kernel.register(rollouts)
     kernel.register(guards)
     callers = CallerServer(settings, fleet, dependencies)
+    callers.is_cut_off = age.is_cut_off
     kernel.register(callers)
 
     def apply(changed: DirectSettings) -> None:
