State to other entries only the store's answers to this one

The age of a configuration that an entry heard from another was passed on. An update that always takes a while seems to be received as it is sent, so each time it was passed on took the delay of the network off the age.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_config_age.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_config_age.py
@@ -1,7 +1,9 @@
 """How long ago the store vouched for the configuration in force.
 
 The store vouches for it with each response about the table of the configuration.
-Entries pass that on in their updates, so that only a few of them have to ask often.
+Entries state in their updates when it last did so to themselves, so that only a few of
+them have to ask often. What they hear from each other they don't pass on: each time
+would add the delay of the network, and among many entries the age would hardly grow.
 """
 
 import math
@@ -45,8 +47,11 @@
         clock: Returns monotonic time that includes time in suspend, in seconds.
 
     Attributes:
-        confirmed_at: Monotonic time at which the store last stated that this
-            configuration is the newest, in seconds; minus infinity if it never did.
+        answered_at: Monotonic time at which the store last stated this to this entry,
+            in seconds; minus infinity if it never did.
+        confirmed_at: Monotonic time at which the store last stated, to this or another
+            entry, that this configuration is the newest, in seconds; minus infinity if
+            it never did.
         newest: Newest version of which this entry has heard.
         source: Name of the entry that told of it first, or the store's.
         behind_since: Monotonic time since which a newer version than the one in force
@@ -65,6 +70,7 @@
         self.update_interval_s = update_interval_s
         self.has_lost_entries = has_lost_entries
         self.clock = clock
+        self.answered_at = -math.inf
         self.confirmed_at = -math.inf
         self.newest = 0
         self.source = ""
@@ -84,8 +90,11 @@
         return self.clock() - self.confirmed_at
 
     def age_ms(self) -> int | None:
-        """Return the age for other entries, in milliseconds; None if it is unknown."""
-        age_s = self.age_s()
+        """Return the age for other entries, in milliseconds; None if it is unknown.
+
+        It is the time since the store last answered this entry.
+        """
+        age_s = self.clock() - self.answered_at
         return int(age_s * MS_PER_S) if math.isfinite(age_s) else None
 
     def stale_after_s(self) -> float:
@@ -115,7 +124,7 @@
         """Record that the store has stated every change up to now."""
         if self.fleet.has_rejected_config:
             return
-        self.confirmed_at = self.clock()
+        self.answered_at = self.confirmed_at = self.clock()
 
     def on_update(
         self, version: int, age_s: float | None, *, sent_at: float, source: str
--- a/packages/skylarkdoord/tests/direct/test_config_age.py
+++ b/packages/skylarkdoord/tests/direct/test_config_age.py
@@ -209,6 +209,36 @@
         age.on_update(version, 1.0, sent_at=clock.now - 0.5, source="b")
         assert age.age_s() == pytest.approx(expected_s)
 
+    def test_not_passed_on(self, age, clock):
+        """Other entries are told of the store's answers to this entry alone."""
+        age.on_update(5, 0.0, sent_at=clock.now, source="b")
+        assert age.age_ms() is None
+        age.on_store_answer()
+        clock.now += 2.0
+        age.on_update(5, 0.0, sent_at=clock.now, source="b")
+        assert (age.age_s(), age.age_ms()) == (0.0, 2000)
+
+    # Guards against entries that vouch for each other long after the store's last word.
+    def test_circle(self, clock):
+        """The age grows as fast as time passes, however often entries repeat it."""
+        ages = []
+        for _ in range(2):
+            fleet = make_fleet()
+            put(fleet, 5)
+            ages.append(ConfigAge(fleet, clock=clock))
+        began = clock.now
+        ages[0].on_store_answer()
+        # The delay of the network is not known to the receiver.
+        delay_s, interval_s = 0.04, 0.06
+        for sender, receiver in (ages, ages[::-1]) * 25:
+            clock.now += interval_s - delay_s
+            age_ms = sender.age_ms()
+            clock.now += delay_s
+            age_s = None if age_ms is None else age_ms / 1000
+            receiver.on_update(5, age_s, sent_at=clock.now, source="b")
+        assert clock.now - began == pytest.approx(3.0)
+        assert min(age.age_s() for age in ages) > 2.9
+
     def test_latest_word(self, age, clock):
         """An older word does not make it older again."""
         age.on_store_answer()
