Shorten held calls of an entry to which no other vouches

With a healthy store, an entry for which nobody vouched gave up each held call of both tables after 3.3 s: one of a new release while the chosen entries are of a former one, or every entry while a version is refused. Each counted as an outage: store_lost and store_regained, and a grace period in which removed upstreams stay in use.

test_close_watchers now has an entry that vouches, which long waits rely on; the bounds are the same. test_nobody_vouches failed before.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_config_age.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_config_age.py
@@ -52,6 +52,8 @@
         confirmed_at: Monotonic time at which the store last stated, to this or another
             entry, that this configuration is the newest, in seconds; minus infinity if
             it never did.
+        heard_at: Monotonic time of the latest such statement to another entry of which
+            this one has heard, in seconds; minus infinity if there was none.
         newest: Newest version of which this entry has heard.
         source: Name of the entry that told of it first, or the store's.
         behind_since: Monotonic time since which a newer version than the one in force
@@ -72,6 +74,7 @@
         self.clock = clock
         self.answered_at = -math.inf
         self.confirmed_at = -math.inf
+        self.heard_at = -math.inf
         self.newest = 0
         self.source = ""
         self.behind_since: float | None = None
@@ -103,6 +106,18 @@
         grown_s = CLOSE_WATCH_S + STALE_AFTER_INTERVALS * interval_s
         return max(MIN_STALE_AFTER_S, grown_s)
 
+    def is_stale(self) -> bool:
+        """Return whether nobody has vouched for it recently."""
+        return self.age_s() > self.stale_after_s()
+
+    def relies_on_itself(self) -> bool:
+        """Return whether no other entry has vouched for it recently.
+
+        The others may be of a release that doesn't, or have no version in common with
+        this entry.
+        """
+        return self.clock() - self.heard_at > self.stale_after_s()
+
     def is_cut_off(self) -> bool:
         """Return whether others may have a newer configuration and can't tell.
 
@@ -145,7 +160,8 @@
             if self.behind_since is None:
                 self.behind_since = self.clock()
         elif version == self.version and version and age_s is not None:
-            self.confirmed_at = max(self.confirmed_at, sent_at - age_s)
+            self.heard_at = max(self.heard_at, sent_at - age_s)
+            self.confirmed_at = max(self.confirmed_at, self.heard_at)
 
     def on_applied(self) -> None:
         """Record that a configuration has come into force."""
@@ -180,7 +196,7 @@
                 source=self.source,
                 age_s=self.logged_age_s(),
             )
-        is_stale = self.age_s() > self.stale_after_s()
+        is_stale = self.is_stale()
         if is_stale == self.is_stale_logged:
             return
         self.is_stale_logged = is_stale
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_watch.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_watch.py
@@ -38,6 +38,9 @@
 # Short wait after a failure, so that a response soon tells what has changed meanwhile.
 # Without a wait, a store that fails only held calls would be called without a pause.
 WATCH_WAIT_AFTER_FAILURE_S = 0.3
+# Time before a call would be given up at which the store is asked to answer it, so that
+# a slow answer is awaited.
+HOLD_MARGIN_S = 1.0
 # Longest delay of a retry with few entries. It grows with the live entries as well, up
 # to `MAX_RETRY_DELAY_S`, as they send an entry the rows that it can't read itself.
 FEW_ENTRIES_RETRY_DELAY_S = 0.5
@@ -265,4 +268,7 @@
         else:
             scale = max(1.0, self.live_entries() / CLOSE_WATCHERS)
             longest_s = min(MAX_WATCH_WAIT_S, WATCH_WAIT_S * scale)
+        if self.age.relies_on_itself() and (table == CONFIG or self.age.is_stale()):
+            # No other entry's word keeps the call from being given up.
+            longest_s = min(longest_s, self.age.stale_after_s() - HOLD_MARGIN_S)
         return longest_s * random.uniform(0.6, 1.0)
--- a/packages/skylarkdoord/tests/direct/test_config_age.py
+++ b/packages/skylarkdoord/tests/direct/test_config_age.py
@@ -13,7 +13,7 @@
 from skylarkdoord.direct._members import Members
 from skylarkdoord.direct._quota import Quota
 from skylarkdoord.direct._settings import QuotaBounds
-from skylarkdoord.direct._watch import FleetWatcher
+from skylarkdoord.direct._watch import HOLD_MARGIN_S, FleetWatcher
 from skylarkdoord.direct.evidence import Crashes
 from skylarkdoord.direct.exceptions import HistoryLostError
 
@@ -140,19 +140,50 @@
 class TestWait:
     """`FleetWatcher.wait_s`."""
 
+    @staticmethod
+    def make_watcher(*, is_close):
+        """Return the watcher of an entry among many, and the age that it goes by."""
+        fleet = make_fleet()
+        put(fleet, 5)
+        age = ConfigAge(fleet, update_interval_s=lambda: 0.85, clock=Clock())
+        watcher = FleetWatcher(
+            Settings(),
+            fleet,
+            HoldingStore(),
+            live_entries=lambda: ENTRIES,
+            age=age,
+            is_close=lambda count: is_close,
+        )
+        return watcher, age
+
+    @staticmethod
+    def waits(watcher, table):
+        """Return the waits of some calls in ascending order."""
+        return sorted(watcher.wait_s(table, is_down=False) for _ in range(50))
+
     def test_close_watchers(self):
         """Few entries watch the configuration closely, all others rarely call."""
         for is_close, shortest_s, longest_s in ((True, 1.2, 2.0), (False, 9.0, 15.0)):
-            watcher = FleetWatcher(
-                Settings(),
-                make_fleet(),
-                HoldingStore(),
-                live_entries=lambda: ENTRIES,
-                is_close=lambda count, is_close=is_close: is_close,
-            )
-            waits = [watcher.wait_s(CONFIG, is_down=False) for _ in range(50)]
-            assert shortest_s <= min(waits) <= max(waits) <= longest_s
-            assert watcher.wait_s(UPSTREAMS, is_down=False) >= 9.0
+            watcher, age = self.make_watcher(is_close=is_close)
+            age.on_update(5, 1.0, sent_at=age.clock(), source="b")
+            waits = self.waits(watcher, CONFIG)
+            assert shortest_s <= waits[0] <= waits[-1] <= longest_s
+            assert self.waits(watcher, UPSTREAMS)[0] >= 9.0
+
+    # Guards against calls that are given up again and again beside entries of a release
+    # that doesn't vouch: each counts as an outage of the store.
+    def test_nobody_vouches(self):
+        """An entry that relies on its own calls lets none be held until it is stale."""
+        watcher, age = self.make_watcher(is_close=False)
+        age.on_store_answer()
+        longest_s = age.stale_after_s() - HOLD_MARGIN_S
+        assert self.waits(watcher, CONFIG)[-1] <= longest_s
+        # The answers about the configuration keep this call from being given up.
+        assert self.waits(watcher, UPSTREAMS)[0] >= 9.0
+        age.clock.now += age.stale_after_s() + 0.1
+        assert self.waits(watcher, UPSTREAMS)[-1] <= longest_s
+        age.on_update(5, 0.0, sent_at=age.clock(), source="b")
+        assert self.waits(watcher, CONFIG)[0] >= 9.0
 
     @pytest.mark.parametrize("count", [3, 34, 300])
     def test_as_many_as_needed(self, count):
