Keep the last entry ready if the others were lost long before the store

An entry that had ever lost another one without a closed stream, such as by the loss of its machine, counted as parted from it for ever. Only entries that fell silent as the store did, or later, count now. test_gone_before failed before; the others of its class pass a time that counts every silence.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_config_age.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_config_age.py
@@ -43,7 +43,8 @@
         fleet: Holds the configuration in force.
         update_interval_s: Returns the interval between updates of other entries, in
             seconds.
-        has_lost_entries: Returns whether other entries are silent and none is heard.
+        has_lost_entries: Returns whether other entries fell silent since a monotonic
+            time and none is heard.
         clock: Returns monotonic time that includes time in suspend, in seconds.
 
     Attributes:
@@ -65,7 +66,7 @@
         fleet: Fleet,
         *,
         update_interval_s: Callable[[], float] = lambda: 0.0,
-        has_lost_entries: Callable[[], bool] = lambda: False,
+        has_lost_entries: Callable[[float], bool] = lambda since: False,
         clock: Callable[[], float] = boot_time_s,
     ) -> None:
         self.fleet = fleet
@@ -121,9 +122,12 @@
     def is_cut_off(self) -> bool:
         """Return whether others may have a newer configuration and can't tell.
 
-        While the store is down for all, entries hear of each other.
+        While the store is down for all, entries hear of each other. One that fell
+        silent while the store still vouched is gone, and has nothing newer.
         """
-        return self.age_s() > CUT_OFF_AFTER_S and self.has_lost_entries()
+        if self.age_s() <= CUT_OFF_AFTER_S:
+            return False
+        return self.has_lost_entries(self.confirmed_at)
 
     def remaining_s(self, since: float) -> float:
         """Return the time until a call of the store has been held for too long.
