--- a/packages/skylarkdoord/src/skylarkdoord/direct/_config_age.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_config_age.py
@@ -1,7 +1,9 @@
 """How long ago the store vouched for the configuration in force.
 
 The store vouches for it with each response about the table of the configuration.
-Entries pass that on in their updates, so that only a few of them have to ask often.
+Entries state in their updates when it last did so to themselves, so that only a few of
+them have to ask often. What they hear from each other they don't pass on: each time
+would add the delay of the network, and among many entries the age would hardly grow.
 """
 
 import math
@@ -41,12 +43,18 @@
         fleet: Holds the configuration in force.
         update_interval_s: Returns the interval between updates of other entries, in
             seconds.
-        has_lost_entries: Returns whether other entries are silent and none is heard.
+        has_lost_entries: Returns whether other entries fell silent since a monotonic
+            time and none is heard.
         clock: Returns monotonic time that includes time in suspend, in seconds.
 
     Attributes:
-        confirmed_at: Monotonic time at which the store last stated that this
-            configuration is the newest, in seconds; minus infinity if it never did.
+        answered_at: Monotonic time at which the store last stated this to this entry,
+            in seconds; minus infinity if it never did.
+        confirmed_at: Monotonic time at which the store last stated, to this or another
+            entry, that this configuration is the newest, in seconds; minus infinity if
+            it never did.
+        heard_at: Monotonic time of the latest such statement to another entry of which
+            this one has heard, in seconds; minus infinity if there was none.
         newest: Newest version of which this entry has heard.
         source: Name of the entry that told of it first, or the store's.
         behind_since: Monotonic time since which a newer version than the one in force
@@ -58,14 +66,16 @@
         fleet: Fleet,
         *,
         update_interval_s: Callable[[], float] = lambda: 0.0,
-        has_lost_entries: Callable[[], bool] = lambda: False,
+        has_lost_entries: Callable[[float], bool] = lambda since: False,
         clock: Callable[[], float] = boot_time_s,
     ) -> None:
         self.fleet = fleet
         self.update_interval_s = update_interval_s
         self.has_lost_entries = has_lost_entries
         self.clock = clock
+        self.answered_at = -math.inf
         self.confirmed_at = -math.inf
+        self.heard_at = -math.inf
         self.newest = 0
         self.source = ""
         self.behind_since: float | None = None
@@ -84,8 +94,11 @@
         return self.clock() - self.confirmed_at
 
     def age_ms(self) -> int | None:
-        """Return the age for other entries, in milliseconds; None if it is unknown."""
-        age_s = self.age_s()
+        """Return the age for other entries, in milliseconds; None if it is unknown.
+
+        It is the time since the store last answered this entry.
+        """
+        age_s = self.clock() - self.answered_at
         return int(age_s * MS_PER_S) if math.isfinite(age_s) else None
 
     def stale_after_s(self) -> float:
@@ -94,12 +107,27 @@
         grown_s = CLOSE_WATCH_S + STALE_AFTER_INTERVALS * interval_s
         return max(MIN_STALE_AFTER_S, grown_s)
 
+    def is_stale(self) -> bool:
+        """Return whether nobody has vouched for it recently."""
+        return self.age_s() > self.stale_after_s()
+
+    def relies_on_itself(self) -> bool:
+        """Return whether no other entry has vouched for it recently.
+
+        The others may be of a release that doesn't, or have no version in common with
+        this entry.
+        """
+        return self.clock() - self.heard_at > self.stale_after_s()
+
     def is_cut_off(self) -> bool:
         """Return whether others may have a newer configuration and can't tell.
 
-        While the store is down for all, entries hear of each other.
+        While the store is down for all, entries hear of each other. One that fell
+        silent while the store still vouched is gone, and has nothing newer.
         """
-        return self.age_s() > CUT_OFF_AFTER_S and self.has_lost_entries()
+        if self.age_s() <= CUT_OFF_AFTER_S:
+            return False
+        return self.has_lost_entries(self.confirmed_at)
 
     def remaining_s(self, since: float) -> float:
         """Return the time until a call of the store has been held for too long.
@@ -115,7 +143,7 @@
         """Record that the store has stated every change up to now."""
         if self.fleet.has_rejected_newer():
             return
-        self.confirmed_at = self.clock()
+        self.answered_at = self.confirmed_at = self.clock()
 
     def on_update(
         self, version: int, age_s: float | None, *, sent_at: float, source: str
@@ -136,7 +164,8 @@
             if self.behind_since is None:
                 self.behind_since = self.clock()
         elif version == self.version and version and age_s is not None:
-            self.confirmed_at = max(self.confirmed_at, sent_at - age_s)
+            self.heard_at = max(self.heard_at, sent_at - age_s)
+            self.confirmed_at = max(self.confirmed_at, self.heard_at)
 
     def on_applied(self) -> None:
         """Record that a configuration has come into force."""
@@ -171,7 +200,7 @@
                 source=self.source,
                 age_s=self.logged_age_s(),
             )
-        is_stale = self.age_s() > self.stale_after_s()
+        is_stale = self.is_stale()
         if is_stale == self.is_stale_logged:
             return
         self.is_stale_logged = is_stale
--- a/packages/skylarkdoord/tests/direct/test_config_age.py
+++ b/packages/skylarkdoord/tests/direct/test_config_age.py
@@ -13,7 +13,7 @@
 from skylarkdoord.direct._members import Members
 from skylarkdoord.direct._quota import Quota
 from skylarkdoord.direct._settings import QuotaBounds
-from skylarkdoord.direct._watch import FleetWatcher
+from skylarkdoord.direct._watch import HOLD_MARGIN_S, FleetWatcher
 from skylarkdoord.direct.evidence import Crashes
 from skylarkdoord.direct.exceptions import HistoryLostError
 
@@ -140,19 +140,50 @@
 class TestWait:
     """`FleetWatcher.wait_s`."""
 
+    @staticmethod
+    def make_watcher(*, is_close):
+        """Return the watcher of an entry among many, and the age that it goes by."""
+        fleet = make_fleet()
+        put(fleet, 5)
+        age = ConfigAge(fleet, update_interval_s=lambda: 0.85, clock=Clock())
+        watcher = FleetWatcher(
+            Settings(),
+            fleet,
+            HoldingStore(),
+            live_entries=lambda: ENTRIES,
+            age=age,
+            is_close=lambda count: is_close,
+        )
+        return watcher, age
+
+    @staticmethod
+    def waits(watcher, table):
+        """Return the waits of some calls in ascending order."""
+        return sorted(watcher.wait_s(table, is_down=False) for _ in range(50))
+
     def test_close_watchers(self):
         """Few entries watch the configuration closely, all others rarely call."""
         for is_close, shortest_s, longest_s in ((True, 1.2, 2.0), (False, 9.0, 15.0)):
-            watcher = FleetWatcher(
-                Settings(),
-                make_fleet(),
-                HoldingStore(),
-                live_entries=lambda: ENTRIES,
-                is_close=lambda count, is_close=is_close: is_close,
-            )
-            waits = [watcher.wait_s(CONFIG, is_down=False) for _ in range(50)]
-            assert shortest_s <= min(waits) <= max(waits) <= longest_s
-            assert watcher.wait_s(UPSTREAMS, is_down=False) >= 9.0
+            watcher, age = self.make_watcher(is_close=is_close)
+            age.on_update(5, 1.0, sent_at=age.clock(), source="b")
+            waits = self.waits(watcher, CONFIG)
+            assert shortest_s <= waits[0] <= waits[-1] <= longest_s
+            assert self.waits(watcher, UPSTREAMS)[0] >= 9.0
+
+    # Guards against calls that are given up again and again beside entries of a release
+    # that doesn't vouch: each counts as an outage of the store.
+    def test_nobody_vouches(self):
+        """An entry that relies on its own calls lets none be held until it is stale."""
+        watcher, age = self.make_watcher(is_close=False)
+        age.on_store_answer()
+        longest_s = age.stale_after_s() - HOLD_MARGIN_S
+        assert self.waits(watcher, CONFIG)[-1] <= longest_s
+        # The answers about the configuration keep this call from being given up.
+        assert self.waits(watcher, UPSTREAMS)[0] >= 9.0
+        age.clock.now += age.stale_after_s() + 0.1
+        assert self.waits(watcher, UPSTREAMS)[-1] <= longest_s
+        age.on_update(5, 0.0, sent_at=age.clock(), source="b")
+        assert self.waits(watcher, CONFIG)[0] >= 9.0
 
     @pytest.mark.parametrize("count", [3, 34, 300])
     def test_as_many_as_needed(self, count):
@@ -209,6 +240,36 @@
         age.on_update(version, 1.0, sent_at=clock.now - 0.5, source="b")
         assert age.age_s() == pytest.approx(expected_s)
 
+    def test_not_passed_on(self, age, clock):
+        """Other entries are told of the store's answers to this entry alone."""
+        age.on_update(5, 0.0, sent_at=clock.now, source="b")
+        assert age.age_ms() is None
+        age.on_store_answer()
+        clock.now += 2.0
+        age.on_update(5, 0.0, sent_at=clock.now, source="b")
+        assert (age.age_s(), age.age_ms()) == (0.0, 2000)
+
+    # Guards against entries that vouch for each other long after the store's last word.
+    def test_circle(self, clock):
+        """The age grows as fast as time passes, however often entries repeat it."""
+        ages = []
+        for _ in range(2):
+            fleet = make_fleet()
+            put(fleet, 5)
+            ages.append(ConfigAge(fleet, clock=clock))
+        began = clock.now
+        ages[0].on_store_answer()
+        # The delay of the network is not known to the receiver.
+        delay_s, interval_s = 0.04, 0.06
+        for sender, receiver in (ages, ages[::-1]) * 25:
+            clock.now += interval_s - delay_s
+            age_ms = sender.age_ms()
+            clock.now += delay_s
+            age_s = None if age_ms is None else age_ms / 1000
+            receiver.on_update(5, age_s, sent_at=clock.now, source="b")
+        assert clock.now - began == pytest.approx(3.0)
+        assert min(age.age_s() for age in ages) > 2.9
+
     def test_latest_word(self, age, clock):
         """An older word does not make it older again."""
         age.on_store_answer()
@@ -248,11 +309,11 @@
     def test_cut_off(self, age, clock):
         """It is cut off if neither the store nor another entry was heard for long."""
         age.on_store_answer()
-        age.has_lost_entries = lambda: True
+        age.has_lost_entries = lambda since: since == age.confirmed_at
         assert not age.is_cut_off()
         clock.now += config_age.CUT_OFF_AFTER_S + 0.1
         assert age.is_cut_off()
-        age.has_lost_entries = lambda: False
+        age.has_lost_entries = lambda since: False
         assert not age.is_cut_off()
 
     def test_logs(self, age, fleet, clock, monkeypatch):
