Fetch the failure of a stream's side that ends as the stream is cancelled

Cause: run_duplex cancels reader, writer and overflow as it is cancelled itself (a link given up for the other entry's, a process that stops), and raises its own cancellation without fetching theirs. grpclib's recv_message answers a cancellation with StreamTerminatedError where the connection is lost at that moment, so asyncio writes "Task exception was never retrieved" and a traceback that ends in "raise self._error", "StreamTerminatedError: Connection lost", bare on standard error.

Change: tasks that are ended together count as fetched, also if the caller is cancelled meanwhile.

The two new tests were red before.

Ruled out: a process that ends by it; the failure of a task that nobody fetches is only printed.

--- a/packages/skylarkdoor/src/skylarkdoor/_tasks.py
+++ b/packages/skylarkdoor/src/skylarkdoor/_tasks.py
@@ -9,8 +9,14 @@
 
 
 async def end_tasks(tasks: Iterable[asyncio.Task[Any]]) -> None:
-    """Cancel tasks and wait until all of them have ended, however they end."""
+    """Cancel tasks and wait until all of them have ended, however they end.
+
+    Their failures count as fetched, also those of tasks that end after the caller was
+    cancelled itself.
+    """
     pending = set(tasks)
+    for task in pending:
+        task.add_done_callback(failure)
     while pending:
         for task in pending:
             task.cancel()
--- a/packages/skylarkdoor/src/skylarkdoor/wire/_duplex.py
+++ b/packages/skylarkdoor/src/skylarkdoor/wire/_duplex.py
@@ -4,6 +4,7 @@
 from collections.abc import Coroutine
 from typing import Any
 
+from skylarkdoor import events
 from skylarkdoor.tasks import end_tasks, failure
 from skylarkdoor.wire._connection_errors import CONNECTION_LOST_ERRORS
 from skylarkdoor.wire._outbox import Outbox
@@ -17,7 +18,8 @@
     """Read and write until either ends, or the peer reads messages too slowly.
 
     A task group would not do: if it is cancelled as one of its tasks fails, it raises
-    the failure, and a loop that connects again would go on.
+    the failure, and a loop that connects again would go on. A fault of the program is
+    logged in that case.
 
     Args:
         read: Receives messages.
@@ -31,14 +33,29 @@
         Exception: A message could not be handled.
     """
     tasks = [
-        asyncio.create_task(side) for side in (read, write, outbox.wait_for_overflow())
+        asyncio.create_task(read, name="duplex.read"),
+        asyncio.create_task(write, name="duplex.write"),
+        asyncio.create_task(outbox.wait_for_overflow(), name="duplex.overflow"),
     ]
     try:
         await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-    finally:
+    except asyncio.CancelledError:
         await end_tasks(tasks)
+        _log_faults(tasks)
+        raise
+    await end_tasks(tasks)
     errors = [error for error in map(failure, tasks) if isinstance(error, Exception)]
     # A fault of the program is told before the loss of the connection.
     errors.sort(key=lambda error: isinstance(error, CONNECTION_LOST_ERRORS))
     if errors:
         raise errors[0]
+
+
+def _log_faults(tasks: list[asyncio.Task[None]]) -> None:
+    for task in tasks:
+        error = failure(task)
+        is_fault = isinstance(error, Exception)
+        if is_fault and not isinstance(error, CONNECTION_LOST_ERRORS):
+            events.get_logger("wire").event(
+                events.TASK_ENDED, task=task.get_name(), error=repr(error)
+            )
--- a/packages/skylarkdoor/tests/wire/test_duplex.py
+++ b/packages/skylarkdoor/tests/wire/test_duplex.py
@@ -1,12 +1,35 @@
 """Tests of reading and writing a stream at the same time."""
 
 import asyncio
+import contextlib
+import gc
 
 import pytest
 
+from skylarkdoor import events
+from skylarkdoor.tasks import end_tasks
 from skylarkdoor.wire import Outbox, OutboxFullError, run_duplex
 
 
+@contextlib.contextmanager
+def collect_unfetched():
+    """Collect what the event loop is told of exceptions that nobody fetched."""
+    loop = asyncio.get_running_loop()
+    unfetched = []
+    loop.set_exception_handler(lambda loop, context: unfetched.append(context))
+    yield unfetched
+    gc.collect()
+    loop.set_exception_handler(None)
+
+
+async def is_cancelled(read, write):
+    """Cancel a duplex; return whether it ended as cancelled."""
+    task = asyncio.create_task(run_duplex(read, write, Outbox()))
+    await asyncio.sleep(0.01)
+    await end_tasks([task])
+    return task.cancelled()
+
+
 async def wait():
     """Wait until cancelled."""
     await asyncio.Event().wait()
@@ -87,3 +110,34 @@
         async with asyncio.timeout(5):
             await asyncio.wait({task})
         assert task.cancelled()
+
+    # Guards against a bare traceback on standard error as a process shuts down.
+    async def test_lost_as_it_is_cancelled(self):
+        """A reader that answers its cancellation with a lost connection is no error."""
+
+        async def read():
+            try:
+                await wait()
+            except asyncio.CancelledError:
+                raise ConnectionResetError from None
+
+        with collect_unfetched() as unfetched:
+            assert await is_cancelled(read(), wait())
+        assert unfetched == []
+
+    # Guards against a fault of the program that leaves no line.
+    async def test_fault_as_it_is_cancelled(self, caplog):
+        """A side that fails otherwise as it is cancelled is logged."""
+
+        async def write():
+            try:
+                await wait()
+            finally:
+                raise ValueError("odd")
+
+        with caplog.at_level("WARNING"), collect_unfetched() as unfetched:
+            assert await is_cancelled(wait(), write())
+        (record,) = caplog.records
+        assert record.event == events.TASK_ENDED.number
+        assert record.error == "ValueError('odd')"
+        assert unfetched == []
