Write as events what libraries and Python print, and a last line with the reason

Cause: the root logger has no handler, so the handler of last resort wrote warnings and errors of grpclib, asyncio and aiohttp as plain text with whole tracebacks to standard error, without a number, a bound or the instance. So were exceptions of tasks, callbacks, threads and destructors, and warnings. An error of start-up that is no group left run() as a bare traceback (SystemExit and CancelledError from a service, an absent adapter, settings, a stopped loop), and a long last line was dropped. aiohttp's text quotes malformed requests: an Authorization header with a zero byte was printed whole.

Change: library_warned (108), exception_unhandled (109) and connection_ended (110) carry them through the bounded output, with type, message and the last six frames; the message is left out where it may quote a request.

--- a/packages/skylarkdoor/src/skylarkdoor/_events.py
+++ b/packages/skylarkdoor/src/skylarkdoor/_events.py
@@ -112,6 +112,18 @@
 TASK_ENDED = define(
     107, "task_ended", logging.WARNING, "A background task failed as it was stopped."
 )
+LIBRARY_WARNED = define(
+    108, "library_warned", logging.WARNING, "A library reported a problem."
+)
+EXCEPTION_UNHANDLED = define(
+    109, "exception_unhandled", logging.ERROR, "An exception was not handled."
+)
+CONNECTION_ENDED = define(
+    110,
+    "connection_ended",
+    logging.INFO,
+    "A library reported that a connection has ended.",
+)
 LINES_DROPPED = define(
     105,
     "lines_dropped",
--- a/packages/skylarkdoor/src/skylarkdoor/events.py
+++ b/packages/skylarkdoor/src/skylarkdoor/events.py
@@ -2,7 +2,10 @@
 
 from skylarkdoor._events import (
     CATALOGUE,
+    CONNECTION_ENDED,
+    EXCEPTION_UNHANDLED,
     INVARIANT_BROKEN,
+    LIBRARY_WARNED,
     SERVICE_STARTED,
     SPAN_ENDED,
     TASK_ENDED,
@@ -17,7 +20,10 @@
 
 __all__ = [
     "CATALOGUE",
+    "CONNECTION_ENDED",
+    "EXCEPTION_UNHANDLED",
     "INVARIANT_BROKEN",
+    "LIBRARY_WARNED",
     "SERVICE_STARTED",
     "SPAN_ENDED",
     "TASK_ENDED",
--- a/packages/skylarkdoor/src/skylarkdoor/wire/__init__.py
+++ b/packages/skylarkdoor/src/skylarkdoor/wire/__init__.py
@@ -3,6 +3,7 @@
 from skylarkdoor.exceptions import OutboxFullError
 from skylarkdoor.wire import peer_pb2 as pb
 from skylarkdoor.wire._connection_errors import (
+    CLOSED_CONNECTION_ERRORS,
     CONNECTION_LOST_ERRORS,
     translate_closed_connection,
 )
@@ -11,6 +12,7 @@
 from skylarkdoor.wire.peer_grpc import EntriesBase, EntriesStub, PeerBase, PeerStub
 
 __all__ = [
+    "CLOSED_CONNECTION_ERRORS",
     "CONNECTION_LOST_ERRORS",
     "EntriesBase",
     "EntriesStub",
--- a/packages/skylarkdoor/src/skylarkdoor/wire/_connection_errors.py
+++ b/packages/skylarkdoor/src/skylarkdoor/wire/_connection_errors.py
@@ -17,6 +17,8 @@
     TimeoutError,
     OutboxFullError,
 )
+# Those that tell no more than that the connection has ended.
+CLOSED_CONNECTION_ERRORS = (StreamTerminatedError, ProtocolError, ConnectionError)
 # grpclib deletes this attribute of a connection when the connection closes.
 _CLOSED_ATTRIBUTE = "_transport"
 
--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -42,6 +42,12 @@
     logging.ERROR,
     "The changed settings file is invalid; it was not applied.",
 )
+PROCESS_NOT_STARTED = define(
+    210,
+    "process_not_started",
+    logging.ERROR,
+    "The process did not start, as its settings are invalid.",
+)
 
 SETTINGS_APPLIED = define(
     301, "settings_applied", logging.INFO, "A settings revision was applied."
--- a/packages/skylarkdoord/src/skylarkdoord/_start.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_start.py
@@ -19,6 +19,10 @@
     """
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     signal.signal(signal.SIGTERM, _exit)
+    from skylarkdoor import events, unhandled
+
+    events.configure()
+    unhandled.watch_exceptions()
     from skylarkdoord.cli import main as command
 
     command()
--- a/packages/skylarkdoord/src/skylarkdoord/cli.py
+++ b/packages/skylarkdoord/src/skylarkdoord/cli.py
@@ -6,15 +6,18 @@
 
 import importlib
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NoReturn
 
 import click
 
+from skylarkdoor import events, unhandled
 from skylarkdoor.exceptions import SettingsError
+from skylarkdoord import _events
+from skylarkdoord._exit import EXIT_OK, EXIT_SETTINGS
 
-EXIT_OK = 0
-EXIT_SETTINGS = 78  # EX_CONFIG
+# Invalid settings in one log line; those that are left out show with `--check`.
+MAX_PROBLEMS = 5
 
 Command = Callable[..., None]
 
@@ -72,27 +75,30 @@
 
 def _run_direct(module: str, path: str, *, check_only: bool) -> None:
     from skylarkdoord.direct import load_direct
-    from skylarkdoord.direct.exceptions import AdapterAbsentError
     from skylarkdoord.direct.process import run
 
     build = importlib.import_module(module).build
     try:
         settings = load_direct(path)
     except SettingsError as error:
-        _exit_with_problems(error)
+        _exit_with_problems(error.problems, check_only=check_only)
     if check_only:
         click.echo(f"{path}: ok for direct dispatch")
         sys.exit(EXIT_OK)
-    try:
-        sys.exit(run(path, settings, build))
-    except AdapterAbsentError as error:
-        click.echo(f"skylarkdoord: {path}: adapter: {error}", err=True)
-        sys.exit(EXIT_SETTINGS)
+    sys.exit(run(path, settings, build))
 
 
-def _exit_with_problems(error: SettingsError) -> NoReturn:
-    for problem in error.problems:
-        click.echo(f"skylarkdoord: {problem}", err=True)
+def _exit_with_problems(problems: Iterable[object], *, check_only: bool) -> NoReturn:
+    """Print the problems if the settings were only to be checked, else log them."""
+    texts = [str(problem) for problem in problems]
+    if check_only:
+        for text in texts:
+            click.echo(f"skylarkdoord: {text}", err=True)
+    else:
+        events.get_logger("process").event(
+            _events.PROCESS_NOT_STARTED,
+            problems=[unhandled.shorten(text) for text in texts[:MAX_PROBLEMS]],
+        )
     sys.exit(EXIT_SETTINGS)
 
 
@@ -107,10 +113,9 @@
         settings = load_process(path)
         check_role(role, settings, source=path)
     except SettingsError as error:
-        _exit_with_problems(error)
+        _exit_with_problems(error.problems, check_only=check_only)
     except TlsError as error:
-        click.echo(f"skylarkdoord: {path}: {error}", err=True)
-        sys.exit(EXIT_SETTINGS)
+        _exit_with_problems([f"{path}: {error}"], check_only=check_only)
     if check_only:
         click.echo(f"{path}: ok for the role {role.name}")
         sys.exit(EXIT_OK)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/process.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/process.py
@@ -11,6 +11,7 @@
 from skylarkdoord import _events
 from skylarkdoord._lifetime import run_services
 from skylarkdoord.direct._settings import DirectSettings, load_direct
+from skylarkdoord.direct.exceptions import AdapterAbsentError
 
 __all__ = ["Apply", "Builder", "SettingsFile", "run"]
 
@@ -110,4 +111,6 @@
         kernel.register(file)
         file.apply = build(kernel, settings)
 
-    return run_services(build_all, reload=file.reload)
+    return run_services(
+        build_all, reload=file.reload, settings_errors=(AdapterAbsentError,)
+    )
