Start although a port is taken, and serve without the port of metrics

Cause: a port that is taken at the start ended the process with status 1, whichever it was. A process that is restarted at once, as users do, finds the ports of its former one taken for as long as that drains (7 s), and ends each time; the port of metrics lies within the range that the platform gives to other uses, and its loss ended an entry or a guard too.

Change: listeners are tried again for 30 s while their port is taken or their address is absent (211, 212), the port of metrics all the time, in the background. A request to stop ends the attempts in order. The client of upstreams is a service of its own, so that its connections are closed if the listener for callers was never opened: it reported that after the last line of the log.

Ruled out: odd answers of the store at the start.

--- a/packages/skylarkdoor/src/skylarkdoor/_kernel.py
+++ b/packages/skylarkdoor/src/skylarkdoor/_kernel.py
@@ -12,6 +12,7 @@
     ServiceAbsentError,
     ServiceCycleError,
     ServiceExistsError,
+    StoppingError,
 )
 from skylarkdoor.tasks import end_tasks, failure
 
@@ -213,6 +214,8 @@
         try:
             await self.start()
             await self.stopping.wait()
+        except StoppingError:
+            pass
         except Exception as error:
             self.failures.append(error)
         await self.stop()
--- a/packages/skylarkdoor/src/skylarkdoor/_unhandled.py
+++ b/packages/skylarkdoor/src/skylarkdoor/_unhandled.py
@@ -208,9 +208,13 @@
         if isinstance(task, asyncio.Task):
             coroutine = getattr(task.get_coro(), "__qualname__", "")
             source = f"{source}: {task.get_name()} {coroutine}"
+        source = shorten(source, 2 * MAX_FRAME_BYTES)
+        if error is None:
+            _log.event(events.LIBRARY_WARNED, logger="asyncio", text=source)
+            return
         is_closed = isinstance(error, self.closed)
         _log.event(
             events.CONNECTION_ENDED if is_closed else events.EXCEPTION_UNHANDLED,
-            source=shorten(source, 2 * MAX_FRAME_BYTES),
+            source=source,
             **error_fields(error),
         )
--- a/packages/skylarkdoor/src/skylarkdoor/exceptions.py
+++ b/packages/skylarkdoor/src/skylarkdoor/exceptions.py
@@ -14,6 +14,7 @@
     "SettingsError",
     "SettingsErrorGroup",
     "SkylarkdoorError",
+    "StoppingError",
 ]
 
 
@@ -53,6 +54,10 @@
     """Services require each other in a cycle."""
 
 
+class StoppingError(SkylarkdoorError):
+    """A service gave up its start because the process is asked to stop."""
+
+
 class SettingsError(SkylarkdoorError):
     """Settings are invalid; the message names the path and what was expected.
 
--- a/packages/skylarkdoor/tests/test_kernel.py
+++ b/packages/skylarkdoor/tests/test_kernel.py
@@ -10,6 +10,7 @@
     ServiceAbsentError,
     ServiceCycleError,
     ServiceExistsError,
+    StoppingError,
 )
 from skylarkdoor.kernel import Kernel
 
@@ -197,3 +198,22 @@
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
         assert not kernel.stopping.is_set()
+
+
+class TestStoppedAtStart:
+    """A process that is asked to stop before it has started."""
+
+    # Guards against a request to stop that is reported as a failure.
+    async def test_given_up(self):
+        """A service that gives up its start ends the process in order."""
+
+        class GivingUp(Recorder):
+            async def start(self, kernel: Kernel):
+                raise StoppingError
+
+        calls: list[str] = []
+        kernel = Kernel()
+        kernel.register(Recorder("a", calls))
+        kernel.register(GivingUp("b", calls, requires=("a",)))
+        await kernel.run()
+        assert calls == ["start a", "stop a"]
--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -42,6 +42,18 @@
     logging.ERROR,
     "The changed settings file is invalid; it was not applied.",
 )
+PORT_TAKEN = define(
+    211,
+    "port_taken",
+    logging.WARNING,
+    "A port cannot be opened yet; the process tries again.",
+)
+PORT_OPENED = define(
+    212,
+    "port_opened",
+    logging.INFO,
+    "A port is open that could not be opened before.",
+)
 PROCESS_NOT_STARTED = define(
     210,
     "process_not_started",
--- a/packages/skylarkdoord/src/skylarkdoord/_lifetime.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_lifetime.py
@@ -1,8 +1,10 @@
 """Runs the services of a daemon process; handles signals and the exit status."""
 
 import asyncio
+import gc
 import signal
 from collections.abc import Callable
+from typing import Any
 
 from skylarkdoor import events, unhandled
 from skylarkdoor.kernel import Kernel
@@ -37,25 +39,29 @@
         The exit status of the process.
     """
     unhandled.watch_libraries(CLOSED_CONNECTION_ERRORS)
+    status, event, fields = EXIT_OK, _events.PROCESS_STOPPED, {}
     try:
         asyncio.run(_run_services(build, reload))
+    except SystemExit as error:
+        # An exit without a status is no orderly one either.
+        status = (isinstance(error.code, int) and error.code) or EXIT_FAILED
+        event, fields = _events.PROCESS_FAILED, _failure_fields(error)
     except BaseException as error:
-        _log_failure(error)
-        if isinstance(error, SystemExit):
-            raise
         is_setting = isinstance(error, settings_errors)
-        return EXIT_SETTINGS if is_setting else EXIT_FAILED
-    events.get_logger("process").event(_events.PROCESS_STOPPED)
-    return EXIT_OK
+        status = EXIT_SETTINGS if is_setting else EXIT_FAILED
+        event, fields = _events.PROCESS_FAILED, _failure_fields(error)
+    # Objects may log something as they are deleted.
+    gc.collect()
+    events.get_logger("process").event(event, **fields)
+    return status
 
 
-def _log_failure(error: BaseException) -> None:
+def _failure_fields(error: BaseException) -> dict[str, Any]:
     group = error.exceptions if isinstance(error, BaseExceptionGroup) else (error,)
-    events.get_logger("process").event(
-        _events.PROCESS_FAILED,
-        errors=[unhandled.describe(one) for one in group[:MAX_ERRORS]],
-        frames=unhandled.error_fields(group[0])["frames"],
-    )
+    return {
+        "errors": [unhandled.describe(one) for one in group[:MAX_ERRORS]],
+        "frames": unhandled.error_fields(group[0])["frames"],
+    }
 
 
 async def _run_services(
--- a/packages/skylarkdoord/src/skylarkdoord/common/_internal.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_internal.py
@@ -10,6 +10,7 @@
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import ProcessSettings
 from skylarkdoord import _events
+from skylarkdoord._listening import open_site
 from skylarkdoord.common import _headers as headers
 from skylarkdoord.common._tls_service import TlsService
 
@@ -67,13 +68,13 @@
         """Listen on the internal address."""
         self.tls = kernel.find("tls", TlsService)
         context = self.tls.http.listener_context if self.tls.http else None
-        host, _, port = self.settings.listen.internal.rpartition(":")
         self.runner = web.AppRunner(
             self.app, handler_cancellation=True, access_log=None, shutdown_timeout=1.0
         )
         await self.runner.setup()
-        await web.TCPSite(self.runner, host, int(port), ssl_context=context).start()
-        self.log.event(_events.PROCESS_READY, address=self.settings.listen.internal)
+        address = self.settings.listen.internal
+        await open_site(kernel, address, self.runner, ssl_context=context)
+        self.log.event(_events.PROCESS_READY, address=address)
 
     async def stop(self) -> None:
         """Close the listener."""
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_call.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_call.py
@@ -13,6 +13,7 @@
 
 from skylarkdoor.exceptions import ResponseLostError
 from skylarkdoor.failures import reason
+from skylarkdoor.kernel import Kernel
 from skylarkdoor.single_send import send_once
 from skylarkdoord.direct._adapter import Adapter, UpstreamHead
 from skylarkdoord.direct._bounded_connection import BoundedConnector, on_read
@@ -182,6 +183,8 @@
 class UpstreamClient:
     """Sends each request to an upstream at most once.
 
+    It is a service, so that its connections are closed however the process ends.
+
     Args:
         adapter: Translates the platform's protocols.
         on_head: Called in order with the head of each answer by the upstream that was
@@ -191,6 +194,9 @@
             some are read; up to twice as many are held.
     """
 
+    name = "upstream_client"
+    requires: tuple[str, ...] = ()
+
     def __init__(
         self,
         adapter: Adapter,
@@ -220,6 +226,13 @@
             middlewares=(send_once,),
         )
 
+    async def start(self, kernel: Kernel) -> None:
+        """Do nothing; connections are opened for requests."""
+
+    async def stop(self) -> None:
+        """Close all connections, also if the service that uses them did not start."""
+        await self.close()
+
     async def close(self) -> None:
         """Close all connections."""
         await self.session.close()
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
@@ -12,6 +12,7 @@
 from skylarkdoor.kernel import Kernel
 from skylarkdoord import _events
 from skylarkdoord._drain import cut_off
+from skylarkdoord._listening import open_site
 from skylarkdoord.direct._adapter import RawHead
 from skylarkdoord.direct._bounded_connection import (
     BoundedRequestHandler,
@@ -107,15 +108,18 @@
 
     async def start(self, kernel: Kernel) -> None:
         """Listen on the addresses for callers and for the readiness check."""
-        assert self.settings.listen.callers is not None
-        assert self.settings.listen.ready is not None
-        self.callers = await self.listen(self.settings.listen.callers, self.handle)
-        await self.listen(self.settings.listen.ready, self.handle_readiness)
+        listen = self.settings.listen
+        assert listen.callers is not None
+        assert listen.ready is not None
+        self.callers = await self.listen(kernel, listen.callers, self.handle)
+        await self.listen(kernel, listen.ready, self.handle_readiness)
         if self.held.max_bytes is not None:
             kernel.supervise(self.connections.run, name="callers.connections")
         self.log.event(_events.PROCESS_READY, address=self.settings.listen.callers)
 
-    async def listen(self, address: str, handler: object) -> web.ServerRunner:
+    async def listen(
+        self, kernel: Kernel, address: str, handler: object
+    ) -> web.ServerRunner:
         """Serve HTTP on an address and return the runner."""
         server = BoundedServer(
             handler,  # type: ignore[arg-type]
@@ -128,8 +132,7 @@
         )
         runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_MARGIN_S)
         await runner.setup()
-        host, _, port = address.rpartition(":")
-        await web.TCPSite(runner, host, int(port), backlog=1024).start()
+        await open_site(kernel, address, runner, backlog=1024)
         self.runners.append(runner)
         return runner
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
@@ -25,6 +25,7 @@
     pb,
 )
 from skylarkdoord import _events
+from skylarkdoord._listening import open_port
 from skylarkdoord.direct._adapter import Row, Store
 from skylarkdoord.direct._fleet import UPSTREAMS
 from skylarkdoord.direct._link import Link, run_stream
@@ -200,8 +201,7 @@
     async def start(self, kernel: Kernel) -> None:
         """Listen for streams and start the tasks that discover and update entries."""
         self.kernel = kernel
-        host, _, port = self.settings.listen.peers.rpartition(":")
-        await self.server.start(host, int(port))
+        await open_port(kernel, self.settings.listen.peers, self.server.start)
         self.tasks = [
             kernel.supervise(self.stay_registered, name="entries.join"),
             kernel.supervise(self.send_updates, name="entries.announce"),
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
@@ -13,6 +13,7 @@
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.wire import CONNECTION_LOST_ERRORS, Outbox, PeerBase, pb
 from skylarkdoord import _events
+from skylarkdoord._listening import open_port
 from skylarkdoord.direct._engine_reports import Report
 from skylarkdoord.direct._fair_order import FairOrder, is_weight
 from skylarkdoord.direct._guard_queue import QueueCounts, SlotQueue
@@ -112,8 +113,7 @@
 
     async def start(self, kernel: Kernel) -> None:
         """Listen for entries."""
-        host, _, port = self.settings.listen.peers.rpartition(":")
-        await self.server.start(host, int(port))
+        await open_port(kernel, self.settings.listen.peers, self.server.start)
         kernel.supervise(self.report_loads, name="guard.report")
         self.log.event(_events.PROCESS_READY, address=self.settings.listen.peers)
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -109,6 +109,7 @@
         drain=Drain(),
         rollouts=RolloutAttempts(gate, upstreams),
     )
+    kernel.register(dependencies.client)
     kernel.register(MetricsServer(settings))
     kernel.register(RetryReport(dependencies.retry_limiter))
     watcher = FleetWatcher(
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
@@ -13,6 +13,7 @@
 from skylarkdoor.settings import ProcessSettings
 from skylarkdoord import _events
 from skylarkdoord._drain import Drain, cut_off
+from skylarkdoord._listening import open_site
 from skylarkdoord.common import DrainState, InternalServer, SettingsService, TlsService
 from skylarkdoord.common import _drain_state as drain_state
 from skylarkdoord.common._internal import finish_responses
@@ -105,8 +106,7 @@
         await self.runner.setup()
         tls = kernel.find("tls", TlsService).callers
         context = tls.listener_context if tls else None
-        host, _, port = self.address.rpartition(":")
-        await web.TCPSite(self.runner, host, int(port), ssl_context=context).start()
+        await open_site(kernel, self.address, self.runner, ssl_context=context)
 
     async def stop(self) -> None:
         """Refuse new requests, wait for active ones, then close the listener."""
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_peers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_peers.py
@@ -1,6 +1,7 @@
 """Server of the control streams from entries."""
 
 import asyncio
+import functools
 import itertools
 import time
 from collections.abc import Callable
@@ -13,6 +14,7 @@
 from skylarkdoor.settings import ProcessSettings
 from skylarkdoor.wire import CONNECTION_LOST_ERRORS, Outbox, PeerBase, pb, run_duplex
 from skylarkdoord import _events
+from skylarkdoord._listening import open_port
 from skylarkdoord.common import DrainState, Exchange, SettingsService, TlsService
 from skylarkdoord.common._tls import dns_names
 from skylarkdoord.sidecar._listing import Listing
@@ -100,8 +102,8 @@
         self.listing = Listing(kernel.find("departure", DrainState))
         self.tls = kernel.find("tls", TlsService)
         context = self.tls.rpc.listener_context if self.tls.rpc else None
-        host, _, port = self.address.rpartition(":")
-        await self.server.start(host, int(port), ssl=context)
+        open_listener = functools.partial(self.server.start, ssl=context)
+        await open_port(kernel, self.address, open_listener)
         self.task = kernel.supervise(self.watch_load, name="peers.load")
 
     async def stop(self) -> None:
