Log equal reports of libraries once a second

Cause: asyncio reports each connection that it can't accept for want of a descriptor.

Change: equal reports are logged once a second, with the number of those left out.

--- a/packages/skylarkdoor/src/skylarkdoor/_unhandled.py
+++ b/packages/skylarkdoor/src/skylarkdoor/_unhandled.py
@@ -3,9 +3,13 @@
 import asyncio
 import io
 import logging
+import math
 import sys
 import threading
+import time
 import traceback
+from collections import Counter
+from collections.abc import Callable
 from types import TracebackType
 from typing import Any
 
@@ -20,10 +24,46 @@
 QUOTING_LIBRARY = "aiohttp"
 # What asyncio logs, without an exception, about writes to a connection that has ended.
 CLOSED_MESSAGES = frozenset({"socket.send() raised exception."})
+# Equal reports are logged at most once in this interval.
+REPEAT_INTERVAL_S = 1.0
+# Different reports that are remembered.
+MAX_REPORTS = 256
 
 _log = events.get_logger("unhandled")
 
 
+class Reports:
+    """Logs reports, equal ones only once in an interval.
+
+    Without descriptors, for instance, asyncio reports each connection that it can't
+    accept, thousands a second.
+
+    Args:
+        clock: Returns monotonic time in seconds.
+    """
+
+    def __init__(self, *, clock: Callable[[], float] = time.monotonic) -> None:
+        self.clock = clock
+        self.logged_at: dict[tuple[object, ...], float] = {}
+        self.left_out: Counter[tuple[object, ...]] = Counter()
+
+    def log(self, event: events.Event, text: str, **fields: Any) -> None:
+        """Log a report, with the number of equal ones that were left out before it."""
+        key = (event.number, text, fields.get("error"))
+        now = self.clock()
+        if now - self.logged_at.get(key, -math.inf) < REPEAT_INTERVAL_S:
+            self.left_out[key] += 1
+            return
+        if len(self.logged_at) >= MAX_REPORTS:
+            self.logged_at.clear()
+            self.left_out.clear()
+        self.logged_at[key] = now
+        _log.event(event, text=text, left_out=self.left_out.pop(key, 0), **fields)
+
+
+_reports = Reports()
+
+
 def shorten(text: str, max_bytes: int = MAX_TEXT_BYTES) -> str:
     """Return the beginning of a text as printable ASCII, with escapes for the rest."""
     printable = text[:max_bytes].encode("unicode_escape").decode("ascii")
@@ -93,11 +133,11 @@
         except Exception:
             message = str(record.msg)
         is_closed = isinstance(error, self.closed) or message in CLOSED_MESSAGES
-        _log.event(
+        _reports.log(
             events.CONNECTION_ENDED if is_closed else events.LIBRARY_WARNED,
+            shorten(message),
             logger=record.name,
             severity=record.levelname,
-            text=shorten(message),
             **error_fields(error, is_private=is_quoting(record.name)),
         )
 
@@ -127,7 +167,7 @@
             return
         self.is_logging = True
         try:
-            _log.event(events.LIBRARY_WARNED, logger="stderr", text=shorten(line))
+            _reports.log(events.LIBRARY_WARNED, shorten(line), logger="stderr")
         finally:
             self.is_logging = False
 
@@ -140,9 +180,9 @@
     source: str = "main",
 ) -> None:
     """Log an exception that nothing handled."""
-    _log.event(
+    _reports.log(
         events.EXCEPTION_UNHANDLED,
-        source=source,
+        source,
         error=describe(error) if error is not None else kind.__name__,
         frames=last_frames(trace),
     )
@@ -210,11 +250,11 @@
             source = f"{source}: {task.get_name()} {coroutine}"
         source = shorten(source, 2 * MAX_FRAME_BYTES)
         if error is None:
-            _log.event(events.LIBRARY_WARNED, logger="asyncio", text=source)
+            _reports.log(events.LIBRARY_WARNED, source, logger="asyncio")
             return
         is_closed = isinstance(error, self.closed)
-        _log.event(
+        _reports.log(
             events.CONNECTION_ENDED if is_closed else events.EXCEPTION_UNHANDLED,
-            source=source,
+            source,
             **error_fields(error),
         )
