End a delivery whose query of the sidecar fails

Cause: the task that watches a delivery ends with any error of its query that is not expected, such as a reply that is no object; nobody fetched it, and the request then hung until its caller left if the connection was half-open. A post that is cancelled as its caller leaves may end with the loss of its connection instead, which nobody fetched.

Change: the connection is closed however the watch ends, and the failure of a post that was cancelled counts as fetched.

The two new tests of test_delivery.py were red before.

--- a/packages/skylarkdoord/src/skylarkdoord/entry/_delivery.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_delivery.py
@@ -11,6 +11,7 @@
 
 import aiohttp
 
+from skylarkdoor.tasks import failure
 from skylarkdoord.entry._offers import AcceptedGrant
 from skylarkdoord.exceptions import SidecarSilentError
 
@@ -93,7 +94,17 @@
             return await self.answer.content.readany()
 
     async def watch(self) -> None:
-        """Close the connection when no answer can be expected any more."""
+        """Close the connection when no answer can be expected any more.
+
+        That holds as well if the query itself fails.
+        """
+        try:
+            await self.wait_until_lost()
+        finally:
+            self.abort()
+
+    async def wait_until_lost(self) -> None:
+        """Query the outcome until no answer can be expected any more."""
         while True:
             await self._wait_until_check_due()
             self.last_outcome = await self.query_outcome()
@@ -105,7 +116,6 @@
             )
             if not is_running and self._waited_s() >= GRACE_S:
                 break
-        self.abort()
 
     async def _wait_until_check_due(self) -> None:
         """Wait until the control stream is lost or the check interval has passed."""
@@ -133,6 +143,8 @@
             return
         if not self.post_task.done():
             self.post_task.cancel()
+            # Its failure may be that of the connection, which nobody waits for.
+            self.post_task.add_done_callback(failure)
         elif not self.post_task.cancelled() and self.post_task.exception() is None:
             self.post_task.result().close()
 
--- a/packages/skylarkdoord/tests/entry/test_delivery.py
+++ b/packages/skylarkdoord/tests/entry/test_delivery.py
@@ -1,6 +1,7 @@
 """Tests of `skylarkdoord.entry._delivery`."""
 
 import asyncio
+import gc
 from types import SimpleNamespace
 from typing import Any
 
@@ -67,6 +68,45 @@
         await post_task
         delivery.watch_task.cancel()
 
+    # Guards against a request that hangs because nothing watches its sidecar any more.
+    async def test_query_fails(self, sidecar: FakeSidecar) -> None:
+        """The post fails if the sidecar's reply can't be read."""
+
+        async def fail() -> Outcome:
+            raise TypeError("no object")
+
+        sidecar.disconnected.set()
+        delivery = sidecar.delivery()
+        delivery.query_outcome = fail
+        async with asyncio.timeout(5):
+            with pytest.raises(SidecarSilentError):
+                await delivery.post(asyncio.Event().wait())
+        with pytest.raises(TypeError):
+            await delivery.watch_task
+
+    # Guards against a lost connection that is reported as an error of the program.
+    async def test_lost_as_caller_disconnects(self, sidecar: FakeSidecar) -> None:
+        """A post that ends its cancellation with a lost connection is no error."""
+
+        async def send() -> None:
+            try:
+                await asyncio.Event().wait()
+            except asyncio.CancelledError:
+                raise ConnectionResetError from None
+
+        reports: list[object] = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: reports.append(context))
+        delivery = sidecar.delivery()
+        post_task = asyncio.create_task(delivery.post(send()))
+        await asyncio.sleep(0.01)
+        post_task.cancel()
+        delivery.close()
+        await asyncio.wait({post_task, delivery.post_task, delivery.watch_task})
+        del delivery, post_task
+        gc.collect()
+        assert reports == []
+
     async def test_caller_disconnected(self, sidecar: FakeSidecar) -> None:
         """A closed delivery cancels the post and stops querying the sidecar."""
         delivery = sidecar.delivery()
