Choose the entries that watch closely among those that the store answers

The four entries that vouch for all were chosen among all live ones, also of a former release that does not tell, or if the store turned just these away. Then the others gave up all their held calls at the same moment, asked at the same moment and were held again: the state keeps itself up, and each round counts as an outage of the store with grace periods.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_member.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_member.py
@@ -21,6 +21,8 @@
         fastest_s: Smallest difference between the time of receipt and the entry's age
             in an update, in seconds.
         versions: Versions of services that it has told, by service.
+        answered_at: Monotonic time at which the store last vouched to it for its
+            configuration, in seconds; minus infinity if it told of no such time.
         several: Services of which it has told that they had several versions.
         has_closed_stream: Whether its stream was closed rather than timed out.
         used: Units that it reported as used since its start, by customer.
@@ -35,6 +37,7 @@
     last_update_at: float = 0.0
     sent_at: float = 0.0
     fastest_s: float = math.inf
+    answered_at: float = -math.inf
     versions: dict[str, set[str]] = field(default_factory=dict)
     several: set[str] = field(default_factory=set)
     has_closed_stream: bool = False
@@ -58,6 +61,8 @@
             difference_s = now - update.age_ms / MS_PER_S
             self.fastest_s = min(self.fastest_s, difference_s)
             self.sent_at = now - (difference_s - self.fastest_s)
+        if update.HasField("config_age_ms"):
+            self.answered_at = self.sent_at - update.config_age_ms / MS_PER_S
         for service in update.history:
             self.versions.setdefault(service.service, set()).update(service.versions)
             if service.several:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
@@ -131,25 +131,33 @@
 
     def owns(self, fingerprint: int) -> bool:
         """Return whether this entry, of the live ones, is responsible for a request."""
-        return self.is_chosen(str(fingerprint), 1)
+        live = self.live_entries()
+        return rendezvous(str(fingerprint), [*live, self.instance]) == [self.instance]
 
-    def is_chosen(self, task: str, count: int) -> bool:
-        """Return whether this entry is one of those that do a task for all.
+    def watches_closely(self, count: int) -> bool:
+        """Return whether this entry is one that watches the configuration closely.
 
-        They are chosen by hashes of their names, so they are of all data centres.
+        They are chosen by hashes of their names, so they are of all data centres. Those
+        that the store does not answer, or of a release that doesn't tell, do not count.
 
         Args:
-            task: Name of the task.
-            count: Number of live entries that do it.
+            count: Number of live entries that do.
         """
+        others = self.live_entries()
+        if not self.fleet.has_rejected_config:
+            since = self.clock() - self.age.stale_after_s()
+            others = [name for name in others if self.by_name[name].answered_at > since]
+        chosen = rendezvous(CONFIG, [*others, self.instance], count=count)
+        return self.instance in chosen
+
+    def live_entries(self) -> list[str]:
+        """Return the names of the other live entries."""
         since = self.clock() - self.live_timeout_s()
-        live = [
+        return [
             name
             for name, member in self.by_name.items()
             if member.last_update_at > since
         ]
-        chosen = rendezvous(task, [*live, self.instance], count=count)
-        return self.instance in chosen
 
     def limit_share(self, upstream: str, most: int) -> float:
         """Return this entry's part of an upstream's limit, from 0 to 1.
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -1,7 +1,5 @@
 """Assembles the services of an entry that calls upstreams itself."""
 
-from functools import partial
-
 from skylarkdoor.kernel import Kernel
 from skylarkdoord._drain import Drain
 from skylarkdoord._retry_limiter import RetryLimiter
@@ -15,7 +13,7 @@
 from skylarkdoord.direct._config_age import ConfigAge
 from skylarkdoord.direct._data_centres import LeaveCosts
 from skylarkdoord.direct._exchange import EntryExchange
-from skylarkdoord.direct._fleet import CONFIG, Fleet
+from skylarkdoord.direct._fleet import Fleet
 from skylarkdoord.direct._forward import ForwarderDependencies
 from skylarkdoord.direct._guarded_streams import GuardedStreams
 from skylarkdoord.direct._guards import Guards
@@ -126,7 +124,7 @@
         live_entries=members.live_count,
         position=members.position,
         age=age,
-        is_close=partial(members.is_chosen, CONFIG),
+        is_close=members.watches_closely,
     )
     exchange = EntryExchange(settings, store, members)
     crashes.is_registry_down = watcher.is_registry_down
--- a/packages/skylarkdoord/tests/direct/test_config_age.py
+++ b/packages/skylarkdoord/tests/direct/test_config_age.py
@@ -8,7 +8,7 @@
 from skylarkdoor.wire import pb
 from skylarkdoord.direct import FleetConfig, Row, Rows, Service
 from skylarkdoord.direct import _config_age as config_age
-from skylarkdoord.direct._config_age import ConfigAge
+from skylarkdoord.direct._config_age import CLOSE_WATCHERS, ConfigAge
 from skylarkdoord.direct._fleet import CONFIG, CONFIG_KEY, UPSTREAMS, Fleet
 from skylarkdoord.direct._members import Members
 from skylarkdoord.direct._quota import Quota
@@ -185,20 +185,44 @@
         age.on_update(5, 0.0, sent_at=age.clock(), source="b")
         assert self.waits(watcher, CONFIG)[0] >= 9.0
 
+    @staticmethod
+    def close_watchers(ages_ms):
+        """Return which entries watch closely, given the ages that each one states."""
+        clock = Clock()
+        chosen = []
+        for name in ages_ms:
+            members = Members(
+                name, make_fleet(), Quota(QuotaBounds()), Crashes(), clock=clock
+            )
+            for other, age_ms in ages_ms.items():
+                if other != name:
+                    members.receive(
+                        pb.EntryNews(
+                            instance=other, incarnation=1, config_age_ms=age_ms
+                        )
+                    )
+            if members.watches_closely(CLOSE_WATCHERS):
+                chosen.append(name)
+        return chosen
+
     @pytest.mark.parametrize("count", [3, 34, 300])
     def test_as_many_as_needed(self, count):
         """The entries agree on which of them watch closely."""
-        names = [f"entry-{number}" for number in range(count)]
-        entries = [
-            Members(name, make_fleet(), Quota(QuotaBounds()), Crashes())
-            for name in names
-        ]
-        for members in entries:
-            for name in names:
-                if name != members.instance:
-                    members.receive(pb.EntryNews(instance=name, incarnation=1))
-        chosen = sum(members.is_chosen(CONFIG, 4) for members in entries)
-        assert chosen == min(count, 4)
+        ages_ms = {f"entry-{number}": 100 for number in range(count)}
+        assert len(self.close_watchers(ages_ms)) == min(count, CLOSE_WATCHERS)
+
+    # Guards against entries that leave it to some that the store does not answer, or
+    # that are of a release that doesn't tell: then all held calls are given up.
+    @pytest.mark.parametrize("age_ms", [None, 20_000])
+    def test_not_answered(self, age_ms):
+        """Others take the place of the chosen entries that can't vouch."""
+        ages_ms = {f"entry-{number}": 100 for number in range(ENTRIES)}
+        former = self.close_watchers(ages_ms)
+        watching = self.close_watchers(ages_ms | dict.fromkeys(former, age_ms))
+        others = set(watching) - set(former)
+        assert len(others) == CLOSE_WATCHERS
+        # Each of the former ones goes on, as it does not tell itself from the others.
+        assert set(watching) == others | set(former)
 
 
 class TestAge:
