--- a/packages/skylarkdoord/src/skylarkdoord/direct/_config_age.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_config_age.py
@@ -87,7 +87,7 @@
     @property
     def version(self) -> int:
         """Version of the configuration in force; 0 if there is none."""
-        return self.fleet.routing.config.version if self.fleet.routing else 0
+        return self.fleet.config_version.number
 
     def age_s(self) -> float:
         """Return the time since the store last vouched for it, in seconds."""
@@ -141,7 +141,7 @@
 
     def on_store_answer(self) -> None:
         """Record that the store has stated every change up to now."""
-        if self.fleet.has_rejected_config:
+        if self.fleet.has_rejected_newer():
             return
         self.answered_at = self.confirmed_at = self.clock()
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
@@ -11,7 +11,8 @@
 from skylarkdoor.wire import pb
 from skylarkdoord.direct._adapter import Row, StoreVersion
 from skylarkdoord.direct._config_age import ConfigAge
-from skylarkdoord.direct._fleet import CONFIG, UPSTREAMS, Fleet
+from skylarkdoord.direct._config_requests import LAG_TOLERANCE_S, SendLimit
+from skylarkdoord.direct._fleet import CONFIG, UPSTREAMS, ConfigVersion, Fleet
 from skylarkdoord.direct._member import Member
 from skylarkdoord.direct._model import MS_PER_S
 from skylarkdoord.direct._pace import MAX_HEARTBEAT_S
@@ -33,9 +34,6 @@
 # An entry that stopped sending updates is assumed to go on using its share of the
 # customers' limits for this long.
 SILENT_RETENTION_S = 30.0
-# Rows that another entry has had for longer than this were missed by this entry's
-# own watch of the store and are requested from that entry.
-LAG_TOLERANCE_S = 0.3
 MAX_INCARNATION = 2**63
 
 
@@ -81,6 +79,7 @@
         self.age = age or ConfigAge(fleet, clock=clock)
         self.fleet = fleet
         self.quota = quota
+        self.config_limit = SendLimit(clock)
         self.by_name: dict[str, Member] = {}
         self.started = self.clock()
         self.listed = 0
@@ -144,7 +143,7 @@
             count: Number of live entries that do.
         """
         others = self.live_entries()
-        if not self.fleet.has_rejected_config:
+        if not self.fleet.has_rejected_newer():
             since = self.clock() - self.age.stale_after_s()
             others = [name for name in others if self.by_name[name].answered_at > since]
         chosen = rendezvous(CONFIG, [*others, self.instance], count=count)
@@ -268,10 +267,16 @@
         )
         self.streams.merge(update.streams)
         self.streams.history.check_pending()
-        member.config_at = StoreVersion(update.config_era, update.config_version)
+        member.config = ConfigVersion(
+            update.config_number,
+            StoreVersion(update.config_era, update.config_version),
+        )
+        was_behind = member.upstreams_at > self.fleet.upstreams_at
         member.upstreams_at = StoreVersion(
             update.upstreams_era, update.upstreams_version
         )
+        if not was_behind:
+            member.behind_since = self.clock()
         self.age.on_update(
             update.config_number,
             update.config_age_ms / MS_PER_S
@@ -314,21 +319,33 @@
         if member is not None:
             member.has_closed_stream = not is_silent
 
-    def is_behind(self, instance: str) -> bool:
-        """Return whether another entry has had newer rows for longer than tolerated."""
-        member = self.by_name.get(instance)
-        if member is None:
+    def is_behind(self, member: Member) -> bool:
+        """Return whether another entry has had newer rows of upstreams for some time.
+
+        This entry's own watch of the store should have returned them.
+        """
+        if member.upstreams_at <= self.fleet.upstreams_at:
             return False
-        newer = (
-            member.config_at > self.fleet.config_at
-            or member.upstreams_at > self.fleet.upstreams_at
+        return self.clock() - member.behind_since >= LAG_TOLERANCE_S
+
+    def rows_wanted(self, instance: str, *, wants_config: bool) -> pb.RowsWanted | None:
+        """Return the request for rows to send to another entry; None if there is none.
+
+        Args:
+            instance: Name of the other entry.
+            wants_config: Whether its configuration is requested, if it is newer.
+        """
+        member = self.by_name.get(instance)
+        if member is None or not (wants_config or self.is_behind(member)):
+            return None
+        config = self.fleet.config_version if wants_config else member.config
+        return pb.RowsWanted(
+            config_number=config.number,
+            config_since=config.changed_at.number,
+            config_era=config.changed_at.era,
+            upstreams_since=self.fleet.upstreams_at.number,
+            upstreams_era=self.fleet.upstreams_at.era,
         )
-        now = self.clock()
-        if not newer:
-            member.behind_since = 0.0
-        elif not member.behind_since:
-            member.behind_since = now
-        return newer and now - member.behind_since >= LAG_TOLERANCE_S
 
     def apply_rows(self, rows: list[pb.StoreRow], source: str) -> None:
         """Apply rows that another entry sent.
@@ -350,10 +367,9 @@
     def newer_rows(self, requested: pb.RowsWanted) -> list[pb.StoreRow]:
         """Return the rows that are newer than the versions in a request."""
         rows = []
-        config = self.fleet.config_row
-        config_since = StoreVersion(requested.config_era, requested.config_since)
+        config = self.requested_config(requested)
         since = StoreVersion(requested.upstreams_era, requested.upstreams_since)
-        if config is not None and config.changed_at > config_since:
+        if config is not None:
             rows.append(to_wire(CONFIG, config))
         rows += [
             to_wire(UPSTREAMS, cached.row)
@@ -362,6 +378,24 @@
         ]
         return rows
 
+    def requested_config(self, requested: pb.RowsWanted) -> Row | None:
+        """Return the configuration's row if a request is to be answered with it.
+
+        An entry of a release that doesn't state the operator's version goes by the
+        row's place in the store's history.
+        """
+        row = self.fleet.config_row
+        if row is None or row.data is None:
+            return None
+        own = self.fleet.config_version
+        changed_at = StoreVersion(requested.config_era, requested.config_since)
+        number = requested.config_number
+        if not number and changed_at != StoreVersion():
+            number = own.number
+        if own <= ConfigVersion(number, changed_at):
+            return None
+        return row if self.config_limit.allows(len(row.data)) else None
+
 
 def to_wire(table: str, row: Row) -> pb.StoreRow:
     """Return a row as a message between entries."""
