Tests of the scheduler run in virtual time

TestServedLate.test_behind_others was red once for the users and green in five runs after it.

Cause: a request's queue timeout begins after it is queued, and the test waits for 0.15 s of wall clock. If the process stands still for 0.11 s or more between the two, the request is not yet late when the test looks. With a stall of 0.11 to 0.5 s put there, the test fails each time; up to 0.1 s, and for the request that comes later, it holds.

Change: these tests use an event loop whose time moves on only when all tasks wait, and the monotonic clock follows it. Bounds are unchanged.

test_waits_for_room asked that each of two requests waits longer than 0 s. The second one doesn't: both upstreams have room after 0.2 s. It passed as calls take some time. It now states the waits of three requests: 0.2, 0 and 0.2 s.

Ruled out: the product. Requests that come while the process stands still are ordered by the time at which they were received.

--- a/packages/skylarkdoord/tests/direct/test_scheduler.py
+++ b/packages/skylarkdoord/tests/direct/test_scheduler.py
@@ -9,6 +9,7 @@
 from skylarkdoord.direct._adapter import UpstreamHead
 from skylarkdoord.direct._data_centres import LeaveCosts
 from skylarkdoord.direct._scheduler import Scheduler
+from skylarkdoord.direct._upstream_limits import UpstreamLimits
 from skylarkdoord.direct._upstreams import Upstreams
 from skylarkdoord.direct.exceptions import NoFreeSlotError, VersionGoneError
 from skylarkdoord.direct.rollouts import Versions
@@ -17,6 +18,8 @@
 
 V1 = Versions(only="v1")
 
+pytestmark = pytest.mark.usefixtures("virtual_time")
+
 
 class StubFleet:
     """A fleet with the upstreams that the test gives."""
@@ -36,12 +39,13 @@
 
 def make_scheduler(*records, entries=1, instance="edge-1", **options):
     """Return a scheduler over these upstreams."""
-    upstreams = Upstreams(StubFleet(list(records)))
+    upstreams = Upstreams(StubFleet(list(records)), clock=time.monotonic)
     return Scheduler(
         upstreams,
         data_centre="north",
         instance=instance,
         live_entries=lambda: entries,
+        limits=UpstreamLimits(instance, clock=time.monotonic),
         **options,
     )
 
@@ -81,6 +85,19 @@
     return [await scheduler.acquire(make_admitted()) for _ in range(count)]
 
 
+class TestTime:
+    """The time in which these tests run."""
+
+    # Guards against a stall of the machine that a queue timeout takes for waiting.
+    async def test_stall(self):
+        """A stall takes no time, and waiting takes exactly its time."""
+        began = time.monotonic()
+        time.sleep(0.02)
+        assert time.monotonic() == began
+        await asyncio.sleep(0.5)
+        assert time.monotonic() - began == pytest.approx(0.5)
+
+
 class TestSlots:
     """Slots of upstreams without a guard."""
 
@@ -407,8 +424,9 @@
     async def test_waits_for_room(self, scheduler):
         """If all upstreams are limited, requests wait for their limits."""
         self.name_limit(scheduler, self.free, 5.0)
-        slots = await fill(scheduler, 2)
-        assert all(slot.waited_s > 0.0 for slot in slots)
+        slots = await fill(scheduler, 3)
+        # After 0.2 s either upstream may run one, and after 0.4 s another one.
+        assert [slot.waited_s for slot in slots] == pytest.approx([0.2, 0.0, 0.2])
 
     async def test_refused(self, scheduler):
         """A request for which no limit has room in time is refused as not run."""
@@ -424,7 +442,6 @@
     # although another upstream may well run them.
     async def test_paused(self, scheduler):
         """A paused upstream is used while the only other one is at its limit."""
-        # So low that it earns no request while the machine stalls.
         self.name_limit(scheduler, self.limited, 0.01)
         scheduler.upstreams.on_failure(scheduler.upstreams.get(self.free), "lost")
         slot = await scheduler.acquire(make_admitted())
