Refuse by itself a part of the configuration that can't be read

One part of a version that could not be read (a route's time-out, a tenant's rate, a type of route that is not known) kept the whole version out of force, so that all other routes and keys stay at the former one. A split route whose weights are all 0 was taken, and each of its requests failed with an exception (ValueError, of random.choices).

The rest of the version is now taken. What is refused with it: - A route that can't be read keeps its place: its requests get 503, as they would otherwise fall to the route with the next shorter prefix, which leads to a service that the version may not allow. Without its prefix this holds for its host, as the prefix may begin any path. It gets 503, which callers repeat elsewhere, not 401, which they don't repeat. Keys are required also if no tenant can be read.

The former version's route in place of the broken one is ruled out: it may have been moved. Nothing is said with 404 or 401, as a version that can be read may allow the request.

It is loud: event 785 with what is wrong, and a gauge with the number of parts. Both are quiet for a sound version.

--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -462,3 +462,9 @@
     logging.ERROR,
     "The store states another end of a roll-out than was decided.",
 )
+CONFIG_PART_REJECTED = define(
+    785,
+    "config_part_rejected",
+    logging.ERROR,
+    "Parts of the configuration in force could not be read.",
+)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/__init__.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/__init__.py
@@ -20,6 +20,7 @@
     load_adapter,
 )
 from skylarkdoord.direct._model import (
+    UNREAD_PREFIX,
     Admitted,
     CallerRequest,
     Customer,
@@ -35,6 +36,7 @@
 from skylarkdoord.direct._store_era import StoreEra
 
 __all__ = [
+    "UNREAD_PREFIX",
     "Adapter",
     "Admitted",
     "CallerRequest",
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
@@ -33,6 +33,7 @@
 from skylarkdoord.direct._settings import DirectSettings
 from skylarkdoord.direct.exceptions import (
     BadCallError,
+    ConfigUnreadError,
     FleetUnknownError,
     KeyUnknownError,
     MemoryFullError,
@@ -42,7 +43,7 @@
 from skylarkdoord.exceptions import NotRunError, OutcomeUnknownError
 
 MAX_HEADER_BYTES = 64 * 1024
-# Retry-After for requests that arrive before the first configuration.
+# Retry-After for requests on which no configuration decides yet.
 STARTING_RETRY_AFTER_S = 0.5
 # The load balancer stops sending callers after two failed checks, a second apart.
 DRAIN_NOTICE_S = 2.5
@@ -245,6 +246,10 @@
             problem = Problem(
                 503, "starting", str(error), retry_after_s=STARTING_RETRY_AFTER_S
             )
+        except ConfigUnreadError as error:
+            problem = Problem(
+                503, "config_unread", str(error), retry_after_s=STARTING_RETRY_AFTER_S
+            )
         return self.problem_response(request, problem)
 
     def read_head(self, raw: web.BaseRequest, received: float) -> CallerRequest:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_fleet.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_fleet.py
@@ -8,8 +8,8 @@
 from skylarkdoor.failures import reason
 from skylarkdoord import _events
 from skylarkdoord.direct._adapter import Adapter, Row, Rows, StoreVersion
-from skylarkdoord.direct._metrics import CONFIG_VERSION
-from skylarkdoord.direct._model import UpstreamRecord
+from skylarkdoord.direct._metrics import CONFIG_UNREAD_PARTS, CONFIG_VERSION
+from skylarkdoord.direct._model import FleetConfig, UpstreamRecord
 from skylarkdoord.direct._table import RoutingTable
 from skylarkdoord.direct.exceptions import (
     FleetUnknownError,
@@ -19,6 +19,7 @@
 CONFIG = "config"
 UPSTREAMS = "upstreams"
 CONFIG_KEY = "config"
+MAX_LOGGED_PROBLEMS = 10
 
 
 class CachedRow(NamedTuple):
@@ -175,9 +176,21 @@
             routes=len(config.routes),
             customers=len(config.customers),
         )
+        self.report_problems(config)
         for callback in self.on_config:
             callback()
 
+    def report_problems(self, config: FleetConfig) -> None:
+        """Show which parts of the configuration in force could not be read."""
+        CONFIG_UNREAD_PARTS.set(len(config.problems))
+        if config.problems:
+            self.log.event(
+                _events.CONFIG_PART_REJECTED,
+                version=config.version,
+                parts=len(config.problems),
+                errors=config.problems[:MAX_LOGGED_PROBLEMS],
+            )
+
     def apply_upstream(self, row: Row, *, source: str) -> None:
         """Apply the row of one upstream unless the cached row is as new or newer.
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_metrics.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_metrics.py
@@ -120,6 +120,10 @@
 CONFIG_VERSION = Gauge(
     "skylarkdoor_direct_config_version", "Version of the configuration in force."
 )
+CONFIG_UNREAD_PARTS = Gauge(
+    "skylarkdoor_direct_config_unread_parts",
+    "Parts of the configuration in force that could not be read.",
+)
 STORE_CALLS = Counter(
     "skylarkdoor_direct_store_calls_total",
     "Calls of the store, by table and result.",
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_model.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_model.py
@@ -8,6 +8,8 @@
 from typing import NamedTuple
 
 MS_PER_S = 1000.0
+# Prefix of a route whose own could not be read.
+UNREAD_PREFIX = ""
 
 # Instance of an upstream and Unix time of its start in milliseconds.
 Incarnation = tuple[str, int]
@@ -38,8 +40,11 @@
     Attributes:
         name: Name of the route.
         host: Host in the requests' URLs, without a port.
-        prefix: Path prefix, with a slash at both ends.
-        targets: Services that serve the requests.
+        prefix: Path prefix, with a slash at both ends; empty if it could not be read.
+            Then it may begin any path, and no request of the host is served.
+        targets: Services that serve the requests; empty if the route could not be
+            read. Then its requests are refused, rather than served by the route with
+            the next shorter prefix.
         repeat: Whether a request may run more than once.
         is_stream: Whether the answer is a stream of server-sent events.
         is_resumable: Whether another upstream may continue an interrupted stream.
@@ -117,10 +122,13 @@
         version: Version number, which increases with each change.
         routes: All routes.
         services: All services, by name.
-        customers: All customers.
+        customers: All customers that could be read.
         max_body_bytes: Maximum size of a request body, in bytes.
         idle_timeout_s: Time after which a caller's idle connection may be closed,
             in seconds.
+        has_unread_customers: Whether a customer could not be read, so that a key may be
+            valid although it belongs to no other.
+        problems: What could not be read, one text a part.
     """
 
     version: int
@@ -129,6 +137,13 @@
     customers: tuple[Customer, ...]
     max_body_bytes: int = 4 * 1024 * 1024
     idle_timeout_s: float = 15.0
+    has_unread_customers: bool = False
+    problems: tuple[str, ...] = ()
+
+    @property
+    def requires_keys(self) -> bool:
+        """Whether callers need an API key, except for anonymous routes."""
+        return bool(self.customers) or self.has_unread_customers
 
 
 class UpstreamRecord(NamedTuple):
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_table.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_table.py
@@ -5,13 +5,18 @@
 
 from skylarkdoord.direct._first_attempts import FirstAttempts
 from skylarkdoord.direct._model import (
+    UNREAD_PREFIX,
     Admitted,
     CallerRequest,
     Customer,
     FleetConfig,
     Route,
 )
-from skylarkdoord.direct.exceptions import KeyUnknownError, RouteAbsentError
+from skylarkdoord.direct.exceptions import (
+    ConfigUnreadError,
+    KeyUnknownError,
+    RouteAbsentError,
+)
 
 # Number of route tiers within each customer tier.
 ROUTE_TIERS = 16
@@ -52,14 +57,19 @@
 
         Raises:
             RouteAbsentError: The host has no route whose prefix matches the path.
+            ConfigUnreadError: That route, or one that may be it, could not be read.
         """
         prefixes = self.hosts.get(host.lower())
+        if prefixes is not None and UNREAD_PREFIX in prefixes.by_prefix:
+            raise ConfigUnreadError(f"a route of {host} could not be read")
         end = len(path)
         while prefixes is not None:
             end = path.rfind("/", 0, end)
             if end < 0:
                 break
             route = prefixes.by_prefix.get(path[: end + 1])
+            if route is not None and not route.targets:
+                raise ConfigUnreadError(f"the route of {host} {path} could not be read")
             if route is not None:
                 return route
         raise RouteAbsentError(f"no route for {host} {path}")
@@ -69,8 +79,11 @@
 
         Raises:
             KeyUnknownError: The key belongs to no customer.
+            ConfigUnreadError: It may belong to a customer that could not be read.
         """
         customer = self.customers.get(key)
+        if customer is None and self.config.has_unread_customers:
+            raise ConfigUnreadError("a customer could not be read")
         if customer is None:
             raise KeyUnknownError("the API key is not known")
         return customer
@@ -87,10 +100,12 @@
             RouteAbsentError: No route matches the request.
             KeyUnknownError: The route requires an API key and the request's key belongs
                 to no customer.
+            ConfigUnreadError: The part of the configuration that decides on it could
+                not be read.
         """
         route = self.find_route(request.host, request.path)
         customer = None
-        if self.config.customers and not route.is_anonymous:
+        if self.config.requires_keys and not route.is_anonymous:
             customer = self.find_customer(request.key)
         waited_s = first_attempts.waited_s(request, route)
         return Admitted(
--- a/packages/skylarkdoord/src/skylarkdoord/direct/exceptions.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/exceptions.py
@@ -13,6 +13,7 @@
     "AdapterAbsentError",
     "AnswerTruncatedError",
     "BadCallError",
+    "ConfigUnreadError",
     "ConflictError",
     "DirectError",
     "FirstByteTimeoutError",
@@ -65,6 +66,10 @@
     """No configuration is known yet."""
 
 
+class ConfigUnreadError(DirectError):
+    """The part of the configuration that decides on the request could not be read."""
+
+
 class RowError(DirectError):
     """The contents of a row of the store, or of an engine's report, are malformed."""
 
