--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -42,6 +42,12 @@
     logging.ERROR,
     "The changed settings file is invalid; it was not applied.",
 )
+PROCESS_NOT_STARTED = define(
+    210,
+    "process_not_started",
+    logging.ERROR,
+    "The process did not start, as its settings are invalid.",
+)
 
 SETTINGS_APPLIED = define(
     301, "settings_applied", logging.INFO, "A settings revision was applied."
@@ -462,9 +468,37 @@
     logging.ERROR,
     "The store states another end of a roll-out than was decided.",
 )
+
+CONFIG_BEHIND = define(
+    780,
+    "config_behind",
+    logging.WARNING,
+    "Another entry has a newer configuration than this one.",
+)
+CONFIG_CAUGHT_UP = define(
+    781,
+    "config_caught_up",
+    logging.INFO,
+    "The newest configuration of which this entry has heard is in force.",
+)
+CONFIG_STALE = define(
+    782,
+    "config_stale",
+    logging.WARNING,
+    "The store has not vouched for the configuration for some time.",
+)
+CONFIG_CONFIRMED = define(
+    783,
+    "config_confirmed",
+    logging.INFO,
+    "The store has vouched for the configuration again.",
+)
 CONFIG_PART_REJECTED = define(
     785,
     "config_part_rejected",
     logging.ERROR,
     "Parts of the configuration in force could not be read.",
 )
+LOOP_STALLED = define(
+    786, "loop_stalled", logging.WARNING, "The event loop did not run for some time."
+)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
@@ -10,7 +10,9 @@
 from skylarkdoor.hashing import rendezvous
 from skylarkdoor.wire import pb
 from skylarkdoord.direct._adapter import Row, StoreVersion
-from skylarkdoord.direct._fleet import CONFIG, UPSTREAMS, Fleet
+from skylarkdoord.direct._config_age import ConfigAge
+from skylarkdoord.direct._config_requests import LAG_TOLERANCE_S, SendLimit
+from skylarkdoord.direct._fleet import CONFIG, UPSTREAMS, ConfigVersion, Fleet
 from skylarkdoord.direct._member import Member
 from skylarkdoord.direct._model import MS_PER_S
 from skylarkdoord.direct._pace import MAX_HEARTBEAT_S
@@ -32,9 +34,6 @@
 # An entry that stopped sending updates is assumed to go on using its share of the
 # customers' limits for this long.
 SILENT_RETENTION_S = 30.0
-# Rows that another entry has had for longer than this were missed by this entry's
-# own watch of the store and are requested from that entry.
-LAG_TOLERANCE_S = 0.3
 MAX_INCARNATION = 2**63
 
 
@@ -48,6 +47,7 @@
         crashes: Receives the crash suspicions of other entries.
         limits: Receives the limits of upstreams of which other entries know.
         streams: Receives the versions of streams that other entries know.
+        age: Receives how recent the configurations of other entries are.
         incarnation: Random number that identifies this run of the entry.
         clock: Returns monotonic time that includes time in suspend, in seconds.
 
@@ -66,6 +66,7 @@
         limits: UpstreamLimits | None = None,
         streams: StreamVersions | None = None,
         *,
+        age: ConfigAge | None = None,
         incarnation: int = 0,
         clock: Callable[[], float] = boot_time_s,
     ) -> None:
@@ -75,8 +76,10 @@
         self.crashes = crashes
         self.limits = limits or UpstreamLimits(instance)
         self.streams = streams or StreamVersions(fleet)
+        self.age = age or ConfigAge(fleet, clock=clock)
         self.fleet = fleet
         self.quota = quota
+        self.config_limit = SendLimit(clock)
         self.by_name: dict[str, Member] = {}
         self.started = self.clock()
         self.listed = 0
@@ -88,6 +91,20 @@
             member.last_update_at > since for member in self.by_name.values()
         )
 
+    def has_lost_all(self, since: float) -> bool:
+        """Return whether entries fell silent lately and none is heard of.
+
+        Args:
+            since: Monotonic time from which an entry that fell silent counts, in
+                seconds.
+        """
+        heard_since = since - self.live_timeout_s()
+        is_silent = any(
+            not member.has_closed_stream and member.last_update_at > heard_since
+            for member in self.by_name.values()
+        )
+        return is_silent and self.live_count() == 1
+
     def sharing_count(self) -> int:
         """Return how many entries may use a budget for all, including this one.
 
@@ -113,13 +130,25 @@
 
     def owns(self, fingerprint: int) -> bool:
         """Return whether this entry, of the live ones, is responsible for a request."""
+        return self.is_chosen(str(fingerprint), 1)
+
+    def is_chosen(self, task: str, count: int) -> bool:
+        """Return whether this entry is one of those that do a task for all.
+
+        They are chosen by hashes of their names, so they are of all data centres.
+
+        Args:
+            task: Name of the task.
+            count: Number of live entries that do it.
+        """
         since = self.clock() - self.live_timeout_s()
         live = [
             name
             for name, member in self.by_name.items()
             if member.last_update_at > since
         ]
-        return rendezvous(str(fingerprint), [*live, self.instance]) == [self.instance]
+        chosen = rendezvous(task, [*live, self.instance], count=count)
+        return self.instance in chosen
 
     def limit_share(self, upstream: str, most: int) -> float:
         """Return this entry's part of an upstream's limit, from 0 to 1.
@@ -230,10 +259,24 @@
         )
         self.streams.merge(update.streams)
         self.streams.history.check_pending()
-        member.config_at = StoreVersion(update.config_era, update.config_version)
+        member.config = ConfigVersion(
+            update.config_number,
+            StoreVersion(update.config_era, update.config_version),
+        )
+        was_behind = member.upstreams_at > self.fleet.upstreams_at
         member.upstreams_at = StoreVersion(
             update.upstreams_era, update.upstreams_version
         )
+        if not was_behind:
+            member.behind_since = self.clock()
+        self.age.on_update(
+            update.config_number,
+            update.config_age_ms / MS_PER_S
+            if update.HasField("config_age_ms")
+            else None,
+            sent_at=member.sent_at,
+            source=update.instance,
+        )
 
     def add(self, update: pb.EntryNews) -> Member:
         """Add an entry, or replace it by its new incarnation.
@@ -268,21 +311,33 @@
         if member is not None:
             member.has_closed_stream = not is_silent
 
-    def is_behind(self, instance: str) -> bool:
-        """Return whether another entry has had newer rows for longer than tolerated."""
-        member = self.by_name.get(instance)
-        if member is None:
+    def is_behind(self, member: Member) -> bool:
+        """Return whether another entry has had newer rows of upstreams for some time.
+
+        This entry's own watch of the store should have returned them.
+        """
+        if member.upstreams_at <= self.fleet.upstreams_at:
             return False
-        newer = (
-            member.config_at > self.fleet.config_at
-            or member.upstreams_at > self.fleet.upstreams_at
+        return self.clock() - member.behind_since >= LAG_TOLERANCE_S
+
+    def rows_wanted(self, instance: str, *, wants_config: bool) -> pb.RowsWanted | None:
+        """Return the request for rows to send to another entry; None if there is none.
+
+        Args:
+            instance: Name of the other entry.
+            wants_config: Whether its configuration is requested, if it is newer.
+        """
+        member = self.by_name.get(instance)
+        if member is None or not (wants_config or self.is_behind(member)):
+            return None
+        config = self.fleet.config_version if wants_config else member.config
+        return pb.RowsWanted(
+            config_number=config.number,
+            config_since=config.changed_at.number,
+            config_era=config.changed_at.era,
+            upstreams_since=self.fleet.upstreams_at.number,
+            upstreams_era=self.fleet.upstreams_at.era,
         )
-        now = self.clock()
-        if not newer:
-            member.behind_since = 0.0
-        elif not member.behind_since:
-            member.behind_since = now
-        return newer and now - member.behind_since >= LAG_TOLERANCE_S
 
     def apply_rows(self, rows: list[pb.StoreRow], source: str) -> None:
         """Apply rows that another entry sent.
@@ -304,10 +359,9 @@
     def newer_rows(self, requested: pb.RowsWanted) -> list[pb.StoreRow]:
         """Return the rows that are newer than the versions in a request."""
         rows = []
-        config = self.fleet.config_row
-        config_since = StoreVersion(requested.config_era, requested.config_since)
+        config = self.requested_config(requested)
         since = StoreVersion(requested.upstreams_era, requested.upstreams_since)
-        if config is not None and config.changed_at > config_since:
+        if config is not None:
             rows.append(to_wire(CONFIG, config))
         rows += [
             to_wire(UPSTREAMS, cached.row)
@@ -316,6 +370,24 @@
         ]
         return rows
 
+    def requested_config(self, requested: pb.RowsWanted) -> Row | None:
+        """Return the configuration's row if a request is to be answered with it.
+
+        An entry of a release that doesn't state the operator's version goes by the
+        row's place in the store's history.
+        """
+        row = self.fleet.config_row
+        if row is None or row.data is None:
+            return None
+        own = self.fleet.config_version
+        changed_at = StoreVersion(requested.config_era, requested.config_since)
+        number = requested.config_number
+        if not number and changed_at != StoreVersion():
+            number = own.number
+        if own <= ConfigVersion(number, changed_at):
+            return None
+        return row if self.config_limit.allows(len(row.data)) else None
+
 
 def to_wire(table: str, row: Row) -> pb.StoreRow:
     """Return a row as a message between entries."""
