Retry a configuration that could not be decoded, with an event and a gauge

An entry that could not decode a version logged one line (702, as for any row) and never tried again: the watch returns a row once, and contents that failed are not decoded again. A failure that had nothing to do with the contents (memory, for example) left it at the former version until the operator wrote the next one.

The refusal has its own event, 784 config_rejected, at each attempt, and the gauge skylarkdoor_direct_config_rejected. While a newer version is rejected, the entry reads the row from the store again, after 0.5 to 1 s at first and 15 to 30 s at last, so that many entries that all reject it cost few calls.

Other entries are not asked again: they have the bytes of the store, and a store that is down is asked until it answers. /readiness stays as it is. All entries of a release reject the same bytes, so it would take all of them out at once; behind a load balancer that doesn't then use them all, one bad version would stop everything.

--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -493,6 +493,12 @@
     logging.INFO,
     "The store has vouched for the configuration again.",
 )
+CONFIG_REJECTED = define(
+    784,
+    "config_rejected",
+    logging.ERROR,
+    "A version of the configuration could not be decoded and is not in force.",
+)
 CONFIG_PART_REJECTED = define(
     785,
     "config_part_rejected",
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_fleet.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_fleet.py
@@ -9,7 +9,11 @@
 from skylarkdoor.failures import reason
 from skylarkdoord import _events
 from skylarkdoord.direct._adapter import Adapter, Row, Rows, StoreVersion
-from skylarkdoord.direct._metrics import CONFIG_UNREAD_PARTS, CONFIG_VERSION
+from skylarkdoord.direct._metrics import (
+    CONFIG_REJECTED,
+    CONFIG_UNREAD_PARTS,
+    CONFIG_VERSION,
+)
 from skylarkdoord.direct._model import FleetConfig, UpstreamRecord
 from skylarkdoord.direct._table import RoutingTable
 from skylarkdoord.direct.exceptions import (
@@ -124,6 +128,7 @@
         upstreams_at: Latest point in the store's history up to which rows were applied.
         missing: Upstreams in their grace period, by key.
         on_config: Called in order after the configuration has changed.
+        on_rejected: Called after a configuration could not be decoded.
         on_upstreams: Called in order after upstreams may have changed.
     """
 
@@ -139,6 +144,7 @@
         self.upstreams_at = StoreVersion()
         self.missing: dict[str, MissingUpstream] = {}
         self.on_config: list[Callable[[], None]] = []
+        self.on_rejected: Callable[[], None] = lambda: None
         self.on_upstreams: list[Callable[[], None]] = []
         self.log = events.get_logger("direct.fleet")
 
@@ -202,9 +208,7 @@
         try:
             config = self.adapter.decode_config(row.data)
         except Exception as error:
-            self.unused_config = UnusedConfig(row.data, None)
-            self.rejected_configs.append(row.changed_at)
-            self.log_rejected(row, error)
+            self.reject_config(row, row.data, error)
             return
         if ConfigVersion(config.version, row.changed_at) <= self.config_version:
             self.unused_config = UnusedConfig(row.data, config.version)
@@ -213,6 +217,34 @@
         if self.routing is None or config != self.routing.config:
             self.put_in_force(config, source)
 
+    def reject_config(self, row: Row, data: bytes, error: Exception) -> None:
+        """Record that a configuration can't be decoded.
+
+        Args:
+            row: The configuration's row.
+            data: Its contents.
+            error: What is wrong with them.
+        """
+        self.unused_config = UnusedConfig(data, None)
+        if row.changed_at not in self.rejected_configs:
+            self.rejected_configs.append(row.changed_at)
+        CONFIG_REJECTED.set(self.has_rejected_newer())
+        self.log.event(
+            _events.CONFIG_REJECTED, version=row.version, error=_problem(error)
+        )
+        self.on_rejected()
+
+    def retry_config(self, row: Row, *, source: str) -> None:
+        """Apply the configuration's row, also if its contents were rejected before.
+
+        Args:
+            row: The configuration's row.
+            source: Origin of the row, for logs.
+        """
+        if row.key == CONFIG_KEY and row.changed_at in self.rejected_configs:
+            self.unused_config = None
+        self.apply_config(row, source=source)
+
     def is_known_config(self, row: Row) -> bool:
         """Return whether a row changes nothing, without decoding its contents.
 
@@ -253,6 +285,7 @@
         """Replace the row of the configuration in force."""
         self.config_row = row
         self.rejected_configs.clear()
+        CONFIG_REJECTED.set(0)
 
     def put_in_force(self, config: FleetConfig, source: str) -> None:
         """Replace the configuration in force and call the listeners."""
@@ -346,9 +379,11 @@
 
     def log_rejected(self, row: Row, error: Exception) -> None:
         """Log that a row can't be decoded."""
-        problem = str(error) if isinstance(error, RowError) else reason(error)
         self.log.event(
-            _events.ROW_REJECTED, key=row.key, version=row.version, error=problem
+            _events.ROW_REJECTED,
+            key=row.key,
+            version=row.version,
+            error=_problem(error),
         )
 
     def apply_changes(
@@ -433,6 +468,10 @@
             callback()
 
 
+def _problem(error: Exception) -> str:
+    return str(error) if isinstance(error, RowError) else reason(error)
+
+
 def _state(record: UpstreamRecord | None) -> str:
     if record is None:
         return "gone"
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_metrics.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_metrics.py
@@ -120,6 +120,10 @@
 CONFIG_VERSION = Gauge(
     "skylarkdoor_direct_config_version", "Version of the configuration in force."
 )
+CONFIG_REJECTED = Gauge(
+    "skylarkdoor_direct_config_rejected",
+    "Whether a newer configuration than the one in force can't be decoded.",
+)
 CONFIG_UNREAD_PARTS = Gauge(
     "skylarkdoor_direct_config_unread_parts",
     "Parts of the configuration in force that could not be read.",
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -13,6 +13,7 @@
 )
 from skylarkdoord.direct._callers import CallerServer
 from skylarkdoord.direct._config_age import ConfigAge
+from skylarkdoord.direct._config_retry import ConfigRetry
 from skylarkdoord.direct._data_centres import LeaveCosts
 from skylarkdoord.direct._exchange import EntryExchange
 from skylarkdoord.direct._fleet import CONFIG, Fleet
@@ -144,6 +145,7 @@
     watcher.on_tick.append(streams.history.check_pending)
     watcher.on_changes = exchange.broadcast
     kernel.register(watcher)
+    kernel.register(ConfigRetry(fleet, store))
     kernel.register(exchange)
     limit_records = LimitRecords(settings.instance, store, members)
     suspect_records = SuspectRecords(settings.instance, store, crashes)
--- a/packages/skylarkdoord/tests/direct/test_fleet.py
+++ b/packages/skylarkdoord/tests/direct/test_fleet.py
@@ -5,6 +5,7 @@
 import time
 
 import pytest
+from prometheus_client import REGISTRY
 
 from skylarkdoord.direct import FleetConfig, Row, Rows, Service
 from skylarkdoord.direct._fleet import CONFIG, UPSTREAMS, Fleet
@@ -45,6 +46,14 @@
         )
 
 
+REJECTED = "skylarkdoor_direct_config_rejected"
+
+
+def fail(data):
+    """Raise an error that has nothing to do with the contents."""
+    raise MemoryError
+
+
 @pytest.fixture
 def fleet():
     """Return an empty fleet."""
@@ -134,6 +143,31 @@
         self.apply(fleet, 7, 8)
         assert fleet.table.config.version == 8
 
+    # Guards against a version that is not in force and of which one line tells.
+    def test_loud(self, fleet, caplog):
+        """A version that is not taken has an event and a gauge of its own."""
+        caplog.set_level("INFO", "skylarkdoor")
+        self.apply(fleet, 5, 7)
+        self.apply(fleet, 6, b"spoilt")
+        names = [record.event_name for record in caplog.records]
+        assert names[-1] == "config_rejected"
+        assert REGISTRY.get_sample_value(REJECTED) == 1
+        self.apply(fleet, 7, 8)
+        assert REGISTRY.get_sample_value(REJECTED) == 0
+
+    def test_retry(self, fleet, monkeypatch):
+        """Contents that were rejected are decoded again on request only."""
+        self.apply(fleet, 5, 7)
+        spoilt = Row("config", 6, b"9")
+        with monkeypatch.context() as patch:
+            patch.setattr(fleet.adapter, "decode_config", fail)
+            fleet.apply_config(spoilt, source="test")
+        fleet.apply_config(spoilt, source="test")
+        assert fleet.has_rejected_newer()
+        fleet.retry_config(spoilt, source="test")
+        assert fleet.table.config.version == 9
+        assert not fleet.has_rejected_newer()
+
 
 class TestUpstreams:
     """`Fleet.apply_snapshot` and `Fleet.apply_changes`."""
