--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -505,6 +505,18 @@
     logging.INFO,
     "The store has vouched for the configuration again.",
 )
+CONFIG_REJECTED = define(
+    784,
+    "config_rejected",
+    logging.ERROR,
+    "A version of the configuration could not be decoded and is not in force.",
+)
+CONFIG_PART_REJECTED = define(
+    785,
+    "config_part_rejected",
+    logging.ERROR,
+    "Parts of the configuration in force could not be read.",
+)
 LOOP_STALLED = define(
     786, "loop_stalled", logging.WARNING, "The event loop did not run for some time."
 )
