Move a route under faults of entries, links and the store, and judge its versions

The soak never moved a route between services, so nothing of ours with real processes showed which version of the configuration requests are handled by while faults go on. The new run has entries in three data centres, a port of the store for each entry and a proxy for each data centre's streams to an entry of another. A request's version is told by the time-out that its entry passes on. An entry that is in touch may use no version older than the newest of 3 s before the request (9 s while the store is unstable), and none that is older than one that its process has used.

Ruled out: a route that moves between services by itself tells too little, as both services are allowed for most of the time with a change every 2 s.

--- a/tests/soak/_daemon.py
+++ b/tests/soak/_daemon.py
@@ -45,10 +45,12 @@
         role: Subcommand of `skylarkdoord`.
         settings: Its settings, as a document.
         folder: Directory of its settings file and log.
+        program: Arguments of Python that run `skylarkdoord`.
     """
 
-    def __init__(self, role, settings, folder):
+    def __init__(self, role, settings, folder, *, program=("-m", "skylarkdoord")):
         self.role = role
+        self.program = program
         self.name = settings["instance"]
         self.path = folder / f"{self.name}.json"
         self.path.write_text(json.dumps(settings))
@@ -61,8 +63,7 @@
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
-                "-m",
-                "skylarkdoord",
+                *self.program,
                 self.role,
                 "--settings",
                 str(self.path),
--- /dev/null
+++ b/tests/soak/config.py
@@ -0,0 +1,51 @@
+"""Command line of the runs in which the configuration changes."""
+
+import asyncio
+import statistics
+import tempfile
+from pathlib import Path
+
+import click
+
+from ._config_run import ConfigSoak
+
+SHOWN = 40
+
+
+@click.command()
+@click.option("--seed", default=1, help="First seed.")
+@click.option("--runs", default=1, help="Number of runs, each with the next seed.")
+@click.option("--seconds", default=60.0, help="Time during which faults are injected.")
+@click.option("--entries", default=9, help="Number of entries.")
+@click.option("--fault", "faults", multiple=True, help="Fault to draw from; all.")
+def main(
+    seed: int, runs: int, seconds: float, entries: int, faults: tuple[str, ...]
+) -> None:
+    """Change the configuration under faults; exit with 1 if a rule is broken."""
+    failed = False
+    for number in range(seed, seed + runs):
+        folder = Path(tempfile.mkdtemp(prefix=f"config-{number}-"))
+        soak = ConfigSoak(number, folder, entries=entries, faults=faults)
+        result = asyncio.run(soak.run(seconds))
+        click.echo(f"seed {number}: {result.runs} runs, {dict(result.outcomes)}")
+        click.echo(f"  the machine stalled for {result.stalled_s:.1f} s")
+        for name, rate in sorted(result.calls.items()):
+            click.echo(f"  {rate:.2f} calls a second: {name}")
+        blind_s = sorted(seconds for seconds, _ in result.blind_s)
+        if blind_s:
+            click.echo(
+                "  older version after a fault: median "
+                f"{statistics.median(blind_s):.2f} s, longest {blind_s[-1]:.2f} s,"
+                f" {len(blind_s)} in all"
+            )
+        for fault in result.faults:
+            click.echo(f"  {fault}")
+        for broken in result.broken[:SHOWN]:
+            click.echo(f"  BROKEN {broken}")
+        click.echo(f"  {len(result.broken)} broken; logs in {folder}")
+        failed = failed or bool(result.broken)
+    raise SystemExit(int(failed))
+
+
+if __name__ == "__main__":
+    main()
