Check the streams between entries after the faults, and one line for each old version

A run of tests.soak.config tells nothing of streams that are lost for good. Each entry now has to count all others as live at the end (its metric skylarkdoor_direct_entries). Requests of one entry by the same old version are one violation. Entries that never used the newest version are listed, as the times after a fault leave them out.

--- a/tests/soak/_config_rules.py
+++ b/tests/soak/_config_rules.py
@@ -79,17 +79,22 @@
         text: The rule, the versions and what impaired the entry.
         since: Time of the first, in seconds.
         until: Time of the last, in seconds.
+        required: Oldest version that was allowed for the last.
         count: Number of requests.
     """
 
     text: str
     since: float
     until: float
+    required: int = 0
     count: int = 0
 
     def __str__(self):
         """Return the violation on one line."""
-        return f"{self.since:.1f} to {self.until:.1f}, {self.count} times: {self.text}"
+        return (
+            f"{self.since:.1f} to {self.until:.1f} s, {self.count} times, at least"
+            f" version {self.required} required: {self.text}"
+        )
 
 
 class ConfigRules:
@@ -143,14 +148,14 @@
         """Judge one run."""
         required = self.required(run.entry, run.sent_at)
         if run.version < required:
-            self.violate(run, f"version {run.version} instead of {required}")
+            self.violate(run, f"version {run.version} after its replacement", required)
         version, since = self.newest.get(run.entry, (0, 0.0))
         slowed = self.overlapping(run.entry, run.sent_at - CONTACT_S, run.ran_at)
         slack_s = ROLLBACK_SLACK_S * (SLOWED_FACTOR if slowed else 1)
         if run.version > version:
             self.newest[run.entry] = (run.version, run.ran_at)
         elif run.version < version and run.sent_at > since + slack_s:
-            self.violate(run, f"version {run.version} after {version}")
+            self.violate(run, f"version {run.version} after a newer one", version)
         target, healed_at = self.waiting.get(run.entry, (0, 0.0))
         if target and run.version >= target:
             self.blind_s.append((run.ran_at - healed_at, run.entry))
@@ -159,7 +164,8 @@
     def judge_refusal(self, entry, status, sent_at):
         """Judge an answer of an entry's own that denies the route."""
         if self.bound_s(entry, sent_at) is not None:
-            self.violate(Run(entry, 0, sent_at, sent_at), f"status {status}")
+            run = Run(entry, 0, sent_at, sent_at)
+            self.violate(run, f"status {status}", self.required(entry, sent_at))
 
     def required(self, entry, at):
         """Return the oldest version by which an entry may handle a request."""
@@ -173,8 +179,8 @@
         ]
         return max(bound, default=0)
 
-    def violate(self, run, text):
-        """Record a violation."""
+    def violate(self, run, text, required):
+        """Record a violation; `required` is the oldest version that was allowed."""
         violation = self.violations.get((run.entry, text))
         if violation is None:
             causes = self.overlapping(run.entry, run.sent_at - LISTED_S, run.ran_at)
@@ -182,5 +188,6 @@
             self.violations[run.entry, text] = violation = Violation(
                 f"{run.entry} {text} ({listed})", run.sent_at, run.sent_at
             )
+        violation.required = required
         violation.until = run.sent_at
         violation.count += 1
--- a/tests/soak/_config_run.py
+++ b/tests/soak/_config_run.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import json
+import re
 import signal
 from collections import Counter
 from pathlib import Path
@@ -43,6 +44,7 @@
 STOP_TIMEOUT_S = 10.0
 # Time after the last fault during which the rules are still judged.
 RECOVERY_S = 10.0
+LIVE_ENTRIES = re.compile(r"^skylarkdoor_direct_entries (\S+)$", re.MULTILINE)
 DENIALS = (401, 403, 404)
 
 
@@ -56,6 +58,7 @@
         runs: Number of requests that ran.
         blind_s: Times from the end of faults until each entry concerned used the
             version that was the newest then, in seconds, with its name.
+        blind: Names of the entries that did not use it until the end.
         calls: Calls to the store in a second, by path and table.
         stalled_s: Time for which the machine stalled, in seconds.
     """
@@ -65,6 +68,7 @@
     outcomes: Counter
     runs: int
     blind_s: list[tuple[float, str]]
+    blind: list[str]
     calls: dict[str, float]
     stalled_s: float
 
@@ -105,6 +109,7 @@
             },
         }
         self.url = f"http://{settings['listen']['callers']}"
+        self.metrics_url = f"http://{settings['listen']['metrics']}/metrics"
         program = ("-P", str(ROUTED_DAEMON), str(self.folder / self.data_centre))
         self.daemon = Daemon("direct-entry", settings, self.folder, program=program)
 
@@ -477,13 +482,18 @@
             running.append(asyncio.create_task(self.rng.choice(self.drawn)()))
         await asyncio.gather(*running)
 
-    async def run(self, seconds):
-        """Execute one run and return its result."""
+    async def run(self, seconds, *, recovery_s=RECOVERY_S):
+        """Execute one run and return its result.
+
+        Args:
+            seconds: Time during which faults are injected.
+            recovery_s: Time after them during which the rules are judged.
+        """
         async with contextlib.AsyncExitStack() as resources:
             tasks = [asyncio.create_task(self.clock.run())]
             resources.push_async_callback(_end_tasks, tasks)
             await self.set_up(resources)
-            self.rules.blind_s.clear()
+            self.rules.waiting.clear()
             session = await resources.enter_async_context(self.session())
             tasks.append(asyncio.create_task(self.operate()))
             tasks += [
@@ -492,13 +502,15 @@
             self.store.counts.clear()
             started_at = self.clock.now
             await self.inject_faults(seconds)
-            await asyncio.sleep(RECOVERY_S)
+            await asyncio.sleep(recovery_s)
             duration_s = self.clock.now - started_at
             for node in self.nodes:
                 self.check_process(node)
+                await self.check_streams(session, node)
             for task in tasks:
                 if task.done():
                     task.result()
+            await _end_tasks(tasks)
             calls = {
                 name: count / duration_s for name, count in self.store.counts.items()
             }
@@ -510,10 +522,23 @@
             self.outcomes,
             self.runs,
             self.rules.blind_s,
+            sorted(self.rules.waiting),
             calls,
             self.clock.stalled_s,
         )
 
+    async def check_streams(self, session, node):
+        """Check that an entry hears all others after the faults."""
+        try:
+            async with session.get(node.metrics_url) as response:
+                text = await response.text()
+        except (aiohttp.ClientError, TimeoutError) as error:
+            self.broken.append(f"{node.name} tells no metrics: {error!r}")
+            return
+        (live,) = LIVE_ENTRIES.findall(text)
+        if float(live) != len(self.nodes):
+            self.broken.append(f"{node.name} hears {live} of {len(self.nodes)} entries")
+
     def check_logs(self):
         """Check that the processes printed nothing but their log lines."""
         for node in self.nodes:
--- a/tests/soak/config.py
+++ b/tests/soak/config.py
@@ -7,7 +7,7 @@
 
 import click
 
-from ._config_run import ConfigSoak
+from ._config_run import RECOVERY_S, ConfigSoak
 
 SHOWN = 40
 
@@ -17,16 +17,24 @@
 @click.option("--runs", default=1, help="Number of runs, each with the next seed.")
 @click.option("--seconds", default=60.0, help="Time during which faults are injected.")
 @click.option("--entries", default=9, help="Number of entries.")
+@click.option(
+    "--recovery", default=RECOVERY_S, help="Time after them that is judged as well."
+)
 @click.option("--fault", "faults", multiple=True, help="Fault to draw from; all.")
 def main(
-    seed: int, runs: int, seconds: float, entries: int, faults: tuple[str, ...]
+    seed: int,
+    runs: int,
+    seconds: float,
+    entries: int,
+    recovery: float,
+    faults: tuple[str, ...],
 ) -> None:
     """Change the configuration under faults; exit with 1 if a rule is broken."""
     failed = False
     for number in range(seed, seed + runs):
         folder = Path(tempfile.mkdtemp(prefix=f"config-{number}-"))
         soak = ConfigSoak(number, folder, entries=entries, faults=faults)
-        result = asyncio.run(soak.run(seconds))
+        result = asyncio.run(soak.run(seconds, recovery_s=recovery))
         click.echo(f"seed {number}: {result.runs} runs, {dict(result.outcomes)}")
         click.echo(f"  the machine stalled for {result.stalled_s:.1f} s")
         for name, rate in sorted(result.calls.items()):
@@ -36,7 +44,7 @@
             click.echo(
                 "  older version after a fault: median "
                 f"{statistics.median(blind_s):.2f} s, longest {blind_s[-1]:.2f} s,"
-                f" {len(blind_s)} in all"
+                f" {len(blind_s)} in all, {len(result.blind)} until the end"
             )
         for fault in result.faults:
             click.echo(f"  {fault}")
