Request a configuration from entries of a former release as well

Entries of a former release don't state the operator's version, which counted as older than any: an entry of the new release that missed a change of the store did not ask them for it, as it did before, so during an upgrade it had the store alone. Within an era, the place of the row in the store's history decides then; rows of other eras are left to the store, as an answer that is not taken would be requested again for ever. test_former_release failed before for a later row of the era.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_config_requests.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_config_requests.py
@@ -11,7 +11,7 @@
 from typing import Protocol
 
 from skylarkdoor.clock import boot_time_s
-from skylarkdoord.direct._fleet import Fleet
+from skylarkdoord.direct._fleet import ConfigVersion, Fleet
 from skylarkdoord.direct._member import Member
 
 # Time for this entry's own watch of the store to return the newer configuration.
@@ -115,10 +115,21 @@
         member = self.members.get(instance)
         return (
             member is not None
-            and member.config > self.fleet.config_version
+            and self.is_newer(member.config)
             and member.config.changed_at not in self.fleet.rejected_configs
         )
 
+    def is_newer(self, config: ConfigVersion) -> bool:
+        """Return whether another entry's configuration is newer than the one in force.
+
+        An entry of a former release does not state the operator's version. Within an
+        era, rows are written in the order of these versions.
+        """
+        changed_at = config.changed_at
+        if not config.number and changed_at.era == self.fleet.config_at.era:
+            return changed_at > self.fleet.config_at
+        return config > self.fleet.config_version
+
     def choose(self, sources: list[str]) -> str:
         """Return one of the entries that have the newest configuration."""
         newest = max(self.members[name].config for name in sources)
--- a/packages/skylarkdoord/tests/direct/test_config_requests.py
+++ b/packages/skylarkdoord/tests/direct/test_config_requests.py
@@ -129,6 +129,17 @@
         requester.hear("x", number, changed_at)
         assert bool(requester.timers.pending) == is_newer
 
+    # Guards against a configuration that an entry misses during an upgrade, as those of
+    # the former release have it and do not state the operator's version.
+    @pytest.mark.parametrize(
+        ("changed_at", "is_newer"),
+        [((1, 91), True), ((1, 90), False), ((0, 100), False), ((2, 7), False)],
+    )
+    def test_former_release(self, requester, changed_at, is_newer):
+        """Without the operator's version, the place within the era decides."""
+        requester.hear("x", 0, changed_at)
+        assert bool(requester.timers.pending) == is_newer
+
     def test_after_tolerance(self, requester):
         """A newer version is requested once the store had time to state it as well."""
         requester.hear("x", 5)
