Call all listeners of the fleet although one of them fails

Fleet puts a version in force before it calls the listeners of on_config, so requests were routed by it. But if one listener raised, those after it were never told of the version (guards of new engines, the age of the configuration, requests to other entries), nor did the watch record the answer of the store: its task failed, was started anew and read the whole table again; a row from another entry ended the stream to that entry. The version is not told again, as it is in force already. It was the same for on_upstreams, where it kept the slots of new upstreams from waiting requests.

A failure is now logged as event 787 listener_failed, with its place in the code and without the text of the error, which may contain what callers sent. A broken invariant passes on, as it ends the process.

--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -508,3 +508,9 @@
 LOOP_STALLED = define(
     786, "loop_stalled", logging.WARNING, "The event loop did not run for some time."
 )
+LISTENER_FAILED = define(
+    787,
+    "listener_failed",
+    logging.ERROR,
+    "A component failed while it was told of a change.",
+)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_fleet.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_fleet.py
@@ -9,6 +9,7 @@
 from skylarkdoor.failures import reason
 from skylarkdoord import _events
 from skylarkdoord.direct._adapter import Adapter, Row, Rows, StoreVersion
+from skylarkdoord.direct._listeners import call_all
 from skylarkdoord.direct._metrics import (
     CONFIG_REJECTED,
     CONFIG_UNREAD_PARTS,
@@ -299,8 +300,7 @@
             customers=len(config.customers),
         )
         self.report_problems(config)
-        for callback in self.on_config:
-            callback()
+        call_all(self.on_config)
 
     def report_problems(self, config: FleetConfig) -> None:
         """Show which parts of the configuration in force could not be read."""
@@ -464,8 +464,7 @@
 
     def notify(self) -> None:
         """Call the listeners for changes of upstreams."""
-        for callback in self.on_upstreams:
-            callback()
+        call_all(self.on_upstreams)
 
 
 def _problem(error: Exception) -> str:
--- /dev/null
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_listeners.py
@@ -0,0 +1,35 @@
+"""Calls listeners so that the failure of one does not affect the others."""
+
+import traceback
+from collections.abc import Callable, Iterable
+from pathlib import Path
+
+from skylarkdoor import events
+from skylarkdoor.exceptions import InvariantBrokenError
+from skylarkdoor.failures import reason
+from skylarkdoord import _events
+
+log = events.get_logger("direct.listeners")
+
+
+def call_all(listeners: Iterable[Callable[[], None]]) -> None:
+    """Call listeners in order; one that fails is logged.
+
+    Raises:
+        InvariantBrokenError: An invariant does not hold. The process ends.
+    """
+    for listener in listeners:
+        try:
+            listener()
+        except InvariantBrokenError:
+            raise
+        except Exception as error:
+            name = getattr(listener, "__qualname__", repr(listener))
+            # Not the error's text, which may contain what callers sent.
+            frame = traceback.extract_tb(error.__traceback__)[-1]
+            log.event(
+                _events.LISTENER_FAILED,
+                listener=name,
+                error=reason(error),
+                at=f"{Path(frame.filename).name}:{frame.lineno}",
+            )
