Settings: a listener that fails keeps no other subtree old

SettingsService.apply called its listeners while rows of the table were read. If one raised, the rows after it were not applied: the poll failed, started anew with a growing delay and got one row further each time, so a subtree of one team kept those of other teams old.

Listeners are called as those of the fleet are, so a failure is logged and counts for that call alone. The event is the process's now, with number 215 in place of 787.

--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -48,6 +48,12 @@
     logging.ERROR,
     "The process did not start, as its settings are invalid.",
 )
+LISTENER_FAILED = define(
+    215,
+    "listener_failed",
+    logging.ERROR,
+    "A component failed while it was told of a change.",
+)
 
 SETTINGS_APPLIED = define(
     301, "settings_applied", logging.INFO, "A settings revision was applied."
@@ -508,9 +514,3 @@
 LOOP_STALLED = define(
     786, "loop_stalled", logging.WARNING, "The event loop did not run for some time."
 )
-LISTENER_FAILED = define(
-    787,
-    "listener_failed",
-    logging.ERROR,
-    "A component failed while it was told of a change.",
-)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_listeners.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_listeners.py
@@ -3,24 +3,34 @@
 import traceback
 from collections.abc import Callable, Iterable
 from pathlib import Path
+from typing import TypeVarTuple
 
 from skylarkdoor import events
 from skylarkdoor.exceptions import InvariantBrokenError
 from skylarkdoor.failures import reason
 from skylarkdoord import _events
 
-log = events.get_logger("direct.listeners")
+Arguments = TypeVarTuple("Arguments")
 
+log = events.get_logger("listeners")
 
-def call_all(listeners: Iterable[Callable[[], None]]) -> None:
+
+def call_all(
+    listeners: Iterable[Callable[[*Arguments], None]],
+    *arguments: *Arguments,
+) -> None:
     """Call listeners in order; one that fails is logged.
 
+    Args:
+        listeners: The listeners.
+        arguments: What each of them is called with.
+
     Raises:
         InvariantBrokenError: An invariant does not hold. The process ends.
     """
     for listener in listeners:
         try:
-            listener()
+            listener(*arguments)
         except InvariantBrokenError:
             raise
         except Exception as error:
--- a/packages/skylarkdoord/src/skylarkdoord/common/_settings.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_settings.py
@@ -16,6 +16,7 @@
     check_document,
 )
 from skylarkdoord import _events
+from skylarkdoord._listeners import call_all
 from skylarkdoord.common import _rows as rows
 from skylarkdoord.common._compressed_rows import CompressedRows
 from skylarkdoord.common._internal import InternalServer
@@ -126,8 +127,7 @@
             _events.SETTINGS_APPLIED, path=subtree.path, revision=subtree.revision
         )
         self.exchanges.on_applied(subtree.path, subtree.revision)
-        for listener in self.listeners:
-            listener(subtree)
+        call_all(self.listeners, subtree)
 
     def _parse_content(self, path: str, row: rows.SettingsRow) -> Fleet | Team:
         is_team = path != FLEET_PATH
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_fleet.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_fleet.py
@@ -8,8 +8,8 @@
 from skylarkdoor import events
 from skylarkdoor.failures import reason
 from skylarkdoord import _events
+from skylarkdoord._listeners import call_all
 from skylarkdoord.direct._adapter import Adapter, Row, Rows, StoreVersion
-from skylarkdoord.direct._listeners import call_all
 from skylarkdoord.direct._metrics import (
     CONFIG_REJECTED,
     CONFIG_UNREAD_PARTS,
