Bound the number of tiers whatever priorities the operator writes

A tenant's priority was multiplied by 16 without a bound. With a priority of 10 million the tier was 160 million: a guard with one such request waiting lists its load for each tier up to it, in every report, and above 2^28 the offer can't state the tier at all (ValueError: Value out of range), so the request is never offered. A route's priority above 15 had the tier of 15, so that 100 and 200 were the same.

Ranks stay as they are while they are below 16, as in all deployments so far. If one is higher, the ranks of the configuration are numbered in their order, so at most 256 tiers remain and the order does too, unless there are more than 16 different ones.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_table.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_table.py
@@ -18,17 +18,26 @@
     RouteAbsentError,
 )
 
+# Bound the tiers, as guards state their load for each of them.
+CUSTOMER_TIERS = 16
 # Number of route tiers within each customer tier.
 ROUTE_TIERS = 16
 
 
-def tier(route: Route, customer: Customer | None) -> int:
-    """Return a request's tier; 0 is the most important.
+def tiers(ranks: set[int], count: int) -> dict[int, int]:
+    """Return the tier of each rank, from 0 for the most important.
 
-    The customer's tier takes precedence over the route's.
+    It is the rank itself, unless a rank is too high. Then the ranks are numbered in
+    their order, and those beyond the number of tiers share the last one.
+
+    Args:
+        ranks: The ranks.
+        count: Number of tiers.
     """
-    customer_rank = customer.rank or 0 if customer is not None else 0
-    return customer_rank * ROUTE_TIERS + min(route.rank, ROUTE_TIERS - 1)
+    ordered = sorted(ranks | {0})
+    if ordered[-1] < count:
+        return {rank: rank for rank in ordered}
+    return {rank: min(tier, count - 1) for tier, rank in enumerate(ordered)}
 
 
 class _Host(NamedTuple):
@@ -51,6 +60,10 @@
         self.customers = {
             key: customer for customer in config.customers for key in customer.keys
         }
+        self.route_tiers = tiers({route.rank for route in config.routes}, ROUTE_TIERS)
+        self.customer_tiers = tiers(
+            {customer.rank or 0 for customer in config.customers}, CUSTOMER_TIERS
+        )
 
     def find_route(self, host: str, path: str) -> Route:
         """Return the route with the longest prefix of the path.
@@ -113,12 +126,22 @@
             route=route,
             service=self.choose_service(route),
             customer=customer,
-            rank=tier(route, customer),
+            rank=self.tier(route, customer),
             deadline=min(request.deadline, request.received + route.timeout_s),
             first_byte_due=request.received + route.target_latency_s - waited_s,
             version=self.config.version,
         )
 
+    def tier(self, route: Route, customer: Customer | None) -> int:
+        """Return a request's tier; 0 is the most important.
+
+        The customer's tier takes precedence over the route's.
+        """
+        customer_tier = 0
+        if customer is not None:
+            customer_tier = self.customer_tiers[customer.rank or 0]
+        return customer_tier * ROUTE_TIERS + self.route_tiers[route.rank]
+
     def choose_service(self, route: Route) -> str:
         """Return the service of one of the route's targets, drawn by weight."""
         if len(route.targets) == 1:
