Leave readiness to what an entry can tell for sure

Being cut off can't be told from an outage of both, and a configuration that may be old serves callers better than none. The age is logged and measured instead.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
@@ -4,7 +4,6 @@
 import json
 import time
 import weakref
-from collections.abc import Callable
 
 from aiohttp import web
 from multidict import CIMultiDict
@@ -69,7 +68,6 @@
         dependencies: Components that forwarding depends on.
 
     Attributes:
-        is_cut_off: Returns whether neither the store nor another entry is heard.
         drain: Whether the process is shutting down, and what it can still serve.
         drain_notice_s: Time between failing the readiness check and closing the
             listeners for callers, in seconds.
@@ -92,7 +90,6 @@
         self.shutdown_timeout_s = settings.shutdown_timeout_s
         self.fleet = fleet
         self.dependencies = dependencies
-        self.is_cut_off: Callable[[], bool] = lambda: False
         self.drain = dependencies.drain
         self.drain_notice_s = DRAIN_NOTICE_S
         self.running: dict[Forwarder, asyncio.Timeout] = {}
@@ -208,7 +205,7 @@
         if raw.path != self.dependencies.adapter.readiness_path:
             return web.Response(status=404)
         is_ready = not self.drain.is_draining and self.fleet.routing is not None
-        is_ready = is_ready and self.held.is_ready() and not self.is_cut_off()
+        is_ready = is_ready and self.held.is_ready()
         return web.Response(status=200 if is_ready else 503)
 
     async def handle(self, raw: web.BaseRequest) -> web.StreamResponse:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_config_age.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_config_age.py
@@ -30,8 +30,6 @@
 # newest. With long intervals between updates, the limit grows with the interval.
 MIN_STALE_AFTER_S = 3.0
 STALE_AFTER_INTERVALS = 1.5
-# An entry that has heard neither the store nor another entry for this long is cut off.
-CUT_OFF_AFTER_S = 10.0
 # Shorter lags are usual, as entries learn of a change at different moments.
 MIN_LOGGED_LAG_S = 1.0
 
@@ -43,8 +41,6 @@
         fleet: Holds the configuration in force.
         update_interval_s: Returns the interval between updates of other entries, in
             seconds.
-        has_lost_entries: Returns whether other entries fell silent since a monotonic
-            time and none is heard.
         clock: Returns monotonic time that includes time in suspend, in seconds.
 
     Attributes:
@@ -66,12 +62,10 @@
         fleet: Fleet,
         *,
         update_interval_s: Callable[[], float] = lambda: 0.0,
-        has_lost_entries: Callable[[float], bool] = lambda since: False,
         clock: Callable[[], float] = boot_time_s,
     ) -> None:
         self.fleet = fleet
         self.update_interval_s = update_interval_s
-        self.has_lost_entries = has_lost_entries
         self.clock = clock
         self.answered_at = -math.inf
         self.confirmed_at = -math.inf
@@ -119,16 +113,6 @@
         """
         return self.clock() - self.heard_at > self.stale_after_s()
 
-    def is_cut_off(self) -> bool:
-        """Return whether others may have a newer configuration and can't tell.
-
-        While the store is down for all, entries hear of each other. One that fell
-        silent while the store still vouched is gone, and has nothing newer.
-        """
-        if self.age_s() <= CUT_OFF_AFTER_S:
-            return False
-        return self.has_lost_entries(self.confirmed_at)
-
     def remaining_s(self, since: float) -> float:
         """Return the time until a call of the store has been held for too long.
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
@@ -91,20 +91,6 @@
             member.last_update_at > since for member in self.by_name.values()
         )
 
-    def has_lost_all(self, since: float) -> bool:
-        """Return whether entries fell silent lately and none is heard of.
-
-        Args:
-            since: Monotonic time from which an entry that fell silent counts, in
-                seconds.
-        """
-        heard_since = since - self.live_timeout_s()
-        is_silent = any(
-            not member.has_closed_stream and member.last_update_at > heard_since
-            for member in self.by_name.values()
-        )
-        return is_silent and self.live_count() == 1
-
     def sharing_count(self) -> int:
         """Return how many entries may use a budget for all, including this one.
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -69,7 +69,6 @@
         settings.instance, fleet, quota, crashes, limits, streams, age=age
     )
     age.update_interval_s = members.update_interval_s
-    age.has_lost_entries = members.has_lost_all
     limits.share_of = members.limit_share
     crashes.on_down = upstreams.on_down
     crashes.requests.is_trial_owner = members.owns
@@ -171,7 +170,6 @@
         kernel.register(rollouts)
     kernel.register(guards)
     callers = CallerServer(settings, fleet, dependencies)
-    callers.is_cut_off = age.is_cut_off
     kernel.register(callers)
 
     def apply(changed: DirectSettings) -> None:
