Give up a held watch call that does not return what another entry has sent

Found by the review: while other entries vouch for the configuration, a call for upstreams whose connection is dead was asked again after 12.8 s with 34 entries, so an entry heard of a draining upstream only by what others sent. The same held for the configuration of an entry that had it from another one. Now a row that is new to this entry and came from another one has to be returned by the calls under way within 1 s.

test_change_of_other_entry fails without the check, for both tables (a call was held for ever).

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
@@ -14,6 +14,7 @@
 from skylarkdoord.direct._config_requests import LAG_TOLERANCE_S, SendLimit
 from skylarkdoord.direct._fleet import CONFIG, UPSTREAMS, ConfigVersion, Fleet
 from skylarkdoord.direct._member import Member
+from skylarkdoord.direct._missed_news import MissedNews
 from skylarkdoord.direct._model import MS_PER_S
 from skylarkdoord.direct._pace import MAX_HEARTBEAT_S
 from skylarkdoord.direct._quota import Quota
@@ -48,6 +49,7 @@
         limits: Receives the limits of upstreams of which other entries know.
         streams: Receives the versions of streams that other entries know.
         age: Receives how recent the configurations of other entries are.
+        missed: Receives which changes other entries sent first.
         incarnation: Random number that identifies this run of the entry.
         clock: Returns monotonic time that includes time in suspend, in seconds.
 
@@ -67,6 +69,7 @@
         streams: StreamVersions | None = None,
         *,
         age: ConfigAge | None = None,
+        missed: MissedNews | None = None,
         incarnation: int = 0,
         clock: Callable[[], float] = boot_time_s,
     ) -> None:
@@ -77,6 +80,7 @@
         self.limits = limits or UpstreamLimits(instance)
         self.streams = streams or StreamVersions(fleet)
         self.age = age or ConfigAge(fleet, clock=clock)
+        self.missed = missed or MissedNews(clock)
         self.fleet = fleet
         self.quota = quota
         self.config_limit = SendLimit(clock)
@@ -343,10 +347,16 @@
         for sent in rows:
             data = None if sent.removed else sent.data
             row = Row(sent.key, sent.version, data, sent.era)
+            is_new = False
             if sent.table == CONFIG:
                 self.fleet.apply_config(row, source=source)
+                is_new = self.fleet.config_row is row
             elif sent.table == UPSTREAMS:
                 self.fleet.apply_upstream(row, source=source)
+                cached = self.fleet.cached_rows.get(row.key)
+                is_new = cached is not None and cached.row is row
+            if is_new:
+                self.missed.record(sent.table)
         if rows:
             self.fleet.notify()
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_watch.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_watch.py
@@ -15,6 +15,7 @@
 from skylarkdoord.direct._config_age import CLOSE_WATCH_S, CLOSE_WATCHERS, ConfigAge
 from skylarkdoord.direct._fleet import CONFIG, UPSTREAMS, Fleet
 from skylarkdoord.direct._metrics import STORE_ANSWERED, STORE_CALLS
+from skylarkdoord.direct._missed_news import MissedNews
 from skylarkdoord.direct._settings import DirectSettings
 from skylarkdoord.direct._watch_progress import WatchProgress
 from skylarkdoord.direct.exceptions import HistoryLostError, StoreError
@@ -22,6 +23,8 @@
 # Longest wait of a watch call with up to `CLOSE_WATCHERS` entries.
 WATCH_WAIT_S = 4.0
 TICK_S = 0.2
+# Interval at which a held call is checked.
+CHECK_INTERVAL_S = 0.5
 # With more entries than this, the wait of each grows in proportion to their number, as
 # one entry that sees a change sends it to all.
 MAX_WATCH_WAIT_S = 15.0
@@ -58,6 +61,7 @@
         live_entries: Returns how many entries watch the store.
         position: Returns how many live entries precede this one by name.
         age: Tells how long ago the store vouched for the configuration in force.
+        missed: Tells which changes other entries sent before the store returned them.
         is_close: Returns whether this entry is one of a number of live entries, which
             watch the configuration closely.
 
@@ -82,11 +86,13 @@
         live_entries: Callable[[], int] = lambda: 1,
         position: Callable[[], int] = lambda: 0,
         age: ConfigAge | None = None,
+        missed: MissedNews | None = None,
         is_close: Callable[[int], bool] = lambda count: True,
     ) -> None:
         self.live_entries = live_entries
         self.position = position
         self.age = age or ConfigAge(fleet)
+        self.missed = missed or MissedNews()
         self.is_close = is_close
         self.on_changes: Callable[[Iterable[Row]], None] = lambda rows: None
         self.on_config_row: Callable[[Row, bool], None] = lambda row, is_snapshot: None
@@ -184,25 +190,35 @@
             return await self.store.read(table)
         wait_s = self.wait_s(table, is_down=is_down)
         call = self.store.changes(table, read_at.number, wait_s=wait_s)
-        return await self.abandon_when_stale(call)
+        return await self.abandon_when_dead(table, call)
 
-    async def abandon_when_stale(self, call: Coroutine[Any, Any, Rows]) -> Rows:
-        """Return the response to a call, unless it is held while news are missing.
+    async def abandon_when_dead(
+        self, table: str, call: Coroutine[Any, Any, Rows]
+    ) -> Rows:
+        """Return the response to a call, unless its connection seems not to work.
+
+        Such a call looks like one that the store holds. It is abandoned if another
+        entry sent a change that it should have returned, or if no other entry has heard
+        of the store either.
 
-        A call whose connection no longer works looks like one that the store holds. The
-        difference matters once no other entry has heard of the store either.
+        Args:
+            table: The table.
+            call: The call.
 
         Raises:
             StoreError: The call failed, or was abandoned.
         """
         began = self.age.clock()
+        self.missed.begin(table)
         task = asyncio.create_task(call)
         try:
             while not task.done():
+                if self.missed.remaining_s(table) <= 0.0:
+                    raise StoreError("another entry has a change during a held call")
                 remaining_s = self.age.remaining_s(began)
                 if remaining_s <= 0.0:
                     raise StoreError("no recent news of the store during a held call")
-                await asyncio.wait({task}, timeout=remaining_s)
+                await asyncio.wait({task}, timeout=min(remaining_s, CHECK_INTERVAL_S))
             return task.result()
         finally:
             await end_tasks([task])
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -21,6 +21,7 @@
 from skylarkdoord.direct._limit_records import LimitRecords
 from skylarkdoord.direct._members import Members
 from skylarkdoord.direct._metrics import MetricsServer
+from skylarkdoord.direct._missed_news import MissedNews
 from skylarkdoord.direct._quota import Quota
 from skylarkdoord.direct._retry_report import RetryReport
 from skylarkdoord.direct._rollout_attempts import RolloutAttempts
@@ -65,8 +66,16 @@
     fleet.on_upstreams.append(limits.drop_removed)
     streams = StreamVersions(fleet, is_first_start=settings.first_start)
     age = ConfigAge(fleet)
+    missed = MissedNews()
     members = Members(
-        settings.instance, fleet, quota, crashes, limits, streams, age=age
+        settings.instance,
+        fleet,
+        quota,
+        crashes,
+        limits,
+        streams,
+        age=age,
+        missed=missed,
     )
     age.update_interval_s = members.update_interval_s
     limits.share_of = members.limit_share
@@ -125,6 +134,7 @@
         live_entries=members.live_count,
         position=members.position,
         age=age,
+        missed=missed,
         is_close=members.watches_closely,
     )
     exchange = EntryExchange(settings, store, members)
--- a/packages/skylarkdoord/tests/direct/test_config_age.py
+++ b/packages/skylarkdoord/tests/direct/test_config_age.py
@@ -11,6 +11,7 @@
 from skylarkdoord.direct._config_age import CLOSE_WATCHERS, ConfigAge
 from skylarkdoord.direct._fleet import CONFIG, CONFIG_KEY, UPSTREAMS, Fleet
 from skylarkdoord.direct._members import Members
+from skylarkdoord.direct._missed_news import NEWS_TOLERANCE_S, MissedNews
 from skylarkdoord.direct._quota import Quota
 from skylarkdoord.direct._settings import QuotaBounds
 from skylarkdoord.direct._watch import HOLD_MARGIN_S, FleetWatcher
@@ -126,6 +127,22 @@
         await until(lambda: store.calls >= 2, CONTACT_S)
         task.cancel()
 
+    # Guards against a watch of upstreams that hears nothing for as long as the store
+    # may hold a call, while other entries vouch for the configuration.
+    @pytest.mark.parametrize("table", [CONFIG, UPSTREAMS])
+    async def test_change_of_other_entry(self, monkeypatch, table):
+        """A call that does not return what another entry has sent is given up."""
+        monkeypatch.setattr(config_age, "MIN_STALE_AFTER_S", 3600.0)
+        fleet, store, missed = make_fleet(), HoldingStore(), MissedNews()
+        watcher = FleetWatcher(
+            Settings(), fleet, store, live_entries=lambda: ENTRIES, missed=missed
+        )
+        task = asyncio.create_task(watcher.watch(table))
+        await until(lambda: store.calls == 1, CONTACT_S)
+        missed.record(table)
+        await until(lambda: store.calls >= 2, CONTACT_S)
+        task.cancel()
+
     # Guards against a store that is read without a pause while it has no history.
     async def test_no_history(self):
         """The whole table is read less and less often."""
@@ -137,6 +154,38 @@
         assert 3 <= store.calls <= 8
 
 
+class TestMissedNews:
+    """`MissedNews`."""
+
+    @pytest.fixture
+    def members(self):
+        """Return an entry that has version 5."""
+        fleet = make_fleet()
+        put(fleet, 5)
+        return Members("a", fleet, Quota(QuotaBounds()), Crashes())
+
+    @pytest.mark.parametrize(("version", "is_missed"), [(5, False), (6, True)])
+    def test_rows(self, members, version, is_missed):
+        """Only a row that is new to this entry counts."""
+        row = pb.StoreRow(
+            table=CONFIG, key=CONFIG_KEY, version=version, data=b"%d" % version
+        )
+        members.apply_rows([row], "b")
+        assert (CONFIG in members.missed.since) == is_missed
+
+    def test_overdue(self):
+        """The first change counts that a call has not returned."""
+        clock = Clock()
+        missed = MissedNews(clock)
+        assert missed.remaining_s(CONFIG) == math.inf
+        missed.record(CONFIG)
+        clock.now += 0.75
+        missed.record(CONFIG)
+        assert missed.remaining_s(CONFIG) == pytest.approx(NEWS_TOLERANCE_S - 0.75)
+        missed.begin(CONFIG)
+        assert missed.remaining_s(CONFIG) == math.inf
+
+
 class TestWait:
     """`FleetWatcher.wait_s`."""
 
