Tell the place of a failure without reading source files

Cause: extract_tb looks up the line of each frame of the whole traceback, so a failure of the event loop's tasks read files in the loop; a recursion has a thousand frames.

Change: only the last frames are kept, and their files are not read. The tests of the places hold as before.

--- a/packages/skylarkdoor/src/skylarkdoor/_unhandled.py
+++ b/packages/skylarkdoor/src/skylarkdoor/_unhandled.py
@@ -8,7 +8,7 @@
 import threading
 import time
 import traceback
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
 from types import TracebackType
 from typing import Any
@@ -92,10 +92,17 @@
 
 
 def last_frames(trace: TracebackType | None) -> list[str]:
-    """Return the last frames of a traceback as `file:line function`."""
+    """Return the last frames of a traceback as `file:line function`.
+
+    The files themselves are not read.
+    """
+    frames = deque(traceback.walk_tb(trace), maxlen=MAX_FRAMES)
     return [
-        shorten(f"{frame.filename[-60:]}:{frame.lineno} {frame.name}", MAX_FRAME_BYTES)
-        for frame in traceback.extract_tb(trace)[-MAX_FRAMES:]
+        shorten(
+            f"{frame.f_code.co_filename[-60:]}:{line} {frame.f_code.co_name}",
+            MAX_FRAME_BYTES,
+        )
+        for frame, line in frames
     ]
 
 
