Soak: wait until entries are ready before a route is removed

Cause: the soak, not the product. A stop holds the process's lock and returns once the new process handles SIGTERM, and the last faults are awaited. But nothing waited until the entry listens: it had 8 s of wall clock, for the recovery and the configuration.

Change: after the faults, every entry has to become ready within 20 s, as for the tests of roll-outs, which share the code. One that doesn't is a broken guarantee. Then the route is removed as before, and an entry that refuses the connection or knows the route still counts as broken: now each entry was ready when the route was removed, so none is excused as just starting.

--- a/tests/adapter/_released.py
+++ b/tests/adapter/_released.py
@@ -8,7 +8,7 @@
 import aiohttp
 
 from skylarkdoor_bench.testing import free_port
-from tests.soak._daemon import Daemon, entry_settings
+from tests.soak._daemon import Daemon, entry_settings, until_ready
 
 from ._standins import HOST, Server, config, reply, route, server_row
 
@@ -26,7 +26,6 @@
 SLOTS = 8
 CALLERS = 12
 CALL_PAUSE_S = 0.02
-START_TIMEOUT_S = 20.0
 ANSWER_S = 0.02
 IDEMPOTENT = route(maxAttempts=2)
 ONCE = route("booking", routeType="non_idempotent", maxAttempts=1)
@@ -145,10 +144,7 @@
         self.daemons.append(daemon)
         self.urls.append(f"http://{settings['listen']['callers']}")
         await daemon.start()
-        ready = f"http://{settings['listen']['ready']}/readiness"
-        async with aiohttp.ClientSession() as session, asyncio.timeout(START_TIMEOUT_S):
-            while not await is_ready(session, ready):
-                await asyncio.sleep(0.05)
+        await until_ready(f"http://{settings['listen']['ready']}/readiness")
 
     async def kill_all(self):
         """Kill all entries."""
@@ -213,11 +209,3 @@
             for line in map(json.loads, daemon.log.read_text().splitlines())
             if line.get("event_name") == name
         ]
-
-
-async def is_ready(session, url):
-    """Return whether an entry accepts callers."""
-    with contextlib.suppress(aiohttp.ClientError):
-        async with session.get(url) as response:
-            return response.status == 200
-    return False
--- a/tests/soak/_daemon.py
+++ b/tests/soak/_daemon.py
@@ -1,18 +1,24 @@
 """One process of the daemon, started, stopped and killed by the soak test."""
 
 import asyncio
+import contextlib
 import json
 import re
 import signal
 import sys
 from pathlib import Path
 
+import aiohttp
+from aiohttp import web
+
 from skylarkdoor_bench.testing import free_port
 
 LOOPBACK = "127.0.0.1"
+START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 8.0
 INTERPRETER_TIMEOUT_S = 10.0
 POLL_S = 0.005
+READY_POLL_S = 0.05
 
 
 def entry_settings(instance, store, *, guard_port):
@@ -38,6 +44,28 @@
     }
 
 
+async def until_ready(url):
+    """Wait until an entry accepts callers.
+
+    Args:
+        url: Its readiness address.
+
+    Raises:
+        TimeoutError: It takes too long.
+    """
+    async with aiohttp.ClientSession() as session, asyncio.timeout(START_TIMEOUT_S):
+        while not await is_ready(session, url):
+            await asyncio.sleep(READY_POLL_S)
+
+
+async def is_ready(session, url):
+    """Return whether an entry accepts callers."""
+    with contextlib.suppress(aiohttp.ClientError):
+        async with session.get(url) as response:
+            return response.status == web.HTTPOk.status_code
+    return False
+
+
 class Daemon:
     """One process of `skylarkdoord`.
 
--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -16,7 +16,7 @@
 from skylarkdoor_bench.testing import free_port
 from tests.adapter._standins import HOST, LOOPBACK, Store, config, route, server_row
 
-from ._daemon import Daemon, entry_settings
+from ._daemon import START_TIMEOUT_S, Daemon, entry_settings, until_ready
 from ._environment import KINDS, Backend, Callers, Observations, new_rng
 from ._proxy import Fault, Proxy
 
@@ -98,7 +98,7 @@
         await self.store.put("op", "config", self.config())
         store = self.store.address.split(":")
         self.store_proxies = [Proxy(LOOPBACK, (store[0], int(store[1])))]
-        self.urls = []
+        self.urls, self.ready_urls = [], []
         for number in range(1, ENTRIES + 1):
             proxy = Proxy(LOOPBACK, (store[0], int(store[1])))
             address = await proxy.start()
@@ -187,6 +187,7 @@
         """Return an entry, which reaches the store through a proxy."""
         settings = entry_settings(f"entry-{number}", store, guard_port=guard_port)
         self.urls.append(f"http://{settings['listen']['callers']}")
+        self.ready_urls.append(f"http://{settings['listen']['ready']}/readiness")
         return Daemon("direct-entry", settings, self.folder)
 
     def record(self, text):
@@ -253,6 +254,16 @@
         self.record(f"configuration {self.config_version}")
         await self.store.put("op", "config", self.config(self.config_version))
 
+    async def await_entries(self):
+        """Require that every entry becomes ready, also one that was just restarted."""
+        for url in self.ready_urls:
+            try:
+                await until_ready(url)
+            except TimeoutError:
+                self.observations.broken.append(
+                    f"{url} was not ready in {START_TIMEOUT_S} s"
+                )
+
     async def retire_route(self):
         """Remove a route and require that every entry soon applies that."""
         self.is_retired = True
@@ -360,6 +371,7 @@
                     self.observations.broken.append(
                         "no request was served after the faults"
                     )
+                await self.await_entries()
                 await self.retire_route()
                 await self.drain_server()
             self.check_processes()
