--- a/tests/soak/_config_run.py
+++ b/tests/soak/_config_run.py
@@ -33,6 +33,7 @@
 # as entries pass on what is left of it.
 BASE_TIMEOUT_MS = 30_000
 TIMEOUT_STEP_MS = 5000
+CALM_S = 10.0
 # Probability that a fault begins before the one before has ended.
 OVERLAP = 0.3
 # Time before a version is due.
@@ -125,10 +126,14 @@
         seed: Seed of the faults.
         folder: Directory of settings and logs.
         entries: Number of entries.
-        faults: Names of the faults to draw from; all if empty.
+        faults: Names of the faults to draw from; all but `calm` if empty.
+        interval_s: Interval of the versions of the configuration, in seconds.
     """
 
-    def __init__(self, seed, folder, *, entries, faults=()):
+    def __init__(
+        self, seed, folder, *, entries, faults=(), interval_s=CHANGE_INTERVAL_S
+    ):
+        self.interval_s = interval_s
         self.rng = new_rng(seed, "config")
         self.folder = folder
         self.nodes = [EntryNode(number, folder) for number in range(1, entries + 1)]
@@ -156,7 +161,9 @@
             "lose_answers": self.lose_answers,
             "part_in_turn": self.part_in_turn,
         }
-        self.drawn = [self.kinds[name] for name in faults or self.kinds]
+        drawn = faults or self.kinds
+        self.kinds["calm"] = self.calm
+        self.drawn = [self.kinds[name] for name in drawn]
 
     @contextlib.contextmanager
     def impaired(self, kind, text, nodes):
@@ -170,6 +177,10 @@
             impairment.end = self.clock.now
             self.rules.heal(entries, self.clock.now)
 
+    async def calm(self):
+        """Impair nothing for a while, to measure what goes on then."""
+        await asyncio.sleep(CALM_S)
+
     def some_nodes(self):
         """Draw the entries of a data centre, or any."""
         if self.rng.random() < 0.5:
@@ -224,7 +235,7 @@
     async def lose_answers(self):
         """Lose the answers of the store for a while, when a version is due."""
         await self.wait_for_version()
-        await asyncio.sleep(CHANGE_INTERVAL_S - LEAD_S)
+        await asyncio.sleep(self.interval_s - LEAD_S)
         with self.impaired(Kind.DOWN, "answers of the store lost", self.nodes):
             duration_s = self.rng.uniform(2 * LEAD_S, 3.0)
             await self.refuse(self.nodes, Refusal.LOST, duration_s)
@@ -310,7 +321,7 @@
     async def copy(self):
         """Let the store come back from an older copy; the operator writes later."""
         older = self.store.copy()
-        await asyncio.sleep(self.rng.uniform(0.5, 2.5 * CHANGE_INTERVAL_S))
+        await asyncio.sleep(self.rng.uniform(0.5, 2.5 * self.interval_s))
         with self.impaired(Kind.DOWN, "store from an older copy", self.nodes):
             self.is_writing = False
             await self.store.come_back(older)
@@ -367,7 +378,7 @@
         while True:
             if self.is_writing:
                 await self.change_config()
-            await asyncio.sleep(CHANGE_INTERVAL_S)
+            await asyncio.sleep(self.interval_s)
 
     def script(self, service):
         """Return the script of a service's server."""
--- a/tests/soak/config.py
+++ b/tests/soak/config.py
@@ -7,7 +7,7 @@
 
 import click
 
-from ._config_run import RECOVERY_S, ConfigSoak
+from ._config_run import CHANGE_INTERVAL_S, RECOVERY_S, ConfigSoak
 
 SHOWN = 40
 
@@ -20,6 +20,7 @@
 @click.option(
     "--recovery", default=RECOVERY_S, help="Time after them that is judged as well."
 )
+@click.option("--interval", default=CHANGE_INTERVAL_S, help="Time between versions.")
 @click.option("--fault", "faults", multiple=True, help="Fault to draw from; all.")
 def main(
     seed: int,
@@ -27,13 +28,16 @@
     seconds: float,
     entries: int,
     recovery: float,
+    interval: float,
     faults: tuple[str, ...],
 ) -> None:
     """Change the configuration under faults; exit with 1 if a rule is broken."""
     failed = False
     for number in range(seed, seed + runs):
         folder = Path(tempfile.mkdtemp(prefix=f"config-{number}-"))
-        soak = ConfigSoak(number, folder, entries=entries, faults=faults)
+        soak = ConfigSoak(
+            number, folder, entries=entries, faults=faults, interval_s=interval
+        )
         result = asyncio.run(soak.run(seconds, recovery_s=recovery))
         click.echo(f"seed {number}: {result.runs} runs, {dict(result.outcomes)}")
         click.echo(f"  the machine stalled for {result.stalled_s:.1f} s")
