--- a/packages/skylarkdoord/tests/direct/test_fleet.py
+++ b/packages/skylarkdoord/tests/direct/test_fleet.py
@@ -118,6 +118,15 @@
         assert fleet.table.config.max_body_bytes == len(later.data)
         assert other.table.config.max_body_bytes == len(later.data)
 
+    def test_written_again(self, fleet):
+        """Contents that were replaced within a version count once written again."""
+        for changed_at in ((0, 100), (1, 95), (0, 100), (2, 7)):
+            era, version = changed_at
+            data = b" 5" if era == 1 else b"5"
+            fleet.apply_config(Row("config", version, data, era), source="test")
+        assert fleet.config_at == (2, 7)
+        assert fleet.table.config.max_body_bytes == 1
+
     @pytest.mark.parametrize("content", [b"4", b"spoilt"])
     def test_decoded_once(self, fleet, content):
         """The same contents are decoded once, however often a row has them."""
--- a/packages/skylarkdoord/tests/direct/test_store_history.py
+++ b/packages/skylarkdoord/tests/direct/test_store_history.py
@@ -89,9 +89,10 @@
 class ModelEntry:
     """An entry, and what it has seen of upstreams that left."""
 
-    def __init__(self, name):
-        self.fleet = Fleet(StubAdapter())
-        self.members = Members(name, self.fleet, Quota(QuotaBounds()), Crashes())
+    def __init__(self, name, adapter=None, **options):
+        self.fleet = Fleet(adapter or StubAdapter())
+        quota = Quota(QuotaBounds())
+        self.members = Members(name, self.fleet, quota, Crashes(), **options)
         self.era = 0
         self.version = 0
         self.config_version = 0
