Request settings again only after the timeout if an answer is malformed

Cause: a peer's answer ended the request for a subtree even if the row could not be decoded, so the subtree was still missing and was requested again at once: a request, an answer and a line in the log for each round trip, for as long as the peer had the row.

--- a/packages/skylarkdoord/src/skylarkdoord/common/_settings_exchange.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_settings_exchange.py
@@ -105,9 +105,17 @@
             self.send(self.envelope(settings_document=document))
 
     def on_document(self, document: pb.SettingsDocument) -> None:
-        """Apply a subtree received from the peer."""
-        self.exchanges.local.apply_encoded_row(document.path, document.row)
-        self.exchanges.on_fetch_ended(document.path)
+        """Apply a subtree received from the peer.
+
+        One that is still missing, as the row is malformed, is requested again after the
+        timeout only.
+        """
+        local = self.exchanges.local
+        before = local.highest_revision(document.path)
+        local.apply_encoded_row(document.path, document.row)
+        now = local.highest_revision(document.path)
+        if now > before or now >= self.exchanges.missing.get(document.path, 0):
+            self.exchanges.on_fetch_ended(document.path)
 
     def close(self) -> None:
         """End the exchange when its stream ends."""
