Tell all listeners of a new era of the store although one of them fails

A listener that raised kept those after it from learning of the new era (this entry's row, records of limits and suspicions, roll-outs), so their rows were not written again, and the call whose response stated the era failed with an error that is not the store's, which started the watch anew. The era is told once.

Listeners are called as those of the fleet are. Seen red before: test_era.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_store_era.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_store_era.py
@@ -8,6 +8,7 @@
 
 from skylarkdoor import events
 from skylarkdoord import _events
+from skylarkdoord._listeners import call_all
 from skylarkdoord.direct._metrics import STORE_ERA
 from skylarkdoord.direct.exceptions import StoreError
 
@@ -57,8 +58,7 @@
         if not is_new:
             return
         self.log.event(_events.STORE_ERA_CHANGED, call=call, former=former, era=era)
-        for listener in self.listeners:
-            listener()
+        call_all(self.listeners)
 
     def report_missing(self, call: str) -> None:
         """Log the first response without a valid era after one with an era."""
--- a/packages/skylarkdoord/tests/direct/test_listeners.py
+++ b/packages/skylarkdoord/tests/direct/test_listeners.py
@@ -1,9 +1,9 @@
-"""Tests of the listeners of `Fleet`."""
+"""Tests of the listeners of `Fleet` and of `StoreEra`."""
 
 import pytest
 
 from skylarkdoor.exceptions import InvariantBrokenError
-from skylarkdoord.direct import Row
+from skylarkdoord.direct import Row, StoreEra
 from skylarkdoord.direct._fleet import Fleet
 
 from .test_fleet import StubAdapter, rows
@@ -68,6 +68,16 @@
         fleet.apply_changes(rows(2, b="ready"), source="test")
         assert listeners.called == ["first", "last"] * 2
 
+    # Guards against rows that an entry doesn't write again after the store lost them.
+    def test_era(self):
+        """The other listeners learn of the new era, and the response is used."""
+        era = StoreEra()
+        listeners = Listeners(ValueError())
+        era.listeners += listeners.all()
+        era.observe(1, call="read")
+        era.observe(2, call="read")
+        assert listeners.called == ["first", "last"]
+
     def test_invariant(self, fleet):
         """A broken invariant still reaches the kernel, which ends the process."""
         fleet.on_upstreams += Listeners(InvariantBrokenError("x")).all()
