Read the suspicions less and less often while their history is lost

Cause: the watch of the suspicions read the whole table again at once when the store no longer had its history, and so did it after an older copy. A store that keeps no history, or a damaged one, was called as fast as it answers.

Change: this watch uses WatchProgress as the others do, with its own delays: 0.2 s at first, 2 s at most. Its own backoff and its check of the era go.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_watch_progress.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_watch_progress.py
@@ -4,12 +4,16 @@
 from skylarkdoord.direct._adapter import Rows, StoreVersion
 from skylarkdoord.direct.exceptions import HistoryLostError
 
+# Delay before a call is repeated for the first time, before jitter.
+FIRST_DELAY_S = 0.05
+
 
 class WatchProgress:
     """How far the watch of a table has come.
 
     Args:
         max_delay_s: Longest delay before a call is repeated, in seconds.
+        first_delay_s: Delay before the first repetition, in seconds.
 
     Attributes:
         read_at: Point in the store's history of the last read; None before the first
@@ -20,9 +24,11 @@
             in seconds.
     """
 
-    def __init__(self, max_delay_s: float) -> None:
-        self.failure_backoff = Backoff(max_s=max_delay_s)
-        self.history_backoff = Backoff(max_s=max_delay_s)
+    def __init__(
+        self, max_delay_s: float, *, first_delay_s: float = FIRST_DELAY_S
+    ) -> None:
+        self.failure_backoff = Backoff(initial_s=first_delay_s, max_s=max_delay_s)
+        self.history_backoff = Backoff(initial_s=first_delay_s, max_s=max_delay_s)
         self.read_at: StoreVersion | None = None
         self.era = 0
         self.is_down = False
--- a/packages/skylarkdoord/src/skylarkdoord/direct/evidence/_suspect_records.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/evidence/_suspect_records.py
@@ -11,13 +11,13 @@
 import msgspec
 
 from skylarkdoor import events, untrusted_json
-from skylarkdoor.backoff import Backoff
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.suspicion import Suspicion
 from skylarkdoor.tasks import end_tasks
 from skylarkdoord import _events
 from skylarkdoord.direct._adapter import Row, Rows, Store, StoreVersion
 from skylarkdoord.direct._store_calls import StoreCalls
+from skylarkdoord.direct._watch_progress import WatchProgress
 from skylarkdoord.direct.evidence._crashes import Crashes
 from skylarkdoord.direct.exceptions import HistoryLostError, StoreError
 
@@ -28,6 +28,9 @@
 WATCH_WAIT_S = 15.0
 # Pause after a change, so that the records of several entries come in one response.
 PAUSE_S = 1.0
+# Delays before a failed call of the watch is repeated.
+FIRST_RETRY_DELAY_S = 0.2
+MAX_RETRY_DELAY_S = 2.0
 # Most requests in one record, which has to fit into a row; the latest are kept.
 MAX_RECORDED = 200
 
@@ -112,31 +115,29 @@
 
     async def watch(self) -> None:
         """Apply the records and their changes until cancelled."""
-        backoff = Backoff(initial_s=0.2, max_s=2.0)
-        read_at: StoreVersion | None = None
+        progress = WatchProgress(MAX_RETRY_DELAY_S, first_delay_s=FIRST_RETRY_DELAY_S)
         while True:
             try:
-                rows = await self.next_rows(read_at)
+                rows = await self.next_rows(progress.read_at)
+                progress.check_era(rows)
+                await self.on_answer(progress, rows)
+                if rows.rows:
+                    await asyncio.sleep(PAUSE_S)
             except HistoryLostError:
-                read_at = None
-                continue
+                await asyncio.sleep(progress.on_history_lost(MAX_RETRY_DELAY_S))
             except StoreError as error:
                 self.calls.on_failure(error)
-                await asyncio.sleep(backoff.delay_s())
-                continue
-            self.calls.on_answer()
-            backoff.reset()
-            if read_at is not None and rows.era != read_at.era:
-                read_at = None
-                continue
-            for row in rows.rows:
-                self.apply(row)
-            if read_at is None:
-                await self.remove_expired(rows)
-            read_at = rows.read_at
-            self.has_read.set()
-            if rows.rows:
-                await asyncio.sleep(PAUSE_S)
+                await asyncio.sleep(progress.on_failure(MAX_RETRY_DELAY_S))
+
+    async def on_answer(self, progress: WatchProgress, rows: Rows) -> None:
+        """Apply an answer of the store and go on after it."""
+        self.calls.on_answer()
+        for row in rows.rows:
+            self.apply(row)
+        if progress.read_at is None:
+            await self.remove_expired(rows)
+        progress.on_applied(rows)
+        self.has_read.set()
 
     async def next_rows(self, read_at: StoreVersion | None) -> Rows:
         """Return the rows changed since the last read, or all rows if it is None.
--- a/packages/skylarkdoord/tests/direct/test_suspect_records.py
+++ b/packages/skylarkdoord/tests/direct/test_suspect_records.py
@@ -38,6 +38,8 @@
         self.puts = 0
         self.is_down = False
         self.is_history_lost = False
+        self.keeps_no_history = False
+        self.reads = 0
         self.changed = asyncio.Condition()
 
     def check(self, table):
@@ -49,10 +51,14 @@
     async def read(self, table):
         """Return all rows."""
         self.check(table)
+        await asyncio.sleep(0)
+        self.reads += 1
         return Rows(tuple(self.rows.values()), self.version)
 
     async def changes(self, table, since, *, wait_s):
         """Return the rows changed after a version, once there are any."""
+        if self.keeps_no_history:
+            raise HistoryLostError("no history")
         async with self.changed:
             await self.changed.wait_for(
                 lambda: self.version > since or self.is_down or self.is_history_lost
@@ -179,6 +185,15 @@
         await store.notify()
         await until(lambda: list(entry.crashes.suspicions))
 
+    # Guards against calls without a pause to a store that keeps no history.
+    async def test_no_history(self, start, store):
+        """Reads are repeated less and less often while the history is lost."""
+        store.keeps_no_history = True
+        entry = await start("edge-1")
+        await entry.records.has_read.wait()
+        await asyncio.sleep(0.5)
+        assert 2 <= store.reads <= 8
+
     async def test_expired(self, start, store):
         """A record of which no crash counts any more is removed."""
         store.rows["edge-2"] = Row("edge-2", 1, encode([Suspicion(7, {"1000/i/1/1"})]))
