--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -42,6 +42,12 @@
     logging.ERROR,
     "The changed settings file is invalid; it was not applied.",
 )
+PROCESS_NOT_STARTED = define(
+    210,
+    "process_not_started",
+    logging.ERROR,
+    "The process did not start, as its settings are invalid.",
+)
 PORT_TAKEN = define(
     211,
     "port_taken",
@@ -54,12 +60,6 @@
     logging.INFO,
     "A port is open that could not be opened before.",
 )
-PROCESS_NOT_STARTED = define(
-    210,
-    "process_not_started",
-    logging.ERROR,
-    "The process did not start, as its settings are invalid.",
-)
 LISTENER_FAILED = define(
     215,
     "listener_failed",
