A listener that fails keeps no other from hearing of a drain

Cause: the drain state called its listeners in a plain loop. The first one that raised an error kept the later ones from hearing that a drain had started or was cancelled, and the error reached the caller: the stream of an entry, the operators' route or the shutdown.

Change: the listeners are called by call_all, which logs listener_failed. A broken invariant still reaches the caller.

Measured: test_listener_fails was red (KeyError out of start_drain, the later listener not called) and passes; test_invariant_broken passes before and after.

--- a/packages/skylarkdoord/src/skylarkdoord/common/_drain_state.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_drain_state.py
@@ -7,6 +7,7 @@
 from skylarkdoor import events, invariants
 from skylarkdoor.kernel import Kernel
 from skylarkdoord import _events
+from skylarkdoord._listeners import call_all
 from skylarkdoord.common._internal import InternalServer
 
 NEW_WORK_GRACE_S = 2.0
@@ -66,7 +67,7 @@
         if not was_draining:
             self.since = time.monotonic()
             self.log.event(_events.DRAIN_STARTED, reason=reason)
-            self._notify_listeners(reason)
+            call_all(self.listeners, reason, self.is_draining)
 
     def cancel_drain(self, reason: str) -> None:
         """Remove a reason; if none is left, accept work again."""
@@ -76,7 +77,7 @@
         if not self.is_draining:
             self.since = None
             self.log.event(_events.DRAIN_CANCELLED, reason=reason)
-            self._notify_listeners(reason)
+            call_all(self.listeners, reason, self.is_draining)
 
     def check_new_work(self, **detail: Any) -> None:
         """Check the invariant on new work; call this wherever work is accepted."""
@@ -86,7 +87,3 @@
             reasons=sorted(self.reasons),
             **detail,
         )
-
-    def _notify_listeners(self, reason: str) -> None:
-        for listener in self.listeners:
-            listener(reason, self.is_draining)
--- a/packages/skylarkdoord/tests/common/test_drain_state.py
+++ b/packages/skylarkdoord/tests/common/test_drain_state.py
@@ -8,6 +8,16 @@
 from skylarkdoord.sidecar._listing import Listing
 
 
+def fail(reason, is_draining):
+    """Raise an error."""
+    raise KeyError(reason)
+
+
+def break_invariant(reason, is_draining):
+    """Raise the error of a broken invariant."""
+    raise InvariantBrokenError(reason)
+
+
 class TestDrainState:
     """`DrainState`."""
 
@@ -28,6 +38,30 @@
         state.start_drain(drain_state.OPERATOR)
         assert notified == [(drain_state.INSTANCE_LIST, True)]
 
+    # Guards against a drain that a part of the process never hears of.
+    def test_listener_fails(self, caplog):
+        """The other listeners are notified of the start and the end of the drain."""
+        caplog.set_level("INFO", "skylarkdoor")
+        notified = []
+        state = DrainState()
+        state.listeners.append(fail)
+        state.listeners.append(lambda reason, holds: notified.append((reason, holds)))
+        state.start_drain(drain_state.INSTANCE_LIST)
+        state.cancel_drain(drain_state.INSTANCE_LIST)
+        assert notified == [
+            (drain_state.INSTANCE_LIST, True),
+            (drain_state.INSTANCE_LIST, False),
+        ]
+        failures = [r for r in caplog.records if r.event_name == "listener_failed"]
+        assert [failure.listener for failure in failures] == ["fail", "fail"]
+
+    def test_invariant_broken(self):
+        """A broken invariant in a listener still reaches the caller."""
+        state = DrainState()
+        state.listeners.append(break_invariant)
+        with pytest.raises(InvariantBrokenError):
+            state.start_drain(drain_state.INSTANCE_LIST)
+
     def test_new_work_too_late(self):
         """New work after the grace time breaks the invariant."""
         state = DrainState()
