Backoff: a delay can be drawn after any number of failures

Cause: the bound of a delay is the first one times 2**failures. After 1,024 failures in a row that number is too large for a float and delay_s raises OverflowError. With the usual longest delay of 2 s that is after 26 minutes without the store, a peer or a sidecar (calculated). The task that waits then fails; a supervised one starts anew and forgets what it had read, and the restarts themselves use the same class.

Change: the doublings are bounded.

Not run: real processes over half an hour.

--- a/packages/skylarkdoor/src/skylarkdoor/_backoff.py
+++ b/packages/skylarkdoor/src/skylarkdoor/_backoff.py
@@ -2,6 +2,20 @@
 
 import random
 
+# Keeps the power of two within the range of a float.
+MAX_DOUBLINGS = 64
+
+
+def doubled_delay_s(initial_s: float, max_s: float, failures: int) -> float:
+    """Return a delay that doubles with each consecutive failure, in seconds.
+
+    Args:
+        initial_s: Delay after the first failure, in seconds.
+        max_s: Longest delay, in seconds.
+        failures: Consecutive failures before this one.
+    """
+    return min(max_s, initial_s * 2 ** min(failures, MAX_DOUBLINGS))
+
 
 class Backoff:
     """Retry delays whose upper bound doubles with each consecutive failure.
@@ -20,7 +34,7 @@
 
     def delay_s(self) -> float:
         """Record a failure and return the delay before the retry, in seconds."""
-        bound = min(self.max_s, self.initial_s * 2**self.failures)
+        bound = doubled_delay_s(self.initial_s, self.max_s, self.failures)
         self.failures += 1
         return random.uniform(bound / 2, bound)
 
