The pause of an upstream can be computed after any number of failures

Cause: as in Backoff, the pause was computed as the first one times 2 to the number of consecutive failures, or of refusals for lack of room. After 1,024 of them without a success the number is too large for a float, and on_failure and on_full raise OverflowError while a request is forwarded. An upstream that refuses or fails the requests of many callers at once gets there sooner than the pauses alone suggest.

Change: both pauses use the function of Backoff, whose doublings are bounded. Pauses up to there are as before.

Measured: test_many_failures and test_many_refusals were red (OverflowError in _upstreams.py) and pass; test_doubles passes before and after, and so does the whole folder of direct dispatch. Not shown: what callers saw; no run of processes got that far.

--- a/packages/skylarkdoor/src/skylarkdoor/backoff.py
+++ b/packages/skylarkdoor/src/skylarkdoor/backoff.py
@@ -1,5 +1,5 @@
 """Exponential backoff with equal jitter."""
 
-from skylarkdoor._backoff import Backoff
+from skylarkdoor._backoff import Backoff, doubled_delay_s
 
-__all__ = ["Backoff"]
+__all__ = ["Backoff", "doubled_delay_s"]
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_upstreams.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_upstreams.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from skylarkdoor import events
+from skylarkdoor.backoff import doubled_delay_s
 from skylarkdoord import _events
 from skylarkdoord.direct._adapter import UpstreamHead
 from skylarkdoord.direct._fleet import Fleet
@@ -224,7 +225,9 @@
         The pauses grow because an upstream that refuses every request always appears
         idle and would attract more.
         """
-        pause_s = min(MAX_FULL_PAUSE_S, INITIAL_FULL_PAUSE_S * 2**upstream.refusals)
+        pause_s = doubled_delay_s(
+            INITIAL_FULL_PAUSE_S, MAX_FULL_PAUSE_S, upstream.refusals
+        )
         upstream.refusals += 1
         until = self.clock() + pause_s
         upstream.paused_until = max(upstream.paused_until, until)
@@ -271,7 +274,7 @@
 
     def on_failure(self, upstream: Upstream, reason: str) -> None:
         """Pause an upstream that failed, twice as long each time."""
-        pause_s = min(MAX_PAUSE_S, INITIAL_PAUSE_S * 2**upstream.failures)
+        pause_s = doubled_delay_s(INITIAL_PAUSE_S, MAX_PAUSE_S, upstream.failures)
         upstream.failures += 1
         upstream.paused_until = self.clock() + pause_s
         self.log.event(
