Settings: a rejected revision is read again with back-off

Cause: a revision counted as received before it was parsed. If that failed, for whatever reason, later reads of the same revision were skipped as not newer, and the poll, which compares the sum of the received revisions with the change counter, found nothing missing. So the change stayed out of force until the next change of that subtree. A failure other than SettingsError also ended the full read, so that the rows after it waited for the restart of the poll. A row that could not be decoded waited for the next regular full read (450 to 900 s).

Change: a rejected revision may be applied again; any failure of one row is a rejection of this row. While rows are rejected, the poll reads all subtrees again after 4 to 8 s, then with back-off up to 300 s, and logs the rejection each time. The revision still counts as received for the peers, so that they are not asked for it every second.

Ruled out: leaving rejected revisions out of the sum. Each poll would read all subtrees, and a revision that skips others would hide later changes.

--- a/packages/skylarkdoord/src/skylarkdoord/common/_settings.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_settings.py
@@ -6,6 +6,7 @@
 from skylarkdoor import events, invariants
 from skylarkdoor.clients import Row
 from skylarkdoor.exceptions import SettingsError
+from skylarkdoor.failures import reason
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import (
     FLEET_PATH,
@@ -38,6 +39,10 @@
     Args:
         looks_up_customers: Whether this process looks up customers. If not, it
             forwards the teams' rows to peers without parsing them.
+
+    Attributes:
+        highest_revisions: Highest revision received for each path, valid or not.
+        rejected_revisions: That revision for each path for which it was rejected.
     """
 
     name = "settings"
@@ -48,6 +53,7 @@
         self.view = SettingsView()
         self.rows = CompressedRows()
         self.highest_revisions: dict[str, int] = {}
+        self.rejected_revisions: dict[str, int] = {}
         self.listeners: list[Callable[[Subtree], None]] = []
         self.exchanges = SettingsExchanges(self)
         self.ready_at: float | None = None
@@ -84,29 +90,41 @@
         """Return the highest revision received for a path, valid or not."""
         return self.highest_revisions.get(path, 0)
 
-    def apply_table_row(self, row: Row) -> None:
-        """Apply a row read from the table if it is valid and newer."""
+    def apply_table_row(self, row: Row) -> bool:
+        """Apply a row read from the table if it is valid and newer.
+
+        Returns:
+            Whether the row could be decoded.
+        """
         path = rows.subtree_from_key(row.key)
-        self.apply_encoded_row(path, row.value)
+        decoded = self._decode(path, row.value)
+        if decoded is not None:
+            self.apply_row(path, decoded)
+        return decoded is not None
 
     def apply_encoded_row(self, path: str, value: bytes) -> None:
         """Apply an encoded settings row if it is valid and newer."""
-        try:
-            self.apply_row(path, rows.decode_settings(value, subtree=path))
-        except SettingsError as error:
-            self.log.event(_events.SETTINGS_REJECTED, path=path, error=str(error))
+        decoded = self._decode(path, value)
+        if decoded is not None:
+            self.apply_row(path, decoded)
 
     def apply_row(self, path: str, row: rows.SettingsRow) -> None:
-        """Apply a settings row if it is valid and newer."""
-        if row.revision <= self.highest_revision(path):
+        """Apply a settings row if it is valid and newer.
+
+        A revision that was rejected is tried again, as the cause may have passed.
+        """
+        if not self._is_wanted(path, row.revision):
             return
         self.highest_revisions[path] = row.revision
         try:
             content = self._parse_content(path, row)
-        except SettingsError as error:
-            self.log.event(_events.SETTINGS_REJECTED, path=path, error=str(error))
+            self.rows[path] = row
+        except Exception as error:
+            # Whatever is wrong with one subtree, the others hold.
+            self.rejected_revisions[path] = row.revision
+            self._log_rejected(path, error)
             return
-        self.rows[path] = row
+        self.rejected_revisions.pop(path, None)
         self.apply(Subtree(path, row.revision, content))
 
     def apply(self, subtree: Subtree) -> None:
@@ -129,6 +147,22 @@
         self.exchanges.on_applied(subtree.path, subtree.revision)
         call_all(self.listeners, subtree)
 
+    def _decode(self, path: str, value: bytes) -> rows.SettingsRow | None:
+        try:
+            return rows.decode_settings(value, subtree=path)
+        except Exception as error:
+            self._log_rejected(path, error)
+            return None
+
+    def _log_rejected(self, path: str, error: Exception) -> None:
+        # The text of other errors may contain what was received.
+        problem = str(error) if isinstance(error, SettingsError) else reason(error)
+        self.log.event(_events.SETTINGS_REJECTED, path=path, error=problem)
+
+    def _is_wanted(self, path: str, revision: int) -> bool:
+        is_rejected = self.rejected_revisions.get(path) == revision
+        return is_rejected or revision > self.highest_revision(path)
+
     def _parse_content(self, path: str, row: rows.SettingsRow) -> Fleet | Team:
         is_team = path != FLEET_PATH
         if is_team and (row.document is None or not self.looks_up_customers):
--- a/packages/skylarkdoord/src/skylarkdoord/common/_settings_poll.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_settings_poll.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from skylarkdoor import events
+from skylarkdoor.backoff import Backoff
 from skylarkdoor.clients import PlatformError, Row
 from skylarkdoord import _events
 from skylarkdoord.common import _rows as rows
@@ -18,15 +19,23 @@
 # Time for peers to send a recent change before it is read from the table.
 PEER_UPDATE_WAIT_S = 1.0
 FULL_READ_INTERVAL_S = 900.0
+# Longest interval at which rejected rows are read again. Bounds the reads of all
+# processes together: if none can use a row, all of them retry.
+MAX_RETRY_INTERVAL_S = 300.0
 
 
 class SettingsSink(Protocol):
     """Receives settings rows and records the highest revision of each subtree."""
 
     highest_revisions: dict[str, int]
+    rejected_revisions: dict[str, int]
 
-    def apply_table_row(self, row: Row) -> None:
-        """Apply a row read from the table if it is valid and newer."""
+    def apply_table_row(self, row: Row) -> bool:
+        """Apply a row read from the table if it is valid and newer.
+
+        Returns:
+            Whether the row could be decoded.
+        """
 
     def apply_row(self, path: str, row: rows.SettingsRow) -> None:
         """Apply a settings row if it is valid and newer."""
@@ -40,6 +49,9 @@
     therefore increase together. After one full read their difference is known, and
     the counter alone shows whether this process has every change.
 
+    Rows that were rejected do not count as missing. While there are any, all subtrees
+    are read again with back-off.
+
     Args:
         platform: The platform's clients.
         sink: Receives the rows.
@@ -50,6 +62,9 @@
         self.sink = sink
         self.revision_offset: int | None = None
         self.next_full_read_at = 0.0
+        self.has_unreadable_rows = False
+        self.retries = Backoff(initial_s=POLL_INTERVAL_S, max_s=MAX_RETRY_INTERVAL_S)
+        self.next_retry_at = 0.0
         self.log = events.get_logger("settings.poll")
 
     async def run(self) -> None:
@@ -91,11 +106,10 @@
         """
         count = await self._read_change_count()
         listed = await self.platform.table.list(f"{rows.SETTINGS_PREFIX}/")
-        for row in listed.rows:
-            self.sink.apply_table_row(row)
+        were_decoded = [self.sink.apply_table_row(row) for row in listed.rows]
+        self.has_unreadable_rows = not all(were_decoded)
         self.revision_offset = sum(self.sink.highest_revisions.values()) - count
-        interval = random.uniform(0.5, 1.0) * FULL_READ_INTERVAL_S
-        self.next_full_read_at = time.monotonic() + interval
+        self._plan_full_reads()
 
     async def read_snapshot(self) -> bool:
         """Apply the snapshot in the object store; return whether it could be read."""
@@ -116,6 +130,23 @@
         return 0 if row is None else row.version
 
     def _has_all_changes(self, count: int) -> bool:
-        if self.revision_offset is None or time.monotonic() >= self.next_full_read_at:
+        if self.revision_offset is None or self._is_full_read_due():
             return False
         return count + self.revision_offset <= sum(self.sink.highest_revisions.values())
+
+    def _is_full_read_due(self) -> bool:
+        now = time.monotonic()
+        is_retry_due = self._has_rejected_rows() and now >= self.next_retry_at
+        return is_retry_due or now >= self.next_full_read_at
+
+    def _has_rejected_rows(self) -> bool:
+        return self.has_unreadable_rows or bool(self.sink.rejected_revisions)
+
+    def _plan_full_reads(self) -> None:
+        now = time.monotonic()
+        interval = random.uniform(0.5, 1.0) * FULL_READ_INTERVAL_S
+        self.next_full_read_at = now + interval
+        if self._has_rejected_rows():
+            self.next_retry_at = now + self.retries.delay_s()
+        else:
+            self.retries.reset()
