Settings: changes to a table that came back as an older copy are noticed

Cause: the poll compares the change counter, plus the difference known since the last full read, with the sum of the revisions received. When the table comes back as an older copy, the counter goes back while the revisions in force stay. So as many later changes as were lost went unnoticed by a process that no peer told of them, until the next regular full read (450 to 900 s).

Change: a counter that went back, or that counts as many changes but is another row, makes the difference unknown, so all is read again at once. Answers of replicas that are behind by turns look the same; for this reason all is read at most once a minute. New event 306, settings_table_older.

Ruled out: to take the difference anew from the counter alone. A change made to the copy before the first poll would stay hidden.

--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -91,6 +91,12 @@
     logging.WARNING,
     "The settings snapshot could not be written.",
 )
+SETTINGS_TABLE_OLDER = define(
+    306,
+    "settings_table_older",
+    logging.WARNING,
+    "The table seems to be an older copy; all settings are read again.",
+)
 
 LIST_POLL_FAILED = define(
     401, "list_poll_failed", logging.WARNING, "The instance list could not be read."
--- a/packages/skylarkdoord/src/skylarkdoord/common/_settings_poll.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_settings_poll.py
@@ -22,6 +22,12 @@
 # Longest interval at which rejected rows are read again. Bounds the reads of all
 # processes together: if none can use a row, all of them retry.
 MAX_RETRY_INTERVAL_S = 300.0
+# Shortest interval at which all is read again because the table is an older copy. It
+# bounds the reads while answers come from replicas that are behind by turns.
+OLDER_COPY_INTERVAL_S = 60.0
+
+# The change counter before the first change.
+NO_CHANGES = Row(rows.CHANGE_COUNTER_KEY, b"", revision=0, version=0)
 
 
 class SettingsSink(Protocol):
@@ -52,6 +58,9 @@
     Rows that were rejected do not count as missing. While there are any, all subtrees
     are read again with back-off.
 
+    A counter that went back, or changed without being increased, is of an older copy
+    of the table. Then the difference is unknown until all is read again.
+
     Args:
         platform: The platform's clients.
         sink: Receives the rows.
@@ -62,6 +71,8 @@
         self.sink = sink
         self.revision_offset: int | None = None
         self.next_full_read_at = 0.0
+        self.counter = NO_CHANGES
+        self.next_older_copy_at = 0.0
         self.has_unreadable_rows = False
         self.retries = Backoff(initial_s=POLL_INTERVAL_S, max_s=MAX_RETRY_INTERVAL_S)
         self.next_retry_at = 0.0
@@ -88,7 +99,9 @@
         Raises:
             PlatformError: The table cannot be read.
         """
-        count = await self._read_change_count()
+        counter = await self._read_counter()
+        self._compare_counter(counter)
+        count = counter.version
         if self._has_all_changes(count):
             return
         if self.revision_offset is not None:
@@ -104,11 +117,13 @@
         Raises:
             PlatformError: The table cannot be read.
         """
-        count = await self._read_change_count()
+        counter = await self._read_counter()
         listed = await self.platform.table.list(f"{rows.SETTINGS_PREFIX}/")
         were_decoded = [self.sink.apply_table_row(row) for row in listed.rows]
         self.has_unreadable_rows = not all(were_decoded)
-        self.revision_offset = sum(self.sink.highest_revisions.values()) - count
+        revisions = sum(self.sink.highest_revisions.values())
+        self.revision_offset = revisions - counter.version
+        self.counter = counter
         self._plan_full_reads()
 
     async def read_snapshot(self) -> bool:
@@ -125,9 +140,26 @@
             self.sink.apply_row(path, row)
         return True
 
-    async def _read_change_count(self) -> int:
+    async def _read_counter(self) -> Row:
         row = await self.platform.table.get(rows.CHANGE_COUNTER_KEY)
-        return 0 if row is None else row.version
+        return NO_CHANGES if row is None else row
+
+    def _compare_counter(self, counter: Row) -> None:
+        """Forget the difference if the counter does not continue the previous one."""
+        if counter.version > self.counter.version or counter == self.counter:
+            self.counter = counter
+            return
+        now = time.monotonic()
+        if now < self.next_older_copy_at:
+            return
+        self.log.event(
+            _events.SETTINGS_TABLE_OLDER,
+            changes=counter.version,
+            known=self.counter.version,
+        )
+        self.counter = counter
+        self.next_older_copy_at = now + OLDER_COPY_INTERVAL_S
+        self.revision_offset = None
 
     def _has_all_changes(self, count: int) -> bool:
         if self.revision_offset is None or self._is_full_read_due():
