Settings: rows older than the change counter are read again

Cause: a full read reads the counter, then all rows, in two or more calls that different replicas may answer. If the one that answers with the rows is behind, the difference between counter and revisions comes out too small, and the changes that the rows lack count as held. Without a peer that tells of them they were missed until the next regular full read (450 to 900 s).

Change: a full read whose rows are of an older revision of the table than the counter is repeated as one with rejected rows: after 4 to 8 s, then with back-off up to 300 s.

The stand-in for the table answers consistently, so no run of processes shows the fault.

--- a/packages/skylarkdoord/src/skylarkdoord/common/_settings_poll.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_settings_poll.py
@@ -19,8 +19,8 @@
 # Time for peers to send a recent change before it is read from the table.
 PEER_UPDATE_WAIT_S = 1.0
 FULL_READ_INTERVAL_S = 900.0
-# Longest interval at which rejected rows are read again. Bounds the reads of all
-# processes together: if none can use a row, all of them retry.
+# Longest interval at which rejected or outdated rows are read again. Bounds the reads
+# of all processes together: if none can use a row, all of them retry.
 MAX_RETRY_INTERVAL_S = 300.0
 # Shortest interval at which all is read again because the table is an older copy. It
 # bounds the reads while answers come from replicas that are behind by turns.
@@ -55,8 +55,8 @@
     therefore increase together. After one full read their difference is known, and
     the counter alone shows whether this process has every change.
 
-    Rows that were rejected do not count as missing. While there are any, all subtrees
-    are read again with back-off.
+    Rows that were rejected do not count as missing. While there are any, or the rows
+    are older than the counter, all subtrees are read again with back-off.
 
     A counter that went back, or changed without being increased, is of an older copy
     of the table. Then the difference is unknown until all is read again.
@@ -64,6 +64,13 @@
     Args:
         platform: The platform's clients.
         sink: Receives the rows.
+
+    Attributes:
+        revision_offset: Difference between the sum of the revisions and the version of
+            the counter; None if it is unknown.
+        counter: The change counter as last read.
+        is_incomplete: Whether the last full read returned rows that can't be decoded,
+            or was answered by a replica that is behind.
     """
 
     def __init__(self, platform: Platform, sink: SettingsSink) -> None:
@@ -73,7 +80,7 @@
         self.next_full_read_at = 0.0
         self.counter = NO_CHANGES
         self.next_older_copy_at = 0.0
-        self.has_unreadable_rows = False
+        self.is_incomplete = False
         self.retries = Backoff(initial_s=POLL_INTERVAL_S, max_s=MAX_RETRY_INTERVAL_S)
         self.next_retry_at = 0.0
         self.log = events.get_logger("settings.poll")
@@ -120,7 +127,8 @@
         counter = await self._read_counter()
         listed = await self.platform.table.list(f"{rows.SETTINGS_PREFIX}/")
         were_decoded = [self.sink.apply_table_row(row) for row in listed.rows]
-        self.has_unreadable_rows = not all(were_decoded)
+        is_outdated = listed.revision < counter.revision
+        self.is_incomplete = is_outdated or not all(were_decoded)
         revisions = sum(self.sink.highest_revisions.values())
         self.revision_offset = revisions - counter.version
         self.counter = counter
@@ -168,17 +176,17 @@
 
     def _is_full_read_due(self) -> bool:
         now = time.monotonic()
-        is_retry_due = self._has_rejected_rows() and now >= self.next_retry_at
+        is_retry_due = self._needs_retry() and now >= self.next_retry_at
         return is_retry_due or now >= self.next_full_read_at
 
-    def _has_rejected_rows(self) -> bool:
-        return self.has_unreadable_rows or bool(self.sink.rejected_revisions)
+    def _needs_retry(self) -> bool:
+        return self.is_incomplete or bool(self.sink.rejected_revisions)
 
     def _plan_full_reads(self) -> None:
         now = time.monotonic()
         interval = random.uniform(0.5, 1.0) * FULL_READ_INTERVAL_S
         self.next_full_read_at = now + interval
-        if self._has_rejected_rows():
+        if self._needs_retry():
             self.next_retry_at = now + self.retries.delay_s()
         else:
             self.retries.reset()
--- a/packages/skylarkdoord/tests/common/test_settings_poll.py
+++ b/packages/skylarkdoord/tests/common/test_settings_poll.py
@@ -22,16 +22,22 @@
 
 
 class CountingTable(FakeTable):
-    """Table that counts the reads of all subtrees."""
+    """Table that counts the reads of all subtrees.
+
+    Attributes:
+        full_reads: Number of these reads.
+        outdated: Answer of a replica that is behind; None if none is.
+    """
 
     def __init__(self):
         super().__init__()
         self.full_reads = 0
+        self.outdated = None
 
     async def list(self, prefix, *, limit=0):
         """Return the rows and count the call."""
         self.full_reads += 1
-        return await super().list(prefix, limit=limit)
+        return self.outdated or await super().list(prefix, limit=limit)
 
     async def change(self, path, revision, document):
         """Store a change as the operators' API does."""
@@ -167,3 +173,29 @@
         read = process.table.full_reads
         await process.polls(settings_poll.FULL_READ_INTERVAL_S / 4)
         assert process.table.full_reads == read
+
+
+class TestOutdatedRows:
+    """Rows that a replica returns that is behind the one that has the counter."""
+
+    # Guards against a change that is missed until the next regular full read.
+    async def test_read_again(self, process):
+        """They are read again, although the counter does not change any more."""
+        await process.table.change(A, 1, TEAM)
+        outdated = await process.table.list("settings/")
+        await process.table.change(A, 2, TEAM)
+        process.table.outdated = outdated
+        await process.poll.check()
+        assert process.service.revisions() == {A: 1}
+        process.table.outdated = None
+        await process.polls(settings_poll.POLL_INTERVAL_S)
+        assert process.service.revisions() == {A: 2}
+
+    # Guards against reads of all settings at each poll of each process.
+    async def test_stays_behind(self, process):
+        """While the replica stays behind, they are read less and less often."""
+        await process.table.change(A, 1, TEAM)
+        process.table.outdated = await process.table.list("settings/")
+        await process.table.change(A, 2, TEAM)
+        await process.polls(3600.0)
+        assert 10 < process.table.full_reads < 40
