Settings: a process without a former revision takes it beside a rejected one

Cause: a rejected revision counted as received, so all older ones were refused, also where none was in force. A process that starts and reads from the table a row that it can't take, of the fleet or a team, did not request the former revision that its peers have in force.

Change: what counts for applying a row is the revision in force. Peers are asked for revisions that are newer than it and were not rejected, and only peers whose latest revision was not rejected, as they send that one. If the later of two revisions turns out to be rejected, the former one is requested. The revision in force still never decreases, and the poll still compares the highest revisions received.

Ruled out: one rejected revision for each path. Two of them would be requested from peers by turns every second.

Measured (test_settings_exchange.py): test_former, test_not_requested_again (its request of the former revision) and test_rejected_while_requested were red and pass.

--- a/packages/skylarkdoord/src/skylarkdoord/common/_settings.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_settings.py
@@ -42,7 +42,8 @@
 
     Attributes:
         highest_revisions: Highest revision received for each path, valid or not.
-        rejected_revisions: That revision for each path for which it was rejected.
+        rejected_revisions: Rejected revisions that are newer than the active one, for
+            each path that has any.
     """
 
     name = "settings"
@@ -53,7 +54,7 @@
         self.view = SettingsView()
         self.rows = CompressedRows()
         self.highest_revisions: dict[str, int] = {}
-        self.rejected_revisions: dict[str, int] = {}
+        self.rejected_revisions: dict[str, set[int]] = {}
         self.listeners: list[Callable[[Subtree], None]] = []
         self.exchanges = SettingsExchanges(self)
         self.ready_at: float | None = None
@@ -90,6 +91,11 @@
         """Return the highest revision received for a path, valid or not."""
         return self.highest_revisions.get(path, 0)
 
+    def lacks(self, path: str, revision: int) -> bool:
+        """Return whether a revision is newer than the active one and not rejected."""
+        is_rejected = revision in self.rejected_revisions.get(path, ())
+        return revision > self.view.revision(path) and not is_rejected
+
     def apply_table_row(self, row: Row) -> bool:
         """Apply a row read from the table if it is valid and newer.
 
@@ -113,18 +119,19 @@
 
         A revision that was rejected is tried again, as the cause may have passed.
         """
-        if not self._is_wanted(path, row.revision):
+        if row.revision <= self.view.revision(path):
             return
-        self.highest_revisions[path] = row.revision
+        highest = max(row.revision, self.highest_revision(path))
+        self.highest_revisions[path] = highest
         try:
             content = self._parse_content(path, row)
             self.rows[path] = row
         except Exception as error:
             # Whatever is wrong with one subtree, the others hold.
-            self.rejected_revisions[path] = row.revision
+            self.rejected_revisions.setdefault(path, set()).add(row.revision)
             self._log_rejected(path, error)
             return
-        self.rejected_revisions.pop(path, None)
+        self._forget_rejected(path, row.revision)
         self.apply(Subtree(path, row.revision, content))
 
     def apply(self, subtree: Subtree) -> None:
@@ -159,9 +166,11 @@
         problem = str(error) if isinstance(error, SettingsError) else reason(error)
         self.log.event(_events.SETTINGS_REJECTED, path=path, error=problem)
 
-    def _is_wanted(self, path: str, revision: int) -> bool:
-        is_rejected = self.rejected_revisions.get(path) == revision
-        return is_rejected or revision > self.highest_revision(path)
+    def _forget_rejected(self, path: str, revision: int) -> None:
+        rejected = self.rejected_revisions.pop(path, set())
+        newer = {other for other in rejected if other > revision}
+        if newer:
+            self.rejected_revisions[path] = newer
 
     def _parse_content(self, path: str, row: rows.SettingsRow) -> Fleet | Team:
         is_team = path != FLEET_PATH
--- a/packages/skylarkdoord/src/skylarkdoord/common/_settings_exchange.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_settings_exchange.py
@@ -24,7 +24,10 @@
     rows: CompressedRows
 
     def highest_revision(self, path: str) -> int:
-        """Return the highest revision received for a path."""
+        """Return the highest revision received for a path, valid or not."""
+
+    def lacks(self, path: str, revision: int) -> bool:
+        """Return whether a revision is newer than the active one and not rejected."""
 
     def apply_encoded_row(self, path: str, value: bytes) -> None:
         """Apply an encoded settings row if it is valid and newer."""
@@ -113,8 +116,9 @@
         local = self.exchanges.local
         before = local.highest_revision(document.path)
         local.apply_encoded_row(document.path, document.row)
-        now = local.highest_revision(document.path)
-        if now > before or now >= self.exchanges.missing.get(document.path, 0):
+        is_news = local.highest_revision(document.path) > before
+        missing = self.exchanges.missing.get(document.path, 0)
+        if is_news or not local.lacks(document.path, missing):
             self.exchanges.on_fetch_ended(document.path)
 
     def close(self) -> None:
@@ -180,8 +184,8 @@
             exchange.send_updates({path: revision})
 
     def on_head(self, path: str, revision: int) -> None:
-        """Record a peer's revision as missing if it is newer than the local one."""
-        if revision > max(self.local.highest_revision(path), self.missing.get(path, 0)):
+        """Record a peer's revision as missing if this process lacks it."""
+        if revision > self.missing.get(path, 0) and self.local.lacks(path, revision):
             self.missing[path] = revision
 
     def on_fetch_ended(self, path: str) -> None:
@@ -192,11 +196,8 @@
     def fetch(self) -> None:
         """Request missing subtrees from peers, at most `MAX_FETCHES` at a time."""
         requested: dict[Exchange, list[str]] = {}
-        for path, revision in list(self.missing.items()):
-            if self.local.highest_revision(path) >= revision:
-                del self.missing[path]
-                self._end_fetch(path)
-                continue
+        self._remove_obtained()
+        for path, revision in self.missing.items():
             if path in self.fetches or len(self.fetches) >= MAX_FETCHES:
                 continue
             exchange = self._choose_exchange(path, revision)
@@ -206,12 +207,24 @@
         for exchange, paths in requested.items():
             exchange.request(paths)
 
+    def _remove_obtained(self) -> None:
+        """Remove what is active or rejected; a peer may have another revision."""
+        for path, revision in list(self.missing.items()):
+            if self.local.lacks(path, revision):
+                continue
+            self._end_fetch(path)
+            del self.missing[path]
+            for exchange in self.open_exchanges:
+                self.on_head(path, exchange.peer_revisions.get(path, 0))
+
     def _choose_exchange(self, path: str, revision: int) -> Exchange | None:
-        candidates = [
-            e for e in self.open_exchanges if e.peer_revisions.get(path, 0) >= revision
-        ]
+        candidates = [e for e in self.open_exchanges if self._helps(e, path, revision)]
         return random.choice(candidates) if candidates else None
 
+    def _helps(self, exchange: Exchange, path: str, revision: int) -> bool:
+        stated = exchange.peer_revisions.get(path, 0)
+        return stated >= revision and self.local.lacks(path, stated)
+
     def _begin_fetch(self, path: str, exchange: Exchange) -> None:
         loop = asyncio.get_running_loop()
         timer = loop.call_later(FETCH_TIMEOUT_S, self.on_fetch_ended, path)
--- a/packages/skylarkdoord/src/skylarkdoord/common/_settings_poll.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_settings_poll.py
@@ -34,7 +34,7 @@
     """Receives settings rows and records the highest revision of each subtree."""
 
     highest_revisions: dict[str, int]
-    rejected_revisions: dict[str, int]
+    rejected_revisions: dict[str, set[int]]
 
     def apply_table_row(self, row: Row) -> bool:
         """Apply a row read from the table if it is valid and newer.
