A callback that fails keeps no other from running, and no row from being handled

Cause: FleetWatcher called its callbacks in plain loops. One that raised at a tick kept the later ones from running and ended the task, which started again after up to 5 s and failed at the same callback. One that raised at a row ended the watch of the table before the rows counted as read; it began anew with the whole table and failed at the same row. Guards.tell_restarted, UpstreamClient.validate and StreamVersions.ask_all had the same loops: the stream to a guard was lost, or a request failed whose answer had arrived.

Change: all of them call their listeners with call_all, which logs the one that fails (event 215). A callback of a row that fails is not called with that row again.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_call.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_call.py
@@ -15,6 +15,7 @@
 from skylarkdoor.failures import reason
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.single_send import send_once
+from skylarkdoord._listeners import call_all
 from skylarkdoord.direct._adapter import Adapter, UpstreamHead
 from skylarkdoord.direct._bounded_connection import BoundedConnector, on_read
 from skylarkdoord.direct._model import Admitted, UpstreamRecord
@@ -294,8 +295,7 @@
             response.close()
             raise UpstreamSilentError("the answer belongs to another request")
         if not head.is_other_incarnation:
-            for listener in self.on_head:
-                listener(upstream, head)
+            call_all(self.on_head, upstream, head)
         if head.is_not_run or head.is_other_incarnation:
             response.close()
             code = "moved" if head.is_other_incarnation else "full"
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guards.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guards.py
@@ -5,6 +5,7 @@
 
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.wire import pb
+from skylarkdoord._listeners import call_all
 from skylarkdoord.direct._fleet import Fleet
 from skylarkdoord.direct._guard_link import GrantListener, GuardLink, RestartListener
 from skylarkdoord.direct._model import Incarnation, UpstreamRecord
@@ -117,8 +118,7 @@
 
     def tell_restarted(self, record: UpstreamRecord, started_ms: int) -> None:
         """Tell all listeners that an upstream has started again."""
-        for listener in self.on_restarted:
-            listener(record, started_ms)
+        call_all(self.on_restarted, record, started_ms)
 
     def close(self, link: GuardLink) -> None:
         """Close a stream; requests that already run continue."""
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_stream_versions.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_stream_versions.py
@@ -14,6 +14,7 @@
 from skylarkdoor import events
 from skylarkdoor.wire import pb
 from skylarkdoord import _events
+from skylarkdoord._listeners import call_all
 from skylarkdoord.direct._fleet import Fleet
 from skylarkdoord.direct._metrics import STREAMS_RESUMED
 from skylarkdoord.direct._model import Admitted
@@ -209,8 +210,7 @@
 
     def ask_all(self, key: StreamKey) -> None:
         """Ask all others that are connected."""
-        for ask in self.ask:
-            ask(to_wire(key, None))
+        call_all(self.ask, to_wire(key, None))
 
     def wanted(self) -> list[pb.BegunStream]:
         """Return the streams that are looked up, for others that connect meanwhile."""
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_watch.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_watch.py
@@ -11,6 +11,7 @@
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.tasks import end_tasks
 from skylarkdoord import _events
+from skylarkdoord._listeners import call_all
 from skylarkdoord.direct._adapter import Row, Rows, Store, StoreVersion
 from skylarkdoord.direct._config_age import CLOSE_WATCH_S, CLOSE_WATCHERS, ConfigAge
 from skylarkdoord.direct._fleet import CONFIG, UPSTREAMS, Fleet
@@ -130,8 +131,7 @@
         """
         while True:
             await asyncio.sleep(TICK_S)
-            for callback in self.on_tick:
-                callback()
+            call_all(self.on_tick)
 
     async def watch(self, table: str) -> None:
         """Watch one table until cancelled."""
@@ -238,13 +238,13 @@
         if table == CONFIG:
             for row in rows.rows:
                 self.fleet.apply_config(row, source="store")
-                self.on_config_row(row, is_snapshot)
+                call_all([self.on_config_row], row, is_snapshot)
             self.age.on_store_answer()
         elif is_snapshot:
             self.fleet.apply_snapshot(rows, grace_until=grace_until)
         else:
             self.fleet.apply_changes(rows, source="store", grace_until=grace_until)
-            self.on_changes(rows.rows)
+            call_all([self.on_changes], rows.rows)
 
     def pause_s(self, table: str) -> float:
         """Return the pause before the next watch call after a change, in seconds."""
