A stopping entry opens no stream to another entry

Cause: when the stream that another entry opened ends, on_stream_lost opens one in its place, also while the exchange stops or after it. An entry that stopped thus connected to the entries that it was leaving. If the other's stream began after the listener was closed, on a connection accepted before, it ended only as asyncio.run cancelled all tasks; the new link started after that, and the loop closed with its tasks pending ("Task was destroyed but it is pending", Link.run).

Change: connect does nothing once the exchange stops.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
@@ -180,6 +180,7 @@
         parts: Further parts of updates.
         config_requests: Requests a newer configuration from the other entries.
         row_lost: Set when the store may have lost this entry's row.
+        is_stopping: Whether no more streams are opened.
     """
 
     name = "entries"
@@ -203,6 +204,7 @@
         )
         self.unreported = asyncio.Event()
         self.row_lost = asyncio.Event()
+        self.is_stopping = False
         self.pace = Pace(lambda: entry_heartbeat_s(members.update_interval_s()))
         self.server = Server([self])
         members.quota.on_unreported = self.unreported.set
@@ -224,6 +226,7 @@
 
     async def stop(self) -> None:
         """Stop the tasks, remove this entry's row and close the listener."""
+        self.is_stopping = True
         await end_tasks(self.tasks)
         self.config_requests.stop()
         try:
@@ -268,8 +271,11 @@
         self.row_lost.set()
 
     def connect(self, instance: str, address: str) -> None:
-        """Open a stream to another entry unless one exists in either direction."""
-        if instance == self.settings.instance or not address:
+        """Open a stream to another entry unless one exists in either direction.
+
+        While the exchange stops, none is opened, as nothing would end its task.
+        """
+        if self.is_stopping or instance == self.settings.instance or not address:
             return
         if instance in self.links or instance in self.inbound:
             return
--- a/packages/skylarkdoord/tests/direct/test_streams.py
+++ b/packages/skylarkdoord/tests/direct/test_streams.py
@@ -1,13 +1,16 @@
 """Tests of the streams between entries and to guards, over loopback."""
 
 import asyncio
+import gc
 import json
 
 import pytest
+from grpclib.client import Channel
 from grpclib.protocol import Connection
 
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.suspicion import crash_id
+from skylarkdoor.wire import EntriesStub, pb
 from skylarkdoor_bench.testing import free_port
 from skylarkdoord.direct import FleetConfig, Row, Rows, Service, StoreVersion
 from skylarkdoord.direct._adapter import EngineLoad
@@ -327,6 +330,49 @@
         a.members.by_name["b"].has_closed_stream = False
         assert a.members.silent_entries() == (1, 2)
 
+    # Guards against an entry that stops and yet connects to those which it leaves.
+    async def test_stopped(self, entries):
+        """An entry that stops opens no stream in place of those that it closes."""
+        (a,) = await entries("a")
+        await until(lambda: a.exchange.has_joined)
+        await entries("b")
+        await until(lambda: "b" in a.exchange.inbound)
+        await a.exchange.stop()
+        assert not a.exchange.inbound
+        assert not a.exchange.links
+
+    # Guards against a task that is destroyed while it runs, as the process ends.
+    def test_stream_after_stop(self, caplog):
+        """A stream that begins after the exchange has stopped leaves no task behind."""
+        asyncio.run(receive_after_stop())
+        gc.collect()
+        assert "Task was destroyed" not in caplog.text
+
+
+async def receive_after_stop():
+    """Open a stream to a stopped entry, on a connection that it has accepted before."""
+    entry = await EntryUnderTest("a", StubStore()).start()
+    host, port = entry.exchange.settings.listen.peers.split(":")
+    channel = Channel(host, int(port))
+    await channel.__connect__()
+    await until(lambda: entry.exchange.server._handlers)
+    await entry.exchange.stop()
+    await end_tasks(entry.kernel)
+    peer = asyncio.create_task(keep_stream(channel))
+    await until(lambda: entry.exchange.inbound)
+    assert not peer.done()
+
+
+async def keep_stream(channel):
+    """Open a stream as another entry, and keep it until cancelled."""
+    address = f"{LOOPBACK}:{free_port()}"
+    try:
+        async with EntriesStub(channel).Exchange.open() as stream:
+            await stream.send_message(pb.EntryNews(instance="b", address=address))
+            await asyncio.Event().wait()
+    finally:
+        channel.close()
+
 
 class TestLink:
     """`Link`."""
