The target of a request reaches the upstream unchanged, with an empty query

Cause: UpstreamClient.send put the target into a URL that yarl parsed. yarl keeps no empty query, also with encoded=True: "/desk/a?" was sent on as "/desk/a". In the same way, what follows a "#" was lost.

Measured: TestHeads.test_empty_query, through an entry to a stand-in server: "/desk/a?" and "/desk/?" arrived without the "?" before, red; both arrive unchanged now. "/desk/a??" was right before and is now.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_call.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_call.py
@@ -252,7 +252,13 @@
         headers = self.adapter.upstream_headers(
             admitted, upstream, last_event_id=last_event_id
         )
-        url = URL(f"http://{upstream.address}{request.target}", encoded=True)
+        # A URL that is parsed loses an empty query, so the whole target is the path.
+        url = URL.build(
+            scheme="http",
+            authority=upstream.address,
+            path=request.target,
+            encoded=True,
+        )
         try:
             async with asyncio.timeout_at(admitted.deadline):
                 response = await self.session.request(
--- a/tests/adapter/test_path.py
+++ b/tests/adapter/test_path.py
@@ -239,6 +239,21 @@
         assert request.body == b"body"
         assert request.header("Host") == ["desk.example"]
 
+    # Guards against a target that reaches the server without its empty query.
+    @pytest.mark.parametrize("target", ["/desk/a?", "/desk/a??", "/desk/?"])
+    async def test_empty_query(self, start, target):
+        """A `?` at the end of a target is passed on."""
+        fields = f"Host: {HOST}\r\nAttempt-Id: a1\r\nConnection: close"
+        async with Server(reply()) as server:
+            async with start([route()], [server]) as caller:
+                entry = URL(caller.entry.url)
+                reader, writer = await asyncio.open_connection(entry.host, entry.port)
+                writer.write(f"GET {target} HTTP/1.1\r\n{fields}\r\n\r\n".encode())
+                status_line = await reader.readline()
+                writer.close()
+        assert b" 200 " in status_line
+        assert [request.target for request in server.requests] == [target]
+
     async def test_forged(self, start):
         """Headers that only the system sets are dropped from callers' requests."""
         forged = {
