--- a/packages/skylarkdoord/src/skylarkdoord/direct/_call.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_call.py
@@ -15,6 +15,7 @@
 from skylarkdoor.failures import reason
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.single_send import send_once
+from skylarkdoord._listeners import call_all
 from skylarkdoord.direct._adapter import Adapter, UpstreamHead
 from skylarkdoord.direct._bounded_connection import BoundedConnector, on_read
 from skylarkdoord.direct._model import Admitted, UpstreamRecord
@@ -251,7 +252,13 @@
         headers = self.adapter.upstream_headers(
             admitted, upstream, last_event_id=last_event_id
         )
-        url = URL(f"http://{upstream.address}{request.target}", encoded=True)
+        # A URL that is parsed loses an empty query, so the whole target is the path.
+        url = URL.build(
+            scheme="http",
+            authority=upstream.address,
+            path=request.target,
+            encoded=True,
+        )
         try:
             async with asyncio.timeout_at(admitted.deadline):
                 response = await self.session.request(
@@ -294,8 +301,7 @@
             response.close()
             raise UpstreamSilentError("the answer belongs to another request")
         if not head.is_other_incarnation:
-            for listener in self.on_head:
-                listener(upstream, head)
+            call_all(self.on_head, upstream, head)
         if head.is_not_run or head.is_other_incarnation:
             response.close()
             code = "moved" if head.is_other_incarnation else "full"
