TLS: certificates that could not be loaded are tried again

Cause: the metadata of changed files was recorded as loaded before they were loaded. If that failed, nothing tried them again until they changed once more, though the cause can pass without that: too many open files, a lack of memory, or a permission, which changes neither time nor size. The former certificates stayed in use until they expired.

Change: the metadata is recorded once the files are in use. Files that could not be loaded are tried again after 1 to 2 s, then with back-off up to 300 s, and at once if they change.

--- a/packages/skylarkdoord/src/skylarkdoord/common/_tls_service.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_tls_service.py
@@ -3,11 +3,13 @@
 import asyncio
 import os
 import ssl
+import time
 from typing import NamedTuple, TypedDict
 
 from aiohttp import web
 
 from skylarkdoor import events
+from skylarkdoor.backoff import Backoff
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import ProcessSettings
 from skylarkdoord import _events
@@ -21,6 +23,8 @@
 from skylarkdoord.exceptions import TlsError
 
 CHECK_INTERVAL_S = 2.0
+# Longest interval at which files that could not be loaded are tried again.
+MAX_RETRY_INTERVAL_S = 300.0
 
 
 class ClientArguments(TypedDict, total=False):
@@ -52,6 +56,8 @@
         rpc: Context of the listener for control streams.
         http_client: Context of HTTP connections to other processes.
         rpc_client: Context of control streams to other processes.
+        stamps: Metadata of the files in use.
+        rejected_stamps: Metadata of the files that could not be loaded last.
     """
 
     name = "tls"
@@ -65,6 +71,9 @@
         self.http_client: ClientTls | None = None
         self.rpc_client: ClientTls | None = None
         self.stamps: dict[str, _FileStamp | None] = {}
+        self.rejected_stamps: dict[str, _FileStamp | None] = {}
+        self.retries = Backoff(initial_s=CHECK_INTERVAL_S, max_s=MAX_RETRY_INTERVAL_S)
+        self.next_retry_at = 0.0
         self.log = events.get_logger("tls")
 
     async def start(self, kernel: Kernel) -> None:
@@ -108,15 +117,16 @@
     def renew_if_changed(self) -> bool:
         """Reload the files if any has changed.
 
-        If a file cannot be loaded, the current contexts stay in use.
+        If a file cannot be loaded, the current contexts stay in use. The files are
+        tried again with back-off, as the cause may pass without a change to them, or at
+        once if they change.
 
         Returns:
             Whether new contexts are in use.
         """
         stamps = self._stamps()
-        if stamps == self.stamps:
+        if stamps == self.stamps or self._is_retry_early(stamps):
             return False
-        self.stamps = stamps
         endpoints = [
             endpoint
             for endpoint in (
@@ -131,10 +141,12 @@
         try:
             contexts = [endpoint.build() for endpoint in endpoints]
         except TlsError as error:
+            self._plan_retry(stamps)
             self.log.event(_events.CERTIFICATE_REJECTED, error=str(error))
             return False
         for endpoint, context in zip(endpoints, contexts, strict=True):
             endpoint.replace(context)
+        self.stamps = stamps
         self.log.event(_events.CERTIFICATE_RENEWED)
         return True
 
@@ -163,6 +175,15 @@
         transport = request.transport
         return transport is not None and bool(transport.get_extra_info("peercert"))
 
+    def _is_retry_early(self, stamps: dict[str, _FileStamp | None]) -> bool:
+        return stamps == self.rejected_stamps and time.monotonic() < self.next_retry_at
+
+    def _plan_retry(self, stamps: dict[str, _FileStamp | None]) -> None:
+        if stamps != self.rejected_stamps:
+            self.retries.reset()
+        self.rejected_stamps = stamps
+        self.next_retry_at = time.monotonic() + self.retries.delay_s()
+
     def _stamps(self) -> dict[str, _FileStamp | None]:
         paths: list[str] = []
         for files in (self.settings.listen.tls, self.settings.internal_tls):
--- a/packages/skylarkdoord/tests/tls/test_tls_service.py
+++ b/packages/skylarkdoord/tests/tls/test_tls_service.py
@@ -1,15 +1,20 @@
 """Tests of loading TLS contexts from files and of reloading them."""
 
 import asyncio
+import contextlib
 import ssl
+from types import SimpleNamespace
 
 import pytest
 from aiohttp import web
 
 from skylarkdoor.settings import Listen, PlatformAddresses, ProcessSettings
 from skylarkdoord.common import TlsService
+from skylarkdoord.common import _tls_service as tls_service
 from skylarkdoord.exceptions import TlsError
 
+from .._fakes import FakeClock
+
 ADDRESSES = PlatformAddresses(("http://x",), "http://x", "http://x", "http://x")
 
 
@@ -19,6 +24,23 @@
     return ProcessSettings("entry-1", "teika", listen, ADDRESSES, **changes)
 
 
+def failing(error):
+    """Return a function that raises an error instead of building a context."""
+
+    def build():
+        raise error
+
+    return build
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    """Return the clock of the service, which the test advances."""
+    clock = FakeClock()
+    monkeypatch.setattr(tls_service, "time", SimpleNamespace(monotonic=clock))
+    return clock
+
+
 class Listener:
     """HTTPS listener with a method that reads its certificate's serial number."""
 
@@ -129,6 +151,41 @@
             assert service.renew_if_changed()
             assert await listener.serial(trusting_context(authority)) != before
 
+    # Guards against a certificate that expires although a new one is there.
+    @pytest.mark.parametrize("error", [TlsError("too many open files"), MemoryError()])
+    def test_passing_failure(self, authority, clock, error):
+        """Files that could not be loaded are loaded once the cause has passed."""
+        service = self.service(authority)
+        former = service.callers.current
+        build = service.callers.build
+        authority.issue("entry-1")
+        service.callers.build = failing(error)
+        with contextlib.suppress(MemoryError):
+            service.renew_if_changed()
+        assert service.callers.current is former
+        service.callers.build = build
+        clock.now += tls_service.CHECK_INTERVAL_S
+        assert service.renew_if_changed()
+        assert service.callers.current is not former
+
+    # Guards against a line of the log at each check.
+    def test_lasting_failure(self, authority, clock, logged):
+        """Files that can't be loaded are read less and less often."""
+        service = self.service(authority)
+        authority.issue("entry-1")
+        service.callers.build = failing(TlsError("x"))
+        for _ in range(1800):
+            clock.now += tls_service.CHECK_INTERVAL_S
+            assert not service.renew_if_changed()
+        assert set(logged.names()) == {"certificate_rejected"}
+        assert 10 < len(logged.names()) < 40
+
+    def service(self, authority):
+        """Return a service that has loaded a certificate."""
+        service = TlsService(settings(tls=authority.issue_for_callers("entry-1")))
+        service.load()
+        return service
+
     async def test_removed_authority(self, authority, other_authority, logged):
         """A peer is refused once its authority is removed from the file."""
         own = authority.issue("sidecar-1", "127.0.0.1")
