Machine of roll-outs: a coordinator that is cut off has its own evidence

The example, replayed from its database: the coordinator is cut off while the store is away, returns to the store alone and completes a version of which it saw most of the bad answers itself.

Cause: the machine, not the product. Its coordinator summed the reports of the entries that are not cut off; one that was cut off itself left its own out. An entry sums its own report and the last ones of all others (Rollouts.evidence, RolloutPeers.sum), where the evidence of a lost entry counts but nothing of it has to end.

Change: the machine does the same. That is stricter where an entry is lost, as the evidence against a version no longer gets lost with it, and as strict elsewhere: invariants, steps and number of examples are as before. The example is a test of its own.

--- a/packages/skylarkdoord/tests/direct/test_rollout_machine.py
+++ b/packages/skylarkdoord/tests/direct/test_rollout_machine.py
@@ -274,11 +274,7 @@
         """Return what follows a decision by the evidence that its entry holds."""
         if decision.order != self.order:
             return first_decision(self.order, FULL, self.now, decision.term, decision)
-        reports = [
-            entry.heard.get(other.number) or Report(self.order)
-            for other in self.entries
-            if other.number not in self.cut and not other.is_paused
-        ]
+        reports = [self.report_of(other, entry) for other in self.entries]
         report = sum_reports(self.order, reports, self.gone())
         return next_decision(
             decision,
@@ -290,6 +286,24 @@
             is_store_reachable=self.is_store_up,
         )
 
+    def report_of(self, other, entry):
+        """Return an entry's last report as another one, or the same, holds it.
+
+        The evidence of a lost entry counts, but nothing of it has to end any more.
+        """
+        report = entry.heard.get(other.number) or Report(self.order)
+        if other is entry or self.hear_each_other(entry, other):
+            return report
+        own = entry.heard[entry.number]
+        return report._replace(
+            running_old=0, running_old_once=0, term=own.term, step=own.step
+        )
+
+    def hear_each_other(self, entry, other):
+        """Return whether two entries hear each other."""
+        is_cut = not self.cut.isdisjoint({entry.number, other.number})
+        return not is_cut and not other.is_paused
+
     def write(self, entry, expected, decision):
         """Write a decision and its status; return whether it was written."""
         if not self.store.write(expected, decision, entry.number, self.now):
@@ -334,3 +348,19 @@
 TestRolloutMachine.settings = settings(
     max_examples=40, stateful_step_count=20, deadline=None
 )
+
+
+class TestCutOff:
+    """A coordinator that is cut off from the other entries."""
+
+    # Guards against a bad version that is completed without the coordinator's evidence.
+    def test_own_evidence(self):
+        """It decides by what it observed itself and last heard."""
+        machine = RolloutMachine()
+        machine.write_order(is_bad=True, gap_s=14.0)
+        machine.cut_off(number=1, seconds=0.5)
+        machine.toggle_store(seconds=5.0)
+        machine.cut_off(number=0, seconds=0.5)
+        machine.toggle_store(seconds=2.0)
+        machine.cut_off(number=1, seconds=5.0)
+        assert machine.store.decision.phase is Phase.REVERTED
