Limits: another entry records customers' use while the first one restarts

Cause: only the first live entry by name writes the record of the customers' use, and not before it has run for 2 s. While entries restart in turn, the first one by name has often just started, or has stopped, taken its record away and still counts as live for 2 s. If all power is lost then, no record is left, and hardly anything is admitted for a window.

Change: the writer is the first entry by name that has run for 2 s and has not closed its streams. Records are written in more moments than before, never in fewer, so limits hold at least as well.

--- a/packages/skylarkdoord/tests/direct/test_limit_records.py
+++ b/packages/skylarkdoord/tests/direct/test_limit_records.py
@@ -71,7 +71,7 @@
         members = SimpleNamespace(
             quota=self.quota,
             fleet=SimpleNamespace(routing=SimpleNamespace(config=config)),
-            position=lambda: self.position,
+            is_first_settled=lambda settled_s: self.position == 0,
         )
         self.records = LimitRecords(instance, store, members, clock=clock)
 
