Revert: Limits: another entry records customers' use while the first one restarts

A review showed with real Quota, LimitRecords and Members and a stand-in store that a second writer makes limits fail after a loss of power: its older row stays when the first entry takes over again, and then

- the older row counts as recent when the first entry has stopped and taken its own away: 1,550 of 880, and 870 without that row.

What is missing is a hand-over: the one that stands in has to take its row away once another writes, and the one that stops has to keep its own until then.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_limit_records.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_limit_records.py
@@ -1,8 +1,8 @@
 """Records of customers' use in the store, from which limits survive a full restart.
 
 An entry that starts receives the totals of the others. After a power loss of all
-entries, only the store still has them. The first entry by name that has run for a while
-records the totals of all entries; an entry that starts reads the records.
+entries, only the store still has them. The first live entry by name records the totals
+of all entries; an entry that starts reads the records.
 """
 
 import asyncio
@@ -218,9 +218,7 @@
         """
         is_settled = self.clock() - self.started > LIVE_TIMEOUT_S
         knows_use = self.quota.covers_window() or self.quota.is_restored
-        return (
-            is_settled and knows_use and self.members.is_first_settled(LIVE_TIMEOUT_S)
-        )
+        return is_settled and knows_use and self.members.position() == 0
 
     def on_new_era(self) -> None:
         """Write the record again, as the store may have lost it."""
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_member.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_member.py
@@ -55,16 +55,6 @@
     upstreams_at: StoreVersion = field(default_factory=StoreVersion)
     behind_since: float = 0.0
 
-    def has_run_for(self, seconds: float, now: float) -> bool:
-        """Return whether the entry has run for a time, as far as its updates tell.
-
-        Args:
-            seconds: The time, in seconds.
-            now: Monotonic time, in seconds.
-        """
-        started_at = min(self.fastest_s, self.former_fastest_s)
-        return math.isinf(started_at) or now - started_at > seconds
-
     def on_update(self, update: pb.EntryNews, now: float) -> None:
         """Record when an update was sent and which versions it tells.
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
@@ -118,24 +118,6 @@
             for name, member in self.by_name.items()
         )
 
-    def is_first_settled(self, settled_s: float) -> bool:
-        """Return whether this entry is the first by name of those that run for a while.
-
-        An entry that has closed its streams does not count, as it may have stopped.
-
-        Args:
-            settled_s: Time for which an entry has to run, in seconds.
-        """
-        now = self.clock()
-        since = now - self.live_timeout_s()
-        return not any(
-            member.last_update_at > since
-            and not member.has_closed_stream
-            and member.has_run_for(settled_s, now)
-            and name < self.instance
-            for name, member in self.by_name.items()
-        )
-
     def owns(self, fingerprint: int) -> bool:
         """Return whether this entry, of the live ones, is responsible for a request."""
         live = self.live_entries()
--- a/packages/skylarkdoord/tests/direct/test_limit_records.py
+++ b/packages/skylarkdoord/tests/direct/test_limit_records.py
@@ -71,7 +71,7 @@
         members = SimpleNamespace(
             quota=self.quota,
             fleet=SimpleNamespace(routing=SimpleNamespace(config=config)),
-            is_first_settled=lambda settled_s: self.position == 0,
+            position=lambda: self.position,
         )
         self.records = LimitRecords(instance, store, members, clock=clock)
 
--- a/packages/skylarkdoord/tests/direct/test_members.py
+++ b/packages/skylarkdoord/tests/direct/test_members.py
@@ -97,56 +97,6 @@
             assert sum(members.owns(fingerprint) for members in entries) == 1
 
 
-class TestFirstSettled:
-    """`Members.is_first_settled`."""
-
-    @pytest.fixture
-    def clock(self):
-        """Return a clock that the test sets."""
-        return Clock()
-
-    @pytest.fixture
-    def members(self, clock):
-        """Return an entry that others precede by name."""
-        return Members("c", Fleet(None), Quota(QuotaBounds()), Crashes(), clock=clock)
-
-    def receive(self, members, name, age_s):
-        """Receive an update of an entry of an age."""
-        age_ms = int(age_s * 1000)
-        members.receive(pb.EntryNews(instance=name, incarnation=1, age_ms=age_ms))
-
-    # Guards against use that nobody records while entries restart in turn.
-    def test_just_started(self, members, clock):
-        """Entries that have just started leave their duties to the next one."""
-        self.receive(members, "a", 0.1)
-        self.receive(members, "d", 60.0)
-        assert members.is_first_settled(LIVE_TIMEOUT_S)
-        clock.now += LIVE_TIMEOUT_S
-        self.receive(members, "a", 0.1 + LIVE_TIMEOUT_S)
-        assert not members.is_first_settled(LIVE_TIMEOUT_S)
-
-    # Guards against use that nobody records after the first entry has stopped.
-    def test_stopped(self, members):
-        """The next one takes over at once from an entry that closes its stream."""
-        self.receive(members, "a", 60.0)
-        assert not members.is_first_settled(LIVE_TIMEOUT_S)
-        members.on_stream_end("a", is_silent=False)
-        assert members.is_first_settled(LIVE_TIMEOUT_S)
-
-    def test_silent(self, members, clock):
-        """The next one takes over from an entry that sends nothing after a while."""
-        self.receive(members, "a", 60.0)
-        members.on_stream_end("a", is_silent=True)
-        assert not members.is_first_settled(LIVE_TIMEOUT_S)
-        clock.now += LIVE_TIMEOUT_S + 0.1
-        assert members.is_first_settled(LIVE_TIMEOUT_S)
-
-    def test_former_release(self, members):
-        """An entry that does not state its age counts as one that has run."""
-        self.receive(members, "a", 0.0)
-        assert not members.is_first_settled(LIVE_TIMEOUT_S)
-
-
 class TestLimitShare:
     """`Members.limit_share`."""
 
