Limits: an older record does not make the use of a newer one expire early

What callers see: after a loss of power, more than a customer's limit may be admitted where the store holds records of two entries, as after the first one by name was killed or away for over 2 s.

Cause: the recent halves of all records were restored before the earlier halves of any. A restored use is never later than the one restored before it, so an older record's recent half pulled the earlier half of the newer one back to its own age, and that use left the window seconds too early.

Change: all parts are restored in the order of their ages.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_limit_records.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_limit_records.py
@@ -8,6 +8,7 @@
 import asyncio
 import math
 from collections.abc import Callable
+from typing import NamedTuple
 
 from skylarkdoor import events
 from skylarkdoor.backoff import Backoff
@@ -47,6 +48,20 @@
 RETENTION_WINDOWS = 10.0
 
 
+class _RecordedUse(NamedTuple):
+    """Units used within a window that ended some time ago.
+
+    Attributes:
+        age_s: Time since its end, in seconds.
+        units: Units by customer.
+        is_recent: Whether more use would have caused a newer record.
+    """
+
+    age_s: float
+    units: dict[str, float]
+    is_recent: bool
+
+
 class WriteBudget:
     """Bounds the rate of writes, with bursts.
 
@@ -187,7 +202,7 @@
         return unrenewed_s <= MAX_UNRENEWED_SHARE * self.quota.bounds.window_s
 
     def apply(self, records: list[LimitRecord], clock_s: float) -> None:
-        """Apply records; newest first, as a restored use precedes those before it.
+        """Apply records, the newest use first, as a restored one precedes those before.
 
         The use in a record counts even if the record is not recent.
 
@@ -195,14 +210,16 @@
             records: Records within the window.
             clock_s: The store's clock when they were read, in seconds.
         """
-        records = sorted(records, key=lambda record: record.at_s, reverse=True)
-        ages_s = [max(0.0, clock_s - record.at_s) for record in records]
         half_s = self.quota.bounds.window_s / 2
-        for record, age_s in zip(records, ages_s, strict=True):
-            is_recent = self.is_recent(age_s)
-            self.quota.restore(record.recent, age_s, is_recent=is_recent)
-        for record, age_s in zip(records, ages_s, strict=True):
-            self.quota.restore(record.used, age_s + half_s, is_recent=False)
+        uses: list[_RecordedUse] = []
+        for record in records:
+            age_s = max(0.0, clock_s - record.at_s)
+            uses += [
+                _RecordedUse(age_s, record.recent, self.is_recent(age_s)),
+                _RecordedUse(age_s + half_s, record.used, is_recent=False),
+            ]
+        for use in sorted(uses, key=lambda use: use.age_s):
+            self.quota.restore(use.units, use.age_s, is_recent=use.is_recent)
 
     async def check(self) -> None:
         """Write a record if this entry is the writer and a record is due."""
--- a/packages/skylarkdoord/tests/direct/test_limit_records.py
+++ b/packages/skylarkdoord/tests/direct/test_limit_records.py
@@ -6,6 +6,7 @@
 import pytest
 
 from skylarkdoord.direct import Row, Rows
+from skylarkdoord.direct._limit_record import LimitRecord
 from skylarkdoord.direct._limit_records import (
     LIMITS,
     MAX_WRITE_BURST,
@@ -306,6 +307,18 @@
         await restarted.records.restore()
         assert restarted.quota.totals()["garden"] >= 400.0
 
+    # Guards against use that leaves the window early because of another entry's record.
+    async def test_older_record(self, clock, store):
+        """A limit used up 4 s before a record counts, whatever an older one shows."""
+        now = clock.now + store.CLOCK_OFFSET_S
+        newer = LimitRecord(now, {"garden": 800.0}, {"garden": 0.0})
+        older = LimitRecord(now - 6.0, {"garden": 100.0}, {"garden": 100.0})
+        store.rows = {"a": newer.encode(), "b": older.encode()}
+        restarted = Incarnation(clock, store)
+        await restarted.records.restore()
+        sent = await restarted.serve(3.5)
+        assert 800.0 + 10 * len(sent) <= ALLOWED
+
     async def test_malformed(self, store, settled):
         """A malformed record is ignored."""
         store.rows["z"] = b"[]"
