--- a/packages/skylarkdoord/tests/direct/test_limit_records.py
+++ b/packages/skylarkdoord/tests/direct/test_limit_records.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from skylarkdoor.kernel import Kernel
 from skylarkdoord.direct import Row, Rows
 from skylarkdoord.direct._limit_record import LimitRecord
 from skylarkdoord.direct._limit_records import (
@@ -222,6 +223,18 @@
         after = await restarted.serve(8.0, tokens=5, pause_steps=10)
         assert len(after) == 80
 
+    # Guards against refusals after a loss that comes while entries restart in turn.
+    async def test_writer_stopped(self, clock, store, settled):
+        """A customer at half its limit is not refused if the writer stopped before."""
+        await settled.serve(8.0, tokens=5, pause_steps=10)
+        await settled.records.start(Kernel())
+        await settled.records.stop()
+        clock.now += 1.1
+        restarted = Incarnation(clock, store)
+        await restarted.records.restore()
+        after = await restarted.serve(8.0, tokens=5, pause_steps=10)
+        assert len(after) == 80
+
     # Guards against an idle customer that is refused because the store was read late.
     async def test_late_read(self, clock, store, settled):
         """The age of the record at the start counts, not at the first answer."""
