--- a/tests/adapter/_configs.py
+++ b/tests/adapter/_configs.py
@@ -74,11 +74,13 @@
 FLAGS = st.booleans()
 WORDS = st.from_regex(r"[a-z]{2,6}[0-9]{0,3}", fullmatch=True)
 KEYS = st.from_regex(r"[a-z0-9]{20}", fullmatch=True)
-# Fields of which the pages know nothing.
+# Fields of which these pages don't know.
 EXTRAS = st.dictionaries(
-    st.sampled_from(["x", "xPolicy", "xLabels"]),
-    st.sampled_from(
-        [None, True, 7, 1e300, "\ud800", [], [1, "a", None], {}, {"a": {"b": [0.5]}}]
+    st.from_regex(r"x[A-Za-z]{0,8}", fullmatch=True),
+    st.recursive(
+        st.none() | FLAGS | st.integers() | st.floats(0, 1e300) | st.text(),
+        lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+        max_leaves=4,
     ),
     max_size=2,
 )
