Revert: Tests of roll-outs: wait for the first request after a decision

It let the first request after a decision come within 10 s instead of 1 s of wall clock, which eases a bound.

--- a/tests/adapter/_released.py
+++ b/tests/adapter/_released.py
@@ -26,7 +26,6 @@
 SLOTS = 8
 CALLERS = 12
 CALL_PAUSE_S = 0.02
-SENT_TIMEOUT_S = 10.0
 ANSWER_S = 0.02
 IDEMPOTENT = route(maxAttempts=2)
 ONCE = route("booking", routeType="non_idempotent", maxAttempts=1)
@@ -198,12 +197,6 @@
                     return status, time.monotonic() - self.ordered_at
                 await asyncio.sleep(0.01)
 
-    async def until_sent(self, servers, since):
-        """Wait until servers have got a request since a time."""
-        async with asyncio.timeout(SENT_TIMEOUT_S):
-            while not self.sent(servers, since):
-                await asyncio.sleep(0.01)
-
     def sent(self, servers, since, until=float("inf")):
         """Return how many requests servers got within a time."""
         return sum(since <= at < until for server in servers for at in server.arrivals)
--- a/tests/adapter/test_rollouts.py
+++ b/tests/adapter/test_rollouts.py
@@ -40,9 +40,9 @@
     assert took_s <= DURATION_S
     decided_at = time.monotonic()
     await asyncio.sleep(1.0)
-    await release.until_sent(release.old, decided_at)
     check_exposure(release)
     assert not release.sent(release.new, decided_at)
+    assert release.sent(release.old, decided_at)
 
 
 async def check_completed(release):
@@ -53,9 +53,9 @@
     decided_at = time.monotonic()
     running = sum(server.running for server in release.old)
     await asyncio.sleep(1.0)
-    await release.until_sent(release.new, decided_at)
     assert not running
     assert not release.sent(release.old, decided_at)
+    assert release.sent(release.new, decided_at)
 
 
 class TestVersions:
