--- a/tests/adapter/test_odd_messages.py
+++ b/tests/adapter/test_odd_messages.py
@@ -1,17 +1,25 @@
 """Tests of an entry that reads or receives what it can't handle."""
 
+import json
+from functools import partial
+
 import pytest
 
+from skylarkdoor import untrusted_json
 from skylarkdoor.kernel import Kernel
 from skylarkdoor_bench.testing import free_port
+from skylarkdoor_platform import _records
 from skylarkdoord.direct import DirectSettings
 from skylarkdoord.direct._members import Members
 from skylarkdoord.direct._settings import DirectListen
+from skylarkdoord.direct.exceptions import RowError
 from skylarkdoord.direct.guard import build as build_guard
 
 from ._standins import LOOPBACK, Entry, Server, reply, route, server_row
 
 DESK = route()
+# Deeper than the interpreter's limit.
+NESTED = b"[" * 5000
 
 
 def fail_once(monkeypatch, owner, name):
@@ -35,7 +43,7 @@
     # Guards against a row that ends the process, or the watch of the list.
     @pytest.mark.parametrize(
         "data",
-        [b"[" * 5000, b'{"slots": 1e999}', b"\xff", b"{}"],
+        [NESTED, b'{"slots": 1e999}', b"\xff", b"{}"],
         ids=["nested", "large", "bytes", "empty"],
     )
     async def test_list_is_followed(self, start, store, data):
@@ -75,6 +83,41 @@
                 assert not caller.entry.kernel.stopping.is_set()
 
 
+class TestNestedRow:
+    """A row that nests too deeply, and each of the layers that keep it harmless."""
+
+    # Guards against entries that end again and again at a row of another writer: the
+    # decoder's part.
+    @pytest.mark.parametrize(
+        "decode",
+        [
+            partial(_records.decode_upstream, "i-odd"),
+            _records.decode_upstream_age,
+            _records.decode_config,
+            _records.decode_load,
+        ],
+    )
+    def test_decoder(self, decode):
+        """The decoder rejects it like any other malformed row."""
+        with pytest.raises(RowError):
+            decode(NESTED)
+
+    # Guards against the same where a decoder fails with an error of its own: the part
+    # of the tasks.
+    async def test_decoder_that_fails(self, start, store, monkeypatch):
+        """The entry goes on serving, and takes over the rows written afterwards."""
+        monkeypatch.setattr(untrusted_json, "loads", json.loads)
+        with pytest.raises(RecursionError):
+            _records.decode_upstream("i-odd", NESTED)
+        async with Server(reply()) as one, Server(reply()) as two:
+            async with start([DESK], [one]) as caller:
+                await store.put("servers", "i-odd", NESTED)
+                await store.put("servers", "i-2", server_row(two))
+                await caller.entry.until_serving(2)
+                assert (await caller.get())[0] == 200
+                assert not caller.entry.kernel.stopping.is_set()
+
+
 class TestFailingTasks:
     """Background tasks that meet an unexpected error."""
 
