Store: pause after an answer that comes early without anything new

Calls are priced and limited, so all entries together starve each other.

Cause: a held call that returned no rows was taken for one whose wait had ended. "rows": null was taken for no rows, which in a full read removed all servers; "hasMore" that is no truth value ended the task with RowError, which no caller of the store expects; a page that repeats itself, or an era that changes with each page, was read on without end.

Change: after an answer within 0.1 s that has no rows, or no later version, the watch of a table waits with back-off.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_watch.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_watch.py
@@ -137,14 +137,17 @@
         """Watch one table until cancelled."""
         progress = WatchProgress(self.max_retry_delay_s())
         while True:
+            called_at = time.monotonic()
             try:
                 rows = await self.next_rows(
                     table, progress.read_at, is_down=progress.is_down
                 )
                 progress.check_era(rows)
+                delay_s = progress.early_delay_s(rows, time.monotonic() - called_at)
                 self.on_answer(table, progress, rows)
                 if rows.rows:
-                    await asyncio.sleep(self.pause_s(table))
+                    delay_s = max(delay_s, self.pause_s(table))
+                await asyncio.sleep(delay_s)
             except HistoryLostError:
                 STORE_CALLS.labels(table, "history_lost").inc()
                 delay_s = progress.on_history_lost(self.max_retry_delay_s())
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_watch_progress.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_watch_progress.py
@@ -6,6 +6,8 @@
 
 # Delay before a call is repeated for the first time, before jitter.
 FIRST_DELAY_S = 0.05
+# Held calls without changes are answered after a longer time than this.
+EARLY_S = 0.1
 
 
 class WatchProgress:
@@ -29,6 +31,7 @@
     ) -> None:
         self.failure_backoff = Backoff(initial_s=first_delay_s, max_s=max_delay_s)
         self.history_backoff = Backoff(initial_s=first_delay_s, max_s=max_delay_s)
+        self.early_backoff = Backoff(initial_s=first_delay_s, max_s=max_delay_s)
         self.read_at: StoreVersion | None = None
         self.era = 0
         self.is_down = False
@@ -62,6 +65,24 @@
             self.history_backoff.reset()
         self.read_at = rows.read_at
 
+    def early_delay_s(self, rows: Rows, took_s: float) -> float:
+        """Return the delay after an answer that came early without anything new.
+
+        Without it, a store that does not hold calls would be called without a pause.
+
+        Args:
+            rows: The rows of the answer, which were not applied yet.
+            took_s: Time from the call to its answer, in seconds.
+
+        Returns:
+            The delay before the next call, in seconds; 0 after any other answer.
+        """
+        is_new = bool(rows.rows) and rows.read_at != self.read_at
+        if self.read_at is None or is_new or took_s > EARLY_S:
+            self.early_backoff.reset()
+            return 0.0
+        return self.early_backoff.delay_s()
+
     def on_history_lost(self, max_delay_s: float) -> float:
         """Read the whole table next; return the delay before it, in seconds.
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/evidence/_suspect_records.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/evidence/_suspect_records.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import time
 from collections.abc import Iterable
 from typing import NotRequired, TypedDict
 
@@ -117,12 +118,15 @@
         """Apply the records and their changes until cancelled."""
         progress = WatchProgress(MAX_RETRY_DELAY_S, first_delay_s=FIRST_RETRY_DELAY_S)
         while True:
+            called_at = time.monotonic()
             try:
                 rows = await self.next_rows(progress.read_at)
                 progress.check_era(rows)
+                delay_s = progress.early_delay_s(rows, time.monotonic() - called_at)
                 await self.on_answer(progress, rows)
                 if rows.rows:
-                    await asyncio.sleep(PAUSE_S)
+                    delay_s = max(delay_s, PAUSE_S)
+                await asyncio.sleep(delay_s)
             except HistoryLostError:
                 await asyncio.sleep(progress.on_history_lost(MAX_RETRY_DELAY_S))
             except StoreError as error:
--- a/tests/adapter/_standins.py
+++ b/tests/adapter/_standins.py
@@ -36,12 +36,14 @@
         calls: Paths of the calls.
         uses: Path and table of each call other than a feed call.
         lost_answers: Tables of which the next write is made, but not answered.
+        odd_fields: Fields of the answers to calls of a path, which then come at once.
     """
 
     def __init__(self):
         self.now_ms = lambda: 1500
         self.uses = []
         self.lost_answers = set()
+        self.odd_fields = {}
         self.tables = {}
         self.version = 1
         self.changed = asyncio.Condition()
@@ -106,17 +108,15 @@
             rows.append(row)
         return rows
 
-    def answer(self, rows, status=200):
+    def answer(self, rows, status=200, odd=()):
         """Return a response with rows."""
-        return web.json_response(
-            {
-                "rows": rows,
-                "hasMore": False,
-                "rowVersion": self.version,
-                "nowMs": self.now_ms(),
-            },
-            status=status,
-        )
+        fields = {
+            "rows": rows,
+            "hasMore": False,
+            "rowVersion": self.version,
+            "nowMs": self.now_ms(),
+        }
+        return web.json_response(fields | dict(odd), status=status)
 
     async def get(self, request):
         """Serve a full read."""
@@ -124,7 +124,8 @@
         self.uses.append((request.path, request.query["tableName"]))
         if self.status != 200:
             return web.Response(status=self.status)
-        return self.answer(self.rows(request.query["tableName"]))
+        odd = self.odd_fields.get(request.path, {})
+        return self.answer(self.rows(request.query["tableName"]), odd=odd)
 
     async def feed(self, request):
         """Serve a feed call: wait for changes and return them."""
@@ -134,6 +135,8 @@
         if self.is_history_lost:
             self.is_history_lost = False
             return web.Response(status=410)
+        if request.path in self.odd_fields:
+            return self.answer([], odd=self.odd_fields[request.path])
         table, since = request.query["tableName"], int(request.query["sinceRevision"])
         if since > self.version:
             return web.Response(status=410)
