Answers without end: bound every process that reads answers

Sidecars and entries of the own interface read answers, health, engine states, claims, outcomes, statuses and the platform's services with sessions of aiohttp that bound nothing.

Change: skylarkdoor.bounded_http, taken from direct dispatch, is the only way to open a session: connections that receive over 512 KiB of which nothing is read are closed, bodies have a largest size (8 MiB, 32 MiB for the platform's services) and a budget for all of a process (32 MiB). PlainClient bounds the guard's calls (256 KiB, 2 s). The operators' client uses the same sessions.

--- a/packages/skylarkdoor-client/src/skylarkdoor_client/_admin.py
+++ b/packages/skylarkdoor-client/src/skylarkdoor_client/_admin.py
@@ -1,6 +1,5 @@
 """Client of the administration API of an entry."""
 
-import json
 import ssl
 import uuid
 from collections.abc import Mapping
@@ -10,6 +9,7 @@
 
 import aiohttp
 
+from skylarkdoor import bounded_http, untrusted_json
 from skylarkdoor.exceptions import ResponseLostError
 from skylarkdoor.single_send import send_once
 from skylarkdoor_client._error_responses import error_from_response
@@ -75,8 +75,8 @@
         timeout = aiohttp.ClientTimeout(
             total=REQUEST_TIMEOUT_S, connect=CONNECT_TIMEOUT_S
         )
-        connector = aiohttp.TCPConnector(ssl=self._ssl())
-        self.session = aiohttp.ClientSession(
+        connector = bounded_http.BoundedConnector(ssl=self._ssl())
+        self.session = bounded_http.open_session(
             headers=headers,
             timeout=timeout,
             connector=connector,
@@ -183,7 +183,7 @@
             method, self.url + target, json=body, headers=headers
         ) as response:
             try:
-                content = json.loads(await response.read())
+                content = untrusted_json.loads(await bounded_http.read_body(response))
             except ValueError:
                 raise UnexpectedResponseError(
                     f"{self.url} returned status {response.status} without JSON"
--- a/packages/skylarkdoor/src/skylarkdoor/clients/_http.py
+++ b/packages/skylarkdoor/src/skylarkdoor/clients/_http.py
@@ -5,9 +5,12 @@
 
 import aiohttp
 
+from skylarkdoor import bounded_http
 from skylarkdoor.clients._endpoints import Endpoints
 
 _SERVER_ERROR = 500
+# Largest response, unless the caller states another limit.
+MAX_RESPONSE_BYTES = 32 * 1024 * 1024
 
 
 class HttpResponse(NamedTuple):
@@ -31,6 +34,7 @@
     timeout: aiohttp.ClientTimeout,
     data: bytes | None = None,
     headers: Mapping[str, str] | None = None,
+    max_bytes: int = MAX_RESPONSE_BYTES,
 ) -> HttpResponse:
     """Send a request to each endpoint in turn; return the first response.
 
@@ -43,6 +47,7 @@
         timeout: Timeout of the request to one endpoint.
         data: Body of the request.
         headers: Headers of the request.
+        max_bytes: Largest body of a response, in bytes.
 
     Raises:
         NoResponseError: Every endpoint failed or returned a server error.
@@ -53,7 +58,7 @@
             async with session.request(
                 method, f"{url}{path}", data=data, headers=headers, timeout=timeout
             ) as response:
-                body = await response.read()
+                body = await bounded_http.read_body(response, max_bytes)
                 if response.status < _SERVER_ERROR:
                     return HttpResponse(response.status, response.headers, body)
                 failure = f"status {response.status}"
--- a/packages/skylarkdoor/src/skylarkdoor/clients/_table.py
+++ b/packages/skylarkdoor/src/skylarkdoor/clients/_table.py
@@ -6,7 +6,7 @@
 import aiohttp
 import msgspec
 
-from skylarkdoor import untrusted_json
+from skylarkdoor import bounded_http, untrusted_json
 from skylarkdoor.clients._client import Client
 from skylarkdoor.clients._gateway import (
     CommitResponse,
@@ -20,6 +20,7 @@
     read_row,
 )
 from skylarkdoor.clients._grouping import group_txns
+from skylarkdoor.clients._http import MAX_RESPONSE_BYTES
 from skylarkdoor.clients._transactions import Row, RowList, Txn, TxnResult
 from skylarkdoor.clients.exceptions import (
     TableRejected,
@@ -152,7 +153,7 @@
         async with self.session.post(
             url, data=data, headers=headers, timeout=self.timeout
         ) as response:
-            content = await response.read()
+            content = await bounded_http.read_body(response, MAX_RESPONSE_BYTES)
             if response.status == 200:
                 return untrusted_json.decode(content, type_=response_type)
             raise _response_error(response.status, content, is_write=is_write)
--- a/packages/skylarkdoor/src/skylarkdoor/clients/_weights.py
+++ b/packages/skylarkdoor/src/skylarkdoor/clients/_weights.py
@@ -11,6 +11,7 @@
 )
 
 WEIGHTS_TIMEOUT_S = 60.0
+MAX_WEIGHTS_BYTES = 1024 * 1024 * 1024
 _DEFAULT_RETRY_AFTER_S = 1.0
 
 
@@ -40,6 +41,7 @@
                 "GET",
                 f"/weights/{quote(name)}",
                 timeout=self.timeout,
+                max_bytes=MAX_WEIGHTS_BYTES,
             )
         except NoResponseError as error:
             raise WeightsUnavailable(str(error)) from error
--- a/packages/skylarkdoord/src/skylarkdoord/admin/_instances.py
+++ b/packages/skylarkdoord/src/skylarkdoord/admin/_instances.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+from skylarkdoor import bounded_http
 from skylarkdoor.clients import InstanceList, InstanceRecord, PlatformError
 from skylarkdoord.admin.exceptions import AbsentError, UnreachableError
 from skylarkdoord.common import TlsService
@@ -26,7 +27,7 @@
         self.tls = tls
         self.slots = asyncio.Semaphore(MAX_CONCURRENT_CALLS)
         timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
-        self.session = aiohttp.ClientSession(timeout=timeout)
+        self.session = bounded_http.open_session(timeout=timeout)
 
     async def close(self) -> None:
         """Close the connections."""
@@ -69,12 +70,10 @@
         url = f"{self.tls.url(record.http)}/status"
         tls = self.tls.request_arguments(record.instance)
         result: dict[str, Any] = {**record._asdict(), "status": None, "error": None}
-        url = f"{self.tls.url(record.http)}/status"
-        tls = self.tls.request_arguments(record.instance)
         try:
             async with self.slots:
                 async with self.session.get(url, **tls) as answer:
-                    result["status"] = await answer.json()
+                    result["status"] = await bounded_http.read_json(answer)
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             result["error"] = repr(error)
         return result
@@ -91,7 +90,6 @@
                     raise UnreachableError(
                         f"{record.instance} answered with status {answer.status}"
                     )
-                body: dict[str, Any] = await answer.json()
-                return body
+                return await bounded_http.read_json(answer)
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             raise UnreachableError(f"{record.instance}: {error!r}") from None
--- a/packages/skylarkdoord/src/skylarkdoord/common/_platform.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_platform.py
@@ -2,6 +2,7 @@
 
 import aiohttp
 
+from skylarkdoor import bounded_http
 from skylarkdoor.clients import (
     EtcdTable,
     InstanceList,
@@ -25,7 +26,7 @@
 
     async def start(self, kernel: Kernel) -> None:
         """Open the client session."""
-        session = aiohttp.ClientSession()
+        session = bounded_http.open_session()
         self.session = session
         self.table: Table = EtcdTable(session, self.addresses.table)
         self.objects = ObjectStore(session, (self.addresses.objects,))
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_bounded_connection.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_bounded_connection.py
@@ -1,46 +1,11 @@
-"""Connections that are closed when too much arrives that is no message.
+"""Callers' connections, which are closed when too much arrives that is no message."""
 
-Both HTTP parsers accept lines between chunks, and others, at any length.
-"""
-
-import asyncio
-import functools
 import math
-from typing import Any
 
-import aiohttp
 from aiohttp import web
-from aiohttp.client_proto import ResponseHandler
 from aiohttp.web_protocol import RequestHandler
 
-# Most bytes that may arrive while none of a body is read: heads, interim responses, the
-# lines between chunks, and what waits to be read. HTTP client and server stop receiving
-# before that while a body waits.
-MAX_UNREAD_BYTES = 512 * 1024
-
-
-class ByteBound:
-    """Aborts a connection after too many bytes of which none are read.
-
-    Attributes:
-        transport: The connection; None if it is closed.
-        unread_bytes: Bytes that arrived since a part of a body was read.
-    """
-
-    transport: asyncio.Transport | None
-    unread_bytes = 0
-
-    def data_received(self, data: bytes) -> None:
-        """Pass received bytes on, unless there are too many."""
-        self.unread_bytes += len(data)
-        if self.unread_bytes <= MAX_UNREAD_BYTES:
-            super().data_received(data)  # type: ignore[misc]
-        elif self.transport is not None:
-            self.transport.abort()
-
-
-class BoundedResponseHandler(ByteBound, ResponseHandler):  # type: ignore[misc]
-    """A connection to an upstream."""
+from skylarkdoor.bounded_http import ByteBound
 
 
 class BoundedRequestHandler(ByteBound, RequestHandler):  # type: ignore[misc]
@@ -85,22 +50,6 @@
         transport.set_write_buffer_limits()
 
 
-def on_read(connection: object) -> None:
-    """Allow as many bytes again to arrive before the next part of a body is read."""
-    if isinstance(connection, ByteBound):
-        connection.unread_bytes = 0
-
-
-class BoundedConnector(aiohttp.TCPConnector):
-    """A connector of bounded connections."""
-
-    def __init__(self, **options: Any) -> None:
-        super().__init__(**options)
-        # aiohttp has no public option for the class of its connections.
-        factory: Any = functools.partial(BoundedResponseHandler, loop=self._loop)
-        self._factory = factory
-
-
 class BoundedServer(web.Server):
     """An HTTP server of bounded connections."""
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_call.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_call.py
@@ -11,13 +11,13 @@
 import aiohttp
 from yarl import URL
 
+from skylarkdoor.bounded_http import BoundedConnector, on_read, open_session
 from skylarkdoor.exceptions import ResponseLostError
 from skylarkdoor.failures import reason
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.single_send import send_once
 from skylarkdoord._listeners import call_all
 from skylarkdoord.direct._adapter import Adapter, UpstreamHead
-from skylarkdoord.direct._bounded_connection import BoundedConnector, on_read
 from skylarkdoord.direct._model import Admitted, UpstreamRecord
 from skylarkdoord.direct._settings import AnswerBounds
 from skylarkdoord.direct._sockets import open_socket
@@ -210,7 +210,7 @@
         self.bounds = bounds or AnswerBounds()
         self.buffer = AnswerBuffer(self.bounds)
         self.on_head = on_head
-        self.session = aiohttp.ClientSession(
+        self.session = open_session(
             connector=BoundedConnector(
                 limit=0,
                 force_close=True,
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_caller_bodies.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_caller_bodies.py
@@ -4,9 +4,9 @@
 
 from aiohttp import web
 
+from skylarkdoor.bounded_http import on_read
 from skylarkdoord.direct._bounded_connection import (
     on_answer_complete,
-    on_read,
     on_written,
     set_writing_whole,
 )
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_engine_reports.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_engine_reports.py
@@ -10,10 +10,10 @@
 from skylarkdoor.kernel import Kernel
 from skylarkdoord import _events
 from skylarkdoord.direct._adapter import Adapter, EngineLoad
+from skylarkdoord.direct._plain_http import PlainClient
 from skylarkdoord.direct.exceptions import RowError
 
 REPORT_INTERVAL_S = 0.2
-REPORT_TIMEOUT_S = 0.5
 
 
 class Report(NamedTuple):
@@ -31,9 +31,6 @@
 class EngineReports:
     """Polls the engine beside this process for its load.
 
-    The HTTP client of the standard library is sufficient for one call on loopback;
-    aiohttp would increase a guard's memory by half.
-
     Args:
         adapter: Decodes the report.
         address: The engine's `host:port`.
@@ -51,7 +48,7 @@
     ) -> None:
         self.adapter = adapter
         self.address = address
-        self.connection = http.client.HTTPConnection(address, timeout=REPORT_TIMEOUT_S)
+        self.client = PlainClient(address)
         self.listener = listener
         self.is_answering = True
         self.has_answered = False
@@ -63,7 +60,7 @@
 
     async def stop(self) -> None:
         """Close the connection; the kernel ends the polling task."""
-        self.connection.close()
+        self.client.close()
 
     async def watch(self) -> None:
         """Poll at a fixed interval until cancelled."""
@@ -74,7 +71,9 @@
     async def poll(self) -> Report:
         """Poll the engine once."""
         try:
-            load = self.adapter.decode_load(await asyncio.to_thread(self.fetch))
+            path = self.adapter.load_path
+            data = await asyncio.to_thread(self.client.get, path)
+            load = self.adapter.decode_load(data)
         except (http.client.HTTPException, OSError, RowError) as error:
             self.set_answering(is_answering=False, error=reason(error))
             # The address may be wrong if it has never answered; a refused connection
@@ -85,20 +84,6 @@
         self.has_answered = True
         return Report(load)
 
-    def fetch(self) -> bytes:
-        """Return the body of the engine's report.
-
-        Raises:
-            HTTPException: The engine's response is not valid HTTP.
-            OSError: The engine cannot be reached or does not answer in time.
-        """
-        try:
-            self.connection.request("GET", self.adapter.load_path)
-            return self.connection.getresponse().read()
-        except (http.client.HTTPException, OSError):
-            self.connection.close()
-            raise
-
     def set_answering(self, *, is_answering: bool, **fields: object) -> None:
         """Log the loss or recovery of reports.
 
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_delivery.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_delivery.py
@@ -11,6 +11,7 @@
 
 import aiohttp
 
+from skylarkdoor import bounded_http
 from skylarkdoor.tasks import failure
 from skylarkdoord.entry._offers import AcceptedGrant
 from skylarkdoord.exceptions import SidecarSilentError
@@ -46,10 +47,17 @@
     Args:
         accepted: The grant that was accepted.
         query_outcome: Queries the sidecar for the request's outcome.
+        bodies: Bounds the answers that are received whole; None for this one alone.
     """
 
-    def __init__(self, accepted: AcceptedGrant, query_outcome: OutcomeQuery) -> None:
+    def __init__(
+        self,
+        accepted: AcceptedGrant,
+        query_outcome: OutcomeQuery,
+        bodies: bounded_http.BodyBudget | None = None,
+    ) -> None:
         self.accepted = accepted
+        self.bodies = bodies or bounded_http.BodyBudget()
         self.query_outcome = query_outcome
         self.last_outcome: Outcome | None = None
         self.waiting_since: float | None = None
@@ -79,10 +87,11 @@
         """Return the complete body of the answer.
 
         Raises:
-            aiohttp.ClientError: The connection failed or was closed.
+            aiohttp.ClientError: The connection failed or was closed, or the body is
+                too large.
         """
         with self._measured_wait():
-            return await self.answer.read()
+            return await self.bodies.read(self.answer)
 
     async def read_chunk(self) -> bytes:
         """Return the next chunk of the answer, empty at its end.
@@ -91,7 +100,7 @@
             aiohttp.ClientError: The connection failed or was closed.
         """
         with self._measured_wait():
-            return await self.answer.content.readany()
+            return await bounded_http.read_chunk(self.answer)
 
     async def watch(self) -> None:
         """Close the connection when no answer can be expected any more.
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_dispatch.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_dispatch.py
@@ -4,7 +4,7 @@
 
 import aiohttp
 
-from skylarkdoor import events, invariants, tracing
+from skylarkdoor import bounded_http, events, invariants, tracing
 from skylarkdoord import _events
 from skylarkdoord.common import Suspicions, TlsService
 from skylarkdoord.common import _headers as headers
@@ -25,6 +25,8 @@
 OUTCOME_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 2.0
 GONE_STATUS = 410
+# Largest report of an outcome or a refusal.
+MAX_REPLY_BYTES = 256 * 1024
 
 ONE_DISPATCH = invariants.define(
     "one_dispatch", "A request of an entry is dispatched to an upstream at most once."
@@ -40,6 +42,9 @@
     Args:
         tls: TLS contexts of the connections.
         suspects: The suspects known to this entry, with the crashes of each.
+
+    Attributes:
+        bodies: Bounds the answers that are received whole.
     """
 
     def __init__(self, tls: TlsService, suspects: SuspectRelay) -> None:
@@ -47,10 +52,8 @@
         self.suspects = suspects
         self.log = events.get_logger("entry.dispatch")
         timeout = aiohttp.ClientTimeout(total=None, connect=CONNECT_TIMEOUT_S)
-        connector = aiohttp.TCPConnector(limit=0)
-        self.session = aiohttp.ClientSession(
-            connector=connector, timeout=timeout, auto_decompress=False
-        )
+        self.bodies = bounded_http.BodyBudget()
+        self.session = bounded_http.open_session(timeout=timeout, auto_decompress=False)
 
     async def close(self) -> None:
         """Close the connections."""
@@ -65,7 +68,9 @@
         """
         request.is_sent = True
         delivery = Delivery(
-            accepted, lambda: self.query_outcome("GET", request, accepted)
+            accepted,
+            lambda: self.query_outcome("GET", request, accepted),
+            self.bodies,
         )
         try:
             return await self._send(request, delivery)
@@ -146,7 +151,7 @@
                         continue
                     if answer.status == GONE_STATUS:
                         return None
-                    reply = await answer.json()
+                    reply = await bounded_http.read_json(answer, MAX_REPLY_BYTES)
                 self._suspicions(request).merge(request.fingerprint, reply["crashes"])
                 return Outcome(reply["phase"])
             except (aiohttp.ClientError, TimeoutError, ValueError, KeyError):
@@ -163,7 +168,7 @@
 
     async def _read_not_run(self, answer: aiohttp.ClientResponse) -> NotRunError:
         try:
-            reply = await answer.json()
+            reply = await bounded_http.read_json(answer, MAX_REPLY_BYTES)
             error_class = RefusedError if reply["final"] else NotRunError
             return error_class(
                 str(reply["code"]),
--- a/packages/skylarkdoord/src/skylarkdoord/planner/_engine.py
+++ b/packages/skylarkdoord/src/skylarkdoord/planner/_engine.py
@@ -5,12 +5,14 @@
 import aiohttp
 import msgspec
 
-from skylarkdoor import untrusted_json
+from skylarkdoor import bounded_http, untrusted_json
 from skylarkdoor.failures import reason
 from skylarkdoord.planner.exceptions import EngineUnavailableError, FencedError
 
 READ_TIMEOUT_S = 1.0
 ORDER_TIMEOUT_S = 4.0
+# Part of an engine's answer that an error repeats.
+MAX_REASON_BYTES = 200
 
 
 class EngineState(NamedTuple):
@@ -43,7 +45,7 @@
 
     def __init__(self, url: str) -> None:
         self.url = url
-        self.session = aiohttp.ClientSession()
+        self.session = bounded_http.open_session()
 
     async def close(self) -> None:
         """Close the connections."""
@@ -60,7 +62,8 @@
         try:
             async with self.session.get(f"{self.url}/state", timeout=timeout) as answer:
                 answer.raise_for_status()
-                read = untrusted_json.decode(await answer.read(), type_=_StateResponse)
+                body = await bounded_http.read_body(answer)
+                read = untrusted_json.decode(body, type_=_StateResponse)
         except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError) as error:
             raise EngineUnavailableError(reason(error)) from None
         return EngineState(frozenset(read.models), frozenset(read.adapters), read.role)
@@ -84,7 +87,8 @@
                 f"{self.url}/orders", json=body, timeout=timeout
             ) as answer:
                 if answer.status == 409:
-                    raise FencedError(await answer.text())
+                    text = await bounded_http.read_body(answer)
+                    raise FencedError(text[:MAX_REASON_BYTES].decode(errors="replace"))
                 answer.raise_for_status()
         except (aiohttp.ClientError, TimeoutError) as error:
             raise EngineUnavailableError(reason(error)) from None
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_answers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_answers.py
@@ -3,6 +3,7 @@
 import aiohttp
 from aiohttp import web
 
+from skylarkdoor.bounded_http import BodyBudget
 from skylarkdoord.common import _headers as headers
 from skylarkdoord.exceptions import (
     EntryGoneError,
@@ -43,10 +44,17 @@
         raise EntryGoneError(repr(error)) from error
 
 
-async def read_complete(answer: aiohttp.ClientResponse) -> CompleteAnswer:
+async def read_complete(
+    answer: aiohttp.ClientResponse, bodies: BodyBudget
+) -> CompleteAnswer:
     """Read an answer to its end.
 
+    Args:
+        answer: The answer.
+        bodies: Bounds its body.
+
     Raises:
+        aiohttp.ClientError: The body is truncated or too large.
         UpstreamCutError: The answer has neither a length nor chunked encoding, so a
             truncated answer can't be detected.
     """
@@ -54,7 +62,7 @@
         raise UpstreamCutError(
             "the answer has no length and no chunked encoding; it may be truncated"
         )
-    body = await answer.read()
+    body = await bodies.read(answer)
     passed = headers.caller_headers(answer.headers)
     passed.popall(headers.REQUEST_ID, None)
     return CompleteAnswer(answer.status, tuple(passed.items()), body)
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_health.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_health.py
@@ -5,6 +5,8 @@
 
 import aiohttp
 
+from skylarkdoor import bounded_http
+
 HEALTH_INTERVAL_S = 0.5
 HEALTH_TIMEOUT_S = 2.0
 
@@ -24,7 +26,7 @@
     async def run(self) -> None:
         """Check until cancelled."""
         timeout = aiohttp.ClientTimeout(total=HEALTH_TIMEOUT_S)
-        async with aiohttp.ClientSession(timeout=timeout) as session:
+        async with bounded_http.open_session(timeout=timeout) as session:
             while True:
                 self.on_health(await self._healthy(session))
                 await asyncio.sleep(HEALTH_INTERVAL_S)
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_owners.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_owners.py
@@ -4,12 +4,15 @@
 
 import aiohttp
 
+from skylarkdoor import bounded_http
 from skylarkdoord.common import TlsService
 from skylarkdoord.exceptions import ClaimRowError
 from skylarkdoord.sidecar._claim_rows import ClaimRow, decode
 
 # Time allowed for the response in addition to the requested wait.
 RESPONSE_GRACE_S = 1.0
+# A claim holds an answer of up to 8 MiB in base64.
+MAX_CLAIM_BYTES = 12 * 1024 * 1024
 WAIT_QUERY = "wait_s"
 INCARNATION_QUERY = "incarnation"
 OK_STATUS = 200
@@ -40,7 +43,7 @@
 
     def __init__(self, tls: TlsService) -> None:
         self.tls = tls
-        self.session = aiohttp.ClientSession()
+        self.session = bounded_http.open_session()
 
     async def find_outcome(self, claim: ClaimRow, *, wait_s: float) -> ClaimRow | None:
         """Query the outcome of a claim; see `Owners`."""
@@ -54,7 +57,7 @@
             ) as answer:
                 if answer.status != OK_STATUS:
                     return None
-                return decode(await answer.read())
+                return decode(await bounded_http.read_body(answer, MAX_CLAIM_BYTES))
         except (aiohttp.ClientError, TimeoutError, ClaimRowError):
             return None
 
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_runs.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_runs.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 from prometheus_client import Counter
 
-from skylarkdoor import events, invariants
+from skylarkdoor import bounded_http, events, invariants
 from skylarkdoord import _events
 from skylarkdoord.exceptions import (
     AnswerCrossedError,
@@ -121,7 +121,7 @@
         outcome = CUT
         try:
             async with self.upstream.open(call, body) as answer:
-                complete = await answers.read_complete(answer)
+                complete = await answers.read_complete(answer, self.upstream.bodies)
             outcome = Outcome(f"status {complete.status}")
             admission.whole = True
             return complete
@@ -160,7 +160,7 @@
             async with self.upstream.open(call, body) as answer:
                 if answer.content_type != "text/event-stream":
                     response = answers.complete_response(
-                        call, await answers.read_complete(answer)
+                        call, await answers.read_complete(answer, self.upstream.bodies)
                     )
                 else:
                     response = stream = await answers.begin_stream(
@@ -197,7 +197,7 @@
             EntryGoneError: The entry closed its connection.
         """
         tail = b""
-        async for chunk in answer.content.iter_any():
+        while chunk := await bounded_http.read_chunk(answer):
             tail = (tail + chunk)[-TAIL_BYTES:]
             self.scheduler.on_chunk(call.request_id, chunk)
             await answers.relay_chunk(stream, chunk)
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_upstream.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_upstream.py
@@ -6,7 +6,7 @@
 import aiohttp
 from aiohttp import ClientResponse
 
-from skylarkdoor import tracing
+from skylarkdoor import bounded_http, tracing
 from skylarkdoor.exceptions import ResponseLostError
 from skylarkdoor.failures import reason
 from skylarkdoor.single_send import send_once
@@ -28,6 +28,9 @@
 
     Args:
         url: Base URL of the upstream.
+
+    Attributes:
+        bodies: Bounds the answers that are received whole.
     """
 
     def __init__(self, url: str) -> None:
@@ -35,8 +38,9 @@
         timeout = aiohttp.ClientTimeout(
             total=None, connect=CONNECT_TIMEOUT_S, sock_read=SILENCE_TIMEOUT_S
         )
-        self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(force_close=True, limit=0),
+        self.bodies = bounded_http.BodyBudget()
+        self.session = bounded_http.open_session(
+            connector=bounded_http.BoundedConnector(force_close=True, limit=0),
             timeout=timeout,
             auto_decompress=False,
             middlewares=(send_once,),
--- a/tests/test_workspace.py
+++ b/tests/test_workspace.py
@@ -56,17 +56,25 @@
             assert all(f" {name}(" in text or f" {name}:" in text for name in names)
 
 
-def session_calls(path: Path):
-    """Return the calls in a module that create an HTTP session."""
+# The only module that creates sessions of aiohttp itself; all others call it.
+BOUNDED_SESSIONS = "skylarkdoor/_bounded_http.py"
+
+
+def calls_of(path: Path, name: str):
+    """Return the calls in a module of a function or class with a name."""
     return [
         node
         for node in ast.walk(ast.parse(path.read_text()))
         if isinstance(node, ast.Call)
-        and isinstance(node.func, ast.Attribute)
-        and node.func.attr == "ClientSession"
+        and name in (getattr(node.func, "attr", ""), getattr(node.func, "id", ""))
     ]
 
 
+def short_name(path: Path):
+    """Return the last two parts of a module's path."""
+    return "/".join(path.parts[-2:])
+
+
 def product_modules():
     """Return the modules of the product and the adapter, without the bench."""
     names = ("skylarkdoor", "skylarkdoord", "skylarkdoor-client")
@@ -85,9 +93,20 @@
     def test_no_resend(self):
         """Each session sends once, unless its module is listed as safe."""
         resending = {
-            "/".join(path.parts[-2:])
+            short_name(path)
             for path in product_modules()
-            for call in session_calls(path)
+            for call in calls_of(path, "open_session")
             if "middlewares" not in {keyword.arg for keyword in call.keywords}
         }
         assert resending == MAY_RESEND
+
+    # Guards against answers without end at a process that has no test of its own.
+    def test_bounded(self):
+        """Each session bounds the bytes of an answer."""
+        unbounded = {
+            short_name(path)
+            for path in product_modules()
+            for name in ("ClientSession", "TCPConnector", "HTTPConnection")
+            if calls_of(path, name)
+        }
+        assert unbounded == {BOUNDED_SESSIONS, "direct/_plain_http.py"}
