Table: a list ends although the table repeats a page

A page that brought nothing further, but said that more follows, was asked for again without end; one without rows was taken for the end of the list, so that it looked empty. Found by looking for the same cause on related paths; not seen by operators.

Change: such a page is an error.

--- a/packages/skylarkdoor/src/skylarkdoor/clients/_table.py
+++ b/packages/skylarkdoor/src/skylarkdoor/clients/_table.py
@@ -79,9 +79,12 @@
             if revision is None:
                 revision = int(page.header.revision)
             rows += [read_row(row) for row in page.kvs]
-            if not page.more or len(rows) == limit:
+            if not page.more or (limit and len(rows) == limit):
                 return RowList(tuple(rows), revision)
-            start = rows[-1].key
+            last = rows[-1].key if rows else None
+            if last is None or (start is not None and last <= start):
+                raise TableUnavailable("a page of the list brings no further rows")
+            start = last
 
     async def commit(self, txns: Sequence[Txn]) -> Sequence[TxnResult]:
         """Apply transactions in their order and return the result of each.
--- a/packages/skylarkdoor/tests/clients/test_table.py
+++ b/packages/skylarkdoor/tests/clients/test_table.py
@@ -1,8 +1,11 @@
 """Tests of the table's client against the platform stand-in."""
 
+import asyncio
 import socket
 
 import pytest
+from aiohttp import web
+from aiohttp.test_utils import RawTestServer
 
 from skylarkdoor.clients import (
     Absent,
@@ -18,6 +21,7 @@
 )
 
 SHORT_TIMEOUT_S = 0.05
+ROW = {"value": "", "mod_revision": "1", "version": "1"}
 
 
 @pytest.fixture
@@ -34,6 +38,25 @@
 class TestReads:
     """`EtcdTable.get` and `EtcdTable.list`."""
 
+    # Guards against a list that never ends, as the table repeats a page.
+    @pytest.mark.parametrize("rows", [[], [{"key": "YQ==", **ROW}]], ids=len)
+    async def test_repeated_page(self, platform, rows):
+        """The list fails after a few calls."""
+        calls = []
+
+        async def answer(request):
+            calls.append(request.path)
+            return web.json_response(
+                {"header": {"revision": "1"}, "kvs": rows, "more": True}
+            )
+
+        async with RawTestServer(answer) as server:
+            table = EtcdTable(platform.session, [str(server.make_url(""))])
+            async with asyncio.timeout(2.0):
+                with pytest.raises(TableUnavailable):
+                    await table.list("")
+        assert len(calls) <= 2
+
     async def test_absent(self, table):
         """A key without a row reads as None."""
         assert await table.get("a") is None
