--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
@@ -15,9 +15,6 @@
 from skylarkdoord import _events
 from skylarkdoord._listening import open_port
 from skylarkdoord.direct._engine_reports import Report
-from skylarkdoord.direct._fair_order import FairOrder, is_weight
-from skylarkdoord.direct._guard_queue import QueueCounts, SlotQueue
-from skylarkdoord.direct._length_order import LengthOrder
 from skylarkdoord.direct._link import run_stream
 from skylarkdoord.direct._metrics import (
     GUARD_ANSWER_SPEED,
@@ -31,10 +28,17 @@
 from skylarkdoord.direct._model import Precedence
 from skylarkdoord.direct._occupancy import SETTLE_S, Occupancy, Sample
 from skylarkdoord.direct._pace import Pace, guard_heartbeat_s
-from skylarkdoord.direct._queue_order import Demand
 from skylarkdoord.direct._settings import DirectSettings
 from skylarkdoord.direct._stream_records import StreamRecords
-from skylarkdoord.direct._token_memory import TokenMemory
+from skylarkdoord.direct.shares import (
+    Demand,
+    FairOrder,
+    LengthOrder,
+    QueueCounts,
+    SlotQueue,
+    TokenMemory,
+    is_weight,
+)
 
 REPORT_INTERVAL_S = 0.1
 # Largest number of entries that receive a report within that interval. With more
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guard_link.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guard_link.py
@@ -11,8 +11,8 @@
 from skylarkdoord.direct._link import Link
 from skylarkdoord.direct._model import Precedence, UpstreamRecord
 from skylarkdoord.direct._pace import Pace
-from skylarkdoord.direct._queue_order import NO_DEMAND, Demand
 from skylarkdoord.direct._settings import DirectSettings
+from skylarkdoord.direct.shares import NO_DEMAND, Demand
 
 # Called with an upstream, as it is listed, and the Unix time of a later start of it, in
 # milliseconds.
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_held_log.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_held_log.py
@@ -4,8 +4,8 @@
 
 from skylarkdoor import events
 from skylarkdoord import _events
-from skylarkdoord.direct._customer_shares import HeldCustomers
 from skylarkdoord.direct._metrics import HELD_CUSTOMERS
+from skylarkdoord.direct.shares import HeldCustomers
 
 # Maximum number of customers that are logged at the end of an interval, those with the
 # most refused requests first.
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_new_waiters.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_new_waiters.py
@@ -7,12 +7,11 @@
 from skylarkdoord.direct._lengths import AnswerLengths
 from skylarkdoord.direct._model import Admitted, FleetConfig, Precedence
 from skylarkdoord.direct._promotions import Promotions
-from skylarkdoord.direct._queue_order import Demand
 from skylarkdoord.direct._queue_timeouts import QueueTimeouts
 from skylarkdoord.direct._settings import ShareSettings
 from skylarkdoord.direct._upstreams import Upstreams
 from skylarkdoord.direct._waiting import Waiter
-from skylarkdoord.direct._weights import CustomerWeights
+from skylarkdoord.direct.shares import CustomerWeights, Demand
 
 # Largest number of tokens in an offer; callers may state any.
 MAX_TOKENS = 2**32 - 1
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_offering.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_offering.py
@@ -7,14 +7,13 @@
 
 from skylarkdoor import events
 from skylarkdoord import _events
-from skylarkdoord.direct._answer_speed import fast_enough
 from skylarkdoord.direct._choice import UpstreamChoice
-from skylarkdoord.direct._data_centres import LeavePolicy
 from skylarkdoord.direct._guard_link import GuardLink
 from skylarkdoord.direct._metrics import LEFT
 from skylarkdoord.direct._model import MS_PER_S
 from skylarkdoord.direct._upstream_limits import UpstreamLimits
 from skylarkdoord.direct._waiting import Waiter
+from skylarkdoord.direct.shares import LeavePolicy, fast_enough
 
 # Time after which a request is offered to further guards. The best guard usually grants
 # a slot within one round trip.
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_promotions.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_promotions.py
@@ -7,8 +7,8 @@
 from skylarkdoord import _events
 from skylarkdoord.direct._metrics import PROMOTED
 from skylarkdoord.direct._model import Precedence
-from skylarkdoord.direct._tier_shares import WINDOW_S, TierShares
 from skylarkdoord.direct._waiting import Waiter
+from skylarkdoord.direct.shares import TIER_WINDOW_S, TierShares
 
 
 class Promotions:
@@ -60,7 +60,7 @@
     def log_starved(self, service: str, tier: int, shares: TierShares) -> None:
         """Log that a tier is starved, once within each window."""
         now = self.clock()
-        if now - self.logged_at.get((service, tier), -WINDOW_S) < WINDOW_S:
+        if now - self.logged_at.get((service, tier), -TIER_WINDOW_S) < TIER_WINDOW_S:
             return
         self.logged_at[service, tier] = now
         self.log.event(
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_scheduler.py
@@ -13,23 +13,26 @@
 
 from skylarkdoor import events
 from skylarkdoord.direct._choice import ANY_VERSION, UpstreamChoice
-from skylarkdoord.direct._customer_shares import CustomerShares
-from skylarkdoord.direct._data_centres import LeaveCosts, LeavePolicy
-from skylarkdoord.direct._fair_order import FairOrder
 from skylarkdoord.direct._guard_link import GuardLink
 from skylarkdoord.direct._held_log import HeldLog
-from skylarkdoord.direct._length_order import LengthOrder
 from skylarkdoord.direct._metrics import RUNNING, WAITING
 from skylarkdoord.direct._model import MS_PER_S, Admitted
 from skylarkdoord.direct._new_waiters import NewWaiters
 from skylarkdoord.direct._offering import Offering
-from skylarkdoord.direct._queue_order import QueueOrder
 from skylarkdoord.direct._settings import ShareSettings
 from skylarkdoord.direct._upstream_limits import UpstreamLimits
 from skylarkdoord.direct._upstreams import Upstream, Upstreams
 from skylarkdoord.direct._waiting import QueueState, Slot, SlotGrant, Waiter
 from skylarkdoord.direct.exceptions import NoFreeSlotError, VersionGoneError
 from skylarkdoord.direct.rollouts import Versions
+from skylarkdoord.direct.shares import (
+    CustomerShares,
+    FairOrder,
+    LeaveCosts,
+    LeavePolicy,
+    LengthOrder,
+    QueueOrder,
+)
 
 # Longest retry delay, as a share of the time until the request's deadline. Callers do
 # not observe longer ones.
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_waiting.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_waiting.py
@@ -6,13 +6,12 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from skylarkdoord.direct._customer_shares import CustomerShares
 from skylarkdoord.direct._guard_link import GuardLink
 from skylarkdoord.direct._metrics import QUEUE_ENDS
 from skylarkdoord.direct._model import Admitted, Precedence
-from skylarkdoord.direct._queue_order import NO_DEMAND, Demand
 from skylarkdoord.direct._upstreams import Upstream
 from skylarkdoord.direct.rollouts import Versions
+from skylarkdoord.direct.shares import NO_DEMAND, CustomerShares, Demand
 
 # Time after a queue timeout during which a queue counts as overloaded.
 OVERLOAD_WINDOW_S = 0.4
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -12,7 +12,6 @@
 from skylarkdoord.direct._callers import CallerServer
 from skylarkdoord.direct._config_age import ConfigAge
 from skylarkdoord.direct._config_retry import ConfigRetry
-from skylarkdoord.direct._data_centres import LeaveCosts
 from skylarkdoord.direct._exchange import EntryExchange
 from skylarkdoord.direct._fleet import Fleet
 from skylarkdoord.direct._forward import ForwarderDependencies
@@ -35,6 +34,7 @@
 from skylarkdoord.direct.evidence import Crashes, SuspectRecords
 from skylarkdoord.direct.process import Apply
 from skylarkdoord.direct.rollouts import RolloutBounds, RolloutGate
+from skylarkdoord.direct.shares import LeaveCosts
 
 __all__ = ["build"]
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_fair_order.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/shares/_fair_order.py
@@ -16,7 +16,7 @@
 
 from skylarkdoord._fair_turns import FairTurns, Lane
 from skylarkdoord.direct._model import Precedence
-from skylarkdoord.direct._queue_order import ItemT
+from skylarkdoord.direct.shares._queue_order import ItemT
 
 # Maximum number of customers with state, over all precedences.
 MAX_CUSTOMERS = 4096
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guard_queue.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/shares/_guard_queue.py
@@ -6,11 +6,11 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from skylarkdoord.direct._answer_speed import AnswerSpeed
-from skylarkdoord.direct._length_order import LengthOrder
 from skylarkdoord.direct._model import Precedence
-from skylarkdoord.direct._queue_order import NO_DEMAND, Demand, QueueOrder
-from skylarkdoord.direct._token_memory import TokenMemory
+from skylarkdoord.direct.shares._answer_speed import AnswerSpeed
+from skylarkdoord.direct.shares._length_order import LengthOrder
+from skylarkdoord.direct.shares._queue_order import NO_DEMAND, Demand, QueueOrder
+from skylarkdoord.direct.shares._token_memory import TokenMemory
 
 # Stream of the entry, and the request's name on it.
 RequestKey = tuple[str, str]
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_length_order.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/shares/_length_order.py
@@ -13,7 +13,7 @@
 
 from skylarkdoord._moving_mean import MovingMean
 from skylarkdoord.direct._model import Precedence
-from skylarkdoord.direct._queue_order import ArrivalOrder, ItemT
+from skylarkdoord.direct.shares._queue_order import ArrivalOrder, ItemT
 
 # While both kinds wait, long requests are granted slots this many times as often as
 # short ones, each in relation to the number that wait.
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_tier_shares.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/shares/_tier_shares.py
@@ -14,7 +14,7 @@
 from skylarkdoord.direct._model import Precedence
 
 # Time for which the end of a request counts.
-WINDOW_S = 10.0
+TIER_WINDOW_S = 10.0
 # Ends of requests are counted, and forgotten, in intervals of this length.
 INTERVAL_S = 0.5
 # Shortfall from which long requests are promoted too, in requests. Short requests are
@@ -134,7 +134,7 @@
 
     def drop_old(self) -> None:
         """Forget the intervals that ended before the window."""
-        oldest = self.clock() - WINDOW_S
+        oldest = self.clock() - TIER_WINDOW_S
         while self.intervals and self.intervals[0].since <= oldest - INTERVAL_S:
             for tier, counts in self.intervals.popleft().tiers.items():
                 self.total.add(-counts.ended, -counts.served)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_weights.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/shares/_weights.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Callable
 
-from skylarkdoord.direct._fair_order import is_weight
 from skylarkdoord.direct._model import Customer, FleetConfig
+from skylarkdoord.direct.shares._fair_order import is_weight
 
 
 def mean_rate(customers: tuple[Customer, ...]) -> float | None:
--- a/packages/skylarkdoord/tests/direct/_share_simulation.py
+++ b/packages/skylarkdoord/tests/direct/_share_simulation.py
@@ -6,17 +6,17 @@
 import random
 from typing import NamedTuple
 
-from skylarkdoord.direct._answer_speed import fast_enough
-from skylarkdoord.direct._customer_shares import CustomerShares
-from skylarkdoord.direct._fair_order import FairOrder
-from skylarkdoord.direct._guard_queue import SlotQueue
-from skylarkdoord.direct._length_order import LengthOrder
 from skylarkdoord.direct._lengths import AnswerLengths
 from skylarkdoord.direct._model import Precedence
-from skylarkdoord.direct._queue_order import Demand
-from skylarkdoord.direct._tier_shares import TierShares
-from skylarkdoord.direct._token_memory import TokenMemory
 from skylarkdoord.direct._waiting import QueueState, Waiter
+from skylarkdoord.direct.shares._answer_speed import fast_enough
+from skylarkdoord.direct.shares._customer_shares import CustomerShares
+from skylarkdoord.direct.shares._fair_order import FairOrder
+from skylarkdoord.direct.shares._guard_queue import SlotQueue
+from skylarkdoord.direct.shares._length_order import LengthOrder
+from skylarkdoord.direct.shares._queue_order import Demand
+from skylarkdoord.direct.shares._tier_shares import TierShares
+from skylarkdoord.direct.shares._token_memory import TokenMemory
 
 from ._make import make_admitted, make_request
 
--- a/packages/skylarkdoord/tests/direct/test_answer_speed.py
+++ b/packages/skylarkdoord/tests/direct/test_answer_speed.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from skylarkdoord.direct._answer_speed import (
+from skylarkdoord.direct.shares._answer_speed import (
     LENGTH_MARGIN,
     MIN_SAMPLES,
     MIN_TOKENS,
--- a/packages/skylarkdoord/tests/direct/test_customer_shares.py
+++ b/packages/skylarkdoord/tests/direct/test_customer_shares.py
@@ -8,9 +8,9 @@
 
 import pytest
 
-from skylarkdoord.direct import _customer_shares
-from skylarkdoord.direct._customer_shares import INTERVAL_S, CustomerShares
-from skylarkdoord.direct._guard_queue import OVERCOMMIT_SHARE
+from skylarkdoord.direct.shares import _customer_shares
+from skylarkdoord.direct.shares._customer_shares import INTERVAL_S, CustomerShares
+from skylarkdoord.direct.shares._guard_queue import OVERCOMMIT_SHARE
 
 from ._make import Clock
 from ._share_simulation import Arrival, Simulation, poisson
--- a/packages/skylarkdoord/tests/direct/test_data_centres.py
+++ b/packages/skylarkdoord/tests/direct/test_data_centres.py
@@ -10,14 +10,14 @@
 
 import pytest
 
-from skylarkdoord.direct._data_centres import (
+from skylarkdoord.direct._model import Precedence
+from skylarkdoord.direct.shares._data_centres import (
     LeaveCosts,
     LeavePolicy,
     gap,
     moved_bytes,
 )
-from skylarkdoord.direct._guard_queue import SlotQueue
-from skylarkdoord.direct._model import Precedence
+from skylarkdoord.direct.shares._guard_queue import SlotQueue
 
 from ._make import make_record, make_request
 
--- a/packages/skylarkdoord/tests/direct/test_fair_order.py
+++ b/packages/skylarkdoord/tests/direct/test_fair_order.py
@@ -8,12 +8,13 @@
 from hypothesis import settings
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from skylarkdoord.direct import FleetConfig, _fair_order
-from skylarkdoord.direct._fair_order import FairOrder
-from skylarkdoord.direct._guard_queue import SlotQueue
+from skylarkdoord.direct import FleetConfig
 from skylarkdoord.direct._model import Precedence
-from skylarkdoord.direct._queue_order import Demand
-from skylarkdoord.direct._weights import CustomerWeights
+from skylarkdoord.direct.shares import _fair_order
+from skylarkdoord.direct.shares._fair_order import FairOrder
+from skylarkdoord.direct.shares._guard_queue import SlotQueue
+from skylarkdoord.direct.shares._queue_order import Demand
+from skylarkdoord.direct.shares._weights import CustomerWeights
 
 from ._make import Clock, make_customer
 
--- a/packages/skylarkdoord/tests/direct/test_guard_queue.py
+++ b/packages/skylarkdoord/tests/direct/test_guard_queue.py
@@ -5,9 +5,9 @@
 from hypothesis import settings
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from skylarkdoord.direct._guard_queue import SlotQueue
 from skylarkdoord.direct._model import Precedence
-from skylarkdoord.direct._queue_order import Demand
+from skylarkdoord.direct.shares._guard_queue import SlotQueue
+from skylarkdoord.direct.shares._queue_order import Demand
 
 
 @pytest.fixture
--- a/packages/skylarkdoord/tests/direct/test_length_order.py
+++ b/packages/skylarkdoord/tests/direct/test_length_order.py
@@ -4,9 +4,13 @@
 
 import pytest
 
-from skylarkdoord.direct._length_order import GRANT_RATIO, LengthOrder, LengthTurns
 from skylarkdoord.direct._model import Precedence
-from skylarkdoord.direct._queue_order import Demand
+from skylarkdoord.direct.shares._length_order import (
+    GRANT_RATIO,
+    LengthOrder,
+    LengthTurns,
+)
+from skylarkdoord.direct.shares._queue_order import Demand
 
 
 class Item(NamedTuple):
--- a/packages/skylarkdoord/tests/direct/test_occupancy.py
+++ b/packages/skylarkdoord/tests/direct/test_occupancy.py
@@ -2,13 +2,13 @@
 
 import pytest
 
-from skylarkdoord.direct._guard_queue import SlotQueue
 from skylarkdoord.direct._model import Precedence
 from skylarkdoord.direct._occupancy import (
     CONFIRMING_REPORTS,
     Occupancy,
     Sample,
 )
+from skylarkdoord.direct.shares._guard_queue import SlotQueue
 
 
 @pytest.fixture
--- a/packages/skylarkdoord/tests/direct/test_overload.py
+++ b/packages/skylarkdoord/tests/direct/test_overload.py
@@ -12,10 +12,10 @@
 
 import pytest
 
-from skylarkdoord.direct._guard_queue import SlotQueue
 from skylarkdoord.direct._lengths import AnswerLengths
 from skylarkdoord.direct._model import Precedence
-from skylarkdoord.direct._queue_order import Demand
+from skylarkdoord.direct.shares._guard_queue import SlotQueue
+from skylarkdoord.direct.shares._queue_order import Demand
 
 from ._make import make_admitted, make_request
 
--- a/packages/skylarkdoord/tests/direct/test_scheduler.py
+++ b/packages/skylarkdoord/tests/direct/test_scheduler.py
@@ -7,12 +7,12 @@
 
 from skylarkdoord.direct import _upstreams
 from skylarkdoord.direct._adapter import UpstreamHead
-from skylarkdoord.direct._data_centres import LeaveCosts
 from skylarkdoord.direct._scheduler import Scheduler
 from skylarkdoord.direct._upstream_limits import UpstreamLimits
 from skylarkdoord.direct._upstreams import Upstreams
 from skylarkdoord.direct.exceptions import NoFreeSlotError, VersionGoneError
 from skylarkdoord.direct.rollouts import Versions
+from skylarkdoord.direct.shares._data_centres import LeaveCosts
 
 from ._make import SERVICE, make_admitted, make_record, make_request, make_route
 
--- a/packages/skylarkdoord/tests/direct/test_share_settings.py
+++ b/packages/skylarkdoord/tests/direct/test_share_settings.py
@@ -11,20 +11,20 @@
 from skylarkdoor.exceptions import SettingsError
 from skylarkdoor.wire import pb
 from skylarkdoord.direct import FleetConfig
-from skylarkdoord.direct._customer_shares import HeldCustomer
-from skylarkdoord.direct._fair_order import FairOrder
 from skylarkdoord.direct._guard import Guard, _EntryStream
 from skylarkdoord.direct._guard_link import GuardLink
 from skylarkdoord.direct._held_log import HeldLog
-from skylarkdoord.direct._length_order import LengthOrder
 from skylarkdoord.direct._metrics import HELD_CUSTOMERS
 from skylarkdoord.direct._model import Precedence
 from skylarkdoord.direct._pace import Pace
-from skylarkdoord.direct._queue_order import NO_DEMAND, Demand
 from skylarkdoord.direct._scheduler import Scheduler
 from skylarkdoord.direct._settings import ShareSettings, load_direct
 from skylarkdoord.direct._upstreams import Upstreams
 from skylarkdoord.direct.exceptions import NoFreeSlotError
+from skylarkdoord.direct.shares._customer_shares import HeldCustomer
+from skylarkdoord.direct.shares._fair_order import FairOrder
+from skylarkdoord.direct.shares._length_order import LengthOrder
+from skylarkdoord.direct.shares._queue_order import NO_DEMAND, Demand
 
 from ._make import (
     make_admitted,
--- a/packages/skylarkdoord/tests/direct/test_tier_shares.py
+++ b/packages/skylarkdoord/tests/direct/test_tier_shares.py
@@ -9,7 +9,7 @@
 import pytest
 
 from skylarkdoord.direct._model import Precedence
-from skylarkdoord.direct._tier_shares import WINDOW_S, TierShares
+from skylarkdoord.direct.shares._tier_shares import TIER_WINDOW_S, TierShares
 
 from ._make import Clock
 from ._share_simulation import Arrival, Simulation, poisson
@@ -147,7 +147,7 @@
             load(rng, 0, 1.0 * CAPACITY, start_s=10.0, end_s=20.0),
             load(rng, 2, 0.2 * CAPACITY),
         )
-        after = simulation.share(lambda a: a.tier == 0 and a.at > 20.0 + WINDOW_S)
+        after = simulation.share(lambda a: a.tier == 0 and a.at > 20.0 + TIER_WINDOW_S)
         assert after > 0.99
 
 
@@ -282,7 +282,7 @@
 
     def test_window(self, shares, clock):
         """What ended before the window no longer counts."""
-        clock.now += WINDOW_S + 1.0
+        clock.now += TIER_WINDOW_S + 1.0
         assert shares.promote(Precedence(2)) == Precedence(2)
         assert not shares.tiers
         assert shares.total.ended == 0
--- a/packages/skylarkdoord/tests/direct/test_token_memory.py
+++ b/packages/skylarkdoord/tests/direct/test_token_memory.py
@@ -10,11 +10,11 @@
 from skylarkdoord.direct import EngineLoad
 from skylarkdoord.direct._engine_reports import Report
 from skylarkdoord.direct._guard import Guard
-from skylarkdoord.direct._guard_queue import SlotQueue
 from skylarkdoord.direct._model import Precedence
-from skylarkdoord.direct._queue_order import Demand
 from skylarkdoord.direct._settings import ShareSettings
-from skylarkdoord.direct._token_memory import TokenMemory
+from skylarkdoord.direct.shares._guard_queue import SlotQueue
+from skylarkdoord.direct.shares._queue_order import Demand
+from skylarkdoord.direct.shares._token_memory import TokenMemory
 
 from ._make import make_settings
 from ._share_simulation import Arrival, Simulation, poisson
