Limits: uses of one interval stay in the window until the last of them leaves

Cause: uses within 0.1 s are counted as one, which left the window when its first use did, so up to 0.1 s of a surge was admitted once more.

Change: an interval leaves with its last use. Test: test_merged_uses fails before.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_quota.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_quota.py
@@ -41,11 +41,13 @@
     """Units used within one interval of `BIN_S`.
 
     Attributes:
-        at: Monotonic time of the first use, in seconds.
+        began_at: Monotonic time of the first use, in seconds.
+        at: Monotonic time of the last use, in seconds.
         units: Units used.
         is_restored: Whether it comes from a record in the store.
     """
 
+    began_at: float
     at: float
     units: float
     is_restored: bool = False
@@ -75,16 +77,17 @@
         self.total += units
         self.used_since_start += units
         latest = self.uses[-1] if self.uses else None
-        if latest and not latest.is_restored and now - latest.at < BIN_S:
+        if latest and not latest.is_restored and now - latest.began_at < BIN_S:
             latest.units += units
+            latest.at = now
         else:
-            self.uses.append(Use(now, units))
+            self.uses.append(Use(now, now, units))
 
     def restore(self, units: float, at: float) -> None:
         """Add a use from a record, which precedes all others."""
         self.total += units
-        first = self.uses[0].at if self.uses else at
-        self.uses.appendleft(Use(min(at, first), units, is_restored=True))
+        at = min(at, self.uses[0].at) if self.uses else at
+        self.uses.appendleft(Use(at, at, units, is_restored=True))
 
     def drop_restored(self) -> None:
         """Remove the uses that come from records."""
--- a/packages/skylarkdoord/tests/direct/test_quota.py
+++ b/packages/skylarkdoord/tests/direct/test_quota.py
@@ -68,6 +68,18 @@
         clock.now += 5.1
         quota.use(admitted())
 
+    # Guards against uses that leave the window when the first of their interval does.
+    def test_merged_uses(self, quota, clock):
+        """Uses that are counted together stay until the last one leaves."""
+        quota.use(admitted(tokens=10))
+        clock.now += 0.09
+        quota.use(admitted(tokens=790))
+        clock.now += 7.95
+        with pytest.raises(QuotaError):
+            quota.use(admitted(tokens=100))
+        clock.now += 0.06
+        quota.use(admitted(tokens=100))
+
     def test_others_count(self, quota):
         """Use by other entries counts."""
         quota.use(admitted())
