Limits: keep free what all entries may use before they know of each other's use

The customer asks for several times its limit from the first second.

Cause: an entry reported use at once only from 2 % of a limit on, which 34 entries may do at the same time, and each saw the same units free while reports of 0.05 to 0.15 s ago were on their way. What is kept free for that, a fifth of the overshoot, does not grow with the load.

Change: all entries together leave at most a tenth of a limit unreported, and near the limit the use to be expected within 0.4 s at the highest recent rate, beyond what is kept free already, counts as used. At most the granted overshoot is taken, so the nominal limit stays.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_quota.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_quota.py
@@ -24,11 +24,18 @@
 # Share of the allowed overshoot that is granted, so that no use below the limit is
 # refused; the rest covers use that other entries have not reported yet.
 USABLE_OVERSHOOT_SHARE = 0.8
-# Share of a limit that an entry may use before it reports the use to the others.
+# Share of a limit that an entry may use before it reports the use to the others, and
+# that all entries may use together.
 UNREPORTED_SHARE = 0.02
+TOTAL_UNREPORTED_SHARE = 0.1
 # From this share of a limit on, the unreported use of all entries together has to fit
 # into the overshoot that is not granted.
 NEAR_LIMIT_SHARE = 0.8
+# Longest usual time until all entries know of a use, with some margin, as they admit
+# requests of unlike sizes meanwhile.
+REPORT_DELAY_S = 0.4
+# Time over which the rate of use is measured.
+RATE_WINDOW_S = 1.0
 # Share of a limit that is available right after a start with the store's record of the
 # window; the rest covers use after the record was written.
 RESTORED_SHARE = 0.8
@@ -64,6 +71,8 @@
         reported: Value of `own` in the last report to the other entries.
         used_since_start: Units counted for all entries since the start of this one,
             without those restored from a record.
+        peak: Highest rate of use that was seen within a window, in units a second.
+        peak_at: Monotonic time of the peak, in seconds.
     """
 
     uses: deque[Use] = field(default_factory=deque)
@@ -71,6 +80,8 @@
     own: float = 0.0
     reported: float = 0.0
     used_since_start: float = 0.0
+    peak: float = 0.0
+    peak_at: float = 0.0
 
     def add(self, units: float, now: float) -> None:
         """Add a use at the current time."""
@@ -104,6 +115,21 @@
         earlier = takewhile(lambda use: use.at < at, self.uses)
         return sum(use.units for use in earlier)
 
+    def used_since(self, at: float) -> float:
+        """Return the units used since a monotonic time, in seconds."""
+        later = takewhile(lambda use: use.at >= at, reversed(self.uses))
+        return sum(use.units for use in later if not use.is_restored)
+
+    def peak_rate(self, now: float, window_s: float) -> float:
+        """Return the highest rate of use within a window, in units a second.
+
+        It is only known of the times at which it was asked for.
+        """
+        rate = self.used_since(now - RATE_WINDOW_S) / RATE_WINDOW_S
+        if rate >= self.peak or now - self.peak_at > window_s:
+            self.peak, self.peak_at = rate, now
+        return self.peak
+
     def wait_s(self, excess: float, now: float, window_s: float) -> float:
         """Return the time until an excess of units has left the window, in seconds."""
         for use in self.uses:
@@ -174,6 +200,24 @@
             share *= max(RESTORED_SHARE, age_s / self.bounds.window_s)
         return share * (nominal + USABLE_OVERSHOOT_SHARE * overshoot)
 
+    def unseen_excess(self, account: Account, customer: Customer) -> float:
+        """Return the units by which use that is not known yet may exceed its reserve.
+
+        All entries go on admitting until they have heard of each other's use. The
+        reserve is the part of the allowed overshoot that is not granted. At most the
+        granted part is returned, so that the customer's nominal limit stays available.
+        """
+        _, entries = self.silent_entries()
+        if entries <= 1:
+            return 0.0
+        overshoot = self.allowed_overshoot(customer)
+        granted = USABLE_OVERSHOOT_SHARE * overshoot
+        granted_share = granted / (self.nominal_limit(customer) + granted)
+        rate = account.peak_rate(self.clock(), self.bounds.window_s)
+        expected = rate * REPORT_DELAY_S
+        excess = max(0.0, expected - (overshoot - granted))
+        return min(excess, granted_share * self.limit(customer))
+
     def covers_window(self) -> bool:
         """Return whether the totals include all use within the window."""
         age_s = self.clock() - self.started
@@ -191,6 +235,8 @@
         now = self.clock()
         account = self.account(customer.name, now)
         excess = account.total + self.cost(admitted) - self.limit(customer)
+        if excess > -self.allowed_overshoot(customer):
+            excess += self.unseen_excess(account, customer)
         if excess <= 0:
             return
         wait_s = account.wait_s(excess, now, self.bounds.window_s)
@@ -229,9 +275,10 @@
         part of the allowed overshoot that is not granted.
         """
         limit = self.limit(customer)
-        if account.total < NEAR_LIMIT_SHARE * limit:
-            return UNREPORTED_SHARE * limit
         _, entries = self.silent_entries()
+        if account.total < NEAR_LIMIT_SHARE * limit:
+            share = TOTAL_UNREPORTED_SHARE / max(1, entries)
+            return limit * min(UNREPORTED_SHARE, share)
         free = (1 - USABLE_OVERSHOOT_SHARE) * self.allowed_overshoot(customer)
         return min(UNREPORTED_SHARE * limit, free / max(1, entries))
 
