Direct dispatch: a room for the services of roll-outs, and four large modules split

2,349 tests of the daemon, the adapter and the pages pass (test_rollout_attempts.py apart, after its import was corrected).

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
@@ -22,11 +22,8 @@
 from skylarkdoord.direct._caller_connections import CallerConnections
 from skylarkdoord.direct._first_attempts import FirstAttempts
 from skylarkdoord.direct._fleet import Fleet
-from skylarkdoord.direct._forward import (
-    MIN_ERROR_STATUS,
-    Forwarder,
-    ForwarderDependencies,
-)
+from skylarkdoord.direct._forward import MIN_ERROR_STATUS, Forwarder
+from skylarkdoord.direct._forward_dependencies import ForwarderDependencies
 from skylarkdoord.direct._held_bytes import BodyHold, HeldBytes
 from skylarkdoord.direct._metrics import DURATION, MEMORY_REFUSALS, REQUESTS
 from skylarkdoord.direct._model import Admitted, CallerRequest
@@ -172,7 +169,7 @@
         cut_off(
             cut
             for forwarder, cut in self.running.items()
-            if not forwarder.sends and not forwarder.can_finish()
+            if not forwarder.sends and not forwarder.checks.can_finish()
         )
 
     async def wait_until_idle(self, timeout_s: float) -> None:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_config_requests.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_config_requests.py
@@ -11,7 +11,8 @@
 from typing import Protocol
 
 from skylarkdoor.clock import boot_time_s
-from skylarkdoord.direct._fleet import ConfigVersion, Fleet
+from skylarkdoord.direct._fleet import Fleet
+from skylarkdoord.direct._fleet_rows import ConfigVersion
 from skylarkdoord.direct._member import Member
 
 # Time for this entry's own watch of the store to return the newer configuration.
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
@@ -6,8 +6,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable
-from typing import Protocol
+from collections.abc import Iterable
 
 from grpclib.server import Server, Stream
 
@@ -28,11 +27,13 @@
 from skylarkdoord._listening import open_port
 from skylarkdoord.direct._adapter import Row, Store
 from skylarkdoord.direct._config_requests import ConfigRequests
+from skylarkdoord.direct._entry_stream import EntryStream, UpdatePart
 from skylarkdoord.direct._fleet import UPSTREAMS
 from skylarkdoord.direct._link import Link, run_stream
-from skylarkdoord.direct._members import Members, to_wire
+from skylarkdoord.direct._members import Members
 from skylarkdoord.direct._metrics import ENTRIES, LIMIT_USED, PEER_STREAMS
 from skylarkdoord.direct._pace import Pace, entry_heartbeat_s
+from skylarkdoord.direct._row_exchange import to_wire
 from skylarkdoord.direct._settings import DirectSettings
 from skylarkdoord.direct.exceptions import StoreError
 
@@ -43,121 +44,10 @@
 BROADCASTING_ENTRIES = 2
 # Other entries that keep the version of a stream; two, so that one may fail as well.
 ENTRIES_KEEPING_A_STREAM = 2
-# Number of the change of the history that an entry was told, before any.
-NO_HISTORY_SENT = -1
 # Time over which entries write their rows again after the store lost them.
 REWRITE_SPREAD_S = 1.0
 
 
-class UpdatePart(Protocol):
-    """A part of updates that another component fills and receives."""
-
-    def fill(self, update: pb.EntryNews, *, is_first: bool) -> None:
-        """Add the part to an update; `is_first` tells the first of its stream."""
-
-    def receive(self, update: pb.EntryNews) -> None:
-        """Take over the part of another entry's update."""
-
-
-class _EntryStream:
-    """This entry's end of a stream to another entry.
-
-    Args:
-        exchange: The exchange that the stream belongs to.
-        outbox: Returns the queue of outgoing messages.
-        peer: Name of the other entry if this one opened the stream.
-    """
-
-    def __init__(
-        self,
-        exchange: "EntryExchange",
-        outbox: Callable[[], Outbox[pb.EntryNews]],
-        *,
-        peer: str = "",
-    ) -> None:
-        self.exchange = exchange
-        self.outbox = outbox
-        self.peer = peer
-        self.is_outbound = bool(peer)
-        self.instance = ""
-        self.wants_config = False
-        self.has_sent_totals = False
-        self.suspicions_sent = 0
-        self.limits_sent = 0
-        self.history_sent = NO_HISTORY_SENT
-
-    def opening_messages(self) -> list[pb.EntryNews]:
-        return []
-
-    def batch(self, messages: list[pb.EntryNews]) -> pb.EntryNews:
-        update = self.exchange.build_update(
-            request_from=self.instance, wants_config=self.wants_config
-        )
-        self.wants_config = False
-        is_first = not self.has_sent_totals
-        if is_first:
-            self.has_sent_totals = True
-            members = self.exchange.members
-            update.totals.update(members.quota.totals())
-            update.included_incarnation = members.incarnation_of(self.instance)
-        report = self.exchange.members.crashes.report(self.suspicions_sent)
-        update.suspects.extend(report.suspects)
-        self.suspicions_sent = report.revision
-        limits = self.exchange.members.limits.report(self.limits_sent)
-        update.limits.extend(limits.limits)
-        self.limits_sent = limits.change
-        history = self.exchange.members.streams.history
-        update.MergeFrom(history.report(self.history_sent))
-        self.history_sent = history.change
-        for part in self.exchange.parts:
-            part.fill(update, is_first=is_first)
-        for message in messages:
-            update.rows.extend(message.rows)
-            update.streams.extend(message.streams)
-            update.streams_wanted.extend(message.streams_wanted)
-        return update
-
-    def receive(self, batch: pb.EntryNews) -> None:
-        if not self.instance:
-            self.instance = batch.instance
-            self.exchange.on_stream(self, batch.address)
-        self.exchange.members.receive(batch)
-        for part in self.exchange.parts:
-            part.receive(batch)
-        self.exchange.members.apply_rows(list(batch.rows), batch.instance)
-        self.exchange.config_requests.on_update(batch.instance)
-        if batch.HasField("wanted"):
-            rows = self.exchange.members.newer_rows(batch.wanted)
-            self.outbox().put(pb.EntryNews(rows=rows))
-        streams = self.exchange.members.streams.answer(batch.streams_wanted)
-        if streams:
-            self.outbox().put(pb.EntryNews(streams=streams))
-        self.exchange.opening.discard(self.peer)
-
-    def request_config(self) -> None:
-        self.wants_config = True
-        self.outbox().wake()
-
-    def on_open(self) -> None:
-        self.exchange.outboxes.add(self.outbox())
-        wanted = self.exchange.members.streams.wanted()
-        if wanted:
-            self.outbox().put(pb.EntryNews(streams_wanted=wanted))
-
-    def on_lost(self, *, is_silent: bool) -> None:
-        self.exchange.outboxes.discard(self.outbox())
-        self.wants_config = False
-        self.has_sent_totals = False
-        self.suspicions_sent = 0
-        self.limits_sent = 0
-        self.history_sent = NO_HISTORY_SENT
-        self.exchange.opening.discard(self.peer)
-        if self.instance:
-            self.exchange.members.on_stream_end(self.instance, is_silent=is_silent)
-            self.exchange.on_stream_lost(self)
-            self.instance = ""
-
-
 class EntryExchange(EntriesBase):
     """Keeps a stream to every other entry.
 
@@ -197,7 +87,7 @@
         self.links: dict[str, asyncio.Task[None]] = {}
         self.inbound: dict[str, str] = {}
         self.outboxes: set[Outbox[pb.EntryNews]] = set()
-        self.peers: dict[str, _EntryStream] = {}
+        self.peers: dict[str, EntryStream] = {}
         self.parts: list[UpdatePart] = []
         self.config_requests = ConfigRequests(
             members.fleet, members.by_name, self.peers
@@ -286,7 +176,7 @@
                 _events.ROW_REJECTED, table=MEMBERS, key=instance, error=str(error)
             )
             return
-        stream = _EntryStream(self, lambda: link.outbox, peer=instance)
+        stream = EntryStream(self, lambda: link.outbox, peer=instance)
         self.opening.add(instance)
         link = Link(
             address, EntriesStub, "Exchange", stream, peer=instance, pace=self.pace
@@ -295,7 +185,7 @@
             link.run, name=f"entries.{instance}"
         )
 
-    def on_stream(self, stream: _EntryStream, address: str) -> None:
+    def on_stream(self, stream: EntryStream, address: str) -> None:
         """Register the stream of another entry after its first update.
 
         Where both entries opened a stream, the one opened by the entry with the lower
@@ -315,7 +205,7 @@
             self.links.pop(instance).cancel()
             self.opening.discard(instance)
 
-    def on_stream_lost(self, stream: _EntryStream) -> None:
+    def on_stream_lost(self, stream: EntryStream) -> None:
         """Replace an inbound stream that ended by an outbound one."""
         if self.peers.get(stream.instance) is stream:
             del self.peers[stream.instance]
@@ -432,7 +322,7 @@
     ) -> None:
         """Serve a stream that another entry opened until it ends."""
         outbox: Outbox[pb.EntryNews] = Outbox()
-        handler = _EntryStream(self, lambda: outbox)
+        handler = EntryStream(self, lambda: outbox)
         is_silent = False
         try:
             await run_stream(stream, handler, outbox, self.pace)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
@@ -7,30 +7,22 @@
 import asyncio
 import time
 from functools import partial
-from typing import NamedTuple
 
 from aiohttp import web
 
 from skylarkdoor import events
 from skylarkdoord import _events
-from skylarkdoord._drain import Drain
-from skylarkdoord._retry_limiter import RetryLimiter
-from skylarkdoord.direct._adapter import Adapter
 from skylarkdoord.direct._answer_relay import MIN_SERVER_ERROR_STATUS, AnswerRelay
-from skylarkdoord.direct._call import UpstreamClient
 from skylarkdoord.direct._choice import ANY_VERSION
+from skylarkdoord.direct._forward_dependencies import ForwarderDependencies
 from skylarkdoord.direct._metrics import CALLS, FIRST_EVENT, QUEUE_TIME
 from skylarkdoord.direct._model import MS_PER_S, Admitted, UpstreamRecord
-from skylarkdoord.direct._quota import Quota
 from skylarkdoord.direct._relay import CallerStream
 from skylarkdoord.direct._request_retries import RequestRetries
-from skylarkdoord.direct._rollout_attempts import ObservedAttempt, RolloutAttempts
-from skylarkdoord.direct._scheduler import Scheduler
+from skylarkdoord.direct._send_checks import UNAVAILABLE_RETRY_AFTER_S, SendChecks
 from skylarkdoord.direct._stream_binding import StreamBinding
-from skylarkdoord.direct._stream_versions import StreamVersions
-from skylarkdoord.direct._upstreams import Upstreams
 from skylarkdoord.direct._waiting import Slot
-from skylarkdoord.direct.evidence import Crashes, fingerprint_of, shared_parts
+from skylarkdoord.direct.evidence import fingerprint_of, shared_parts
 from skylarkdoord.direct.exceptions import (
     AnswerTruncatedError,
     FirstByteTimeoutError,
@@ -40,9 +32,9 @@
     UpstreamSilentError,
     VersionGoneError,
 )
+from skylarkdoord.direct.rollout_services import ObservedAttempt
 from skylarkdoord.exceptions import NotRunError, OutcomeUnknownError
 
-UNAVAILABLE_RETRY_AFTER_S = 0.5
 # Limits how often one request is sent, including attempts that did not run it.
 MAX_SENDS = 4
 # Where a request may run again, the first byte times out after the larger of these
@@ -55,34 +47,6 @@
 MIN_SILENCE_S = 1.0
 
 
-class ForwarderDependencies(NamedTuple):
-    """Components that forwarding depends on.
-
-    Attributes:
-        adapter: Translates the platform's protocols.
-        client: Sends requests to upstreams.
-        scheduler: Assigns requests to slots at upstreams.
-        upstreams: Health and latency of the upstreams.
-        retry_limiter: Limits retries.
-        quota: Enforces the customers' rate limits.
-        crashes: Detects requests that crash upstreams.
-        streams: Versions of the software that began resumable streams.
-        drain: Says, while the entry stops, which requests can still be served.
-        rollouts: Says to which versions of the software requests are sent.
-    """
-
-    adapter: Adapter
-    client: UpstreamClient
-    scheduler: Scheduler
-    upstreams: Upstreams
-    retry_limiter: RetryLimiter
-    quota: Quota
-    crashes: Crashes
-    streams: StreamVersions
-    drain: Drain
-    rollouts: RolloutAttempts = RolloutAttempts()
-
-
 class Forwarder:
     """Forwards one request, with retries.
 
@@ -105,6 +69,7 @@
         is_trial: Whether its first attempt tries out a new version.
         fingerprint: Identifies the request and its repeats.
         parts: Parts of its prompt that other requests may share.
+        checks: Checks that the request may be sent.
     """
 
     def __init__(
@@ -137,6 +102,9 @@
         self.is_trial = False
         self.fingerprint = fingerprint_of(admitted)
         self.parts = shared_parts(admitted)
+        self.checks = SendChecks(
+            dependencies, admitted, self.fingerprint, self.parts, self.retries
+        )
         self.log = events.get_logger("direct.forward")
 
     async def serve(self) -> web.StreamResponse:
@@ -166,8 +134,8 @@
             TimeoutError: The request timed out; it may have run.
         """
         self.dependencies.retry_limiter.count_request(self.admitted.service)
-        self.check_drain()
-        self.check_quarantine()
+        self.checks.check_drain(has_run=False)
+        self.checks.check_quarantine(has_run=False)
         self.dependencies.quota.check(self.admitted)
         if self.admitted.route.is_resumable and self.admitted.request.last_event_id:
             self.binding.version = await self.dependencies.streams.find(self.admitted)
@@ -176,10 +144,7 @@
             began = time.monotonic()
             is_answered = False
             try:
-                # The request may have been quarantined while it waited.
-                self.check_quarantine()
-                self.check_drain()
-                self.check_budget(slot)
+                self.check_again(slot)
                 response = await self.attempt(slot)
                 is_answered = response.status < MIN_ERROR_STATUS
                 return response
@@ -208,70 +173,26 @@
             finally:
                 self.dependencies.scheduler.release(slot, is_answered=is_answered)
 
-    def check_quarantine(self) -> None:
-        """Check that the request may be sent.
+    def check_again(self, slot: Slot) -> None:
+        """Check that the request may be sent after it has waited for a slot.
+
+        A stream that has begun goes on while the entry stops, for as long as it can.
 
         Raises:
-            NotRunError: The request is quarantined and has not run.
-            OutcomeUnknownError: The request is quarantined and may have run.
+            NotRunError: It may not, and the request has not run.
+            OutcomeUnknownError: It may not, and the request may have run.
         """
-        crashes = self.dependencies.crashes
-        part = crashes.parts.find_quarantined(self.parts)
-        if part is not None:
-            message = f"a part of the prompt crashes upstreams: {part.name!r}"
-        elif crashes.is_quarantined(self.fingerprint):
-            message = "the request crashes upstreams"
-        else:
-            return
-        if self.runs:
-            raise OutcomeUnknownError(message)
-        raise NotRunError("quarantined", message)
+        has_run = bool(self.runs)
+        self.checks.check_quarantine(has_run=has_run)
+        if not self.stream.has_begun:
+            self.checks.check_drain(has_run=has_run)
+        self.checks.check_budget(slot, has_run=has_run)
 
     @property
     def may_have_run(self) -> bool:
         """Whether an upstream may have run the request."""
         return bool(self.runs) or self.is_sent
 
-    def can_finish(self) -> bool:
-        """Return whether the request, if sent now, can end before the entry does."""
-        return self.dependencies.drain.can_finish(
-            self.admitted.route.name,
-            self.admitted.deadline,
-            self.admitted.request.answer_tokens,
-        )
-
-    def check_drain(self) -> None:
-        """Check that the request can end before the entry does.
-
-        A stream that has begun goes on, for as long as it can.
-
-        Raises:
-            NotRunError: It can't, and the request has not run.
-            OutcomeUnknownError: It can't, and the request may have run.
-        """
-        if self.can_finish() or self.stream.has_begun:
-            return
-        message = "the entry stops before the request can end"
-        if self.runs:
-            raise OutcomeUnknownError(message)
-        raise NotRunError("draining", message, retry_after_s=0.0)
-
-    def check_budget(self, slot: Slot) -> None:
-        """Check that the attempt, if it is a retry, is still within the budget.
-
-        Raises:
-            NotRunError: It is not, and the request has not run.
-            OutcomeUnknownError: It is not, and the request may have run.
-        """
-        if self.retries.send(slot):
-            return
-        message = "the retry budget was used up while the request waited"
-        if self.runs:
-            raise OutcomeUnknownError(message)
-        raise NotRunError(
-            "unavailable", message, retry_after_s=UNAVAILABLE_RETRY_AFTER_S
-        )
-
     async def acquire_slot(self) -> Slot:
         """Wait for a slot at an upstream.
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_member.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_member.py
@@ -5,7 +5,7 @@
 
 from skylarkdoor.wire import pb
 from skylarkdoord.direct._adapter import StoreVersion
-from skylarkdoord.direct._fleet import ConfigVersion
+from skylarkdoord.direct._fleet_rows import ConfigVersion
 from skylarkdoord.direct._model import MS_PER_S
 
 # Time after which the fastest update is sought anew, by the age of the entry that sends
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
@@ -9,15 +9,17 @@
 from skylarkdoor.clock import boot_time_s
 from skylarkdoor.hashing import rendezvous
 from skylarkdoor.wire import pb
-from skylarkdoord.direct._adapter import Row, StoreVersion
+from skylarkdoord.direct._adapter import StoreVersion
 from skylarkdoord.direct._config_age import ConfigAge
-from skylarkdoord.direct._config_requests import LAG_TOLERANCE_S, SendLimit
-from skylarkdoord.direct._fleet import CONFIG, UPSTREAMS, ConfigVersion, Fleet
+from skylarkdoord.direct._config_requests import LAG_TOLERANCE_S
+from skylarkdoord.direct._fleet import CONFIG, Fleet
+from skylarkdoord.direct._fleet_rows import ConfigVersion
 from skylarkdoord.direct._member import Member
 from skylarkdoord.direct._missed_news import MissedNews
 from skylarkdoord.direct._model import MS_PER_S
 from skylarkdoord.direct._pace import MAX_HEARTBEAT_S
 from skylarkdoord.direct._quota import Quota
+from skylarkdoord.direct._row_exchange import RowExchange
 from skylarkdoord.direct._stream_versions import StreamVersions
 from skylarkdoord.direct._upstream_limits import UpstreamLimits
 from skylarkdoord.direct.evidence import Crashes
@@ -54,6 +56,7 @@
         clock: Returns monotonic time that includes time in suspend, in seconds.
 
     Attributes:
+        rows: The rows that entries send each other.
         by_name: The other entries that sent an update.
         started: Monotonic time of this entry's start, in seconds.
         listed: Number of other entries that the store listed at the start.
@@ -83,7 +86,7 @@
         self.missed = missed or MissedNews(clock)
         self.fleet = fleet
         self.quota = quota
-        self.config_limit = SendLimit(clock)
+        self.rows = RowExchange(fleet, self.missed, clock)
         self.by_name: dict[str, Member] = {}
         self.started = self.clock()
         self.listed = 0
@@ -336,70 +339,3 @@
             upstreams_since=self.fleet.upstreams_at.number,
             upstreams_era=self.fleet.upstreams_at.era,
         )
-
-    def apply_rows(self, rows: list[pb.StoreRow], source: str) -> None:
-        """Apply rows that another entry sent.
-
-        Args:
-            rows: The rows.
-            source: Name of that entry, for logs.
-        """
-        for sent in rows:
-            data = None if sent.removed else sent.data
-            row = Row(sent.key, sent.version, data, sent.era)
-            is_new = False
-            if sent.table == CONFIG:
-                self.fleet.apply_config(row, source=source)
-                is_new = self.fleet.config_row is row
-            elif sent.table == UPSTREAMS:
-                self.fleet.apply_upstream(row, source=source)
-                cached = self.fleet.cached_rows.get(row.key)
-                is_new = cached is not None and cached.row is row
-            if is_new:
-                self.missed.record(sent.table)
-        if rows:
-            self.fleet.notify()
-
-    def newer_rows(self, requested: pb.RowsWanted) -> list[pb.StoreRow]:
-        """Return the rows that are newer than the versions in a request."""
-        rows = []
-        config = self.requested_config(requested)
-        since = StoreVersion(requested.upstreams_era, requested.upstreams_since)
-        if config is not None:
-            rows.append(to_wire(CONFIG, config))
-        rows += [
-            to_wire(UPSTREAMS, cached.row)
-            for cached in self.fleet.cached_rows.values()
-            if cached.row.changed_at > since
-        ]
-        return rows
-
-    def requested_config(self, requested: pb.RowsWanted) -> Row | None:
-        """Return the configuration's row if a request is to be answered with it.
-
-        An entry of a release that doesn't state the operator's version goes by the
-        row's place in the store's history.
-        """
-        row = self.fleet.config_row
-        if row is None or row.data is None:
-            return None
-        own = self.fleet.config_version
-        changed_at = StoreVersion(requested.config_era, requested.config_since)
-        number = requested.config_number
-        if not number and changed_at != StoreVersion():
-            number = own.number
-        if own <= ConfigVersion(number, changed_at):
-            return None
-        return row if self.config_limit.allows(len(row.data)) else None
-
-
-def to_wire(table: str, row: Row) -> pb.StoreRow:
-    """Return a row as a message between entries."""
-    return pb.StoreRow(
-        table=table,
-        key=row.key,
-        version=row.version,
-        data=row.data or b"",
-        removed=row.data is None,
-        era=row.era,
-    )
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -14,7 +14,7 @@
 from skylarkdoord.direct._config_retry import ConfigRetry
 from skylarkdoord.direct._exchange import EntryExchange
 from skylarkdoord.direct._fleet import Fleet
-from skylarkdoord.direct._forward import ForwarderDependencies
+from skylarkdoord.direct._forward_dependencies import ForwarderDependencies
 from skylarkdoord.direct._guarded_streams import GuardedStreams
 from skylarkdoord.direct._guards import Guards
 from skylarkdoord.direct._limit_records import LimitRecords
@@ -23,8 +23,6 @@
 from skylarkdoord.direct._missed_news import MissedNews
 from skylarkdoord.direct._quota import Quota
 from skylarkdoord.direct._retry_report import RetryReport
-from skylarkdoord.direct._rollout_attempts import RolloutAttempts
-from skylarkdoord.direct._rollouts import RolloutDependencies, Rollouts
 from skylarkdoord.direct._scheduler import Scheduler
 from skylarkdoord.direct._settings import DirectSettings
 from skylarkdoord.direct._stream_versions import StreamVersions
@@ -33,6 +31,11 @@
 from skylarkdoord.direct._watch import FleetWatcher
 from skylarkdoord.direct.evidence import Crashes, SuspectRecords
 from skylarkdoord.direct.process import Apply
+from skylarkdoord.direct.rollout_services import (
+    RolloutAttempts,
+    RolloutDependencies,
+    Rollouts,
+)
 from skylarkdoord.direct.rollouts import RolloutBounds, RolloutGate
 from skylarkdoord.direct.shares import LeaveCosts
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_rollout_coordinator.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/rollout_services/_coordinator.py
@@ -9,23 +9,23 @@
 from skylarkdoor import events
 from skylarkdoord import _events
 from skylarkdoord.direct._adapter import Adapter, Store
-from skylarkdoord.direct._rollout_lease import (
+from skylarkdoord.direct._store_calls import StoreCalls
+from skylarkdoord.direct.exceptions import StoreError
+from skylarkdoord.direct.rollout_services._lease import (
     LEASE_S,
     RENEW_INTERVAL_S,
     ROLLOUTS,
     RolloutLease,
 )
-from skylarkdoord.direct._rollout_orders import is_same
-from skylarkdoord.direct._rollout_peers import RolloutPeers, Sender
-from skylarkdoord.direct._rollout_status import StatusWriter
-from skylarkdoord.direct._rollout_turns import (
+from skylarkdoord.direct.rollout_services._orders import is_same
+from skylarkdoord.direct.rollout_services._peers import RolloutPeers, Sender
+from skylarkdoord.direct.rollout_services._status import StatusWriter
+from skylarkdoord.direct.rollout_services._turns import (
     STANDBY_INTERVAL_S,
     RolloutTurns,
     holder_name,
 )
-from skylarkdoord.direct._rollout_view import RolloutView
-from skylarkdoord.direct._store_calls import StoreCalls
-from skylarkdoord.direct.exceptions import StoreError
+from skylarkdoord.direct.rollout_services._view import RolloutView
 from skylarkdoord.direct.rollouts import (
     Decision,
     Phase,
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_rollout_lease.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/rollout_services/_lease.py
@@ -10,8 +10,8 @@
 
 from skylarkdoor import untrusted_json
 from skylarkdoord.direct._adapter import Row, Store, StoreVersion
-from skylarkdoord.direct._rollout_messages import phase_of, share_of
 from skylarkdoord.direct.exceptions import ConflictError, RowError, StoreError
+from skylarkdoord.direct.rollout_services._messages import phase_of, share_of
 from skylarkdoord.direct.rollouts import Decision, RolloutOrder
 
 ROLLOUTS = "rollouts"
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_rollout_peers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/rollout_services/_peers.py
@@ -6,13 +6,13 @@
 from skylarkdoor.wire import pb
 from skylarkdoord import _events
 from skylarkdoord.direct._members import Members
-from skylarkdoord.direct._rollout_messages import (
+from skylarkdoord.direct.exceptions import RowError
+from skylarkdoord.direct.rollout_services._messages import (
     decision_from_wire,
     decision_to_wire,
     report_from_wire,
     report_to_wire,
 )
-from skylarkdoord.direct.exceptions import RowError
 from skylarkdoord.direct.rollouts import Decision, Report, RolloutOrder, sum_reports
 
 # Time without an update until an entry counts as lost for its roll-outs, in seconds.
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_rollouts.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/rollout_services/_rollouts.py
@@ -12,11 +12,11 @@
 from skylarkdoord.direct._adapter import Adapter, Row, Store
 from skylarkdoord.direct._members import Members
 from skylarkdoord.direct._metrics import ROLLOUT_PHASE
-from skylarkdoord.direct._rollout_coordinator import RolloutCoordinator
-from skylarkdoord.direct._rollout_orders import RolloutOrders, is_same
-from skylarkdoord.direct._rollout_peers import RolloutPeers
-from skylarkdoord.direct._rollout_watch import EvidenceWatch
 from skylarkdoord.direct._scheduler import Scheduler
+from skylarkdoord.direct.rollout_services._coordinator import RolloutCoordinator
+from skylarkdoord.direct.rollout_services._orders import RolloutOrders, is_same
+from skylarkdoord.direct.rollout_services._peers import RolloutPeers
+from skylarkdoord.direct.rollout_services._watch import EvidenceWatch
 from skylarkdoord.direct.rollouts import (
     Capacity,
     Decision,
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_rollout_turns.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/rollout_services/_turns.py
@@ -1,8 +1,8 @@
 """Tells which entry's turn it is to coordinate a roll-out."""
 
-from skylarkdoord.direct._rollout_lease import RolloutLease
-from skylarkdoord.direct._rollout_peers import RolloutPeers, Sender
-from skylarkdoord.direct._rollout_view import RolloutView
+from skylarkdoord.direct.rollout_services._lease import RolloutLease
+from skylarkdoord.direct.rollout_services._peers import RolloutPeers, Sender
+from skylarkdoord.direct.rollout_services._view import RolloutView
 
 # Interval at which the first entry by name that does not coordinate reads the row, in
 # seconds. A coordinator that is cut off from the store, but not from the entries, is
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_rollout_view.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/rollout_services/_view.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from skylarkdoord.direct._rollout_orders import RolloutOrders
+from skylarkdoord.direct.rollout_services._orders import RolloutOrders
 from skylarkdoord.direct.rollouts import (
     Capacity,
     Decision,
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_rollout_watch.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/rollout_services/_watch.py
@@ -4,8 +4,8 @@
 
 from skylarkdoor import events
 from skylarkdoord import _events
-from skylarkdoord.direct._rollout_peers import RolloutPeers
-from skylarkdoord.direct._rollout_view import RolloutView
+from skylarkdoord.direct.rollout_services._peers import RolloutPeers
+from skylarkdoord.direct.rollout_services._view import RolloutView
 from skylarkdoord.direct.rollouts import Outcome, RolloutOrder, judge
 
 # Longest interval of the coordinator's decisions, in seconds. Entries that hear of none
--- a/packages/skylarkdoord/tests/common/test_foreign_rows.py
+++ b/packages/skylarkdoord/tests/common/test_foreign_rows.py
@@ -6,9 +6,9 @@
 from skylarkdoord.common import _snapshot
 from skylarkdoord.common._rows import decode_history, decode_settings
 from skylarkdoord.direct._limit_record import LimitRecord
-from skylarkdoord.direct._rollout_lease import LeaseRecord
 from skylarkdoord.direct.evidence._suspect_records import decode as decode_suspicions
 from skylarkdoord.direct.exceptions import RowError
+from skylarkdoord.direct.rollout_services._lease import LeaseRecord
 from skylarkdoord.exceptions import ClaimRowError
 from skylarkdoord.planner._rows import decode_lease, decode_plan
 from skylarkdoord.planner.exceptions import PlannerRowError
--- a/packages/skylarkdoord/tests/direct/test_config_age.py
+++ b/packages/skylarkdoord/tests/direct/test_config_age.py
@@ -170,7 +170,7 @@
         row = pb.StoreRow(
             table=CONFIG, key=CONFIG_KEY, version=version, data=b"%d" % version
         )
-        members.apply_rows([row], "b")
+        members.rows.apply([row], "b")
         assert (CONFIG in members.missed.since) == is_missed
 
     def test_overdue(self):
--- a/packages/skylarkdoord/tests/direct/test_config_machine.py
+++ b/packages/skylarkdoord/tests/direct/test_config_machine.py
@@ -12,7 +12,8 @@
 
 from skylarkdoor.wire import Outbox, pb
 from skylarkdoord.direct import FleetConfig
-from skylarkdoord.direct._exchange import EntryExchange, _EntryStream
+from skylarkdoord.direct._entry_stream import EntryStream
+from skylarkdoord.direct._exchange import EntryExchange
 from skylarkdoord.direct._fleet import CONFIG_KEY
 from skylarkdoord.direct.exceptions import RowError
 
@@ -72,7 +73,7 @@
                 self.calls.pop(number)[1]()
 
 
-class Stream(_EntryStream):
+class Stream(EntryStream):
     """One end of a stream, whose messages the machine carries."""
 
     def __init__(self, entry, peer):
--- a/packages/skylarkdoord/tests/direct/test_config_requests.py
+++ b/packages/skylarkdoord/tests/direct/test_config_requests.py
@@ -11,7 +11,8 @@
     ConfigRequests,
     SendLimit,
 )
-from skylarkdoord.direct._fleet import ConfigVersion, Fleet
+from skylarkdoord.direct._fleet import Fleet
+from skylarkdoord.direct._fleet_rows import ConfigVersion
 from skylarkdoord.direct._member import Member
 from skylarkdoord.direct.exceptions import RowError
 
--- a/packages/skylarkdoord/tests/direct/test_members.py
+++ b/packages/skylarkdoord/tests/direct/test_members.py
@@ -245,7 +245,7 @@
             requested = pb.RowsWanted(
                 config_number=number, config_era=era, config_since=version
             )
-            return [row.data for row in members.newer_rows(requested)]
+            return [row.data for row in members.rows.newer(requested)]
 
         assert sent(3, (2, 7)) == [b"4"]
         assert sent(4, (0, 100)) == [b"4"]
--- a/packages/skylarkdoord/tests/direct/test_rollout_attempts.py
+++ b/packages/skylarkdoord/tests/direct/test_rollout_attempts.py
@@ -6,8 +6,6 @@
 from aiohttp import web
 
 from skylarkdoord.direct import StoreVersion
-from skylarkdoord.direct import _rollout_attempts as module
-from skylarkdoord.direct._rollout_attempts import RolloutAttempts
 from skylarkdoord.direct.exceptions import (
     AnswerTruncatedError,
     FirstByteTimeoutError,
@@ -16,6 +14,8 @@
     UpstreamSilentError,
     VersionGoneError,
 )
+from skylarkdoord.direct.rollout_services import _attempts as module
+from skylarkdoord.direct.rollout_services._attempts import RolloutAttempts
 from skylarkdoord.direct.rollouts import (
     Decision,
     Phase,
--- a/packages/skylarkdoord/tests/direct/test_rollout_lease.py
+++ b/packages/skylarkdoord/tests/direct/test_rollout_lease.py
@@ -3,15 +3,15 @@
 import pytest
 
 from skylarkdoord.direct import OrderedVersion, Row, Rows, StoreVersion, Written
-from skylarkdoord.direct._rollout_lease import LeaseRecord, RolloutLease
-from skylarkdoord.direct._rollout_messages import (
+from skylarkdoord.direct.exceptions import ConflictError, RowError, StoreError
+from skylarkdoord.direct.rollout_services._lease import LeaseRecord, RolloutLease
+from skylarkdoord.direct.rollout_services._messages import (
     decision_from_wire,
     decision_to_wire,
     report_from_wire,
     report_to_wire,
 )
-from skylarkdoord.direct._rollout_orders import RolloutOrders
-from skylarkdoord.direct.exceptions import ConflictError, RowError, StoreError
+from skylarkdoord.direct.rollout_services._orders import RolloutOrders
 from skylarkdoord.direct.rollouts import (
     Cell,
     CellCounts,
--- a/packages/skylarkdoord/tests/direct/test_store_history.py
+++ b/packages/skylarkdoord/tests/direct/test_store_history.py
@@ -135,7 +135,7 @@
             upstreams_since=fleet.upstreams_at.number,
             upstreams_era=fleet.upstreams_at.era,
         )
-        self.members.apply_rows(other.members.newer_rows(requested), "other")
+        self.members.rows.apply(other.members.rows.newer(requested), "other")
 
     def check(self):
         """Check that nothing went back, and record what is known now."""
