Settings: a file that nests too deeply is a clear error

Found by feeding eight kinds of odd files; the other six were clear errors.

Test: test_nested, 2 of 2 fail before.

--- a/packages/skylarkdoor/src/skylarkdoor/settings/_read.py
+++ b/packages/skylarkdoor/src/skylarkdoor/settings/_read.py
@@ -55,6 +55,8 @@
     except ValueError as error:
         message = str(error).removeprefix("<string>:")
         raise SettingsError(f"line {message}", source=source) from None
+    except RecursionError:
+        raise SettingsError("nested too deeply", source=source) from None
 
 
 def read_document(path: str | Path) -> Document:
--- a/packages/skylarkdoord/tests/direct/test_process.py
+++ b/packages/skylarkdoord/tests/direct/test_process.py
@@ -88,6 +88,16 @@
         assert record.event_name == "reload_failed"
         assert "shutdown_timeout_s" in record.problems[0]
 
+    # Guards against a settings file whose fault is a traceback, and no clear error.
+    @pytest.mark.parametrize("text", ["[" * 5000, '{"instance":' * 5000], ids=len)
+    def test_nested(self, file, path, caplog, text):
+        """The settings stay in force if the file nests too deeply."""
+        former = file.settings
+        path.write_text(text)
+        file.reload()
+        assert file.settings == former
+        assert caplog.records[-1].event_name == "reload_failed"
+
     def test_logged(self, file, path, caplog):
         """The log lists the changed settings and those that need a restart."""
         caplog.set_level("INFO", "skylarkdoor")
