--- a/packages/skylarkdoord/src/skylarkdoord/direct/_plain_http.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_plain_http.py
@@ -35,7 +35,6 @@
     def __init__(self, sock: socket.socket) -> None:
         # The file keeps the connection open when the client closes the socket early.
         self.file = sock.makefile("rb", buffering=0)
-        self.sock = sock
         self.remaining = MAX_RESPONSE_BYTES
         self.ends_at = time.monotonic() + RESPONSE_TIMEOUT_S
 
@@ -65,7 +64,10 @@
 
 
 class BoundedFile(io.BufferedReader):
-    """A buffered response, of which no read asks for more memory than it may use."""
+    """A buffered response.
+
+    A response may state any length, for which a plain buffer would allocate memory.
+    """
 
     def read(self, size: int | None = -1, /) -> bytes:
         """Read up to a number of bytes; all bytes if it is -1.
