Store: a late removal does not remove a row that was written again

A store that does not answer in time may carry out a removal seconds later, when the next incarnation of the entry has written its row again. Entries that start then don't find that one.

Change: an entry removes its own row, and long expired records of suspicions and limits, only in the version that it read.

Tests: test_written_again and test_remove, both fail before.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_adapter.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_adapter.py
@@ -177,9 +177,16 @@
             StoreError: The store did not acknowledge the write.
         """
 
-    async def remove(self, table: str, key: str) -> None:
+    async def remove(self, table: str, key: str, version: int | None = None) -> None:
         """Remove a row.
 
+        A store that does not answer in time may carry out the removal seconds later.
+
+        Args:
+            table: The table.
+            key: Key of the row.
+            version: Version that the row must have, otherwise it stays; None for any.
+
         Raises:
             StoreError: The store did not acknowledge the removal.
         """
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_exchange.py
@@ -61,6 +61,7 @@
 
     Attributes:
         has_joined: Whether the rows of the other entries have been read.
+        row_version: Version of this entry's row; None before it was read.
         opening: Entries to which a first stream is being opened.
         links: Tasks of the outbound streams, by name of the other entry.
         inbound: Addresses of the entries that opened a stream, by name.
@@ -83,6 +84,7 @@
         self.store = store
         self.members = members
         self.has_joined = False
+        self.row_version: int | None = None
         self.opening: set[str] = set()
         self.links: dict[str, asyncio.Task[None]] = {}
         self.inbound: dict[str, str] = {}
@@ -120,7 +122,7 @@
         await end_tasks(self.tasks)
         self.config_requests.stop()
         try:
-            await self.store.remove(MEMBERS, self.settings.instance)
+            await self.store.remove(MEMBERS, self.settings.instance, self.row_version)
         except StoreError as error:
             # The row stays; entries that read it will fail to connect to this one.
             self.log.event(_events.STORE_LOST, table=MEMBERS, error=str(error))
@@ -152,6 +154,8 @@
             for row in rows.rows
         )
         for row in rows.rows:
+            if row.key == self.settings.instance:
+                self.row_version = row.version
             if row.data is not None:
                 self.connect(row.key, row.data.decode("ascii", "replace"))
         self.has_joined = True
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_limit_records.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_limit_records.py
@@ -180,7 +180,7 @@
         age_s = max(0.0, clock_s - record.at_s)
         window_s = self.quota.bounds.window_s
         if age_s > RETENTION_WINDOWS * window_s:
-            await self.remove(row.key)
+            await self.remove(row.key, row.version)
         if age_s >= window_s:
             return None
         self.log.event(
@@ -300,10 +300,10 @@
         self.recorded = used_since_start
         self.on_store_answer(clock_s)
 
-    async def remove(self, key: str) -> None:
-        """Remove a record."""
+    async def remove(self, key: str, version: int | None = None) -> None:
+        """Remove a record, unless it has another version than a stated one."""
         try:
-            await self.store.remove(LIMITS, key)
+            await self.store.remove(LIMITS, key, version)
         except StoreError as error:
             self.calls.on_failure(error)
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/evidence/_suspect_records.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/evidence/_suspect_records.py
@@ -190,7 +190,7 @@
             ):
                 continue
             try:
-                await self.store.remove(SUSPECTS, row.key)
+                await self.store.remove(SUSPECTS, row.key, row.version)
             except StoreError as error:
                 self.calls.on_failure(error)
 
--- a/packages/skylarkdoord/tests/direct/test_limit_records.py
+++ b/packages/skylarkdoord/tests/direct/test_limit_records.py
@@ -60,7 +60,7 @@
         self.rows[key] = data
         return self.clock.now + self.CLOCK_OFFSET_S
 
-    async def remove(self, table, key):
+    async def remove(self, table, key, version=None):
         """Remove a row."""
         self.rows.pop(key, None)
 
--- a/packages/skylarkdoord/tests/direct/test_streams.py
+++ b/packages/skylarkdoord/tests/direct/test_streams.py
@@ -84,7 +84,7 @@
         self.rows[key] = data
         return 0.0
 
-    async def remove(self, table, key):
+    async def remove(self, table, key, version=None):
         """Remove a row."""
         self.rows.pop(key, None)
 
--- a/packages/skylarkdoord/tests/direct/test_suspect_records.py
+++ b/packages/skylarkdoord/tests/direct/test_suspect_records.py
@@ -80,7 +80,7 @@
             self.changed.notify_all()
         return 0.0
 
-    async def remove(self, table, key):
+    async def remove(self, table, key, version=None):
         """Remove a row."""
         self.check(table)
         del self.rows[key]
--- a/tests/adapter/_standins.py
+++ b/tests/adapter/_standins.py
@@ -33,6 +33,7 @@
         era: Number of times that it came back from an older copy; None if it states
             no era.
         now_ms: Returns its clock, in milliseconds.
+        on_commit: Serves a call that writes.
         calls: Paths of the calls.
         uses: Path and table of each call other than a feed call.
         lost_answers: Tables of which the next write is made, but not answered.
@@ -44,6 +45,7 @@
         self.uses = []
         self.lost_answers = set()
         self.odd_fields = {}
+        self.on_commit = self.commit
         self.tables = {}
         self.version = 1
         self.changed = asyncio.Condition()
@@ -57,7 +59,7 @@
         app = web.Application()
         app.router.add_get("/rows-get", self.get)
         app.router.add_get("/rows-feed", self.feed)
-        app.router.add_post("/rows-tx", self.commit)
+        app.router.add_post("/rows-tx", self.write)
         app.on_response_prepare.append(self.add_era)
         self.runner = web.AppRunner(app, shutdown_timeout=0.1)
         await self.runner.setup()
@@ -146,6 +148,10 @@
                     await self.changed.wait_for(lambda: self.rows(table, since))
         return self.answer(self.rows(table, since))
 
+    async def write(self, request):
+        """Serve a call that writes."""
+        return await self.on_commit(request)
+
     async def commit(self, request):
         """Write rows, if those that are expected to have a version have it."""
         body = await request.json()
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -49,6 +49,17 @@
         (row,) = (await client.read("members")).rows
         assert (row.key, row.data) == ("edge-1", b"address")
 
+    async def test_remove(self, client):
+        """A removal of another version leaves the row as it is."""
+        await client.put("members", "edge-1", b"former")
+        (former,) = (await client.read("members")).rows
+        await client.put("members", "edge-1", b"address")
+        await client.remove("members", "edge-1", former.version)
+        (row,) = (await client.read("members")).rows
+        assert row.data == b"address"
+        await client.remove("members", "edge-1", row.version)
+        assert (await client.read("members")).rows == ()
+
     @pytest.mark.parametrize("status", [429, 503, 500])
     async def test_refused(self, store, client, status):
         """A status other than 200 raises an error that contains it."""
@@ -153,3 +164,33 @@
                 )
                 for _ in range(5):
                     assert (await caller.get())[2] == b"two"
+
+
+class TestLateRemoval:
+    """A store that carries out a removal seconds after the call."""
+
+    # Guards against an entry that others don't find, as its row was removed for its
+    # former incarnation.
+    async def test_written_again(self, store):
+        """The row of the next incarnation stays."""
+        late = []
+        original = store.commit
+
+        async def remove_late(request):
+            if (await request.json()).get("remove"):
+                late.append(request)
+                return store.answer([])
+            return await original(request)
+
+        store.on_commit = remove_late
+        async with Entry(store, "edge-1") as entry:
+            await entry.until(lambda: entry.kernel.services["entries"].has_joined)
+        members = store.tables["skylarkdoor-members"]
+        _, former = members["edge-1"]
+        async with Entry(store, "edge-1") as entry:
+            await entry.until(lambda: members["edge-1"][1] > former)
+            assert late
+            for request in late:
+                await original(request)
+            data, _ = members["edge-1"]
+            assert data is not None
