--- a/packages/skylarkdoord/tests/direct/test_quota_surge.py
+++ b/packages/skylarkdoord/tests/direct/test_quota_surge.py
@@ -19,6 +19,7 @@
 MIN_UPDATE_INTERVAL_S = 0.05
 # Mean time on the way of an update, in seconds.
 DELAY_S = 0.06
+SLOW_ENTRIES = 6
 CUSTOMER = make_customer(rate=240_000.0)
 BOUNDS = QuotaBounds(window_s=WINDOW_S, overshoot=0.1, tolerance=110_000.0)
 MEAN_TOKENS = 4000
@@ -32,16 +33,18 @@
         entries: Number of entries.
         load: Requested units as a multiple of the customer's rate.
         seed: Seed of arrivals, sizes and delays.
+        slow_s: Mean time on the way of updates of the slow entries, in seconds.
 
     Attributes:
         used: Time and units of each admitted request.
     """
 
-    def __init__(self, entries, load, seed):
+    def __init__(self, entries, load, seed, slow_s=DELAY_S):
         self.rng = random.Random(seed)
         self.clock = Clock()
         self.start = self.clock.now + WINDOW_S
         self.load = load
+        self.slow_s = slow_s
         self.events = []
         self.order = itertools.count()
         self.quotas = [Quota(BOUNDS, clock=self.clock) for _ in range(entries)]
@@ -99,9 +102,10 @@
         used = self.quotas[number].report_used().get(CUSTOMER.name, 0.0)
         units = used - self.reported[number]
         self.reported[number] = used
-        for quota in self.quotas:
-            if units and quota is not self.quotas[number]:
-                at = self.clock.now + DELAY_S * self.rng.uniform(0.5, 1.5)
+        for other, quota in enumerate(self.quotas):
+            if units and other != number:
+                delay_s = self.slow_s if min(number, other) < SLOW_ENTRIES else DELAY_S
+                at = self.clock.now + delay_s * self.rng.uniform(0.5, 1.5)
                 self.plan(at, quota.charge, CUSTOMER.name, units)
 
 
@@ -119,6 +123,15 @@
         allowed = quota.nominal_limit(CUSTOMER) + quota.allowed_overshoot(CUSTOMER)
         assert surge.run() <= allowed
 
+    # Guards against the same while some entries hear and are heard late.
+    @pytest.mark.parametrize("slow_s", [0.5, 1.5])
+    def test_slow_entries(self, slow_s):
+        """It holds too while six of 34 entries are slow."""
+        surge = Surge(34, 2.0, 1, slow_s)
+        quota = surge.quotas[0]
+        allowed = quota.nominal_limit(CUSTOMER) + quota.allowed_overshoot(CUSTOMER)
+        assert surge.run() <= allowed
+
     # Guards against refusals of what a customer may use, for the sake of the above.
     def test_nominal_limit(self):
         """A customer that asks for its whole rate is not refused anything."""
