Limits: report use early only while a customer uses more than its rate

Cause: since an entry of 34 reports at once from 0.3 % of a limit on, at any load.

Change: below a customer's rate, measured over the last second and all entries, the former threshold of 2 % holds. Deployments of up to five entries are not affected.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_quota.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_quota.py
@@ -25,7 +25,7 @@
 # refused; the rest covers use that other entries have not reported yet.
 USABLE_OVERSHOOT_SHARE = 0.8
 # Share of a limit that an entry may use before it reports the use to the others, and
-# that all entries may use together.
+# that all entries may use together in a surge.
 UNREPORTED_SHARE = 0.02
 TOTAL_UNREPORTED_SHARE = 0.1
 # From this share of a limit on, the unreported use of all entries together has to fit
@@ -277,11 +277,18 @@
         limit = self.limit(customer)
         _, entries = self.silent_entries()
         if account.total < NEAR_LIMIT_SHARE * limit:
+            if not self.is_surging(account, customer):
+                return UNREPORTED_SHARE * limit
             share = TOTAL_UNREPORTED_SHARE / max(1, entries)
             return limit * min(UNREPORTED_SHARE, share)
         free = (1 - USABLE_OVERSHOOT_SHARE) * self.allowed_overshoot(customer)
         return min(UNREPORTED_SHARE * limit, free / max(1, entries))
 
+    def is_surging(self, account: Account, customer: Customer) -> bool:
+        """Return whether a customer recently used more than its rate."""
+        used = account.used_since(self.clock() - RATE_WINDOW_S)
+        return used > customer.rate * RATE_WINDOW_S
+
     def account(self, customer: str, now: float) -> Account:
         """Return a customer's account with the uses that are still within the window.
 
