Answers without end: free the chunks of a body that is given up

Cause: a body that exceeds its bound no longer counts, but the traceback of its error kept its chunks until the request was answered. 20 endless answers at once took 86 MB (traced), 64 are allowed. Found by the new test of memory for guard, sidecar and entry.

Change: the chunks are cleared in both readers. POST /admin/explain reads its body like all other JSON, so that one that nests too deeply is invalid, and no internal error.

Tests: TestMemory, 4 of 9 fail before; TestPostExplain.

--- a/packages/skylarkdoor/src/skylarkdoor/_bounded_http.py
+++ b/packages/skylarkdoor/src/skylarkdoor/_bounded_http.py
@@ -87,6 +87,8 @@
             return b"".join(chunks)
         finally:
             self.used -= size
+            # The traceback of an error would keep them.
+            chunks.clear()
 
 
 def open_session(
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_call.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_call.py
@@ -174,6 +174,8 @@
             return b"".join(chunks)
         finally:
             self.buffer.used -= size
+            # The traceback of an error would keep them.
+            chunks.clear()
             self.buffer.release(length)
 
     def close(self) -> None:
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_explain.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_explain.py
@@ -5,6 +5,7 @@
 import msgspec
 from aiohttp import web
 
+from skylarkdoor import untrusted_json
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import (
     Pool,
@@ -134,7 +135,7 @@
         fleet = self.settings_service.view.fleet
         operator = authenticate(raw.headers, fleet, hashes)
         try:
-            document = await raw.json()
+            document = untrusted_json.loads(await raw.read())
         except ValueError as error:
             raise InvalidError([Problem("", str(error))]) from None
         explain_request = convert(document, ExplainRequest)
--- a/packages/skylarkdoord/tests/entry/test_explain.py
+++ b/packages/skylarkdoord/tests/entry/test_explain.py
@@ -1,9 +1,12 @@
 """Tests of the explanations of how a request would be routed."""
 
+import asyncio
+import json
 from types import SimpleNamespace
 
 import pytest
 
+from skylarkdoor.hashing import key_hash
 from skylarkdoor.settings import (
     FLEET_PATH,
     Customer,
@@ -14,6 +17,7 @@
     Team,
     Tier,
 )
+from skylarkdoord.admin.exceptions import InvalidError
 from skylarkdoord.entry._explain import Explain, ExplainRequest
 
 SPEED = {
@@ -82,3 +86,20 @@
     def test_unknown_customer_or_pool(self, explain, explain_request):
         """There is no explanation for an unknown customer or pool."""
         assert explain.explain(explain_request) is None
+
+
+class TestPostExplain:
+    """`Explain.post_explain`."""
+
+    # Guards against an internal error in place of what is wrong with the body.
+    async def test_nested(self, explain):
+        """A body that nests too deeply is invalid, like any other malformed one."""
+        explain.settings.operator_token_hashes = (key_hash("token"),)
+
+        async def read():
+            return b"[" * 5000
+
+        request = SimpleNamespace(headers={"Authorization": "Bearer token"}, read=read)
+        request.json = lambda: asyncio.to_thread(json.loads, b"[" * 5000)
+        with pytest.raises(InvalidError):
+            await explain.post_explain(request)
--- a/packages/skylarkdoord/tests/test_endless_answers.py
+++ b/packages/skylarkdoord/tests/test_endless_answers.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import contextlib
+import tracemalloc
 from functools import partial
 from types import SimpleNamespace
 
@@ -43,6 +44,9 @@
 MOST_SENT_BY_PLATFORM = 40 * MIB
 # Bytes after which a server falls silent, as the machine's memory is shared.
 LAST_SENT = 4 * MOST_SENT
+# Answers at the same time, and the memory of a node that they may take.
+MANY = 20
+MOST_HELD = 64 * MIB
 # Longest time for one answer, in seconds.
 MOST_S = 10.0
 # Errors with which a reader may report an answer.
@@ -61,7 +65,7 @@
 
 
 class Endless:
-    """A server that sends up to `LAST_SENT` bytes until its connection is closed.
+    """A server that sends up to `LAST_SENT` bytes until a connection is closed.
 
     Args:
         begin: Bytes that it sends first.
@@ -91,8 +95,10 @@
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             await reader.readuntil(b"\r\n\r\n")
             writer.write(self.begin)
-            while self.sent <= LAST_SENT:
+            sent = 0
+            while sent <= LAST_SENT:
                 writer.write(self.noise)
+                sent += len(self.noise)
                 self.sent += len(self.noise)
                 await writer.drain()
                 await asyncio.sleep(self.pause_s)
@@ -139,14 +145,24 @@
         await client.close()
 
 
-async def guard_report(address):
-    """Poll the engine beside a guard."""
+async def at_once(read, count):
+    """Read a number of answers at the same time; raise the first error."""
+    results = await asyncio.gather(
+        *(read() for _ in range(count)), return_exceptions=True
+    )
+    errors = [error for error in results if error is not None]
+    if errors:
+        raise errors[0]
+
+
+async def guard_report(address, count=1):
+    """Poll the engine beside a guard, which does so once at a time."""
     await EngineReports(StubAdapter(), address, lambda report: None).poll()
 
 
-async def sidecar_answer(address):
-    """Read the answer to a request."""
-    call = Call(
+def make_call():
+    """Return a call of a sidecar."""
+    return Call(
         request_id="request-1",
         grant=1,
         incarnation=1,
@@ -163,10 +179,18 @@
         deadline_at=0.0,
         context=SpanContext(),
     )
-    async with closing(UpstreamClient(f"http://{address}")) as client:
-        async with client.open(call, b"") as answer:
+
+
+async def sidecar_answer(address, count=1):
+    """Read the answers to requests that run at the same time."""
+
+    async def read():
+        async with client.open(make_call(), b"") as answer:
             await _answers.read_complete(answer, client.bodies)
 
+    async with closing(UpstreamClient(f"http://{address}")) as client:
+        await at_once(read, count)
+
 
 async def sidecar_is_up(address):
     """Check whether an engine has crashed."""
@@ -232,16 +256,19 @@
     return request, AcceptedGrant(peer, 1, 1)
 
 
-async def entry_answer(address):
-    """Read the answer of a sidecar."""
-    request, accepted = request_and_grant(address)
-    async with closing(Dispatcher(NO_TLS, Suspects())) as dispatcher:
-        delivery = await dispatcher.send(request, accepted)
+async def entry_answer(address, count=1):
+    """Read answers of a sidecar at the same time."""
+
+    async def read():
+        delivery = await dispatcher.send(*request_and_grant(address))
         try:
             await delivery.read_body()
         finally:
             delivery.close()
 
+    async with closing(Dispatcher(NO_TLS, Suspects())) as dispatcher:
+        await at_once(read, count)
+
 
 async def entry_outcome(address):
     """Ask a sidecar for the outcome of a request."""
@@ -315,6 +342,25 @@
             assert server.sent <= most
 
 
+@pytest.mark.parametrize("answer", ["chunked body", "length", "interim responses"])
+@pytest.mark.parametrize("reader", ["guard report", "sidecar answer", "entry answer"])
+class TestMemory:
+    """Servers that send bytes without end to one process at the same time."""
+
+    # Guards against a process that exceeds its memory, although each answer is bounded.
+    async def test_peak(self, reader, answer):
+        """The process holds no more than its part of a node's memory."""
+        async with Endless(*ANSWERS[answer]) as server:
+            tracemalloc.start()
+            try:
+                with contextlib.suppress(*EXPECTED):
+                    await READERS[reader](server.address, count=MANY)
+                _, peak = tracemalloc.get_traced_memory()
+            finally:
+                tracemalloc.stop()
+        assert peak <= MOST_HELD
+
+
 class TestSlowAnswers:
     """A server that sends a byte at a time."""
 
