--- a/packages/skylarkdoor/src/skylarkdoor/_bounded_http.py
+++ b/packages/skylarkdoor/src/skylarkdoor/_bounded_http.py
@@ -66,6 +66,26 @@
         self.max_total_bytes = max_total_bytes
         self.used = 0
 
+    def add(self, received: int, body: int) -> None:
+        """Count received bytes.
+
+        Args:
+            received: The bytes.
+            body: Bytes of their body so far, including these.
+
+        Raises:
+            BodyTooLargeError: The body, or all bodies together, are too large.
+        """
+        self.used += received
+        if body > self.max_body_bytes:
+            raise BodyTooLargeError("the response is too large")
+        if self.used > self.max_total_bytes:
+            raise BodyTooLargeError("all responses together are too large")
+
+    def release(self, body: int) -> None:
+        """Stop counting a body that was received, or given up."""
+        self.used -= body
+
     async def read(self, response: aiohttp.ClientResponse) -> bytes:
         """Return the complete body of a response.
 
@@ -79,14 +99,10 @@
             while chunk := await read_chunk(response):
                 chunks.append(chunk)
                 size += len(chunk)
-                self.used += len(chunk)
-                if size > self.max_body_bytes:
-                    raise BodyTooLargeError("the response is too large")
-                if self.used > self.max_total_bytes:
-                    raise BodyTooLargeError("all responses together are too large")
+                self.add(len(chunk), size)
             return b"".join(chunks)
         finally:
-            self.used -= size
+            self.release(size)
             # The traceback of an error would keep them.
             chunks.clear()
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_call.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_call.py
@@ -11,7 +11,13 @@
 import aiohttp
 from yarl import URL
 
-from skylarkdoor.bounded_http import BoundedConnector, on_read, open_session
+from skylarkdoor.bounded_http import (
+    BodyBudget,
+    BodyTooLargeError,
+    BoundedConnector,
+    on_read,
+    open_session,
+)
 from skylarkdoor.exceptions import ResponseLostError
 from skylarkdoor.failures import reason
 from skylarkdoor.kernel import Kernel
@@ -49,7 +55,7 @@
         bounds: Bounds on the sizes of answers.
 
     Attributes:
-        used: Bytes of all bodies.
+        budget: Bounds the bytes of all bodies.
         reserved: Bytes of the bodies of known length whose turn has come.
         has_room: Returns whether memory is left for a body of a length; None if held
             bytes are not bounded, so that none waits for its turn.
@@ -57,7 +63,7 @@
 
     def __init__(self, bounds: AnswerBounds) -> None:
         self.bounds = bounds
-        self.used = 0
+        self.budget = BodyBudget(bounds.max_body_bytes, bounds.max_buffered_bytes)
         self.reserved = 0
         self.has_room: Callable[[int], bool] | None = None
         self.turn = asyncio.Lock()
@@ -93,11 +99,10 @@
         Raises:
             AnswerTruncatedError: The body or all bodies together are too large.
         """
-        self.used += received
-        if body > self.bounds.max_body_bytes:
-            raise AnswerTruncatedError("the answer's body is too large")
-        if self.used > self.bounds.max_buffered_bytes:
-            raise AnswerTruncatedError("the bodies of all answers are too large")
+        try:
+            self.budget.add(received, body)
+        except BodyTooLargeError as error:
+            raise AnswerTruncatedError(str(error)) from None
 
 
 class Answer:
@@ -173,7 +178,7 @@
                 self.buffer.add(len(chunk), size)
             return b"".join(chunks)
         finally:
-            self.buffer.used -= size
+            self.buffer.budget.release(size)
             # The traceback of an error would keep them.
             chunks.clear()
             self.buffer.release(length)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
@@ -97,7 +97,7 @@
         self.busy_connections: set[object] = set()
         self.all_idle = asyncio.Event()
         self.held = HeldBytes(settings.memory.bound())
-        self.held.receiving = lambda: dependencies.client.buffer.used
+        self.held.receiving = lambda: dependencies.client.buffer.budget.used
         if self.held.max_bytes is not None:
             dependencies.client.buffer.has_room = self.held.has_answer_room
         self.connections = CallerConnections(self.held)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_fleet.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_fleet.py
@@ -14,6 +14,7 @@
     ConfigVersion,
     MissingUpstream,
     UnusedConfig,
+    state_of,
 )
 from skylarkdoord.direct._metrics import (
     CONFIG_REJECTED,
@@ -265,7 +266,7 @@
                 version=row.version,
                 source=source,
                 service=record.service if record else "",
-                state=_state(record),
+                state=state_of(record),
             )
 
     def add_occupant(self, record: UpstreamRecord) -> None:
@@ -396,9 +397,3 @@
 
 def _problem(error: Exception) -> str:
     return str(error) if isinstance(error, RowError) else reason(error)
-
-
-def _state(record: UpstreamRecord | None) -> str:
-    if record is None:
-        return "gone"
-    return "leaving" if record.is_draining else "ready"
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_fleet_rows.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_fleet_rows.py
@@ -82,3 +82,10 @@
 
     until: float
     absent_at: StoreVersion
+
+
+def state_of(record: UpstreamRecord | None) -> str:
+    """Return the state of an upstream in logs; None stands for one without a record."""
+    if record is None:
+        return "gone"
+    return "leaving" if record.is_draining else "ready"
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
@@ -12,11 +12,12 @@
 
 from skylarkdoor import events
 from skylarkdoord import _events
-from skylarkdoord.direct._answer_relay import MIN_SERVER_ERROR_STATUS, AnswerRelay
+from skylarkdoord.direct._answer_relay import AnswerRelay
+from skylarkdoord.direct._attempt_results import AttemptResults
 from skylarkdoord.direct._choice import ANY_VERSION
 from skylarkdoord.direct._forward_dependencies import ForwarderDependencies
-from skylarkdoord.direct._metrics import CALLS, FIRST_EVENT, QUEUE_TIME
-from skylarkdoord.direct._model import MS_PER_S, Admitted, UpstreamRecord
+from skylarkdoord.direct._metrics import QUEUE_TIME
+from skylarkdoord.direct._model import Admitted, UpstreamRecord
 from skylarkdoord.direct._relay import CallerStream
 from skylarkdoord.direct._request_retries import RequestRetries
 from skylarkdoord.direct._send_checks import UNAVAILABLE_RETRY_AFTER_S, SendChecks
@@ -43,8 +44,6 @@
 FIRST_BYTE_TIMEOUT_TARGET_FACTOR = 2.0
 FIRST_BYTE_TIMEOUT_AVERAGE_FACTOR = 6.0
 MIN_ERROR_STATUS = 400
-# A caller that disconnects sooner than this does not count against the upstream.
-MIN_SILENCE_S = 1.0
 
 
 class Forwarder:
@@ -70,6 +69,7 @@
         fingerprint: Identifies the request and its repeats.
         parts: Parts of its prompt that other requests may share.
         checks: Checks that the request may be sent.
+        results: Records the results of its attempts.
     """
 
     def __init__(
@@ -106,6 +106,9 @@
             dependencies, admitted, self.fingerprint, self.parts, self.retries
         )
         self.log = events.get_logger("direct.forward")
+        self.results = AttemptResults(
+            dependencies, admitted, self.stream, self.fingerprint, self.parts
+        )
 
     async def serve(self) -> web.StreamResponse:
         """Forward the request and return the answer, or abort an answer under way.
@@ -152,23 +155,16 @@
                 self.on_not_run(slot, error)
             except UpstreamFailedError as error:
                 self.runs += 1
-                self.dependencies.upstreams.on_answer(slot.upstream, is_error=True)
-                self.log_step(slot, "failed", began, status=error.response.status)
+                self.results.on_failed(slot, error.response.status, began)
                 if not self.may_run_again():
                     return error.response
             except (UpstreamSilentError, AnswerTruncatedError) as error:
-                self.on_answer_lost(slot, error)
+                self.runs += 1
+                self.results.on_lost(slot, error)
                 if not self.may_run_again():
                     raise OutcomeUnknownError(str(error)) from None
             except TimeoutError:
-                self.log_step(slot, "timeout", began)
-                self.dependencies.crashes.on_unanswered(
-                    slot.upstream.record, self.fingerprint, self.parts
-                )
-                if not self.stream.has_begun:
-                    self.dependencies.upstreams.on_timeout(
-                        slot.upstream, "timeout", since=began
-                    )
+                self.results.on_timeout(slot, began)
                 raise
             finally:
                 self.dependencies.scheduler.release(slot, is_answered=is_answered)
@@ -233,7 +229,7 @@
                 raise OutcomeUnknownError(str(error)) from None
             raise
         except asyncio.CancelledError:
-            self.log_step(None, "left", began)
+            self.results.log_step(None, "left", began)
             raise
 
     async def attempt(self, slot: Slot) -> web.StreamResponse:
@@ -246,7 +242,7 @@
         self.is_sent = True
         self.tried_instances.add(upstream.instance)
         began = time.monotonic()
-        self.log_step(slot, "sent", began)
+        self.results.log_step(slot, "sent", began)
         self.dependencies.crashes.add_in_flight(
             upstream.record, self.fingerprint, self.parts
         )
@@ -260,32 +256,13 @@
                 )
                 observed.status = response.status
         except asyncio.CancelledError:
-            self.on_caller_disconnect(slot, time.monotonic() - began)
+            self.results.on_left(slot, time.monotonic() - began)
             raise
         finally:
             self.dependencies.crashes.remove_in_flight(
                 upstream.record, self.fingerprint
             )
-        first_byte_at = self.stream.began_at if self.stream.has_begun else began
-        is_error = response.status >= MIN_SERVER_ERROR_STATUS
-        self.dependencies.upstreams.on_answer(upstream, is_error=is_error)
-        self.dependencies.upstreams.on_success(upstream)
-        if not is_error:
-            self.dependencies.crashes.on_answered(
-                self.fingerprint, began, self.parts, first_byte_at
-            )
-        first_byte_s = 0.0
-        if self.stream.has_begun:
-            first_byte_s = self.stream.began_at - began
-            self.dependencies.upstreams.on_first_byte(upstream, first_byte_s)
-            FIRST_EVENT.labels(str(self.admitted.rank)).observe(first_byte_s)
-        self.log_step(
-            slot,
-            "answered",
-            began,
-            status=response.status,
-            first_ms=round(first_byte_s * MS_PER_S),
-        )
+        self.results.on_answered(slot, response.status, began)
         return response
 
     def first_byte_deadline(self) -> float:
@@ -339,22 +316,6 @@
                 raise
             raise FirstByteTimeoutError("first byte timed out") from None
 
-    def on_caller_disconnect(self, slot: Slot, waited_s: float) -> None:
-        """Count a failure of the upstream if the caller got no answer for too long.
-
-        The wait must exceed four times the service's average time to the first byte.
-        """
-        self.log_step(slot, "left", time.monotonic() - waited_s)
-        self.dependencies.crashes.on_unanswered(
-            slot.upstream.record, self.fingerprint, self.parts
-        )
-        average_s = self.dependencies.upstreams.average_first_byte_s(
-            self.admitted.service
-        )
-        if not self.stream.has_begun and waited_s > max(MIN_SILENCE_S, 4 * average_s):
-            since = time.monotonic() - waited_s
-            self.dependencies.upstreams.on_timeout(slot.upstream, "silent", since=since)
-
     def on_event(self, upstream: UpstreamRecord, observed: ObservedAttempt) -> None:
         """Called before each event of a stream is passed on."""
         observed.on_stream_event()
@@ -367,7 +328,7 @@
         )
 
     def on_not_run(self, slot: Slot, error: UpstreamNotRunError) -> None:
-        """Record why an upstream did not run the request, and check for a retry.
+        """Check for a retry after an upstream did not run the request.
 
         Raises:
             NotRunError: No further attempt is allowed, and the request has not run.
@@ -375,14 +336,7 @@
                 have run in an earlier one.
         """
         self.is_sent = False
-        if error.code == "full":
-            self.dependencies.upstreams.on_full(slot.upstream)
-        elif error.code == "moved":
-            self.dependencies.upstreams.on_moved(slot.upstream)
-            self.dependencies.crashes.on_replaced(slot.upstream.record)
-        else:
-            self.dependencies.upstreams.on_unreachable(slot.upstream, error.code)
-        self.log_step(slot, error.code, time.monotonic())
+        self.results.on_not_run(slot, error)
         if self.sends < MAX_SENDS and self.retries.approve(reached=error.reached):
             return
         if self.runs:
@@ -393,15 +347,6 @@
             retry_after_s=UNAVAILABLE_RETRY_AFTER_S,
         )
 
-    def on_answer_lost(self, slot: Slot, error: Exception) -> None:
-        """Record that an upstream's answer was lost or incomplete."""
-        self.runs += 1
-        self.dependencies.upstreams.on_answer_lost(slot.upstream, str(error))
-        self.dependencies.crashes.on_answer_lost(
-            slot.upstream.record, self.fingerprint, self.parts
-        )
-        self.log_step(slot, "lost", time.monotonic(), error=str(error))
-
     def may_run_again(self) -> bool:
         """Return whether the request may run again; if so, count the retry."""
         route = self.admitted.route
@@ -425,32 +370,3 @@
             runs=self.runs,
         )
         return self.stream.abort()
-
-    def log_step(
-        self, slot: Slot | None, step: str, since: float, **fields: object
-    ) -> None:
-        """Log and count a step of the request, with its upstream if it has a slot."""
-        admitted = self.admitted
-        CALLS.labels(admitted.service, step).inc()
-        if slot is not None:
-            fields |= {
-                "upstream": slot.upstream.instance,
-                "version": slot.upstream.record.version,
-                "last_event": self.stream.last_id
-                or admitted.request.last_event_id
-                or None,
-                "waited_ms": round(slot.waited_s * MS_PER_S),
-                "running": slot.upstream.running,
-            }
-        self.log.event(
-            _events.REQUEST_STEP,
-            request_id=admitted.request.request_id,
-            fingerprint=f"{self.fingerprint:016x}",
-            step=step,
-            route=admitted.route.name,
-            rank=admitted.rank,
-            took_ms=round((time.monotonic() - since) * MS_PER_S),
-            config_version=admitted.version,
-            **admitted.request.size_fields(),
-            **fields,
-        )
