--- a/packages/skylarkdoord/tests/test_endless_answers.py
+++ b/packages/skylarkdoord/tests/test_endless_answers.py
@@ -11,7 +11,6 @@
 
 import aiohttp
 import pytest
-from multidict import CIMultiDict
 
 from skylarkdoor.clients import (
     EtcdTable,
@@ -31,11 +30,12 @@
 from skylarkdoord.exceptions import DaemonError
 from skylarkdoord.planner._engine import EngineClient, Order
 from skylarkdoord.sidecar import _answers
-from skylarkdoord.sidecar._call import Call
 from skylarkdoord.sidecar._health import UpstreamWatch
 from skylarkdoord.sidecar._owners import HttpOwners
 from skylarkdoord.sidecar._upstream import UpstreamClient
 
+from .sidecar.test_upstream import make_call
+
 MIB = 1024 * 1024
 NOISE = b"q7Z" * 20_000
 # Most bytes that a server may get rid of in an answer: those that are accepted, and
@@ -159,27 +159,6 @@
     await EngineReports(StubAdapter(), address, lambda report: None).poll()
 
 
-def make_call():
-    """Return a call of a sidecar."""
-    return Call(
-        request_id="request-1",
-        grant=1,
-        incarnation=1,
-        method="GET",
-        path="/packets/1",
-        headers=CIMultiDict(),
-        idempotent=True,
-        streamed=False,
-        identity="",
-        fingerprint=1,
-        crashes=(),
-        tier=0,
-        prompt_tokens=0,
-        deadline_at=0.0,
-        context=SpanContext(),
-    )
-
-
 async def sidecar_answer(address, count=1):
     """Read the answers to requests that run at the same time."""
 
--- a/tests/adapter/test_odd_messages.py
+++ b/tests/adapter/test_odd_messages.py
@@ -37,6 +37,17 @@
     return calls
 
 
+async def check_followed(start, store, data):
+    """Check that an entry serves, and takes over rows, after one with some contents."""
+    async with Server(reply()) as one, Server(reply()) as two:
+        async with start([DESK], [one]) as caller:
+            await store.put("servers", "i-odd", data)
+            await store.put("servers", "i-2", server_row(two))
+            await caller.entry.until_serving(2)
+            assert (await caller.get())[0] == 200
+            assert not caller.entry.kernel.stopping.is_set()
+
+
 class TestOddRows:
     """Rows of another writer among those of the servers."""
 
@@ -48,13 +59,7 @@
     )
     async def test_list_is_followed(self, start, store, data):
         """The entry goes on serving, and takes over the rows written afterwards."""
-        async with Server(reply()) as one, Server(reply()) as two:
-            async with start([DESK], [one]) as caller:
-                await store.put("servers", "i-odd", data)
-                await store.put("servers", "i-2", server_row(two))
-                await caller.entry.until_serving(2)
-                assert (await caller.get())[0] == 200
-                assert not caller.entry.kernel.stopping.is_set()
+        await check_followed(start, store, data)
 
     # Guards against odd numbers and ports that fail only where they are used.
     @pytest.mark.parametrize(
@@ -109,13 +114,7 @@
         monkeypatch.setattr(untrusted_json, "loads", json.loads)
         with pytest.raises(RecursionError):
             _records.decode_upstream("i-odd", NESTED)
-        async with Server(reply()) as one, Server(reply()) as two:
-            async with start([DESK], [one]) as caller:
-                await store.put("servers", "i-odd", NESTED)
-                await store.put("servers", "i-2", server_row(two))
-                await caller.entry.until_serving(2)
-                assert (await caller.get())[0] == 200
-                assert not caller.entry.kernel.stopping.is_set()
+        await check_followed(start, store, NESTED)
 
 
 class TestFailingTasks:
