Settings: a process that was ready stays ready when a peer leaves

Cause: during the second after its first settings, an entry counted as ready only while some open stream had stated revisions and none was missing. When the only such sidecar shut down, or any peer stated a newer revision, the entry was not ready again, for the rest of that second, at /readyz and towards callers.

Change: once ready, settings stay ready.

--- a/packages/skylarkdoord/src/skylarkdoord/common/_settings.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_settings.py
@@ -44,6 +44,7 @@
         highest_revisions: Highest revision received for each path, valid or not.
         rejected_revisions: Rejected revisions that are newer than the active one, for
             each path that has any.
+        was_ready: Whether `is_ready` has returned true.
     """
 
     name = "settings"
@@ -58,6 +59,7 @@
         self.listeners: list[Callable[[Subtree], None]] = []
         self.exchanges = SettingsExchanges(self)
         self.ready_at: float | None = None
+        self.was_ready = False
         self.log = events.get_logger("settings")
 
     async def start(self, kernel: Kernel) -> None:
@@ -74,14 +76,18 @@
         self.exchanges.close()
 
     def is_ready(self) -> bool:
-        """Return whether the fleet's settings are active and up to date with peers.
+        """Return whether the fleet's settings were active and up to date with peers.
 
         Peers that do not send their revisions or settings within
-        `PEER_SYNC_TIMEOUT_S` are not waited for.
+        `PEER_SYNC_TIMEOUT_S` are not waited for. Once ready, the process stays ready:
+        a stream that ends and a newer revision are normal operation.
         """
         if self.ready_at is None:
             return False
-        return self.exchanges.is_synchronized or time.monotonic() >= self.ready_at
+        is_overdue = time.monotonic() >= self.ready_at
+        if is_overdue or self.exchanges.is_synchronized:
+            self.was_ready = True
+        return self.was_ready
 
     def revisions(self) -> dict[str, int]:
         """Return the active revision of each subtree by path."""
