Direct dispatch: a process ends within its shutdown timeout, whatever hangs

Cause: the drain of callers ends 1 s before the shutdown timeout, and then each service stopped in turn without a bound. With a store that hangs, the removals of the entry's row and of its record of limits took 1.5 s each; the metrics listener blocked for up to 0.5 s.

Change: the kernel interrupts services that have not stopped 0.3 s before the timeout and logs which (event 111); the listener's thread ends by itself. The own interface's processes have no such bound, as their drain may take minutes.

TestHangingStore: both cases red before. Ruled out for guards: their only thread reads the engine for at most 2 s.

--- a/packages/skylarkdoor/src/skylarkdoor/_events.py
+++ b/packages/skylarkdoor/src/skylarkdoor/_events.py
@@ -124,6 +124,9 @@
     logging.INFO,
     "A library reported that a connection has ended.",
 )
+SERVICE_INTERRUPTED = define(
+    111, "service_interrupted", logging.WARNING, "A service did not stop in time."
+)
 LINES_DROPPED = define(
     105,
     "lines_dropped",
--- a/packages/skylarkdoor/src/skylarkdoor/_kernel.py
+++ b/packages/skylarkdoor/src/skylarkdoor/_kernel.py
@@ -47,6 +47,9 @@
     A supervised task that fails is started anew. Any other task that fails ends the
     process in an orderly way: `run` stops every service and raises all failures as one
     group.
+
+    Attributes:
+        stop_timeout_s: Longest duration of `stop`, in seconds; None if it has no limit.
     """
 
     def __init__(self) -> None:
@@ -55,6 +58,7 @@
         self.tasks: set[asyncio.Task[Any]] = set()
         self.failures: list[BaseException] = []
         self.stopping = asyncio.Event()
+        self.stop_timeout_s: float | None = None
         self.log = events.get_logger("kernel")
 
     def register(self, service: Service) -> None:
@@ -198,20 +202,35 @@
     async def stop(self) -> None:
         """Stop the started services in reverse order, then cancel all tasks.
 
+        Services that are not stopped within `stop_timeout_s` are interrupted.
+
         Raises:
             ExceptionGroup: A service failed to stop, or a task failed earlier.
         """
+        deadline = self._stop_deadline()
         while self.started:
-            service = self.started.pop()
-            try:
-                await service.stop()
-            except Exception as error:
-                self.failures.append(error)
+            await self._stop_service(self.started.pop(), deadline)
         await end_tasks(self.tasks)
         failures = [error for error in self.failures if isinstance(error, Exception)]
         if failures:
             raise ExceptionGroup("services or tasks failed", failures)
 
+    def _stop_deadline(self) -> float | None:
+        if self.stop_timeout_s is None:
+            return None
+        return asyncio.get_running_loop().time() + self.stop_timeout_s
+
+    async def _stop_service(self, service: Service, deadline: float | None) -> None:
+        timeout = asyncio.timeout_at(deadline)
+        try:
+            async with timeout:
+                await service.stop()
+        except Exception as error:
+            if timeout.expired():
+                self.log.event(events.SERVICE_INTERRUPTED, service=service.name)
+            else:
+                self.failures.append(error)
+
     async def run(self) -> None:
         """Start the services, wait for `request_stop` or a failure, then stop.
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_metrics.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_metrics.py
@@ -233,7 +233,13 @@
         return True
 
     async def stop(self) -> None:
-        """Close the listener."""
+        """Close the listener, without a wait for the end of its thread."""
         if self.server is not None:
-            self.server.shutdown()
-            self.server.server_close()
+            closing = threading.Thread(target=close, args=(self.server,), daemon=True)
+            closing.start()
+
+
+def close(server: WSGIServer) -> None:
+    """Close a listener and its thread; this takes up to half a second."""
+    server.shutdown()
+    server.server_close()
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_settings.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_settings.py
@@ -28,6 +28,8 @@
 HELD_SHARE = 0.5
 # Smallest derived bound, at which an entry still serves requests one by one.
 MIN_HELD_BYTES = 4 * BYTES_PER_MB
+# Part of the shutdown in which the process exits after its services have stopped.
+EXIT_MARGIN_S = 0.3
 
 
 class DirectListen(NamedTuple):
@@ -202,6 +204,11 @@
     shutdown_timeout_s: Seconds = 8.0
     log_level: Literal["debug", "info", "warning", "error"] = "info"
 
+    @property
+    def stop_timeout_s(self) -> float:
+        """Longest time for stopping the services, in seconds."""
+        return max(self.shutdown_timeout_s - EXIT_MARGIN_S, 0.0)
+
 
 def load_direct(path: str | Path) -> DirectSettings:
     """Read and validate the settings file of a process.
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -57,6 +57,7 @@
     Returns:
         A function that applies changed settings to the running services.
     """
+    kernel.stop_timeout_s = settings.stop_timeout_s
     adapter = load_adapter(settings.adapter)
     store = adapter.open_store(settings.store)
     fleet = Fleet(adapter)
@@ -190,5 +191,6 @@
         quota.bounds = changed.quota
         watcher.return_after_s = changed.return_after_s
         callers.shutdown_timeout_s = changed.shutdown_timeout_s
+        kernel.stop_timeout_s = changed.stop_timeout_s
 
     return apply
--- a/packages/skylarkdoord/src/skylarkdoord/direct/guard.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/guard.py
@@ -22,6 +22,7 @@
         A function that ignores changed settings, as a guard applies none while it
         runs.
     """
+    kernel.stop_timeout_s = settings.stop_timeout_s
     kernel.register(MetricsServer(settings))
     guard = Guard(settings)
     kernel.register(guard)
--- a/tests/adapter/_standins.py
+++ b/tests/adapter/_standins.py
@@ -407,7 +407,7 @@
 
     async def __aenter__(self):
         """Start the services."""
-        build(self.kernel, self.settings)
+        self.apply = build(self.kernel, self.settings)
         await self.kernel.start()
         return self
 
--- a/tests/adapter/test_shutdown.py
+++ b/tests/adapter/test_shutdown.py
@@ -1,6 +1,7 @@
 """Tests of an entry's shutdown."""
 
 import asyncio
+import contextlib
 import socket
 
 import aiohttp
@@ -119,6 +120,11 @@
     await asyncio.sleep(60)
 
 
+async def never_answer(request):
+    """Never answer a call of the store."""
+    await asyncio.sleep(60)
+
+
 class TestEndOfGrace:
     """Requests that are still there when the shutdown timeout ends."""
 
@@ -207,3 +213,30 @@
                 async with asyncio.timeout(2.0):
                     await self.stop(caller)
                 assert (await task)[0] == 502
+
+
+class TestHangingStore:
+    """The shutdown of a whole entry while the store answers no write."""
+
+    TIMEOUT_S = 3.0
+
+    # Guards against a process that is killed because it outlasts the shutdown timeout.
+    @pytest.mark.parametrize("runs_stream", [False, True])
+    async def test_ends_in_time(self, start, store, runs_stream):
+        """It ends within the timeout, also with a stream under way."""
+        endless = stream(range(1, 1000), pause_s=0.1)
+        async with Server(endless) as server, contextlib.AsyncExitStack() as stack:
+            routes = [route(routeType="streaming", maxAttempts=1, timeoutMs=20_000)]
+            caller = await stack.enter_async_context(start(routes, [server]))
+            entry = caller.entry
+            entry.kernel.services["limit_records"].has_written = True
+            entry.apply(entry.settings._replace(shutdown_timeout_s=self.TIMEOUT_S))
+            if runs_stream:
+                limit = {"Deadline-Ms": "20000"}
+                stack.enter_context(contextlib.suppress(aiohttp.ClientError))
+                await stack.enter_async_context(
+                    caller.request("/desk/1", headers=limit)
+                )
+            store.on_commit = never_answer
+            async with asyncio.timeout(self.TIMEOUT_S):
+                await entry.kernel.stop()
