--- a/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_forward.py
@@ -21,7 +21,6 @@
 from skylarkdoord.direct._relay import CallerStream
 from skylarkdoord.direct._request_retries import RequestRetries
 from skylarkdoord.direct._send_checks import UNAVAILABLE_RETRY_AFTER_S, SendChecks
-from skylarkdoord.direct._stream_binding import StreamBinding
 from skylarkdoord.direct._waiting import Slot
 from skylarkdoord.direct.evidence import fingerprint_of, shared_parts
 from skylarkdoord.direct.exceptions import (
@@ -34,6 +33,7 @@
     VersionGoneError,
 )
 from skylarkdoord.direct.rollout_services import ObservedAttempt
+from skylarkdoord.direct.streams import StreamBinding
 from skylarkdoord.exceptions import NotRunError, OutcomeUnknownError
 
 # Limits how often one request is sent, including attempts that did not run it.
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_forward_dependencies.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_forward_dependencies.py
@@ -8,10 +8,10 @@
 from skylarkdoord.direct._call import UpstreamClient
 from skylarkdoord.direct._quota import Quota
 from skylarkdoord.direct._scheduler import Scheduler
-from skylarkdoord.direct._stream_versions import StreamVersions
 from skylarkdoord.direct._upstreams import Upstreams
 from skylarkdoord.direct.evidence import Crashes
 from skylarkdoord.direct.rollout_services import RolloutAttempts
+from skylarkdoord.direct.streams import StreamVersions
 
 
 class ForwarderDependencies(NamedTuple):
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guard.py
@@ -29,7 +29,6 @@
 from skylarkdoord.direct._occupancy import SETTLE_S, Occupancy, Sample
 from skylarkdoord.direct._pace import Pace, guard_heartbeat_s
 from skylarkdoord.direct._settings import DirectSettings
-from skylarkdoord.direct._stream_records import StreamRecords
 from skylarkdoord.direct.shares import (
     Demand,
     FairOrder,
@@ -39,6 +38,7 @@
     TokenMemory,
     is_weight,
 )
+from skylarkdoord.direct.streams import StreamRecords
 
 REPORT_INTERVAL_S = 0.1
 # Largest number of entries that receive a report within that interval. With more
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_guarded_streams.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_guarded_streams.py
@@ -6,7 +6,7 @@
 from skylarkdoor.wire import pb
 from skylarkdoord.direct._guard_link import GuardLink
 from skylarkdoord.direct._guards import Guards
-from skylarkdoord.direct._stream_versions import StreamVersions
+from skylarkdoord.direct.streams import StreamVersions
 
 # Guards that keep a stream; two, so that one may be lost with its engine.
 GUARDS_KEEPING_A_STREAM = 2
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_members.py
@@ -20,9 +20,9 @@
 from skylarkdoord.direct._pace import MAX_HEARTBEAT_S
 from skylarkdoord.direct._quota import Quota
 from skylarkdoord.direct._row_exchange import RowExchange
-from skylarkdoord.direct._stream_versions import StreamVersions
 from skylarkdoord.direct._upstream_limits import UpstreamLimits
 from skylarkdoord.direct.evidence import Crashes
+from skylarkdoord.direct.streams import StreamVersions
 
 UPDATE_INTERVAL_S = 0.2
 # With more other entries than this, the interval grows in proportion to their number,
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -25,7 +25,6 @@
 from skylarkdoord.direct._retry_report import RetryReport
 from skylarkdoord.direct._scheduler import Scheduler
 from skylarkdoord.direct._settings import DirectSettings
-from skylarkdoord.direct._stream_versions import StreamVersions
 from skylarkdoord.direct._upstream_limits import UpstreamLimits
 from skylarkdoord.direct._upstreams import Upstreams
 from skylarkdoord.direct._watch import FleetWatcher
@@ -38,6 +37,7 @@
 )
 from skylarkdoord.direct.rollouts import RolloutBounds, RolloutGate
 from skylarkdoord.direct.shares import LeaveCosts
+from skylarkdoord.direct.streams import StreamVersions
 
 __all__ = ["build"]
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_stream_binding.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/streams/_binding.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from skylarkdoord.direct._model import Admitted, UpstreamRecord
-from skylarkdoord.direct._stream_versions import StreamVersions
+from skylarkdoord.direct.streams._versions import StreamVersions
 
 
 class StreamBinding:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_stream_versions.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/streams/_versions.py
@@ -18,14 +18,14 @@
 from skylarkdoord.direct._fleet import Fleet
 from skylarkdoord.direct._metrics import STREAMS_RESUMED
 from skylarkdoord.direct._model import Admitted
-from skylarkdoord.direct._stream_records import (
+from skylarkdoord.direct.exceptions import VersionUnknownError
+from skylarkdoord.direct.streams._history import VersionHistory
+from skylarkdoord.direct.streams._records import (
     StreamKey,
     StreamRecords,
     key_of,
     to_wire,
 )
-from skylarkdoord.direct._version_history import VersionHistory
-from skylarkdoord.direct.exceptions import VersionUnknownError
 
 # Bounds on the streams that an entry keeps; later, others are asked.
 RETENTION_S = 60.0
--- a/packages/skylarkdoord/tests/direct/test_listeners.py
+++ b/packages/skylarkdoord/tests/direct/test_listeners.py
@@ -10,9 +10,8 @@
 from skylarkdoord.direct._call import UpstreamClient
 from skylarkdoord.direct._fleet import CONFIG, UPSTREAMS, Fleet
 from skylarkdoord.direct._guards import Guards
-from skylarkdoord.direct._stream_records import key_of
-from skylarkdoord.direct._stream_versions import StreamVersions
 from skylarkdoord.direct._watch import FleetWatcher
+from skylarkdoord.direct.streams import StreamVersions, key_of
 
 from ._make import make_admitted, make_record, make_settings
 from .test_fleet import Settings, StubAdapter, StubStore, rows
--- a/packages/skylarkdoord/tests/direct/test_stream_versions.py
+++ b/packages/skylarkdoord/tests/direct/test_stream_versions.py
@@ -8,20 +8,21 @@
 
 from skylarkdoor.hashing import rendezvous
 from skylarkdoor.wire import pb
-from skylarkdoord.direct import _stream_versions
 from skylarkdoord.direct._guard import MAX_STREAMS as MAX_GUARDED_STREAMS
 from skylarkdoord.direct._guarded_streams import (
     GUARDS_KEEPING_A_STREAM,
     MAX_GUARDS_ASKED,
     GuardedStreams,
 )
-from skylarkdoord.direct._stream_records import StreamRecords, key_of, to_wire
-from skylarkdoord.direct._stream_versions import (
-    MAX_STREAMS,
-    RETENTION_S,
+from skylarkdoord.direct.exceptions import VersionUnknownError
+from skylarkdoord.direct.streams import (
+    StreamRecords,
     StreamVersions,
+    _versions,
+    key_of,
+    to_wire,
 )
-from skylarkdoord.direct.exceptions import VersionUnknownError
+from skylarkdoord.direct.streams._versions import MAX_STREAMS, RETENTION_S
 
 from ._make import (
     SERVICE,
@@ -65,10 +66,10 @@
 @pytest.fixture(autouse=True)
 def no_waiting(monkeypatch):
     """Wait only briefly for other entries."""
-    monkeypatch.setattr(_stream_versions, "ASK_TIMEOUT_S", 0.01)
-    monkeypatch.setattr(_stream_versions, "CONTRADICTION_TIMEOUT_S", 0.002)
-    monkeypatch.setattr(_stream_versions, "OPENING_TIMEOUT_S", 0.01)
-    monkeypatch.setattr(_stream_versions, "OPENING_POLL_S", 0.002)
+    monkeypatch.setattr(_versions, "ASK_TIMEOUT_S", 0.01)
+    monkeypatch.setattr(_versions, "CONTRADICTION_TIMEOUT_S", 0.002)
+    monkeypatch.setattr(_versions, "OPENING_TIMEOUT_S", 0.01)
+    monkeypatch.setattr(_versions, "OPENING_POLL_S", 0.002)
 
 
 @pytest.fixture
@@ -324,7 +325,7 @@
 
     async def test_opened_meanwhile(self, streams, monkeypatch):
         """Another entry that connects during a look-up is asked as well."""
-        monkeypatch.setattr(_stream_versions, "OPENING_TIMEOUT_S", 1.0)
+        monkeypatch.setattr(_versions, "OPENING_TIMEOUT_S", 1.0)
         opening = [True]
         streams.is_opening.append(lambda service: bool(opening))
         waiting = asyncio.create_task(found(streams, attempt("b", resumes="a")))
@@ -441,7 +442,7 @@
 
     async def test_connected_later(self, streams, fleet, clock, monkeypatch):
         """A guard that connects during a look-up is asked."""
-        monkeypatch.setattr(_stream_versions, "OPENING_TIMEOUT_S", 1.0)
+        monkeypatch.setattr(_versions, "OPENING_TIMEOUT_S", 1.0)
         link = StubLink("i-1")
         connect(streams, [link])
         streams.on_begun(attempt("a"), "v1", "i-1")
--- a/packages/skylarkdoord/tests/direct/test_streams.py
+++ b/packages/skylarkdoord/tests/direct/test_streams.py
@@ -25,10 +25,10 @@
 from skylarkdoord.direct._quota import Quota
 from skylarkdoord.direct._scheduler import Scheduler
 from skylarkdoord.direct._settings import QuotaBounds
-from skylarkdoord.direct._stream_versions import StreamVersions
 from skylarkdoord.direct._upstreams import Upstreams
 from skylarkdoord.direct.evidence import Crashes
 from skylarkdoord.direct.exceptions import StoreError, VersionUnknownError
+from skylarkdoord.direct.streams import StreamVersions
 
 from ._make import (
     LOOPBACK,
--- a/packages/skylarkdoord/tests/direct/test_version_announcement.py
+++ b/packages/skylarkdoord/tests/direct/test_version_announcement.py
@@ -7,9 +7,9 @@
 from skylarkdoord.direct._members import SILENT_RETENTION_S, Members
 from skylarkdoord.direct._quota import Quota
 from skylarkdoord.direct._settings import QuotaBounds
-from skylarkdoord.direct._stream_versions import StreamVersions
 from skylarkdoord.direct.entry import ANNOUNCEMENT_MARGIN
 from skylarkdoord.direct.evidence import Crashes
+from skylarkdoord.direct.streams import StreamVersions
 
 from ._make import SERVICE, Clock
 from .test_stream_versions import StubFleet
