--- a/packages/skylarkdoor/tests/test_kernel.py
+++ b/packages/skylarkdoor/tests/test_kernel.py
@@ -239,3 +239,24 @@
         kernel.register(GivingUp("b", calls, requires=("a",)))
         await kernel.run()
         assert calls == ["start a", "stop a"]
+
+
+class TestStopTimeout:
+    """The bound on the duration of a stop."""
+
+    # Guards against a process that is killed as one of its services hangs.
+    async def test_hanging_service(self, caplog):
+        """A service that hangs is interrupted; those after it are stopped."""
+        caplog.set_level("INFO", "skylarkdoor")
+        kernel, calls = Kernel(), []
+        kernel.stop_timeout_s = 0.05
+        hanging = Recorder("hanging", calls, requires=("first",))
+        hanging.stop = asyncio.Event().wait
+        kernel.register(Recorder("first", calls))
+        kernel.register(hanging)
+        await kernel.start()
+        async with asyncio.timeout(1.0):
+            await kernel.stop()
+        assert calls == ["start first", "start hanging", "stop first"]
+        lines = [r for r in caplog.records if r.event_name == "service_interrupted"]
+        assert [line.service for line in lines] == ["hanging"]
