Roll-outs: a slow write of the coordinator's row is logged

A good version was completed 6.04 s after its order, 6.0 s is the bound.

Timeline from the kept logs: order at 13.08, handover at 17.57, completed at 19.10 with "nothing runs on the old one", which is due from 5.4 s, that is 18.5 to 18.6, on. Ruled out: a process that stood still (no gap of over 0.16 s between lines, no loop_stalled); requests on the old version (the coordinator would have ended for another reason 0.1 s later); a lost store.

What is left: the renewal of the lease before it was slow, which delays the decision that is due meanwhile, or sets the coordinator's clock back if its answer was late. The logs of the failure can't tell these two, and don't show the write.

Change: writes of over 0.2 s are logged with the change of the clock (756). Not mended: a write just before the end can't be waited for and be quick.

--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -492,6 +492,12 @@
     logging.ERROR,
     "The store states another end of a roll-out than was decided.",
 )
+ROLLOUT_WRITE_SLOW = define(
+    756,
+    "rollout_write_slow",
+    logging.WARNING,
+    "The store took long to write the row of a roll-out; decisions wait for it.",
+)
 
 CONFIG_BEHIND = define(
     780,
--- a/packages/skylarkdoord/src/skylarkdoord/direct/rollout_services/_coordinator.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/rollout_services/_coordinator.py
@@ -9,6 +9,7 @@
 from skylarkdoor import events
 from skylarkdoord import _events
 from skylarkdoord.direct._adapter import Adapter, Store
+from skylarkdoord.direct._model import MS_PER_S
 from skylarkdoord.direct._store_calls import StoreCalls
 from skylarkdoord.direct.exceptions import StoreError
 from skylarkdoord.direct.rollout_services._lease import (
@@ -43,6 +44,8 @@
 MAX_HEARING_S = 0.4
 # Time before the end of the duration at which it waits no longer, in seconds.
 MIN_STATUS_S = 0.2
+# Writes that take longer than this are logged, in seconds.
+SLOW_WRITE_S = 0.2
 
 
 class RolloutCoordinator:
@@ -265,11 +268,13 @@
         """
         service = decision.order.service
         was_held = lease.is_held
+        began, offset_s = self.view.clock(), self.clock_offset_s
         clock_s = await lease.write(decision, self.now_s() + LEASE_S)
         if clock_s is None:
             self.called_at[service] = self.view.clock()
             return False
         self.on_store_answer(clock_s)
+        self.log_slow_write(service, began, self.clock_offset_s - offset_s)
         self.renewed_at[service] = self.view.clock()
         if not was_held:
             self.log.event(
@@ -282,6 +287,23 @@
         self.view.heard_at[service] = self.view.clock()
         return True
 
+    def log_slow_write(self, service: str, began: float, clock_change_s: float) -> None:
+        """Log a write that took long.
+
+        Args:
+            service: The service.
+            began: Monotonic time of the call, in seconds.
+            clock_change_s: Change in the difference of the store's clock, in seconds.
+        """
+        took_s = self.view.clock() - began
+        if took_s > SLOW_WRITE_S:
+            self.log.event(
+                _events.ROLLOUT_WRITE_SLOW,
+                service=service,
+                took_ms=round(took_s * MS_PER_S),
+                clock_ms=round(clock_change_s * MS_PER_S),
+            )
+
     async def verify(self, decision: Decision, lease: RolloutLease) -> None:
         """Make sure that the store has a final decision and its status.
 
