--- a/packages/skylarkdoord/tests/entry/test_dispatch.py
+++ b/packages/skylarkdoord/tests/entry/test_dispatch.py
@@ -12,6 +12,8 @@
 from skylarkdoord.entry._suspects import SuspectRelay
 from skylarkdoord.exceptions import NotRunError, OutcomeUnknownError
 
+from .._loopback import LoopbackServer
+
 GRANT = 7
 INCARNATION = 3
 # Time for which a request runs.
@@ -38,7 +40,7 @@
     return response("503 Unavailable", document, *fields)
 
 
-class RepeatingSidecar:
+class RepeatingSidecar(LoopbackServer):
     """A sidecar that refuses the first request and writes this refusal once more.
 
     It runs all others.
@@ -57,17 +59,6 @@
         self.dispatched = []
         self.repeated = b""
 
-    async def __aenter__(self):
-        """Listen on a free port."""
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        host, port = self.server.sockets[0].getsockname()
-        self.address = f"{host}:{port}"
-        return self
-
-    async def __aexit__(self, *exc):
-        """Close the listener."""
-        self.server.close()
-
     async def serve(self, reader, writer):
         """Serve the requests of one connection."""
         try:
--- a/packages/skylarkdoord/tests/test_endless_answers.py
+++ b/packages/skylarkdoord/tests/test_endless_answers.py
@@ -34,6 +34,7 @@
 from skylarkdoord.sidecar._owners import HttpOwners
 from skylarkdoord.sidecar._upstream import UpstreamClient
 
+from ._loopback import LoopbackServer
 from .sidecar.test_upstream import make_call
 
 MIB = 1024 * 1024
@@ -64,7 +65,7 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
-class Endless:
+class Endless(LoopbackServer):
     """A server that sends up to `LAST_SENT` bytes until a connection is closed.
 
     Args:
@@ -79,17 +80,6 @@
         self.pause_s = pause_s
         self.sent = 0
 
-    async def __aenter__(self):
-        """Listen on a free port."""
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        host, port = self.server.sockets[0].getsockname()
-        self.address = f"{host}:{port}"
-        return self
-
-    async def __aexit__(self, *exc):
-        """Close the listener."""
-        self.server.close()
-
     async def serve(self, reader, writer):
         """Serve one connection."""
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
