Callers' connections are kept in a table with their state

Cause: nothing knew how many connections callers hold, nor what each of them does, so neither descriptors nor unread bytes could be bounded over all of them.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_bounded_connection.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_bounded_connection.py
@@ -1,14 +1,11 @@
-"""Callers' connections, which are closed when too much arrives that is no message."""
+"""Callers' connections with what was written to them."""
 
 import math
 
-from aiohttp import web
-from aiohttp.web_protocol import RequestHandler
+from skylarkdoord.ingress import CallerConnection
 
-from skylarkdoor.bounded_http import ByteBound
 
-
-class BoundedRequestHandler(ByteBound, RequestHandler):  # type: ignore[misc]
+class BoundedRequestHandler(CallerConnection):
     """A caller's connection.
 
     Attributes:
@@ -48,11 +45,3 @@
     if connection.unsent_limit is not None and transport is not None:
         connection.unsent_limit = None
         transport.set_write_buffer_limits()
-
-
-class BoundedServer(web.Server):
-    """An HTTP server of bounded connections."""
-
-    def __call__(self) -> RequestHandler:
-        """Return the handler of a new connection."""
-        return BoundedRequestHandler(self, loop=self._loop, **self._kwargs)
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_caller_bodies.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_caller_bodies.py
@@ -12,6 +12,7 @@
 )
 from skylarkdoord.direct._held_bytes import BodyHold, HeldBytes
 from skylarkdoord.direct.exceptions import BadCallError
+from skylarkdoord.ingress import on_body_complete
 
 
 async def read_body(
@@ -61,6 +62,7 @@
         check_length(size, max_bytes)
         hold.grow_to(size)
         chunks.append(chunk)
+    on_body_complete(raw.protocol)
     return b"".join(chunks)
 
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
@@ -14,10 +14,7 @@
 from skylarkdoord._drain import cut_off
 from skylarkdoord._listening import open_site
 from skylarkdoord.direct._adapter import RawHead
-from skylarkdoord.direct._bounded_connection import (
-    BoundedRequestHandler,
-    BoundedServer,
-)
+from skylarkdoord.direct._bounded_connection import BoundedRequestHandler
 from skylarkdoord.direct._caller_bodies import read_body, write_whole
 from skylarkdoord.direct._caller_connections import CallerConnections
 from skylarkdoord.direct._first_attempts import FirstAttempts
@@ -39,6 +36,7 @@
     RouteAbsentError,
 )
 from skylarkdoord.exceptions import NotRunError, OutcomeUnknownError
+from skylarkdoord.ingress import ConnectionTable, Handler, IngressServer
 
 MAX_HEADER_BYTES = 64 * 1024
 # Retry-After for requests on which no configuration decides yet.
@@ -116,11 +114,13 @@
         self.log.event(_events.PROCESS_READY, address=self.settings.listen.callers)
 
     async def listen(
-        self, kernel: Kernel, address: str, handler: object
+        self, kernel: Kernel, address: str, handler: Handler
     ) -> web.ServerRunner:
         """Serve HTTP on an address and return the runner."""
-        server = BoundedServer(
-            handler,  # type: ignore[arg-type]
+        server = IngressServer(
+            handler,
+            table=ConnectionTable(),
+            connection_class=BoundedRequestHandler,
             handler_cancellation=True,
             access_log=None,
             auto_decompress=False,
--- /dev/null
+++ b/packages/skylarkdoord/src/skylarkdoord/ingress/_table.py
@@ -0,0 +1,44 @@
+"""All connections of callers."""
+
+import time
+from collections import Counter
+from collections.abc import Callable, Iterator
+from typing import Protocol
+
+from skylarkdoord.ingress._state import ConnectionState, Phase
+
+
+class Connection(Protocol):
+    """What the table needs of a connection."""
+
+    state: ConnectionState
+
+
+class ConnectionTable:
+    """The open connections of callers.
+
+    Args:
+        clock: Returns monotonic time in seconds.
+    """
+
+    def __init__(self, *, clock: Callable[[], float] = time.monotonic) -> None:
+        self.clock = clock
+        self.connections: dict[Connection, None] = {}
+
+    def __len__(self) -> int:
+        return len(self.connections)
+
+    def __iter__(self) -> Iterator[Connection]:
+        return iter(list(self.connections))
+
+    def add(self, connection: Connection) -> None:
+        """Add a connection that was accepted."""
+        self.connections[connection] = None
+
+    def remove(self, connection: Connection) -> None:
+        """Remove a connection that was closed."""
+        self.connections.pop(connection, None)
+
+    def phases(self) -> Counter[Phase]:
+        """Return the number of connections in each phase."""
+        return Counter(connection.state.phase for connection in self)
