Evidence of crashes: suspicions that entries share are a module of their own

Change: SharedSuspicions holds, reports and merges suspicions; Crashes detects. No change of behaviour.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/evidence/_crashes.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/evidence/_crashes.py
@@ -5,27 +5,19 @@
 several crashes is quarantined: it is not sent any more, except for trials of one that
 was answered before. The parts of its prompt that other requests share are suspected as
 well; crashes that a quarantined part explains do not count against requests.
-Entries share their suspicions with each other.
 """
 
 import asyncio
 import time
 from collections.abc import Awaitable, Callable, Iterable
-from typing import NamedTuple
 
 from skylarkdoor import events
-from skylarkdoor.suspicion import (
-    Suspicion,
-    Suspicions,
-    crash_id,
-)
-from skylarkdoor.wire import pb
+from skylarkdoor.suspicion import crash_id
 from skylarkdoord import _events
 from skylarkdoord.direct._model import Incarnation, UpstreamRecord
 from skylarkdoord.direct._probe import is_down
 from skylarkdoord.direct.evidence._crash_state import MAX_CRASHES, Watched
-from skylarkdoord.direct.evidence._crashing_parts import CrashingParts
-from skylarkdoord.direct.evidence._crashing_requests import CrashingRequests
+from skylarkdoord.direct.evidence._shared_suspicions import SharedSuspicions
 from skylarkdoord.direct.evidence._suspect_keys import SharedPart
 
 # Delay of the probe after a lost answer. A crashed upstream refuses connections for
@@ -42,23 +34,9 @@
 SAME_CRASH_S = 2.0
 # Parts of a prompt that one log line names.
 MAX_LOGGED_PARTS = 10
-# Limits the size of an update sent to other entries.
-MAX_REPORTED_SUSPECTS = 400
 
 
-class SuspicionReport(NamedTuple):
-    """Suspicions to be sent to another entry.
-
-    Attributes:
-        suspects: The suspicions.
-        revision: Revision up to which the receiver then knows all.
-    """
-
-    suspects: list[pb.Suspect]
-    revision: int
-
-
-class Crashes:
+class Crashes(SharedSuspicions):
     """Tracks which requests were in flight at upstreams that crashed.
 
     A crash is found by a probe after an answer was lost, or by the registry: it lists
@@ -75,12 +53,7 @@
         clock: Returns the monotonic time, in seconds.
 
     Attributes:
-        suspicions: Crashes of which each request is suspected.
-        observed: Those of the suspicions, and of their clearances, that this entry
-            observed itself.
         watched: Upstreams with requests in flight or without an answer.
-        requests: Requests that are suspected.
-        parts: Parts of prompts that are suspected.
         checks: Tasks of the pending checks.
         on_down: Called with an upstream that was found down after a lost answer.
     """
@@ -99,14 +72,10 @@
         self.find = find
         self.occupant = occupant
         self.clock = clock
-        self.suspicions = Suspicions()
-        self.observed = Suspicions()
+        super().__init__(lambda: self.clock())
         self.watched: dict[Incarnation, Watched] = {}
-        self.requests = CrashingRequests(self.suspicions, lambda: self.clock())
         self.requests.is_in_flight = self.is_in_flight
-        self.parts = CrashingParts(self.suspicions, lambda: self.clock())
         self.parts.is_in_flight = self.is_part_in_flight
-        self.parts.request_culprits = self.requests.culprits
         self.checks: set[asyncio.Task[None]] = set()
         self.on_down: Callable[[UpstreamRecord], None] = lambda record: None
         self.log = events.get_logger("direct.crashes")
@@ -377,68 +346,3 @@
             self.observe(part.fingerprint, [crash], part=part.name)
         watched.forget_all_unanswered()
         self.review_parts()
-
-    def review_parts(self) -> None:
-        """Find the parts that are guilty, after suspicions have changed."""
-        self.parts.review(self.requests.culprits())
-
-    def observe(
-        self,
-        fingerprint: int,
-        crashes: Iterable[str],
-        cleared: Iterable[str] = (),
-        *,
-        part: str = "",
-    ) -> None:
-        """Add crashes and clearances that this entry observed.
-
-        Args:
-            fingerprint: The request or the part.
-            crashes: Ids of the crashes.
-            cleared: Ids of the crashes that no longer count.
-            part: Name of the part; empty for a request.
-        """
-        crashes, cleared = list(crashes), list(cleared)
-        self.observed.merge(fingerprint, crashes, cleared, part=part)
-        self.suspicions.merge(fingerprint, crashes, cleared, part=part)
-        self.update(fingerprint)
-
-    def update(self, fingerprint: int) -> None:
-        """Bring the state of a request or part up to date with its suspicions."""
-        if self.suspicions.get(fingerprint).part:
-            self.parts.update(fingerprint)
-        else:
-            self.requests.update(fingerprint)
-
-    def restore(self, observed: Iterable[Suspicion]) -> None:
-        """Add what a former incarnation of this entry observed."""
-        for suspicion in observed:
-            self.observe(
-                suspicion.fingerprint,
-                suspicion.crashes,
-                suspicion.cleared,
-                part=suspicion.part,
-            )
-        self.review_parts()
-
-    def report(self, since: int = 0) -> SuspicionReport:
-        """Return the suspicions that changed after a revision, for another entry.
-
-        At most `MAX_REPORTED_SUSPECTS` are returned; the next report continues after
-        them.
-        """
-        changed = self.suspicions.changed_since(since)[:MAX_REPORTED_SUSPECTS]
-        if not changed:
-            return SuspicionReport([], since)
-        messages = [suspicion.message() for suspicion in changed]
-        return SuspicionReport(messages, changed[-1].revision)
-
-    def merge(self, suspects: Iterable[pb.Suspect]) -> None:
-        """Add the suspicions reported by another entry."""
-        is_changed = False
-        for suspect in suspects:
-            if self.suspicions.merge_message(suspect):
-                self.update(suspect.fingerprint)
-                is_changed = True
-        if is_changed:
-            self.review_parts()
--- a/packages/skylarkdoord/tests/direct/test_crashing_parts.py
+++ b/packages/skylarkdoord/tests/direct/test_crashing_parts.py
@@ -7,7 +7,7 @@
 from skylarkdoor.suspicion import MAX_SUSPICIONS, Suspicion
 from skylarkdoord.direct.evidence import _crashes
 from skylarkdoord.direct.evidence._crash_state import MAX_CRASHES
-from skylarkdoord.direct.evidence._crashes import MAX_REPORTED_SUSPECTS, Crashes
+from skylarkdoord.direct.evidence._crashes import Crashes
 from skylarkdoord.direct.evidence._crashing_parts import (
     ANSWER_TIME_S,
     ANSWERED_TRIAL_S,
@@ -18,6 +18,7 @@
     find_culprits,
     find_leading,
 )
+from skylarkdoord.direct.evidence._shared_suspicions import MAX_REPORTED_SUSPECTS
 from skylarkdoord.direct.evidence._suspect_keys import SharedPart
 from skylarkdoord.direct.evidence._suspect_records import decode, encode
 
