Sidecar: messages to entries are built in a module of their own

Cause: the scheduler built wire messages between its decisions. Change: grant, refusal, parts held and draining are built in sidecar/_messages.py. No change of behaviour.

--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_scheduler.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_scheduler.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 from skylarkdoor import events
-from skylarkdoor.hashing import sampled_prefix_hashes
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import Pool, ProcessSettings, Upstream
 from skylarkdoor.wire import pb
@@ -14,7 +13,6 @@
 from skylarkdoord.common import DrainState, InternalServer, SettingsService
 from skylarkdoord.sidecar import _metrics as metrics
 from skylarkdoord.sidecar._admission import (
-    FLOOR_S,
     TierFloor,
     is_too_late,
     will_miss_deadline,
@@ -24,11 +22,19 @@
 from skylarkdoord.sidecar._fairness import WaitingOffer
 from skylarkdoord.sidecar._health import UpstreamWatch
 from skylarkdoord.sidecar._ledger import GRANT_TIMEOUT_S, Ledger, Phase
+from skylarkdoord.sidecar._messages import (
+    FULL_REASONS,
+    MS_PER_S,
+    grant_message,
+    held_message,
+    leaving_message,
+    reason_name,
+    refusal_message,
+)
 from skylarkdoord.sidecar._pending import PendingGrant
 from skylarkdoord.sidecar._queue import OfferQueue
 
 TICK_INTERVAL_S = 0.1
-MS_PER_S = 1000
 # Outcomes of dispatched requests that received a complete 2xx response.
 SUCCESS_OUTCOME_PREFIX = "status 2"
 
@@ -245,14 +251,13 @@
             GRANT_TIMEOUT_S, self.expire, offer.request_id, grant_number
         )
         self.pending[offer.request_id] = PendingGrant(waiting, expiry)
-        message = pb.Grant(
-            request_id=offer.request_id,
-            grant=grant_number,
+        message = grant_message(
+            offer,
+            grant_number,
             incarnation=self.ledger.incarnation,
-            expires_ms=int(GRANT_TIMEOUT_S * MS_PER_S),
             cached_tokens=reserved.cached,
         )
-        self.streams.send(waiting.peer, pb.SidecarMessage(grant=message))
+        self.streams.send(waiting.peer, message)
 
     def expire(self, request_id: str, grant_number: int) -> None:
         """Revoke a grant whose request body did not arrive in time."""
@@ -316,25 +321,18 @@
 
     def refuse(self, offer: pb.Offer, peer: str, reason: "pb.RefusalReason") -> None:
         """Send a refusal to the entry; a refused request has not been run."""
-        name = pb.RefusalReason.Name(reason).removeprefix("REFUSAL_REASON_").lower()
-        metrics.REFUSALS.labels(str(offer.tier), name).inc()
-        refusal = pb.Refusal(
-            request_id=offer.request_id,
-            reason=reason,
-            retry_after_ms=int(self.capacity.retry_after_s(len(self.queue)) * MS_PER_S),
-        )
-        if reason in (pb.REFUSAL_REASON_QUEUE_FULL, pb.REFUSAL_REASON_DISPLACED):
+        metrics.REFUSALS.labels(str(offer.tier), reason_name(reason)).inc()
+        if reason in FULL_REASONS:
             self.floor.block_lower_tiers(offer.tier, time.monotonic())
-            refusal.floor_ms = int(FLOOR_S * MS_PER_S)
-        self.streams.send(peer, pb.SidecarMessage(refusal=refusal))
+        retry_after_s = self.capacity.retry_after_s(len(self.queue))
+        self.streams.send(peer, refusal_message(offer, reason, retry_after_s))
 
     def on_departure(self, reason: str, is_draining: bool) -> None:
         """Report the start or end of draining to entries.
 
         When draining starts, all waiting offers are refused.
         """
-        message = pb.Leaving(reason=reason, ended=not is_draining)
-        self.streams.send_all(pb.SidecarMessage(leaving=message))
+        self.streams.send_all(leaving_message(reason, is_draining=is_draining))
         if is_draining:
             self.refuse_all(pb.REFUSAL_REASON_LEAVING)
 
@@ -376,9 +374,7 @@
     def on_prompt_computed(self, offer: pb.Offer) -> None:
         """Report a computed prompt to all entries and grant further offers."""
         if offer.prefix_hashes:
-            hashes = sampled_prefix_hashes(offer.prefix_hashes)
-            message = pb.SidecarMessage(held=pb.Held(model=offer.model, marks=hashes))
-            self.streams.send_all(message)
+            self.streams.send_all(held_message(offer))
         self.grant_waiting()
 
     def set_upstream(self, up: bool) -> None:
