Signals of callers' connections: phases, time spent on bytes, closed ones

Change: gauge of connections by phase, counter of the event loop's time on received bytes, counter of connections closed for a limit by reason and event 773, at most five lines a second.

--- a/packages/skylarkdoord/src/skylarkdoord/_events.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_events.py
@@ -462,6 +462,12 @@
     logging.INFO,
     "A caller read nothing for its route's timeout; its connection was closed.",
 )
+CALLER_CLOSED = define(
+    773,
+    "caller_closed",
+    logging.INFO,
+    "The connection of a caller was closed for a limit.",
+)
 ROLLOUT_ORDERED = define(
     750, "rollout_ordered", logging.INFO, "An order of a roll-out was read."
 )
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
@@ -36,7 +36,12 @@
     RouteAbsentError,
 )
 from skylarkdoord.exceptions import NotRunError, OutcomeUnknownError
-from skylarkdoord.ingress import ConnectionTable, Handler, IngressServer
+from skylarkdoord.ingress import (
+    ConnectionTable,
+    Handler,
+    IngressServer,
+    IngressSignals,
+)
 
 MAX_HEADER_BYTES = 64 * 1024
 # Retry-After for requests on which no configuration decides yet.
@@ -66,6 +71,7 @@
         drain: Whether the process is shutting down, and what it can still serve.
         drain_notice_s: Time between failing the readiness check and closing the
             listeners for callers, in seconds.
+        table: Connections of callers.
         running: Requests that are being forwarded, with what cuts them off.
         used_connections: Connections that have carried a request.
         busy_connections: Connections with a running request.
@@ -99,6 +105,7 @@
         if self.held.max_bytes is not None:
             dependencies.client.buffer.has_room = self.held.has_answer_room
         self.connections = CallerConnections(self.held)
+        self.table = ConnectionTable()
         self.log = events.get_logger("direct.callers")
         self.runners: list[web.ServerRunner] = []
 
@@ -107,19 +114,24 @@
         listen = self.settings.listen
         assert listen.callers is not None
         assert listen.ready is not None
-        self.callers = await self.listen(kernel, listen.callers, self.handle)
-        await self.listen(kernel, listen.ready, self.handle_readiness)
+        self.callers = await self.listen(
+            kernel, listen.callers, self.handle, self.table
+        )
+        await self.listen(
+            kernel, listen.ready, self.handle_readiness, ConnectionTable()
+        )
+        kernel.supervise(IngressSignals(self.table).run, name="callers.signals")
         if self.held.max_bytes is not None:
             kernel.supervise(self.connections.run, name="callers.connections")
         self.log.event(_events.PROCESS_READY, address=self.settings.listen.callers)
 
     async def listen(
-        self, kernel: Kernel, address: str, handler: Handler
+        self, kernel: Kernel, address: str, handler: Handler, table: ConnectionTable
     ) -> web.ServerRunner:
         """Serve HTTP on an address and return the runner."""
         server = IngressServer(
             handler,
-            table=ConnectionTable(),
+            table=table,
             connection_class=BoundedRequestHandler,
             handler_cancellation=True,
             access_log=None,
--- a/packages/skylarkdoord/src/skylarkdoord/ingress/_connection.py
+++ b/packages/skylarkdoord/src/skylarkdoord/ingress/_connection.py
@@ -4,7 +4,8 @@
 
 from aiohttp.web_protocol import RequestHandler
 
-from skylarkdoor.bounded_http import ByteBound
+from skylarkdoor.bounded_http import MAX_UNREAD_BYTES, ByteBound
+from skylarkdoord.ingress._closed import Reason
 from skylarkdoord.ingress._state import ConnectionState, Phase
 
 if TYPE_CHECKING:
@@ -41,8 +42,12 @@
 
     def data_received(self, data: bytes) -> None:
         """Count received bytes and pass them on."""
-        self.state.on_received(len(data), self.table.clock())
+        began = self.table.clock()
+        self.state.on_received(len(data), began)
         super().data_received(data)
+        if self.unread_bytes > MAX_UNREAD_BYTES:
+            self.table.closed.record(Reason.UNREAD_BYTES, self.state)
+        self.table.read_s += self.table.clock() - began
 
 
 def on_body_complete(connection: object) -> None:
--- a/packages/skylarkdoord/src/skylarkdoord/ingress/_table.py
+++ b/packages/skylarkdoord/src/skylarkdoord/ingress/_table.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterator
 from typing import Protocol
 
+from skylarkdoord.ingress._closed import ClosedConnections
 from skylarkdoord.ingress._state import ConnectionState, Phase
 
 
@@ -19,11 +20,17 @@
 
     Args:
         clock: Returns monotonic time in seconds.
+
+    Attributes:
+        closed: Reports those that are closed for a limit.
+        read_s: Time spent on bytes that they received, in seconds.
     """
 
     def __init__(self, *, clock: Callable[[], float] = time.monotonic) -> None:
         self.clock = clock
         self.connections: dict[Connection, None] = {}
+        self.closed = ClosedConnections(clock)
+        self.read_s = 0.0
 
     def __len__(self) -> int:
         return len(self.connections)
