--- a/packages/skylarkdoord/src/skylarkdoord/direct/_model.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_model.py
@@ -124,6 +124,8 @@
         services: All services, by name.
         customers: All customers that could be read.
         max_body_bytes: Maximum size of a request body, in bytes.
+        max_head_bytes: Maximum size of the header fields of a request, in bytes.
+        head_timeout_s: Time that the head of a request may take, in seconds.
         idle_timeout_s: Time after which a caller's idle connection may be closed,
             in seconds.
         has_unread_customers: Whether a customer could not be read, so that a key may be
@@ -136,6 +138,8 @@
     services: dict[str, Service]
     customers: tuple[Customer, ...]
     max_body_bytes: int = 4 * 1024 * 1024
+    max_head_bytes: int = 64 * 1024
+    head_timeout_s: float = 15.0
     idle_timeout_s: float = 15.0
     has_unread_customers: bool = False
     problems: tuple[str, ...] = ()
--- a/tests/adapter/test_allowed_configs.py
+++ b/tests/adapter/test_allowed_configs.py
@@ -113,6 +113,10 @@
         assert config.max_body_bytes == body_bytes
         idle_ms = plain(limits.get("idleTimeoutMs")) or 15_000
         assert config.idle_timeout_s == idle_ms / 1000
+        head_bytes = plain(limits.get("maxHeaderBytes")) or 64 * 1024
+        assert config.max_head_bytes == head_bytes
+        head_ms = plain(limits.get("headerTimeoutMs")) or 15_000
+        assert config.head_timeout_s == head_ms / 1000
 
 
 class TestTenants:
