The operator's limits on callers' connections are in force

What callers saw: a connection that sent nothing, empty lines, or a head, a trailer or a body that got no further was kept for ever; bytes after a malformed head were parsed on, each part with an error that was kept.

Cause: nothing looked at headerTimeoutMs and idleTimeoutMs, heads were bounded by the parser for each line only, and what is no part of a body by 512 KiB since the latest part.

First heads get 408 or 431, bodies 408, others are closed after their running answer. What arrives after a malformed head or of a refused body is dropped, and beyond 64 KiB not read. A body has to arrive before its caller's deadline also where memory isn't bounded.

Ruled out: counting heads exactly, which needs a second parser; bytes that arrive with the end of a head or of a body are not counted, so that no legal head meets the limit.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_caller_bodies.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_caller_bodies.py
@@ -12,7 +12,7 @@
 )
 from skylarkdoord.direct._held_bytes import BodyHold, HeldBytes
 from skylarkdoord.direct.exceptions import BadCallError
-from skylarkdoord.ingress import on_body_complete
+from skylarkdoord.ingress import on_body_complete, set_body_timeout
 
 
 async def read_body(
@@ -20,8 +20,8 @@
 ) -> bytes:
     """Return the whole body of a request.
 
-    Where held bytes are bounded, the stated length is reserved first, and the body has
-    to arrive before the caller's deadline.
+    The stated length is reserved first, and the body has to arrive before the caller's
+    deadline.
 
     Args:
         raw: The request as received by the HTTP server.
@@ -30,20 +30,21 @@
         deadline: Monotonic time at which the caller stops waiting, in seconds.
 
     Raises:
-        BadCallError: The body is too large or late.
+        BadCallError: The body is too large, or did not arrive in time.
         MemoryFullError: There is no room for it.
     """
-    if hold.held.max_bytes is None:
-        return await read_chunks(raw, hold, max_bytes)
     length = raw.content_length or 0
     check_length(length, max_bytes)
     hold.grow_to(length)
     try:
-        async with asyncio.timeout_at(deadline):
+        async with asyncio.timeout_at(deadline) as timeout:
+            set_body_timeout(raw.protocol, timeout)
             return await read_chunks(raw, hold, max_bytes)
     except TimeoutError:
-        message = "the body did not arrive before the deadline"
+        message = "the body did not arrive in time"
         raise BadCallError(web.HTTPRequestTimeout.status_code, message) from None
+    finally:
+        set_body_timeout(raw.protocol, None)
 
 
 async def read_chunks(raw: web.BaseRequest, hold: BodyHold, max_bytes: int) -> bytes:
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
@@ -37,13 +37,18 @@
 )
 from skylarkdoord.exceptions import NotRunError, OutcomeUnknownError
 from skylarkdoord.ingress import (
+    ConnectionSweeper,
     ConnectionTable,
     Handler,
+    IngressLimits,
     IngressServer,
     IngressSignals,
+    refuse_body,
 )
 
 MAX_HEADER_BYTES = 64 * 1024
+# A colon, a space and a line end in each header field.
+FIELD_EXTRA_BYTES = 4
 # Retry-After for requests on which no configuration decides yet.
 STARTING_RETRY_AFTER_S = 0.5
 # The load balancer stops sending callers after two failed checks, a second apart.
@@ -105,7 +110,7 @@
         if self.held.max_bytes is not None:
             dependencies.client.buffer.has_room = self.held.has_answer_room
         self.connections = CallerConnections(self.held)
-        self.table = ConnectionTable()
+        self.table = ConnectionTable(limits=self.limits)
         self.log = events.get_logger("direct.callers")
         self.runners: list[web.ServerRunner] = []
 
@@ -117,9 +122,10 @@
         self.callers = await self.listen(
             kernel, listen.callers, self.handle, self.table
         )
-        await self.listen(
-            kernel, listen.ready, self.handle_readiness, ConnectionTable()
-        )
+        checks = ConnectionTable()
+        await self.listen(kernel, listen.ready, self.handle_readiness, checks)
+        kernel.supervise(ConnectionSweeper(self.table).run, name="callers.sweeper")
+        kernel.supervise(ConnectionSweeper(checks).run, name="ready.sweeper")
         kernel.supervise(IngressSignals(self.table).run, name="callers.signals")
         if self.held.max_bytes is not None:
             kernel.supervise(self.connections.run, name="callers.connections")
@@ -146,6 +152,15 @@
         self.runners.append(runner)
         return runner
 
+    def limits(self) -> IngressLimits:
+        """Return the operator's limits in force; the default ones without any."""
+        if self.fleet.routing is None:
+            return IngressLimits()
+        config = self.fleet.routing.config
+        return IngressLimits(
+            config.max_head_bytes, config.head_timeout_s, config.idle_timeout_s
+        )
+
     async def stop(self) -> None:
         """Drain and close.
 
@@ -223,7 +238,10 @@
         try:
             with BodyHold(self.held) as hold:
                 response = await self.answer_request(raw, time.monotonic(), hold)
-                if self.drain.is_draining:
+                is_whole = raw.content.is_eof()
+                if not is_whole:
+                    refuse_body(raw.protocol)
+                if self.drain.is_draining or not is_whole:
                     response.force_close()
                 if self.held.max_bytes is not None:
                     await write_whole(raw, response, self.held)
@@ -268,8 +286,15 @@
         """Return the request without its body.
 
         Raises:
-            BadCallError: The request is malformed.
+            BadCallError: The request is malformed, or its header fields are too large.
         """
+        size = sum(
+            len(name) + len(value) + FIELD_EXTRA_BYTES
+            for name, value in raw.raw_headers
+        )
+        if size > self.limits().head_bytes:
+            message = "the header fields are too large"
+            raise BadCallError(web.HTTPRequestHeaderFieldsTooLarge.status_code, message)
         # The HTTP client writes header values as UTF-8.
         try:
             headers = tuple(
--- a/packages/skylarkdoord/src/skylarkdoord/ingress/__init__.py
+++ b/packages/skylarkdoord/src/skylarkdoord/ingress/__init__.py
@@ -1,21 +1,33 @@
 """Callers' connections: what each one does, and what all of them may take."""
 
 from skylarkdoord.ingress._closed import ClosedConnections, Reason
-from skylarkdoord.ingress._connection import CallerConnection, on_body_complete
+from skylarkdoord.ingress._connection import (
+    CallerConnection,
+    on_body_complete,
+    refuse_body,
+    set_body_timeout,
+)
+from skylarkdoord.ingress._limits import IngressLimits, LimitSource
 from skylarkdoord.ingress._server import Handler, IngressServer
 from skylarkdoord.ingress._signals import IngressSignals
 from skylarkdoord.ingress._state import ConnectionState, Phase
+from skylarkdoord.ingress._sweeper import ConnectionSweeper
 from skylarkdoord.ingress._table import ConnectionTable
 
 __all__ = [
     "CallerConnection",
     "ClosedConnections",
     "ConnectionState",
+    "ConnectionSweeper",
     "ConnectionTable",
     "Handler",
+    "IngressLimits",
     "IngressServer",
     "IngressSignals",
+    "LimitSource",
     "Phase",
     "Reason",
     "on_body_complete",
+    "refuse_body",
+    "set_body_timeout",
 ]
--- a/packages/skylarkdoord/src/skylarkdoord/ingress/_closed.py
+++ b/packages/skylarkdoord/src/skylarkdoord/ingress/_closed.py
@@ -16,6 +16,11 @@
     """Limit for which a connection is closed."""
 
     UNREAD_BYTES = "unread_bytes"  # too much arrived that is not read
+    HEAD_BYTES = "head_bytes"  # a head is larger than the operator allows
+    HEAD_TIMEOUT = "head_timeout"  # a head takes longer than the operator allows
+    FRAMING_BYTES = "framing_bytes"  # too much was sent that is no part of a body
+    IDLE = "idle"  # nothing arrived for longer than the operator allows
+    BODY_STALLED = "body_stalled"  # a body got no further for as long
 
 
 class ClosedConnections:
--- a/packages/skylarkdoord/src/skylarkdoord/ingress/_connection.py
+++ b/packages/skylarkdoord/src/skylarkdoord/ingress/_connection.py
@@ -1,18 +1,32 @@
 """One caller's connection."""
 
-from typing import TYPE_CHECKING, Any
+import asyncio
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any, cast
 
+import aiohttp
+from aiohttp.http import RawRequestMessage
 from aiohttp.web_protocol import RequestHandler
 
 from skylarkdoor.bounded_http import MAX_UNREAD_BYTES, ByteBound
 from skylarkdoord.ingress._closed import Reason
+from skylarkdoord.ingress._deadlines import find_overdue
+from skylarkdoord.ingress._limits import KIB, IngressLimits
+from skylarkdoord.ingress._received import Parsed, Received
 from skylarkdoord.ingress._state import ConnectionState, Phase
 
 if TYPE_CHECKING:
-    import asyncio
-
     from skylarkdoord.ingress._table import ConnectionTable
 
+# A caller that sends the rest of its request before it reads is told why it is refused.
+MAX_DROPPED_BYTES = 64 * KIB
+# Time for the answer to the last request, in seconds.
+REFUSED_OPEN_S = 1.0
+STATUS_BY_REASON = {
+    Reason.HEAD_BYTES: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+    Reason.HEAD_TIMEOUT: HTTPStatus.REQUEST_TIMEOUT,
+}
+
 
 class CallerConnection(ByteBound, RequestHandler):  # type: ignore[misc]
     """A caller's connection, which keeps its state in a table.
@@ -21,6 +35,15 @@
         server: The HTTP server.
         table: All connections of callers.
         options: Options of the HTTP server's connections.
+
+    Attributes:
+        state: What the connection does.
+        received: What has arrived and is neither body nor a complete head.
+        newest_body: Body of the latest head.
+        has_head: Whether a head was complete.
+        is_refusing: Whether what arrives from now on is dropped.
+        dropped_bytes: Bytes that were dropped.
+        body_timeout: Ends the reading of a body early; None if none is read.
     """
 
     def __init__(
@@ -29,6 +52,12 @@
         super().__init__(server, **options)
         self.table = table
         self.state = ConnectionState.opened(table.clock())
+        self.received = Received(table.clock())
+        self.newest_body: aiohttp.StreamReader = aiohttp.EMPTY_PAYLOAD
+        self.has_head = False
+        self.is_refusing = False
+        self.dropped_bytes = 0
+        self.body_timeout: asyncio.Timeout | None = None
 
     def connection_made(self, transport: "asyncio.BaseTransport") -> None:
         """Add the connection to the table."""
@@ -44,14 +73,124 @@
         """Count received bytes and pass them on."""
         began = self.table.clock()
         self.state.on_received(len(data), began)
-        super().data_received(data)
+        if self.is_refusing:
+            self.drop(len(data))
+        else:
+            self.parse(data, began)
         if self.unread_bytes > MAX_UNREAD_BYTES:
             self.table.closed.record(Reason.UNREAD_BYTES, self.state)
         self.table.read_s += self.table.clock() - began
 
+    def drop(self, size: int) -> None:
+        """Drop received bytes; many of them are left to the caller's system."""
+        self.dropped_bytes += size
+        if self.dropped_bytes > MAX_DROPPED_BYTES:
+            self.pause_reading()
+
+    def parse(self, data: bytes, now: float) -> None:
+        """Parse received bytes, and count those that may have no end."""
+        # aiohttp has no public access to the requests that it has parsed.
+        waiting = len(self._messages)
+        super().data_received(data)
+        has_new_head = len(self._messages) > waiting
+        is_malformed = False
+        if has_new_head:
+            self.has_head = True
+            message, self.newest_body = self._messages[-1]
+            is_malformed = not isinstance(message, RawRequestMessage)
+        body = self.newest_body
+        is_open = not body.is_eof()
+        parsed = Parsed(has_new_head, is_open, body.total_bytes, is_malformed)
+        self.received.update(data, parsed, now)
+        # The parser would make an error of each further part.
+        self.is_refusing = is_malformed
+        self.check_size()
+
+    def check_size(self) -> None:
+        """Close the connection if what arrived is too large."""
+        limits = self.table.limits()
+        if self.received.is_head_too_large(limits):
+            self.refuse(Reason.HEAD_BYTES)
+        elif self.received.is_framing_too_large(limits):
+            self.refuse(Reason.FRAMING_BYTES)
+
+    def close_overdue(self, limits: IngressLimits, now: float) -> None:
+        """Close the connection if it takes too long."""
+        transport = cast(asyncio.WriteTransport | None, self.transport)
+        if transport is None or transport.is_closing():
+            return
+        if self.is_refusing:
+            self.close_refused(transport, now)
+            return
+        if transport.get_write_buffer_size():
+            self.state.answered_at = now
+            return
+        reason = find_overdue(self.state, self.received, limits, now)
+        if reason is not None:
+            self.refuse(reason)
+
+    def close_refused(self, transport: asyncio.WriteTransport, now: float) -> None:
+        """Close the connection once its last request is answered."""
+        is_busy = self.state.phase in (Phase.BODY, Phase.ANSWER)
+        if not is_busy and now - self.state.answered_at > REFUSED_OPEN_S:
+            transport.close()
+
+    def refuse(self, reason: Reason) -> None:
+        """Accept no further bytes, and close after the running answer.
+
+        A first head is answered, if there is a status for the reason. An incomplete
+        body ends with its timeout, or with the connection if it can't be read on.
+        """
+        self.table.closed.record(reason, self.state)
+        self.is_refusing = True
+        transport = cast(asyncio.Transport | None, self.transport)
+        if transport is None:
+            return
+        if reason is Reason.BODY_STALLED and self.cut_body():
+            return
+        if self.state.phase is Phase.BODY:
+            transport.abort()
+        elif self.has_head:
+            self.close()
+        else:
+            transport.write(closing_answer(STATUS_BY_REASON.get(reason)))
+            transport.close()
+
+    def cut_body(self) -> bool:
+        """End the reading of a body; return whether one is being read."""
+        if self.body_timeout is None:
+            return False
+        self.body_timeout.reschedule(0.0)
+        self.body_timeout = None
+        return True
+
+
+def set_body_timeout(connection: object, timeout: asyncio.Timeout | None) -> None:
+    """Set what ends the reading of a body early; None once it is no longer read."""
+    if isinstance(connection, CallerConnection):
+        connection.body_timeout = timeout
+
+
+def refuse_body(connection: object) -> None:
+    """Drop what arrives of a body that is not read."""
+    if isinstance(connection, CallerConnection):
+        connection.is_refusing = True
+
 
 def on_body_complete(connection: object) -> None:
     """Record that a request's body has been read whole."""
     if isinstance(connection, CallerConnection):
         connection.state.unread_bytes = 0
         connection.state.enter(Phase.ANSWER, connection.table.clock())
+
+
+def closing_answer(status: HTTPStatus | None) -> bytes:
+    """Return the answer to a head that is not complete; empty without a status."""
+    if status is None:
+        return b""
+    lines = (
+        f"HTTP/1.1 {status.value} {status.phrase}",
+        "Content-Length: 0",
+        "Connection: close",
+    )
+    return "\r\n".join((*lines, "", "")).encode()
--- a/packages/skylarkdoord/src/skylarkdoord/ingress/_state.py
+++ b/packages/skylarkdoord/src/skylarkdoord/ingress/_state.py
@@ -22,6 +22,8 @@
         phase: What it does.
         phase_since: Monotonic time at which that began, in seconds.
         received_at: Monotonic time at which bytes last arrived, in seconds.
+        answered_at: Monotonic time at which a request was last answered, or the
+            connection accepted, in seconds.
         requests: Requests that it has carried.
         unread_bytes: Bytes that arrived and are neither part of a handled head nor of a
             body that was read.
@@ -31,13 +33,14 @@
     phase: Phase
     phase_since: float
     received_at: float
+    answered_at: float
     requests: int = 0
     unread_bytes: int = 0
 
     @classmethod
     def opened(cls, now: float) -> "ConnectionState":
         """Return the state of a new connection."""
-        return cls(now, Phase.IDLE, now, now)
+        return cls(now, Phase.IDLE, now, now, now)
 
     def enter(self, phase: Phase, now: float) -> None:
         """Begin a phase."""
@@ -59,4 +62,5 @@
 
     def on_answered(self, now: float) -> None:
         """End a request; bytes that arrived since may begin the next one."""
+        self.answered_at = now
         self.enter(Phase.HEAD if self.unread_bytes else Phase.IDLE, now)
