Bodies that get no further make room for others

What callers saw: large bodies that stop just short of their end kept half of the bound until their deadlines, small ones all of it; all others got 503.

Cause: bytes are reserved for a body's stated length until its request ends, however little of it arrives.

Change: where there is no room for a body, incomplete ones without a KiB of progress for a second are given up, oldest first, and answered 408: they have not run. None is given up if all together make too little room, and none that is complete.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_caller_bodies.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_caller_bodies.py
@@ -1,6 +1,7 @@
 """Reads callers' bodies and writes whole answers, within the bound on held bytes."""
 
 import asyncio
+import functools
 
 from aiohttp import web
 
@@ -12,7 +13,7 @@
 )
 from skylarkdoord.direct._held_bytes import BodyHold, HeldBytes
 from skylarkdoord.direct.exceptions import BadCallError
-from skylarkdoord.ingress import on_body_complete, set_body_timeout
+from skylarkdoord.ingress import give_up_body, on_body_complete, set_body_timeout
 
 
 async def read_body(
@@ -36,6 +37,7 @@
     length = raw.content_length or 0
     check_length(length, max_bytes)
     hold.grow_to(length)
+    hold.begin(functools.partial(give_up_body, raw.protocol))
     try:
         async with asyncio.timeout_at(deadline) as timeout:
             set_body_timeout(raw.protocol, timeout)
@@ -61,8 +63,10 @@
         on_read(raw.protocol)
         size += len(chunk)
         check_length(size, max_bytes)
+        hold.held.incomplete.on_received(hold, len(chunk))
         hold.grow_to(size)
         chunks.append(chunk)
+    hold.complete()
     on_body_complete(raw.protocol)
     return b"".join(chunks)
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_held_bytes.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_held_bytes.py
@@ -9,6 +9,7 @@
 from typing import Self
 
 from skylarkdoord.direct.exceptions import MemoryFullError
+from skylarkdoord.ingress import IncompleteBodies
 
 KIB = 1024
 # Bodies above this size may use only a share of the bound together, so that a few
@@ -42,6 +43,7 @@
         unsent: Bytes of streams that callers have not read.
         writing: Bytes of whole answers that are being written to callers.
         receiving: Returns the bytes of answers that are being received in whole.
+        incomplete: Bodies that are being received.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         self.unsent = 0
         self.writing = 0
         self.receiving: Callable[[], int] = lambda: 0
+        self.incomplete: IncompleteBodies[BodyHold] = IncompleteBodies(clock)
         self.unready_at: float | None = None
 
     @property
@@ -90,6 +93,24 @@
         large = self.large_bodies + more_large
         return not is_large or large <= LARGE_BODIES_SHARE * self.max_bytes
 
+    def make_room(self, more: int, *, is_large: bool, more_large: int) -> bool:
+        """Return whether there is room for a body, after stalled ones are given up.
+
+        Args:
+            more: Further bytes of the body.
+            is_large: Whether the body is large.
+            more_large: Bytes by which `large_bodies` would grow.
+        """
+        if self.has_room(more, is_large=is_large, more_large=more_large):
+            return True
+        assert self.max_bytes is not None
+        excess = self.used + more - self.max_bytes
+        excess_large = self.large_bodies + more_large
+        excess_large -= int(LARGE_BODIES_SHARE * self.max_bytes)
+        for hold in self.incomplete.choose(excess, excess_large if is_large else 0):
+            hold.give_up()
+        return self.has_room(more, is_large=is_large, more_large=more_large)
+
     def max_unsent_bytes(self) -> int:
         """Return the bytes that a caller may now leave unread."""
         share = self.share
@@ -119,11 +140,18 @@
 
     Attributes:
         size: Bytes reserved.
+        on_given_up: Called if they are needed for others before the body is complete.
     """
 
     def __init__(self, held: HeldBytes) -> None:
         self.held = held
         self.size = 0
+        self.on_given_up: Callable[[], None] = lambda: None
+
+    @property
+    def is_large(self) -> bool:
+        """Whether the body is large."""
+        return self.size > SMALL_BODY_BYTES
 
     def __enter__(self) -> Self:
         """Return the hold."""
@@ -131,7 +159,23 @@
 
     def __exit__(self, *_exc: object) -> None:
         """Release the bytes."""
+        self.held.incomplete.remove(self)
+        self.count(0)
+
+    def begin(self, on_given_up: Callable[[], None]) -> None:
+        """Begin to receive the body, which may be given up until it is complete."""
+        self.on_given_up = on_given_up
+        self.held.incomplete.add(self)
+
+    def complete(self) -> None:
+        """Keep the bytes of the complete body."""
+        self.held.incomplete.remove(self)
+
+    def give_up(self) -> None:
+        """Release the bytes of an incomplete body, whose request is refused."""
+        self.held.incomplete.remove(self)
         self.count(0)
+        self.on_given_up()
 
     def grow_to(self, size: int) -> None:
         """Reserve up to a size, unless more is reserved already.
@@ -140,7 +184,7 @@
             MemoryFullError: There is no room.
         """
         size = max(size, self.size)
-        has_room = self.held.has_room(
+        has_room = self.held.make_room(
             size - self.size,
             is_large=size > SMALL_BODY_BYTES,
             more_large=large_bytes(size) - large_bytes(self.size),
--- a/packages/skylarkdoord/src/skylarkdoord/ingress/__init__.py
+++ b/packages/skylarkdoord/src/skylarkdoord/ingress/__init__.py
@@ -3,10 +3,12 @@
 from skylarkdoord.ingress._closed import ClosedConnections, Reason
 from skylarkdoord.ingress._connection import (
     CallerConnection,
+    give_up_body,
     on_body_complete,
     refuse_body,
     set_body_timeout,
 )
+from skylarkdoord.ingress._incomplete import IncompleteBodies
 from skylarkdoord.ingress._limits import IngressLimits, LimitSource
 from skylarkdoord.ingress._server import Handler, IngressServer
 from skylarkdoord.ingress._signals import IngressSignals
@@ -21,12 +23,14 @@
     "ConnectionSweeper",
     "ConnectionTable",
     "Handler",
+    "IncompleteBodies",
     "IngressLimits",
     "IngressServer",
     "IngressSignals",
     "LimitSource",
     "Phase",
     "Reason",
+    "give_up_body",
     "on_body_complete",
     "refuse_body",
     "set_body_timeout",
--- a/packages/skylarkdoord/src/skylarkdoord/ingress/_closed.py
+++ b/packages/skylarkdoord/src/skylarkdoord/ingress/_closed.py
@@ -20,6 +20,7 @@
     HEAD_TIMEOUT = "head_timeout"  # a head takes longer than the operator allows
     FRAMING_BYTES = "framing_bytes"  # too much was sent that is no part of a body
     IDLE = "idle"  # nothing arrived for longer than the operator allows
+    MEMORY = "memory"  # what it holds is needed for others
     BODY_STALLED = "body_stalled"  # a body got no further for as long
 
 
--- a/packages/skylarkdoord/src/skylarkdoord/ingress/_connection.py
+++ b/packages/skylarkdoord/src/skylarkdoord/ingress/_connection.py
@@ -171,6 +171,13 @@
         connection.body_timeout = timeout
 
 
+def give_up_body(connection: object) -> None:
+    """End the reading of a body, so that others have room."""
+    if isinstance(connection, CallerConnection) and connection.cut_body():
+        connection.is_refusing = True
+        connection.table.closed.record(Reason.MEMORY, connection.state)
+
+
 def refuse_body(connection: object) -> None:
     """Drop what arrives of a body that is not read."""
     if isinstance(connection, CallerConnection):
--- a/packages/skylarkdoord/tests/direct/test_held_bytes.py
+++ b/packages/skylarkdoord/tests/direct/test_held_bytes.py
@@ -65,6 +65,78 @@
         assert settings._replace(among=("shares", "tight")).bound() == 43 * MIB
 
 
+class TestStalledSenders:
+    """Many callers that stop short of the end of their bodies."""
+
+    def begin(self, held, size):
+        """Return a hold of a body that begins, and the list of those given up."""
+        hold = reserve(held, size)
+        given_up = []
+        hold.begin(lambda: given_up.append(hold))
+        return hold, given_up
+
+    # Guards against ordinary callers that are refused for bodies which never end.
+    def test_load(self, held, clock):
+        """After a second without progress, they make room for others, oldest first."""
+        stalled = []
+        for _ in range(688):
+            stalled.append(self.begin(held, SMALL_BODY_BYTES))
+            clock.now += 0.001
+        with pytest.raises(MemoryFullError):
+            reserve(held, SMALL_BODY_BYTES)
+        clock.now += 1.0
+        for number in range(10):
+            reserve(held, SMALL_BODY_BYTES)
+            assert stalled[number][1]
+            assert stalled[number][0].size == 0
+        assert not any(given_up for _, given_up in stalled[10:])
+        assert held.used == 688 * SMALL_BODY_BYTES
+
+    def test_large(self, held, clock):
+        """Of the large ones, no more are given up than a large one needs."""
+        stalled = [self.begin(held, 4 * MIB) for _ in range(5)]
+        small, given_up = self.begin(held, SMALL_BODY_BYTES)
+        clock.now += 1.0
+        reserve(held, 5 * MIB)
+        assert [bool(ended) for _, ended in stalled] == [True] + [False] * 4
+        assert small.size
+        assert not given_up
+
+    # Guards against a byte now and then that keeps a body's bytes for ever.
+    def test_progress(self, held, clock):
+        """A body that gets further is kept, one of some bytes a second is not."""
+        slow, slow_given_up = self.begin(held, 20 * MIB)
+        for _ in range(5):
+            clock.now += 0.5
+            held.incomplete.on_received(slow, 64 * 1024)
+        with pytest.raises(MemoryFullError):
+            reserve(held, 2 * MIB)
+        assert not slow_given_up
+        for _ in range(5):
+            clock.now += 0.5
+            held.incomplete.on_received(slow, 1)
+        reserve(held, 2 * MIB)
+        assert slow_given_up
+
+    def test_useless(self, held, clock):
+        """Nothing is given up if there is no room all the same."""
+        _, given_up = self.begin(held, MIB)
+        reserve(held, 20 * MIB)
+        clock.now += 2.0
+        with pytest.raises(MemoryFullError):
+            reserve(held, 21 * MIB)
+        assert not given_up
+
+    def test_complete(self, held, clock):
+        """A complete body is kept, however long its answer takes."""
+        hold, given_up = self.begin(held, 20 * MIB)
+        hold.complete()
+        clock.now += 60.0
+        with pytest.raises(MemoryFullError):
+            reserve(held, 2 * MIB)
+        assert not given_up
+
+
 class TestSlowSenders:
     """Many callers that send large bodies slowly."""
 
--- a/tests/adapter/test_slow_callers.py
+++ b/tests/adapter/test_slow_callers.py
@@ -108,6 +108,21 @@
             assert (await get(entry, data=b"x" * 5 * MIB))[0] == 200
         assert len(server.requests) == 2
 
+    # Guards against large callers that are shut out by bodies which never end.
+    async def test_made_room(self, start):
+        """A body that gets no further is answered 408 as soon as others need room."""
+        fields = {"Content-Length": str(5 * MIB)}
+        async with Server(reply()) as server, start([PLAIN], server) as entry:
+            reader, first = await send(entry, fields, b"x" * MIB)
+            await entry.until(lambda: held(entry).used == 5 * MIB)
+            await asyncio.sleep(1.2)
+            assert (await get(entry, data=b"x" * 5 * MIB))[0] == 200
+            async with asyncio.timeout(2.0):
+                assert (await reader.readline()).startswith(b"HTTP/1.1 408")
+            first.close()
+            await entry.until(lambda: held(entry).used == 0)
+        assert len(server.requests) == 1
+
     # Guards against bytes that stay reserved for a caller which sends no body.
     async def test_never_sent(self, start):
         """A body that does not arrive before the deadline is answered 408."""
