Answers that callers leave unread are bounded also for refusals

Cause: only connections of admitted requests were watched; answers to malformed requests and to requests of no route had no timeout. Nothing was closed before the route's timeout, however much all unread answers held.

Change: each connection with a request is watched, refusals may stay unread for 30 s, and beyond the bound on held bytes those are closed that have read nothing for two seconds, longest first and the last one never: a single large answer is not cut.

Run: test_refusals fails on the sources before and passes now, as do the tests of held bytes and slow callers.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_bounded_connection.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_bounded_connection.py
@@ -1,23 +1,24 @@
 """Callers' connections with what was written to them."""
 
-import math
-
 from skylarkdoord.ingress import CallerConnection
 
+# Longest time for which a caller may leave a refusal unread, in seconds.
+REFUSAL_TIMEOUT_S = 30.0
+
 
 class BoundedRequestHandler(CallerConnection):
     """A caller's connection.
 
     Attributes:
         written_bytes: Bytes of answers written to it so far.
-        timeout_s: Timeout of the latest request's route, in seconds.
+        timeout_s: Timeout of the latest admitted request's route, in seconds.
         is_streaming: Whether an answer is being written that may still grow.
         is_writing_whole: Whether an answer that is no stream is being written.
         unsent_limit: Unsent bytes from which on writing waits; None for the default.
     """
 
     written_bytes = 0
-    timeout_s = math.inf
+    timeout_s = REFUSAL_TIMEOUT_S
     is_streaming = False
     is_writing_whole = False
     unsent_limit: int | None = None
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_caller_connections.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_caller_connections.py
@@ -7,8 +7,9 @@
 from skylarkdoor import events
 from skylarkdoord import _events
 from skylarkdoord.direct._bounded_connection import BoundedRequestHandler
-from skylarkdoord.direct._held_bytes import HeldBytes, UnsentAnswer
+from skylarkdoord.direct._held_bytes import HeldBytes, UnsentAnswer, choose_unread
 from skylarkdoord.direct._metrics import HELD_BYTES
+from skylarkdoord.ingress import Reason
 
 # Interval between two looks at the connections. In this time a caller's unread bytes
 # grow by what one upstream sends.
@@ -72,8 +73,19 @@
             for connection, unsent in self.unsent.items()
             if not connection.is_writing_whole
         )
+        self.close_unread(now)
         self.limit_unsent()
 
+    def close_unread(self, now: float) -> None:
+        """Close connections of callers that read nothing while too much is held."""
+        if self.held.max_bytes is None:
+            return
+        excess = self.held.used - self.held.max_bytes
+        for connection in choose_unread(self.unsent, excess, now):
+            connection.table.closed.record(Reason.MEMORY, connection.state)
+            self.held.unsent -= self.unsent[connection].buffered
+            self.transports[connection].abort()
+
     def limit_unsent(self) -> None:
         """Let each connection take as many unsent bytes as there is memory for."""
         limit = self.held.max_unsent_bytes()
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
@@ -235,6 +235,8 @@
     async def handle(self, raw: web.BaseRequest) -> web.StreamResponse:
         """Answer one request and track its connection as busy."""
         self.busy_connections.add(raw.protocol)
+        if self.held.max_bytes is not None:
+            self.connections.add(raw.protocol)
         try:
             with BodyHold(self.held) as hold:
                 response = await self.answer_request(raw, time.monotonic(), hold)
@@ -316,8 +318,6 @@
                 arrive before the caller's deadline.
             MemoryFullError: There is no room for its body.
         """
-        if self.held.max_bytes is not None:
-            self.connections.add(raw.protocol)
         body = await read_body(
             raw,
             hold,
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_held_bytes.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_held_bytes.py
@@ -5,8 +5,8 @@
 """
 
 import time
-from collections.abc import Callable
-from typing import Self
+from collections.abc import Callable, Mapping
+from typing import Self, TypeVar
 
 from skylarkdoord.direct.exceptions import MemoryFullError
 from skylarkdoord.ingress import IncompleteBodies
@@ -28,6 +28,8 @@
 # The same at a held share above these; 64 KiB is the default of asyncio.
 UNSENT_BYTES_ABOVE = ((0.8, 16 * KIB), (0.5, 64 * KIB))
 RETRY_AFTER_S = 1.0
+# Time without reading after which an answer may be given up for others, in seconds.
+UNREAD_S = 2.0
 
 
 class HeldBytes:
@@ -248,3 +250,27 @@
             now: Monotonic time, in seconds.
         """
         return self.buffered > 0 and now - self.read_at > timeout_s
+
+
+K = TypeVar("K")
+
+
+def choose_unread(unsent: Mapping[K, UnsentAnswer], excess: int, now: float) -> list[K]:
+    """Return connections to close, those first whose callers wait longest to read.
+
+    The last connection with unsent bytes is kept.
+
+    Args:
+        unsent: What each connection has not sent.
+        excess: Bytes to free.
+        now: Monotonic time, in seconds.
+    """
+    waiting = [key for key, answer in unsent.items() if answer.buffered]
+    waiting.sort(key=lambda key: unsent[key].read_at)
+    chosen = []
+    for key in waiting[:-1]:
+        if excess <= 0 or now - unsent[key].read_at < UNREAD_S:
+            break
+        chosen.append(key)
+        excess -= unsent[key].buffered
+    return chosen
--- a/packages/skylarkdoord/tests/direct/test_held_bytes.py
+++ b/packages/skylarkdoord/tests/direct/test_held_bytes.py
@@ -11,6 +11,7 @@
     BodyHold,
     HeldBytes,
     UnsentAnswer,
+    choose_unread,
 )
 from skylarkdoord.direct._settings import MIN_HELD_BYTES, MemorySettings
 from skylarkdoord.direct.exceptions import MemoryFullError
@@ -65,6 +66,30 @@
         assert settings._replace(among=("shares", "tight")).bound() == 43 * MIB
 
 
+class TestUnreadAnswers:
+    """Many callers that read nothing of their answers, while too much is held."""
+
+    def unread(self, *read_at):
+        """Return answers of 64 KiB that callers last read at some times."""
+        answers = {}
+        for number, since in enumerate(read_at):
+            answers[number] = UnsentAnswer(since)
+            answers[number].update(65536, 65536, since)
+            answers[number].read_at = since
+        return answers
+
+    # Guards against memory that runs out before the first route's timeout.
+    def test_load(self):
+        """Those that wait longest are chosen, no more of them than needed."""
+        assert choose_unread(self.unread(5.0, 1.0, 3.0), 70_000, 10.0) == [1, 2]
+        assert choose_unread(self.unread(5.0, 1.0, 3.0), 0, 10.0) == []
+
+    def test_kept(self):
+        """Callers that read within 2 s are kept, and so is the last one."""
+        assert choose_unread(self.unread(9.0, 8.5), 70_000, 10.0) == []
+        assert choose_unread(self.unread(1.0), 70_000, 10.0) == []
+
+
 class TestStalledSenders:
     """Many callers that stop short of the end of their bodies."""
 
--- a/tests/adapter/test_slow_callers.py
+++ b/tests/adapter/test_slow_callers.py
@@ -8,6 +8,7 @@
 import aiohttp
 import pytest
 
+from skylarkdoord.direct import _bounded_connection
 from skylarkdoord.direct._settings import MemorySettings
 
 from ._standins import HOST, Entry, Server, chunk, config, reply, route, server_row
@@ -156,6 +157,26 @@
             assert held(entry).used == 0
             writer.close()
 
+    # Guards against refusals that pile up for a caller which reads nothing.
+    async def test_refusals(self, start, monkeypatch):
+        """Answers to refused requests are watched too."""
+        monkeypatch.setattr(_bounded_connection.BoundedRequestHandler, "timeout_s", 0.5)
+        async with Server(reply()) as server, start([PLAIN], server) as entry:
+            refused = {"Deadline-Ms": "never", "Content-Length": "0"}
+            reader, writer = await send(entry, refused)
+            reader._transport.pause_reading()
+            connections = entry.kernel.services["callers"].connections
+            await entry.until(lambda: connections.transports)
+            lines = [f"{name}: {value}" for name, value in (HEADERS | refused).items()]
+            head = "\r\n".join(["POST /desk/1 HTTP/1.1", *lines, "", ""]).encode()
+            with contextlib.suppress(ConnectionError):
+                while connections.transports:
+                    writer.write(head * 200)
+                    await writer.drain()
+                    await asyncio.sleep(0.01)
+            await entry.until(lambda: not connections.transports)
+            writer.close()
+
     # Guards against a connection that counts as ended while its answer is still held.
     async def test_held_until_it_ends(self, start):
         """Nothing of an answer is held once its connection is no longer watched."""
