--- a/packages/skylarkdoord/src/skylarkdoord/direct/_held_bytes.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_held_bytes.py
@@ -5,16 +5,19 @@
 """
 
 import time
-from collections.abc import Callable
-from typing import Self
+from collections.abc import Callable, Mapping
+from typing import Self, TypeVar
 
 from skylarkdoord.direct.exceptions import MemoryFullError
+from skylarkdoord.ingress import IncompleteBodies
 
 KIB = 1024
 # Bodies above this size may use only a share of the bound together, so that a few
 # callers that send large bodies slowly do not shut out all others.
 SMALL_BODY_BYTES = 64 * KIB
 LARGE_BODIES_SHARE = 0.5
+# Share of the bound for requests that are not handled yet.
+UNFINISHED_SHARE = 0.25
 # Readiness is withdrawn above the one share of the bound, for a time that the load
 # balancer's check each second notices, and until the held bytes are below the other.
 UNREADY_SHARE = 0.9
@@ -27,6 +30,8 @@
 # The same at a held share above these; 64 KiB is the default of asyncio.
 UNSENT_BYTES_ABOVE = ((0.8, 16 * KIB), (0.5, 64 * KIB))
 RETRY_AFTER_S = 1.0
+# Time without reading after which an answer may be given up for others, in seconds.
+UNREAD_S = 2.0
 
 
 class HeldBytes:
@@ -42,6 +47,8 @@
         unsent: Bytes of streams that callers have not read.
         writing: Bytes of whole answers that are being written to callers.
         receiving: Returns the bytes of answers that are being received in whole.
+        unfinished: Returns the bytes of requests that are not handled yet.
+        incomplete: Bodies that are being received.
     """
 
     def __init__(
@@ -54,18 +61,28 @@
         self.unsent = 0
         self.writing = 0
         self.receiving: Callable[[], int] = lambda: 0
+        self.unfinished: Callable[[], int] = lambda: 0
+        self.incomplete: IncompleteBodies[BodyHold] = IncompleteBodies(clock)
         self.unready_at: float | None = None
 
     @property
     def used(self) -> int:
         """Bytes that are held now."""
-        return self.bodies + self.unsent + self.writing + self.receiving()
+        answers = self.unsent + self.writing + self.receiving()
+        return self.bodies + answers + self.unfinished()
 
     @property
     def share(self) -> float:
         """Held share of the bound; 0 without a bound."""
         return self.used / self.max_bytes if self.max_bytes else 0.0
 
+    @property
+    def max_unfinished(self) -> int | None:
+        """Most bytes of requests that are not handled yet; None for no bound."""
+        if self.max_bytes is None:
+            return None
+        return int(UNFINISHED_SHARE * self.max_bytes)
+
     def has_answer_room(self, length: int) -> bool:
         """Return whether a whole answer may be received.
 
@@ -90,6 +107,24 @@
         large = self.large_bodies + more_large
         return not is_large or large <= LARGE_BODIES_SHARE * self.max_bytes
 
+    def make_room(self, more: int, *, is_large: bool, more_large: int) -> bool:
+        """Return whether there is room for a body, after stalled ones are given up.
+
+        Args:
+            more: Further bytes of the body.
+            is_large: Whether the body is large.
+            more_large: Bytes by which `large_bodies` would grow.
+        """
+        if self.has_room(more, is_large=is_large, more_large=more_large):
+            return True
+        assert self.max_bytes is not None
+        excess = self.used + more - self.max_bytes
+        excess_large = self.large_bodies + more_large
+        excess_large -= int(LARGE_BODIES_SHARE * self.max_bytes)
+        for hold in self.incomplete.choose(excess, excess_large if is_large else 0):
+            hold.give_up()
+        return self.has_room(more, is_large=is_large, more_large=more_large)
+
     def max_unsent_bytes(self) -> int:
         """Return the bytes that a caller may now leave unread."""
         share = self.share
@@ -119,11 +154,18 @@
 
     Attributes:
         size: Bytes reserved.
+        on_given_up: Called if they are needed for others before the body is complete.
     """
 
     def __init__(self, held: HeldBytes) -> None:
         self.held = held
         self.size = 0
+        self.on_given_up: Callable[[], None] = lambda: None
+
+    @property
+    def is_large(self) -> bool:
+        """Whether the body is large."""
+        return self.size > SMALL_BODY_BYTES
 
     def __enter__(self) -> Self:
         """Return the hold."""
@@ -131,8 +173,24 @@
 
     def __exit__(self, *_exc: object) -> None:
         """Release the bytes."""
+        self.held.incomplete.remove(self)
         self.count(0)
 
+    def begin(self, on_given_up: Callable[[], None]) -> None:
+        """Begin to receive the body, which may be given up until it is complete."""
+        self.on_given_up = on_given_up
+        self.held.incomplete.add(self)
+
+    def complete(self) -> None:
+        """Keep the bytes of the complete body."""
+        self.held.incomplete.remove(self)
+
+    def give_up(self) -> None:
+        """Release the bytes of an incomplete body, whose request is refused."""
+        self.held.incomplete.remove(self)
+        self.count(0)
+        self.on_given_up()
+
     def grow_to(self, size: int) -> None:
         """Reserve up to a size, unless more is reserved already.
 
@@ -140,7 +198,7 @@
             MemoryFullError: There is no room.
         """
         size = max(size, self.size)
-        has_room = self.held.has_room(
+        has_room = self.held.make_room(
             size - self.size,
             is_large=size > SMALL_BODY_BYTES,
             more_large=large_bytes(size) - large_bytes(self.size),
@@ -204,3 +262,27 @@
             now: Monotonic time, in seconds.
         """
         return self.buffered > 0 and now - self.read_at > timeout_s
+
+
+K = TypeVar("K")
+
+
+def choose_unread(unsent: Mapping[K, UnsentAnswer], excess: int, now: float) -> list[K]:
+    """Return connections to close, those first whose callers wait longest to read.
+
+    The last connection with unsent bytes is kept.
+
+    Args:
+        unsent: What each connection has not sent.
+        excess: Bytes to free.
+        now: Monotonic time, in seconds.
+    """
+    waiting = [key for key, answer in unsent.items() if answer.buffered]
+    waiting.sort(key=lambda key: unsent[key].read_at)
+    chosen = []
+    for key in waiting[:-1]:
+        if excess <= 0 or now - unsent[key].read_at < UNREAD_S:
+            break
+        chosen.append(key)
+        excess -= unsent[key].buffered
+    return chosen
--- a/packages/skylarkdoord/src/skylarkdoord/ingress/_shared_reads.py
+++ b/packages/skylarkdoord/src/skylarkdoord/ingress/_shared_reads.py
@@ -39,10 +39,11 @@
         """Handle the bytes in the buffer, or keep them for a later pass."""
         data = bytes(self.buffer[:size])
         self.plan_pass()
-        if self.share.has_time():
+        if self.share.has_time() and not reader.is_waiting:
             self.handle(reader, data)
-        else:
-            reader.keep(data)
+            return
+        reader.keep(data)
+        if not reader.is_waiting:
             self.share.wait(reader)
 
     def handle(self, reader: "SharedReader", data: bytes) -> None:
@@ -109,7 +110,7 @@
 
     def keep(self, data: bytes) -> None:
         """Keep received bytes, and read no more until they are handled."""
-        self.kept = data
+        self.kept += data
         if self.transport is not None:
             self.transport.pause_reading()
 
@@ -122,9 +123,13 @@
         """Return whether answers can still be sent."""
         return self.transport is not None and not self.transport.is_closing()
 
+    def may_read(self) -> bool:
+        """Return whether further bytes may be read."""
+        return not (self.is_full or self.is_waiting)
+
     def read_on(self) -> None:
-        """Read again, unless the HTTP server wants no further bytes."""
-        if self.transport is not None and not self.is_full:
+        """Read again, unless something forbids it."""
+        if self.transport is not None and self.may_read():
             self.transport.resume_reading()
 
     def pause_reading(self) -> None:
@@ -133,10 +138,10 @@
         super().pause_reading()  # type: ignore[misc]
 
     def resume_reading(self, *arguments: Any, **options: Any) -> None:
-        """Read again, unless kept bytes have to be handled first."""
+        """Read again, unless something else forbids it."""
         self.is_full = False
         super().resume_reading(*arguments, **options)  # type: ignore[misc]
-        if self.is_waiting and self.transport is not None:
+        if self.transport is not None and not self.may_read():
             self.transport.pause_reading()
 
     def connection_lost(self, exc: BaseException | None) -> None:
--- a/tests/adapter/test_slow_callers.py
+++ b/tests/adapter/test_slow_callers.py
@@ -8,6 +8,7 @@
 import aiohttp
 import pytest
 
+from skylarkdoord.direct import _bounded_connection
 from skylarkdoord.direct._settings import MemorySettings
 
 from ._standins import HOST, Entry, Server, chunk, config, reply, route, server_row
@@ -108,6 +109,21 @@
             assert (await get(entry, data=b"x" * 5 * MIB))[0] == 200
         assert len(server.requests) == 2
 
+    # Guards against large callers that are shut out by bodies which never end.
+    async def test_made_room(self, start):
+        """A body that gets no further is answered 408 as soon as others need room."""
+        fields = {"Content-Length": str(5 * MIB)}
+        async with Server(reply()) as server, start([PLAIN], server) as entry:
+            reader, first = await send(entry, fields, b"x" * MIB)
+            await entry.until(lambda: held(entry).used == 5 * MIB)
+            await asyncio.sleep(1.2)
+            assert (await get(entry, data=b"x" * 5 * MIB))[0] == 200
+            async with asyncio.timeout(2.0):
+                assert (await reader.readline()).startswith(b"HTTP/1.1 408")
+            first.close()
+            await entry.until(lambda: held(entry).used == 0)
+        assert len(server.requests) == 1
+
     # Guards against bytes that stay reserved for a caller which sends no body.
     async def test_never_sent(self, start):
         """A body that does not arrive before the deadline is answered 408."""
@@ -141,6 +157,26 @@
             assert held(entry).used == 0
             writer.close()
 
+    # Guards against refusals that pile up for a caller which reads nothing.
+    async def test_refusals(self, start, monkeypatch):
+        """Answers to refused requests are watched too."""
+        monkeypatch.setattr(_bounded_connection.BoundedRequestHandler, "timeout_s", 0.5)
+        async with Server(reply()) as server, start([PLAIN], server) as entry:
+            refused = {"Deadline-Ms": "never", "Content-Length": "0"}
+            reader, writer = await send(entry, refused)
+            reader._transport.pause_reading()
+            connections = entry.kernel.services["callers"].connections
+            await entry.until(lambda: connections.transports)
+            lines = [f"{name}: {value}" for name, value in (HEADERS | refused).items()]
+            head = "\r\n".join(["POST /desk/1 HTTP/1.1", *lines, "", ""]).encode()
+            with contextlib.suppress(ConnectionError):
+                while connections.transports:
+                    writer.write(head * 200)
+                    await writer.drain()
+                    await asyncio.sleep(0.01)
+            await entry.until(lambda: not connections.transports)
+            writer.close()
+
     # Guards against a connection that counts as ended while its answer is still held.
     async def test_held_until_it_ends(self, start):
         """Nothing of an answer is held once its connection is no longer watched."""
