--- a/packages/skylarkdoord/src/skylarkdoord/ingress/_table.py
+++ b/packages/skylarkdoord/src/skylarkdoord/ingress/_table.py
@@ -8,6 +8,7 @@
 from skylarkdoord.ingress._closed import ClosedConnections, Reason
 from skylarkdoord.ingress._deadlines import RunningClock
 from skylarkdoord.ingress._limits import IngressLimits, LimitSource
+from skylarkdoord.ingress._shared_reads import SharedReads
 from skylarkdoord.ingress._state import ConnectionState, Phase
 from skylarkdoord.ingress._unfinished import UnfinishedBytes
 
@@ -36,7 +37,7 @@
     Attributes:
         unfinished: Bytes of requests that are not handled yet.
         closed: Reports those that are closed for a limit.
-        read_s: Time spent on bytes that they received, in seconds.
+        reads: Handles the bytes that they received, in turn.
     """
 
     def __init__(
@@ -53,7 +54,7 @@
         )
         self.connections: dict[Connection, None] = {}
         self.closed = ClosedConnections(self.clock)
-        self.read_s = 0.0
+        self.reads = SharedReads(clock=clock)
 
     def __len__(self) -> int:
         return len(self.connections)
