--- a/packages/skylarkdoord/src/skylarkdoord/ingress/__init__.py
+++ b/packages/skylarkdoord/src/skylarkdoord/ingress/__init__.py
@@ -8,6 +8,7 @@
     refuse_body,
     set_body_timeout,
 )
+from skylarkdoord.ingress._connection_limit import ConnectionLimit
 from skylarkdoord.ingress._incomplete import IncompleteBodies
 from skylarkdoord.ingress._limits import IngressLimits, LimitSource
 from skylarkdoord.ingress._server import Handler, IngressServer
@@ -19,6 +20,7 @@
 __all__ = [
     "CallerConnection",
     "ClosedConnections",
+    "ConnectionLimit",
     "ConnectionState",
     "ConnectionSweeper",
     "ConnectionTable",
--- a/packages/skylarkdoord/src/skylarkdoord/ingress/_table.py
+++ b/packages/skylarkdoord/src/skylarkdoord/ingress/_table.py
@@ -6,17 +6,24 @@
 from typing import Protocol
 
 from skylarkdoord.ingress._closed import ClosedConnections, Reason
+from skylarkdoord.ingress._connection_limit import (
+    NO_LIMIT,
+    ConnectionLimit,
+    LimitedConnection,
+    choose_closed,
+)
 from skylarkdoord.ingress._deadlines import RunningClock
 from skylarkdoord.ingress._limits import IngressLimits, LimitSource
 from skylarkdoord.ingress._shared_reads import SharedReads
-from skylarkdoord.ingress._state import ConnectionState, Phase
+from skylarkdoord.ingress._state import Phase
 from skylarkdoord.ingress._unfinished import UnfinishedBytes
 
 
-class Connection(Protocol):
+class Connection(LimitedConnection, Protocol):
     """What the table needs of a connection."""
 
-    state: ConnectionState
+    def close_now(self) -> None:
+        """Close it without regard to what was not sent."""
 
     def close_overdue(self, limits: IngressLimits, now: float) -> None:
         """Close the connection if it takes too long."""
@@ -29,6 +36,7 @@
     """The open connections of callers.
 
     Args:
+        limit: Limit on them.
         clock: Returns monotonic time in seconds.
         limits: Returns the limits in force.
         max_unfinished_bytes: Most bytes of requests that are not handled yet; None for
@@ -43,10 +51,12 @@
     def __init__(
         self,
         *,
+        limit: ConnectionLimit = NO_LIMIT,
         clock: Callable[[], float] = time.monotonic,
         limits: LimitSource = IngressLimits,
         max_unfinished_bytes: int | None = None,
     ) -> None:
+        self.limit = limit
         self.clock = RunningClock(clock)
         self.limits = limits
         self.unfinished: UnfinishedBytes[Connection] = UnfinishedBytes(
@@ -63,8 +73,20 @@
         return iter(list(self.connections))
 
     def add(self, connection: Connection) -> None:
-        """Add a connection that was accepted."""
+        """Add a connection that was accepted; if it is one too many, close some."""
         self.connections[connection] = None
+        if len(self.connections) > self.limit.max_connections:
+            self.close_some(connection)
+
+    def close_some(self, newest: Connection) -> None:
+        """Close the connections that are worth least."""
+        chosen = choose_closed(
+            self.connections, self.limit, newest=newest, now=self.clock()
+        )
+        for connection in chosen:
+            self.remove(connection)
+            self.closed.record(Reason.TOO_MANY, connection.state)
+            connection.close_now()
 
     def remove(self, connection: Connection) -> None:
         """Remove a connection that was closed."""
