Rig of the configuration: callers at a deployment's load, slow and busy stores, signals

New faults: a store that answers 0.2 to 2 s late, one that serves few calls a second, and signals in series. Versions differ by 10 s of the route's timeout instead of 5, so that a request that waits for longer is not taken for one of an older version.

--- a/tests/soak/_config_faults.py
+++ b/tests/soak/_config_faults.py
@@ -1,6 +1,7 @@
 """Faults of runs in which the configuration changes."""
 
 import asyncio
+import math
 import signal
 
 from ._config_links import AWAY, Refusal
@@ -13,6 +14,8 @@
 OVERLAP = 0.3
 # Time before a version is due.
 LEAD_S = 0.3
+# Signals of a series; SIGTERM may come several times.
+SERIES = (signal.SIGHUP, signal.SIGHUP, signal.SIGTERM)
 
 
 class ConfigFaults:
@@ -42,6 +45,9 @@
             "lose_answers": self.lose_answers,
             "part_in_turn": self.part_in_turn,
             "calm": self.calm,
+            "slow": self.slow,
+            "busy": self.busy,
+            "signals": self.signals,
         }
         self.drawn = [self.kinds[name] for name in names or self.kinds]
 
@@ -172,6 +178,41 @@
                 for node in nodes:
                     node.daemon.process.send_signal(signal.SIGCONT)
 
+    async def slow(self):
+        """Let the store answer late."""
+        delay_s = self.rng.uniform(0.2, 2.0)
+        text = f"store slow by {delay_s:.1f} s"
+        with self.soak.impaired(Kind.DOWN, text, self.nodes):
+            self.soak.store.delay_s = delay_s
+            await asyncio.sleep(self.rng.uniform(2.0, 8.0))
+            self.soak.store.delay_s = 0.0
+
+    async def busy(self):
+        """Let the store serve few calls in a second."""
+        max_calls = self.rng.randint(1, 4)
+        text = f"store serves {max_calls} calls a second"
+        with self.soak.impaired(Kind.UNSTABLE, text, self.nodes):
+            self.soak.store.max_calls = max_calls
+            await asyncio.sleep(self.rng.uniform(2.0, 9.0))
+            self.soak.store.max_calls = math.inf
+
+    async def signals(self):
+        """Send some entries a series of signals, the last of which ends them."""
+        nodes = self.few_nodes()
+        with self.soak.impaired(Kind.ENTRY, f"{_names(nodes)} signalled", nodes):
+            async with self.soak.held(nodes):
+                await asyncio.gather(*(self.signal(node) for node in nodes))
+
+    async def signal(self, node):
+        """Send one entry a series of signals, then start it again."""
+        for number in self.rng.choices(SERIES, k=self.rng.randint(2, 5)):
+            if node.daemon.process.returncode is None:
+                node.daemon.process.send_signal(number)
+            await asyncio.sleep(self.rng.uniform(0.0, 0.5))
+        await asyncio.sleep(self.rng.uniform(0.0, 4.0))
+        await node.daemon.kill()
+        await self.soak.start([node])
+
     async def compact(self):
         """Let the store drop its history again and again."""
         with self.soak.impaired(Kind.UNSTABLE, "history dropped", self.nodes):
--- a/tests/soak/_config_links.py
+++ b/tests/soak/_config_links.py
@@ -3,7 +3,9 @@
 import asyncio
 import contextlib
 import enum
-from collections import Counter
+import math
+import time
+from collections import Counter, deque
 
 from aiohttp import web
 
@@ -73,12 +75,17 @@
 
     Attributes:
         is_compacted: Whether every feed call is told that the history is lost.
+        delay_s: Delay of every answer, in seconds.
+        max_calls: Most calls in a second; those beyond are told so.
         counts: Number of calls by path and table.
     """
 
     def __init__(self):
         super().__init__()
         self.is_compacted = False
+        self.delay_s = 0.0
+        self.max_calls = math.inf
+        self.recent = deque()
         self.counts = Counter()
         self.ports = {}
 
@@ -102,6 +109,16 @@
         """Write rows."""
         return await self.serve(request, super().commit)
 
+    def is_over_limit(self):
+        """Return whether a call is beyond those of a second."""
+        now = time.monotonic()
+        while self.recent and self.recent[0] <= now - 1.0:
+            self.recent.popleft()
+        if len(self.recent) >= self.max_calls:
+            return True
+        self.recent.append(now)
+        return False
+
     async def serve(self, request, handler):
         """Serve a call, unless the store turns its entry away."""
         self.counts[f"{request.path} {request.query.get('tableName', '')}"] += 1
@@ -113,6 +130,9 @@
             return web.Response(status=port.refusal.value)
         if port.refusal is Refusal.RESET:
             transport.abort()
+        if self.is_over_limit():
+            return web.Response(status=Refusal.BUSY.value)
+        await asyncio.sleep(self.delay_s)
         response = await handler(request)
         if port.lose_answer(transport):
             await asyncio.Event().wait()
--- a/tests/soak/_config_node.py
+++ b/tests/soak/_config_node.py
@@ -31,13 +31,14 @@
         self.peers = f"{self.host}:{free_port()}"
         self.links = {}
 
-    async def set_up(self, store, guard_port):
-        """Open the entry's links and prepare its process."""
+    async def set_up(self, store, guard_port, changes):
+        """Open the entry's links and prepare its process, with changed settings."""
         for data_centre in DATA_CENTRES:
             if data_centre != self.data_centre:
                 self.links[data_centre] = LinkProxy(self.peers)
         self.port, address = await store.listen()
         settings = entry_settings(self.name, address, guard_port=guard_port)
+        settings |= changes
         settings["data_centre"] = self.data_centre
         settings["listen"] = {
             "peers": self.peers,
--- a/tests/soak/_config_run.py
+++ b/tests/soak/_config_run.py
@@ -7,7 +7,9 @@
 import asyncio
 import contextlib
 import json
+import os
 import re
+import sys
 import time
 from collections import Counter
 from typing import NamedTuple
@@ -15,7 +17,15 @@
 import aiohttp
 
 from skylarkdoor_bench.testing import free_port
-from tests.adapter._standins import HOST, Server, config, route, server_row, signed
+from tests.adapter._standins import (
+    HOST,
+    LOOPBACK,
+    Server,
+    config,
+    route,
+    server_row,
+    signed,
+)
 
 from ._config_faults import ConfigFaults
 from ._config_links import SharedStore
@@ -25,18 +35,26 @@
 
 SERVICES = ("even", "odd")
 SLOTS = 200
+LOAD_SLOTS = 5000
+MAX_BODY_BYTES = 4 * 1024 * 1024
 # Interval of the versions of the configuration, each of which moves the route.
 CHANGE_INTERVAL_S = 2.0
 # The timeout of the route in a version's configuration tells a server the version,
 # as entries pass on what is left of it.
 BASE_TIMEOUT_MS = 30_000
-TIMEOUT_STEP_MS = 5000
+TIMEOUT_STEP_MS = 10_000
 PROBE_INTERVAL_S = 0.2
 PROBE_TIMEOUT_S = 2.0
+# Time limit of the most patient callers of a deployment.
+LOADED_PROBE_TIMEOUT_S = 15.0
 START_TIMEOUT_S = 60.0
 CONCURRENT_STARTS = 6
 # Time after the last fault during which the rules are still judged.
 RECOVERY_S = 10.0
+# Settings of the entries of a loaded run, as the deployment has them.
+LOADED_SETTINGS = {"memory": {"process_mb": 136}, "serves_late": True}
+LOOP_LAG = re.compile(r"^skylarkdoor_event_loop_lag_seconds (\S+)$", re.MULTILINE)
+LAG_INTERVAL_S = 1.0
 LIVE_ENTRIES = re.compile(r"^skylarkdoor_direct_entries (\S+)$", re.MULTILINE)
 DENIALS = (401, 403, 404)
 
@@ -54,6 +72,7 @@
         blind: Names of the entries that did not use it until the end.
         calls: Calls to the store in a second, by path and table.
         stalled_s: Time for which the machine stalled, in seconds.
+        lags_s: Lags of the entries' event loops under load, in seconds.
     """
 
     broken: list[str]
@@ -64,6 +83,7 @@
     blind: list[str]
     calls: dict[str, float]
     stalled_s: float
+    lags_s: list[float]
 
 
 class ConfigSoak:
@@ -75,11 +95,25 @@
         entries: Number of entries.
         faults: Names of the faults to draw from; all if empty.
         interval_s: Interval of the versions of the configuration, in seconds.
+        rate: Requests a second that callers send each entry beside the probes.
+        processors: Numbers of the processors on which the entries run; all if empty.
     """
 
     def __init__(
-        self, seed, folder, *, entries, faults=(), interval_s=CHANGE_INTERVAL_S
+        self,
+        seed,
+        folder,
+        *,
+        entries,
+        faults=(),
+        interval_s=CHANGE_INTERVAL_S,
+        rate=0.0,
+        processors=(),
     ):
+        self.rate = rate
+        self.processors = processors
+        self.lags_s = []
+        self.load_port = free_port()
         self.interval_s = interval_s
         self.folder = folder
         self.nodes = [EntryNode(number, folder) for number in range(1, entries + 1)]
@@ -129,6 +163,8 @@
             async with starts:
                 self.rules.start_process(node.name)
                 await node.daemon.start()
+                if self.processors:
+                    os.sched_setaffinity(node.daemon.process.pid, self.processors)
 
         await asyncio.gather(*(start(node) for node in nodes))
 
@@ -139,8 +175,17 @@
             service=SERVICES[version % len(SERVICES)],
             timeoutMs=BASE_TIMEOUT_MS + version * TIMEOUT_STEP_MS,
         )
-        services = [{"name": name} for name in SERVICES]
-        content = config(desk, version=version, services=services)
+        draft = route(
+            "draft", service="draft", routeType="streaming", targetLatencyMs=500
+        )
+        services = [{"name": name} for name in (*SERVICES, "draft")]
+        content = config(
+            desk,
+            draft,
+            version=version,
+            services=services,
+            limits={"maxBodyBytes": MAX_BODY_BYTES},
+        )
         await self.store.put("op", "config", content)
         self.rules.acknowledged[version] = self.clock.now
 
@@ -179,12 +224,17 @@
         self.rules.judge(Run(entry, version, sent_at, self.clock.now))
 
     async def probe(self, session, node):
-        """Send one request after another to an entry until cancelled."""
+        """Send requests to an entry until cancelled; under load, several at once."""
         count = 0
-        while True:
-            count += 1
-            await self.send(session, node, f"{node.name}-{count}")
-            await asyncio.sleep(PROBE_INTERVAL_S)
+        async with asyncio.TaskGroup() as tasks:
+            while True:
+                count += 1
+                sending = self.send(session, node, f"{node.name}-{count}")
+                if self.rate:
+                    tasks.create_task(sending)
+                else:
+                    await sending
+                await asyncio.sleep(PROBE_INTERVAL_S)
 
     async def send(self, session, node, attempt):
         """Send one request to an entry; return whether it was answered with 200."""
@@ -202,6 +252,35 @@
             self.rules.judge_refusal(node.name, response.status, sent_at)
         return response.status == 200
 
+    async def set_up_load(self, resources):
+        """Start callers at the load of a deployment, and their server."""
+        server = Server(None)
+        server.address = f"{LOOPBACK}:{self.load_port}"
+        server.slots = LOAD_SLOTS
+        row = server_row(server, service="draft", zone=DATA_CENTRES[0])
+        await self.store.put("servers", "i-load", row)
+        addresses = [node.url.removeprefix("http://") for node in self.nodes]
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "tests.soak._config_callers",
+            str(self.load_port),
+            str(self.rate),
+            *addresses,
+        )
+        resources.push_async_callback(process.wait)
+        resources.callback(process.kill)
+
+    async def record_lags(self, session):
+        """Record the lags of the entries' loops until cancelled."""
+        while True:
+            await asyncio.sleep(LAG_INTERVAL_S)
+            with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
+                node = self.nodes[len(self.lags_s) % len(self.nodes)]
+                async with session.get(node.metrics_url) as response:
+                    text = await response.text()
+                self.lags_s += [float(lag) for lag in LOOP_LAG.findall(text)]
+
     async def set_up(self, resources):
         """Start the store, servers, proxies and entries."""
         await resources.enter_async_context(self.store)
@@ -216,7 +295,8 @@
         guard_port = free_port()
         proxies = {name: {} for name in DATA_CENTRES}
         for node in self.nodes:
-            await node.set_up(self.store, guard_port)
+            changes = LOADED_SETTINGS if self.rate else {}
+            await node.set_up(self.store, guard_port, changes)
             for name, address in (await node.listen()).items():
                 proxies[name][node.peers] = address
                 resources.push_async_callback(node.links[name].stop)
@@ -242,7 +322,9 @@
     def session(self):
         """Return a session of the callers."""
         return aiohttp.ClientSession(
-            timeout=aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S),
+            timeout=aiohttp.ClientTimeout(
+                total=LOADED_PROBE_TIMEOUT_S if self.rate else PROBE_TIMEOUT_S
+            ),
             connector=aiohttp.TCPConnector(limit=0),
         )
 
@@ -265,6 +347,9 @@
             self.rules.waiting.clear()
             session = await resources.enter_async_context(self.session())
             tasks.append(asyncio.create_task(self.operate()))
+            if self.rate:
+                await self.set_up_load(resources)
+                tasks.append(asyncio.create_task(self.record_lags(session)))
             tasks += [
                 asyncio.create_task(self.probe(session, node)) for node in self.nodes
             ]
@@ -296,6 +381,7 @@
             sorted(self.rules.waiting),
             calls,
             self.clock.stalled_s,
+            sorted(self.lags_s),
         )
 
     async def check_streams(self, session, node):
--- a/tests/soak/config.py
+++ b/tests/soak/config.py
@@ -21,6 +21,14 @@
     "--recovery", default=RECOVERY_S, help="Time after them that is judged as well."
 )
 @click.option("--interval", default=CHANGE_INTERVAL_S, help="Time between versions.")
+@click.option("--rate", default=0.0, help="Streams a second that each entry gets.")
+@click.option(
+    "--processor",
+    "processors",
+    multiple=True,
+    type=int,
+    help="One of the entries'; all.",
+)
 @click.option("--fault", "faults", multiple=True, help="Fault to draw from; all.")
 def main(
     seed: int,
@@ -29,6 +37,8 @@
     entries: int,
     recovery: float,
     interval: float,
+    rate: float,
+    processors: tuple[int, ...],
     faults: tuple[str, ...],
 ) -> None:
     """Change the configuration under faults; exit with 1 if a rule is broken."""
@@ -36,13 +46,24 @@
     for number in range(seed, seed + runs):
         folder = Path(tempfile.mkdtemp(prefix=f"config-{number}-"))
         soak = ConfigSoak(
-            number, folder, entries=entries, faults=faults, interval_s=interval
+            number,
+            folder,
+            entries=entries,
+            faults=faults,
+            interval_s=interval,
+            rate=rate,
+            processors=processors,
         )
         result = asyncio.run(soak.run(seconds, recovery_s=recovery))
         click.echo(f"seed {number}: {result.runs} runs, {dict(result.outcomes)}")
         click.echo(f"  the machine stalled for {result.stalled_s:.1f} s")
-        for name, rate in sorted(result.calls.items()):
-            click.echo(f"  {rate:.2f} calls a second: {name}")
+        if result.lags_s:
+            click.echo(
+                f"  lag of the loops: median {statistics.median(result.lags_s):.2f} s,"
+                f" longest {result.lags_s[-1]:.2f} s, {len(result.lags_s)} in all"
+            )
+        for name, calls in sorted(result.calls.items()):
+            click.echo(f"  {calls:.2f} calls a second: {name}")
         blind_s = sorted(seconds for seconds, _ in result.blind_s)
         if blind_s:
             click.echo(
