Heads may have 1,024 fields, which count with their objects

What callers saw: a head within maxHeaderBytes that has over 128 fields got 400 (test_calm.py, head_of_small_fields), the HTTP server's default.

Change: 1,024 fields; each line of an incomplete head or of trailers counts as 512 bytes held, so that many small fields take no more than their share.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
@@ -47,6 +47,7 @@
 )
 
 MAX_HEADER_BYTES = 64 * 1024
+MAX_HEADERS = 1024
 # A colon, a space and a line end in each header field.
 FIELD_EXTRA_BYTES = 4
 # Retry-After for requests on which no configuration decides yet.
@@ -149,6 +150,7 @@
             auto_decompress=False,
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
+            max_headers=MAX_HEADERS,
             lingering_time=0.5,
         )
         runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_MARGIN_S)
--- a/packages/skylarkdoord/src/skylarkdoord/ingress/_received.py
+++ b/packages/skylarkdoord/src/skylarkdoord/ingress/_received.py
@@ -14,6 +14,8 @@
 # A chunk of one byte is sent in six bytes.
 FRAMING_RATIO = 8
 LINE_ENDS = b"\r\n"
+# Objects of a header field that was parsed.
+FIELD_BYTES = 512
 
 
 class Parsed(NamedTuple):
@@ -47,6 +49,7 @@
         is_body_open: Whether a body is incomplete.
         body_bytes: Bytes of that body so far.
         framing_bytes: Bytes since a part of that body arrived.
+        lines: Lines of an incomplete head or of trailers.
         all_framing_bytes: Bytes since its head that are none of its parts.
         is_malformed: Whether the bytes are no HTTP.
     """
@@ -57,13 +60,14 @@
     is_body_open: bool = False
     body_bytes: int = 0
     framing_bytes: int = 0
+    lines: int = 0
     all_framing_bytes: int = 0
     is_malformed: bool = False
 
     @property
     def unfinished_bytes(self) -> int:
         """Bytes that the parser holds until a head or its trailers are complete."""
-        return self.head_bytes + self.framing_bytes
+        return self.head_bytes + self.framing_bytes + FIELD_BYTES * self.lines
 
     def update(self, data: bytes, parsed: Parsed, now: float) -> None:
         """Count bytes that were received and parsed.
@@ -77,7 +81,7 @@
         if parsed.has_new_head or (self.is_body_open and not parsed.is_body_open):
             self.begin(parsed, now)
         elif parsed.is_body_open:
-            self.add_body(len(data), parsed.body_bytes, now)
+            self.add_body(data, parsed.body_bytes, now)
         else:
             self.add_head(data, now)
 
@@ -89,20 +93,24 @@
         self.is_body_open = parsed.is_body_open
         self.body_bytes = parsed.body_bytes
         self.framing_bytes = 0
+        self.lines = 0
         self.all_framing_bytes = 0
 
-    def add_body(self, size: int, body_bytes: int, now: float) -> None:
+    def add_body(self, data: bytes, body_bytes: int, now: float) -> None:
         """Count bytes of which some may be parts of the body."""
+        size = len(data)
         more = body_bytes - self.body_bytes
         self.body_bytes = body_bytes
         self.all_framing_bytes += size - more
         self.framing_bytes = 0 if more else self.framing_bytes + size
+        self.lines = 0 if more else self.lines + data.count(b"\n")
         if more:
             self.progress_at = now
 
     def add_head(self, data: bytes, now: float) -> None:
         """Count bytes of an incomplete head; line ends before it don't begin it."""
         self.head_bytes += len(data)
+        self.lines += data.count(b"\n")
         if self.head_since is None and data.strip(LINE_ENDS):
             self.head_since = now
 
--- a/packages/skylarkdoord/tests/ingress/test_limits.py
+++ b/packages/skylarkdoord/tests/ingress/test_limits.py
@@ -43,6 +43,12 @@
             received.update(data, NO_BODY, 1.0)
         assert received.is_head_too_large(LIMITS)
 
+    # Guards against many small fields, of which each takes more than its bytes.
+    def test_fields(self, received):
+        """An incomplete head counts with the objects of its fields."""
+        received.update(b"X: y\r\n" * 100, NO_BODY, 1.0)
+        assert received.unfinished_bytes > 50_000
+
     def test_many(self, received):
         """Heads that follow each other are not counted together."""
         new_head = Parsed(has_new_head=True, is_body_open=False, body_bytes=0)
