--- a/packages/skylarkdoord/src/skylarkdoord/ingress/_closed.py
+++ b/packages/skylarkdoord/src/skylarkdoord/ingress/_closed.py
@@ -15,6 +15,7 @@
 class Reason(enum.Enum):
     """Limit for which a connection is closed."""
 
+    TOO_MANY = "too_many"  # there are too many connections
     UNREAD_BYTES = "unread_bytes"  # too much arrived that is not read
     HEAD_BYTES = "head_bytes"  # a head is larger than the operator allows
     HEAD_TIMEOUT = "head_timeout"  # a head takes longer than the operator allows
--- a/packages/skylarkdoord/src/skylarkdoord/ingress/_connection.py
+++ b/packages/skylarkdoord/src/skylarkdoord/ingress/_connection.py
@@ -80,6 +80,18 @@
         self.table.remove(self)
         super().connection_lost(exc)
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether received bytes wait to be handled, or an answer to be sent."""
+        transport = self.transport
+        is_sent = transport is None or not transport.get_write_buffer_size()
+        return self.is_waiting or not is_sent
+
+    def close_now(self) -> None:
+        """Close the connection without regard to what was not sent."""
+        if self.transport is not None:
+            self.transport.abort()
+
     def data_received(self, data: bytes) -> None:
         """Count received bytes and pass them on."""
         now = self.table.clock()
@@ -187,8 +199,8 @@
         """Accept no further bytes, and close after the running answer.
 
         Requests that wait are not run. A first head is answered, if there is a status
-        for the reason. An incomplete
-        body ends with its timeout, or with the connection if it can't be read on.
+        for the reason. An incomplete body ends with its timeout, or with the connection
+        if it can't be read on.
         """
         self.table.closed.record(reason, self.state)
         self.is_refusing = True
