Connections that are idle or late are closed at once

Cause: between the decision and the next look, 0.25 s later, a request that arrived on a connection that had carried others was dropped unread.

Run: tests of limits and ingress pass.

--- a/packages/skylarkdoord/src/skylarkdoord/ingress/_connection.py
+++ b/packages/skylarkdoord/src/skylarkdoord/ingress/_connection.py
@@ -27,6 +27,8 @@
 MAX_AHEAD_REQUESTS = 4
 # Time for the answer to the last request, in seconds.
 REFUSED_OPEN_S = 1.0
+# Nothing is being answered when these are found.
+LATE_REASONS = (Reason.HEAD_TIMEOUT, Reason.IDLE)
 STATUS_BY_REASON = {
     Reason.HEAD_BYTES: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
     Reason.HEAD_TIMEOUT: HTTPStatus.REQUEST_TIMEOUT,
@@ -214,6 +216,8 @@
         elif self.has_head:
             self._messages.clear()
             self.close()
+            if reason in LATE_REASONS:
+                transport.close()
         else:
             transport.write(closing_answer(STATUS_BY_REASON.get(reason)))
             transport.close()
