--- a/packages/skylarkdoord/src/skylarkdoord/ingress/_connection.py
+++ b/packages/skylarkdoord/src/skylarkdoord/ingress/_connection.py
@@ -27,6 +27,8 @@
 MAX_AHEAD_REQUESTS = 4
 # Time for the answer to the last request, in seconds.
 REFUSED_OPEN_S = 1.0
+# Nothing is being answered when these are found.
+LATE_REASONS = (Reason.HEAD_TIMEOUT, Reason.IDLE)
 STATUS_BY_REASON = {
     Reason.HEAD_BYTES: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
     Reason.HEAD_TIMEOUT: HTTPStatus.REQUEST_TIMEOUT,
@@ -192,8 +194,8 @@
         """Accept no further bytes, and close after the running answer.
 
         Requests that wait are not run. A first head is answered, if there is a status
-        for the reason. An incomplete
-        body ends with its timeout, or with the connection if it can't be read on.
+        for the reason. An incomplete body ends with its timeout, or with the connection
+        if it can't be read on.
         """
         self.table.closed.record(reason, self.state)
         self.is_refusing = True
@@ -207,6 +209,8 @@
         elif self.has_head:
             self._messages.clear()
             self.close()
+            if reason in LATE_REASONS:
+                transport.close()
         else:
             transport.write(closing_answer(STATUS_BY_REASON.get(reason)))
             transport.close()
--- a/packages/skylarkdoord/src/skylarkdoord/ingress/_state.py
+++ b/packages/skylarkdoord/src/skylarkdoord/ingress/_state.py
@@ -22,25 +22,25 @@
         phase: What it does.
         phase_since: Monotonic time at which that began, in seconds.
         received_at: Monotonic time at which bytes last arrived, in seconds.
-        answered_at: Monotonic time at which a request was last answered, or the
-            connection accepted, in seconds.
         requests: Requests that it has carried.
         unread_bytes: Bytes that arrived and are neither part of a handled head nor of a
             body that was read.
+        answered_at: Monotonic time at which a request was last answered, or the
+            connection accepted, in seconds.
     """
 
     opened_at: float
     phase: Phase
     phase_since: float
     received_at: float
-    answered_at: float
     requests: int = 0
     unread_bytes: int = 0
+    answered_at: float = 0.0
 
     @classmethod
     def opened(cls, now: float) -> "ConnectionState":
         """Return the state of a new connection."""
-        return cls(now, Phase.IDLE, now, now, now)
+        return cls(now, Phase.IDLE, now, now, answered_at=now)
 
     def enter(self, phase: Phase, now: float) -> None:
         """Begin a phase."""
--- a/packages/skylarkdoord/src/skylarkdoord/ingress/_table.py
+++ b/packages/skylarkdoord/src/skylarkdoord/ingress/_table.py
@@ -58,6 +58,7 @@
     ) -> None:
         self.limit = limit
         self.clock = RunningClock(clock)
+        self.limit = limit
         self.limits = limits
         self.unfinished: UnfinishedBytes[Connection] = UnfinishedBytes(
             max_unfinished_bytes
