--- a/packages/skylarkdoord/tests/ingress/test_connection_limit.py
+++ b/packages/skylarkdoord/tests/ingress/test_connection_limit.py
@@ -18,7 +18,7 @@
 def connection(phase, quiet_s, requests=0, *, is_busy=False):
     """Return a connection that has made no progress for a time in seconds."""
     since = NOW_S - quiet_s
-    state = ConnectionState(since, phase, since, since, since, requests)
+    state = ConnectionState(since, phase, since, since, requests)
     return SimpleNamespace(state=state, is_busy=is_busy)
 
 
