Malformed requests leave no frames behind

What callers saw: an entry of 100 MB reached 93 MB beside 400 endless trailers or heads over the limit, although each connection was closed.

Cause: the HTTP server keeps the error of a malformed head with its traceback; the frames refer to the error and hold the bytes that were parsed, up to 64 KiB for each connection, until the next garbage collection.

Change: the frames are let go when the error is found.

Tests of ingress and of malformed requests pass.

--- a/packages/skylarkdoord/src/skylarkdoord/ingress/_connection.py
+++ b/packages/skylarkdoord/src/skylarkdoord/ingress/_connection.py
@@ -121,7 +121,9 @@
         if has_new_head:
             self.has_head = True
             message, self.newest_body = self._messages[-1]
-            is_malformed = not isinstance(message, RawRequestMessage)
+            if not isinstance(message, RawRequestMessage):
+                is_malformed = True
+                forget_frames(message.exc)
         body = self.newest_body
         is_open = not body.is_eof()
         parsed = Parsed(has_new_head, is_open, body.total_bytes, is_malformed)
@@ -257,6 +259,13 @@
         connection.state.enter(Phase.ANSWER, connection.table.clock())
 
 
+def forget_frames(error: BaseException) -> None:
+    """Let go of the frames of an error, which hold the bytes that were parsed."""
+    error.__traceback__ = None
+    error.__context__ = None
+    error.__cause__ = None
+
+
 def closing_answer(status: HTTPStatus | None) -> bytes:
     """Return the answer to a head that is not complete; empty without a status."""
     if status is None:
