Large whole answers are written piece by piece

Cause: the connection copies what it can't send, so that an answer that a caller leaves unread took twice the bytes for which it counts: 128 connections that ask for answers of 1 MiB and read nothing took an entry of 100 MB to 100.4 MB.

Change: bodies above 128 KiB are written in pieces of that size, each after the caller has read nearly all of the one before.

Run: tests of slow callers and slow, faulty and endless answers pass.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_caller_bodies.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_caller_bodies.py
@@ -15,6 +15,8 @@
 from skylarkdoord.direct.exceptions import BadCallError
 from skylarkdoord.ingress import give_up_body, on_body_complete, set_body_timeout
 
+PIECE_BYTES = 128 * 1024
+
 
 async def read_body(
     raw: web.BaseRequest, hold: BodyHold, *, max_bytes: int, deadline: float
@@ -93,12 +95,17 @@
     """
     if response.prepared or not isinstance(response, web.Response):
         return
-    size = len(response.body) if isinstance(response.body, bytes) else 0
+    body = response.body if isinstance(response.body, bytes) else b""
+    size = len(body)
     held.writing += size
     set_writing_whole(raw.protocol, is_writing=True)
     try:
         await response.prepare(raw)
-        on_written(raw.protocol, size)
+        if size > PIECE_BYTES:
+            response.body = None
+            await write_pieces(raw, response, body)
+        else:
+            on_written(raw.protocol, size)
         on_answer_complete(raw.protocol)
         await response.write_eof()
     finally:
@@ -106,3 +113,14 @@
         response.body = None
         held.writing -= size
         set_writing_whole(raw.protocol, is_writing=False)
+
+
+async def write_pieces(
+    raw: web.BaseRequest, response: web.Response, body: bytes
+) -> None:
+    """Write a body piece by piece, as the connection copies what is not sent."""
+    for start in range(0, len(body), PIECE_BYTES):
+        piece = body[start : start + PIECE_BYTES]
+        on_written(raw.protocol, len(piece))
+        on_answer_complete(raw.protocol)
+        await response.write(piece)
