Requests wait for the configuration after the event loop stood still

Cause: requests and news of the configuration wait in sockets while the loop stands still. A request takes three passes of the loop until it is admitted, the answer of the store four, and one more round trip if no call was under way. So requests are admitted by a configuration for which nobody has vouched for seconds. Class: a belief is used without looking at its age.

Change: a request that is whole while the configuration is old (ConfigAge.is_stale, 3 s) waits until the store or another entry vouches for it, for 0.2 s at most. Once one has waited in vain, no other does until the next confirmation, so an entry that is cut off serves as before.

--- a/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
@@ -17,6 +17,7 @@
 from skylarkdoord.direct._bounded_connection import BoundedRequestHandler
 from skylarkdoord.direct._caller_bodies import read_body, write_whole
 from skylarkdoord.direct._caller_connections import CallerConnections
+from skylarkdoord.direct._catch_up import CatchUp
 from skylarkdoord.direct._first_attempts import FirstAttempts
 from skylarkdoord.direct._fleet import Fleet
 from skylarkdoord.direct._forward import MIN_ERROR_STATUS, Forwarder
@@ -61,6 +62,7 @@
         settings: Settings of this process.
         fleet: Routes, customers and upstreams.
         dependencies: Components that forwarding depends on.
+        catch_up: Lets requests wait for news that has arrived.
 
     Attributes:
         drain: Whether the process is shutting down, and what it can still serve.
@@ -80,7 +82,9 @@
         settings: DirectSettings,
         fleet: Fleet,
         dependencies: ForwarderDependencies,
+        catch_up: CatchUp,
     ) -> None:
+        self.catch_up = catch_up
         self.settings = settings
         self.shutdown_timeout_s = settings.shutdown_timeout_s
         self.fleet = fleet
@@ -229,6 +233,7 @@
         try:
             request = self.read_head(raw, received)
             request = await self.read_whole(raw, request, hold)
+            await self.catch_up.wait()
             admitted = self.fleet.table.admit(request, self.first_attempts)
             if isinstance(raw.protocol, BoundedRequestHandler):
                 raw.protocol.timeout_s = admitted.route.timeout_s
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_config_age.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_config_age.py
@@ -53,6 +53,7 @@
             this one has heard, in seconds; minus infinity if there was none.
         newest: Newest version of which this entry has heard.
         source: Name of the entry that told of it first, or the store's.
+        on_confirmed: Called when the store, or another entry for it, has vouched.
         behind_since: Monotonic time since which a newer version than the one in force
             is known, in seconds; None if none is.
     """
@@ -72,6 +73,7 @@
         self.heard_at = -math.inf
         self.newest = 0
         self.source = ""
+        self.on_confirmed: Callable[[], None] = lambda: None
         self.behind_since: float | None = None
         self.is_lag_logged = False
         self.is_stale_logged = False
@@ -128,6 +130,7 @@
         if self.fleet.has_rejected_newer():
             return
         self.answered_at = self.confirmed_at = self.clock()
+        self.on_confirmed()
 
     def on_update(
         self, version: int, age_s: float | None, *, sent_at: float, source: str
@@ -150,6 +153,7 @@
         elif version == self.version and version and age_s is not None:
             self.heard_at = max(self.heard_at, sent_at - age_s)
             self.confirmed_at = max(self.confirmed_at, self.heard_at)
+            self.on_confirmed()
 
     def on_applied(self) -> None:
         """Record that a configuration has come into force."""
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -10,6 +10,7 @@
     UpstreamClient,
 )
 from skylarkdoord.direct._callers import CallerServer
+from skylarkdoord.direct._catch_up import CatchUp
 from skylarkdoord.direct._config_age import ConfigAge
 from skylarkdoord.direct._config_retry import ConfigRetry
 from skylarkdoord.direct._exchange import EntryExchange
@@ -183,7 +184,7 @@
         store.era.listeners.append(rollouts.coordinator.on_new_era)
         kernel.register(rollouts)
     kernel.register(guards)
-    callers = CallerServer(settings, fleet, dependencies)
+    callers = CallerServer(settings, fleet, dependencies, CatchUp(age))
     kernel.register(callers)
 
     def apply(changed: DirectSettings) -> None:
