Few connections are accepted in one pass of the event loop

Callers that only connect kept the loop from the store and other entries: asyncio accepts as many connections in a pass as its backlog, which was 1,024. Change: 16 connections a pass; the kernel's queue keeps its 1,024. Applies to all HTTP listeners.

--- a/packages/skylarkdoord/src/skylarkdoord/_listening.py
+++ b/packages/skylarkdoord/src/skylarkdoord/_listening.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import errno
+import socket
 import time
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Any
@@ -18,6 +19,11 @@
 # A process that is restarted under the same name may find its port held by the former
 # one for the time in which that one drains.
 PORT_TIMEOUT_S = 30.0
+# Connections that wait to be accepted, at most.
+BACKLOG = 1024
+# Connections that are accepted in one pass of the event loop, at most, as other
+# connections have to be heard in between.
+ACCEPTS_PER_PASS = 16
 INITIAL_DELAY_S = 0.05
 MAX_DELAY_S = 0.5
 # The address may also belong to a network interface that comes up later.
@@ -70,7 +76,7 @@
         kernel: Kernel of the process.
         address: Address of the listener as `host:port`.
         runner: The HTTP server.
-        options: Further arguments of `aiohttp.web.TCPSite`.
+        options: Further arguments of `aiohttp.web.SockSite`.
 
     Raises:
         OSError: The listener can't be opened.
@@ -80,12 +86,15 @@
     from aiohttp import web
 
     async def open_listener(host: str, port: int) -> None:
-        site = web.TCPSite(runner, host, port, **options)
+        sock = socket.create_server((host, port), backlog=BACKLOG)
+        site = web.SockSite(runner, sock, backlog=ACCEPTS_PER_PASS, **options)
         try:
             await site.start()
         except OSError:
             await site.stop()
             raise
+        # asyncio accepts up to its backlog in one pass of the event loop.
+        sock.listen(BACKLOG)
 
     await open_port(kernel, address, open_listener)
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
@@ -53,7 +53,7 @@
 # A colon, a space and a line end in each header field.
 FIELD_EXTRA_BYTES = 4
 # Load balancers need one connection each.
-READY_LIMIT = ConnectionLimit(max_connections=64, backlog=64)
+READY_LIMIT = ConnectionLimit(max_connections=64)
 # Retry-After for requests on which no configuration decides yet.
 STARTING_RETRY_AFTER_S = 0.5
 # The load balancer stops sending callers after two failed checks, a second apart.
@@ -172,7 +172,7 @@
         )
         runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_MARGIN_S)
         await runner.setup()
-        await open_site(kernel, address, runner, backlog=table.limit.backlog)
+        await open_site(kernel, address, runner)
         self.runners.append(runner)
         return runner
 
--- a/packages/skylarkdoord/src/skylarkdoord/ingress/_connection_limit.py
+++ b/packages/skylarkdoord/src/skylarkdoord/ingress/_connection_limit.py
@@ -16,11 +16,6 @@
 # A request needs a connection of its caller and one to its upstream.
 DESCRIPTORS_PER_REQUEST = 2
 MIN_CONNECTIONS = 16
-# Largest share of all descriptors that may be accepted in one pass of the event loop,
-# before connections beyond the limit are closed.
-ACCEPTED_SHARE = 0.25
-# Connections that wait to be accepted, or are accepted in one pass, at most.
-MAX_BACKLOG = 1024
 # A body of which nothing arrives for this long makes no progress, in seconds.
 NO_PROGRESS_S = 1.0
 # Part of the limit that is closed at once, so that not every new connection costs a
@@ -33,11 +28,9 @@
 
     Attributes:
         max_connections: Most connections at a time.
-        backlog: Most connections that wait to be accepted.
     """
 
     max_connections: int
-    backlog: int = MAX_BACKLOG
 
     @classmethod
     def derived(
@@ -51,8 +44,7 @@
         """
         free = max(0, descriptors - RESERVED_DESCRIPTORS)
         derived = max(MIN_CONNECTIONS, free // DESCRIPTORS_PER_REQUEST)
-        backlog = max(1, min(MAX_BACKLOG, int(ACCEPTED_SHARE * descriptors)))
-        return cls(max_connections or derived, backlog)
+        return cls(max_connections or derived)
 
 
 NO_LIMIT = ConnectionLimit(max_connections=sys.maxsize)
