--- a/packages/skylarkdoord/src/skylarkdoord/direct/_caller_bodies.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_caller_bodies.py
@@ -15,7 +15,11 @@
 from skylarkdoord.direct.exceptions import BadCallError
 from skylarkdoord.ingress import give_up_body, on_body_complete, set_body_timeout
 
+# Bytes of a whole answer that are written at a time.
 PIECE_BYTES = 128 * 1024
+# Smaller chunks of a body are joined once there are this many.
+SMALL_CHUNK_BYTES = 1024
+MAX_SMALL_CHUNKS = 64
 
 
 async def read_body(
@@ -67,12 +71,24 @@
         check_length(size, max_bytes)
         hold.held.incomplete.on_received(hold, len(chunk))
         hold.grow_to(size)
-        chunks.append(chunk)
+        add_chunk(chunks, chunk)
     hold.complete()
     on_body_complete(raw.protocol)
     return b"".join(chunks)
 
 
+def add_chunk(chunks: list[bytes], chunk: bytes) -> None:
+    """Add a chunk to a list, and join the latest ones once they are many and small.
+
+    Each object takes some dozen bytes beside its contents.
+    """
+    chunks.append(chunk)
+    if len(chunk) < SMALL_CHUNK_BYTES and len(chunks) % MAX_SMALL_CHUNKS == 0:
+        latest = chunks[-MAX_SMALL_CHUNKS:]
+        if sum(map(len, latest)) < MAX_SMALL_CHUNKS * SMALL_CHUNK_BYTES:
+            chunks[-MAX_SMALL_CHUNKS:] = [b"".join(latest)]
+
+
 def check_length(length: int, max_bytes: int) -> None:
     """Check the length of a body.
 
--- a/packages/skylarkdoord/src/skylarkdoord/ingress/_table.py
+++ b/packages/skylarkdoord/src/skylarkdoord/ingress/_table.py
@@ -18,6 +18,10 @@
 from skylarkdoord.ingress._state import Phase
 from skylarkdoord.ingress._unfinished import UnfinishedBytes
 
+# Time for which new connections beyond the limit are closed without a look at the
+# others, once none of these could be closed.
+FULL_S = 0.1
+
 
 class Connection(LimitedConnection, Protocol):
     """What the table needs of a connection."""
@@ -64,6 +68,7 @@
             max_unfinished_bytes
         )
         self.connections: dict[Connection, None] = {}
+        self.full_until = 0.0
         self.closed = ClosedConnections(self.clock)
         self.reads = SharedReads(clock=clock)
 
@@ -79,12 +84,19 @@
         if len(self.connections) > self.limit.max_connections:
             self.close_some(connection)
 
+    def choose_closed(self, newest: Connection) -> list[Connection]:
+        """Return the connections that are worth least, at least one."""
+        now = self.clock()
+        if now < self.full_until:
+            return [newest]
+        chosen = choose_closed(self.connections, self.limit, newest=newest, now=now)
+        if chosen == [newest]:
+            self.full_until = now + FULL_S
+        return chosen
+
     def close_some(self, newest: Connection) -> None:
         """Close the connections that are worth least."""
-        chosen = choose_closed(
-            self.connections, self.limit, newest=newest, now=self.clock()
-        )
-        for connection in chosen:
+        for connection in self.choose_closed(newest):
             self.remove(connection)
             self.closed.record(Reason.TOO_MANY, connection.state)
             connection.close_now()
