A connection that is refused while its first request waits is answered

Change: they are dropped only beside a running request; otherwise the next one is answered 503 on a connection that closes. Result: TestRefused failed before and passes. TestGone[6] stays red and is listed: a caller with much sent ahead that leaves is noticed when its running request ends.

--- a/packages/skylarkdoord/src/skylarkdoord/ingress/_connection.py
+++ b/packages/skylarkdoord/src/skylarkdoord/ingress/_connection.py
@@ -53,6 +53,7 @@
         newest_body: Body of the latest head.
         has_head: Whether a head was complete.
         is_refusing: Whether what arrives from now on is dropped.
+        is_shut: Whether the request that waits is refused.
         dropped_bytes: Bytes that were dropped.
         body_timeout: Ends the reading of a body early; None if none is read.
     """
@@ -69,6 +70,7 @@
         self.newest_body: aiohttp.StreamReader = aiohttp.EMPTY_PAYLOAD
         self.has_head = False
         self.is_refusing = False
+        self.is_shut = False
         self.dropped_bytes = 0
         self.body_timeout: asyncio.Timeout | None = None
 
@@ -209,7 +211,7 @@
         if self.state.phase is Phase.BODY:
             transport.abort()
         elif self.has_head:
-            self._messages.clear()
+            self.drop_waiting()
             self.close()
             if reason in LATE_REASONS:
                 transport.close()
@@ -217,6 +219,13 @@
             transport.write(closing_answer(STATUS_BY_REASON.get(reason)))
             transport.close()
 
+    def drop_waiting(self) -> None:
+        """Let no request run that waits; the next one is answered, if none is now."""
+        if self.state.phase is Phase.ANSWER:
+            self._messages.clear()
+        else:
+            self.is_shut = True
+
     def cut_body(self) -> bool:
         """End the reading of a body; return whether one is being read."""
         if self.body_timeout is None:
--- a/packages/skylarkdoord/src/skylarkdoord/ingress/_server.py
+++ b/packages/skylarkdoord/src/skylarkdoord/ingress/_server.py
@@ -8,6 +8,8 @@
 from skylarkdoord.ingress._connection import CallerConnection
 from skylarkdoord.ingress._table import ConnectionTable
 
+RETRY_AFTER = "1"
+
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
@@ -47,7 +49,17 @@
         connection.state.on_request(self.table.clock())
         connection.on_fewer_ahead()
         try:
-            return await self.handler(raw)
+            return refusal() if connection.is_shut else await self.handler(raw)
         finally:
             connection.state.on_answered(self.table.clock())
             connection.on_fewer_ahead()
+
+
+def refusal() -> web.Response:
+    """Return the answer to a request that is not run, on a connection that closes."""
+    response = web.Response(
+        status=web.HTTPServiceUnavailable.status_code,
+        headers={"Retry-After": RETRY_AFTER},
+    )
+    response.force_close()
+    return response
