--- a/packages/skylarkdoord/src/skylarkdoord/ingress/_deadlines.py
+++ b/packages/skylarkdoord/src/skylarkdoord/ingress/_deadlines.py
@@ -14,6 +14,8 @@
 
 # Interval between two looks at the connections, in seconds.
 SWEEP_INTERVAL_S = 0.25
+# Time that the last bytes of a head may be on their way, in seconds.
+TRANSIT_MARGIN_S = 1.0
 
 
 class RunningClock:
@@ -63,7 +65,7 @@
     idle_since = max(state.opened_at, state.answered_at)
     if received.head_since is not None:
         since = max(received.head_since, idle_since)
-        is_late = now - since > limits.head_timeout_s
+        is_late = now - since > limits.head_timeout_s + TRANSIT_MARGIN_S
         return Reason.HEAD_TIMEOUT if is_late else None
     is_idle = now - idle_since > limits.idle_timeout_s
     return Reason.IDLE if is_idle else None
