--- a/packages/skylarkdoord/tests/ingress/test_limits.py
+++ b/packages/skylarkdoord/tests/ingress/test_limits.py
@@ -3,7 +3,7 @@
 import pytest
 
 from skylarkdoord.ingress import ConnectionState, IngressLimits, Phase, Reason
-from skylarkdoord.ingress._deadlines import RunningClock, find_overdue
+from skylarkdoord.ingress._deadlines import TRANSIT_MARGIN_S, RunningClock, find_overdue
 from skylarkdoord.ingress._received import Parsed, Received
 
 LIMITS = IngressLimits(head_bytes=10_000, head_timeout_s=2.0, idle_timeout_s=5.0)
