--- a/packages/skylarkdoord/src/skylarkdoord/direct/_metrics.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_metrics.py
@@ -1,17 +1,6 @@
-"""Metrics of direct entries and guards, and the server that exposes them."""
+"""Metrics of direct entries and guards."""
 
-import asyncio
-import threading
-from wsgiref.simple_server import WSGIServer
-
-from prometheus_client import Counter, Gauge, Histogram, start_http_server
-
-from skylarkdoor.kernel import Kernel
-from skylarkdoord._listening import log_opened, log_taken
-from skylarkdoord.direct._settings import DirectSettings
-
-# Interval at which a port that could not be opened is tried again.
-RETRY_INTERVAL_S = 1.0
+from prometheus_client import Counter, Gauge, Histogram
 
 SECONDS = (0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 15.0)
 
@@ -188,58 +177,3 @@
 GUARD_STREAMS = Gauge(
     "skylarkdoor_guard_streams", "Streams of which the guard keeps the version."
 )
-
-
-class MetricsServer:
-    """Serves the metrics in Prometheus text form.
-
-    Args:
-        settings: Settings of this process.
-    """
-
-    name = "metrics"
-    requires: tuple[str, ...] = ()
-
-    def __init__(self, settings: DirectSettings) -> None:
-        self.address = settings.listen.metrics
-        self.server: WSGIServer | None = None
-        self.thread: threading.Thread | None = None
-        self.is_logged = False
-
-    async def start(self, kernel: Kernel) -> None:
-        """Listen on the metrics address, now or as soon as its port is free."""
-        if not self.listen():
-            kernel.supervise(self.retry, name="metrics.listen")
-
-    async def retry(self) -> None:
-        """Try to listen until it succeeds."""
-        while not self.listen():
-            await asyncio.sleep(RETRY_INTERVAL_S)
-        log_opened(self.address)
-
-    def listen(self) -> bool:
-        """Listen; return whether the port could be opened.
-
-        A process serves without its metrics. The first failure is logged.
-        """
-        host, _, port = self.address.rpartition(":")
-        try:
-            self.server, self.thread = start_http_server(int(port), host)
-        except OSError as error:
-            if not self.is_logged:
-                log_taken(self.address, error)
-            self.is_logged = True
-            return False
-        return True
-
-    async def stop(self) -> None:
-        """Close the listener, without a wait for the end of its thread."""
-        if self.server is not None:
-            closing = threading.Thread(target=close, args=(self.server,), daemon=True)
-            closing.start()
-
-
-def close(server: WSGIServer) -> None:
-    """Close a listener and its thread; this takes up to half a second."""
-    server.shutdown()
-    server.server_close()
--- a/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/entry.py
@@ -19,7 +19,7 @@
 from skylarkdoord.direct._guards import Guards
 from skylarkdoord.direct._limit_records import LimitRecords
 from skylarkdoord.direct._members import Members
-from skylarkdoord.direct._metrics import MetricsServer
+from skylarkdoord.direct._metrics_server import MetricsServer
 from skylarkdoord.direct._missed_news import MissedNews
 from skylarkdoord.direct._quota import Quota
 from skylarkdoord.direct._retry_report import RetryReport
--- a/packages/skylarkdoord/src/skylarkdoord/direct/guard.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/guard.py
@@ -8,7 +8,7 @@
 from skylarkdoord.direct._adapter import load_adapter
 from skylarkdoord.direct._engine_reports import EngineReports
 from skylarkdoord.direct._guard import Guard
-from skylarkdoord.direct._metrics import MetricsServer
+from skylarkdoord.direct._metrics_server import MetricsServer
 from skylarkdoord.direct._settings import DirectSettings
 from skylarkdoord.direct.process import Apply
 
--- a/packages/skylarkdoord/tests/direct/test_metrics_server.py
+++ b/packages/skylarkdoord/tests/direct/test_metrics_server.py
@@ -8,7 +8,7 @@
 
 from skylarkdoor.kernel import Kernel
 from skylarkdoor_bench.testing import free_port
-from skylarkdoord.direct._metrics import MetricsServer
+from skylarkdoord.direct._metrics_server import MetricsServer
 
 from ._make import make_settings
 
