--- a/tests/crowds/test_own_interface.py
+++ b/tests/crowds/test_own_interface.py
@@ -117,3 +117,16 @@
         assert more_mb <= MAX_MORE_MB
         assert descriptors <= DESCRIPTORS - KEPT_DESCRIPTORS
         assert status == 200
+
+    # Guards against an entry that can't reach sidecars for connections of others.
+    async def test_internal(self, cluster):
+        """Silent connections to the internal address leave descriptors."""
+        process = cluster.processes[ENTRY]
+        address = cluster.daemons[ENTRY].settings.listen.internal
+        async with Crowd(address, 2 * DESCRIPTORS, []):
+            await asyncio.sleep(CROWD_S)
+            descriptors = Usage(process.pid).descriptors
+            status = await until_served(cluster)
+            assert process.is_running
+        assert descriptors <= DESCRIPTORS - KEPT_DESCRIPTORS
+        assert status == 200
