Own interface: bodies that are being received are bounded

What callers saw: an entry whose callers sent bodies of legal size one byte short held all of them for 30 s, whatever their number.

Cause: max_waiting_bytes counted the bodies of requests that wait, and a request waits from when its body is complete.

Change: the stated length of a body, or what has arrived of one in chunks, is reserved within the same limit while it is received. Where there is no room, a body that has got no further for 1 s makes room, if its tier is as low, then requests that wait in a lower tier; otherwise the request is refused with 503 and Retry-After as not run.

--- a/packages/skylarkdoor/src/skylarkdoor/settings/_process.py
+++ b/packages/skylarkdoor/src/skylarkdoor/settings/_process.py
@@ -113,7 +113,8 @@
     Attributes:
         max_body_bytes: Largest accepted request body.
         max_waiting: Requests that wait for dispatch in an entry.
-        max_waiting_bytes: Total size of the bodies of those requests.
+        max_waiting_bytes: Total size of the bodies of those requests, with those that
+            are still being received.
         body_timeout_s: Time within which a caller must send its body.
         drain_timeout_s: Time for which a graceful shutdown waits for requests.
         max_sidecars: Sidecars of one pool to which an entry connects.
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_admission.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_admission.py
@@ -152,6 +152,15 @@
     )
 
 
+def overloaded_error() -> RefusedError:
+    """Return the error of a request for which there is no room."""
+    return RefusedError(
+        "overloaded",
+        "the waiting queue of this entry is full",
+        retry_after_s=OVERLOADED_RETRY_AFTER_S,
+    )
+
+
 class Waiter(NamedTuple):
     """A request in the waiting queue.
 
@@ -170,11 +179,15 @@
     Args:
         max_count: Maximum number of requests.
         max_bytes: Maximum total size of their bodies, in bytes.
+
+    Attributes:
+        receiving: Bytes reserved for bodies that are still being received.
     """
 
     def __init__(self, *, max_count: int, max_bytes: int) -> None:
         self.max_count = max_count
         self.max_bytes = max_bytes
+        self.receiving = 0
         self.tiers: dict[int, dict[str, Waiter]] = {}
         self.count = 0
         self.bytes = 0
@@ -204,6 +217,27 @@
         finally:
             self._remove(tier, request.request_id)
 
+    def has_room(self, size: int) -> bool:
+        """Return whether a number of bytes may be received beside all others."""
+        return self.bytes + self.receiving + size <= self.max_bytes
+
+    def reserve(self, tier: int, size: int) -> None:
+        """Reserve bytes for a body that is being received.
+
+        Requests of a lower tier are shed until they fit.
+
+        Args:
+            tier: Rank of the request's tier.
+            size: The bytes.
+
+        Raises:
+            RefusedError: There is no room, and no request of a lower tier waits.
+        """
+        while not self.has_room(size):
+            if not self._shed_below(tier):
+                raise self._refusal(tier)
+        self.receiving += size
+
     def _fits(self, size: int) -> bool:
         return self.count < self.max_count and self.bytes + size <= self.max_bytes
 
@@ -221,11 +255,7 @@
         lowest = max(self.tiers, default=tier)
         invariants.check(LOWEST_FIRST, lowest <= tier, tier=tier, lowest=lowest)
         SHED.labels(str(tier)).inc()
-        return RefusedError(
-            "overloaded",
-            "the waiting queue of this entry is full",
-            retry_after_s=OVERLOADED_RETRY_AFTER_S,
-        )
+        return overloaded_error()
 
     def _add(self, tier: int, request_id: str, waiter: Waiter) -> None:
         self.tiers.setdefault(tier, {})[request_id] = waiter
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
@@ -10,7 +10,7 @@
 
 from skylarkdoor import events, tracing
 from skylarkdoor.kernel import Kernel
-from skylarkdoor.settings import ProcessSettings
+from skylarkdoor.settings import ProcessSettings, ResolvedCustomer
 from skylarkdoord import _events
 from skylarkdoord._drain import Drain, cut_off
 from skylarkdoord._listening import open_site
@@ -19,7 +19,9 @@
 from skylarkdoord.common._internal import finish_responses
 from skylarkdoord.entry import _parse as parse
 from skylarkdoord.entry._admission import Admission
+from skylarkdoord.entry._bodies import read_body
 from skylarkdoord.entry._problems import problem
+from skylarkdoord.entry._reception import Receptions
 from skylarkdoord.entry._relay import Relay
 from skylarkdoord.entry._request import EntryRequest
 from skylarkdoord.entry._router import Router
@@ -75,6 +77,7 @@
         """Listen on the callers' address."""
         self.router = kernel.find("router", Router)
         self.admission = kernel.find("admission", Admission)
+        self.receptions = Receptions(self.admission.waiting)
         self.settings_service = kernel.find("settings", SettingsService)
         self.internal = kernel.find("internal", InternalServer)
         self.drain_state = kernel.find("departure", DrainState)
@@ -199,25 +202,23 @@
             self.log.event(_events.REQUEST_OUTCOME_UNKNOWN, error=str(error))
             return problem(502, "outcome_unknown", str(error), not_run=False)
 
-    async def read_body(self, raw: web.Request) -> bytes:
-        """Return the complete request body.
+    async def read_body(self, raw: web.Request, resolved: ResolvedCustomer) -> bytes:
+        """Return the complete body of a customer's request.
 
         Raises:
             BadRequestError: The body was not received in time.
+            HTTPRequestEntityTooLarge: The body is too large.
+            RefusedError: There is no room for the body.
         """
-        try:
-            async with asyncio.timeout(self.settings.limits.body_timeout_s):
-                return await raw.read()
-        except TimeoutError:
-            raise parse.BadRequestError(
-                408, "body_timeout", "the request body was not received in time"
-            ) from None
+        limits = self.settings.limits
+        tier = resolved.tier.rank
+        return await read_body(raw, tier, self.receptions, limits)
 
     async def post_model(self, raw: web.Request) -> web.StreamResponse:
         """Serve a request in the format of the OpenAI API."""
         view = self.settings_service.view
         resolved = parse.authenticate(raw.headers, view)
-        body = await self.read_body(raw)
+        body = await self.read_body(raw, resolved)
         prompt = parse.parse_prompt(body)
         target = parse.model_target(view.fleet, resolved, prompt.model, raw.path_qs)
         request = parse.build_request(raw, resolved, target, body, prompt)
@@ -230,7 +231,7 @@
         pool = raw.match_info["pool"]
         path = raw.path_qs.removeprefix(f"/services/{pool}")
         target = parse.service_target(view.fleet, resolved, pool, path, raw.method)
-        body = await self.read_body(raw)
+        body = await self.read_body(raw, resolved)
         request = parse.build_request(raw, resolved, target, body)
         return await self.serve(raw, request)
 
