--- a/tests/crowds/test_own_interface.py
+++ b/tests/crowds/test_own_interface.py
@@ -8,7 +8,7 @@
 from skylarkdoor.settings import Limits
 from skylarkdoor_bench import api_key, small_demo
 
-from ._crowd import Crowd, Usage
+from ._connections import Crowd, Usage
 
 ENTRY = "entry-1"
 MIB = 1024 * 1024
@@ -61,7 +61,7 @@
     process = cluster.processes[ENTRY]
     await process.kill()
     process.arguments = (
-        "tests.crowds._limited_daemon",
+        "tests.crowds._limited",
         str(DESCRIPTORS),
         *process.arguments[1:],
     )
--- a/tests/crowds/test_readiness_port.py
+++ b/tests/crowds/test_readiness_port.py
@@ -7,10 +7,10 @@
 import pytest
 
 from skylarkdoor_bench.testing import free_port
-from tests.adapter._standins import config, route
+from tests.adapter._standins import Store, config, route
 from tests.soak._daemon import Daemon, entry_settings, is_ready, until_ready
 
-from ._crowd import Crowd, Usage
+from ._connections import Crowd, Usage
 
 DESCRIPTORS = 256
 # Descriptors that connections leave for the store, upstreams and other entries.
@@ -20,17 +20,18 @@
 
 
 @pytest.fixture
-async def entry(store, tmp_path):
+async def entry(tmp_path):
     """Return an entry with few descriptors."""
-    await store.put("op", "config", config(route()))
-    settings = entry_settings("edge-1", store.address, guard_port=free_port())
-    program = ("-m", "tests.crowds._limited_daemon", str(DESCRIPTORS))
-    daemon = Daemon("direct-entry", settings, tmp_path, program=program)
-    daemon.ready = settings["listen"]["ready"]
-    await daemon.start()
-    await until_ready(f"http://{daemon.ready}/readiness")
-    yield daemon
-    await daemon.kill()
+    program = ("-m", "tests.crowds._limited", str(DESCRIPTORS))
+    async with Store() as store:
+        await store.put("op", "config", config(route()))
+        settings = entry_settings("edge-1", store.address, guard_port=free_port())
+        daemon = Daemon("direct-entry", settings, tmp_path, program=program)
+        daemon.ready = settings["listen"]["ready"]
+        await daemon.start()
+        await until_ready(f"http://{daemon.ready}/readiness")
+        yield daemon
+        await daemon.kill()
 
 
 async def check(entry):
