Own interface: connections are kept in the ingress table

What callers saw: an entry of the own interface held heads, trailers and idle connections for ever, whatever their number; the addresses for callers and for other processes had none of the bounds of the direct entry.

Cause: an application's own runner makes its server, so connections of the class that is bounded were not used.

The bytes of bodies that nobody reads are dropped. Bodies that stall are chosen by IncompleteBodies, which may leave out those of a higher tier.

Ruled out: overriding how the application's runner makes its server, which is not public.

--- a/packages/skylarkdoor/src/skylarkdoor/settings/_process.py
+++ b/packages/skylarkdoor/src/skylarkdoor/settings/_process.py
@@ -118,6 +118,8 @@
         body_timeout_s: Time within which a caller must send its body.
         drain_timeout_s: Time for which a graceful shutdown waits for requests.
         max_sidecars: Sidecars of one pool to which an entry connects.
+        head_timeout_s: Time within which the head of a request must arrive.
+        idle_timeout_s: Time after which an idle connection is closed.
     """
 
     max_body_bytes: Count = 4 * 1024 * 1024
@@ -126,6 +128,8 @@
     body_timeout_s: Seconds = 30.0
     drain_timeout_s: Seconds = 600.0
     max_sidecars: Count = 24
+    head_timeout_s: Seconds = 30.0
+    idle_timeout_s: Seconds = 300.0
 
 
 class ProcessSettings(NamedTuple):
--- a/packages/skylarkdoord/src/skylarkdoord/common/_internal.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_internal.py
@@ -12,7 +12,9 @@
 from skylarkdoord import _events
 from skylarkdoord._listening import open_site
 from skylarkdoord.common import _headers as headers
+from skylarkdoord.common._server import set_up_server
 from skylarkdoord.common._tls_service import TlsService
+from skylarkdoord.ingress import ApplicationRunner
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 StatusPart = Callable[[], Any]
@@ -50,7 +52,7 @@
         self.app.router.add_get("/metrics", self.get_metrics)
         self.app.router.add_get("/status", self.get_status)
         self.log = events.get_logger("internal")
-        self.runner: web.AppRunner | None = None
+        self.runner: ApplicationRunner | None = None
 
     def add_route(self, method: str, path: str, handler: Handler) -> None:
         """Add a route; this must happen before the server starts."""
@@ -68,10 +70,8 @@
         """Listen on the internal address."""
         self.tls = kernel.find("tls", TlsService)
         context = self.tls.http.listener_context if self.tls.http else None
-        self.runner = web.AppRunner(
-            self.app, handler_cancellation=True, access_log=None, shutdown_timeout=1.0
-        )
-        await self.runner.setup()
+        limits = self.settings.limits
+        self.runner = await set_up_server(kernel, self.app, limits, name=self.name)
         address = self.settings.listen.internal
         await open_site(kernel, address, self.runner, ssl_context=context)
         self.log.event(_events.PROCESS_READY, address=address)
@@ -128,7 +128,7 @@
         return web.json_response(head | parts)
 
 
-async def finish_responses(runner: web.AppRunner | None) -> None:
+async def finish_responses(runner: ApplicationRunner | None) -> None:
     """Close a runner's listeners and wait until all responses have been sent.
 
     Idle connections are closed immediately. There is no time limit; the caller
--- /dev/null
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_server.py
@@ -0,0 +1,44 @@
+"""HTTP servers of the own interface."""
+
+from typing import Any
+
+from aiohttp import web
+
+from skylarkdoor.kernel import Kernel
+from skylarkdoor.settings import Limits
+from skylarkdoord.ingress import (
+    ApplicationRunner,
+    ConnectionSweeper,
+    ConnectionTable,
+    IngressLimits,
+    set_up,
+)
+
+SHUTDOWN_TIMEOUT_S = 1.0
+
+
+async def set_up_server(
+    kernel: Kernel, app: web.Application, limits: Limits, *, name: str, **options: Any
+) -> ApplicationRunner:
+    """Return a runner of an application, whose connections are bounded.
+
+    Args:
+        kernel: Kernel of the process.
+        app: The application.
+        limits: Limits of the process.
+        name: Name of the server.
+        options: Further options of `IngressServer`.
+    """
+    in_force = IngressLimits(
+        head_timeout_s=limits.head_timeout_s, idle_timeout_s=limits.idle_timeout_s
+    )
+    table = ConnectionTable(limits=lambda: in_force)
+    kernel.supervise(ConnectionSweeper(table).run, name=f"{name}.sweeper")
+    return await set_up(
+        app,
+        table,
+        handler_cancellation=True,
+        access_log=None,
+        shutdown_timeout_s=SHUTDOWN_TIMEOUT_S,
+        **options,
+    )
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_admission.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_admission.py
@@ -217,9 +217,9 @@
         finally:
             self._remove(tier, request.request_id)
 
-    def has_room(self, size: int) -> bool:
-        """Return whether a number of bytes may be received beside all others."""
-        return self.bytes + self.receiving + size <= self.max_bytes
+    def excess(self, size: int) -> int:
+        """Return by how much the limit would be exceeded by further bytes."""
+        return self.bytes + self.receiving + size - self.max_bytes
 
     def reserve(self, tier: int, size: int) -> None:
         """Reserve bytes for a body that is being received.
@@ -233,7 +233,7 @@
         Raises:
             RefusedError: There is no room, and no request of a lower tier waits.
         """
-        while not self.has_room(size):
+        while self.excess(size) > 0:
             if not self._shed_below(tier):
                 raise self._refusal(tier)
         self.receiving += size
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_bodies.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_bodies.py
@@ -9,7 +9,7 @@
 from skylarkdoord.entry._admission import overloaded_error
 from skylarkdoord.entry._parse import BadRequestError
 from skylarkdoord.entry._reception import Reception, Receptions
-from skylarkdoord.ingress import on_body_complete
+from skylarkdoord.ingress import give_up_body, on_body_complete, set_body_timeout
 
 
 async def read_body(
@@ -33,11 +33,11 @@
     def shed() -> None:
         nonlocal is_shed
         is_shed = True
-        timeout.reschedule(0.0)
+        give_up_body(raw.protocol)
 
-    timeout = asyncio.timeout(limits.body_timeout_s)
     try:
-        async with timeout:
+        async with asyncio.timeout(limits.body_timeout_s) as timeout:
+            set_body_timeout(raw.protocol, timeout)
             with receptions.receive(tier, shed) as reception:
                 return await read_chunks(raw, reception, limits.max_body_bytes)
     except TimeoutError:
@@ -46,6 +46,8 @@
         raise BadRequestError(
             408, "body_timeout", "the request body was not received in time"
         ) from None
+    finally:
+        set_body_timeout(raw.protocol, None)
 
 
 async def read_chunks(raw: web.Request, reception: Reception, max_bytes: int) -> bytes:
@@ -64,6 +66,7 @@
         on_read(raw.protocol)
         size += len(chunk)
         check_size(size, max_bytes)
+        reception.on_received(len(chunk))
         reception.grow_to(size)
         chunks.append(chunk)
     on_body_complete(raw.protocol)
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
@@ -17,6 +17,7 @@
 from skylarkdoord.common import DrainState, InternalServer, SettingsService, TlsService
 from skylarkdoord.common import _drain_state as drain_state
 from skylarkdoord.common._internal import finish_responses
+from skylarkdoord.common._server import set_up_server
 from skylarkdoord.entry import _parse as parse
 from skylarkdoord.entry._admission import Admission
 from skylarkdoord.entry._bodies import read_body
@@ -26,6 +27,7 @@
 from skylarkdoord.entry._request import EntryRequest
 from skylarkdoord.entry._router import Router
 from skylarkdoord.exceptions import OutcomeUnknownError, RefusedError
+from skylarkdoord.ingress import ApplicationRunner, IngressSignals, refuse_body
 
 MAX_HEADER_BYTES = 16 * 1024
 DRAINING_RETRY_AFTER_S = 1.0
@@ -71,7 +73,7 @@
         self.drain = Drain()
         self.cuts: set[asyncio.Timeout] = set()
         self.log = events.get_logger("entry.callers")
-        self.runner: web.AppRunner | None = None
+        self.runner: ApplicationRunner | None = None
 
     async def start(self, kernel: Kernel) -> None:
         """Listen on the callers' address."""
@@ -87,7 +89,11 @@
         async def middleware(
             request: web.Request, handler: Handler
         ) -> web.StreamResponse:
-            return await self.admit_and_handle(request, handler)
+            response = await self.admit_and_handle(request, handler)
+            if not request.content.is_eof():
+                refuse_body(request.protocol)
+                response.force_close()
+            return response
 
         app = web.Application(
             client_max_size=self.settings.limits.max_body_bytes,
@@ -98,15 +104,15 @@
         app.router.add_route("*", "/services/{pool}/{path:.*}", self.handle_service)
         app.router.add_get("/healthz", self.internal.get_health)
         app.router.add_get("/readyz", self.internal.get_ready)
-        self.runner = web.AppRunner(
+        self.runner = await set_up_server(
+            kernel,
             app,
-            handler_cancellation=True,
-            access_log=None,
+            self.settings.limits,
+            name=self.name,
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
-            shutdown_timeout=1.0,
         )
-        await self.runner.setup()
+        kernel.supervise(IngressSignals(self.runner.table).run, name="callers.signals")
         tls = kernel.find("tls", TlsService).callers
         context = tls.listener_context if tls else None
         await open_site(kernel, self.address, self.runner, ssl_context=context)
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_reception.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_reception.py
@@ -9,9 +9,7 @@
 from contextlib import contextmanager
 
 from skylarkdoord.entry._admission import WaitingQueue
-
-# A body of which nothing has arrived for this time makes room for others.
-STALLED_S = 1.0
+from skylarkdoord.ingress import IncompleteBodies
 
 
 class Reception:
@@ -21,25 +19,21 @@
         receptions: All of them.
         tier: Rank of the request's tier.
         shed: Refuses the request.
-        now: Monotonic time, in seconds.
 
     Attributes:
         size: Bytes that are reserved for it.
-        progress_at: Monotonic time at which bytes last arrived, in seconds.
+        is_large: No bodies share a lower bound.
     """
 
+    is_large = False
+
     def __init__(
-        self,
-        receptions: "Receptions",
-        tier: int,
-        shed: Callable[[], None],
-        now: float,
+        self, receptions: "Receptions", tier: int, shed: Callable[[], None]
     ) -> None:
         self.receptions = receptions
         self.tier = tier
         self.shed = shed
         self.size = 0
-        self.progress_at = now
 
     def grow_to(self, size: int) -> None:
         """Reserve bytes for the body, unless as many are reserved already.
@@ -47,11 +41,14 @@
         Raises:
             RefusedError: There is no room.
         """
-        self.progress_at = self.receptions.clock()
         if size > self.size:
             self.receptions.reserve(self.tier, size - self.size)
             self.size = size
 
+    def on_received(self, size: int) -> None:
+        """Record that bytes of the body arrived."""
+        self.receptions.incomplete.on_received(self, size)
+
 
 class Receptions:
     """The bodies that are being received, bounded together with those that wait.
@@ -65,8 +62,7 @@
         self, waiting: WaitingQueue, *, clock: Callable[[], float] = time.monotonic
     ) -> None:
         self.waiting = waiting
-        self.clock = clock
-        self.receptions: dict[Reception, None] = {}
+        self.incomplete: IncompleteBodies[Reception] = IncompleteBodies(clock)
 
     @contextmanager
     def receive(self, tier: int, shed: Callable[[], None]) -> Iterator[Reception]:
@@ -76,8 +72,8 @@
             tier: Rank of the request's tier.
             shed: Refuses the request; called at most once.
         """
-        reception = Reception(self, tier, shed, self.clock())
-        self.receptions[reception] = None
+        reception = Reception(self, tier, shed)
+        self.incomplete.add(reception)
         try:
             yield reception
         finally:
@@ -89,28 +85,16 @@
         Raises:
             RefusedError: There is no room.
         """
-        while not self.waiting.has_room(size):
-            stalled = self.find_stalled(tier)
-            if stalled is None:
-                break
-            self.release(stalled)
-            stalled.shed()
+        stalled = self.incomplete.choose(
+            self.waiting.excess(size), 0, may_choose=lambda body: body.tier >= tier
+        )
+        for reception in stalled:
+            self.release(reception)
+            reception.shed()
         self.waiting.reserve(tier, size)
 
     def release(self, reception: Reception) -> None:
         """Stop counting a body."""
-        if reception in self.receptions:
-            del self.receptions[reception]
-            self.waiting.receiving -= reception.size
-
-    def find_stalled(self, tier: int) -> Reception | None:
-        """Return the body that has been stalled longest, of this tier or lower."""
-        latest = self.clock() - STALLED_S
-        stalled = [
-            reception
-            for reception in self.receptions
-            if reception.size
-            and reception.tier >= tier
-            and reception.progress_at <= latest
-        ]
-        return min(stalled, key=lambda one: one.progress_at, default=None)
+        self.incomplete.remove(reception)
+        self.waiting.receiving -= reception.size
+        reception.size = 0
--- a/packages/skylarkdoord/src/skylarkdoord/ingress/__init__.py
+++ b/packages/skylarkdoord/src/skylarkdoord/ingress/__init__.py
@@ -1,5 +1,6 @@
 """Callers' connections: what each one does, and what all of them may take."""
 
+from skylarkdoord.ingress._application import ApplicationRunner, set_up
 from skylarkdoord.ingress._closed import ClosedConnections, Reason
 from skylarkdoord.ingress._connection import (
     CallerConnection,
@@ -17,6 +18,7 @@
 from skylarkdoord.ingress._table import ConnectionTable
 
 __all__ = [
+    "ApplicationRunner",
     "CallerConnection",
     "ClosedConnections",
     "ConnectionState",
@@ -34,4 +36,5 @@
     "on_body_complete",
     "refuse_body",
     "set_body_timeout",
+    "set_up",
 ]
--- a/packages/skylarkdoord/src/skylarkdoord/ingress/_incomplete.py
+++ b/packages/skylarkdoord/src/skylarkdoord/ingress/_incomplete.py
@@ -70,12 +70,19 @@
         """Remove a body that is complete or given up."""
         self.bodies.pop(body, None)
 
-    def choose(self, more: int, more_large: int) -> list[B]:
+    def choose(
+        self,
+        more: int,
+        more_large: int,
+        *,
+        may_choose: Callable[[B], bool] = lambda body: True,
+    ) -> list[B]:
         """Return stalled bodies to give up, those first that wait for longest.
 
         Args:
             more: Bytes to free.
             more_large: Bytes of large bodies to free.
+            may_choose: Returns whether a body may be given up.
 
         Returns:
             None of them if all together don't free as many bytes.
@@ -85,7 +92,7 @@
         for body, progress in self.bodies.items():
             if now - progress.since < STALLED_S or (more <= 0 and more_large <= 0):
                 break
-            if more > 0 or body.is_large:
+            if (more > 0 or body.is_large) and may_choose(body):
                 chosen.append(body)
                 more -= body.size
                 more_large -= body.size if body.is_large else 0
--- a/packages/skylarkdoord/tests/entry/test_reception.py
+++ b/packages/skylarkdoord/tests/entry/test_reception.py
@@ -5,8 +5,9 @@
 import pytest
 
 from skylarkdoord.entry._admission import WaitingQueue
-from skylarkdoord.entry._reception import STALLED_S, Receptions
+from skylarkdoord.entry._reception import Receptions
 from skylarkdoord.exceptions import RefusedError
+from skylarkdoord.ingress._incomplete import STALLED_S
 
 MAX_BYTES = 100
 
