--- a/packages/skylarkdoord/src/skylarkdoord/common/_server.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_server.py
@@ -15,6 +15,8 @@
 )
 
 SHUTDOWN_TIMEOUT_S = 1.0
+# Bytes of a body that are received before they are read; up to twice as many are held.
+READ_BUFFER_BYTES = 64 * 1024
 
 
 async def set_up_server(
@@ -40,5 +42,6 @@
         handler_cancellation=True,
         access_log=None,
         shutdown_timeout_s=SHUTDOWN_TIMEOUT_S,
+        read_bufsize=READ_BUFFER_BYTES,
         **options,
     )
