--- a/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
@@ -110,7 +110,10 @@
         if self.held.max_bytes is not None:
             dependencies.client.buffer.has_room = self.held.has_answer_room
         self.connections = CallerConnections(self.held)
-        self.table = ConnectionTable(limits=self.limits)
+        self.table = ConnectionTable(
+            limits=self.limits, max_unfinished_bytes=self.held.max_unfinished
+        )
+        self.held.unfinished = lambda: self.table.unfinished.used
         self.log = events.get_logger("direct.callers")
         self.runners: list[web.ServerRunner] = []
 
@@ -235,6 +238,8 @@
     async def handle(self, raw: web.BaseRequest) -> web.StreamResponse:
         """Answer one request and track its connection as busy."""
         self.busy_connections.add(raw.protocol)
+        if self.held.max_bytes is not None:
+            self.connections.add(raw.protocol)
         try:
             with BodyHold(self.held) as hold:
                 response = await self.answer_request(raw, time.monotonic(), hold)
@@ -316,8 +321,6 @@
                 arrive before the caller's deadline.
             MemoryFullError: There is no room for its body.
         """
-        if self.held.max_bytes is not None:
-            self.connections.add(raw.protocol)
         body = await read_body(
             raw,
             hold,
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_held_bytes.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_held_bytes.py
@@ -5,8 +5,8 @@
 """
 
 import time
-from collections.abc import Callable
-from typing import Self
+from collections.abc import Callable, Mapping
+from typing import Self, TypeVar
 
 from skylarkdoord.direct.exceptions import MemoryFullError
 from skylarkdoord.ingress import IncompleteBodies
@@ -16,6 +16,8 @@
 # callers that send large bodies slowly do not shut out all others.
 SMALL_BODY_BYTES = 64 * KIB
 LARGE_BODIES_SHARE = 0.5
+# Share of the bound for requests that are not handled yet.
+UNFINISHED_SHARE = 0.25
 # Readiness is withdrawn above the one share of the bound, for a time that the load
 # balancer's check each second notices, and until the held bytes are below the other.
 UNREADY_SHARE = 0.9
@@ -28,6 +30,8 @@
 # The same at a held share above these; 64 KiB is the default of asyncio.
 UNSENT_BYTES_ABOVE = ((0.8, 16 * KIB), (0.5, 64 * KIB))
 RETRY_AFTER_S = 1.0
+# Time without reading after which an answer may be given up for others, in seconds.
+UNREAD_S = 2.0
 
 
 class HeldBytes:
@@ -43,6 +47,7 @@
         unsent: Bytes of streams that callers have not read.
         writing: Bytes of whole answers that are being written to callers.
         receiving: Returns the bytes of answers that are being received in whole.
+        unfinished: Returns the bytes of requests that are not handled yet.
         incomplete: Bodies that are being received.
     """
 
@@ -56,19 +61,28 @@
         self.unsent = 0
         self.writing = 0
         self.receiving: Callable[[], int] = lambda: 0
+        self.unfinished: Callable[[], int] = lambda: 0
         self.incomplete: IncompleteBodies[BodyHold] = IncompleteBodies(clock)
         self.unready_at: float | None = None
 
     @property
     def used(self) -> int:
         """Bytes that are held now."""
-        return self.bodies + self.unsent + self.writing + self.receiving()
+        answers = self.unsent + self.writing + self.receiving()
+        return self.bodies + answers + self.unfinished()
 
     @property
     def share(self) -> float:
         """Held share of the bound; 0 without a bound."""
         return self.used / self.max_bytes if self.max_bytes else 0.0
 
+    @property
+    def max_unfinished(self) -> int | None:
+        """Most bytes of requests that are not handled yet; None for no bound."""
+        if self.max_bytes is None:
+            return None
+        return int(UNFINISHED_SHARE * self.max_bytes)
+
     def has_answer_room(self, length: int) -> bool:
         """Return whether a whole answer may be received.
 
@@ -248,3 +262,27 @@
             now: Monotonic time, in seconds.
         """
         return self.buffered > 0 and now - self.read_at > timeout_s
+
+
+K = TypeVar("K")
+
+
+def choose_unread(unsent: Mapping[K, UnsentAnswer], excess: int, now: float) -> list[K]:
+    """Return connections to close, those first whose callers wait longest to read.
+
+    The last connection with unsent bytes is kept.
+
+    Args:
+        unsent: What each connection has not sent.
+        excess: Bytes to free.
+        now: Monotonic time, in seconds.
+    """
+    waiting = [key for key, answer in unsent.items() if answer.buffered]
+    waiting.sort(key=lambda key: unsent[key].read_at)
+    chosen = []
+    for key in waiting[:-1]:
+        if excess <= 0 or now - unsent[key].read_at < UNREAD_S:
+            break
+        chosen.append(key)
+        excess -= unsent[key].buffered
+    return chosen
