Own interface: requests that are not handled yet are bounded together

Incomplete heads and trailers and requests sent ahead may hold an eighth of max_waiting_bytes at each address for HTTP, 32 MiB by default; beyond that the connections that hold most are closed. A client with a legal head holds 16 KiB at most, so 2,000 incomplete ones meet no limit.

--- a/packages/skylarkdoord/src/skylarkdoord/common/_server.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_server.py
@@ -17,6 +17,8 @@
 SHUTDOWN_TIMEOUT_S = 1.0
 # Bytes of a body that are received before they are read; up to twice as many are held.
 READ_BUFFER_BYTES = 64 * 1024
+# Most bytes of requests that are not handled yet, beside those that wait.
+UNFINISHED_SHARE = 0.125
 
 
 async def set_up_server(
@@ -34,7 +36,10 @@
     in_force = IngressLimits(
         head_timeout_s=limits.head_timeout_s, idle_timeout_s=limits.idle_timeout_s
     )
-    table = ConnectionTable(limits=lambda: in_force)
+    table = ConnectionTable(
+        limits=lambda: in_force,
+        max_unfinished_bytes=int(UNFINISHED_SHARE * limits.max_waiting_bytes),
+    )
     kernel.supervise(ConnectionSweeper(table).run, name=f"{name}.sweeper")
     return await set_up(
         app,
