--- a/packages/skylarkdoord/src/skylarkdoord/ingress/_connection.py
+++ b/packages/skylarkdoord/src/skylarkdoord/ingress/_connection.py
@@ -13,6 +13,7 @@
 from skylarkdoord.ingress._deadlines import find_overdue
 from skylarkdoord.ingress._limits import KIB, IngressLimits
 from skylarkdoord.ingress._received import Parsed, Received
+from skylarkdoord.ingress._shared_reads import SharedReader
 from skylarkdoord.ingress._state import ConnectionState, Phase
 from skylarkdoord.ingress._unfinished import WAITING_REQUEST_BYTES
 
@@ -32,7 +33,9 @@
 }
 
 
-class CallerConnection(ByteBound, RequestHandler):  # type: ignore[misc]
+class CallerConnection(  # type: ignore[misc]
+    SharedReader, ByteBound, RequestHandler, asyncio.BufferedProtocol
+):
     """A caller's connection, which keeps its state in a table.
 
     Args:
@@ -55,7 +58,7 @@
     def __init__(
         self, server: Any, *, table: "ConnectionTable", **options: Any
     ) -> None:
-        super().__init__(server, **options)
+        super().__init__(server, reads=table.reads, **options)
         self.table = table
         self.state = ConnectionState.opened(table.clock())
         self.received = Received(table.clock())
@@ -67,7 +70,7 @@
         self.dropped_bytes = 0
         self.body_timeout: asyncio.Timeout | None = None
 
-    def connection_made(self, transport: "asyncio.BaseTransport") -> None:
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Add the connection to the table."""
         super().connection_made(transport)
         self.table.add(self)
@@ -79,15 +82,14 @@
 
     def data_received(self, data: bytes) -> None:
         """Count received bytes and pass them on."""
-        began = self.table.clock()
-        self.state.on_received(len(data), began)
+        now = self.table.clock()
+        self.state.on_received(len(data), now)
         if self.is_refusing:
             self.drop(len(data))
         else:
-            self.parse(data, began)
+            self.parse(data, now)
         if self.unread_bytes > MAX_UNREAD_BYTES:
             self.table.closed.record(Reason.UNREAD_BYTES, self.state)
-        self.table.read_s += self.table.clock() - began
 
     def drop(self, size: int) -> None:
         """Drop received bytes; many of them are left to the caller's system."""
@@ -137,9 +139,14 @@
 
     def read_on(self) -> None:
         """Read again, unless something else forbids it."""
-        is_paused = self._reading_paused or self.is_held_back
-        if self.transport is not None and not is_paused:
-            self.transport.resume_reading()
+        if not self.is_held_back and not self.is_waiting:
+            super().read_on()
+
+    def resume_reading(self, *arguments: Any, **options: Any) -> None:
+        """Read again, unless requests that wait have to be handled first."""
+        super().resume_reading(*arguments, **options)
+        if self.is_held_back and self.transport is not None:
+            self.transport.pause_reading()
 
     def count_unfinished(self) -> None:
         """Count what is held of requests that are not handled yet."""
