--- a/packages/skylarkdoord/tests/_inprocess.py
+++ b/packages/skylarkdoord/tests/_inprocess.py
@@ -12,6 +12,7 @@
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import (
     CertificateFiles,
+    Limits,
     Listen,
     MutualTls,
     PlatformAddresses,
@@ -77,12 +78,14 @@
         *,
         tls: MutualTls | None = None,
         callers_tls: CertificateFiles | None = None,
+        limits: Limits | None = None,
     ) -> Kernel:
         """Start an entry and return its kernel."""
         listen = Listen(address(), callers=address(), tls=callers_tls)
         settings = self.settings(
             "entry-1",
             listen,
+            limits=limits or Limits(),
             internal_tls=tls,
             operator_token_hashes=(key_hash(OPERATOR_TOKEN),),
         )
