--- a/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
@@ -37,6 +37,7 @@
 )
 from skylarkdoord.exceptions import NotRunError, OutcomeUnknownError
 from skylarkdoord.ingress import (
+    ConnectionLimit,
     ConnectionSweeper,
     ConnectionTable,
     Handler,
@@ -47,8 +48,11 @@
 )
 
 MAX_HEADER_BYTES = 64 * 1024
+MAX_HEADERS = 1024
 # A colon, a space and a line end in each header field.
 FIELD_EXTRA_BYTES = 4
+# Load balancers need one connection each.
+READY_LIMIT = ConnectionLimit(max_connections=64, backlog=64)
 # Retry-After for requests on which no configuration decides yet.
 STARTING_RETRY_AFTER_S = 0.5
 # The load balancer stops sending callers after two failed checks, a second apart.
@@ -113,7 +117,11 @@
             dependencies.client.buffer.has_room = self.held.has_answer_room
         self.connections = CallerConnections(self.held)
         self.table = ConnectionTable(
-            limits=self.limits, max_unfinished_bytes=self.held.max_unfinished
+            limits=self.limits,
+            max_unfinished_bytes=self.held.max_unfinished,
+            limit=ConnectionLimit.derived(
+                settings.callers.descriptors(), settings.callers.max_connections
+            ),
         )
         self.held.unfinished = lambda: self.table.unfinished.used
         self.log = events.get_logger("direct.callers")
@@ -127,7 +135,7 @@
         self.callers = await self.listen(
             kernel, listen.callers, self.handle, self.table
         )
-        checks = ConnectionTable()
+        checks = ConnectionTable(limit=READY_LIMIT)
         await self.listen(kernel, listen.ready, self.handle_readiness, checks)
         kernel.supervise(ConnectionSweeper(self.table).run, name="callers.sweeper")
         kernel.supervise(ConnectionSweeper(checks).run, name="ready.sweeper")
@@ -149,11 +157,12 @@
             auto_decompress=False,
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
+            max_headers=MAX_HEADERS,
             lingering_time=0.5,
         )
         runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_MARGIN_S)
         await runner.setup()
-        await open_site(kernel, address, runner, backlog=1024)
+        await open_site(kernel, address, runner, backlog=table.limit.backlog)
         self.runners.append(runner)
         return runner
 
--- a/packages/skylarkdoord/src/skylarkdoord/ingress/__init__.py
+++ b/packages/skylarkdoord/src/skylarkdoord/ingress/__init__.py
@@ -9,6 +9,7 @@
     refuse_body,
     set_body_timeout,
 )
+from skylarkdoord.ingress._connection_limit import ConnectionLimit
 from skylarkdoord.ingress._incomplete import IncompleteBodies
 from skylarkdoord.ingress._limits import IngressLimits, LimitSource
 from skylarkdoord.ingress._server import Handler, IngressServer
@@ -21,6 +22,7 @@
     "ApplicationRunner",
     "CallerConnection",
     "ClosedConnections",
+    "ConnectionLimit",
     "ConnectionState",
     "ConnectionSweeper",
     "ConnectionTable",
