--- a/tests/crowds/_connections.py
+++ b/tests/crowds/_connections.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import re
+import socket
 from pathlib import Path
 
 PART_BYTES = 64 * 1024
@@ -16,12 +17,15 @@
         address: Address to which they connect.
         count: Number of connections.
         parts: What each one sends.
+        receive_bytes: Size of the buffer of its system for answers; None for the
+            default.
     """
 
-    def __init__(self, address, count, parts):
+    def __init__(self, address, count, parts, *, receive_bytes=None):
         self.host, _, self.port = address.rpartition(":")
         self.count = count
         self.parts = parts
+        self.receive_bytes = receive_bytes
         self.tasks = []
 
     async def __aenter__(self):
@@ -37,7 +41,7 @@
         """Send on one connection until it is closed, then keep it until cancelled."""
         with contextlib.suppress(OSError):
             reader, writer = await asyncio.open_connection(
-                self.host, self.port, limit=KIB
+                sock=await self.connect(), limit=KIB
             )
             try:
                 await self.send(writer)
@@ -46,6 +50,17 @@
                 writer.transport.abort()
                 del reader
 
+    async def connect(self):
+        """Return a connected socket."""
+        connecting = socket.socket()
+        connecting.setblocking(False)
+        if self.receive_bytes is not None:
+            size = self.receive_bytes
+            connecting.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+        address = (self.host, int(self.port))
+        await asyncio.get_running_loop().sock_connect(connecting, address)
+        return connecting
+
     async def send(self, writer):
         """Send all parts, as far as the other side takes them."""
         for part in self.parts:
--- a/tests/crowds/test_own_interface.py
+++ b/tests/crowds/test_own_interface.py
@@ -4,13 +4,17 @@
 
 import aiohttp
 import pytest
+from aiohttp import web
+from aiohttp.test_utils import TestServer
 
 from skylarkdoor.settings import Limits
 from skylarkdoor_bench import api_key, small_demo
+from skylarkdoor_standins import service
 
 from ._connections import Crowd, Usage
 
 ENTRY = "entry-1"
+SIDECAR = "sidecar-registry-1"
 MIB = 1024 * 1024
 DESCRIPTORS = 256
 # Descriptors that callers leave for the platform, sidecars and other processes.
@@ -49,6 +53,8 @@
     "requests sent ahead": (60, [GET + KEY + b"\r\n"] * 5_000),
     "small requests sent ahead": (60, [HEALTH * 1000] * ENDLESS),
 }
+LARGE_BYTES = MIB
+UNREAD = 150
 
 
 @pytest.fixture
@@ -70,6 +76,32 @@
     return cluster
 
 
+@web.middleware
+async def enlarge(request, handler):
+    """Add to the answers of one path."""
+    response = await handler(request)
+    if request.path == "/packets/large":
+        response.text += " " * LARGE_BYTES
+    return response
+
+
+@pytest.fixture
+async def large_answers(cluster):
+    """Let the service of the deployment be one with large answers."""
+    app = service.create_app(latency_s=0.01, concurrency=16)
+    app.middlewares.append(enlarge)
+    async with TestServer(app) as server:
+        url = str(server.make_url("")).rstrip("/")
+        daemon = cluster.daemons[SIDECAR]
+        upstream = daemon.settings.upstream._replace(url=url)
+        settings = daemon.settings._replace(upstream=upstream)
+        cluster.daemons[SIDECAR] = daemon._replace(settings=settings)
+        await cluster.processes[SIDECAR].kill()
+        await cluster.restart_at_new_addresses(SIDECAR)
+        await cluster.wait_connected()
+        yield
+
+
 async def until_served(cluster):
     """Send an ordinary request, again while it is refused; return its status."""
     url = f"{cluster.entry_urls[0]}/services/registry/packets/1"
@@ -130,3 +162,21 @@
             assert process.is_running
         assert descriptors <= DESCRIPTORS - KEPT_DESCRIPTORS
         assert status == 200
+
+    # Guards against an entry that callers end with answers that they don't read.
+    @pytest.mark.usefixtures("large_answers")
+    async def test_unread_answers(self, cluster):
+        """Large answers that nobody reads stay within the limits."""
+        process = cluster.processes[ENTRY]
+        usage = Usage(process.pid)
+        assert await until_served(cluster) == 200
+        at_rest_mb = usage.peak_mb
+        address = cluster.daemons[ENTRY].settings.listen.callers
+        request = GET.replace(b"packets/1", b"packets/large") + KEY + b"\r\n"
+        async with Crowd(address, UNREAD, [request], receive_bytes=4096):
+            await asyncio.sleep(CROWD_S)
+            status = await until_served(cluster)
+            assert process.is_running
+            more_mb = usage.peak_mb - at_rest_mb
+        assert more_mb <= MAX_MORE_MB
+        assert status == 200
