Connection limit: slow bodies give way, complete requests never

What callers saw: at an entry whose connections are all taken by bodies that arrive byte by byte, an ordinary request got no answer for 20 s, as only the newest connection could be closed.

Cause: a body with any progress kept its connection; and a request counted as a body that stalls until its handler had reported the end, which those of the own interface for other processes never did, so that running calls of a sidecar could have been closed.

Change: if no other connection can go, a body that has taken 5 s does. A request whose body is complete when it is handled, or read by a sidecar, counts as being answered, and stays.

--- a/packages/skylarkdoord/src/skylarkdoord/ingress/_connection_limit.py
+++ b/packages/skylarkdoord/src/skylarkdoord/ingress/_connection_limit.py
@@ -23,6 +23,8 @@
 MAX_BACKLOG = 1024
 # A body of which nothing arrives for this long makes no progress, in seconds.
 NO_PROGRESS_S = 1.0
+# A body that has taken this long gives way to a new connection, in seconds.
+SLOW_BODY_S = 5.0
 # Part of the limit that is closed at once, so that not every new connection costs a
 # look at all others.
 CLOSED_AT_ONCE = 1 / 64
@@ -95,16 +97,25 @@
         now: Monotonic time in seconds.
     """
     state = connection.state
+    if state.phase is Phase.BODY:
+        return worth_of_body(connection, now)
     if connection.is_busy or state.phase is Phase.ANSWER:
         return None
-    if state.phase is Phase.BODY:
-        is_stalled = now - state.received_at >= NO_PROGRESS_S
-        return Worth(3, state.received_at) if is_stalled else None
     if state.phase is Phase.HEAD:
         return Worth(1, state.phase_since)
     return Worth(2 if state.requests else 0, state.phase_since)
 
 
+def worth_of_body(connection: LimitedConnection, now: float) -> Worth | None:
+    """Return the worth of a connection whose request's body is incomplete."""
+    state = connection.state
+    if not connection.is_busy and now - state.received_at >= NO_PROGRESS_S:
+        return Worth(3, state.received_at)
+    if now - state.phase_since >= SLOW_BODY_S:
+        return Worth(4, state.phase_since)
+    return None
+
+
 def choose_closed(
     connections: Iterable[C], limit: ConnectionLimit, *, newest: C, now: float
 ) -> list[C]:
--- a/packages/skylarkdoord/src/skylarkdoord/ingress/_server.py
+++ b/packages/skylarkdoord/src/skylarkdoord/ingress/_server.py
@@ -5,7 +5,7 @@
 
 from aiohttp import web
 
-from skylarkdoord.ingress._connection import CallerConnection
+from skylarkdoord.ingress._connection import CallerConnection, on_body_complete
 from skylarkdoord.ingress._table import ConnectionTable
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
@@ -46,6 +46,8 @@
         assert isinstance(connection, CallerConnection)
         connection.state.on_request(self.table.clock())
         connection.on_fewer_ahead()
+        if raw.content.is_eof():
+            on_body_complete(connection)
         try:
             return await self.handler(raw)
         finally:
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_dispatch.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_dispatch.py
@@ -22,6 +22,7 @@
     TransitionError,
     UpstreamCutError,
 )
+from skylarkdoord.ingress import on_body_complete
 from skylarkdoord.sidecar import _answers as answers
 from skylarkdoord.sidecar._call import Call, read_call
 from skylarkdoord.sidecar._claim_rows import ClaimRow
@@ -137,6 +138,7 @@
         """
         try:
             body = await request.read()
+            on_body_complete(request.protocol)
         except BaseException:
             self.scheduler.tombstone(call.request_id)
             raise
--- a/packages/skylarkdoord/tests/ingress/test_connection_limit.py
+++ b/packages/skylarkdoord/tests/ingress/test_connection_limit.py
@@ -63,6 +63,17 @@
             connections.remove(one)
         assert [original.index(one) for one in order[:-1]] == [8, 7, 6, 5, 4, 3]
 
+    # Guards against callers that shut out all others with bodies that arrive slowly.
+    def test_slow_body(self):
+        """If none else can go, a body that has taken long does, not the newest one."""
+        slow = connection(Phase.BODY, 6.0, is_busy=True)
+        quick = connection(Phase.BODY, 4.0, is_busy=True)
+        slow.state.received_at = quick.state.received_at = NOW_S
+        newest = connection(Phase.IDLE, 0.0)
+        chosen = choose_closed([quick, slow], ONE, newest=newest, now=NOW_S)
+        assert chosen == [slow]
+        assert choose_closed([quick], ONE, newest=newest, now=NOW_S) == [newest]
+
     # Guards against a look at all connections for each one of a crowd.
     def test_several(self):
         """Part of a large limit is closed at once."""
