Own interface: connections are limited, with descriptors kept back

What callers saw: connections that send nothing took all descriptors of an entry, at the address for callers as well as at the internal one, and an ordinary request got no answer in 20 s.

Change: callers' connections, and those to the internal address of a sidecar, are limited by max_connections, by default half of the descriptors beyond 256 that are kept for the platform, sidecars and other processes; the internal address of an entry accepts 128. The number of descriptors is read in one place for both interfaces.

--- a/packages/skylarkdoor/src/skylarkdoor/settings/_process.py
+++ b/packages/skylarkdoor/src/skylarkdoor/settings/_process.py
@@ -120,6 +120,8 @@
         max_sidecars: Sidecars of one pool to which an entry connects.
         head_timeout_s: Time within which the head of a request must arrive.
         idle_timeout_s: Time after which an idle connection is closed.
+        max_connections: Connections of callers, or to the internal address of a
+            sidecar; None to derive them from the descriptors that it may open.
     """
 
     max_body_bytes: Count = 4 * 1024 * 1024
@@ -130,6 +132,7 @@
     max_sidecars: Count = 24
     head_timeout_s: Seconds = 30.0
     idle_timeout_s: Seconds = 300.0
+    max_connections: Count | None = None
 
 
 class ProcessSettings(NamedTuple):
--- a/packages/skylarkdoord/src/skylarkdoord/common/_internal.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_internal.py
@@ -12,14 +12,16 @@
 from skylarkdoord import _events
 from skylarkdoord._listening import open_site
 from skylarkdoord.common import _headers as headers
-from skylarkdoord.common._server import set_up_server
+from skylarkdoord.common._server import connection_limit, set_up_server
 from skylarkdoord.common._tls_service import TlsService
-from skylarkdoord.ingress import ApplicationRunner
+from skylarkdoord.ingress import ApplicationRunner, ConnectionLimit
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 StatusPart = Callable[[], Any]
 PEER_ROUTES_PREFIX = "/internal/"
 BODY_HEADROOM_BYTES = 64 * 1024
+# At an entry, peers exchange settings, and operators ask.
+ENTRY_LIMIT = ConnectionLimit(max_connections=128, backlog=128)
 
 
 class InternalServer:
@@ -71,9 +73,15 @@
         self.tls = kernel.find("tls", TlsService)
         context = self.tls.http.listener_context if self.tls.http else None
         limits = self.settings.limits
-        self.runner = await set_up_server(kernel, self.app, limits, name=self.name)
+        is_entry = self.settings.listen.callers is not None
+        limit = ENTRY_LIMIT if is_entry else connection_limit(limits)
+        self.runner = await set_up_server(
+            kernel, self.app, limits, limit, name=self.name
+        )
         address = self.settings.listen.internal
-        await open_site(kernel, address, self.runner, ssl_context=context)
+        await open_site(
+            kernel, address, self.runner, ssl_context=context, backlog=limit.backlog
+        )
         self.log.event(_events.PROCESS_READY, address=address)
 
     async def stop(self) -> None:
--- a/packages/skylarkdoord/src/skylarkdoord/common/_server.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_server.py
@@ -6,8 +6,10 @@
 
 from skylarkdoor.kernel import Kernel
 from skylarkdoor.settings import Limits
+from skylarkdoord._descriptors import max_descriptors
 from skylarkdoord.ingress import (
     ApplicationRunner,
+    ConnectionLimit,
     ConnectionSweeper,
     ConnectionTable,
     IngressLimits,
@@ -21,8 +23,19 @@
 UNFINISHED_SHARE = 0.125
 
 
+def connection_limit(limits: Limits) -> ConnectionLimit:
+    """Return the limit on the connections of those whom a process serves."""
+    return ConnectionLimit.derived(max_descriptors(), limits.max_connections)
+
+
 async def set_up_server(
-    kernel: Kernel, app: web.Application, limits: Limits, *, name: str, **options: Any
+    kernel: Kernel,
+    app: web.Application,
+    limits: Limits,
+    limit: ConnectionLimit,
+    *,
+    name: str,
+    **options: Any,
 ) -> ApplicationRunner:
     """Return a runner of an application, whose connections are bounded.
 
@@ -30,6 +43,7 @@
         kernel: Kernel of the process.
         app: The application.
         limits: Limits of the process.
+        limit: Limit on its connections.
         name: Name of the server.
         options: Further options of `IngressServer`.
     """
@@ -37,6 +51,7 @@
         head_timeout_s=limits.head_timeout_s, idle_timeout_s=limits.idle_timeout_s
     )
     table = ConnectionTable(
+        limit=limit,
         limits=lambda: in_force,
         max_unfinished_bytes=int(UNFINISHED_SHARE * limits.max_waiting_bytes),
     )
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_settings.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_settings.py
@@ -1,6 +1,5 @@
 """Settings of direct entries and guards."""
 
-import resource
 from pathlib import Path
 from typing import Annotated, Literal, NamedTuple
 
@@ -8,6 +7,7 @@
 
 from skylarkdoor.exceptions import SettingsError
 from skylarkdoor.settings import convert, read_document
+from skylarkdoord._descriptors import max_descriptors
 from skylarkdoord._retry_limiter import RetryBudget
 
 Address = Annotated[
@@ -30,8 +30,6 @@
 HELD_SHARE = 0.5
 # Smallest derived bound, at which an entry still serves requests one by one.
 MIN_HELD_BYTES = 4 * BYTES_PER_MB
-# Descriptors of a process without a limit.
-MAX_DESCRIPTORS = 1024 * 1024
 # Part of the shutdown in which the process exits after its services have stopped.
 EXIT_MARGIN_S = 0.3
 
@@ -158,9 +156,7 @@
 
     def descriptors(self) -> int:
         """Return the most descriptors that this process may open."""
-        descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-        if descriptors == resource.RLIM_INFINITY:
-            descriptors = MAX_DESCRIPTORS
+        descriptors = max_descriptors()
         return min(descriptors, self.process_fds or descriptors)
 
 
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
@@ -17,7 +17,7 @@
 from skylarkdoord.common import DrainState, InternalServer, SettingsService, TlsService
 from skylarkdoord.common import _drain_state as drain_state
 from skylarkdoord.common._internal import finish_responses
-from skylarkdoord.common._server import set_up_server
+from skylarkdoord.common._server import connection_limit, set_up_server
 from skylarkdoord.entry import _parse as parse
 from skylarkdoord.entry._admission import Admission
 from skylarkdoord.entry._bodies import read_body
@@ -104,10 +104,12 @@
         app.router.add_route("*", "/services/{pool}/{path:.*}", self.handle_service)
         app.router.add_get("/healthz", self.internal.get_health)
         app.router.add_get("/readyz", self.internal.get_ready)
+        limit = connection_limit(self.settings.limits)
         self.runner = await set_up_server(
             kernel,
             app,
             self.settings.limits,
+            limit,
             name=self.name,
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
@@ -115,7 +117,13 @@
         kernel.supervise(IngressSignals(self.runner.table).run, name="callers.signals")
         tls = kernel.find("tls", TlsService).callers
         context = tls.listener_context if tls else None
-        await open_site(kernel, self.address, self.runner, ssl_context=context)
+        await open_site(
+            kernel,
+            self.address,
+            self.runner,
+            ssl_context=context,
+            backlog=limit.backlog,
+        )
 
     async def stop(self) -> None:
         """Refuse new requests, wait for active ones, then close the listener."""
