--- a/packages/skylarkdoord/src/skylarkdoord/ingress/_connection.py
+++ b/packages/skylarkdoord/src/skylarkdoord/ingress/_connection.py
@@ -27,6 +27,8 @@
 MAX_AHEAD_REQUESTS = 4
 # Time for the answer to the last request, in seconds.
 REFUSED_OPEN_S = 1.0
+# Nothing is being answered when these are found.
+LATE_REASONS = (Reason.HEAD_TIMEOUT, Reason.IDLE)
 STATUS_BY_REASON = {
     Reason.HEAD_BYTES: HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
     Reason.HEAD_TIMEOUT: HTTPStatus.REQUEST_TIMEOUT,
@@ -119,7 +121,9 @@
         if has_new_head:
             self.has_head = True
             message, self.newest_body = self._messages[-1]
-            is_malformed = not isinstance(message, RawRequestMessage)
+            if not isinstance(message, RawRequestMessage):
+                is_malformed = True
+                forget_frames(message.exc)
         body = self.newest_body
         is_open = not body.is_eof()
         parsed = Parsed(has_new_head, is_open, body.total_bytes, is_malformed)
@@ -214,6 +218,8 @@
         elif self.has_head:
             self._messages.clear()
             self.close()
+            if reason in LATE_REASONS:
+                transport.close()
         else:
             transport.write(closing_answer(STATUS_BY_REASON.get(reason)))
             transport.close()
@@ -253,6 +259,13 @@
         connection.state.enter(Phase.ANSWER, connection.table.clock())
 
 
+def forget_frames(error: BaseException) -> None:
+    """Let go of the frames of an error, which hold the bytes that were parsed."""
+    error.__traceback__ = None
+    error.__context__ = None
+    error.__cause__ = None
+
+
 def closing_answer(status: HTTPStatus | None) -> bytes:
     """Return the answer to a head that is not complete; empty without a status."""
     if status is None:
