--- a/packages/skylarkdoor/src/skylarkdoor/settings/_process.py
+++ b/packages/skylarkdoor/src/skylarkdoor/settings/_process.py
@@ -113,10 +113,15 @@
     Attributes:
         max_body_bytes: Largest accepted request body.
         max_waiting: Requests that wait for dispatch in an entry.
-        max_waiting_bytes: Total size of the bodies of those requests.
+        max_waiting_bytes: Total size of the bodies of those requests, with those that
+            are still being received.
         body_timeout_s: Time within which a caller must send its body.
         drain_timeout_s: Time for which a graceful shutdown waits for requests.
         max_sidecars: Sidecars of one pool to which an entry connects.
+        head_timeout_s: Time within which the head of a request must arrive.
+        idle_timeout_s: Time after which an idle connection is closed.
+        max_connections: Connections of callers, or to the internal address of a
+            sidecar; None to derive them from the descriptors that it may open.
     """
 
     max_body_bytes: Count = 4 * 1024 * 1024
@@ -125,6 +130,9 @@
     body_timeout_s: Seconds = 30.0
     drain_timeout_s: Seconds = 600.0
     max_sidecars: Count = 24
+    head_timeout_s: Seconds = 30.0
+    idle_timeout_s: Seconds = 300.0
+    max_connections: Count | None = None
 
 
 class ProcessSettings(NamedTuple):
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
@@ -10,20 +10,24 @@
 
 from skylarkdoor import events, tracing
 from skylarkdoor.kernel import Kernel
-from skylarkdoor.settings import ProcessSettings
+from skylarkdoor.settings import ProcessSettings, ResolvedCustomer
 from skylarkdoord import _events
 from skylarkdoord._drain import Drain, cut_off
 from skylarkdoord._listening import open_site
 from skylarkdoord.common import DrainState, InternalServer, SettingsService, TlsService
 from skylarkdoord.common import _drain_state as drain_state
 from skylarkdoord.common._internal import finish_responses
+from skylarkdoord.common._server import connection_limit, set_up_server
 from skylarkdoord.entry import _parse as parse
 from skylarkdoord.entry._admission import Admission
+from skylarkdoord.entry._bodies import read_body
 from skylarkdoord.entry._problems import problem
+from skylarkdoord.entry._reception import Receptions
 from skylarkdoord.entry._relay import Relay
 from skylarkdoord.entry._request import EntryRequest
 from skylarkdoord.entry._router import Router
 from skylarkdoord.exceptions import OutcomeUnknownError, RefusedError
+from skylarkdoord.ingress import ApplicationRunner, IngressSignals, refuse_body
 
 MAX_HEADER_BYTES = 16 * 1024
 DRAINING_RETRY_AFTER_S = 1.0
@@ -69,12 +73,13 @@
         self.drain = Drain()
         self.cuts: set[asyncio.Timeout] = set()
         self.log = events.get_logger("entry.callers")
-        self.runner: web.AppRunner | None = None
+        self.runner: ApplicationRunner | None = None
 
     async def start(self, kernel: Kernel) -> None:
         """Listen on the callers' address."""
         self.router = kernel.find("router", Router)
         self.admission = kernel.find("admission", Admission)
+        self.receptions = Receptions(self.admission.waiting)
         self.settings_service = kernel.find("settings", SettingsService)
         self.internal = kernel.find("internal", InternalServer)
         self.drain_state = kernel.find("departure", DrainState)
@@ -84,7 +89,11 @@
         async def middleware(
             request: web.Request, handler: Handler
         ) -> web.StreamResponse:
-            return await self.admit_and_handle(request, handler)
+            response = await self.admit_and_handle(request, handler)
+            if not request.content.is_eof():
+                refuse_body(request.protocol)
+                response.force_close()
+            return response
 
         app = web.Application(
             client_max_size=self.settings.limits.max_body_bytes,
@@ -95,18 +104,26 @@
         app.router.add_route("*", "/services/{pool}/{path:.*}", self.handle_service)
         app.router.add_get("/healthz", self.internal.get_health)
         app.router.add_get("/readyz", self.internal.get_ready)
-        self.runner = web.AppRunner(
+        limit = connection_limit(self.settings.limits)
+        self.runner = await set_up_server(
+            kernel,
             app,
-            handler_cancellation=True,
-            access_log=None,
+            self.settings.limits,
+            limit,
+            name=self.name,
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
-            shutdown_timeout=1.0,
         )
-        await self.runner.setup()
+        kernel.supervise(IngressSignals(self.runner.table).run, name="callers.signals")
         tls = kernel.find("tls", TlsService).callers
         context = tls.listener_context if tls else None
-        await open_site(kernel, self.address, self.runner, ssl_context=context)
+        await open_site(
+            kernel,
+            self.address,
+            self.runner,
+            ssl_context=context,
+            backlog=limit.backlog,
+        )
 
     async def stop(self) -> None:
         """Refuse new requests, wait for active ones, then close the listener."""
@@ -199,25 +216,23 @@
             self.log.event(_events.REQUEST_OUTCOME_UNKNOWN, error=str(error))
             return problem(502, "outcome_unknown", str(error), not_run=False)
 
-    async def read_body(self, raw: web.Request) -> bytes:
-        """Return the complete request body.
+    async def read_body(self, raw: web.Request, resolved: ResolvedCustomer) -> bytes:
+        """Return the complete body of a customer's request.
 
         Raises:
             BadRequestError: The body was not received in time.
+            HTTPRequestEntityTooLarge: The body is too large.
+            RefusedError: There is no room for the body.
         """
-        try:
-            async with asyncio.timeout(self.settings.limits.body_timeout_s):
-                return await raw.read()
-        except TimeoutError:
-            raise parse.BadRequestError(
-                408, "body_timeout", "the request body was not received in time"
-            ) from None
+        limits = self.settings.limits
+        tier = resolved.tier.rank
+        return await read_body(raw, tier, self.receptions, limits)
 
     async def post_model(self, raw: web.Request) -> web.StreamResponse:
         """Serve a request in the format of the OpenAI API."""
         view = self.settings_service.view
         resolved = parse.authenticate(raw.headers, view)
-        body = await self.read_body(raw)
+        body = await self.read_body(raw, resolved)
         prompt = parse.parse_prompt(body)
         target = parse.model_target(view.fleet, resolved, prompt.model, raw.path_qs)
         request = parse.build_request(raw, resolved, target, body, prompt)
@@ -230,7 +245,7 @@
         pool = raw.match_info["pool"]
         path = raw.path_qs.removeprefix(f"/services/{pool}")
         target = parse.service_target(view.fleet, resolved, pool, path, raw.method)
-        body = await self.read_body(raw)
+        body = await self.read_body(raw, resolved)
         request = parse.build_request(raw, resolved, target, body)
         return await self.serve(raw, request)
 
