--- a/packages/skylarkdoord/src/skylarkdoord/common/_internal.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_internal.py
@@ -21,7 +21,7 @@
 PEER_ROUTES_PREFIX = "/internal/"
 BODY_HEADROOM_BYTES = 64 * 1024
 # At an entry, peers exchange settings, and operators ask.
-ENTRY_LIMIT = ConnectionLimit(max_connections=128, backlog=128)
+ENTRY_LIMIT = ConnectionLimit(max_connections=128)
 
 
 class InternalServer:
@@ -79,9 +79,7 @@
             kernel, self.app, limits, limit, name=self.name
         )
         address = self.settings.listen.internal
-        await open_site(
-            kernel, address, self.runner, ssl_context=context, backlog=limit.backlog
-        )
+        await open_site(kernel, address, self.runner, ssl_context=context)
         self.log.event(_events.PROCESS_READY, address=address)
 
     async def stop(self) -> None:
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_callers.py
@@ -117,13 +117,7 @@
         kernel.supervise(IngressSignals(self.runner.table).run, name="callers.signals")
         tls = kernel.find("tls", TlsService).callers
         context = tls.listener_context if tls else None
-        await open_site(
-            kernel,
-            self.address,
-            self.runner,
-            ssl_context=context,
-            backlog=limit.backlog,
-        )
+        await open_site(kernel, self.address, self.runner, ssl_context=context)
 
     async def stop(self) -> None:
         """Refuse new requests, wait for active ones, then close the listener."""
