Bytes that wait for their turn count as held; such connections are not overdue

Bytes that are kept for a later pass of the event loop were in no sum, and a connection could be closed as late for bytes that the entry had not handled.

--- a/packages/skylarkdoord/src/skylarkdoord/ingress/_connection.py
+++ b/packages/skylarkdoord/src/skylarkdoord/ingress/_connection.py
@@ -159,9 +159,14 @@
         """Return whether further bytes may be read."""
         return super().may_read() and not self.is_held_back
 
+    def keep(self, data: bytes) -> None:
+        """Keep received bytes, which count as held."""
+        super().keep(data)
+        self.count_unfinished()
+
     def count_unfinished(self) -> None:
         """Count what is held of requests that are not handled yet."""
-        size = max(self.received.unfinished_bytes, self.ahead_bytes)
+        size = max(self.received.unfinished_bytes, self.ahead_bytes) + len(self.kept)
         size += WAITING_REQUEST_BYTES * max(0, len(self._messages) - 1)
         self.table.set_unfinished(self, 0 if self.is_refusing else size)
 
@@ -181,6 +186,9 @@
         if self.is_refusing:
             self.close_refused(transport, now)
             return
+        if self.is_waiting:
+            # What has arrived is not handled yet.
+            return
         if transport.get_write_buffer_size():
             self.state.answered_at = now
             return
