--- a/packages/skylarkdoor/src/skylarkdoor/_patience.py
+++ b/packages/skylarkdoor/src/skylarkdoor/_grace_timeout.py
@@ -13,7 +13,7 @@
 GRACE_PASSES = 12
 
 
-class PatientTimeout:
+class GraceTimeout:
     """Context that is cancelled after a time, and after some passes of the loop.
 
     Those passes follow the time, so that a loop without other work takes no longer.
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_catch_up.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_catch_up.py
@@ -6,7 +6,7 @@
 
 import asyncio
 
-from skylarkdoor.patience import PatientTimeout
+from skylarkdoor.grace_timeout import GraceTimeout
 from skylarkdoord.direct._config_age import ConfigAge
 
 # Time in which the store answers a call, with a margin for the network.
@@ -45,7 +45,7 @@
             return
         self.confirmed.clear()
         try:
-            async with PatientTimeout(MAX_WAIT_S):
+            async with GraceTimeout(MAX_WAIT_S):
                 await self.confirmed.wait()
         except TimeoutError:
             self.is_cut_off = self.age.is_stale()
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_link.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_link.py
@@ -7,7 +7,7 @@
 
 from skylarkdoor import events
 from skylarkdoor.backoff import Backoff
-from skylarkdoor.patience import PatientTimeout
+from skylarkdoor.grace_timeout import GraceTimeout
 from skylarkdoor.wire import (
     CONNECTION_LOST_ERRORS,
     Outbox,
@@ -81,7 +81,7 @@
 async def _read(stream: Any, handler: StreamHandler, pace: Pace) -> None:
     is_open = False
     while True:
-        async with PatientTimeout(pace.silence_timeout_s()):
+        async with GraceTimeout(pace.silence_timeout_s()):
             batch = await stream.recv_message()
         if batch is None:
             raise ConnectionResetError("the peer ended the stream")
@@ -142,7 +142,7 @@
         host, _, port = self.address.rpartition(":")
         channel = Channel(host, int(port))
         try:
-            async with PatientTimeout(CONNECT_TIMEOUT_S) as opening:
+            async with GraceTimeout(CONNECT_TIMEOUT_S) as opening:
                 async with getattr(self.stub(channel), self.method).open() as stream:
                     await stream.send_message(
                         self.handler.batch(self.handler.opening_messages())
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_watch.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_watch.py
@@ -8,8 +8,8 @@
 from typing import Any
 
 from skylarkdoor import events
+from skylarkdoor.grace_timeout import let_pass
 from skylarkdoor.kernel import Kernel
-from skylarkdoor.patience import let_pass
 from skylarkdoor.tasks import end_tasks
 from skylarkdoord import _events
 from skylarkdoord._listeners import call_all
