--- a/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_callers.py
@@ -13,10 +13,10 @@
 from skylarkdoord import _events
 from skylarkdoord._drain import cut_off
 from skylarkdoord._listening import open_site
-from skylarkdoord.direct._adapter import RawHead
 from skylarkdoord.direct._bounded_connection import BoundedRequestHandler
 from skylarkdoord.direct._caller_bodies import read_body, write_whole
 from skylarkdoord.direct._caller_connections import CallerConnections
+from skylarkdoord.direct._caller_heads import read_head
 from skylarkdoord.direct._catch_up import CatchUp
 from skylarkdoord.direct._first_attempts import FirstAttempts
 from skylarkdoord.direct._fleet import Fleet
@@ -50,8 +50,6 @@
 
 MAX_HEADER_BYTES = 64 * 1024
 MAX_HEADERS = 1024
-# A colon, a space and a line end in each header field.
-FIELD_EXTRA_BYTES = 4
 # Load balancers need one connection each.
 READY_LIMIT = ConnectionLimit(max_connections=64)
 # Retry-After for requests on which no configuration decides yet.
@@ -71,12 +69,6 @@
 SHUTDOWN_MARGIN_S = 1.0
 
 
-def header_size(raw: web.BaseRequest) -> int:
-    """Return the size of a request's header fields, in bytes."""
-    fields = raw.raw_headers
-    return sum(len(name) + len(value) + FIELD_EXTRA_BYTES for name, value in fields)
-
-
 class CallerServer:
     """Serves callers over HTTP and drains on shutdown.
 
@@ -287,9 +279,9 @@
         """Answer one request; errors are answered as a `Problem`."""
         request: CallerRequest | None = None
         try:
-            size = header_size(raw)
-            request = self.read_head(raw, received, size)
-            hold.add_head(size)
+            head = read_head(raw, max_bytes=self.limits().head_bytes)
+            request = self.dependencies.adapter.read_request(head.raw, received)
+            hold.add_head(head.size)
             request = await self.read_whole(raw, request, hold)
             await self.catch_up.wait()
             admitted = self.fleet.table.admit(request, self.first_attempts)
@@ -315,33 +307,6 @@
             )
         return self.problem_response(request, problem)
 
-    def read_head(
-        self, raw: web.BaseRequest, received: float, size: int
-    ) -> CallerRequest:
-        """Return the request without its body.
-
-        Args:
-            raw: The request as received by the HTTP server.
-            received: Monotonic time of receipt, in seconds.
-            size: Size of its header fields, in bytes.
-
-        Raises:
-            BadCallError: The request is malformed, or its header fields are too large.
-        """
-        if size > self.limits().head_bytes:
-            message = "the header fields are too large"
-            raise BadCallError(web.HTTPRequestHeaderFieldsTooLarge.status_code, message)
-        # The HTTP client writes header values as UTF-8.
-        try:
-            headers = tuple(
-                (name.decode("ascii"), value.decode())
-                for name, value in raw.raw_headers
-            )
-        except UnicodeDecodeError:
-            raise BadCallError(400, "headers: expected UTF-8") from None
-        head = RawHead(raw.method, raw.raw_path, headers)
-        return self.dependencies.adapter.read_request(head, received)
-
     async def read_whole(
         self, raw: web.BaseRequest, request: CallerRequest, hold: BodyHold
     ) -> CallerRequest:
