--- a/packages/skylarkdoord/src/skylarkdoord/direct/_caller_bodies.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_caller_bodies.py
@@ -13,13 +13,15 @@
 )
 from skylarkdoord.direct._held_bytes import BodyHold, HeldBytes
 from skylarkdoord.direct.exceptions import BadCallError
-from skylarkdoord.ingress import give_up_body, on_body_complete, set_body_timeout
+from skylarkdoord.ingress import (
+    Chunks,
+    give_up_body,
+    on_body_complete,
+    set_body_timeout,
+)
 
 # Bytes of a whole answer that are written at a time.
 PIECE_BYTES = 128 * 1024
-# Smaller chunks of a body are joined once there are this many.
-SMALL_CHUNK_BYTES = 1024
-MAX_SMALL_CHUNKS = 64
 
 
 async def read_body(
@@ -62,7 +64,7 @@
         BadCallError: The body is too large.
         MemoryFullError: There is no room for it.
     """
-    chunks: list[bytes] = []
+    chunks = Chunks()
     size = 0
     on_read(raw.protocol)
     while chunk := await raw.content.readany():
@@ -71,22 +73,10 @@
         check_length(size, max_bytes)
         hold.held.incomplete.on_received(hold, len(chunk))
         hold.grow_to(size)
-        add_chunk(chunks, chunk)
+        chunks.add(chunk)
     hold.complete()
     on_body_complete(raw.protocol)
-    return b"".join(chunks)
-
-
-def add_chunk(chunks: list[bytes], chunk: bytes) -> None:
-    """Add a chunk to a list, and join the latest ones once they are many and small.
-
-    Each object takes some dozen bytes beside its contents.
-    """
-    chunks.append(chunk)
-    if len(chunk) < SMALL_CHUNK_BYTES and len(chunks) % MAX_SMALL_CHUNKS == 0:
-        latest = chunks[-MAX_SMALL_CHUNKS:]
-        if sum(map(len, latest)) < MAX_SMALL_CHUNKS * SMALL_CHUNK_BYTES:
-            chunks[-MAX_SMALL_CHUNKS:] = [b"".join(latest)]
+    return chunks.join()
 
 
 def check_length(length: int, max_bytes: int) -> None:
--- a/packages/skylarkdoord/src/skylarkdoord/entry/_bodies.py
+++ b/packages/skylarkdoord/src/skylarkdoord/entry/_bodies.py
@@ -9,7 +9,12 @@
 from skylarkdoord.entry._admission import overloaded_error
 from skylarkdoord.entry._parse import BadRequestError
 from skylarkdoord.entry._reception import Reception, Receptions
-from skylarkdoord.ingress import give_up_body, on_body_complete, set_body_timeout
+from skylarkdoord.ingress import (
+    Chunks,
+    give_up_body,
+    on_body_complete,
+    set_body_timeout,
+)
 
 
 async def read_body(
@@ -59,7 +64,7 @@
     """
     check_size(raw.content_length or 0, max_bytes)
     reception.grow_to(raw.content_length or 0)
-    chunks: list[bytes] = []
+    chunks = Chunks()
     size = 0
     on_read(raw.protocol)
     while chunk := await raw.content.readany():
@@ -68,9 +73,9 @@
         check_size(size, max_bytes)
         reception.on_received(len(chunk))
         reception.grow_to(size)
-        chunks.append(chunk)
+        chunks.add(chunk)
     on_body_complete(raw.protocol)
-    return b"".join(chunks)
+    return chunks.join()
 
 
 def check_size(size: int, max_bytes: int) -> None:
--- a/packages/skylarkdoord/src/skylarkdoord/ingress/__init__.py
+++ b/packages/skylarkdoord/src/skylarkdoord/ingress/__init__.py
@@ -1,6 +1,7 @@
 """Callers' connections: what each one does, and what all of them may take."""
 
 from skylarkdoord.ingress._application import ApplicationRunner, set_up
+from skylarkdoord.ingress._chunks import Chunks
 from skylarkdoord.ingress._closed import ClosedConnections, Reason
 from skylarkdoord.ingress._connection import (
     CallerConnection,
@@ -21,6 +22,7 @@
 __all__ = [
     "ApplicationRunner",
     "CallerConnection",
+    "Chunks",
     "ClosedConnections",
     "ConnectionLimit",
     "ConnectionState",
--- a/packages/skylarkdoord/src/skylarkdoord/ingress/_server.py
+++ b/packages/skylarkdoord/src/skylarkdoord/ingress/_server.py
@@ -8,7 +8,8 @@
 from skylarkdoord.ingress._connection import CallerConnection, on_body_complete
 from skylarkdoord.ingress._table import ConnectionTable
 
-RETRY_AFTER = "1"
+# Value of Retry-After, in seconds.
+RETRY_AFTER_S = "1"
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -61,7 +62,7 @@
     """Return the answer to a request that is not run, on a connection that closes."""
     response = web.Response(
         status=web.HTTPServiceUnavailable.status_code,
-        headers={"Retry-After": RETRY_AFTER},
+        headers={"Retry-After": RETRY_AFTER_S},
     )
     response.force_close()
     return response
