A caller that sent much ahead and leaves is noticed

Cause: while requests that were sent ahead wait, nothing is read from their connection, so its end is not seen until the running request ends. The test's fixture runs the sweeper, as entries do; its check is as before.

--- a/packages/skylarkdoord/src/skylarkdoord/ingress/_chunks.py
+++ b/packages/skylarkdoord/src/skylarkdoord/ingress/_chunks.py
@@ -8,8 +8,8 @@
 class Chunks:
     """The chunks of a body.
 
-    Each object takes some dozen bytes beside its contents, so small chunks are joined as
-    they come.
+    Each object takes some dozen bytes beside its contents, so small chunks are joined
+    as they come.
     """
 
     def __init__(self) -> None:
--- a/packages/skylarkdoord/src/skylarkdoord/ingress/_connection.py
+++ b/packages/skylarkdoord/src/skylarkdoord/ingress/_connection.py
@@ -12,6 +12,7 @@
 from skylarkdoord.ingress._closed import Reason
 from skylarkdoord.ingress._deadlines import find_overdue
 from skylarkdoord.ingress._limits import KIB, IngressLimits
+from skylarkdoord.ingress._peer_state import has_left
 from skylarkdoord.ingress._received import Parsed, Received
 from skylarkdoord.ingress._shared_reads import SharedReader
 from skylarkdoord.ingress._state import ConnectionState, Phase
@@ -179,10 +180,13 @@
             self.refuse(Reason.FRAMING_BYTES)
 
     def close_overdue(self, limits: IngressLimits, now: float) -> None:
-        """Close the connection if it takes too long."""
+        """Close the connection if it takes too long, or if its caller has left."""
         transport = cast(asyncio.WriteTransport | None, self.transport)
         if transport is None or transport.is_closing():
             return
+        if self.is_held_back and has_left(transport):
+            transport.abort()
+            return
         if self.is_refusing:
             self.close_refused(transport, now)
             return
--- a/packages/skylarkdoord/tests/ingress/test_refused_ahead.py
+++ b/packages/skylarkdoord/tests/ingress/test_refused_ahead.py
@@ -6,7 +6,7 @@
 import pytest
 from aiohttp import web
 
-from skylarkdoord.ingress import ConnectionTable, IngressServer
+from skylarkdoord.ingress import ConnectionSweeper, ConnectionTable, IngressServer
 
 HEAD = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 MAX_UNFINISHED_BYTES = 10_000
@@ -35,6 +35,8 @@
     address = runner.addresses[0]
     async with contextlib.AsyncExitStack() as stack:
         stack.push_async_callback(runner.cleanup)
+        sweeping = asyncio.create_task(ConnectionSweeper(table).run())
+        stack.callback(sweeping.cancel)
 
         async def connect():
             reader, writer = await asyncio.open_connection(*address)
