--- a/review/lib2/platform_standin.py
+++ b/review/lib2/platform_standin.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import signal
 import socket
@@ -21,11 +22,20 @@
 HOST = "127.0.0.1"
 
 
+# Below the ports that the system gives to outgoing connections.
+PORTS = range(10_000, 30_000)
+_chosen = set()
+
+
 def free_port(host=HOST):
-    """Return a port that is free at present."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
+    """Return a port that is free at present, and that this case has not chosen yet."""
+    while True:
+        port = random.choice(PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            if port not in _chosen:
+                probe.bind((host, port))
+                _chosen.add(port)
+                return port
 
 
 class Record:
