--- a/review/lib2/platform_standin.py
+++ b/review/lib2/platform_standin.py
@@ -217,7 +217,7 @@
             self.record("run", self.instance, headers.get("attempt-id"), line)
             headers["x-path"] = line.split(" ")[1]
             await self.script(headers, body, writer)
-        except (asyncio.IncompleteReadError, ConnectionError):
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
