--- a/review/8/case.py
+++ b/review/8/case.py
@@ -44,6 +44,7 @@
 
 
 def route(name):
+    """Return a route of the operator's configuration."""
     return {
         "name": name,
         "hostname": "desk.example",
@@ -68,6 +69,7 @@
 
 
 def request_head(target, name):
+    """Return the head of a request without a body."""
     return (
         f"POST {target} HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: {name}\r\n"
         f"Deadline-Ms: {TIME_LIMIT_MS}\r\nContent-Length: 0\r\n\r\n"
@@ -87,7 +89,9 @@
         while process.returncode is None:
             most = max(most, private_kb(process))
             if most > MEMORY_MB * 1024:
-                record(f"the entry uses {most} KiB, more than {MEMORY_MB} MB: it is killed")
+                record(
+                    f"the entry uses {most} KiB, more than {MEMORY_MB} MB: it is killed"
+                )
                 process.send_signal(signal.SIGKILL)
                 return most
             await asyncio.sleep(0.01)
@@ -111,7 +115,9 @@
         got = 0
         while time.monotonic() < ends and got < ANSWER_BYTES:
             async with asyncio.timeout_at(ends):
-                part = await loop.sock_recv(channel, SLOW_READ_BYTES if trouble else FAST_READ_BYTES)
+                part = await loop.sock_recv(
+                    channel, SLOW_READ_BYTES if trouble else FAST_READ_BYTES
+                )
             if not part:
                 break
             got += len(part)
@@ -154,6 +160,7 @@
         return self
 
     async def serve(self, reader, writer):
+        """Read a request slowly, for as long as its channel is open."""
         try:
             while await reader.read(SLOW_READ_BYTES):
                 await asyncio.sleep(READ_INTERVAL_S)
@@ -185,6 +192,8 @@
 
 
 async def case(record, directory, trouble):
+    """Play the case; return how the rule was broken, or an empty text."""
+
     async def notes(headers, body, writer):
         head = answer_head(headers, "200 OK", f"Content-Length: {ANSWER_BYTES}")
         writer.write(head + bytes(ANSWER_BYTES))
@@ -205,7 +214,9 @@
         (SlowServer if trouble else Server)(
             record, drafts, instance="i-3", service="drafts", slots=SLOTS
         ) as third,
-        Server(record, reserve, instance="i-2", service="reserve", slots=KEPT) as second,
+        Server(
+            record, reserve, instance="i-2", service="reserve", slots=KEPT
+        ) as second,
     ):
         await store.put("op", "config", CONFIG)
         await store.put("servers", "i-1", first.row())
@@ -229,7 +240,9 @@
             answered = []
             record(f"{READERS} requesters send a request each")
             reading = [
-                asyncio.create_task(read_notes(record, address, number, trouble, answered))
+                asyncio.create_task(
+                    read_notes(record, address, number, trouble, answered)
+                )
                 for number in range(READERS)
             ]
             record(f"{SENDERS} requesters send a request with a long body each")
@@ -243,7 +256,9 @@
             await asyncio.gather(*reading, return_exceptions=True)
             watching.cancel()
             most = await watching
-            record(f"the entry used {most} KiB at most; {len(answered)} answers were read")
+            record(
+                f"the entry used {most} KiB at most; {len(answered)} answers were read"
+            )
             record(f"{lost} of {KEPT} requests on kept channels got no answer")
     if lost > ALLOWED_LOST:
         return f"LOST: {lost} requests on kept channels, as the entry used {most} KiB"
--- a/review/lib2/platform_standin.py
+++ b/review/lib2/platform_standin.py
@@ -43,12 +43,14 @@
 
     def __init__(self, path):
         self.began = time.monotonic()
-        self.file = open(path, "w", encoding="utf-8")
+        self.path = pathlib.Path(path)
+        self.path.write_text("")
 
     def __call__(self, *words):
+        """Add a line to the record."""
         line = f"{time.monotonic() - self.began:8.3f} " + " ".join(map(str, words))
-        self.file.write(line + "\n")
-        self.file.flush()
+        with self.path.open("a", encoding="utf-8") as file:
+            file.write(line + "\n")
 
 
 async def read_message(reader):
@@ -102,9 +104,10 @@
             self.changed.notify_all()
 
     def rows(self, table, since=None):
+        """Return all rows of a table, or those changed after a version."""
         rows = []
         for key, (data, version) in sorted(self.tables.get(table, {}).items()):
-            if since is None and data is None or since is not None and version <= since:
+            if data is None if since is None else version <= since:
                 continue
             row = {"tableName": table, "part": "", "key": key, "rowVersion": version}
             if data is None:
@@ -112,9 +115,14 @@
             else:
                 row["data"] = base64.b64encode(data).decode()
             rows.append(row)
-        return sorted(rows, key=lambda row: row["rowVersion"]) if since is not None else rows
+        return (
+            sorted(rows, key=lambda row: row["rowVersion"])
+            if since is not None
+            else rows
+        )
 
     def reply(self, rows=()):
+        """Return a status and an answer with rows."""
         return 200, {
             "rows": list(rows),
             "hasMore": False,
@@ -123,6 +131,7 @@
         }
 
     async def serve(self, reader, writer):
+        """Serve the calls of one channel."""
         self.writers.add(writer)
         try:
             while True:
@@ -134,7 +143,8 @@
                 data = json.dumps(answer).encode()
                 writer.write(
                     f"HTTP/1.1 {status} -\r\nContent-Type: application/json\r\n"
-                    f"Content-Length: {len(data)}\r\n\r\n".encode() + data
+                    f"Content-Length: {len(data)}\r\n\r\n".encode()
+                    + data
                 )
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
@@ -144,6 +154,7 @@
             writer.close()
 
     async def call(self, path, fields, body):
+        """Serve one call; return its status and answer."""
         await asyncio.sleep(0.004)
         if path == "/rows-get":
             return self.reply(self.rows(fields["tableName"]))
@@ -159,6 +170,7 @@
         return 404, {}
 
     async def commit(self, call):
+        """Write rows, if those that are expected have their versions."""
         current = []
         for row in call.get("expect", []):
             found = self.tables.get(row["tableName"], {}).get(row["key"], (None, 0))
@@ -208,10 +220,13 @@
         return fields | changes
 
     async def serve(self, reader, writer):
+        """Serve one request."""
         try:
             line, headers, body = await read_message(reader)
             if headers.get("target-instance", self.instance) != self.instance:
-                writer.write(b"HTTP/1.1 421 -\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+                writer.write(
+                    b"HTTP/1.1 421 -\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+                )
                 return
             self.runs.append((time.monotonic(), headers))
             self.record("run", self.instance, headers.get("attempt-id"), line)
@@ -282,17 +297,29 @@
         self.record, self.role, self.settings, self.log = record, role, settings, log
 
     async def __aenter__(self):
-        keep = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
+        keep = {
+            key: os.environ[key]
+            for key in ("PATH", "HOME", "LANG")
+            if key in os.environ
+        }
         with open(self.log, "wb") as log:
             self.process = await asyncio.create_subprocess_exec(
-                "python3", "-m", "skylarkdoord", self.role, "--settings", str(self.settings),
-                cwd=ROOT, env=keep | {"PYTHONPATH": str(ROOT / "target/deps")},
-                stdout=log, stderr=log,
+                "python3",
+                "-m",
+                "skylarkdoord",
+                self.role,
+                "--settings",
+                str(self.settings),
+                cwd=ROOT,
+                env=keep | {"PYTHONPATH": str(ROOT / "target/deps")},
+                stdout=log,
+                stderr=log,
             )
         self.record("start", self.role, self.settings.stem)
         return self
 
     def send(self, number):
+        """Send the program a signal."""
         self.record("signal", signal.Signals(number).name, self.settings.stem)
         self.process.send_signal(number)
 
@@ -319,14 +346,16 @@
 
 
 def run_case(folder, case):
-    """Run a case; exit with 1 if the rule was broken, 0 if not, 2 if it couldn't run."""
+    """Run a case; exit with 1 if the rule was broken, 0 if it held, else with 2."""
     record = Record(pathlib.Path(folder) / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record("case with the disruption" if trouble else "case without the disruption")
     try:
         with tempfile.TemporaryDirectory() as directory:
-            broken = asyncio.run(asyncio.wait_for(case(record, directory, trouble), 110))
-    except Exception as error:  # noqa: BLE001
+            broken = asyncio.run(
+                asyncio.wait_for(case(record, directory, trouble), 110)
+            )
+    except Exception as error:
         record("the case could not run:", repr(error))
         sys.exit(2)
     record("the rule was broken:" if broken else "the rule held", broken or "")
