Responses with an invalid head are not used, wherever they are read

An order with status 000 counted as carried out at a sidecar.

Cause: no reader of ours checked a head. aiohttp's two parsers and http.client accept what the standard forbids, each something else, and their callers took what was left: `status < 400` holds for 000; a length whose name ends with a blank is no length, so the body ran to the end of the connection; a coding that nobody decodes was passed on as the body.

Change: `skylarkdoor.response_heads` checks the bytes of each head before the parser reads them: status line, names, values, and that the end of the body is stated at most once and with `chunked` as the only coding (RFC 9110 sections 5, 8.6, 15; RFC 9112 sections 2 to 6). All sessions of aiohttp use it, as all are opened by `open_session`, and so does the guard's `PlainClient`. It is a rule for all bytes, not a list of those seen, and does not depend on the parser. A folded line is rejected, as a gateway may.

What callers get: as for any lost answer, 502 "outcome unknown", or for idempotent requests another attempt; nothing that runs once runs twice. The server counts as one that loses its answers. It has not crashed: a sidecar's crash check holds an invalid response for a sign of life, so that no request is suspected for it.

--- a/packages/skylarkdoor/src/skylarkdoor/_bounded_http.py
+++ b/packages/skylarkdoor/src/skylarkdoor/_bounded_http.py
@@ -1,9 +1,11 @@
-"""HTTP sessions and bodies that are bounded, whatever the other side sends.
+"""HTTP sessions whose responses are bounded and valid, whatever is sent.
 
 aiohttp's parsers accept lines between chunks, interim responses and others at any
-number, and its `read` a body of any size.
+number, and its `read` a body of any size. Which heads they accept depends on the
+parser, of which there are two.
 """
 
+import asyncio
 import functools
 from typing import Any
 
@@ -12,6 +14,8 @@
 
 from skylarkdoor import untrusted_json
 from skylarkdoor._byte_bound import ByteBound, on_read
+from skylarkdoor._response_heads import InvalidHeadError, ResponseHeads
+from skylarkdoor.failures import DescribedError
 
 MIB = 1024 * 1024
 # Bytes of a response that are received before they are read; up to twice as many are
@@ -27,14 +31,46 @@
     """A body has more bytes than its reader accepts."""
 
 
+class InvalidResponseError(DescribedError, aiohttp.ClientError):
+    """The head of a response is not valid HTTP."""
+
+
 class BoundedResponseHandler(ByteBound, ResponseHandler):  # type: ignore[misc]
-    """A client's connection."""
+    """A client's connection.
+
+    Attributes:
+        heads: Checks the head of the response.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self.heads = ResponseHeads()
 
     def set_response_params(self, **options: Any) -> None:
         """Begin a response; the bytes of the one before don't count."""
         self.unread_bytes = 0
+        self.heads = ResponseHeads()
         super().set_response_params(**options)
 
+    def data_received(self, data: bytes) -> None:
+        """Pass received bytes on, unless the head is invalid.
+
+        Without a parser, aiohttp keeps the bytes and calls this method once more.
+        """
+        if self._parser is not None:
+            try:
+                self.heads.feed(data)
+            except InvalidHeadError as error:
+                self.reject(error)
+                return
+        super().data_received(data)
+
+    def reject(self, error: InvalidHeadError) -> None:
+        """End the response with an error, and close the connection."""
+        self.set_exception(InvalidResponseError(str(error)))
+        if self.transport is not None:
+            self.transport.abort()
+
 
 class BoundedConnector(aiohttp.TCPConnector):
     """A connector of bounded connections."""
--- a/packages/skylarkdoor/src/skylarkdoor/bounded_http.py
+++ b/packages/skylarkdoor/src/skylarkdoor/bounded_http.py
@@ -1,9 +1,10 @@
-"""HTTP sessions and bodies that are bounded, whatever the other side sends."""
+"""HTTP sessions whose responses are bounded and valid, whatever is sent."""
 
 from skylarkdoor._bounded_http import (
     BodyBudget,
     BodyTooLargeError,
     BoundedConnector,
+    InvalidResponseError,
     open_session,
     read_body,
     read_chunk,
@@ -17,6 +18,7 @@
     "BodyTooLargeError",
     "BoundedConnector",
     "ByteBound",
+    "InvalidResponseError",
     "on_read",
     "open_session",
     "read_body",
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_plain_http.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_plain_http.py
@@ -1,8 +1,8 @@
 """HTTP client for single calls on loopback, bounded in bytes and time.
 
 The HTTP client of the standard library is sufficient for them; aiohttp would increase a
-guard's memory by half. But it accepts bodies of any size and any number of interim
-responses, and its timeout holds for each part of a response.
+guard's memory by half. But it accepts bodies of any size, any number of interim
+responses and many invalid heads, and its timeout holds for each part of a response.
 """
 
 import http.client
@@ -11,7 +11,8 @@
 import time
 from typing import Any
 
-from skylarkdoor.failures import reason
+from skylarkdoor.failures import DescribedError, reason
+from skylarkdoor.response_heads import InvalidHeadError, ResponseHeads
 
 # Largest response with its head, in bytes.
 MAX_RESPONSE_BYTES = 256 * 1024
@@ -25,11 +26,20 @@
     """A response has more than `MAX_RESPONSE_BYTES`."""
 
 
+class InvalidResponseError(DescribedError, http.client.HTTPException):
+    """The head of a response is not valid HTTP."""
+
+
 class BoundedReader(io.RawIOBase):
-    """Reads a response from a socket until it is too large or takes too long.
+    """Reads a response from a socket until it is invalid, too large or takes too long.
 
     Args:
         sock: The socket.
+
+    Attributes:
+        remaining: Most bytes that may still arrive.
+        ends_at: Monotonic time at which the response must be complete, in seconds.
+        heads: Checks the head of the response.
     """
 
     def __init__(self, sock: socket.socket) -> None:
@@ -37,6 +47,7 @@
         self.file = sock.makefile("rb", buffering=0)
         self.remaining = MAX_RESPONSE_BYTES
         self.ends_at = time.monotonic() + RESPONSE_TIMEOUT_S
+        self.heads = ResponseHeads()
 
     def readable(self) -> bool:
         """Return that it can be read."""
@@ -46,6 +57,7 @@
         """Read bytes that have arrived, or wait for some; return their number.
 
         Raises:
+            InvalidResponseError: The head is invalid.
             ResponseTooLargeError: The response is too large.
             TimeoutError: No bytes arrived in time, or the response takes too long.
         """
@@ -54,9 +66,22 @@
         if time.monotonic() >= self.ends_at:
             raise TimeoutError("the response takes too long")
         size = self.file.readinto(memoryview(buffer)[: self.remaining])
-        self.remaining -= size or 0
+        received = bytes(buffer[: size or 0])
+        self.remaining -= len(received)
+        self.check_head(received)
         return size
 
+    def check_head(self, data: bytes) -> None:
+        """Check received bytes as far as they belong to the head.
+
+        Raises:
+            InvalidResponseError: The head is invalid.
+        """
+        try:
+            self.heads.feed(data)
+        except InvalidHeadError as error:
+            raise InvalidResponseError(str(error)) from None
+
     def close(self) -> None:
         """Close the connection, unless the client keeps it."""
         self.file.close()
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_upstream.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_upstream.py
@@ -85,13 +85,14 @@
     async def is_up(self) -> bool:
         """Return whether the upstream answers a health request.
 
-        Any status and a timeout count as up: a slow upstream has not crashed.
+        Any status, an invalid response and a timeout count as up: an upstream that
+        fails or is slow has not crashed.
         """
         timeout = aiohttp.ClientTimeout(total=CONNECT_TIMEOUT_S)
         try:
             async with self.session.get(f"{self.url}/health", timeout=timeout):
                 return True
-        except TimeoutError:
+        except (bounded_http.InvalidResponseError, TimeoutError):
             return True
         except (aiohttp.ClientError, ResponseLostError):
             return False
