Values with bytes that are not UTF-8 end no connection without an answer

What callers saw, with aiohttp's uncompiled parts only: an answer with such a byte in a field's value (valid by RFC 9110 section 5.5) ended the connection without an answer, or a stream with 500. The compiled writer drops these bytes.

Cause: aiohttp reads them as lone surrogates, which its other writer can't encode.

Change: both interfaces drop them before a value is passed on, so that the result doesn't depend on how aiohttp was installed. What callers get with the compiled parts is the same as before.

Before, with AIOHTTP_NO_EXTENSIONS=1: 6 of 608 in tests/adapter/ test_broken_heads.py failed (test_sound, "bytes above 127 in a value"). After: all pass with either.

--- a/packages/skylarkdoor/src/skylarkdoor/_response_heads.py
+++ b/packages/skylarkdoor/src/skylarkdoor/_response_heads.py
@@ -171,10 +171,19 @@
 
 
 def is_field(name: str, value: str) -> bool:
-    """Return whether a name and a value may form a line of a head."""
+    """Return whether a name and a value, as aiohttp read them, may form a line."""
     try:
-        line = f"{name}:{value}".encode()
+        line = f"{name}:{value}".encode(errors="surrogateescape")
     except UnicodeEncodeError:
         return False
     match = FIELD_LINE.fullmatch(line)
     return match is not None and match["name"] == name.encode()
+
+
+def drop_undecodable(value: str) -> str:
+    """Return a field's value without the bytes that are not UTF-8.
+
+    aiohttp reads them as lone surrogates. Only one of its writers accepts these; it
+    drops them.
+    """
+    return value.encode(errors="ignore").decode()
--- a/packages/skylarkdoor/src/skylarkdoor/response_heads.py
+++ b/packages/skylarkdoor/src/skylarkdoor/response_heads.py
@@ -3,8 +3,15 @@
 from skylarkdoor._response_heads import (
     InvalidHeadError,
     ResponseHeads,
+    drop_undecodable,
     is_field,
     is_final_status,
 )
 
-__all__ = ["InvalidHeadError", "ResponseHeads", "is_field", "is_final_status"]
+__all__ = [
+    "InvalidHeadError",
+    "ResponseHeads",
+    "drop_undecodable",
+    "is_field",
+    "is_final_status",
+]
--- a/packages/skylarkdoord/src/skylarkdoord/common/_headers.py
+++ b/packages/skylarkdoord/src/skylarkdoord/common/_headers.py
@@ -4,6 +4,8 @@
 
 from multidict import CIMultiDict
 
+from skylarkdoor.response_heads import drop_undecodable
+
 REQUEST_ID = "X-Request-Id"
 GRANT = "X-Skylarkdoor-Grant"
 INCARNATION = "X-Skylarkdoor-Incarnation"
@@ -71,7 +73,7 @@
 def caller_headers(headers: Mapping[str, str]) -> CIMultiDict[str]:
     """Return the upstream's headers that are forwarded to a caller."""
     return CIMultiDict(
-        (name, value)
+        (name, drop_undecodable(value))
         for name, value in headers.items()
         if name.lower() not in UNFORWARDED_HEADERS
         and not name.lower().startswith("x-skylarkdoor-")
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_answer_relay.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_answer_relay.py
@@ -8,6 +8,7 @@
 
 from skylarkdoor.event_stream import EventSplitter
 from skylarkdoor.exceptions import EventStreamError
+from skylarkdoor.response_heads import drop_undecodable
 from skylarkdoord.direct._adapter import Adapter
 from skylarkdoord.direct._call import Answer
 from skylarkdoord.direct._model import Admitted
@@ -62,7 +63,7 @@
             UpstreamFailedError: The answer is a server error, and the request may run
                 again.
         """
-        headers = self.adapter.caller_headers(answer.response.headers)
+        headers = self.caller_headers(answer)
         if self.admitted.route.is_stream and answer.status == web.HTTPOk.status_code:
             return await self.relay_stream(
                 answer, headers, first_byte_timeout, on_event
@@ -80,6 +81,11 @@
             raise UpstreamFailedError(response)
         return response
 
+    def caller_headers(self, answer: Answer) -> list[tuple[str, str]]:
+        """Return the headers of an answer that are passed on to the caller."""
+        passed = self.adapter.caller_headers(answer.response.headers)
+        return [(name, drop_undecodable(value)) for name, value in passed]
+
     async def relay_stream(
         self,
         answer: Answer,
