Stored answers with an invalid head are not replayed

What callers would see: a retry with the key of a request that ran gets an answer with status 000 from the table, or no answer at all, after an upgrade as well. A sidecar of a former version stored such an answer as complete.

Cause: rows of claims were trusted as to status and headers.

Change: a stored answer must pass the same rules as one that arrives. The row stays a claim of a request that has run: it is neither "not run" nor free for another run.

--- a/packages/skylarkdoor/src/skylarkdoor/_response_heads.py
+++ b/packages/skylarkdoor/src/skylarkdoor/_response_heads.py
@@ -170,8 +170,10 @@
     return type(status) is int and FIRST_FINAL_STATUS <= status <= LAST_STATUS
 
 
-def is_field(name: str, value: str) -> bool:
-    """Return whether a name and a value, as aiohttp read them, may form a line."""
+def is_field(name: object, value: object) -> bool:
+    """Return whether a name and a value, as aiohttp reads them, may form a line."""
+    if not isinstance(name, str) or not isinstance(value, str):
+        return False
     try:
         line = f"{name}:{value}".encode(errors="surrogateescape")
     except UnicodeEncodeError:
--- a/packages/skylarkdoord/src/skylarkdoord/sidecar/_claim_rows.py
+++ b/packages/skylarkdoord/src/skylarkdoord/sidecar/_claim_rows.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from skylarkdoor import untrusted_json
+from skylarkdoor.response_heads import drop_undecodable, is_field, is_final_status
 from skylarkdoord.exceptions import ClaimRowError
 
 PREFIX = "claims"
@@ -45,7 +46,7 @@
         address: Internal address of the sidecar, as `host:port`.
         incarnation: Incarnation of the sidecar.
         claimed_at: Unix time of the claim, in seconds.
-        answer: The response, if the state is `DONE`.
+        answer: The response, if the state is `DONE`; None if it is not a valid one.
         body_object: Key of the object that holds the response body, empty if
             the body is in the row.
     """
@@ -91,6 +92,15 @@
         raise ClaimRowError(f"invalid claim row: {error!r}") from error
 
 
-def _read_answer(status: int, headers: list[list[str]], body: str) -> CompleteAnswer:
-    pairs = tuple((name, value) for name, value in headers)
-    return CompleteAnswer(status, pairs, base64.b64decode(body))
+def _read_answer(
+    status: int, headers: list[list[str]], body: str
+) -> CompleteAnswer | None:
+    """Return a stored response; None if its status or a header is invalid.
+
+    Former versions stored responses whose heads were invalid.
+    """
+    pairs = [(name, value) for name, value in headers]
+    if not is_final_status(status) or not all(is_field(*pair) for pair in pairs):
+        return None
+    passed = tuple((name, drop_undecodable(value)) for name, value in pairs)
+    return CompleteAnswer(status, passed, base64.b64decode(body))
