A reset leaves a body without a length incomplete, wherever it is read

What callers would see: the part of an answer, or of an object of the store, that arrived before a reset is taken for a complete one, if it has neither a length nor chunks.

Cause: aiohttp ends such a body at any end of its connection. Direct entries looked at the connection afterwards; entries and sidecars of the own interface, and the clients of table, objects and instance list, did not.

Change: the connection of `open_session` passes a reset on to the body, before aiohttp ends it. The check of direct entries is gone, as it stood twice; it also needed the response to still have its connection.

--- a/packages/skylarkdoor/src/skylarkdoor/_bounded_http.py
+++ b/packages/skylarkdoor/src/skylarkdoor/_bounded_http.py
@@ -15,7 +15,7 @@
 from skylarkdoor import untrusted_json
 from skylarkdoor._byte_bound import ByteBound, on_read
 from skylarkdoor._response_heads import InvalidHeadError, ResponseHeads
-from skylarkdoor.failures import DescribedError
+from skylarkdoor.failures import DescribedError, reason
 
 MIB = 1024 * 1024
 # Bytes of a response that are received before they are read; up to twice as many are
@@ -65,6 +65,16 @@
                 return
         super().data_received(data)
 
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """End the response.
+
+        A reset leaves its body incomplete, also one that ends with the connection.
+        """
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError(reason(exc)), exc)
+        super().connection_lost(exc)
+
     def reject(self, error: InvalidHeadError) -> None:
         """End the response with an error, and close the connection."""
         self.set_exception(InvalidResponseError(str(error)))
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_call.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_call.py
@@ -142,22 +142,8 @@
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise AnswerTruncatedError(reason(error)) from None
         on_read(self.protocol)
-        if not chunk:
-            self.check_clean_close()
         return chunk
 
-    def check_clean_close(self) -> None:
-        """Check that no reset truncated a body delimited by the connection's end.
-
-        Raises:
-            AnswerTruncatedError: The connection was reset.
-        """
-        if not self.is_close_delimited or self.protocol is None:
-            return
-        error = self.protocol.exception()
-        if isinstance(error, aiohttp.ClientOSError):
-            raise AnswerTruncatedError(reason(error))
-
     async def read_body(self) -> bytes:
         """Return the complete body.
 
--- a/packages/skylarkdoord/tests/test_broken_heads.py
+++ b/packages/skylarkdoord/tests/test_broken_heads.py
@@ -145,3 +145,39 @@
         """A valid response is accepted."""
         body = BODIES.get(reader, DEFAULT_BODY)
         assert await is_accepted(reader, RawServer(SOUND[name](body)))
+
+
+# Readers of responses that have no length and no chunks. A sidecar accepts none from
+# its upstream, and the crash checks, health checks and orders read no body.
+READ_TO_THE_END = [
+    "entry answer",
+    "entry outcome",
+    "entry status",
+    "guard report",
+    "instances",
+    "objects",
+    "sidecar engine state",
+    "sidecar owner",
+    "table",
+]
+
+
+@pytest.mark.parametrize("reader", READ_TO_THE_END)
+class TestUntilClose:
+    """Responses that end with their connection."""
+
+    def response(self, reader):
+        """Return a response without a length."""
+        body = BODIES.get(reader, DEFAULT_BODY)
+        return response(body=body, has_length=False)
+
+    async def test_closed(self, reader):
+        """One is complete if its connection is closed in an orderly way."""
+        assert await is_accepted(reader, RawServer(self.response(reader)))
+
+    # Guards against the report that the part of an answer that arrived before a reset
+    # was taken for a complete one.
+    async def test_reset(self, reader):
+        """One is incomplete if its connection is reset."""
+        server = RawServer(self.response(reader), is_reset=True)
+        assert not await is_accepted(reader, server)
