A reset that follows the end of an answer is awaited while the request is being sent

What callers saw (the report of the long upload): a part of an answer without a length, as a complete one. The server answers at once, ends its side of the connection and resets it; the rest of the upload is still in the system's buffer.

Cause: the end of a body without a length closed the connection at once, so the reset that arrives a moment later was never seen.

Change: such a body is complete "unless an error was indicated by the underlying connection" (RFC 9112 section 8). While the other side has not acknowledged the request, the connection stays open for up to a second: until it has, which completes the body, or until an error, which leaves it incomplete. Where the system doesn't tell what is acknowledged, and over TLS, all is as before.

A server that ends its answer and reads on held and holds.

--- a/packages/skylarkdoor/src/skylarkdoor/_bounded_http.py
+++ b/packages/skylarkdoor/src/skylarkdoor/_bounded_http.py
@@ -14,6 +14,7 @@
 
 from skylarkdoor import untrusted_json
 from skylarkdoor._byte_bound import ByteBound, on_read
+from skylarkdoor._half_closed import HalfClosed, unreceived_bytes
 from skylarkdoor._response_heads import InvalidHeadError, ResponseHeads
 from skylarkdoor.failures import DescribedError, reason
 
@@ -65,16 +66,52 @@
                 return
         super().data_received(data)
 
+    def eof_received(self) -> bool:  # type: ignore[override]
+        """Return whether the connection stays open, as the request isn't received yet.
+
+        A body that ends with the connection is not complete if the other side then
+        resets it. Over TLS the connection is closed at once.
+        """
+        super().eof_received()
+        transport = self.transport
+        if (
+            transport is None
+            or self.open_body is None
+            or not self.heads.is_until_close
+            or transport.get_extra_info("sslcontext") is not None
+            or not unreceived_bytes(transport)
+        ):
+            return False
+        HalfClosed(transport, self.on_reset).poll()
+        return True
+
+    @property
+    def open_body(self) -> aiohttp.StreamReader | None:
+        """The body of the response, unless it is complete."""
+        body = self._payload
+        return None if body is None or body.is_eof() else body
+
+    def on_reset(self, error: OSError) -> None:
+        """End the response after the connection was reset."""
+        self.fail_body(error)
+        if self.transport is not None:
+            self.transport.abort()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """End the response.
 
         A reset leaves its body incomplete, also one that ends with the connection.
         """
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(aiohttp.ClientPayloadError(reason(exc)), exc)
+        if exc is not None:
+            self.fail_body(exc)
         super().connection_lost(exc)
 
+    def fail_body(self, error: BaseException) -> None:
+        """Let the reader of the body fail, unless it is complete."""
+        body = self.open_body
+        if body is not None:
+            body.set_exception(aiohttp.ClientPayloadError(reason(error)), error)
+
     def reject(self, error: InvalidHeadError) -> None:
         """End the response with an error, and close the connection."""
         self.set_exception(InvalidResponseError(str(error)))
--- a/packages/skylarkdoor/src/skylarkdoor/_response_heads.py
+++ b/packages/skylarkdoor/src/skylarkdoor/_response_heads.py
@@ -137,6 +137,11 @@
         self.line = b""
         self.is_complete = False
 
+    @property
+    def is_until_close(self) -> bool:
+        """Whether the end of the connection ends the response's body, if it has one."""
+        return self.is_complete and not self.head.lengths and not self.head.codings
+
     def feed(self, data: bytes) -> None:
         """Check the next bytes of the response.
 
--- a/tests/adapter/test_early_answers.py
+++ b/tests/adapter/test_early_answers.py
@@ -1,4 +1,4 @@
-"""Servers that answer a long upload at once and reset the connection."""
+"""Servers that answer a long upload at once."""
 
 import asyncio
 import contextlib
@@ -31,10 +31,14 @@
     Attributes:
         reads: Bytes of the upload that it reads first.
         pause_s: Pause between its answer and the reset, in seconds.
+        is_half_closed: Whether it ends its answer before the pause.
+        reads_on: Whether it reads the rest of the upload instead of a reset.
     """
 
     reads: int = 0
     pause_s: float = 0.0
+    is_half_closed: bool = False
+    reads_on: bool = False
 
 
 class EarlyServer:
@@ -101,7 +105,13 @@
         fields = b"Attempt-Id: %s\r\nServer-Signature: %s\r\n"
         head = b"HTTP/1.1 200 OK\r\n" + fields % (attempt, SIGNATURE.encode())
         connection.sendall(head + b"\r\n" + PART)
+        if self.early.is_half_closed:
+            connection.shutdown(socket.SHUT_WR)
         time.sleep(self.early.pause_s)
+        if self.early.reads_on:
+            while connection.recv(100_000):
+                pass
+            return
         linger = struct.pack("ii", 1, 0)
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
@@ -146,6 +156,9 @@
             Early(pause_s=0.1),
             Early(reads=50_000),
             Early(reads=50_000, pause_s=0.1),
+            Early(is_half_closed=True),
+            Early(pause_s=0.1, is_half_closed=True),
+            Early(reads=50_000, pause_s=0.1, is_half_closed=True),
         ],
         ids=str,
     )
@@ -168,3 +181,20 @@
             assert kind == "stream"
             assert (status, body, is_whole) == (200, event(1), False)
         assert server.requests == (2 if kind == "idempotent" else 1)
+
+
+class TestHalfClosed:
+    """An answer without a length that ends in an orderly way."""
+
+    # Guards against a check that takes such an answer for one that was broken off.
+    @pytest.mark.parametrize("kind", ["idempotent", "once"])
+    @pytest.mark.parametrize("pause_s", [0.0, 0.1, 1.5])
+    async def test_complete(self, start, kind, pause_s):
+        """It is complete if the server reads on, or does nothing for a second."""
+        early = Early(pause_s=pause_s, is_half_closed=True, reads_on=True)
+        limits = {"maxBodyBytes": 2 * len(UPLOAD)}
+        with EarlyServer(early) as server:
+            server.may_answer.set()
+            async with start([KINDS[kind]], [server], limits=limits) as caller:
+                assert await upload(caller) == (200, PART, True)
+        assert server.requests == 1
