Bytes on an idle connection are no answer to the next request

What callers would see: an answer with status 000, or one that belongs to nobody, where a server or the store writes it on a connection that is kept, after a whole answer.

Cause: aiohttp parses what arrives on an idle connection and keeps it as the first answer to the next request. Its head came after a head that had been checked, so it was not checked.

Change: bytes after the end of a response close the connection. The next request opens another one.

Direct entries use each connection once and were not affected.

--- a/packages/skylarkdoor/src/skylarkdoor/_bounded_http.py
+++ b/packages/skylarkdoor/src/skylarkdoor/_bounded_http.py
@@ -54,18 +54,28 @@
         super().set_response_params(**options)
 
     def data_received(self, data: bytes) -> None:
-        """Pass received bytes on, unless the head is invalid.
+        """Pass received bytes on, unless they are no part of a valid response.
 
         Without a parser, aiohttp keeps the bytes and calls this method once more.
         """
-        if self._parser is not None:
+        if data and self._parser is not None:
             try:
-                self.heads.feed(data)
+                self.check(data)
             except InvalidHeadError as error:
                 self.reject(error)
                 return
         super().data_received(data)
 
+    def check(self, data: bytes) -> None:
+        """Check received bytes.
+
+        Raises:
+            InvalidHeadError: The head is invalid, or the response was complete before.
+        """
+        if self.heads.is_complete and self.open_body is None:
+            raise InvalidHeadError("bytes after the end of a response")
+        self.heads.feed(data)
+
     def eof_received(self) -> bool:  # type: ignore[override]
         """Return whether the connection stays open, as the request isn't received yet.
 
