A chunked body that breaks off with other bytes fails at once

What callers saw: nothing until their own timeout (504; in the own interface until the time limit of the request), where a server sent a valid beginning of a chunked answer and then, in another segment, bytes that are no chunk, or an invalid trailer. What could run again was not tried again in time.

Cause: when aiohttp's compiled parser fails, the connection is closed and the response's body stays open for good. With the other parser a reader that waits gets an error of the parser's, which is none of the client's.

Change: a failure of the parser fails the body; `read_chunk` turns the parser's errors into the client's. Direct entries now read through it, instead of a copy of it.

--- a/packages/skylarkdoor/src/skylarkdoor/_bounded_http.py
+++ b/packages/skylarkdoor/src/skylarkdoor/_bounded_http.py
@@ -11,6 +11,7 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import HttpProcessingError
 
 from skylarkdoor import untrusted_json
 from skylarkdoor._byte_bound import ByteBound, on_read
@@ -56,7 +57,8 @@
     def data_received(self, data: bytes) -> None:
         """Pass received bytes on, unless they are no part of a valid response.
 
-        Without a parser, aiohttp keeps the bytes and calls this method once more.
+        Without a parser, aiohttp keeps the bytes and calls this method once more. Where
+        one of its parsers fails, it leaves the body open.
         """
         if data and self._parser is not None:
             try:
@@ -65,6 +67,9 @@
                 self.reject(error)
                 return
         super().data_received(data)
+        failure = self.exception()
+        if isinstance(failure, HttpProcessingError):
+            self.fail_body(failure)
 
     def check(self, data: bytes) -> None:
         """Check received bytes.
@@ -224,7 +229,11 @@
     """
     connection = response.connection
     protocol = connection.protocol if connection else None
-    chunk = await response.content.readany()
+    try:
+        chunk = await response.content.readany()
+    except HttpProcessingError as error:
+        # From the uncompiled parser, if it fails while a reader waits.
+        raise aiohttp.ClientPayloadError(reason(error)) from None
     on_read(protocol)
     return chunk
 
--- a/packages/skylarkdoord/src/skylarkdoord/direct/_call.py
+++ b/packages/skylarkdoord/src/skylarkdoord/direct/_call.py
@@ -17,6 +17,7 @@
     BoundedConnector,
     on_read,
     open_session,
+    read_chunk,
 )
 from skylarkdoor.exceptions import ResponseLostError
 from skylarkdoor.failures import reason
@@ -125,8 +126,7 @@
         self.head = head
         self.status = response.status
         connection = response.connection
-        self.protocol = connection.protocol if connection else None
-        on_read(self.protocol)
+        on_read(connection.protocol if connection else None)
         length = response.headers.get("Content-Length")
         chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
         self.is_close_delimited = length is None and not chunked
@@ -138,11 +138,9 @@
             AnswerTruncatedError: The body ended before it was complete.
         """
         try:
-            chunk = await self.response.content.readany()
+            return await read_chunk(self.response)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise AnswerTruncatedError(reason(error)) from None
-        on_read(self.protocol)
-        return chunk
 
     async def read_body(self) -> bytes:
         """Return the complete body.
--- a/packages/skylarkdoord/tests/test_broken_heads.py
+++ b/packages/skylarkdoord/tests/test_broken_heads.py
@@ -26,6 +26,8 @@
     "table": b'{"header": {"revision": "1"}}',
     "instances": b"[]",
 }
+# Longest time for a response that is known to be broken, in seconds.
+MOST_S = 0.9
 STATUS_LINE = b"HTTP/1.1 200 OK"
 OWN = b"X-Request-Id: request-1"
 
@@ -181,3 +183,52 @@
         """One is incomplete if its connection is reset."""
         server = RawServer(self.response(reader), is_reset=True)
         assert not await is_accepted(reader, server)
+
+
+class HangingServer(RawServer):
+    """A server that pauses within its response, and leaves the connection open.
+
+    Args:
+        parts: Parts of the response.
+    """
+
+    def __init__(self, *parts):
+        self.parts = parts
+
+    async def serve(self, reader, writer):
+        """Serve one connection."""
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            for part in self.parts:
+                writer.write(part)
+                await writer.drain()
+                await asyncio.sleep(0.02)
+            await reader.read()
+        writer.close()
+
+
+# Those that read a body and don't ask again.
+READ_ONCE = [*READ_TO_THE_END, "sidecar answer"]
+READ_ONCE.remove("entry outcome")
+
+
+@pytest.mark.parametrize("reader", READ_ONCE)
+class TestBrokenChunks:
+    """Chunked bodies that break off with bytes that are no chunk."""
+
+    # Guards against a reader that waits until its timeout, as the parser closed the
+    # connection and left the body open.
+    @pytest.mark.parametrize(
+        "rest",
+        [b"zz\r\n", b"-1\r\n", b"2\r\nabc\r\n", b"0\r\nX Field: 1\r\n\r\n"],
+        ids=["size", "sign", "long chunk", "trailer"],
+    )
+    async def test_ends_at_once(self, reader, rest):
+        """The response fails at once, or its body was complete."""
+        body = BODIES.get(reader, DEFAULT_BODY)
+        begin = response(CHUNKED, body=b"", has_length=False)
+        chunk = b"%x\r\n%s\r\n" % (len(body), body)
+        async with asyncio.timeout(MOST_S):
+            server = HangingServer(begin, chunk, rest)
+            if await is_accepted(reader, server):
+                assert rest.startswith(b"0")
