--- a/packages/skylarkdoor/src/skylarkdoor/bounded_http.py
+++ b/packages/skylarkdoor/src/skylarkdoor/bounded_http.py
@@ -3,14 +3,13 @@
 from skylarkdoor._bounded_http import (
     BodyBudget,
     BodyTooLargeError,
-    BoundedConnector,
-    InvalidResponseError,
     open_session,
     read_body,
     read_chunk,
     read_json,
 )
 from skylarkdoor._byte_bound import MAX_UNREAD_BYTES, ByteBound, on_read
+from skylarkdoor._client_connections import BoundedConnector, InvalidResponseError
 
 __all__ = [
     "MAX_UNREAD_BYTES",
