--- a/tests/adapter/_standins.py
+++ b/tests/adapter/_standins.py
@@ -9,6 +9,7 @@
 import struct
 from collections.abc import Awaitable, Callable
 
+import aiohttp
 from aiohttp import web
 
 from skylarkdoor.kernel import Kernel
@@ -291,6 +292,23 @@
     return script
 
 
+async def receive(request):
+    """Return status, body and whether the body is complete of the answer to a request.
+
+    Args:
+        request: Context of the request; the status is None if there is no answer.
+    """
+    body, status = b"", None
+    try:
+        async with request as response:
+            status = response.status
+            async for data in response.content.iter_any():
+                body += data
+    except aiohttp.ClientError:
+        return status, body, False
+    return status, body, True
+
+
 def event(number):
     """Return one event of a stream."""
     return f"id: {number}\ndata: word {number}\n\n".encode()
--- a/tests/adapter/test_early_answers.py
+++ b/tests/adapter/test_early_answers.py
@@ -9,10 +9,9 @@
 import time
 from typing import NamedTuple
 
-import aiohttp
 import pytest
 
-from ._standins import LOOPBACK, SIGNATURE, event, route
+from ._standins import LOOPBACK, SIGNATURE, event, receive, route
 
 KINDS = {
     "idempotent": route(maxAttempts=2),
@@ -130,15 +129,7 @@
 
 async def upload(caller):
     """Send a request; return status, body and whether the body is complete."""
-    body, status = b"", None
-    try:
-        async with caller.request("/desk/1", "POST", data=UPLOAD) as response:
-            status = response.status
-            async for data in response.content.iter_any():
-                body += data
-    except aiohttp.ClientError:
-        return status, body, False
-    return status, body, True
+    return await receive(caller.request("/desk/1", "POST", data=UPLOAD))
 
 
 class TestReset:
--- a/tests/adapter/test_faulty_answers.py
+++ b/tests/adapter/test_faulty_answers.py
@@ -4,7 +4,6 @@
 import contextlib
 import itertools
 
-import aiohttp
 import pytest
 
 from ._standins import (
@@ -13,6 +12,7 @@
     chunk,
     event,
     head,
+    receive,
     reply,
     reset,
     route,
@@ -35,17 +35,9 @@
     """Send a request; return status, body and whether the body is complete."""
     headers = {"Host": "desk.example", "Deadline-Ms": "3000"} | headers
     headers["Attempt-Id"] = attempt
-    body, status = b"", None
-    try:
-        async with caller.session.post(
-            f"{entry.url}/desk/1", headers=headers, data=b"x"
-        ) as response:
-            status = response.status
-            async for data in response.content.iter_any():
-                body += data
-    except aiohttp.ClientError:
-        return status, body, False
-    return status, body, True
+    return await receive(
+        caller.session.post(f"{entry.url}/desk/1", headers=headers, data=b"x")
+    )
 
 
 @contextlib.asynccontextmanager
