Own interface: a test with real processes of an upstream that answers with status 000

On the first request got 502. Its answer counted as complete and was stored; a retry with the same key got 503 with `not_run: true`, as the entry could not read the replayed answer and learned that only this attempt had not run. Both methods failed at the retry.

--- a/packages/skylarkdoor-standins/src/skylarkdoor_standins/service/_app.py
+++ b/packages/skylarkdoor-standins/src/skylarkdoor_standins/service/_app.py
@@ -25,6 +25,8 @@
     """Run the request, then close the connection after half of the response body."""
     ERROR = "error"
     """Run the request, then respond with 500."""
+    NO_STATUS = "no_status"
+    """Run the request, then respond with status 000, which is not valid HTTP."""
     CRASH = "crash"
     """Exit the process while the request runs."""
 
@@ -116,6 +118,8 @@
         response = web.json_response(execution._asdict(), headers=headers)
         if fault.mode is FaultMode.CUT:
             return await _send_truncated(request, response)
+        if fault.mode is FaultMode.NO_STATUS:
+            return _send_without_status(request, execution.request_id)
         return response
 
     def _record(self, request: web.Request, body: bytes) -> Execution:
@@ -168,3 +172,12 @@
     if request.transport is not None:
         request.transport.close()
     return truncated
+
+
+def _send_without_status(request: web.Request, request_id: str) -> web.Response:
+    """Write a response that aiohttp would not send, and close the connection."""
+    head = f"HTTP/1.1 000 None\r\nX-Request-Id: {request_id}\r\nContent-Length: 2\r\n"
+    if request.transport is not None:
+        request.transport.write(head.encode() + b"\r\n{}")
+        request.transport.close()
+    return web.Response()
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -148,6 +148,24 @@
         assert len(await executions(cluster)) == 1
 
 
+class TestBrokenAnswer:
+    """An upstream runs a request and answers with status 000."""
+
+    # Guards against the incident: callers get an answer with status 000, or one that is
+    # stored as complete is replayed to them.
+    @pytest.mark.parametrize("method", ["POST", "GET"])
+    async def test_outcome_unknown(self, cluster: Cluster, method: str) -> None:
+        """The outcome is unknown, also for a resend, and nothing is rerun."""
+        for name in SERVICES:
+            await cluster.upstream_fault(name, mode="no_status")
+        for entry in (0, 1):
+            response = await hand_over(cluster, entry=entry, method=method)
+            assert response.status == 502
+            assert response.error["code"] == "outcome_unknown"
+            assert not response.error["not_run"]
+        assert len(await executions(cluster)) == 1
+
+
 class TestProcessEnds:
     """A process ends, or the caller disconnects, around a request."""
 
