--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,6 +1,5 @@
-"""The row of a server is removed while the open channels to the store are silent (DRAIN)."""
+"""The row of a server is removed while channels to the store are silent (DRAIN)."""
 
-import asyncio
 import sys
 from pathlib import Path
 
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,6 +1,5 @@
 """A server drains while the open channels to the store are silent (DRAIN)."""
 
-import asyncio
 import sys
 from pathlib import Path
 
--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -1,4 +1,6 @@
-"""Stand-ins of the platform: store, servers, clients and a proxy. Standard library only.
+"""Stand-ins of the platform: store, servers, clients and a proxy.
+
+Only the standard library is needed.
 
 They follow PROTOCOL.md. Every address is a loopback address; each process of the
 deployment gets an address of its own, so that all can use the same ports.
@@ -95,7 +97,7 @@
     """Writes what was sent, answered and run to record.txt."""
 
     def __init__(self, path):
-        self.file = open(path, "w")
+        self.file = Path(path).open("w")  # noqa: SIM115
         self.began = time.monotonic()
 
     def now(self):
@@ -150,9 +152,8 @@
                 row["deleted"] = True
             else:
                 row["data"] = base64.b64encode(data).decode()
-            if since is None and data is not None:
-                rows.append(row)
-            elif since is not None and version > since:
+            is_listed = data is not None if since is None else version > since
+            if is_listed:
                 rows.append(row)
         order = "key" if since is None else "rowVersion"
         return sorted(rows, key=lambda row: row[order])
@@ -235,7 +236,7 @@
 
 
 class Server:
-    """A server of the platform; it writes its row only when more than `sequence` changes.
+    """A server of the platform, which writes its row only when that changes.
 
     Attributes:
         is_leaving: Whether it states in its answers that it leaves.
@@ -305,7 +306,9 @@
         target = request.get("Target-Instance")
         if target and target != self.name:
             self.record.line(f"server {self.name} answers 421 to {attempt}")
-            head = f"HTTP/1.1 421 X\r\nAttempt-Id: {attempt}\r\nContent-Length: 0\r\n\r\n"
+            head = (
+                f"HTTP/1.1 421 X\r\nAttempt-Id: {attempt}\r\nContent-Length: 0\r\n\r\n"
+            )
             writer.write(head.encode())
             await writer.drain()
             return True
--- a/review/standins-3/leaving.py
+++ b/review/standins-3/leaving.py
@@ -30,6 +30,9 @@
     """Run the case; return the requests that reached the server too late.
 
     Args:
+        record: Receives what happens.
+        folder: Folder for settings and logs.
+        is_troubled: Whether the channels go silent.
         leave: Coroutine function with which the store acknowledges the leaving.
         state: What the store then states of the server.
         arrivals: New servers that register just before the silence, as in a release.
